Stand up the whole path, thin: text, replicas, entries, targets, load

Cause: nothing existed. A caller's request now goes through real processes to a target that announced itself, under a text that an operator applied.

Thin parts: the first replica is the fixed leader, slots are shared by fixed shares.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks and the main job; they start the processes they measure."""
--- /dev/null
+++ b/proofs/__init__.py
@@ -0,0 +1,1 @@
+"""Failure proofs with real processes."""
--- /dev/null
+++ b/src/wigeonreach/cli/_app.py
@@ -0,0 +1,22 @@
+"""Gather the commands."""
+
+from __future__ import annotations
+
+import typer
+
+from wigeonreach.cli._config_commands import apply, plan
+from wigeonreach.cli._daemon_commands import entry, replica
+from wigeonreach.cli._status_commands import status
+
+app = typer.Typer(
+    no_args_is_help=True,
+    help='Run the daemons of a fleet and tell them what to do.',
+    epilog='Exit codes: 0 done, 1 failed, 2 usage or setting, 3 refused, '
+    '4 conflict, 5 unreachable, 6 accepted but not yet in force.',
+    pretty_exceptions_enable=False,
+)
+app.command()(entry)
+app.command()(replica)
+app.command()(apply)
+app.command()(plan)
+app.command()(status)
--- /dev/null
+++ b/src/wigeonreach/cli/_daemon_commands.py
@@ -0,0 +1,76 @@
+"""Start one daemon each."""
+
+from __future__ import annotations
+
+import pathlib
+from typing import Annotated
+
+import typer
+
+from wigeonreach._runner import run_daemon
+from wigeonreach.cli import _options as options
+from wigeonreach.cli._errors import errors_as_exits
+from wigeonreach.entry import Entry, EntrySettings
+from wigeonreach.observe import LogFormat, Logger, configure_logs
+from wigeonreach.state import Replica, ReplicaSettings
+from wigeonreach.wire import parse_address, parse_members
+
+_MEBIBYTE = 1024 * 1024
+
+
+def entry(
+    name: options.Name,
+    zone: options.Zone,
+    http: options.Http,
+    listen: options.Listen,
+    replicas: options.Replicas,
+    peers: options.Peers = [],  # noqa: B006, WPS404 - typer copies it
+    max_body_bytes: Annotated[
+        int,
+        typer.Option(envvar='WIGEONREACH_MAX_BODY_BYTES', min=1),
+    ] = _MEBIBYTE,
+    max_deadline_s: Annotated[
+        float,
+        typer.Option(envvar='WIGEONREACH_MAX_DEADLINE_S', min=0.1),
+    ] = 10.0,
+    log_format: options.Format = LogFormat.JSON,
+    log_level: options.Level = 'info',
+) -> None:
+    """Run an entry, which passes callers' requests to targets."""
+    with errors_as_exits():
+        settings = EntrySettings(
+            name=name,
+            zone=zone,
+            http=parse_address(http, '--http'),
+            listen=parse_address(listen, '--listen'),
+            peers=parse_members(peers, '--peer'),
+            replicas=parse_members(replicas, '--replica'),
+            max_body_bytes=max_body_bytes,
+            max_deadline_s=max_deadline_s,
+        )
+        configure_logs(log_format, log_level)
+        logger = Logger(name)
+        run_daemon(Entry(settings, logger), logger)
+
+
+def replica(
+    name: options.Name,
+    zone: options.Zone,
+    listen: options.Listen,
+    replicas: options.Replicas,
+    data_folder: options.DataFolder = pathlib.Path('data'),
+    log_format: options.Format = LogFormat.JSON,
+    log_level: options.Level = 'info',
+) -> None:
+    """Run a replica, which keeps the durable state on its disk."""
+    with errors_as_exits():
+        settings = ReplicaSettings(
+            name=name,
+            zone=zone,
+            listen=parse_address(listen, '--listen'),
+            members=parse_members(replicas, '--replica'),
+            data_folder=data_folder,
+        )
+        configure_logs(log_format, log_level)
+        logger = Logger(name)
+        run_daemon(Replica(settings, logger), logger)
--- /dev/null
+++ b/src/wigeonreach/cli/_errors.py
@@ -0,0 +1,53 @@
+"""Turn errors into exit codes."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import Iterator
+from types import MappingProxyType
+from typing import NoReturn
+
+import typer
+
+from wigeonreach.codes import ExitCode, ResultCode
+from wigeonreach.exceptions import (
+    FleetTextError,
+    SettingError,
+    WigeonreachError,
+    WireError,
+)
+
+_EXIT_BY_ERROR = MappingProxyType(
+    {
+        SettingError: ExitCode.USAGE,
+        FleetTextError: ExitCode.REFUSED,
+        WireError: ExitCode.UNREACHABLE,
+    }
+)
+_EXIT_BY_CODE = MappingProxyType(
+    {
+        ResultCode.OK: ExitCode.DONE,
+        ResultCode.STATE_CONFLICT: ExitCode.CONFLICT,
+        ResultCode.STATE_NO_QUORUM: ExitCode.UNREACHABLE,
+    }
+)
+
+
+@contextlib.contextmanager
+def errors_as_exits() -> Iterator[None]:
+    """Print a numbered error and leave with its exit code."""
+    try:
+        yield
+    except WigeonreachError as error:
+        leave(_EXIT_BY_ERROR.get(type(error), ExitCode.FAILED), str(error))
+
+
+def exit_for(code: int) -> ExitCode:
+    """Return the exit code for the result code of a reply."""
+    return _EXIT_BY_CODE.get(ResultCode(code), ExitCode.REFUSED)
+
+
+def leave(code: ExitCode, message: str) -> NoReturn:
+    """Print a message to standard error and leave."""
+    typer.echo(message, err=True)
+    raise typer.Exit(int(code))
--- /dev/null
+++ b/src/wigeonreach/entry/__init__.py
@@ -0,0 +1,6 @@
+"""Take callers' requests and pass them to targets."""
+
+from wigeonreach.entry._daemon import Entry
+from wigeonreach.entry._settings import EntrySettings
+
+__all__ = ('Entry', 'EntrySettings')
--- /dev/null
+++ b/src/wigeonreach/entry/_settings.py
@@ -0,0 +1,37 @@
+"""Settings of an entry."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from wigeonreach.wire import Address, Member
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntrySettings:
+    """Who an entry is, where it listens and whom it talks to."""
+
+    name: str
+    zone: str
+    http: Address
+    listen: Address
+    peers: tuple[Member, ...]
+    replicas: tuple[Member, ...]
+    max_body_bytes: int
+    max_deadline_s: float
+
+    @property
+    def zone_peers(self) -> tuple[Member, ...]:
+        """The other entries of this entry's zone."""
+        return tuple(
+            peer
+            for peer in self.peers
+            if peer.zone == self.zone and peer.name != self.name
+        )
+
+    @property
+    def replicas_nearest_first(self) -> tuple[Member, ...]:
+        """The replicas, those of this entry's zone first."""
+        return tuple(
+            sorted(self.replicas, key=lambda peer: peer.zone != self.zone),
+        )
--- /dev/null
+++ b/src/wigeonreach/observe/__init__.py
@@ -0,0 +1,7 @@
+"""Count, time and log what a daemon does."""
+
+from wigeonreach.observe._events import LogEvent
+from wigeonreach.observe._logs import LogFormat, Logger, configure_logs
+from wigeonreach.observe._metrics import Metrics
+
+__all__ = ('LogEvent', 'LogFormat', 'Logger', 'Metrics', 'configure_logs')
--- /dev/null
+++ b/src/wigeonreach/observe/_events.py
@@ -0,0 +1,33 @@
+"""Number every log event; the catalogue is ``docs/LOG-EVENTS.md``."""
+
+from __future__ import annotations
+
+import enum
+
+
+@enum.unique
+class LogEvent(enum.IntEnum):
+    """Numbered log events."""
+
+    # 100: every daemon.
+    DAEMON_STARTED = 101
+    DAEMON_STOPPING = 102
+    DAEMON_STOPPED = 103
+    DAEMON_FORCED = 104
+
+    # 200: entries.
+    TARGET_JOINED = 201
+    TARGET_LEAVING = 202
+    TARGET_EXPIRED = 203
+    PEER_CONNECTED = 204
+    PEER_LOST = 205
+    CONFIG_IN_FORCE = 206
+    CONFIG_SOURCE_LOST = 207
+    DRAIN_FINISHED = 208
+    DRAIN_CUT_OFF = 209
+
+    # 300: replicas.
+    CHANGE_ACCEPTED = 301
+    CHANGE_REFUSED = 302
+    JOURNAL_TAIL_CUT = 303
+    FOLLOWER_LOST = 304
--- /dev/null
+++ b/src/wigeonreach/text/__init__.py
@@ -0,0 +1,25 @@
+"""Read, check and describe the operator's text."""
+
+from wigeonreach.text._model import (
+    Budget,
+    FailureDomain,
+    FleetText,
+    Maintenance,
+    Pool,
+    Service,
+    ServiceMode,
+    Team,
+)
+from wigeonreach.text._parse import parse_fleet_text
+
+__all__ = (
+    'Budget',
+    'FailureDomain',
+    'FleetText',
+    'Maintenance',
+    'Pool',
+    'Service',
+    'ServiceMode',
+    'Team',
+    'parse_fleet_text',
+)
--- /dev/null
+++ b/src/wigeonreach/text/_checks.py
@@ -0,0 +1,115 @@
+"""Check what one part of an operator's text says about another."""
+
+from __future__ import annotations
+
+import dataclasses
+import graphlib
+from collections.abc import Iterator
+
+from wigeonreach.codes import ResultCode
+from wigeonreach.text._schema import TextSchema
+
+_SERVICES = 'services'
+_DEPENDS_ON = 'depends_on'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Finding:
+    """One reason to refuse a text."""
+
+    code: ResultCode
+    path: tuple[str, ...]
+    allowed: str
+
+
+def find_faults(schema: TextSchema) -> Iterator[Finding]:
+    """Yield every cross-reference fault of a text.
+
+    Parameters
+    ----------
+    schema
+        A text whose shape is valid.
+
+    Yields
+    ------
+    Finding
+        One fault, with the path of the key at fault.
+    """
+    yield from _unknown_references(schema)
+    yield from _dependency_cycles(schema)
+    yield from _vms_in_two_pools(schema)
+    yield from _impossible_budgets(schema)
+
+
+def _unknown_references(schema: TextSchema) -> Iterator[Finding]:
+    known = ', '.join(sorted(schema.services))
+    for name, service in schema.services.items():
+        unknown = [
+            other
+            for other in service.depends_on
+            if other not in schema.services
+        ]
+        if unknown:
+            yield Finding(
+                ResultCode.TEXT_UNKNOWN_REFERENCE,
+                (_SERVICES, name, _DEPENDS_ON),
+                f'{unknown[0]!r} is no service; allowed: {known}',
+            )
+        if service.pool is not None and service.pool not in schema.pools:
+            pools = ', '.join(sorted(schema.pools))
+            yield Finding(
+                ResultCode.TEXT_UNKNOWN_REFERENCE,
+                (_SERVICES, name, 'pool'),
+                f'{service.pool!r} is no pool; allowed: {pools}',
+            )
+
+
+def _dependency_cycles(schema: TextSchema) -> Iterator[Finding]:
+    graph = {
+        name: service.depends_on for name, service in schema.services.items()
+    }
+    try:
+        graphlib.TopologicalSorter(graph).prepare()
+    except graphlib.CycleError as error:
+        cycle = error.args[1]
+        yield Finding(
+            ResultCode.TEXT_DEPENDENCY_CYCLE,
+            (_SERVICES, cycle[0], _DEPENDS_ON),
+            'dependencies must not form a cycle: {0}'.format(
+                ' -> '.join(cycle),
+            ),
+        )
+
+
+def _vms_in_two_pools(schema: TextSchema) -> Iterator[Finding]:
+    owner: dict[str, str] = {}
+    for name, pool in schema.pools.items():
+        for vm in pool.vms:
+            first = owner.setdefault(vm, name)
+            if first != name or pool.vms.count(vm) > 1:
+                yield Finding(
+                    ResultCode.TEXT_VM_IN_TWO_POOLS,
+                    ('pools', name, 'vms'),
+                    f'{vm!r} already belongs to pool {first!r}',
+                )
+
+
+def _impossible_budgets(schema: TextSchema) -> Iterator[Finding]:
+    for name, service in schema.services.items():
+        if service.budget.missing_s > service.budget.window_s:
+            yield Finding(
+                ResultCode.TEXT_IMPOSSIBLE_BUDGET,
+                (_SERVICES, name, 'budget', 'missing_s'),
+                f'at most window_s ({service.budget.window_s:g})',
+            )
+        if service.promised_slots and _is_pool_empty(schema, service.pool):
+            yield Finding(
+                ResultCode.TEXT_IMPOSSIBLE_BUDGET,
+                (_SERVICES, name, 'promised_slots'),
+                f'0, because pool {service.pool!r} has no VMs',
+            )
+
+
+def _is_pool_empty(schema: TextSchema, name: str | None) -> bool:
+    pool = schema.pools.get(name or '')
+    return pool is not None and not pool.vms
--- /dev/null
+++ b/src/wigeonreach/wire/_base.py
@@ -0,0 +1,14 @@
+"""Define the base of all messages between processes."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class WireMessage(
+    msgspec.Struct,
+    frozen=True,
+    array_like=True,
+    tag=True,
+):
+    """Base of all messages; encoded as a msgpack array led by its tag."""
--- /dev/null
+++ b/src/wigeonreach/wire/_messages.py
@@ -0,0 +1,36 @@
+"""Gather every message type into the union that a channel decodes."""
+
+from __future__ import annotations
+
+from typing import TypeAlias
+
+from wigeonreach.wire._config_messages import (
+    ApplyReply,
+    ApplyText,
+    ConfigAck,
+    ConfigUpdate,
+    ReadReply,
+    ReadText,
+    StatusReply,
+    StatusRequest,
+    Subscribe,
+)
+from wigeonreach.wire._replica_messages import Append, AppendReply
+from wigeonreach.wire._target_messages import PeerHello, TargetRecord, Targets
+
+Message: TypeAlias = (
+    Append
+    | AppendReply
+    | ApplyReply
+    | ApplyText
+    | ConfigAck
+    | ConfigUpdate
+    | PeerHello
+    | ReadReply
+    | ReadText
+    | StatusReply
+    | StatusRequest
+    | Subscribe
+    | TargetRecord
+    | Targets
+)
--- /dev/null
+++ b/src/wigeonreach/wire/_target_messages.py
@@ -0,0 +1,47 @@
+"""Messages by which entries share what targets announced."""
+
+from __future__ import annotations
+
+import enum
+
+from wigeonreach.wire._base import WireMessage
+
+
+class TargetState(enum.StrEnum):
+    """What a target says of itself."""
+
+    SERVING = 'serving'
+    LEAVING = 'leaving'
+
+
+class TargetRecord(WireMessage, frozen=True):
+    """The newest announcement known of one target.
+
+    A higher ``incarnation_ns`` is a restart of the target; within one
+    incarnation the higher ``sequence`` is the newer announcement.
+    """
+
+    target_id: str
+    service: str
+    zone: str
+    address: str
+    incarnation_ns: int
+    sequence: int
+    state: TargetState
+    slots: int
+    connections: int
+    lease_left_s: float
+
+
+class Targets(WireMessage, frozen=True):
+    """Some of the records that an entry knows."""
+
+    records: tuple[TargetRecord, ...]
+
+
+class PeerHello(WireMessage, frozen=True):
+    """First message on a channel between two entries."""
+
+    process: str
+    zone: str
+    incarnation_ns: int
