Name the last line for a text that ends too early

Cause: the parser gives no line number at the end of a document and the error named line 1. Before: test_syntax failed ('line 2:' not in 'line 1: ...'). After: make test passes, 11 passed.

--- a/src/wigeonreach/text/_parse.py
+++ b/src/wigeonreach/text/_parse.py
@@ -62,7 +62,8 @@
         return tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
         found = _LINE_PATTERN.search(str(error))
-        line = found.group(1) if found else '1'
+        # Without a number the fault is at the end of the text.
+        line = found.group(1) if found else str(len(text.splitlines()))
         raise FleetTextError(
             ResultCode.TEXT_SYNTAX,
             f'line {line}: {error}; allowed: TOML 1.0',
