--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -5,7 +5,7 @@
 import sys
 
 from bench.figures import Figure
-from bench.registry import BENCHES
+from bench.registry import find_benches
 
 
 def main(names: list[str]) -> int:
@@ -21,9 +21,10 @@
     int
         0 if every bound held, else 1.
     """
+    benches = find_benches()
     figures: list[Figure] = []
-    for name in names or sorted(BENCHES):
-        for figure in BENCHES[name]():
+    for name in names or sorted(benches):
+        for figure in benches[name]():
             print(figure.line(), flush=True)
             figures.append(figure)
     return 0 if all(figure.held for figure in figures) else 1
--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -14,6 +14,8 @@
 from urllib import error as urllib_error
 from urllib import request as urllib_request
 
+from bench.relay import Relay
+
 _HOST = '127.0.0.1'
 _POLL_S = 0.05
 _READY_TIMEOUT_S = 20.0
@@ -88,10 +90,18 @@
         How large it is.
     folder
         Where logs, data folders and the run log go.
+    relay
+        If given, every connection between two processes goes through it.
     """
 
-    def __init__(self, shape: Shape, folder: pathlib.Path) -> None:
+    def __init__(
+        self,
+        shape: Shape,
+        folder: pathlib.Path,
+        relay: Relay | None = None,
+    ) -> None:
         """Lay out every process; none is started yet."""
+        self._relay = relay
         folder.mkdir(parents=True, exist_ok=True)
         self.shape = shape
         self.folder = folder
@@ -136,7 +146,7 @@
     ) -> subprocess.CompletedProcess[str]:
         """Run one of the operator's commands against this fleet."""
         command = [str(_BIN / 'wigeonreach'), *arguments]
-        command.extend(self._members('--replica', self.replicas))
+        command.extend(self._members('--replica', self.replicas, 'operator'))
         return subprocess.run(  # noqa: S603
             command,
             capture_output=True,
@@ -177,34 +187,57 @@
     def _entry_command(self, process: Process) -> list[str]:
         command = self._daemon('entry', process)
         command.extend(('--http', process.http))
-        command.extend(self._members('--peer', self.entries))
+        command.extend(self._members('--peer', self.entries, process.name))
         return command
 
     def _daemon(self, role: str, process: Process) -> list[str]:
         command = [str(_BIN / 'wigeonreach'), role]
         command.extend(('--name', process.name, '--zone', process.zone))
         command.extend(('--listen', process.listen))
-        command.extend(self._members('--replica', self.replicas))
+        command.extend(
+            self._members('--replica', self.replicas, process.name),
+        )
         return command
 
     def _target_command(self, process: Process, service: str) -> list[str]:
         command = [str(_BIN / 'wigeonreach-standin'), 'target']
         command.extend(('--target-id', process.name, '--service', service))
         command.extend(('--http', process.http))
+        command.extend(
+            (
+                '--announced',
+                self._link('entries', process.name, process.http),
+            )
+        )
         command.extend(('--run-log', str(self.run_log)))
         command.extend(('--service-time-s', str(self.shape.service_time_s)))
         for entry in self.entries:
             if entry.zone == process.zone:
-                command.extend(('--entry', entry.http))
+                command.append('--entry')
+                command.append(
+                    self._link(process.name, entry.name, entry.http),
+                )
         return command
 
-    def _members(self, flag: str, members: Sequence[Process]) -> list[str]:
+    def _members(
+        self,
+        flag: str,
+        members: Sequence[Process],
+        source: str,
+    ) -> list[str]:
         words: list[str] = []
         for member in members:
+            address = self._link(source, member.name, member.listen)
             words.append(flag)
-            words.append(f'{member.name}@{member.zone}={member.listen}')
+            words.append(f'{member.name}@{member.zone}={address}')
         return words
 
+    def _link(self, source: str, target: str, address: str) -> str:
+        # The operator and a process itself are never cut off.
+        if self._relay is None or source in {target, 'operator'}:
+            return address
+        return self._relay.add(source, target, address)
+
 
 def _wait_for(is_done: Callable[[], bool], what: str) -> None:
     ends_s = time.monotonic() + _READY_TIMEOUT_S
--- /dev/null
+++ b/bench/relay.py
@@ -0,0 +1,156 @@
+"""Relay TCP connections that can be cut, delayed or cut one way."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import threading
+from collections.abc import Callable, Coroutine
+from typing import Any, TypeVar
+
+_HOST = '127.0.0.1'
+_CHUNK_BYTES = 64 * 1024
+_HELD_POLL_S = 0.02
+_Reply = TypeVar('_Reply')
+
+
+@dataclasses.dataclass(slots=True)
+class Link:
+    """One directed link: connections that ``source`` opens to ``target``.
+
+    A cut holds bytes back without closing, as a silent network partition
+    does: neither side learns of it before its own timeout.
+    """
+
+    source: str
+    target: str
+    address: str
+    forward_cut: bool = False
+    backward_cut: bool = False
+    delay_s: float = 0
+
+
+class Relay:
+    """All relayed links of a fleet, served by a thread of the sending side."""
+
+    def __init__(self) -> None:
+        """Start the thread."""
+        self._links: list[Link] = []
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(
+            target=self._loop.run_forever,
+            daemon=True,
+        )
+        self._thread.start()
+
+    def add(self, source: str, target: str, address: str) -> str:
+        """Add a link and return the address that the source shall use.
+
+        Parameters
+        ----------
+        source, target
+            Names of the two processes.
+        address
+            Where the target really listens.
+
+        Returns
+        -------
+        str
+            Address of the relay for this link.
+        """
+        link = Link(source, target, address)
+        self._links.append(link)
+        return self._call(self._listen(link))
+
+    def cut(self, chosen: Callable[[Link], bool]) -> None:
+        """Hold back both directions of the chosen links."""
+        for link in filter(chosen, self._links):
+            link.forward_cut = True
+            link.backward_cut = True
+
+    def cut_one_way(self, source: str, target: str) -> None:
+        """Hold back what ``source`` sends to ``target``, not the reverse."""
+        for link in self._links:
+            if (link.source, link.target) == (source, target):
+                link.forward_cut = True
+            elif (link.target, link.source) == (source, target):
+                link.backward_cut = True
+
+    def cut_between(self, left: set[str], right: set[str]) -> None:
+        """Hold back everything between two groups of processes."""
+        self.cut(
+            lambda link: (
+                (link.source in left and link.target in right)
+                or (link.source in right and link.target in left)
+            ),
+        )
+
+    def delay(self, chosen: Callable[[Link], bool], delay_s: float) -> None:
+        """Delay each chunk on the chosen links."""
+        for link in filter(chosen, self._links):
+            link.delay_s = delay_s
+
+    def heal(self) -> None:
+        """Let everything pass again; held bytes arrive late."""
+        for link in self._links:
+            link.forward_cut = False
+            link.backward_cut = False
+            link.delay_s = 0
+
+    def close(self) -> None:
+        """Stop the thread."""
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join()
+
+    def _call(self, work: Coroutine[Any, Any, _Reply]) -> _Reply:
+        return asyncio.run_coroutine_threadsafe(work, self._loop).result()
+
+    async def _listen(self, link: Link) -> str:
+        server = await asyncio.start_server(
+            lambda reader, writer: self._accept(link, reader, writer),
+            _HOST,
+            0,
+        )
+        port = server.sockets[0].getsockname()[1]
+        return f'{_HOST}:{port}'
+
+    async def _accept(
+        self,
+        link: Link,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        host, _, port = link.address.rpartition(':')
+        try:
+            far_reader, far_writer = await asyncio.open_connection(
+                host,
+                int(port),
+            )
+        except OSError:
+            writer.close()
+            return
+        await asyncio.gather(
+            _pump(reader, far_writer, link, lambda: link.forward_cut),
+            _pump(far_reader, writer, link, lambda: link.backward_cut),
+        )
+
+
+async def _pump(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    link: Link,
+    is_cut: Callable[[], bool],
+) -> None:
+    with contextlib.suppress(OSError):
+        while True:
+            chunk = await reader.read(_CHUNK_BYTES)
+            if link.delay_s:
+                await asyncio.sleep(link.delay_s)
+            while is_cut():
+                await asyncio.sleep(_HELD_POLL_S)
+            if not chunk:
+                break
+            writer.write(chunk)
+            await writer.drain()
+    writer.close()
--- a/src/wigeonreach/standins/_target.py
+++ b/src/wigeonreach/standins/_target.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import contextlib
+import functools
 import os
 import pathlib
 import random
 import signal
 import time
+from collections.abc import Callable
 from typing import Annotated, Final
 
 import aiohttp
@@ -32,6 +34,8 @@
         What it announces itself as.
     address
         Where it serves.
+    announced
+        Address that it announces.
     entries
         Addresses among which the balancer picks.
     run_log
@@ -45,6 +49,7 @@
         target_id: str,
         service: str,
         address: str,
+        announced: str,
         entries: list[str],
         run_log: RunLog,
         service_time_s: float,
@@ -53,6 +58,7 @@
         self._target_id = target_id
         self._service = service
         self._address = address
+        self._announced = announced
         self._entries = entries
         self._run_log = run_log
         self._service_time_s = service_time_s
@@ -100,7 +106,7 @@
             {
                 'target_id': self._target_id,
                 'service': self._service,
-                'address': self._address,
+                'address': self._announced,
                 'incarnation_ns': self._incarnation_ns,
                 'sequence': self._sequence,
                 'state': self._state,
@@ -139,26 +145,23 @@
     http: Annotated[str, typer.Option(help='IP:PORT to serve on.')],
     entries: Annotated[list[str], typer.Option('--entry')],
     run_log: Annotated[pathlib.Path, typer.Option()],
+    announced: Annotated[str, typer.Option(help='IP:PORT announced.')] = '',
     service_time_s: Annotated[float, typer.Option(min=0)] = 0.02,
 ) -> None:
     """Run one target."""
     log = RunLog(run_log, target_id, os.getpid())
-    asyncio.run(_run(target_id, service, http, entries, log, service_time_s))
-
-
-async def _run(
-    target_id: str,
-    service: str,
-    http: str,
-    entries: list[str],
-    run_log: RunLog,
-    service_time_s: float,
-) -> None:
-    await Target(
+    one = functools.partial(
+        Target,
         target_id,
         service,
         http,
+        announced or http,
         entries,
-        run_log,
+        log,
         service_time_s,
-    ).run()
+    )
+    asyncio.run(_run(one))
+
+
+async def _run(build: Callable[[], Target]) -> None:
+    await build().run()
