--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -34,6 +34,12 @@
     log: IO[bytes]
     popen: subprocess.Popen[bytes] | None = None
 
+    @property
+    def pid(self) -> int:
+        """Its process id, once it was started."""
+        assert self.popen is not None
+        return self.popen.pid
+
     def start(self) -> None:
         """Start it, also again after it ended."""
         self.popen = subprocess.Popen(  # noqa: S603
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -29,6 +29,7 @@
     forward_cut: bool = False
     backward_cut: bool = False
     delay_s: float = 0
+    passed_bytes: int = 0
 
 
 class Relay:
@@ -98,6 +99,10 @@
             link.backward_cut = False
             link.delay_s = 0
 
+    def passed_bytes(self, chosen: Callable[[Link], bool]) -> int:
+        """Return how many bytes the chosen links carried, both ways."""
+        return sum(link.passed_bytes for link in filter(chosen, self._links))
+
     def close(self) -> None:
         """Stop the thread."""
         self._loop.call_soon_threadsafe(self._loop.stop)
@@ -152,5 +157,6 @@
             if not chunk:
                 break
             writer.write(chunk)
+            link.passed_bytes += len(chunk)
             await writer.drain()
     writer.close()
