Split the proxy into reading, dispatch, attempt and answer

The proxy held four jobs in one class. Reading checks the request's headers and bounds the time of its body; one attempt passes the rest of the deadline on.

--- a/src/wigeonreach/entry/_replies.py
+++ b/src/wigeonreach/entry/_replies.py
@@ -1,18 +1,32 @@
-"""Build the answers that an entry gives of its own."""
+"""Build the answers that callers receive."""
 
 from __future__ import annotations
 
 import random
+from types import MappingProxyType
 
 import msgspec
 from aiohttp import web
 
 from wigeonreach.codes import Outcome, ResultCode
+from wigeonreach.entry._attempt import AttemptFailedError, TargetAnswer
+from wigeonreach.exceptions import RequestRefusedError
 
 OUTCOME_HEADER = 'X-Outcome'
 CODE_HEADER = 'X-Result-Code'
+_CONTENT_TYPE = 'Content-Type'
 _RETRY_AFTER = 'Retry-After'
 _RETRY_AFTER_SPREAD_S = 4
+_BUSY_STATUS = 503
+_LOST_STATUS = 504
+_STATUS_BY_CODE = MappingProxyType(
+    {
+        ResultCode.REQUEST_UNKNOWN_SERVICE: 404,
+        ResultCode.REQUEST_BAD_HEADER: 400,
+        ResultCode.REQUEST_TOO_LARGE: 413,
+        ResultCode.REQUEST_BODY_INCOMPLETE: 400,
+    },
+)
 
 
 class ErrorBody(msgspec.Struct, frozen=True):
@@ -24,6 +38,84 @@
     detail: str
 
 
+def target_reply(answer: TargetAnswer) -> web.Response:
+    """Pass a target's whole answer on.
+
+    Parameters
+    ----------
+    answer
+        What the target answered.
+
+    Returns
+    -------
+    aiohttp.web.Response
+        The answer, marked as run.
+    """
+    headers = {
+        OUTCOME_HEADER: Outcome.RAN.value,
+        CODE_HEADER: str(int(ResultCode.OK)),
+    }
+    if answer.content_type is not None:
+        headers[_CONTENT_TYPE] = answer.content_type
+    return web.Response(
+        status=answer.status,
+        body=answer.body,
+        headers=headers,
+    )
+
+
+def refusal_reply(
+    refused: RequestRefusedError,
+    rng: random.Random,
+) -> web.Response:
+    """Build the answer to a request that truly did not run.
+
+    Parameters
+    ----------
+    refused
+        Why it was refused.
+    rng
+        Spreads ``Retry-After``.
+
+    Returns
+    -------
+    aiohttp.web.Response
+        The answer; it says when to come back if that can help.
+    """
+    status = _STATUS_BY_CODE.get(refused.code, _BUSY_STATUS)
+    if status == _BUSY_STATUS:
+        return busy_reply(refused.code, rng, refused.detail)
+    return error_reply(status, refused.code, Outcome.NOT_RUN, refused.detail)
+
+
+def failure_reply(
+    failed: AttemptFailedError,
+    rng: random.Random,
+) -> web.Response:
+    """Build the answer to a request whose last attempt failed.
+
+    Parameters
+    ----------
+    failed
+        How it failed.
+    rng
+        Spreads ``Retry-After``.
+
+    Returns
+    -------
+    aiohttp.web.Response
+        A refusal if it did not run, else an answer that says "unknown".
+    """
+    if failed.outcome is Outcome.NOT_RUN:
+        return busy_reply(failed.code, rng, failed.detail)
+    return error_reply(
+        _LOST_STATUS,
+        failed.code,
+        failed.outcome,
+        failed.detail,
+    )
+
+
 def error_reply(
     status: int,
     code: ResultCode,
@@ -58,7 +150,11 @@
     )
 
 
-def busy_reply(code: ResultCode, rng: random.Random) -> web.Response:
+def busy_reply(
+    code: ResultCode,
+    rng: random.Random,
+    detail: str = '',
+) -> web.Response:
     """Build a refusal that says when to come back.
 
     Parameters
@@ -67,13 +163,15 @@
         Numbered reason.
     rng
         Spreads the time, so that callers do not return together.
+    detail
+        What is allowed, or what happened.
 
     Returns
     -------
     aiohttp.web.Response
         The answer, with ``Retry-After`` in whole seconds.
     """
-    reply = error_reply(503, code, Outcome.NOT_RUN)
+    reply = error_reply(_BUSY_STATUS, code, Outcome.NOT_RUN, detail)
     after_s = 1 + rng.randrange(_RETRY_AFTER_SPREAD_S)
     reply.headers[_RETRY_AFTER] = str(after_s)
     return reply
--- /dev/null
+++ b/src/wigeonreach/entry/_request.py
@@ -0,0 +1,32 @@
+"""Hold one checked request of a caller."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Mapping
+
+from wigeonreach.text import Service
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """One request that was read whole and checked.
+
+    Nothing of it has run yet.  ``due_s`` is the moment, on this process's
+    monotonic clock, after which no answer is of use to the caller.
+    """
+
+    service: Service
+    method: str
+    path: str
+    headers: Mapping[str, str]
+    body: bytes
+    team: str
+    is_urgent: bool
+    key: str
+    due_s: float
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Whether running it twice does no harm."""
+        return self.method in self.service.idempotent_methods
