Define the protocol of the replicated state machine

The state machine sees an index and opaque bytes only, so that replicas can agree without knowing what a change is. The ledger of texts is the first one behind it.

--- a/src/wigeonreach/state/_ledger.py
+++ b/src/wigeonreach/state/_ledger.py
@@ -4,11 +4,16 @@
 
 import dataclasses
 
+import msgspec
+
 from wigeonreach.codes import ResultCode
 from wigeonreach.exceptions import FleetTextError
 from wigeonreach.text import parse_fleet_text
 from wigeonreach.wire._config_messages import ApplyReply, ApplyText
 
+_CHANGE = msgspec.msgpack.Decoder(ApplyText)
+_CHANGES = msgspec.msgpack.Decoder(list[ApplyText])
+
 
 @dataclasses.dataclass(slots=True)
 class Ledger:
@@ -17,6 +22,25 @@
     changes: list[ApplyText]
     committed_version: int = 0
 
+    def apply(self, index: int, command: bytes) -> bytes:
+        """Accept or refuse an encoded ``ApplyText``; reply ``ApplyReply``."""
+        change = _CHANGE.decode(command)
+        reply = self.review(change)
+        if reply is None:
+            self.changes.append(change)
+            self.committed_version = len(self.changes)
+            reply = ApplyReply(ResultCode.OK, '', self.committed_version)
+        return msgspec.msgpack.encode(reply)
+
+    def snapshot(self) -> bytes:
+        """Return all changes."""
+        return msgspec.msgpack.encode(self.changes)
+
+    def restore(self, snapshot: bytes) -> None:
+        """Replace all changes."""
+        self.changes = _CHANGES.decode(snapshot)
+        self.committed_version = len(self.changes)
+
     @property
     def stored_version(self) -> int:
         """Version of the last stored change."""
