Put a router between the proxy and the targets

The proxy chose a target and counted what was in flight by itself. Retries, queues and shared limits each need the same decision, so that it now stands behind acquire and release; how the attempt ended is told on release. The policy is unchanged: fixed shares, least loaded first.

--- a/src/wigeonreach/entry/_attempt.py
+++ b/src/wigeonreach/entry/_attempt.py
@@ -9,7 +9,6 @@
 import yarl
 
 from wigeonreach.codes import Outcome, ResultCode
-from wigeonreach.entry._membership import Member
 from wigeonreach.entry._request import CallerRequest
 from wigeonreach.entry._request_reading import DEADLINE_HEADER
 from wigeonreach.exceptions import WigeonreachError
@@ -74,15 +73,15 @@
         if self._session is not None:
             await self._session.close()
 
-    async def run(self, request: CallerRequest, member: Member) -> TargetAnswer:
+    async def run(self, request: CallerRequest, address: str) -> TargetAnswer:
         """Ask a target to run a request and return its whole answer.
 
         Parameters
         ----------
         request
             What to run; the rest of its deadline is passed on.
-        member
-            The target.
+        address
+            Where the target serves.
 
         Returns
         -------
@@ -95,7 +94,7 @@
             If there is no whole answer in time.
         """
         try:
-            return await self._ask(request, member)
+            return await self._ask(request, address)
         except aiohttp.ClientConnectorError as refused:
             raise AttemptFailedError(
                 ResultCode.REQUEST_TARGET_UNREACHABLE,
@@ -112,7 +111,7 @@
     async def _ask(
         self,
         request: CallerRequest,
-        member: Member,
+        address: str,
     ) -> TargetAnswer:
         assert self._session is not None  # noqa: S101
         left_s = max(0, request.due_s - time.monotonic())
@@ -120,7 +119,7 @@
         async with self._session.request(
             request.method,
             yarl.URL(
-                f'http://{member.record.address}{request.path}',
+                f'http://{address}{request.path}',
                 encoded=True,
             ),
             data=request.body,
--- a/src/wigeonreach/entry/_daemon.py
+++ b/src/wigeonreach/entry/_daemon.py
@@ -16,6 +16,7 @@
 from wigeonreach.entry._peers import PeerExchange
 from wigeonreach.entry._proxy import Proxy
 from wigeonreach.entry._replies import error_reply
+from wigeonreach.entry._routing import Router
 from wigeonreach.entry._settings import EntrySettings
 from wigeonreach.exceptions import RequestRefusedError
 from wigeonreach.observe import LogEvent, Logger, Metrics
@@ -57,10 +58,15 @@
         self._membership = Membership()
         self._config = ConfigFollower(settings, logger)
         self._peers = PeerExchange(settings, self._membership, logger)
+        self._router = Router(
+            self._membership,
+            len(settings.zone_peers) + 1,
+            random.Random(),  # noqa: S311 - choices of targets are no secret
+        )
         self._proxy = Proxy(
             settings,
             self._config,
-            self._membership,
+            self._router,
             self._metrics,
             random.Random(),  # noqa: S311 - choices of targets are no secret
         )
--- a/src/wigeonreach/entry/_dispatch.py
+++ b/src/wigeonreach/entry/_dispatch.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
-import random
 import time
 
-from wigeonreach.codes import ResultCode
-from wigeonreach.entry._attempt import Attempts, TargetAnswer
-from wigeonreach.entry._membership import Member, Membership
+from wigeonreach.codes import Outcome, ResultCode
+from wigeonreach.entry._attempt import (
+    AttemptFailedError,
+    Attempts,
+    TargetAnswer,
+)
 from wigeonreach.entry._request import CallerRequest
-from wigeonreach.entry._routing import choose_target
+from wigeonreach.entry._routing import Ending, Router, Slot, ending_of
 from wigeonreach.exceptions import RequestRefusedError
 
 
@@ -18,28 +20,16 @@
 
     Parameters
     ----------
-    membership
-        The targets.
+    router
+        Hands out the slots of targets.
     attempts
-        The connections towards them.
-    sharers
-        How many entries share each target's slots.
-    rng
-        Source of random choices.
+        The connections towards targets.
     """
 
-    def __init__(
-        self,
-        membership: Membership,
-        attempts: Attempts,
-        sharers: int,
-        rng: random.Random,
-    ) -> None:
+    def __init__(self, router: Router, attempts: Attempts) -> None:
         """Keep the parts."""
-        self._membership = membership
+        self._router = router
         self._attempts = attempts
-        self._sharers = sharers
-        self._rng = rng
 
     async def run(self, request: CallerRequest) -> TargetAnswer:
         """Return a target's whole answer.
@@ -59,18 +49,27 @@
         RequestRefusedError
             If no target has a free slot.
         """
-        member = self._choose(request.service.name)
-        member.in_flight += 1
+        slot = self._acquire(request.service.name)
+        # The target may still work on an attempt that is cut off here.
+        ending = Ending.ABANDONED
         try:
-            return await self._attempts.run(request, member)
+            answer = await self._attempts.run(request, slot.address)
+        except AttemptFailedError as failed:
+            ending = Ending.GIVEN_UP
+            if failed.outcome is Outcome.NOT_RUN:
+                ending = Ending.NOT_SENT
+            raise
+        else:
+            ending = ending_of(answer.status)
+            return answer
         finally:
-            member.in_flight -= 1
+            self._router.release(slot, ending, time.monotonic())
 
-    def _choose(self, service: str) -> Member:
-        members = self._membership.serving(service, time.monotonic())
-        if not members:
-            raise RequestRefusedError(ResultCode.REQUEST_NO_TARGET, '')
-        member = choose_target(members, self._sharers, self._rng)
-        if member is None:
+    def _acquire(self, service: str) -> Slot:
+        now_s = time.monotonic()
+        slot = self._router.acquire(service, now_s)
+        if slot is not None:
+            return slot
+        if self._router.is_served(service, now_s):
             raise RequestRefusedError(ResultCode.REQUEST_QUEUE_FULL, '')
-        return member
+        raise RequestRefusedError(ResultCode.REQUEST_NO_TARGET, '')
--- a/src/wigeonreach/entry/_proxy.py
+++ b/src/wigeonreach/entry/_proxy.py
@@ -10,7 +10,6 @@
 from wigeonreach.entry._attempt import AttemptFailedError, Attempts
 from wigeonreach.entry._config import ConfigFollower
 from wigeonreach.entry._dispatch import Dispatcher
-from wigeonreach.entry._membership import Membership
 from wigeonreach.entry._replies import (
     CODE_HEADER,
     failure_reply,
@@ -18,6 +17,7 @@
     target_reply,
 )
 from wigeonreach.entry._request_reading import read_request
+from wigeonreach.entry._routing import Router
 from wigeonreach.entry._settings import EntrySettings
 from wigeonreach.exceptions import RequestRefusedError
 from wigeonreach.observe import Metrics
@@ -32,8 +32,8 @@
         Limits of this entry.
     config
         The text in force.
-    membership
-        The targets.
+    router
+        Hands out the slots of targets.
     metrics
         Counters of each refusal.
     rng
@@ -44,7 +44,7 @@
         self,
         settings: EntrySettings,
         config: ConfigFollower,
-        membership: Membership,
+        router: Router,
         metrics: Metrics,
         rng: random.Random,
     ) -> None:
@@ -54,12 +54,7 @@
         self._metrics = metrics
         self._rng = rng
         self._attempts = Attempts()
-        self._dispatcher = Dispatcher(
-            membership,
-            self._attempts,
-            len(settings.zone_peers) + 1,
-            rng,
-        )
+        self._dispatcher = Dispatcher(router, self._attempts)
         self.in_flight = 0
         self.is_draining = False
 
