Add the state machine of texts, waves, VMs and leases

Commands carry an id, the revision their sender had seen and their own time, so that a resend is recognised and one that is older than the table of results is refused instead of done again. Old texts are kept as line edits back from the newest one.

--- /dev/null
+++ b/src/wigeonreach/rollout/_delta.py
@@ -0,0 +1,123 @@
+"""Describe the step from one text to another by edits of lines."""
+
+from __future__ import annotations
+
+import difflib
+from collections.abc import Sequence
+
+import msgspec
+import xxhash
+
+# Beyond this many pairs of lines a careful comparison costs more time than
+# the bytes are worth, and the differing middle is replaced as a whole.
+_MAX_COMPARED_PAIRS = 250_000
+
+
+class LineEdit(msgspec.Struct, frozen=True, array_like=True):
+    """Replace some lines of the older text.
+
+    Parameters
+    ----------
+    start
+        Zero-based number of the first line that is replaced.
+    removed
+        How many lines go.
+    added
+        The lines that come, each with its line end.
+    """
+
+    start: int
+    removed: int
+    added: tuple[str, ...]
+
+
+def split_lines(text: str) -> list[str]:
+    """Split a text into lines that keep their ends."""
+    return text.splitlines(keepends=True)
+
+
+def checksum_of(text: str) -> int:
+    """Return the 64-bit checksum by which two copies are compared."""
+    return xxhash.xxh3_64_intdigest(text.encode())
+
+
+def find_edits(
+    old: Sequence[str],
+    new: Sequence[str],
+) -> tuple[LineEdit, ...]:
+    """Return the edits that turn one text into another.
+
+    Parameters
+    ----------
+    old, new
+        Lines of both texts.
+
+    Returns
+    -------
+    tuple of LineEdit
+        Edits in rising order of ``start``, which counts lines of ``old``.
+    """
+    head = _common_head(old, new)
+    tail = _common_tail(old, new, head)
+    old_middle = old[head : len(old) - tail]
+    new_middle = new[head : len(new) - tail]
+    if not old_middle and not new_middle:
+        return ()
+    if len(old_middle) * len(new_middle) > _MAX_COMPARED_PAIRS:
+        return (LineEdit(head, len(old_middle), tuple(new_middle)),)
+    matcher = difflib.SequenceMatcher(
+        None,
+        old_middle,
+        new_middle,
+        autojunk=False,
+    )
+    return tuple(
+        LineEdit(head + start, end - start, tuple(new_middle[first:last]))
+        for kind, start, end, first, last in matcher.get_opcodes()
+        if kind != 'equal'
+    )
+
+
+def apply_edits(
+    old: Sequence[str],
+    edits: Sequence[LineEdit],
+) -> list[str]:
+    """Return the lines that edits make of older ones.
+
+    Parameters
+    ----------
+    old
+        Lines of the older text.
+    edits
+        Edits in rising order.
+
+    Returns
+    -------
+    list of str
+        Lines of the newer text.  Edits made for another text give a wrong
+        one, so compare its checksum.
+    """
+    new: list[str] = []
+    done = 0
+    for edit in edits:
+        new.extend(old[done : edit.start])
+        new.extend(edit.added)
+        done = edit.start + edit.removed
+    new.extend(old[done:])
+    return new
+
+
+def _common_head(old: Sequence[str], new: Sequence[str]) -> int:
+    shorter = min(len(old), len(new))
+    for number in range(shorter):
+        if old[number] != new[number]:
+            return number
+    return shorter
+
+
+def _common_tail(old: Sequence[str], new: Sequence[str], head: int) -> int:
+    longest = min(len(old), len(new)) - head
+    for number in range(longest):
+        if old[-1 - number] != new[-1 - number]:
+            return number
+    return longest
--- /dev/null
+++ b/src/wigeonreach/rollout/_sections.py
@@ -0,0 +1,100 @@
+"""Cut a text at its table headers, to compare and to describe parts of it."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Sequence
+
+from wigeonreach.rollout._delta import split_lines
+
+_MAX_LINES_SHOWN = 4
+_PREAMBLE = 'preamble'
+
+
+def split_sections(text: str) -> tuple[str, ...]:
+    """Cut a text in front of each line that opens a table.
+
+    Parameters
+    ----------
+    text
+        The whole text.
+
+    Returns
+    -------
+    tuple of str
+        The parts; joined they are the text again.
+    """
+    sections: list[list[str]] = [[]]
+    for line in split_lines(text):
+        if line.startswith('['):
+            sections.append([])
+        sections[-1].append(line)
+    return tuple(''.join(lines) for lines in sections if lines)
+
+
+def join_sections(sections: Sequence[str]) -> str:
+    """Put the parts of a text together."""
+    return ''.join(sections)
+
+
+def describe_changes(old: str, new: str) -> tuple[str, ...]:
+    """Tell what differs between two texts, one service or pool a line.
+
+    Parameters
+    ----------
+    old, new
+        The two texts.
+
+    Returns
+    -------
+    tuple of str
+        Such as ``services.records: -promised_slots = 4; +promised_slots = 8``.
+        It compares lines, not values, so that each replica tells the same
+        whatever release it runs.
+    """
+    before = _lines_by_subject(old)
+    after = _lines_by_subject(new)
+    return tuple(
+        _describe(subject, before.get(subject), after.get(subject))
+        for subject in sorted(before.keys() | after.keys())
+        if before.get(subject) != after.get(subject)
+    )
+
+
+def _lines_by_subject(text: str) -> dict[str, list[str]]:
+    subjects: dict[str, list[str]] = {}
+    for section in split_sections(text):
+        lines = [line.strip() for line in section.splitlines()]
+        subject = _subject(lines[0])
+        subjects.setdefault(subject, []).extend(filter(None, lines))
+    return subjects
+
+
+def _subject(line: str) -> str:
+    # ``[services.records.budget]`` belongs to ``services.records``.
+    if not line.startswith('['):
+        return _PREAMBLE
+    header = line.split(']', maxsplit=1)[0].strip('[ ')
+    return '.'.join(header.split('.')[:2])
+
+
+def _describe(
+    subject: str,
+    old: list[str] | None,
+    new: list[str] | None,
+) -> str:
+    if old is None:
+        return f'{subject}: added'
+    if new is None:
+        return f'{subject}: removed'
+    shown = list(_line_changes(old, new))
+    more = len(shown) - _MAX_LINES_SHOWN
+    if more > 0:
+        shown = [*shown[:_MAX_LINES_SHOWN], f'{more} more']
+    return '{0}: {1}'.format(subject, '; '.join(shown) or 'moved lines')
+
+
+def _line_changes(old: list[str], new: list[str]) -> Iterator[str]:
+    kept = set(new)
+    known = set(old)
+    yield from (f'-{line}' for line in old if line not in kept)
+    yield from (f'+{line}' for line in new if line not in known)
--- /dev/null
+++ b/src/wigeonreach/state/_client.py
@@ -0,0 +1,212 @@
+"""Submit commands and ask questions, whichever replica is alive."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+import uuid
+from collections.abc import Callable, Sequence
+from typing import Protocol, TypeVar
+
+import msgspec
+
+from wigeonreach.codes import ResultCode
+from wigeonreach.exceptions import StateError, WireError
+from wigeonreach.wire import Member, Message, connect
+from wigeonreach.wire._base import WireMessage
+from wigeonreach.wire._command_messages import Action, Command, Reply
+from wigeonreach.wire._state_messages import (
+    Answered,
+    Ask,
+    Question,
+    ReadLease,
+    Submit,
+    Submitted,
+)
+
+_REPLY_TIMEOUT_S = 3.0
+_RETRY_S = 0.1
+_GIVE_UP_S = 8.0
+# Well before the table of results has moved on by itself.
+_REVISION_FRESH_S = 30.0
+_Answer = TypeVar('_Answer', bound=WireMessage)
+_Envelope = TypeVar('_Envelope', Submitted, Answered)
+_REPLY_DECODER = msgspec.msgpack.Decoder(Reply)
+
+
+class StateAccess(Protocol):
+    """What managers and operators need of the durable state."""
+
+    async def submit(
+        self,
+        action: Action,
+        command_id: str | None = None,
+    ) -> Reply:
+        """Have an action done once; refusals are in the reply's code."""
+
+    async def read(
+        self,
+        question: Question,
+        answer_type: type[_Answer],
+        *,
+        is_local: bool = False,
+    ) -> _Answer:
+        """Ask a question, and a quorum first unless ``is_local``."""
+
+
+class StateClient:
+    """Talk to the replicas; a command is resent until its reply is known.
+
+    Parameters
+    ----------
+    author
+        Name under which commands are recorded.
+    replicas
+        Whom to ask, in this order.
+    now_s
+        Unix time in seconds, for what commands carry.
+    give_up_s
+        How long to try in all, in seconds.
+    """
+
+    def __init__(
+        self,
+        author: str,
+        replicas: Sequence[Member],
+        now_s: Callable[[], float] = time.time,
+        give_up_s: float = _GIVE_UP_S,
+    ) -> None:
+        """Connect to nothing yet."""
+        self._author = author
+        self._replicas = tuple(replicas)
+        self._now_s = now_s
+        self._give_up_s = give_up_s
+        self._revision = 0
+        self._revision_read_s = float('-inf')
+
+    async def submit(
+        self,
+        action: Action,
+        command_id: str | None = None,
+    ) -> Reply:
+        """Have an action done once.
+
+        Parameters
+        ----------
+        action
+            What to do.
+        command_id
+            Id of the command; give the same to resend it by hand.
+
+        Returns
+        -------
+        Reply
+            What became of it; refusals are in its code.
+
+        Raises
+        ------
+        StateError
+            If no replica told in time; it may or may not have been done.
+        """
+        await self._refresh_revision()
+        command = Command(
+            command_id=command_id or uuid.uuid4().hex,
+            seen_revision=self._revision,
+            author=self._author,
+            at_s=self._now_s(),
+            action=action,
+        )
+        return await self.send(command)
+
+    async def send(self, command: Command) -> Reply:
+        """Send a command as it is, again and again until its reply comes.
+
+        Raises
+        ------
+        StateError
+            If no replica told in time; it may or may not have been done.
+        """
+        submit = Submit(msgspec.msgpack.encode(command))
+        submitted = await self._until_done(submit, Submitted)
+        reply = _REPLY_DECODER.decode(submitted.reply)
+        self._note_revision(reply.revision)
+        return reply
+
+    async def read(
+        self,
+        question: Question,
+        answer_type: type[_Answer],
+        *,
+        is_local: bool = False,
+    ) -> _Answer:
+        """Ask a question.
+
+        Parameters
+        ----------
+        question
+            What to ask.
+        answer_type
+            Type of the answer.
+        is_local
+            Whether a replica may answer without asking a quorum.
+
+        Returns
+        -------
+        WireMessage
+            The answer.
+
+        Raises
+        ------
+        StateError
+            If no replica answered in time.
+        """
+        answered = await self._until_done(Ask(question, is_local), Answered)
+        self._note_revision(answered.revision)
+        if isinstance(answered.answer, answer_type):
+            return answered.answer
+        raise StateError(ResultCode.WIRE_MALFORMED, repr(answered.answer))
+
+    async def _refresh_revision(self) -> None:
+        age_s = self._now_s() - self._revision_read_s
+        if age_s > _REVISION_FRESH_S:
+            # The cheapest question; only the revision of its answer counts.
+            question = Ask(ReadLease(''))
+            answered = await self._until_done(question, Answered)
+            self._note_revision(answered.revision)
+
+    def _note_revision(self, revision: int) -> None:
+        self._revision = max(self._revision, revision)
+        self._revision_read_s = self._now_s()
+
+    async def _until_done(
+        self,
+        message: WireMessage,
+        reply_type: type[_Envelope],
+    ) -> _Envelope:
+        ends_s = time.monotonic() + self._give_up_s
+        reason = 'no replica is known'
+        while time.monotonic() < ends_s:
+            for replica in self._replicas:
+                try:
+                    return await _ask_one(replica, message, reply_type)
+                except (StateError, WireError) as error:
+                    reason = f'{replica.name}: {error.detail}'
+            await asyncio.sleep(_RETRY_S)
+        raise StateError(ResultCode.STATE_NO_QUORUM, reason)
+
+
+async def _ask_one(
+    replica: Member,
+    message: WireMessage,
+    reply_type: type[_Envelope],
+) -> _Envelope:
+    channel = await connect(replica.address)
+    try:
+        reply: Message = await channel.request(message, _REPLY_TIMEOUT_S)
+    finally:
+        await channel.close()
+    if not isinstance(reply, reply_type):
+        raise WireError(ResultCode.WIRE_MALFORMED, type(reply).__name__)
+    if reply.code:
+        raise StateError(ResultCode(reply.code), reply.detail)
+    return reply
--- /dev/null
+++ b/src/wigeonreach/state/_machine.py
@@ -0,0 +1,106 @@
+"""Apply agreed commands to the state, the same way on every replica."""
+
+from __future__ import annotations
+
+import msgspec
+
+from wigeonreach.codes import ResultCode
+from wigeonreach.state import (
+    _machine_leases,
+    _machine_processes,
+    _machine_texts,
+    _machine_vms,
+    _machine_waves,
+)
+from wigeonreach.state._machine_dispatch import Context, answer, perform
+from wigeonreach.state._machine_results import earlier_reply, remember_reply
+from wigeonreach.state._machine_state import Limits, MachineState
+from wigeonreach.wire._command_messages import Command, Reply
+from wigeonreach.wire._state_messages import Answer, Question
+
+# Importing a module registers what it does with commands and questions.
+HANDLERS = (
+    _machine_leases,
+    _machine_processes,
+    _machine_texts,
+    _machine_vms,
+    _machine_waves,
+)
+_DEFAULT_LIMITS = Limits()
+_COMMAND_DECODER = msgspec.msgpack.Decoder(Command)
+_STATE_DECODER = msgspec.msgpack.Decoder(MachineState)
+
+
+class Machine:
+    """The deterministic state machine behind the replicated log.
+
+    Parameters
+    ----------
+    limits
+        How much is remembered; the same on every replica.
+    """
+
+    def __init__(self, limits: Limits = _DEFAULT_LIMITS) -> None:
+        """Start with nothing accepted."""
+        self._limits = limits
+        self.state = MachineState()
+
+    def apply(self, index: int, command: bytes) -> bytes:
+        """Apply one agreed command.
+
+        Parameters
+        ----------
+        index
+            Its place in the log.
+        command
+            An encoded ``Command``.
+
+        Returns
+        -------
+        bytes
+            An encoded ``Reply``; nothing is raised, whatever the bytes.
+        """
+        self.state.revision += 1
+        try:
+            decoded = _COMMAND_DECODER.decode(command)
+        except msgspec.MsgspecError as error:
+            return msgspec.msgpack.encode(self._malformed(index, error))
+        return msgspec.msgpack.encode(self._apply(decoded))
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+        return msgspec.msgpack.encode(self.state)
+
+    def restore(self, snapshot: bytes) -> None:
+        """Replace the whole state by that of a snapshot.
+
+        Raises
+        ------
+        msgspec.MsgspecError
+            If the bytes are no snapshot.
+        """
+        self.state = _STATE_DECODER.decode(snapshot)
+
+    def query(self, question: Question) -> Answer:
+        """Answer a question without changing anything."""
+        return answer(question, self.state)
+
+    def known_reply(self, command: Command) -> Reply | None:
+        """Return the reply that a resent command has already."""
+        return earlier_reply(Context(self.state, self._limits, command))
+
+    def _apply(self, command: Command) -> Reply:
+        self.state.clock_s = max(self.state.clock_s, command.at_s)
+        context = Context(self.state, self._limits, command)
+        reply = earlier_reply(context)
+        if reply is None:
+            reply = perform(command.action, context)
+            remember_reply(context, reply)
+        return reply
+
+    def _malformed(self, index: int, error: Exception) -> Reply:
+        return Reply(
+            ResultCode.WIRE_MALFORMED,
+            f'command {index}: {error}',
+            self.state.revision,
+        )
--- /dev/null
+++ b/src/wigeonreach/state/_machine_processes.py
@@ -0,0 +1,54 @@
+"""Remember which processes follow the accepted text."""
+
+from __future__ import annotations
+
+from wigeonreach.state._machine_dispatch import Context, answer, perform
+from wigeonreach.state._machine_state import MachineState
+from wigeonreach.wire._command_messages import (
+    ForgetProcess,
+    RegisterProcess,
+    Reply,
+)
+from wigeonreach.wire._state_messages import (
+    Processes,
+    ProcessRecord,
+    ReadProcesses,
+)
+
+_FORGET_AFTER_S = 86_400.0
+
+
+@perform.register
+def register_process(action: RegisterProcess, context: Context) -> Reply:
+    """Remember a process; one not heard of for a day is dropped."""
+    state = context.state
+    state.processes[action.process] = ProcessRecord(
+        action.process,
+        action.zone,
+        state.clock_s,
+    )
+    oldest_s = state.clock_s - _FORGET_AFTER_S
+    state.processes = {
+        name: record
+        for name, record in state.processes.items()
+        if record.registered_s >= oldest_s
+    }
+    return context.done()
+
+
+@perform.register
+def forget_process(action: ForgetProcess, context: Context) -> Reply:
+    """Drop a process that is gone for good."""
+    context.state.processes.pop(action.process, None)
+    return context.done()
+
+
+@answer.register
+def read_processes(
+    _question: ReadProcesses,
+    state: MachineState,
+) -> Processes:
+    """Return the processes by name."""
+    return Processes(
+        tuple(record for _, record in sorted(state.processes.items())),
+    )
--- /dev/null
+++ b/src/wigeonreach/state/_machine_results.py
@@ -0,0 +1,78 @@
+"""Give a resent command its first reply."""
+
+from __future__ import annotations
+
+from wigeonreach.codes import ResultCode
+from wigeonreach.state._machine_dispatch import Context
+from wigeonreach.state._machine_state import KnownResult, Limits, MachineState
+from wigeonreach.wire._command_messages import (
+    ForgetProcess,
+    RegisterProcess,
+    RenewLease,
+    RenewVm,
+    Reply,
+)
+
+# Doing one of these twice is the same as doing it once.
+_REPEATABLE = (ForgetProcess, RegisterProcess, RenewLease, RenewVm)
+
+
+def earlier_reply(context: Context) -> Reply | None:
+    """Return the reply that a command must get without being done.
+
+    Parameters
+    ----------
+    context
+        The command and the state.
+
+    Returns
+    -------
+    Reply or None
+        The first reply to a resend; a refusal of a command so old that its
+        reply may be forgotten; None if the command is to be done.
+    """
+    command = context.command
+    if isinstance(command.action, _REPEATABLE):
+        return None
+    table = context.state.results
+    known = table.results.get(command.command_id)
+    if known is not None:
+        return known.reply
+    if command.seen_revision >= table.forgotten_revision:
+        return None
+    return context.refused(
+        ResultCode.STATE_RESULT_FORGOTTEN,
+        f'made at revision {command.seen_revision}, results are known from '
+        f'{table.forgotten_revision}; read the state, then ask anew',
+    )
+
+
+def remember_reply(context: Context, reply: Reply) -> None:
+    """Keep a reply for resends and drop those that are too old.
+
+    Parameters
+    ----------
+    context
+        The command and the state.
+    reply
+        Its reply.
+    """
+    state = context.state
+    if not isinstance(context.command.action, _REPEATABLE):
+        state.results.results[context.command.command_id] = KnownResult(
+            state.revision,
+            reply,
+        )
+    _drop_old(state, context.limits)
+
+
+def _drop_old(state: MachineState, limits: Limits) -> None:
+    table = state.results
+    oldest_kept = state.revision - limits.result_age
+    while table.results:
+        command_id, oldest = next(iter(table.results.items()))
+        is_few = len(table.results) <= limits.results
+        if is_few and oldest.revision > oldest_kept:
+            return
+        table.results.pop(command_id)
+        table.forgotten_revision = oldest.revision
--- /dev/null
+++ b/src/wigeonreach/state/_machine_texts.py
@@ -0,0 +1,166 @@
+"""Accept texts, remember old ones and restore them."""
+
+from __future__ import annotations
+
+import itertools
+
+from wigeonreach.charts import load_chart
+from wigeonreach.codes import ResultCode
+from wigeonreach.rollout import (
+    LineEdit,
+    apply_edits,
+    describe_changes,
+    find_edits,
+    split_lines,
+)
+from wigeonreach.state._machine_dispatch import Context, answer, perform
+from wigeonreach.state._machine_state import (
+    AcceptedState,
+    MachineState,
+    PastVersion,
+)
+from wigeonreach.wire._command_messages import ChangeText, Reply, RestoreText
+from wigeonreach.wire._state_messages import (
+    AcceptedText,
+    History,
+    HistoryEntry,
+    ReadAccepted,
+    ReadHistory,
+)
+
+_CHART = load_chart('change')
+_MAX_DETAIL_CHARS = 2000
+_ENTRY_BYTES = 200
+
+
+def text_of(accepted: AcceptedState, version: int) -> str | None:
+    """Return the text of a version, or None if it is not remembered.
+
+    Parameters
+    ----------
+    accepted
+        The accepted text and its past.
+    version
+        The version; 0 is the empty text before the first change.
+
+    Returns
+    -------
+    str or None
+        The text.
+    """
+    steps = accepted.version - version
+    if steps < 0 or steps > len(accepted.past):
+        return None
+    lines = split_lines(accepted.text)
+    for past in itertools.islice(reversed(accepted.past), steps):
+        lines = apply_edits(lines, past.back_edits)
+    return ''.join(lines)
+
+
+@perform.register
+def change_text(action: ChangeText, context: Context) -> Reply:
+    """Accept a text that is based on the newest version."""
+    accepted = context.state.accepted
+    event = 'valid' if action.base_version == accepted.version else 'outdated'
+    if _CHART.step(_CHART.initial, event) == 'conflict':
+        return _conflict(context, action.base_version)
+    return _accept(context, action.text, '')
+
+
+@perform.register
+def restore_text(action: RestoreText, context: Context) -> Reply:
+    """Accept an old text again, under a new version."""
+    accepted = context.state.accepted
+    if action.base_version != accepted.version:
+        return _conflict(context, action.base_version)
+    text = text_of(accepted, action.version)
+    if text is None or action.version < 1:
+        oldest = max(1, accepted.version - len(accepted.past))
+        return context.refused(
+            ResultCode.STATE_UNKNOWN_VERSION,
+            f'{action.version}; allowed: {oldest} to {accepted.version}',
+            accepted.version,
+        )
+    return _accept(context, text, f'restores version {action.version}; ')
+
+
+@answer.register
+def read_accepted(question: ReadAccepted, state: MachineState) -> AcceptedText:
+    """Return the newest text, or that of the version asked for."""
+    accepted = state.accepted
+    wanted = question.version or accepted.version
+    text = text_of(accepted, wanted)
+    if text is None:
+        return AcceptedText(0, '')
+    return AcceptedText(wanted, text)
+
+
+@answer.register
+def read_history(question: ReadHistory, state: MachineState) -> History:
+    """Return who changed what, newest first."""
+    newest_first = itertools.islice(
+        reversed(state.accepted.past),
+        question.limit,
+    )
+    return History(tuple(past.entry for past in newest_first))
+
+
+def _accept(context: Context, text: str, note: str) -> Reply:
+    accepted = context.state.accepted
+    back_edits = find_edits(split_lines(text), split_lines(accepted.text))
+    summary = note + ' | '.join(describe_changes(accepted.text, text))
+    accepted.version += 1
+    accepted.text = text
+    _remember(context, back_edits, summary[:_MAX_DETAIL_CHARS])
+    return context.done(accepted.version)
+
+
+def _remember(
+    context: Context,
+    back_edits: tuple[LineEdit, ...],
+    summary: str,
+) -> None:
+    accepted = context.state.accepted
+    command = context.command
+    entry = HistoryEntry(
+        accepted.version,
+        command.command_id,
+        command.author,
+        command.at_s,
+        summary,
+    )
+    size_bytes = _ENTRY_BYTES + len(summary) + _size_bytes(back_edits)
+    accepted.past.append(PastVersion(entry, back_edits, size_bytes))
+    accepted.past_bytes += size_bytes
+    while _is_too_long(context):
+        accepted.past_bytes -= accepted.past.pop(0).size_bytes
+
+
+def _is_too_long(context: Context) -> bool:
+    accepted = context.state.accepted
+    return len(accepted.past) > 1 and (
+        len(accepted.past) > context.limits.history
+        or accepted.past_bytes > context.limits.history_bytes
+    )
+
+
+def _size_bytes(edits: tuple[LineEdit, ...]) -> int:
+    return sum(len(line) for edit in edits for line in edit.added)
+
+
+def _conflict(context: Context, base_version: int) -> Reply:
+    accepted = context.state.accepted
+    base = text_of(accepted, base_version)
+    if base is None:
+        changed = 'that version is not remembered'
+    else:
+        changed = ' | '.join(describe_changes(base, accepted.text))
+    detail = (
+        f'based on {base_version}, now {accepted.version}; '
+        f'changed in between: {changed or "nothing"}'
+    )
+    return context.refused(
+        ResultCode.STATE_CONFLICT,
+        detail[:_MAX_DETAIL_CHARS],
+        accepted.version,
+    )
--- /dev/null
+++ b/src/wigeonreach/state/_machine_waves.py
@@ -0,0 +1,124 @@
+"""Record maintenance waves so that each step is taken once."""
+
+from __future__ import annotations
+
+import msgspec
+
+from wigeonreach.charts import load_chart
+from wigeonreach.codes import ResultCode
+from wigeonreach.state._machine_dispatch import Context, answer, perform
+from wigeonreach.state._machine_state import MachineState
+from wigeonreach.wire._command_messages import (
+    RecordWave,
+    Reply,
+    StartWave,
+    SteerWave,
+)
+from wigeonreach.wire._state_messages import ReadWaves, WaveRecord, Waves
+
+_CHART = load_chart('wave_phase')
+
+
+@perform.register
+def start_wave(action: StartWave, context: Context) -> Reply:
+    """Record a new wave."""
+    known = context.state.waves.get(action.wave_id)
+    if known is not None:
+        return context.refused(
+            ResultCode.STATE_RECORD_CHANGED,
+            f'wave {action.wave_id!r} exists since {known.at_s:.0f}',
+            known.version,
+        )
+    command = context.command
+    context.state.waves[action.wave_id] = WaveRecord(
+        wave_id=action.wave_id,
+        version=1,
+        phase=_CHART.initial,
+        author=command.author,
+        at_s=command.at_s,
+        body=action.body,
+    )
+    _forget_ended(context)
+    return context.done(version=1)
+
+
+@perform.register
+def steer_wave(action: SteerWave, context: Context) -> Reply:
+    """Pause, resume or stop a wave."""
+    known = context.state.waves.get(action.wave_id)
+    if known is None:
+        return _unknown(context, action.wave_id)
+    return _step(context, known, action.event, known.body)
+
+
+@perform.register
+def record_wave(action: RecordWave, context: Context) -> Reply:
+    """Record progress, if nobody else did since the record was read."""
+    known = context.state.waves.get(action.wave_id)
+    if known is None:
+        return _unknown(context, action.wave_id)
+    if known.version != action.record_version:
+        return context.refused(
+            ResultCode.STATE_RECORD_CHANGED,
+            f'based on {action.record_version}, now {known.version}',
+            known.version,
+        )
+    if action.lease and not _is_newest_token(context, action):
+        return context.refused(
+            ResultCode.STATE_NOT_HELD,
+            f'token {action.token} of lease {action.lease!r} is not the newest',
+            known.version,
+        )
+    return _step(context, known, action.event, action.body)
+
+
+@answer.register
+def read_waves(_question: ReadWaves, state: MachineState) -> Waves:
+    """Return all waves that are remembered."""
+    return Waves(tuple(state.waves.values()))
+
+
+def _step(
+    context: Context,
+    known: WaveRecord,
+    event: str,
+    body: bytes,
+) -> Reply:
+    phase = _CHART.step(known.phase, event) if event else known.phase
+    if phase is None:
+        allowed = ', '.join(_CHART.events(known.phase)) or 'nothing'
+        return context.refused(
+            ResultCode.STATE_NOT_ALLOWED,
+            f'{event!r} while {known.phase}; allowed: {allowed}',
+            known.version,
+        )
+    context.state.waves[known.wave_id] = msgspec.structs.replace(
+        known,
+        version=known.version + 1,
+        phase=phase,
+        body=body,
+    )
+    return context.done(version=known.version + 1)
+
+
+def _is_newest_token(context: Context, action: RecordWave) -> bool:
+    lease = context.state.leases.get(action.lease)
+    return lease is not None and lease.token == action.token
+
+
+def _unknown(context: Context, wave_id: str) -> Reply:
+    return context.refused(
+        ResultCode.STATE_UNKNOWN_RECORD,
+        f'there is no wave {wave_id!r}',
+    )
+
+
+def _forget_ended(context: Context) -> None:
+    waves = context.state.waves
+    ended = [
+        wave_id
+        for wave_id, wave in waves.items()
+        if not _CHART.events(wave.phase)
+    ]
+    for wave_id in ended[: max(0, len(ended) - context.limits.ended_waves)]:
+        waves.pop(wave_id)
--- a/src/wigeonreach/wire/_messages.py
+++ b/src/wigeonreach/wire/_messages.py
@@ -16,13 +16,16 @@
     Subscribe,
 )
 from wigeonreach.wire._replica_messages import Append, AppendReply
+from wigeonreach.wire._state_messages import Answered, Ask, Submit, Submitted
 from wigeonreach.wire._target_messages import PeerHello, TargetRecord, Targets
 
 Message: TypeAlias = (
-    Append
+    Answered
+    | Append
     | AppendReply
     | ApplyReply
     | ApplyText
+    | Ask
     | ConfigAck
     | ConfigUpdate
     | PeerHello
@@ -30,6 +33,8 @@
     | ReadText
     | StatusReply
     | StatusRequest
+    | Submit
+    | Submitted
     | Subscribe
     | TargetRecord
     | Targets
