--- a/src/wigeonreach/text/__init__.py
+++ b/src/wigeonreach/text/__init__.py
@@ -1,5 +1,6 @@
 """Read, check and describe the operator's text."""
 
+from wigeonreach.text._diff import Change, ChangeKind, diff_texts
 from wigeonreach.text._model import (
     Budget,
     FailureDomain,
@@ -14,6 +15,8 @@
 
 __all__ = (
     'Budget',
+    'Change',
+    'ChangeKind',
     'FailureDomain',
     'FleetText',
     'Maintenance',
@@ -21,5 +24,6 @@
     'Service',
     'ServiceMode',
     'Team',
+    'diff_texts',
     'parse_fleet_text',
 )
--- a/src/wigeonreach/text/_checks.py
+++ b/src/wigeonreach/text/_checks.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterator
 
 from wigeonreach.codes import ResultCode
-from wigeonreach.text._schema import TextSchema
+from wigeonreach.text._schema import ServiceSchema, TextSchema
 
 _SERVICES = 'services'
 _DEPENDS_ON = 'depends_on'
@@ -39,6 +39,7 @@
     yield from _dependency_cycles(schema)
     yield from _vms_in_two_pools(schema)
     yield from _impossible_budgets(schema)
+    yield from _stricter_than_needed(schema)
 
 
 def _unknown_references(schema: TextSchema) -> Iterator[Finding]:
@@ -113,3 +114,26 @@
 def _is_pool_empty(schema: TextSchema, name: str | None) -> bool:
     pool = schema.pools.get(name or '')
     return pool is not None and not pool.vms
+
+
+def _stricter_than_needed(schema: TextSchema) -> Iterator[Finding]:
+    for name, service in schema.services.items():
+        allowed = _missing_share(service)
+        for other in service.depends_on:
+            needed = schema.services.get(other)
+            # A service is missing while what it needs is missing.
+            if needed and _missing_share(needed) > allowed:
+                yield Finding(
+                    ResultCode.TEXT_IMPOSSIBLE_BUDGET,
+                    (_SERVICES, name, 'budget', 'missing_s'),
+                    'at least the share of time that {0!r}, on which it'
+                    ' depends, may be missing: {1:g} s in {2:g} s'.format(
+                        other,
+                        needed.budget.missing_s,
+                        needed.budget.window_s,
+                    ),
+                )
+
+
+def _missing_share(service: ServiceSchema) -> float:
+    return service.budget.missing_s / service.budget.window_s
--- a/src/wigeonreach/text/_model.py
+++ b/src/wigeonreach/text/_model.py
@@ -33,13 +33,26 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
-    """One service that callers ask for by name."""
+    """One service that callers ask for by name.
+
+    Attributes
+    ----------
+    promised_slots
+        Capacity promised.
+    guards
+        Failure domains that it must survive; None for those of the fleet.
+    deferrable_ratio
+        Share of the promised slots whose work can be throttled, or
+        checkpointed and stopped, while a failure domain is lost.
+    """
 
     name: str
     mode: ServiceMode
     depends_on: tuple[str, ...]
     pool: str | None
     promised_slots: int
+    guards: frozenset[FailureDomain] | None
+    deferrable_ratio: float
     deadline_s: float
     idempotent_methods: frozenset[str]
     retry_ratio: float
--- a/src/wigeonreach/text/_parse.py
+++ b/src/wigeonreach/text/_parse.py
@@ -139,6 +139,8 @@
         depends_on=service.depends_on,
         pool=service.pool,
         promised_slots=service.promised_slots,
+        guards=service.guard,
+        deferrable_ratio=service.deferrable_ratio,
         deadline_s=service.deadline_s,
         idempotent_methods=service.idempotent_methods,
         retry_ratio=service.retry_ratio,
--- a/src/wigeonreach/text/_schema.py
+++ b/src/wigeonreach/text/_schema.py
@@ -45,6 +45,8 @@
     depends_on: tuple[Name, ...] = ()
     pool: Name | None = None
     promised_slots: Annotated[int, pydantic.Field(ge=0)] = 0
+    guard: frozenset[FailureDomain] | None = None
+    deferrable_ratio: Ratio = 0.0
     deadline_s: Annotated[float, pydantic.Field(gt=0, le=60)] = 2.0
     idempotent_methods: frozenset[str] = frozenset(('GET', 'HEAD'))
     retry_ratio: Ratio = 0.1
