Let entries confirm contact by echoed heartbeats

Peers shared records on channels whose silence nobody noticed, and a record that was held up under way got its full lease on arrival. Now each entry keeps a channel to every other one, and a heartbeat repeats the newest time of the receiver that the sender heard: its age bounds both how old the knowledge of the receiver can be and how long a batch of records was under way.

Counting silence alone was ruled out: a link that delays everything evenly is never silent. A channel dispatches by message type to one handler each, so that other parts can send messages over it too.

--- a/src/wigeonreach/entry/_daemon.py
+++ b/src/wigeonreach/entry/_daemon.py
@@ -18,6 +18,7 @@
 from wigeonreach.entry._replies import error_reply
 from wigeonreach.entry._routing import Router
 from wigeonreach.entry._settings import EntrySettings
+from wigeonreach.entry._spread import Spread
 from wigeonreach.exceptions import RequestRefusedError
 from wigeonreach.observe import LogEvent, Logger, Metrics
 
@@ -57,7 +58,8 @@
         self._metrics = Metrics()
         self._membership = Membership()
         self._config = ConfigFollower(settings, logger)
-        self._peers = PeerExchange(settings, self._membership, logger)
+        self._peers = PeerExchange(settings, logger)
+        self._spread = Spread(self._membership, self._peers, logger)
         self._router = Router(
             self._membership,
             len(settings.zone_peers) + 1,
@@ -175,5 +177,5 @@
                 Outcome.NOT_RUN,
                 error.detail,
             )
-        self._peers.learn(record)
+        self._spread.learn(record)
         return web.Response(status=204)
--- a/src/wigeonreach/entry/_membership.py
+++ b/src/wigeonreach/entry/_membership.py
@@ -60,7 +60,15 @@
         known = self._members.get(record.target_id)
         if known is None:
             return self._insert(record, now_s)
-        if _age(record) <= _age(known.record):
+        if _age(record) == _age(known.record):
+            # Two ways of the same announcement: each expiry is at or before
+            # the true one, so that the later of them holds.
+            known.expires_s = max(
+                known.expires_s,
+                now_s + record.lease_left_s,
+            )
+            return Merge.NOTHING
+        if _age(record) < _age(known.record):
             return Merge.NOTHING
         if _is_undone(known.record, record):
             return Merge.NOTHING
--- a/src/wigeonreach/entry/_peers.py
+++ b/src/wigeonreach/entry/_peers.py
@@ -1,86 +1,222 @@
-"""Share announcements with the other entries of the zone."""
+"""Carry typed messages and heartbeats between this entry and its peers."""
 
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import time
+from collections.abc import Callable, Iterable
+from typing import Any, TypeVar
 
 import mode
 
-from wigeonreach.entry._membership import Membership, Merge
+from wigeonreach.entry._contact import Contacts
 from wigeonreach.entry._settings import EntrySettings
 from wigeonreach.exceptions import WireError
 from wigeonreach.observe import LogEvent, Logger
 from wigeonreach.wire import Channel, Member, connect, serve
-from wigeonreach.wire._target_messages import (
-    PeerHello,
-    TargetRecord,
-    TargetState,
-    Targets,
-)
+from wigeonreach.wire._base import WireMessage
+from wigeonreach.wire._peer_messages import Goodbye, Heartbeat, PeerHello
 
 _RETRY_S = 0.2
+_ZONE_BEAT_S = 0.25
+_FAR_BEAT_S = 2.0
+# A channel on which nothing arrived for this many heartbeats is opened anew:
+# TCP alone would wait for minutes, and what is posted would pile up.
+_SILENT_BEATS = 12
+
+_Sent = TypeVar('_Sent', bound=WireMessage)
+Handler = Callable[[PeerHello, _Sent], None]
+Sync = Callable[[str], Iterable[WireMessage]]
+
+
+@dataclasses.dataclass(slots=True)
+class PeerLink:
+    """The channel that this entry opened to one peer."""
+
+    peer: Member
+    channel: Channel
+    opened_s: float
+    has_synced: bool = False
 
 
 class PeerExchange(mode.Service):
-    """Send what this entry learned to each peer, and merge what they send.
+    """Own the channels to all other entries.
+
+    Each entry opens one channel to each other and sends on it; it receives
+    on those that the others opened.  Handlers run to their end before the
+    next message of the channel is read, and must not wait.
 
     Parameters
     ----------
     settings
         Who this entry is and who its peers are.
-    membership
-        Table that is kept up to date.
     logger
         Where events are logged.
     """
 
-    def __init__(
-        self,
-        settings: EntrySettings,
-        membership: Membership,
-        logger: Logger,
-    ) -> None:
+    def __init__(self, settings: EntrySettings, logger: Logger) -> None:
         """Start with no peer connected."""
         super().__init__()
         self._settings = settings
-        self._membership = membership
         self._log = logger
-        self._incarnation_ns = time.time_ns()
-        self._outgoing: dict[str, Channel] = {}
+        self.incarnation_ns = time.time_ns()
+        self.zone_names = tuple(peer.name for peer in settings.zone_peers)
+        self._others = tuple(
+            peer for peer in settings.peers if peer.name != settings.name
+        )
+        self.contacts = Contacts(
+            self.incarnation_ns,
+            (peer.name for peer in self._others),
+        )
+        self._links: dict[str, PeerLink] = {}
+        self._handlers: dict[type[WireMessage], Handler[Any]] = {}
+        self._syncs: list[Sync] = []
+        self._on_restart: list[Callable[[str], None]] = []
+        self._heard = asyncio.Event()
         self._server: asyncio.Server | None = None
+        self.handle(Heartbeat, self._on_heartbeat)
+        self.handle(Goodbye, self._on_goodbye)
+
+    def handle(
+        self,
+        message_type: type[_Sent],
+        handler: Handler[_Sent],
+    ) -> None:
+        """Set the one handler of a message type.
+
+        Parameters
+        ----------
+        message_type
+            Which messages.
+        handler
+            Called with the sender's hello and the message.
+        """
+        self._handlers[message_type] = handler
+
+    def sync_with(self, sync: Sync) -> None:
+        """Add messages to send first on each new channel.
+
+        Parameters
+        ----------
+        sync
+            Called with a peer's name once the peer was heard on a new
+            channel; heartbeats confirm contact only after these messages.
+        """
+        self._syncs.append(sync)
+
+    def on_peer_restart(self, listener: Callable[[str], None]) -> None:
+        """Call a listener with the name of each peer that was restarted."""
+        self._on_restart.append(listener)
+
+    def post(self, name: str, message: WireMessage) -> bool:
+        """Queue a message to one peer without waiting.
+
+        Returns
+        -------
+        bool
+            False if no channel to the peer is open; True is no promise that
+            the message arrives.
+        """
+        link = self._links.get(name)
+        if link is None:
+            return False
+        link.channel.post(message)
+        return True
+
+    def post_to_zone(self, message: WireMessage) -> None:
+        """Queue a message to each peer of this entry's zone."""
+        for name in self.zone_names:
+            self.post(name, message)
+
+    def is_zone_in_contact(self, now_s: float) -> bool:
+        """Whether all that the zone's entries learned is known here."""
+        return self.contacts.is_covered(self.zone_names, now_s)
+
+    async def confirm(self, timeout_s: float) -> bool:
+        """Wait until all that was posted has reached every zone peer.
+
+        Parameters
+        ----------
+        timeout_s
+            How long to wait at most, in seconds.
+
+        Returns
+        -------
+        bool
+            Whether every peer of the zone has it.
+        """
+        posted_s = time.monotonic()
+        for name in self.zone_names:
+            self._beat(name, wants_reply=True)
+        try:
+            async with asyncio.timeout(timeout_s):
+                while not self.contacts.has_reached(self.zone_names, posted_s):
+                    self._heard.clear()
+                    await self._heard.wait()
+        except TimeoutError:
+            return False
+        return True
 
     async def on_start(self) -> None:
         """Listen for peers and connect to each of them."""
         self._server = await serve(self._settings.listen, self._on_channel)
-        for peer in self._settings.zone_peers:
+        for peer in self._others:
             self.add_future(self._keep_connected(peer))
 
     async def on_stop(self) -> None:
-        """Stop listening."""
+        """Tell the peers, then stop listening."""
+        for name in list(self._links):
+            self.post(name, Goodbye())
         if self._server is not None:
             self._server.close()
 
-    def learn(self, record: TargetRecord) -> None:
-        """Merge what a target announced here and tell every peer."""
-        self.merge(record)
-        for channel in self._outgoing.values():
-            channel.post(Targets((record,)))
-
-    def merge(self, record: TargetRecord) -> None:
-        """Merge one record and log what it changed."""
-        merged = self._membership.merge(record, time.monotonic())
-        if merged is Merge.JOINED and record.state is TargetState.SERVING:
-            self._log.info(LogEvent.TARGET_JOINED, target=record.target_id)
-        elif merged is Merge.LEFT:
-            self._log.info(LogEvent.TARGET_LEAVING, target=record.target_id)
-
     async def _on_channel(self, channel: Channel) -> None:
+        hello = await channel.receive()
+        if not isinstance(hello, PeerHello):
+            return
+        if hello.process not in {peer.name for peer in self._others}:
+            return
+        if self.contacts.greet(hello):
+            for listener in self._on_restart:
+                listener(hello.process)
         while True:
             message = await channel.receive()
-            if isinstance(message, Targets):
-                for record in message.records:
-                    self.merge(record)
+            handler = self._handlers.get(type(message))
+            if handler is not None:
+                handler(hello, message)
+
+    def _on_heartbeat(self, hello: PeerHello, heartbeat: Heartbeat) -> None:
+        now_s = time.monotonic()
+        self.contacts.hear(hello, heartbeat, now_s)
+        self._heard.set()
+        link = self._links.get(hello.process)
+        if link is not None and not link.has_synced:
+            self._sync(link)
+        if heartbeat.wants_reply:
+            self._beat(hello.process)
+
+    def _on_goodbye(self, hello: PeerHello, _goodbye: Goodbye) -> None:
+        self.contacts.leave(hello)
+
+    def _sync(self, link: PeerLink) -> None:
+        for sync in self._syncs:
+            for message in sync(link.peer.name):
+                link.channel.post(message)
+        link.has_synced = True
+
+    def _beat(self, name: str, *, wants_reply: bool = False) -> None:
+        link = self._links.get(name)
+        if link is None:
+            return
+        link.channel.post(
+            self.contacts.heartbeat(
+                name,
+                time.monotonic(),
+                has_synced=link.has_synced,
+                wants_reply=wants_reply,
+            ),
+        )
 
     async def _keep_connected(self, peer: Member) -> None:
         while not self.should_stop:
@@ -91,19 +227,33 @@
 
     async def _talk(self, peer: Member) -> None:
         channel = await connect(peer.address)
+        settings = self._settings
+        link = PeerLink(peer, channel, time.monotonic())
+        channel.post(
+            PeerHello(settings.name, settings.zone, self.incarnation_ns),
+        )
+        self._links[peer.name] = link
+        self._log.info(LogEvent.PEER_CONNECTED, peer=peer.name)
+        beating = asyncio.ensure_future(self._keep_beating(link))
         try:
-            await self._introduce(channel)
-            self._outgoing[peer.name] = channel
-            self._log.info(LogEvent.PEER_CONNECTED, peer=peer.name)
             # Peers send on channels of their own: this only waits for the end.
             await channel.receive()
         finally:
-            self._outgoing.pop(peer.name, None)
-            await channel.close()
+            beating.cancel()
+            await self._unlink(link)
 
-    async def _introduce(self, channel: Channel) -> None:
-        settings = self._settings
-        channel.post(
-            PeerHello(settings.name, settings.zone, self._incarnation_ns),
-        )
-        await channel.send(Targets(self._membership.records(time.monotonic())))
+    async def _unlink(self, link: PeerLink) -> None:
+        self._links.pop(link.peer.name)
+        self._log.warning(LogEvent.PEER_LOST, peer=link.peer.name)
+        await link.channel.close()
+
+    async def _keep_beating(self, link: PeerLink) -> None:
+        name = link.peer.name
+        is_near = link.peer.zone == self._settings.zone
+        interval_s = _ZONE_BEAT_S if is_near else _FAR_BEAT_S
+        while True:
+            self._beat(name)
+            await asyncio.sleep(interval_s)
+            alive_s = max(link.opened_s, self.contacts.peer(name).echoed_s)
+            if time.monotonic() - alive_s > interval_s * _SILENT_BEATS:
+                link.channel.abort()
--- a/src/wigeonreach/wire/_channel.py
+++ b/src/wigeonreach/wire/_channel.py
@@ -92,6 +92,10 @@
         with contextlib.suppress(OSError):
             await self._writer.wait_closed()
 
+    def abort(self) -> None:
+        """Drop the connection and what was not sent yet."""
+        self._writer.transport.abort()
+
     async def _read_chunk(self) -> bytes:
         try:
             chunk = await self._reader.read(_READ_BYTES)
--- a/src/wigeonreach/wire/_messages.py
+++ b/src/wigeonreach/wire/_messages.py
@@ -15,9 +15,10 @@
     StatusRequest,
     Subscribe,
 )
+from wigeonreach.wire._peer_messages import Goodbye, Heartbeat, PeerHello
 from wigeonreach.wire._replica_messages import Append, AppendReply
 from wigeonreach.wire._state_messages import Answered, Ask, Submit, Submitted
-from wigeonreach.wire._target_messages import PeerHello, TargetRecord, Targets
+from wigeonreach.wire._target_messages import TargetRecord, Targets
 
 Message: TypeAlias = (
     Answered
@@ -28,6 +29,8 @@
     | Ask
     | ConfigAck
     | ConfigUpdate
+    | Goodbye
+    | Heartbeat
     | PeerHello
     | ReadReply
     | ReadText
--- a/src/wigeonreach/wire/_target_messages.py
+++ b/src/wigeonreach/wire/_target_messages.py
@@ -34,14 +34,13 @@
 
 
 class Targets(WireMessage, frozen=True):
-    """Some of the records that an entry knows."""
+    """Some of the records that an entry knows.
 
-    records: tuple[TargetRecord, ...]
-
-
-class PeerHello(WireMessage, frozen=True):
-    """First message on a channel between two entries."""
+    ``echo_s`` is a time on the receiver's own clock before which none of the
+    records was sent, so that a receiver can count how long they were under
+    way; ``echo_incarnation_ns`` says which incarnation's clock it is.
+    """
 
-    process: str
-    zone: str
-    incarnation_ns: int
+    records: tuple[TargetRecord, ...]
+    echo_s: float = 0
+    echo_incarnation_ns: int = 0
