Say of each attempt whether the request ran

An attempt now says whether the request ran, truly did not run, or may have run. Ruled out: trusting aiohttp's own retry of idempotent requests, which hides a lost first answer behind a refused second connection. An answer that does not say how long it is looks whole when it was cut short, so it is refused; a connection is kept only by a target that echoes the id.

Before, with the guards taken out of the new tests' subject: a crossed and an unsolicited answer reached the next caller, a cut one passed as whole, a GET was sent twice. After: all refused as unknown, one send.

--- a/src/wigeonreach/entry/_attempt.py
+++ b/src/wigeonreach/entry/_attempt.py
@@ -2,19 +2,42 @@
 
 from __future__ import annotations
 
+import asyncio
 import dataclasses
+import itertools
+import secrets
 import time
+from typing import Final
 
 import aiohttp
+import multidict
 import yarl
 
 from wigeonreach.codes import Outcome, ResultCode
 from wigeonreach.entry._request import CallerRequest
 from wigeonreach.entry._request_reading import DEADLINE_HEADER
-from wigeonreach.exceptions import WigeonreachError
-
-_KEEPALIVE_S = 30
-_MS_PER_S = 1000
+from wigeonreach.entry._target_response import (
+    REQUEST_ID_HEADER,
+    EchoedResponse,
+    send_once,
+)
+from wigeonreach.exceptions import AttemptFailedError
+
+_KEEPALIVE_S: Final = 30
+_MS_PER_S: Final = 1000
+_CONNECT_TIMEOUT_S: Final = 1.0
+_MAX_ANSWER_BYTES: Final = 4 * 1024 * 1024
+_MAX_HEADER_BYTES: Final = 8190
+_MAX_ECHOING: Final = 4096
+_PREFIX_BYTES: Final = 6
+_OUTCOME_HEADER: Final = 'X-Outcome'
+_FIRST_FINAL_STATUS: Final = 200
+_BODILESS_STATUSES: Final = frozenset((204, 304))
+_UNREACHABLE_ERRORS: Final = (
+    aiohttp.ClientConnectorError,
+    aiohttp.ConnectionTimeoutError,
+)
+_LOST_ERRORS: Final = (aiohttp.ClientError, OSError, TimeoutError, ValueError)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -24,37 +47,24 @@
     status: int
     content_type: str | None
     body: bytes
+    content_encoding: str | None = None
 
 
-class AttemptFailedError(WigeonreachError):
-    """An attempt gave no whole answer.
+class Attempts:
+    """The connections towards targets, on which each request is sent once.
 
     Parameters
     ----------
-    code
-        Numbered reason.
-    outcome
-        Whether the target ran the request, as far as is known.
-    detail
-        What happened.
+    max_answer_bytes
+        Larger answers are given up on.
     """
 
-    def __init__(
-        self,
-        code: ResultCode,
-        outcome: Outcome,
-        detail: str,
-    ) -> None:
-        """Keep the outcome beside code and detail."""
-        super().__init__(code, detail)
-        self.outcome = outcome
-
-
-class Attempts:
-    """The connections towards targets."""
-
-    def __init__(self) -> None:
+    def __init__(self, max_answer_bytes: int = _MAX_ANSWER_BYTES) -> None:
         """Prepare; no connection is opened yet."""
+        self._max_answer_bytes = max_answer_bytes
+        self._prefix = secrets.token_hex(_PREFIX_BYTES)
+        self._numbers = itertools.count(1)
+        self._echoing: set[str] = set()
         self._session: aiohttp.ClientSession | None = None
 
     async def open(self) -> None:
@@ -66,6 +76,12 @@
             ),
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
+            max_line_size=_MAX_HEADER_BYTES,
+            max_field_size=_MAX_HEADER_BYTES,
+            middlewares=(send_once,),
+            # A target must not choose a coding that the caller can't read.
+            skip_auto_headers=('Accept', 'Accept-Encoding', 'User-Agent'),
+            response_class=EchoedResponse,
         )
 
     async def close(self) -> None:
@@ -81,7 +97,7 @@
         request
             What to run; the rest of its deadline is passed on.
         address
-            Where the target serves.
+            ``IP:PORT`` of the target.
 
         Returns
         -------
@@ -91,17 +107,20 @@
         Raises
         ------
         AttemptFailedError
-            If there is no whole answer in time.
+            If there is no whole answer in time.  Its outcome is "not run"
+            only if not one byte was sent or the target itself says so.
         """
+        left_s = max(0, request.due_s - time.monotonic())
         try:
-            return await self._ask(request, address)
-        except aiohttp.ClientConnectorError as refused:
+            async with asyncio.timeout(left_s):
+                return await self._ask(request, address, left_s)
+        except _UNREACHABLE_ERRORS as unreachable:
             raise AttemptFailedError(
                 ResultCode.REQUEST_TARGET_UNREACHABLE,
                 Outcome.NOT_RUN,
-                type(refused).__name__,
+                type(unreachable).__name__,
             ) from None
-        except (aiohttp.ClientError, OSError, TimeoutError) as lost:
+        except _LOST_ERRORS as lost:
             raise AttemptFailedError(
                 ResultCode.REQUEST_ANSWER_LOST,
                 Outcome.UNKNOWN,
@@ -112,24 +131,111 @@
         self,
         request: CallerRequest,
         address: str,
+        left_s: float,
     ) -> TargetAnswer:
         assert self._session is not None  # noqa: S101
-        left_s = max(0, request.due_s - time.monotonic())
-        left_ms = int(left_s * _MS_PER_S)
+        # Headers that a caller wrote in another case are replaced as well.
+        headers = multidict.CIMultiDict(request.headers)
+        headers[DEADLINE_HEADER] = str(int(left_s * _MS_PER_S))
+        headers[REQUEST_ID_HEADER] = f'{self._prefix}-{next(self._numbers)}'
         async with self._session.request(
             request.method,
-            yarl.URL(
-                f'http://{address}{request.path}',
-                encoded=True,
+            yarl.URL(f'http://{address}{request.path}', encoded=True),
+            data=request.body or None,
+            headers=headers,
+            timeout=aiohttp.ClientTimeout(
+                total=None,
+                connect=min(_CONNECT_TIMEOUT_S, left_s),
             ),
-            data=request.body,
-            headers={**request.headers, DEADLINE_HEADER: str(left_ms)},
-            timeout=aiohttp.ClientTimeout(total=left_s),
             # A redirect is the target's answer; following it would run more.
             allow_redirects=False,
-        ) as answer:
-            return TargetAnswer(
-                status=answer.status,
-                content_type=answer.headers.get('Content-Type'),
-                body=await answer.read(),
+        ) as response:
+            try:
+                return await self._take(response, address)
+            except BaseException:
+                # What still comes on this connection belongs to nobody.
+                response.close()
+                raise
+
+    async def _take(
+        self,
+        response: aiohttp.ClientResponse,
+        address: str,
+    ) -> TargetAnswer:
+        self._check_echo(response, address)
+        _check_framing(response)
+        answer = TargetAnswer(
+            status=response.status,
+            content_type=response.headers.get('Content-Type'),
+            body=await self._read_whole(response),
+            content_encoding=response.headers.get('Content-Encoding'),
+        )
+        if response.headers.get(_OUTCOME_HEADER) == Outcome.NOT_RUN.value:
+            raise AttemptFailedError(
+                ResultCode.REQUEST_TARGET_REFUSED,
+                Outcome.NOT_RUN,
+                f'the target answered {answer.status}',
+            )
+        return answer
+
+    def _check_echo(
+        self,
+        response: aiohttp.ClientResponse,
+        address: str,
+    ) -> None:
+        echoed = response.headers.get(REQUEST_ID_HEADER)
+        expected = response.request_info.headers[REQUEST_ID_HEADER]
+        if echoed == expected:
+            if len(self._echoing) >= _MAX_ECHOING:
+                self._echoing.clear()
+            self._echoing.add(address)
+            return
+        # A target that echoed before and does not now may have sent an answer
+        # that nobody asked for; one that never echoes is told by nothing.
+        if echoed is not None or address in self._echoing:
+            self._echoing.discard(address)
+            raise _unknown(
+                ResultCode.REQUEST_ANSWER_CROSSED,
+                f'expected {expected}, got {echoed}',
             )
+
+    async def _read_whole(self, response: aiohttp.ClientResponse) -> bytes:
+        chunks: list[bytes] = []
+        size_bytes = 0
+        try:
+            async for chunk in response.content.iter_any():
+                chunks.append(chunk)
+                size_bytes += len(chunk)
+                if size_bytes > self._max_answer_bytes:
+                    raise _unknown(
+                        ResultCode.REQUEST_ANSWER_TOO_LARGE,
+                        f'allowed: {self._max_answer_bytes} bytes',
+                    )
+        except aiohttp.ClientError as cut:
+            raise _unknown(
+                ResultCode.REQUEST_ANSWER_INCOMPLETE,
+                type(cut).__name__,
+            ) from None
+        return b''.join(chunks)
+
+
+def _check_framing(response: aiohttp.ClientResponse) -> None:
+    if response.status < _FIRST_FINAL_STATUS:
+        raise _unknown(
+            ResultCode.REQUEST_ANSWER_MALFORMED,
+            f'status {response.status}',
+        )
+    if response.method == 'HEAD' or response.status in _BODILESS_STATUSES:
+        return
+    headers = response.headers
+    is_chunked = headers.get('Transfer-Encoding', '').lower() == 'chunked'
+    if not (is_chunked or 'Content-Length' in headers):
+        # What ends with its connection looks whole also when it is cut short.
+        raise _unknown(
+            ResultCode.REQUEST_ANSWER_INCOMPLETE,
+            'the answer does not say how long it is',
+        )
+
+
+def _unknown(code: ResultCode, detail: str) -> AttemptFailedError:
+    return AttemptFailedError(code, Outcome.UNKNOWN, detail)
--- a/src/wigeonreach/entry/_dispatch.py
+++ b/src/wigeonreach/entry/_dispatch.py
@@ -5,14 +5,10 @@
 import time
 
 from wigeonreach.codes import Outcome, ResultCode
-from wigeonreach.entry._attempt import (
-    AttemptFailedError,
-    Attempts,
-    TargetAnswer,
-)
+from wigeonreach.entry._attempt import Attempts, TargetAnswer
 from wigeonreach.entry._request import CallerRequest
 from wigeonreach.entry._routing import Ending, Router, Slot, ending_of
-from wigeonreach.exceptions import RequestRefusedError
+from wigeonreach.exceptions import AttemptFailedError, RequestRefusedError
 
 
 class Dispatcher:
--- a/src/wigeonreach/entry/_proxy.py
+++ b/src/wigeonreach/entry/_proxy.py
@@ -7,7 +7,7 @@
 
 from aiohttp import web
 
-from wigeonreach.entry._attempt import AttemptFailedError, Attempts
+from wigeonreach.entry._attempt import Attempts
 from wigeonreach.entry._config import ConfigFollower
 from wigeonreach.entry._dispatch import Dispatcher
 from wigeonreach.entry._replies import (
@@ -19,7 +19,7 @@
 from wigeonreach.entry._request_reading import read_request
 from wigeonreach.entry._routing import Router
 from wigeonreach.entry._settings import EntrySettings
-from wigeonreach.exceptions import RequestRefusedError
+from wigeonreach.exceptions import AttemptFailedError, RequestRefusedError
 from wigeonreach.observe import Metrics
 
 
--- a/src/wigeonreach/entry/_replies.py
+++ b/src/wigeonreach/entry/_replies.py
@@ -9,12 +9,13 @@
 from aiohttp import web
 
 from wigeonreach.codes import Outcome, ResultCode
-from wigeonreach.entry._attempt import AttemptFailedError, TargetAnswer
-from wigeonreach.exceptions import RequestRefusedError
+from wigeonreach.entry._attempt import TargetAnswer
+from wigeonreach.exceptions import AttemptFailedError, RequestRefusedError
 
 OUTCOME_HEADER = 'X-Outcome'
 CODE_HEADER = 'X-Result-Code'
 _CONTENT_TYPE = 'Content-Type'
+_CONTENT_ENCODING = 'Content-Encoding'
 _RETRY_AFTER = 'Retry-After'
 _RETRY_AFTER_SPREAD_S = 4
 _BUSY_STATUS = 503
@@ -57,6 +58,8 @@
     }
     if answer.content_type is not None:
         headers[_CONTENT_TYPE] = answer.content_type
+    if answer.content_encoding is not None:
+        headers[_CONTENT_ENCODING] = answer.content_encoding
     return web.Response(
         status=answer.status,
         body=answer.body,
--- a/src/wigeonreach/exceptions.py
+++ b/src/wigeonreach/exceptions.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from wigeonreach.codes import ResultCode
+from wigeonreach.codes import Outcome, ResultCode
 
 
 class WigeonreachError(Exception):
@@ -39,6 +39,30 @@
     """A caller's request truly did not run."""
 
 
+class AttemptFailedError(WigeonreachError):
+    """An attempt gave no whole answer.
+
+    Parameters
+    ----------
+    code
+        Numbered reason.
+    outcome
+        Whether the target ran the request, as far as is known.
+    detail
+        What happened.
+    """
+
+    def __init__(
+        self,
+        code: ResultCode,
+        outcome: Outcome,
+        detail: str,
+    ) -> None:
+        """Keep the outcome beside code and detail."""
+        super().__init__(code, detail)
+        self.outcome = outcome
+
+
 class WireError(WigeonreachError):
     """A message from another process can't be understood."""
 
--- a/src/wigeonreach/standins/_target.py
+++ b/src/wigeonreach/standins/_target.py
@@ -23,6 +23,7 @@
 _ANNOUNCE_S: Final = 0.5
 _LEASE_S: Final = 2.0
 _LINGER_S: Final = 3.0
+_ID_HEADER: Final = 'X-Request-Id'
 
 
 class Target:
@@ -136,7 +137,10 @@
         finally:
             self._running -= 1
         self._run_log.write(RunKind.END, work, self._running)
-        return web.Response(text=f'{self._target_id} {work}')
+        return web.Response(
+            text=f'{self._target_id} {work}',
+            headers={_ID_HEADER: request.headers.get(_ID_HEADER, '')},
+        )
 
 
 def target(
