Decide by the budgets whether one VM more may go down

A decision counts what is down for any reason, what own actions hold down and what the largest guarded domain would take besides. The depth of a budget covers the moment after such a loss, the spare of all pools the time until the domain is back, and the time of the budget covers VMs that return soon anyway, so that maintenance needs no spare of its own. A check by brute force over random fleets finds planners that forget failed VMs or shared zones.

--- a/src/wigeonreach/fleet/_inventory.py
+++ b/src/wigeonreach/fleet/_inventory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import itertools
 from collections.abc import Collection, Iterable, Iterator
 
 from wigeonreach.fleet._model import Vm
@@ -36,6 +37,7 @@
         self._vms: dict[str, Vm] = {}
         self._watched = frozenset(watched_pools)
         self._up: dict[tuple[str, FailureDomain], PeakCounts] = {}
+        self._present = {kind: PeakCounts() for kind in FailureDomain}
         self._maintained: collections.Counter[str] = collections.Counter()
         self._members: dict[str, dict[str, None]] = {}
         for vm in vms:
@@ -84,6 +86,10 @@
         """Return the slots that are up in all managed pools, by domain."""
         return self.up(_FLEET, kind)
 
+    def fleet_present(self, kind: FailureDomain) -> PeakCounts:
+        """Return what is up or will be, once own actions have ended."""
+        return self._present[kind]
+
     def up_slots(self, pool: str) -> int:
         """Return the slots that are up in a pool."""
         return self.up(pool, FailureDomain.ZONE).total_slots
@@ -96,9 +102,17 @@
         slots = sign * vm.slots
         if vm.is_maintained:
             self._maintained[vm.zone] += slots
-        if not vm.is_up:
-            return
-        groups = (vm.pool,) if self.is_watched(vm.pool) else (vm.pool, _FLEET)
-        for group in groups:
-            for kind in FailureDomain:
-                self.up(group, kind).add(vm.domain(kind), slots)
+        groups = [self.up(vm.pool, kind) for kind in FailureDomain]
+        if not self.is_watched(vm.pool):
+            groups.extend(self.fleet_up(kind) for kind in FailureDomain)
+        if vm.is_up:
+            _add(groups, vm, slots)
+        if not self.is_watched(vm.pool) and (vm.is_up or vm.is_maintained):
+            _add(self._present.values(), vm, slots)
+
+
+def _add(groups: Iterable[PeakCounts], vm: Vm, slots: int) -> None:
+    # Groups come in the order of the kinds, once or twice.
+    kinds = itertools.cycle(FailureDomain)
+    for kind, counts in zip(kinds, groups, strict=False):
+        counts.add(vm.domain(kind), slots)
--- /dev/null
+++ b/tests/fleet/test_budget.py
@@ -0,0 +1,248 @@
+"""Test that own actions never break a budget, whatever fails besides."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+from collections.abc import Callable, Iterator
+
+import testtools
+from hypothesis import given, seed, settings
+from hypothesis import strategies as st
+from testtools.matchers import Equals, Is
+
+from tests.builders_fleet import (
+    FLEET_TEXT,
+    build_fleet_text,
+    build_inventory,
+    build_vm,
+)
+from wigeonreach.fleet import (
+    Budgets,
+    Inventory,
+    Refusal,
+    Vm,
+    VmState,
+    find_shortfalls,
+    spare_slots,
+)
+from wigeonreach.text import FailureDomain, FleetText
+
+_EXPECTED_S = 600.0
+_DAY_S = 86_400.0
+_TWO_POOLS = """
+[fleet]
+name = "two"
+guard = ["{guard}"]
+[pools.desk]
+vms = ["vm-0"]
+[pools.hold]
+vms = ["vm-1"]
+[services.desk]
+pool = "desk"
+promised_slots = {desk}
+[services.desk.budget]
+missing_ratio = {ratio}
+[services.hold]
+pool = "hold"
+promised_slots = {hold}
+depends_on = ["desk"]
+"""
+
+Factory = Callable[[FleetText, Inventory], Budgets]
+
+
+class ForgetsDownInventory(Inventory):
+    """Planted fault: counts VMs that failed as if they served."""
+
+    def put(self, vm: Vm) -> None:
+        """Count a failed VM as up."""
+        if vm.state is VmState.DOWN:
+            super().put(dataclasses.replace(vm, state=VmState.SERVING))
+        else:
+            super().put(vm)
+
+
+class ForgetsDomainInventory(Inventory):
+    """Planted fault: takes every VM for a zone of its own."""
+
+    def put(self, vm: Vm) -> None:
+        """Put the VM into a zone that no other VM shares."""
+        super().put(dataclasses.replace(vm, zone=vm.name))
+
+
+class TestBudgets(testtools.TestCase):
+    """Decisions on one VM more."""
+
+    @seed(5)
+    @settings(max_examples=150, deadline=None, database=None)
+    @given(st.integers(min_value=0, max_value=10**6))
+    def test_own_actions_never_break(self, case: int) -> None:
+        """No allowed action breaks a budget with a guarded domain lost."""
+        self.assertThat(list(_faults(case, Inventory)), Equals([]))
+
+    def test_planted_faults_are_found(self) -> None:
+        """The check finds a planner that forgets failures or domains."""
+        for planted in (ForgetsDownInventory, ForgetsDomainInventory):
+            found = [
+                fault for case in range(60) for fault in _faults(case, planted)
+            ]
+            self.assertNotEqual([], found, planted.__name__)
+
+    def test_watched(self) -> None:
+        """A VM of a watched service is never touched."""
+        inventory = Inventory((build_vm(),), watched_pools=('desk',))
+        budgets = Budgets(build_fleet_text(), inventory)
+
+        verdict = budgets.judge(build_vm(), 0, _EXPECTED_S)
+
+        self.assertThat(verdict.refusal, Is(Refusal.WATCHED))
+
+    def test_time_is_spent_once(self) -> None:
+        """Time that a service was missing is not there to be spent again."""
+        source = FLEET_TEXT.replace('"zone"', '').replace('= 40', '= 48')
+        text = build_fleet_text(source)
+        inventory = build_inventory(text)
+        budgets = Budgets(text, inventory)
+        vm = build_vm()
+        self.assertThat(budgets.judge(vm, 0, 3600).is_allowed, Equals(True))
+
+        inventory.put(dataclasses.replace(vm, state=VmState.DOWN))
+        budgets.observe('desk', 0)
+        inventory.put(vm)
+        budgets.observe('desk', 3000)
+
+        verdict = budgets.judge(vm, 4000, 3600)
+        self.assertThat(verdict.refusal, Is(Refusal.TIME))
+        self.assertThat(verdict.have, Equals(600))
+        later = budgets.judge(vm, 4000 + _DAY_S, 3600)
+        self.assertThat(later.is_allowed, Equals(True))
+
+    def test_dependency(self) -> None:
+        """Nothing of a service goes down while what it needs is missing."""
+        source = _TWO_POOLS.format(guard='vm', desk=8, hold=8, ratio=0.5)
+        text = build_fleet_text(source)
+        inventory = Inventory(_vms(random.Random(1), 12))  # noqa: S311
+        budgets = Budgets(text, inventory)
+        for vm in list(inventory.members('desk')):
+            inventory.put(dataclasses.replace(vm, state=VmState.DOWN))
+        budgets.observe('desk', 0)
+        held = next(inventory.members('hold'))
+
+        verdict = budgets.judge(held, 1, _EXPECTED_S)
+
+        self.assertThat(verdict.refusal, Is(Refusal.DEPENDENCY))
+
+    def test_limits(self) -> None:
+        """A promise that the VMs can't keep is named before it is made."""
+        text = build_fleet_text()
+        vms = list(build_inventory(text))
+        self.assertThat(spare_slots(text, vms), Equals(8))
+        greedy = build_fleet_text(FLEET_TEXT.replace('= 40', '= 49'))
+
+        shortfalls = {
+            (fault.pool, fault.lost): fault.missing_slots
+            for fault in find_shortfalls(greedy, vms)
+        }
+
+        self.assertThat(
+            shortfalls,
+            Equals(
+                {
+                    ('desk', None): 1,
+                    # All VMs of a zone stand in one rack here.
+                    ('', FailureDomain.RACK): 1,
+                    ('', FailureDomain.ZONE): 1,
+                },
+            ),
+        )
+
+
+def _faults(case: int, kind: type[Inventory]) -> Iterator[str]:
+    """Drive one random fleet and yield each budget broken by an action."""
+    rng = random.Random(case)  # noqa: S311 - seeded test data
+    guard = rng.choice(tuple(FailureDomain))
+    source = _TWO_POOLS.format(
+        guard=guard,
+        desk=rng.randrange(60),
+        hold=rng.randrange(60),
+        ratio=rng.choice((0, 0.25, 0.5)),
+    )
+    text = build_fleet_text(source)
+    may_spend = rng.choice((True, False))
+    truth = {vm.name: vm for vm in _vms(rng, rng.randrange(6, 24))}
+    inventory = kind(truth.values())
+    budgets = Budgets(text, inventory)
+    for step in range(30):
+        vm = truth[rng.choice(sorted(truth))]
+        aim = rng.choice((VmState.SERVING, VmState.DOWN, VmState.DRAINING))
+        is_ours = aim is VmState.DRAINING
+        verdict = budgets.judge(vm, step, _EXPECTED_S, may_spend=may_spend)
+        if is_ours and not verdict.is_allowed:
+            continue
+        truth[vm.name] = dataclasses.replace(vm, state=aim)
+        inventory.put(truth[vm.name])
+        budgets.observe(vm.pool, step)
+        if is_ours and vm.is_up:
+            check = _broken if may_spend else _missing
+            yield from check(text, list(truth.values()), vm.pool, guard)
+
+
+def _broken(
+    text: FleetText,
+    vms: list[Vm],
+    pool: str,
+    guard: FailureDomain,
+) -> Iterator[str]:
+    """Yield what an action in a pool broke, with any one domain lost.
+
+    Another pool may have been broken by failures before.
+    """
+    promised = sum(service.promised_slots for service in text.services.values())
+    for lost in _domains(vms, guard):
+        rest = [vm for vm in vms if _domain(vm, guard) != lost]
+        left = [vm for vm in rest if vm.is_up]
+        at_last = [vm for vm in rest if vm.is_up or vm.is_maintained]
+        if sum(vm.slots for vm in at_last) < promised:
+            yield f'fleet at last without {lost}'
+        for service in text.services.values():
+            have = sum(vm.slots for vm in left if vm.pool == service.pool)
+            ratio = 1 - service.budget.missing_ratio
+            is_hit = service.pool == pool
+            if is_hit and have < service.promised_slots * ratio:
+                yield f'{service.name} without {lost}'
+
+
+def _missing(
+    text: FleetText,
+    vms: list[Vm],
+    pool: str,
+    guard: FailureDomain,
+) -> Iterator[str]:
+    """Yield also if the fleet falls short for a moment."""
+    yield from _broken(text, vms, pool, guard)
+    promised = sum(service.promised_slots for service in text.services.values())
+    for lost in _domains(vms, guard):
+        left = [vm for vm in vms if _domain(vm, guard) != lost and vm.is_up]
+        if sum(vm.slots for vm in left) < promised:
+            yield f'fleet without {lost}'
+
+
+def _domains(vms: list[Vm], guard: FailureDomain) -> set[tuple[str, ...]]:
+    return {_domain(vm, guard) for vm in vms}
+
+
+def _domain(vm: Vm, guard: FailureDomain) -> tuple[str, ...]:
+    path = (vm.zone, vm.rack, vm.name)
+    depth = (FailureDomain.ZONE, FailureDomain.RACK, FailureDomain.VM)
+    return path[: depth.index(guard) + 1]
+
+
+def _vms(rng: random.Random, count: int) -> Iterator[Vm]:
+    for number in range(count):
+        yield build_vm(
+            name=f'vm-{number}',
+            zone='abc'[number % 3],
+            rack=f'r{number // 6}',
+            pool=rng.choice(('desk', 'hold')),
+        )
