--- a/tests/fleet/test_budget.py
+++ b/tests/fleet/test_budget.py
@@ -173,18 +173,18 @@
     truth = {vm.name: vm for vm in _vms(rng, rng.randrange(6, 24))}
     inventory = kind(truth.values())
     budgets = Budgets(text, inventory)
+    check = _broken if may_spend else _missing
     for step in range(30):
         vm = truth[rng.choice(sorted(truth))]
         aim = rng.choice((VmState.SERVING, VmState.DOWN, VmState.DRAINING))
-        is_ours = aim is VmState.DRAINING
         verdict = budgets.judge(vm, step, _EXPECTED_S, may_spend=may_spend)
+        is_ours = aim is VmState.DRAINING
         if is_ours and not verdict.is_allowed:
             continue
         truth[vm.name] = dataclasses.replace(vm, state=aim)
         inventory.put(truth[vm.name])
         budgets.observe(vm.pool, step)
         if is_ours and vm.is_up:
-            check = _broken if may_spend else _missing
             yield from check(text, list(truth.values()), vm.pool, guard)
 
 
