Let requests wait for slots, refuse what can't finish, retry in a budget

Each service has a queue that teams share. A request that is not expected to finish in its deadline is refused at once, and one that waits until it can't finish any more is refused then. Refused callers are told to return over several times the expected wait.

A request that was sent and then found unreachable elsewhere is answered "unknown": the last attempt's outcome says nothing of those before it.

--- a/src/wigeonreach/entry/_admission.py
+++ b/src/wigeonreach/entry/_admission.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import dataclasses
-import enum
 import math
 import random
 
 _NEW_SAMPLE_SHARE = 0.05
+# An exponential time passes its mean by three deviations in 4% of cases.
+_DEVIATIONS = 3
 _FORGET_AFTER_S = 1.0
 _MIN_RETURN_S = 1
 _MAX_RETURN_S = 30
@@ -17,14 +18,15 @@
 class ServiceTimes:
     """Learn how long one service's targets take for a request.
 
-    An exponentially weighted mean.  It is halved for each second without a
-    sample, so that an estimate that refuses everything does not stand for
-    ever.
+    Exponentially weighted mean and mean deviation.  Both are halved for each
+    second without a sample, so that an estimate that refuses everything does
+    not stand for ever.
     """
 
     def __init__(self) -> None:
         """Start with nothing learned."""
         self._mean_s = 0.0
+        self._deviation_s = 0.0
         self._learned_s = 0.0
 
     def learn(self, taken_s: float, now_s: float) -> None:
@@ -37,24 +39,27 @@
         now_s
             Monotonic time, in seconds.
         """
-        share = _NEW_SAMPLE_SHARE if self._mean_s else 1
-        self._mean_s += share * (taken_s - self._mean_s)
+        if not self._mean_s:
+            self._mean_s = taken_s
+        error_s = taken_s - self._mean_s
+        self._mean_s += _NEW_SAMPLE_SHARE * error_s
+        self._deviation_s += _NEW_SAMPLE_SHARE * (
+            abs(error_s) - self._deviation_s
+        )
         self._learned_s = now_s
 
     def mean_s(self, now_s: float) -> float:
         """Return the mean time of a request, in seconds; 0 if unknown."""
-        idle_s = now_s - self._learned_s
-        if idle_s <= _FORGET_AFTER_S:
-            return self._mean_s
-        return self._mean_s * math.exp2(_FORGET_AFTER_S - idle_s)
-
+        return self._mean_s * self._trust(now_s)
 
-class Admission(enum.Enum):
-    """What becomes of a request that was read whole."""
+    def needed_s(self, now_s: float) -> float:
+        """Return the time in which nearly every request ends, in seconds."""
+        needed_s = self._mean_s + _DEVIATIONS * self._deviation_s
+        return needed_s * self._trust(now_s)
 
-    DISPATCH = enum.auto()
-    QUEUE = enum.auto()
-    REFUSE = enum.auto()
+    def _trust(self, now_s: float) -> float:
+        idle_s = now_s - self._learned_s
+        return math.exp2(min(0, _FORGET_AFTER_S - idle_s))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -62,13 +67,14 @@
     """What a request meets when it arrives.
 
     ``ahead`` is how many waiting requests would be taken before it,
-    ``running`` how many this entry has at the service's targets, and
-    ``mean_s`` how long one takes.
+    ``running`` how many this entry has at the service's targets.  One takes
+    ``mean_s`` on average and nearly always at most ``needed_s``.
     """
 
     ahead: float
     running: int
     mean_s: float
+    needed_s: float
 
     @property
     def wait_s(self) -> float:
@@ -76,8 +82,8 @@
         return (self.ahead + 1) * self.mean_s / max(1, self.running)
 
 
-def admit(load: Load, left_s: float, *, has_free_slot: bool) -> Admission:
-    """Decide what becomes of a request.
+def can_queue(load: Load, left_s: float) -> bool:
+    """Whether a request that has to wait is expected to finish in time.
 
     Parameters
     ----------
@@ -85,18 +91,24 @@
         What it meets.
     left_s
         What is left of its deadline, in seconds.
-    has_free_slot
-        Whether a target can take it at once.
+    """
+    return left_s > 0 and load.wait_s + load.needed_s <= left_s
 
-    Returns
-    -------
-    Admission
-        Refused if it is not expected to finish in its deadline.
+
+def can_start(load: Load, left_s: float) -> bool:
+    """Whether a request for which a slot is free may finish in time.
+
+    A free slot costs nobody anything, so that here the mean decides and not
+    what nearly every request needs.
+
+    Parameters
+    ----------
+    load
+        What it meets.
+    left_s
+        What is left of its deadline, in seconds.
     """
-    wait_s = 0 if has_free_slot else load.wait_s
-    if left_s <= 0 or wait_s + load.mean_s > left_s:
-        return Admission.REFUSE
-    return Admission.DISPATCH if has_free_slot else Admission.QUEUE
+    return left_s > load.mean_s
 
 
 def return_after_s(wait_s: float, rng: random.Random) -> int:
--- a/src/wigeonreach/entry/_dispatch.py
+++ b/src/wigeonreach/entry/_dispatch.py
@@ -1,14 +1,23 @@
-"""Choose a target for a request and have it run there."""
+"""Have requests run at targets, with another attempt where it is safe."""
 
 from __future__ import annotations
 
+import random
 import time
 
-from wigeonreach.codes import Outcome, ResultCode
+from wigeonreach.codes import Outcome
 from wigeonreach.entry._attempt import Attempts, TargetAnswer
 from wigeonreach.entry._request import CallerRequest
+from wigeonreach.entry._retry import (
+    FailedAttempt,
+    NoRetry,
+    RetryBudget,
+    decide_retry,
+)
 from wigeonreach.entry._routing import Ending, Router, Slot, ending_of
-from wigeonreach.exceptions import AttemptFailedError, RequestRefusedError
+from wigeonreach.entry._slot_queue import SlotQueue
+from wigeonreach.exceptions import AttemptFailedError
+from wigeonreach.observe import Metrics
 
 
 class Dispatcher:
@@ -20,12 +29,26 @@
         Hands out the slots of targets.
     attempts
         The connections towards targets.
+    metrics
+        Counters of retries and of refusals to retry.
+    rng
+        Source of random choices.
     """
 
-    def __init__(self, router: Router, attempts: Attempts) -> None:
-        """Keep the parts."""
+    def __init__(
+        self,
+        router: Router,
+        attempts: Attempts,
+        metrics: Metrics,
+        rng: random.Random,
+    ) -> None:
+        """Keep the parts; queues appear with the first request."""
         self._router = router
         self._attempts = attempts
+        self._metrics = metrics
+        self._rng = rng
+        self._queues: dict[str, SlotQueue] = {}
+        self._budgets: dict[str, RetryBudget] = {}
 
     async def run(self, request: CallerRequest) -> TargetAnswer:
         """Return a target's whole answer.
@@ -43,9 +66,44 @@
         Raises
         ------
         RequestRefusedError
-            If no target has a free slot.
+            If the request is refused before any attempt.
+        AttemptFailedError
+            If no attempt gave a whole answer.
         """
-        slot = self._acquire(request.service.name)
+        service = request.service
+        queue = self._queue_of(service.name)
+        budget = self._budgets.setdefault(service.name, RetryBudget())
+        slot = await queue.acquire(request)
+        budget.on_first_attempt(service.retry_ratio)
+        tried: tuple[str, ...] = ()
+        may_have_run: AttemptFailedError | None = None
+        while True:
+            result = await self._attempt(request, queue, slot)
+            if isinstance(result, TargetAnswer):
+                return result
+            if result.outcome is not Outcome.NOT_RUN:
+                may_have_run = result
+            tried = (*tried, slot.target_id)
+            other = self._retry_slot(request, result, tried)
+            if other is None:
+                # A last attempt that did not run says nothing of those
+                # before it.
+                raise may_have_run or result
+            slot = other
+
+    def _queue_of(self, service: str) -> SlotQueue:
+        queue = self._queues.get(service)
+        if queue is None:
+            queue = SlotQueue(service, self._router, self._rng)
+            self._queues[service] = queue
+        return queue
+
+    async def _attempt(
+        self,
+        request: CallerRequest,
+        queue: SlotQueue,
+        slot: Slot,
+    ) -> TargetAnswer | AttemptFailedError:
         # The target may still work on an attempt that is cut off here.
         ending = Ending.ABANDONED
         try:
@@ -54,18 +112,38 @@
             ending = Ending.GIVEN_UP
             if failed.outcome is Outcome.NOT_RUN:
                 ending = Ending.NOT_SENT
-            raise
+            return failed
         else:
             ending = ending_of(answer.status)
             return answer
         finally:
-            self._router.release(slot, ending, time.monotonic())
+            queue.release(slot, ending)
 
-    def _acquire(self, service: str) -> Slot:
+    def _retry_slot(
+        self,
+        request: CallerRequest,
+        failed: AttemptFailedError,
+        tried: tuple[str, ...],
+    ) -> Slot | None:
+        queue = self._queues[request.service.name]
+        budget = self._budgets[request.service.name]
         now_s = time.monotonic()
-        slot = self._router.acquire(service, now_s)
-        if slot is not None:
-            return slot
-        if self._router.is_served(service, now_s):
-            raise RequestRefusedError(ResultCode.REQUEST_QUEUE_FULL, '')
-        raise RequestRefusedError(ResultCode.REQUEST_NO_TARGET, '')
+        decided = decide_retry(
+            FailedAttempt(
+                failed.outcome,
+                request.is_idempotent,
+                request.due_s - now_s,
+                queue.times.mean_s(now_s),
+            ),
+            budget,
+        )
+        if isinstance(decided, NoRetry):
+            self._metrics.count('retry_refusals', decided.value)
+            return None
+        slot = queue.try_acquire(now_s, tried)
+        if slot is None:
+            self._metrics.count('retry_refusals', NoRetry.NO_OTHER_TARGET.value)
+            return None
+        budget.take()
+        self._metrics.count('retries', decided.value)
+        return slot
--- a/src/wigeonreach/entry/_proxy.py
+++ b/src/wigeonreach/entry/_proxy.py
@@ -54,7 +54,7 @@
         self._metrics = metrics
         self._rng = rng
         self._attempts = Attempts()
-        self._dispatcher = Dispatcher(router, self._attempts)
+        self._dispatcher = Dispatcher(router, self._attempts, metrics, rng)
         self.in_flight = 0
         self.is_draining = False
 
--- a/src/wigeonreach/entry/_queue.py
+++ b/src/wigeonreach/entry/_queue.py
@@ -129,6 +129,12 @@
             self._lanes.pop(lane.team)
         return ticket
 
+    def remove(self, ticket: Ticket) -> None:
+        """Remove one request; nothing changes if it does not wait."""
+        lane = self._lanes.get(ticket.team)
+        if lane is not None and ticket in tuple(lane):
+            self._remove_from(lane, [ticket])
+
     def remove_due(self, before_s: float) -> list[Ticket]:
         """Remove every request that is due before a moment.
 
--- a/src/wigeonreach/entry/_replies.py
+++ b/src/wigeonreach/entry/_replies.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from wigeonreach.codes import Outcome, ResultCode
+from wigeonreach.entry._admission import return_after_s
 from wigeonreach.entry._attempt import TargetAnswer
 from wigeonreach.exceptions import AttemptFailedError, RequestRefusedError
 
@@ -17,7 +18,6 @@
 _CONTENT_TYPE = 'Content-Type'
 _CONTENT_ENCODING = 'Content-Encoding'
 _RETRY_AFTER = 'Retry-After'
-_RETRY_AFTER_SPREAD_S = 4
 _BUSY_STATUS = 503
 _LOST_STATUS = 504
 _STATUS_BY_CODE = MappingProxyType(
@@ -87,7 +87,11 @@
     """
     status = _STATUS_BY_CODE.get(refused.code, _BUSY_STATUS)
     if status == _BUSY_STATUS:
-        return busy_reply(refused.code, rng, refused.detail)
+        return busy_reply(
+            refused.code,
+            refused.return_after_s or return_after_s(0, rng),
+            refused.detail,
+        )
     return error_reply(status, refused.code, Outcome.NOT_RUN, refused.detail)
 
 
@@ -110,7 +114,11 @@
         A refusal if it did not run, else an answer that says "unknown".
     """
     if failed.outcome is Outcome.NOT_RUN:
-        return busy_reply(failed.code, rng, failed.detail)
+        return busy_reply(
+            failed.code,
+            return_after_s(0, rng),
+            failed.detail,
+        )
     return error_reply(
         _LOST_STATUS,
         failed.code,
@@ -155,7 +163,7 @@
 
 def busy_reply(
     code: ResultCode,
-    rng: random.Random,
+    after_s: int,
     detail: str = '',
 ) -> web.Response:
     """Build a refusal that says when to come back.
@@ -164,17 +172,16 @@
     ----------
     code
         Numbered reason.
-    rng
-        Spreads the time, so that callers do not return together.
+    after_s
+        When to come back, in whole seconds.
     detail
         What is allowed, or what happened.
 
     Returns
     -------
     aiohttp.web.Response
-        The answer, with ``Retry-After`` in whole seconds.
+        The answer, with ``Retry-After``.
     """
     reply = error_reply(_BUSY_STATUS, code, Outcome.NOT_RUN, detail)
-    after_s = 1 + rng.randrange(_RETRY_AFTER_SPREAD_S)
     reply.headers[_RETRY_AFTER] = str(after_s)
     return reply
--- a/src/wigeonreach/entry/_request.py
+++ b/src/wigeonreach/entry/_request.py
@@ -13,7 +13,8 @@
     """One request that was read whole and checked.
 
     Nothing of it has run yet.  ``due_s`` is the moment, on this process's
-    monotonic clock, after which no answer is of use to the caller.
+    monotonic clock, after which no answer is of use to the caller.  Teams
+    that the text does not name share one class, whose name is empty.
     """
 
     service: Service
@@ -25,6 +26,7 @@
     is_urgent: bool
     key: str
     due_s: float
+    weight: float = 1.0
 
     @property
     def is_idempotent(self) -> bool:
--- a/src/wigeonreach/entry/_request_reading.py
+++ b/src/wigeonreach/entry/_request_reading.py
@@ -10,7 +10,7 @@
 from wigeonreach.codes import ResultCode
 from wigeonreach.entry._request import CallerRequest
 from wigeonreach.exceptions import RequestRefusedError
-from wigeonreach.text import FleetText, Service
+from wigeonreach.text import FleetText, Service, Team
 
 DEADLINE_HEADER = 'X-Deadline-Ms'
 TEAM_HEADER = 'X-Team'
@@ -22,6 +22,7 @@
 _MAX_TEAM_CHARACTERS = 63
 _MS_PER_S = 1000
 _SERVICE_PREFIX_PARTS = 3
+_OTHER_TEAMS = Team(name='', weight=1.0, quota_processors=0, urgent_ratio=0)
 
 
 async def read_request(
@@ -53,11 +54,11 @@
     RequestRefusedError
         If anything is wrong; nothing ran then.
     """
+    if text is None:
+        raise RequestRefusedError(ResultCode.REQUEST_CONFIG_NOT_READY, '')
     service = _find_service(request, text)
     due_s = now_s + _deadline_s(request, service)
-    team = request.headers.get(TEAM_HEADER, '')
-    if len(team) > _MAX_TEAM_CHARACTERS:
-        raise _bad_header(TEAM_HEADER, f'{_MAX_TEAM_CHARACTERS} characters')
+    team = _find_team(request, text)
     urgent = request.headers.get(URGENT_HEADER, '0')
     if urgent not in _URGENT_VALUES:
         raise _bad_header(URGENT_HEADER, '0 or 1')
@@ -67,16 +68,15 @@
         path=_path_at_target(request),
         headers=_forwarded(request),
         body=await _read_body(request, read_timeout_s),
-        team=team,
+        team=team.name,
+        weight=team.weight,
         is_urgent=urgent == '1',
         key=request.headers.get(KEY_HEADER, ''),
         due_s=due_s,
     )
 
 
-def _find_service(request: web.Request, text: FleetText | None) -> Service:
-    if text is None:
-        raise RequestRefusedError(ResultCode.REQUEST_CONFIG_NOT_READY, '')
+def _find_service(request: web.Request, text: FleetText) -> Service:
     name = request.match_info['service']
     service = text.services.get(name)
     if service is None:
@@ -87,6 +87,14 @@
     return service
 
 
+def _find_team(request: web.Request, text: FleetText) -> Team:
+    name = request.headers.get(TEAM_HEADER, '')
+    if len(name) > _MAX_TEAM_CHARACTERS:
+        raise _bad_header(TEAM_HEADER, f'{_MAX_TEAM_CHARACTERS} characters')
+    # A caller can't win shares by inventing names.
+    return text.teams.get(name, _OTHER_TEAMS)
+
+
 def _deadline_s(request: web.Request, service: Service) -> float:
     asked = request.headers.get(DEADLINE_HEADER)
     if asked is None:
--- a/src/wigeonreach/entry/_retry.py
+++ b/src/wigeonreach/entry/_retry.py
@@ -8,19 +8,21 @@
 from wigeonreach.codes import Outcome
 
 _MAX_SAVED_RETRIES = 10.0
+_FIRST_RETRIES = 3.0
 
 
 class RetryBudget:
     """Bound retries to a share of the first attempts of one service.
 
     A token bucket: each first attempt adds ``ratio`` of a token, and each
-    retry takes a whole one.  It starts empty and saves a few tokens at most,
-    so that a failure of everything is not met by a burst of retries.
+    retry takes a whole one.  It starts with a few, so that a quiet service
+    may retry at all, and saves a few at most, so that a failure of everything
+    is not met by a burst of retries.
     """
 
     def __init__(self) -> None:
-        """Start with nothing saved."""
-        self._tokens = 0.0
+        """Start with a few tokens."""
+        self._tokens = _FIRST_RETRIES
 
     def on_first_attempt(self, ratio: float) -> None:
         """Add what one first attempt allows.
--- a/src/wigeonreach/exceptions.py
+++ b/src/wigeonreach/exceptions.py
@@ -36,7 +36,27 @@
 
 
 class RequestRefusedError(WigeonreachError):
-    """A caller's request truly did not run."""
+    """A caller's request truly did not run.
+
+    Parameters
+    ----------
+    code
+        Numbered reason.
+    detail
+        What happened and what is allowed.
+    return_after_s
+        When it makes sense to ask again, in whole seconds, if that is known.
+    """
+
+    def __init__(
+        self,
+        code: ResultCode,
+        detail: str,
+        return_after_s: int | None = None,
+    ) -> None:
+        """Keep the time beside code and detail."""
+        super().__init__(code, detail)
+        self.return_after_s = return_after_s
 
 
 class AttemptFailedError(WigeonreachError):
