--- /dev/null
+++ b/src/wigeonreach/state/_front.py
@@ -0,0 +1,252 @@
+"""Answer everybody who is no replica: operators, managers and entries."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import math
+import time
+
+import mode
+import msgspec
+
+from wigeonreach.codes import ResultCode
+from wigeonreach.exceptions import FleetTextError, StateError
+from wigeonreach.observe import LogEvent, Logger
+from wigeonreach.rollout._copy import TextCopy
+from wigeonreach.state._feed import Feed
+from wigeonreach.state._machine import Machine
+from wigeonreach.state._settings import ReplicaSettings
+from wigeonreach.state._state_machine import Agreement
+from wigeonreach.state._subscription import Subscription
+from wigeonreach.text import parse_fleet_text
+from wigeonreach.wire import Channel, Message
+from wigeonreach.wire._command_messages import (
+    Action,
+    ChangeText,
+    Command,
+    ForgetProcess,
+    RegisterProcess,
+    Reply,
+)
+from wigeonreach.wire._rollout_messages import (
+    ConfigDelta,
+    ConfigNeed,
+    ConfigSections,
+    Follow,
+    ReplicaStatus,
+    ReplicaStatusRequest,
+)
+from wigeonreach.wire._state_messages import Answered, Ask, Submit, Submitted
+
+_CONFIRM_S = 1.0
+_REGISTER_AGAIN_S = 3600.0
+_COMMAND_DECODER = msgspec.msgpack.Decoder(Command)
+
+
+class Front(mode.Service):
+    """Take commands and questions, and push texts to followers.
+
+    Parameters
+    ----------
+    settings
+        Who this replica is.
+    agreement
+        The replicated log.
+    machine
+        The state that the log's commands are applied to.
+    logger
+        Where events are logged.
+    """
+
+    def __init__(
+        self,
+        settings: ReplicaSettings,
+        agreement: Agreement,
+        machine: Machine,
+        logger: Logger,
+    ) -> None:
+        """Serve nobody yet."""
+        super().__init__()
+        self._settings = settings
+        self._agreement = agreement
+        self._machine = machine
+        self._log = logger
+        self._feed = Feed()
+        self._moved = asyncio.Condition()
+        self._confirmed_s = -math.inf
+        self._subscriptions: list[Subscription] = []
+
+    async def handle(self, channel: Channel, message: Message) -> bool:
+        """Handle one message, if it is not one between replicas.
+
+        Parameters
+        ----------
+        channel
+            Where it came from and where the reply goes.
+        message
+            The message.
+
+        Returns
+        -------
+        bool
+            Whether the message was handled.
+        """
+        match message:
+            case Submit():
+                await channel.send(await self._submit(message))
+            case Ask():
+                await channel.send(await self._answer(message))
+            case Follow():
+                await self._serve_follower(channel, message)
+            case ReplicaStatusRequest():
+                await channel.send(self._status())
+            case _:
+                return False
+        return True
+
+    def newest(self) -> TextCopy:
+        """Return the newest copy that is applied here."""
+        return self._feed.newest(self._machine.state)
+
+    def step(self, version: int, checksum: int) -> ConfigDelta | None:
+        """Return the step from a version to the newest."""
+        return self._feed.step(self._machine.state, version, checksum)
+
+    def missing(self, need: ConfigNeed) -> ConfigSections:
+        """Return the sections that a follower lacks."""
+        return self._feed.missing(self._machine.state, need)
+
+    def confirmed_age_s(self) -> float:
+        """Return how long ago a quorum confirmed; negative if it never did."""
+        if self._confirmed_s == -math.inf:
+            return -1
+        return time.monotonic() - self._confirmed_s
+
+    async def wait_newer(self, version: int, timeout_s: float) -> None:
+        """Wait for a newer version, but no longer than the timeout."""
+        accepted = self._machine.state.accepted
+        if accepted.version > version:
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s), self._moved:
+                await self._moved.wait()
+
+    def forget(self, process: str) -> None:
+        """Note that a process ended for good."""
+        self.add_future(self._propose_quietly(ForgetProcess(process)))
+
+    @mode.Service.task
+    async def _confirm(self) -> None:
+        while not self.should_stop:
+            started_s = time.monotonic()
+            with contextlib.suppress(StateError):
+                await self._agreement.read_barrier()
+                # All that was accepted before the question is applied here.
+                self._confirmed_s = started_s
+            await self.sleep(_CONFIRM_S)
+
+    @mode.Service.task
+    async def _watch(self) -> None:
+        applied = 0
+        version = 0
+        while not self.should_stop:
+            applied = await self._agreement.wait_applied(applied)
+            if self._machine.state.accepted.version != version:
+                version = self._machine.state.accepted.version
+                async with self._moved:
+                    self._moved.notify_all()
+
+    async def _submit(self, submit: Submit) -> Submitted:
+        try:
+            command = _COMMAND_DECODER.decode(submit.command)
+        except msgspec.MsgspecError as error:
+            return Submitted(ResultCode.WIRE_MALFORMED, str(error), b'')
+        reply = self._machine.known_reply(command) or self._fault(command)
+        if reply is not None:
+            return Submitted(ResultCode.OK, '', msgspec.msgpack.encode(reply))
+        return await self._propose(command)
+
+    async def _propose(self, command: Command) -> Submitted:
+        # A sender whose clock is ahead must not end everybody's leases.
+        stamped = msgspec.structs.replace(
+            command,
+            at_s=min(command.at_s, time.time()),
+        )
+        try:
+            reply = await self._agreement.propose(
+                msgspec.msgpack.encode(stamped),
+            )
+        except StateError as error:
+            return Submitted(error.code, error.detail, b'')
+        return Submitted(ResultCode.OK, '', reply)
+
+    def _fault(self, command: Command) -> Reply | None:
+        """Return the refusal of a text that does not hold together."""
+        if not isinstance(command.action, ChangeText):
+            return None
+        try:
+            parse_fleet_text(command.action.text)
+        except FleetTextError as error:
+            self._log.info(LogEvent.CHANGE_REFUSED, code=error.code)
+            return Reply(
+                error.code,
+                error.detail,
+                self._machine.state.revision,
+                self._machine.state.accepted.version,
+            )
+        return None
+
+    async def _answer(self, ask: Ask) -> Answered:
+        if not ask.is_local:
+            try:
+                await self._agreement.read_barrier()
+            except StateError as error:
+                return Answered(error.code, error.detail, 0)
+        return Answered(
+            ResultCode.OK,
+            '',
+            self._machine.state.revision,
+            self._machine.query(ask.question),
+        )
+
+    async def _serve_follower(self, channel: Channel, follow: Follow) -> None:
+        subscription = Subscription(channel, follow, self)
+        self._subscriptions.append(subscription)
+        self._register(follow)
+        try:
+            await subscription.run()
+        finally:
+            self._subscriptions.remove(subscription)
+
+    def _register(self, follow: Follow) -> None:
+        known = self._machine.state.processes.get(follow.process)
+        oldest_s = time.time() - _REGISTER_AGAIN_S
+        if known is None or known.registered_s < oldest_s:
+            action = RegisterProcess(follow.process, follow.zone)
+            self.add_future(self._propose_quietly(action))
+
+    async def _propose_quietly(self, action: Action) -> None:
+        command = Command(
+            command_id='',
+            seen_revision=self._machine.state.revision,
+            author=self._settings.name,
+            at_s=time.time(),
+            action=action,
+        )
+        await self._propose(command)
+
+    def _status(self) -> ReplicaStatus:
+        by_name = {
+            subscription.status.process: subscription.status
+            for subscription in self._subscriptions
+        }
+        return ReplicaStatus(
+            process=self._settings.name,
+            zone=self._settings.zone,
+            role='leader' if self._agreement.is_leader else 'follower',
+            version=self._machine.state.accepted.version,
+            confirmed_age_s=self.confirmed_age_s(),
+            followers=tuple(by_name.values()),
+            registered=tuple(sorted(self._machine.state.processes)),
+        )
--- a/src/wigeonreach/wire/_channel.py
+++ b/src/wigeonreach/wire/_channel.py
@@ -46,7 +46,7 @@
     async def send(self, message: WireMessage) -> None:
         """Send one message and wait while the connection is congested."""
         self.post(message)
-        await self._writer.drain()
+        await self.drain()
 
     def post(self, message: WireMessage) -> None:
         """Queue one message without waiting."""
@@ -54,6 +54,10 @@
         self.sent_bytes += len(encoded)
         self._writer.write(encoded)
 
+    async def drain(self) -> None:
+        """Wait while the connection is congested."""
+        await self._writer.drain()
+
     async def receive(self) -> Message:
         """Return the next message.
 
--- a/src/wigeonreach/wire/_messages.py
+++ b/src/wigeonreach/wire/_messages.py
@@ -17,16 +17,15 @@
 )
 from wigeonreach.wire._peer_messages import Goodbye, Heartbeat, PeerHello
 from wigeonreach.wire._replica_messages import Append, AppendReply
-from wigeonreach.wire._state_messages import Answered, Ask, Submit, Submitted
+from wigeonreach.wire._rollout_messages import RolloutMessage
+from wigeonreach.wire._state_messages import StateMessage
 from wigeonreach.wire._target_messages import TargetRecord, Targets
 
 Message: TypeAlias = (
-    Answered
-    | Append
+    Append
     | AppendReply
     | ApplyReply
     | ApplyText
-    | Ask
     | ConfigAck
     | ConfigUpdate
     | Goodbye
@@ -34,10 +33,10 @@
     | PeerHello
     | ReadReply
     | ReadText
+    | RolloutMessage
+    | StateMessage
     | StatusReply
     | StatusRequest
-    | Submit
-    | Submitted
     | Subscribe
     | TargetRecord
     | Targets
--- a/src/wigeonreach/wire/_state_messages.py
+++ b/src/wigeonreach/wire/_state_messages.py
@@ -161,3 +161,6 @@
     detail: str
     revision: int
     answer: Answer | None = None
+
+
+StateMessage: TypeAlias = Submit | Submitted | Ask | Answered
