--- a/src/wigeonreach/cli/_app.py
+++ b/src/wigeonreach/cli/_app.py
@@ -4,9 +4,9 @@
 
 import typer
 
-from wigeonreach.cli._config_commands import apply, plan
+from wigeonreach.cli._config_commands import apply, plan, restore
 from wigeonreach.cli._daemon_commands import entry, replica
-from wigeonreach.cli._status_commands import status
+from wigeonreach.cli._status_commands import forget, history, status
 
 app = typer.Typer(
     no_args_is_help=True,
@@ -19,4 +19,7 @@
 app.command()(replica)
 app.command()(apply)
 app.command()(plan)
+app.command()(restore)
+app.command()(history)
 app.command()(status)
+app.command()(forget)
--- a/src/wigeonreach/cli/_client.py
+++ b/src/wigeonreach/cli/_client.py
@@ -3,77 +3,100 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Sequence
-from typing import TypeVar
+import getpass
+from collections.abc import Mapping, Sequence
 
 from wigeonreach.codes import ResultCode
 from wigeonreach.exceptions import WireError
+from wigeonreach.state import StateClient
 from wigeonreach.wire import Member, connect
-from wigeonreach.wire._base import WireMessage
-from wigeonreach.wire._config_messages import (
-    StatusReply,
-    StatusRequest,
+from wigeonreach.wire._rollout_messages import (
+    FollowerStatus,
+    ReplicaStatus,
+    ReplicaStatusRequest,
 )
 
-_REPLY_TIMEOUT_S = 8.0
-_Reply = TypeVar('_Reply', bound=WireMessage)
+_STATUS_TIMEOUT_S = 1.0
 
 
-async def ask_any(
-    replicas: Sequence[Member],
-    question: WireMessage,
-    reply_type: type[_Reply],
-) -> _Reply:
-    """Ask replicas in turn until one answers.
+def operator_client(replicas: Sequence[Member]) -> StateClient:
+    """Return a client that acts in the name of whoever runs the command."""
+    return StateClient(getpass.getuser(), replicas)
+
+
+async def status_of_all(replicas: Sequence[Member]) -> list[ReplicaStatus]:
+    """Return the status of each replica that answers."""
+    replies = await asyncio.gather(
+        *(_status_of(member) for member in replicas),
+        return_exceptions=True,
+    )
+    return [reply for reply in replies if isinstance(reply, ReplicaStatus)]
+
+
+def followers_by_name(
+    statuses: Sequence[ReplicaStatus],
+) -> Mapping[str, FollowerStatus]:
+    """Return the newest that any replica knows of each follower.
 
     Parameters
     ----------
-    replicas
-        Whom to ask, in this order.
-    question
-        The message.
-    reply_type
-        What is expected.
+    statuses
+        What the replicas told.
 
     Returns
     -------
-    WireMessage
-        The first reply.
+    dict
+        Followers by process name.  A replica that lost one silently may still
+        list it with an older version.
+    """
+    newest: dict[str, FollowerStatus] = {}
+    for status in statuses:
+        for follower in status.followers:
+            known = newest.get(follower.process)
+            if known is None or known.version < follower.version:
+                newest[follower.process] = follower
+    return newest
+
 
-    Raises
-    ------
-    WireError
-        If none answers.
+def processes_behind(
+    statuses: Sequence[ReplicaStatus],
+    version: int,
+) -> list[str]:
+    """Return the processes that are not known to act on a version.
+
+    Parameters
+    ----------
+    statuses
+        What the replicas told.
+    version
+        The version.
+
+    Returns
+    -------
+    list of str
+        Names of followers that are behind, and of registered processes that
+        no replica reaches at present.
     """
-    reasons: list[str] = []
-    for replica in replicas:
-        try:
-            return await ask(replica, question, reply_type)
-        except WireError as error:
-            reasons.append(f'{replica.name}: {error.detail}')
-    raise WireError(ResultCode.WIRE_UNREACHABLE, '; '.join(reasons))
-
-
-async def ask(
-    replica: Member,
-    question: WireMessage,
-    reply_type: type[_Reply],
-) -> _Reply:
-    """Ask one replica; raise ``WireError`` if it does not answer."""
-    channel = await connect(replica.address)
+    followers = followers_by_name(statuses)
+    expected = set(followers)
+    for status in statuses:
+        expected.update(status.registered)
+    return sorted(
+        name
+        for name in expected
+        if name not in followers or followers[name].version < version
+    )
+
+
+async def _status_of(replica: Member) -> ReplicaStatus:
+    channel = await connect(replica.address, _STATUS_TIMEOUT_S)
     try:
-        reply = await channel.request(question, _REPLY_TIMEOUT_S)
+        reply = await channel.request(
+            ReplicaStatusRequest(),
+            _STATUS_TIMEOUT_S,
+        )
     finally:
         await channel.close()
-    if isinstance(reply, reply_type):
+    if isinstance(reply, ReplicaStatus):
         return reply
     raise WireError(ResultCode.WIRE_MALFORMED, type(reply).__name__)
-
-
-async def status_of_all(replicas: Sequence[Member]) -> list[StatusReply]:
-    """Return the status of each replica that answers."""
-    replies = await asyncio.gather(
-        *(ask(member, StatusRequest(), StatusReply) for member in replicas),
-        return_exceptions=True,
-    )
-    return [reply for reply in replies if isinstance(reply, StatusReply)]
--- a/src/wigeonreach/cli/_config_commands.py
+++ b/src/wigeonreach/cli/_config_commands.py
@@ -1,103 +1,175 @@
-"""Change the accepted text."""
+"""Change the accepted text, preview a change and restore an old text."""
 
 from __future__ import annotations
 
 import asyncio
-import getpass
 import pathlib
 import time
-import uuid
 from collections.abc import Sequence
 from typing import Annotated
 
+import msgspec
 import typer
 
 from wigeonreach.cli import _options as options
-from wigeonreach.cli._client import ask_any, status_of_all
+from wigeonreach.cli._client import (
+    operator_client,
+    processes_behind,
+    status_of_all,
+)
 from wigeonreach.cli._errors import errors_as_exits, exit_for, leave
 from wigeonreach.codes import ExitCode, ResultCode
-from wigeonreach.text import parse_fleet_text
+from wigeonreach.exceptions import SettingError
+from wigeonreach.rollout import describe_changes
+from wigeonreach.text import diff_texts, parse_fleet_text
 from wigeonreach.wire import Member, parse_members
-from wigeonreach.wire._config_messages import (
-    ApplyReply,
-    ApplyText,
-    ReadReply,
-    ReadText,
-)
+from wigeonreach.wire._command_messages import ChangeText, Reply, RestoreText
+from wigeonreach.wire._state_messages import AcceptedText, ReadAccepted
 
 _POLL_S = 0.05
+_LONGEST_WAIT_S = 7.0
 TextPath = Annotated[
     pathlib.Path,
     typer.Argument(exists=True, dir_okay=False, help='The TOML text.'),
 ]
+Base = Annotated[
+    int | None,
+    typer.Option(help='Version the change is based on; newest if left.'),
+]
+ChangeId = Annotated[
+    str | None,
+    typer.Option(help='Id of the change; the same id and base resend it.'),
+]
+Wait = Annotated[
+    float,
+    typer.Option(min=0, help='Seconds to wait until it is in force.'),
+]
+
+
+class ChangeReport(msgspec.Struct, frozen=True):
+    """JSON that ``apply`` and ``restore`` print."""
+
+    code: int
+    name: str
+    detail: str
+    version: int
+    behind: list[str]
+
+
+class PlanReport(msgspec.Struct, frozen=True):
+    """JSON that ``plan`` prints."""
+
+    base_version: int
+    changes: list[str]
 
 
 def apply(
     path: TextPath,
     replicas: options.Replicas,
-    base: Annotated[
-        int | None,
-        typer.Option(help='Version the change is based on; newest if left.'),
-    ] = None,
-    change_id: Annotated[
-        str | None,
-        typer.Option(help='Id of the change; the same id resends it.'),
-    ] = None,
-    wait_s: Annotated[
-        float,
-        typer.Option(min=0, help='Seconds to wait until it is in force.'),
-    ] = 7.0,
+    base: Base = None,
+    change_id: ChangeId = None,
+    wait_s: Wait = _LONGEST_WAIT_S,
+    as_json: options.AsJson = False,
 ) -> None:
     """Make a text the accepted one and wait until it is in force."""
     text = path.read_text()
     with errors_as_exits():
         members = parse_members(replicas, '--replica')
-        reply = asyncio.run(_apply(members, text, base, change_id))
-        if reply.code != ResultCode.OK:
-            name = ResultCode(reply.code).name.lower()
-            message = f'{reply.code} {name}: {reply.detail}'
-            leave(exit_for(reply.code), message)
-        behind = asyncio.run(_wait_in_force(members, reply.version, wait_s))
-    if behind:
-        names = ', '.join(behind)
-        leave(
-            ExitCode.NOT_IN_FORCE,
-            f'version {reply.version} accepted, not yet in force on: {names}',
+        _check_resend(base, change_id)
+        report = asyncio.run(
+            _change(members, text, base, change_id, wait_s),
         )
-    typer.echo(f'version {reply.version} accepted and in force')
+    _finish(report, as_json)
 
 
-def plan(path: TextPath, replicas: options.Replicas) -> None:
+def restore(
+    version: Annotated[int, typer.Argument(help='The old version.')],
+    replicas: options.Replicas,
+    base: Base = None,
+    change_id: ChangeId = None,
+    wait_s: Wait = _LONGEST_WAIT_S,
+    as_json: options.AsJson = False,
+) -> None:
+    """Accept the text of an old version again, as a new version."""
+    with errors_as_exits():
+        members = parse_members(replicas, '--replica')
+        _check_resend(base, change_id)
+        report = asyncio.run(
+            _change(members, version, base, change_id, wait_s),
+        )
+    _finish(report, as_json)
+
+
+def plan(
+    path: TextPath,
+    replicas: options.Replicas,
+    as_json: options.AsJson = False,
+) -> None:
     """Check a text and show what would change, without changing it."""
     text = path.read_text()
     with errors_as_exits():
-        wanted = parse_fleet_text(text)
         members = parse_members(replicas, '--replica')
-        now = asyncio.run(ask_any(members, ReadText(), ReadReply))
-        old = parse_fleet_text(now.text).services if now.text else {}
-    typer.echo(f'based on version {now.version}')
-    for name in sorted(set(old) | set(wanted.services)):
-        before = old.get(name)
-        after = wanted.services.get(name)
-        if before != after:
-            typer.echo(f'- {before}\n+ {after}')
+        report = asyncio.run(_plan(members, text))
+    if as_json:
+        typer.echo(msgspec.json.encode(report).decode())
+        return
+    typer.echo(f'based on version {report.base_version}')
+    for line in report.changes:
+        typer.echo(line)
+
+
+def _check_resend(base: int | None, change_id: str | None) -> None:
+    # The newest base would turn a resend into a second change once the
+    # result of the first one is forgotten.
+    if change_id is not None and base is None:
+        raise SettingError(
+            ResultCode.SETTING_MISSING,
+            '--base: must stand beside --change-id, the same in each resend',
+        )
 
 
-async def _apply(
+async def _plan(members: Sequence[Member], text: str) -> PlanReport:
+    wanted = parse_fleet_text(text)
+    client = operator_client(members)
+    now = await client.read(ReadAccepted(), AcceptedText)
+    if now.version:
+        before = parse_fleet_text(now.text)
+        lines = [change.line() for change in diff_texts(before, wanted)]
+    else:
+        lines = list(describe_changes('', text))
+    return PlanReport(now.version, lines)
+
+
+async def _change(
     members: Sequence[Member],
-    text: str,
+    wanted: str | int,
     base: int | None,
     change_id: str | None,
-) -> ApplyReply:
+    wait_s: float,
+) -> ChangeReport:
+    client = operator_client(members)
     if base is None:
-        base = (await ask_any(members, ReadText(), ReadReply)).version
-    change = ApplyText(
-        change_id=change_id or uuid.uuid4().hex,
-        base_version=base,
-        author=getpass.getuser(),
-        text=text,
+        base = (await client.read(ReadAccepted(), AcceptedText)).version
+    action: ChangeText | RestoreText
+    if isinstance(wanted, str):
+        action = ChangeText(base, wanted)
+    else:
+        action = RestoreText(base, wanted)
+    reply = await client.submit(action, change_id)
+    behind: list[str] = []
+    if reply.code == ResultCode.OK:
+        behind = await _wait_in_force(members, reply.version, wait_s)
+    return _report(reply, behind)
+
+
+def _report(reply: Reply, behind: list[str]) -> ChangeReport:
+    return ChangeReport(
+        reply.code,
+        ResultCode(reply.code).name.lower(),
+        reply.detail,
+        reply.version,
+        behind,
     )
-    return await ask_any(members, change, ApplyReply)
 
 
 async def _wait_in_force(
@@ -106,18 +178,26 @@
     wait_s: float,
 ) -> list[str]:
     ends_s = time.monotonic() + wait_s
-    behind = await _behind(members, version)
-    while behind and time.monotonic() < ends_s:
+    while True:
+        behind = processes_behind(await status_of_all(members), version)
+        if not behind or time.monotonic() >= ends_s:
+            return behind
         await asyncio.sleep(_POLL_S)
-        behind = await _behind(members, version)
-    return behind
 
 
-async def _behind(members: Sequence[Member], version: int) -> list[str]:
-    replies = await status_of_all(members)
-    return sorted(
-        subscriber.process
-        for reply in replies
-        for subscriber in reply.subscribers
-        if subscriber.version < version
-    )
+def _finish(report: ChangeReport, as_json: bool) -> None:
+    exit_code = exit_for(report.code)
+    if report.behind:
+        exit_code = ExitCode.NOT_IN_FORCE
+    if as_json:
+        typer.echo(msgspec.json.encode(report).decode())
+        raise typer.Exit(int(exit_code))
+    if report.code != ResultCode.OK:
+        leave(exit_code, f'{report.code} {report.name}: {report.detail}')
+    if report.behind:
+        names = ', '.join(report.behind)
+        leave(
+            exit_code,
+            f'version {report.version} accepted, not yet in force on: {names}',
+        )
+    typer.echo(f'version {report.version} accepted and in force')
--- a/src/wigeonreach/cli/_errors.py
+++ b/src/wigeonreach/cli/_errors.py
@@ -13,6 +13,7 @@
 from wigeonreach.exceptions import (
     FleetTextError,
     SettingError,
+    StateError,
     WigeonreachError,
     WireError,
 )
@@ -21,6 +22,7 @@
     {
         SettingError: ExitCode.USAGE,
         FleetTextError: ExitCode.REFUSED,
+        StateError: ExitCode.UNREACHABLE,
         WireError: ExitCode.UNREACHABLE,
     }
 )
--- a/src/wigeonreach/entry/_config.py
+++ b/src/wigeonreach/entry/_config.py
@@ -2,24 +2,40 @@
 
 from __future__ import annotations
 
+import asyncio
+import math
+import time
+
 import mode
 
 from wigeonreach.entry._settings import EntrySettings
-from wigeonreach.exceptions import WireError
+from wigeonreach.exceptions import FleetTextError, WireError
 from wigeonreach.observe import LogEvent, Logger
+from wigeonreach.rollout._copy import TextCopy
+from wigeonreach.rollout._follower import Effect, Follower, Hold
 from wigeonreach.text import FleetText, parse_fleet_text
-from wigeonreach.wire import Member, connect
-from wigeonreach.wire._config_messages import (
-    ConfigAck,
-    ConfigUpdate,
-    Subscribe,
+from wigeonreach.wire import Channel, Member, connect
+from wigeonreach.wire._rollout_messages import (
+    ConfigBeat,
+    ConfigDelta,
+    ConfigInForce,
+    ConfigSections,
+    Follow,
+    Unfollow,
 )
 
 _RETRY_S = 0.2
+_WATCH_S = 0.25
+# How long a farther replica is followed before the near one is tried again.
+_RETURN_S = 10.0
+# Reading a text may take this part of a core; a large text that changes
+# often is read less often, and never later than the longest pause.
+_PARSE_RATIO = 0.02
+_LONGEST_PAUSE_S = 2.0
 
 
 class ConfigFollower(mode.Service):
-    """Subscribe to the nearest replica that answers.
+    """Follow the nearest replica that is in touch with a quorum.
 
     Parameters
     ----------
@@ -34,9 +50,70 @@
         super().__init__()
         self._settings = settings
         self._log = logger
+        self._started_s = time.monotonic()
+        self._pause_ends_s = -math.inf
+        self._moved = asyncio.Event()
+        self._pending: TextCopy | None = None
+        self._channel: Channel | None = None
+        self._have_peers_told = False
+        self.follower = Follower()
         self.version = 0
         self.text: FleetText | None = None
 
+    @property
+    def confirmed_age_s(self) -> float:
+        """How long ago the version held was known to be the newest."""
+        return self.follower.confirmed_age_s(time.monotonic())
+
+    @property
+    def has_caught_up(self) -> bool:
+        """Whether the copy held may be put in force.
+
+        A quorum has confirmed it since this process was started or, cut off
+        from that, every reachable peer of the zone told what it has.
+        """
+        running_s = time.monotonic() - self._started_s
+        return self.confirmed_age_s <= running_s or self._have_peers_told
+
+    def take(self, effects: tuple[Effect, ...]) -> None:
+        """Do what the follower decided on a copy from anywhere."""
+        for effect in effects:
+            if isinstance(effect, Hold):
+                self._pending = effect.copy
+            elif self._channel is not None:
+                self._channel.post(effect.need)
+        self._moved.set()
+
+    def note_peers_told(self) -> None:
+        """Note that every reachable peer of the zone told what it has."""
+        self._have_peers_told = True
+        self._moved.set()
+
+    async def wait_version(self, version: int, timeout_s: float) -> bool:
+        """Wait until a version, or a newer one, is in force.
+
+        Parameters
+        ----------
+        version
+            The lowest version to wait for.
+        timeout_s
+            How long to wait at most, in seconds.
+
+        Returns
+        -------
+        bool
+            Whether it is.
+        """
+        ends_s = time.monotonic() + timeout_s
+        while self.version < version and time.monotonic() < ends_s:
+            await asyncio.sleep(min(_RETRY_S, timeout_s))
+        return self.version >= version
+
+    async def leave(self) -> None:
+        """Tell the replica that this process ends for good."""
+        if self._channel is not None:
+            self._channel.post(Unfollow(self._settings.name))
+
     @mode.Service.task
     async def _follow(self) -> None:
         while not self.should_stop:
@@ -44,34 +121,95 @@
                 await self._follow_one(replica)
             await self.sleep(_RETRY_S)
 
+    @mode.Service.task
+    async def _put_in_force(self) -> None:
+        while not self.should_stop:
+            await self._moved.wait()
+            self._moved.clear()
+            await self.sleep(max(0, self._pause_ends_s - time.monotonic()))
+            if self._pending is not None and self.has_caught_up:
+                self._read(self._pending)
+
     async def _follow_one(self, replica: Member) -> None:
         try:
-            await self._subscribe(replica)
-        except WireError:
+            await self._talk(replica)
+        except WireError as error:
             self._log.warning(
                 LogEvent.CONFIG_SOURCE_LOST,
                 replica=replica.name,
+                reason=error.detail,
             )
 
-    async def _subscribe(self, replica: Member) -> None:
+    async def _talk(self, replica: Member) -> None:
         channel = await connect(replica.address)
+        self.follower.choose_source(time.monotonic())
+        held = self.follower.held
         settings = self._settings
+        channel.post(
+            Follow(settings.name, settings.zone, held.version, held.checksum),
+        )
+        self._channel = channel
+        receiving = asyncio.ensure_future(self._receive(channel))
         try:
-            await channel.send(
-                Subscribe(settings.name, settings.zone, self.version),
-            )
-            while not self.should_stop:
-                message = await channel.receive()
-                if isinstance(message, ConfigUpdate):
-                    self._put_in_force(message)
-                    await channel.send(ConfigAck(self.version))
+            await self._watch(replica, receiving)
         finally:
-            await channel.close()
+            receiving.cancel()
+            await self._hang_up(channel)
+
+    async def _hang_up(self, channel: Channel) -> None:
+        self._channel = None
+        await channel.close()
+
+    async def _watch(
+        self,
+        replica: Member,
+        receiving: asyncio.Future[None],
+    ) -> None:
+        chosen_s = time.monotonic()
+        is_near = replica.zone == self._settings.zone
+        while not self.should_stop:
+            await asyncio.wait((receiving,), timeout=_WATCH_S)
+            if receiving.done():
+                return receiving.result()
+            now_s = time.monotonic()
+            fault = self.follower.source_fault(now_s)
+            if fault is not None:
+                self._log.warning(
+                    LogEvent.CONFIG_SOURCE_LOST,
+                    replica=replica.name,
+                    reason=fault.value,
+                )
+                return None
+            if not is_near and now_s - chosen_s > _RETURN_S:
+                return None
+        return None
+
+    async def _receive(self, channel: Channel) -> None:
+        channel.post(ConfigInForce(self.version))
+        while True:
+            message = await channel.receive()
+            if isinstance(message, (ConfigBeat, ConfigDelta, ConfigSections)):
+                now_s = time.monotonic()
+                self.take(self.follower.on_message(message, now_s))
 
-    def _put_in_force(self, update: ConfigUpdate) -> None:
-        # An older version than the one in force is never acted on.
-        if update.version <= self.version:
+    def _read(self, copy: TextCopy) -> None:
+        self._pending = None
+        started_s = time.monotonic()
+        try:
+            text = parse_fleet_text(copy.text)
+        except FleetTextError as error:
+            # A newer release accepted it: go on with what can be read.
+            self._log.warning(
+                LogEvent.CONFIG_UNREADABLE,
+                version=copy.version,
+                reason=str(error),
+            )
             return
-        self.text = parse_fleet_text(update.text)
-        self.version = update.version
-        self._log.info(LogEvent.CONFIG_IN_FORCE, version=update.version)
+        ended_s = time.monotonic()
+        pause_s = (ended_s - started_s) / _PARSE_RATIO
+        self._pause_ends_s = ended_s + min(pause_s, _LONGEST_PAUSE_S)
+        self.text = text
+        self.version = copy.version
+        self._log.info(LogEvent.CONFIG_IN_FORCE, version=copy.version)
+        if self._channel is not None:
+            self._channel.post(ConfigInForce(self.version))
--- a/src/wigeonreach/entry/_daemon.py
+++ b/src/wigeonreach/entry/_daemon.py
@@ -12,6 +12,8 @@
 from wigeonreach.codes import Outcome
 from wigeonreach.entry._announce import read_announcement
 from wigeonreach.entry._config import ConfigFollower
+from wigeonreach.entry._config_header import tell_versions
+from wigeonreach.entry._config_peers import ConfigPeers
 from wigeonreach.entry._membership import Membership
 from wigeonreach.entry._peers import PeerExchange
 from wigeonreach.entry._proxy import Proxy
@@ -59,6 +61,7 @@
         self._membership = Membership()
         self._config = ConfigFollower(settings, logger)
         self._peers = PeerExchange(settings, logger)
+        self._config_peers = ConfigPeers(self._config, self._peers)
         self._spread = Spread(self._membership, self._peers, logger)
         self._router = Router(
             self._membership,
@@ -78,6 +81,7 @@
         """Start every part and listen for HTTP last."""
         await self.add_runtime_dependency(self._config)
         await self.add_runtime_dependency(self._peers)
+        await self.add_runtime_dependency(self._config_peers)
         await self._proxy.open()
         self._runner = web.AppRunner(
             self._application(),
@@ -106,6 +110,7 @@
 
     async def on_stop(self) -> None:
         """Close the listening socket and the connections."""
+        await self._config.leave()
         if self._runner is not None:
             await self._runner.cleanup()
         await self._proxy.close()
@@ -124,6 +129,7 @@
         application = web.Application(
             client_max_size=self._settings.max_body_bytes,
         )
+        tell_versions(application, self._config)
         application.router.add_get('/healthz', self._on_health)
         application.router.add_get('/readyz', self._on_ready)
         application.router.add_get('/metrics', self._on_metrics)
--- a/src/wigeonreach/observe/_events.py
+++ b/src/wigeonreach/observe/_events.py
@@ -25,6 +25,7 @@
     CONFIG_SOURCE_LOST = 207
     DRAIN_FINISHED = 208
     DRAIN_CUT_OFF = 209
+    CONFIG_UNREADABLE = 221
 
     # 300: replicas.
     CHANGE_ACCEPTED = 301
--- a/src/wigeonreach/rollout/_follower.py
+++ b/src/wigeonreach/rollout/_follower.py
@@ -119,6 +119,27 @@
                 return self._on_delta(message)
         return self._on_sections(message)
 
+    def on_peer_sections(self, message: ConfigSections) -> tuple[Effect, ...]:
+        """Take what a peer of the zone holds, if it is newer.
+
+        Parameters
+        ----------
+        message
+            The peer's answer; one that does not fit any more is ignored,
+            since a peer is asked again and again.
+
+        Returns
+        -------
+        tuple of Effect
+            What to do.
+        """
+        if message.version <= self.held.version:
+            return _NOTHING
+        try:
+            return self._hold(merge_sections(self.held, message))
+        except WireError:
+            return _NOTHING
+
     def source_fault(self, now_s: float) -> SourceFault | None:
         """Return why the source should be left, or None.
 
--- a/src/wigeonreach/state/_journal.py
+++ b/src/wigeonreach/state/_journal.py
@@ -7,15 +7,12 @@
 import struct
 from collections.abc import Sequence
 
-import msgspec
 import xxhash
 
 from wigeonreach.codes import ResultCode
 from wigeonreach.exceptions import StateError
-from wigeonreach.wire._config_messages import ApplyText
 
 _HEADER = struct.Struct('>IQ')
-_DECODER = msgspec.msgpack.Decoder(ApplyText)
 
 
 class Journal:
@@ -33,7 +30,7 @@
         self._descriptor = os.open(path, os.O_RDWR | os.O_CREAT, 0o600)
         _sync_folder(path.parent)
 
-    def load(self) -> list[ApplyText]:
+    def load(self) -> list[bytes]:
         """Return all stored changes and cut a torn tail off.
 
         Raises
@@ -42,7 +39,7 @@
             If a record before the last one is damaged.
         """
         stored = self._read_all()
-        changes: list[ApplyText] = []
+        changes: list[bytes] = []
         offset = 0
         while offset < len(stored):
             end, change = _read_record(stored, offset)
@@ -54,7 +51,7 @@
         os.lseek(self._descriptor, offset, os.SEEK_SET)
         return changes
 
-    def append(self, changes: Sequence[ApplyText]) -> None:
+    def append(self, changes: Sequence[bytes]) -> None:
         """Write changes behind the last one and sync them.
 
         Raises
@@ -84,14 +81,13 @@
         return os.pread(self._descriptor, size, 0)
 
 
-def _record(change: ApplyText) -> bytes:
-    payload = msgspec.msgpack.encode(change)
+def _record(payload: bytes) -> bytes:
     return _HEADER.pack(len(payload), xxhash.xxh3_64_intdigest(payload)) + (
         payload
     )
 
 
-def _read_record(stored: bytes, offset: int) -> tuple[int, ApplyText | None]:
+def _read_record(stored: bytes, offset: int) -> tuple[int, bytes | None]:
     start = offset + _HEADER.size
     if start > len(stored):
         return offset, None
@@ -101,7 +97,7 @@
         return offset, None
     payload = stored[start:end]
     if xxhash.xxh3_64_intdigest(payload) == checksum:
-        return end, _DECODER.decode(payload)
+        return end, payload
     if end == len(stored):
         return offset, None
     raise StateError(
--- a/src/wigeonreach/state/_machine_results.py
+++ b/src/wigeonreach/state/_machine_results.py
@@ -6,11 +6,13 @@
 from wigeonreach.state._machine_dispatch import Context
 from wigeonreach.state._machine_state import KnownResult, Limits, MachineState
 from wigeonreach.wire._command_messages import (
+    ChangeText,
     ForgetProcess,
     RegisterProcess,
     RenewLease,
     RenewVm,
     Reply,
+    RestoreText,
 )
 
 # Doing one of these twice is the same as doing it once.
@@ -58,10 +60,14 @@
         Its reply.
     """
     state = context.state
-    if not isinstance(context.command.action, _REPEATABLE):
-        state.results.results[context.command.command_id] = KnownResult(
+    command = context.command
+    if not isinstance(command.action, _REPEATABLE):
+        is_text = isinstance(command.action, (ChangeText, RestoreText))
+        is_accepted = is_text and reply.code == ResultCode.OK
+        state.results.results[command.command_id] = KnownResult(
             state.revision,
             reply,
+            reply.version if is_accepted else 0,
         )
     _drop_old(state, context.limits)
 
@@ -76,3 +82,7 @@
             return
         table.results.pop(command_id)
         table.forgotten_revision = oldest.revision
+        table.forgotten_version = max(
+            table.forgotten_version,
+            oldest.text_version,
+        )
--- a/src/wigeonreach/state/_machine_state.py
+++ b/src/wigeonreach/state/_machine_state.py
@@ -43,20 +43,27 @@
 
 
 class KnownResult(msgspec.Struct, frozen=True, array_like=True):
-    """The reply to a command, and when it was given."""
+    """The reply to a command, and when it was given.
+
+    ``text_version`` is the version that an accepted change of the text made,
+    and 0 for every other command.
+    """
 
     revision: int
     reply: Reply
+    text_version: int = 0
 
 
 class ResultTable(msgspec.Struct):
     """Replies to recent commands by id, oldest first.
 
-    ``forgotten_revision`` is the highest revision whose reply was dropped.
+    ``forgotten_revision`` is the highest revision whose reply was dropped,
+    ``forgotten_version`` the highest version of the text among those.
     """
 
     results: dict[str, KnownResult] = {}
     forgotten_revision: int = 0
+    forgotten_version: int = 0
 
 
 class MachineState(msgspec.Struct):
--- a/src/wigeonreach/state/_machine_texts.py
+++ b/src/wigeonreach/state/_machine_texts.py
@@ -29,6 +29,9 @@
 )
 
 _CHART = load_chart('change')
+_VALID = 'valid'
+_TOO_OLD = 'too_old'
+_OUTDATED = 'outdated'
 _MAX_DETAIL_CHARS = 2000
 _ENTRY_BYTES = 200
 
@@ -60,19 +63,17 @@
 @perform.register
 def change_text(action: ChangeText, context: Context) -> Reply:
     """Accept a text that is based on the newest version."""
-    accepted = context.state.accepted
-    event = 'valid' if action.base_version == accepted.version else 'outdated'
-    if _CHART.step(_CHART.initial, event) == 'conflict':
-        return _conflict(context, action.base_version)
-    return _accept(context, action.text, '')
+    refusal = _review(context, action.base_version)
+    return refusal or _accept(context, action.text, '')
 
 
 @perform.register
 def restore_text(action: RestoreText, context: Context) -> Reply:
     """Accept an old text again, under a new version."""
     accepted = context.state.accepted
-    if action.base_version != accepted.version:
-        return _conflict(context, action.base_version)
+    refusal = _review(context, action.base_version)
+    if refusal is not None:
+        return refusal
     text = text_of(accepted, action.version)
     if text is None or action.version < 1:
         oldest = max(1, accepted.version - len(accepted.past))
@@ -105,6 +106,26 @@
     return History(tuple(past.entry for past in newest_first))
 
 
+def _review(context: Context, base_version: int) -> Reply | None:
+    state = context.state
+    event = _VALID
+    if base_version < state.results.forgotten_version:
+        event = _TOO_OLD
+    elif base_version != state.accepted.version:
+        event = _OUTDATED
+    match _CHART.step(_CHART.initial, event):
+        case 'accepted':
+            return None
+        case 'forgotten':
+            return context.refused(
+                ResultCode.STATE_RESULT_FORGOTTEN,
+                f'based on {base_version}; whether a change with this id was '
+                'accepted is not remembered; read the history',
+                state.accepted.version,
+            )
+    return _conflict(context, base_version)
+
+
 def _accept(context: Context, text: str, note: str) -> Reply:
     accepted = context.state.accepted
     back_edits = find_edits(split_lines(text), split_lines(accepted.text))
--- a/src/wigeonreach/state/_replica.py
+++ b/src/wigeonreach/state/_replica.py
@@ -8,32 +8,22 @@
 import mode
 
 from wigeonreach.codes import ResultCode
-from wigeonreach.exceptions import WireError
+from wigeonreach.exceptions import StateError, WireError
 from wigeonreach.observe import LogEvent, Logger
+from wigeonreach.state._front import Front
 from wigeonreach.state._journal import Journal
-from wigeonreach.state._ledger import Ledger
+from wigeonreach.state._machine import Machine
 from wigeonreach.state._settings import ReplicaSettings
 from wigeonreach.wire import Channel, Member, connect, serve
-from wigeonreach.wire._config_messages import (
-    ApplyReply,
-    ApplyText,
-    ConfigAck,
-    ConfigUpdate,
-    ReadReply,
-    ReadText,
-    StatusReply,
-    StatusRequest,
-    Subscribe,
-    SubscriberStatus,
-)
 from wigeonreach.wire._replica_messages import Append, AppendReply
+from wigeonreach.wire._state_messages import Submit, Submitted
 
 _RETRY_S = 0.2
 _REPLY_TIMEOUT_S = 5.0
 
 
 class Replica(mode.Service):
-    """Store changes, follow or lead, and push accepted texts.
+    """Store commands, follow or lead, and let the front serve everybody else.
 
     Parameters
     ----------
@@ -49,11 +39,14 @@
         self._settings = settings
         self._log = logger
         self._journal = Journal(settings.data_folder / 'journal')
-        self._ledger = Ledger(self._journal.load())
-        self._synced = {settings.name: self._ledger.stored_version}
+        self._commands = self._journal.load()
+        self._committed = 0
+        self._replies: dict[int, bytes] = {}
+        self._synced = {settings.name: len(self._commands)}
         self._changed = asyncio.Condition()
         self._writing = asyncio.Lock()
-        self._subscribers: dict[str, SubscriberStatus] = {}
+        self._machine = Machine()
+        self._front = Front(settings, self, self._machine, logger)
         self._server: asyncio.Server | None = None
 
     @property
@@ -61,10 +54,45 @@
         """Whether this replica decides on changes."""
         return self._settings.members[0].name == self._settings.name
 
+    @property
+    def applied_index(self) -> int:
+        """Index of the last command that was applied here."""
+        return self._committed
+
+    async def propose(self, command: bytes) -> bytes:
+        """Replicate a command and return the reply of the state machine.
+
+        Raises
+        ------
+        StateError
+            If no quorum confirmed in time; it may still be applied.
+        """
+        if not self.is_leader:
+            return await self._forward(command)
+        async with self._writing:
+            await self._store((command,))
+            index = len(self._commands)
+        await self._wait_committed(index)
+        return self._replies.pop(index)
+
+    async def read_barrier(self) -> None:
+        """Wait until what is stored here is applied."""
+        await self._wait_committed(len(self._commands))
+
+    async def wait_applied(self, known_index: int) -> int:
+        """Wait until more than ``known_index`` is applied; return how far."""
+        async with self._changed:
+            await self._changed.wait_for(
+                lambda: self._committed > known_index,
+            )
+        return self._committed
+
     async def on_start(self) -> None:
         """Listen, and lead the others if this is the leader."""
+        await self.add_runtime_dependency(self._front)
         self._server = await serve(self._settings.listen, self._on_channel)
         if self.is_leader:
+            await self._note_synced(self._settings.name, len(self._commands))
             for member in self._settings.members[1:]:
                 self.add_future(self._lead(member))
 
@@ -80,94 +108,69 @@
     async def _on_channel(self, channel: Channel) -> None:
         while True:
             message = await channel.receive()
-            match message:
-                case Subscribe():
-                    await self._serve_subscriber(channel, message)
-                case ApplyText():
-                    await channel.send(await self._apply(message))
-                case Append():
-                    await channel.send(await self._follow(message))
-                case ReadText():
-                    await channel.send(self._read())
-                case StatusRequest():
-                    await channel.send(self._status())
-
-    def _read(self) -> ReadReply:
-        ledger = self._ledger
-        return ReadReply(ledger.committed_version, ledger.committed_text())
-
-    def _status(self) -> StatusReply:
-        return StatusReply(
-            process=self._settings.name,
-            zone=self._settings.zone,
-            role='leader' if self.is_leader else 'follower',
-            version=self._ledger.committed_version,
-            subscribers=tuple(self._subscribers.values()),
-        )
-
-    async def _apply(self, change: ApplyText) -> ApplyReply:
-        if not self.is_leader:
-            return await self._forward(change)
-        async with self._writing:
-            reply = self._ledger.review(change)
-            if reply is None:
-                await self._store((change,))
-                reply = ApplyReply(
-                    ResultCode.OK,
-                    '',
-                    self._ledger.stored_version,
-                )
-        if reply.code == ResultCode.OK:
-            return await self._wait_committed(reply)
-        self._log.info(LogEvent.CHANGE_REFUSED, code=reply.code)
-        return reply
+            if isinstance(message, Append):
+                await channel.send(await self._follow(message))
+            else:
+                await self._front.handle(channel, message)
 
-    async def _wait_committed(self, reply: ApplyReply) -> ApplyReply:
+    async def _wait_committed(self, index: int) -> None:
         try:
             async with asyncio.timeout(_REPLY_TIMEOUT_S), self._changed:
                 await self._changed.wait_for(
-                    lambda: self._ledger.committed_version >= reply.version,
+                    lambda: self._committed >= index,
                 )
         except TimeoutError:
-            return ApplyReply(
+            raise StateError(
                 ResultCode.STATE_NO_QUORUM,
                 'stored here, but not yet on a quorum; resend to learn more',
-                self._ledger.committed_version,
-            )
-        return reply
+            ) from None
 
-    async def _forward(self, change: ApplyText) -> ApplyReply:
+    async def _forward(self, command: bytes) -> bytes:
         try:
-            return await self._ask_leader(change)
+            reply = await self._ask_leader(Submit(command))
         except WireError as error:
-            return ApplyReply(ResultCode.STATE_NO_QUORUM, error.detail, 0)
+            raise StateError(
+                ResultCode.STATE_NO_QUORUM,
+                error.detail,
+            ) from error
+        if reply.code:
+            raise StateError(ResultCode(reply.code), reply.detail)
+        return reply.reply
 
-    async def _ask_leader(self, change: ApplyText) -> ApplyReply:
+    async def _ask_leader(self, submit: Submit) -> Submitted:
         channel = await connect(self._settings.members[0].address)
         try:
-            reply = await channel.request(change, _REPLY_TIMEOUT_S)
+            reply = await channel.request(submit, _REPLY_TIMEOUT_S)
         finally:
             await channel.close()
-        if isinstance(reply, ApplyReply):
+        if isinstance(reply, Submitted):
             return reply
         raise WireError(ResultCode.WIRE_MALFORMED, type(reply).__name__)
 
-    async def _store(self, changes: tuple[ApplyText, ...]) -> None:
-        write = functools.partial(self._journal.append, changes)
+    def _commit(self, index: int) -> bool:
+        reachable = min(index, len(self._commands))
+        if reachable <= self._committed:
+            return False
+        for number in range(self._committed, reachable):
+            command = self._commands[number]
+            reply = self._machine.apply(number + 1, command)
+            self._replies[number + 1] = reply
+        self._committed = reachable
+        return True
+
+    async def _store(self, commands: tuple[bytes, ...]) -> None:
+        write = functools.partial(self._journal.append, commands)
         await asyncio.to_thread(write)
-        self._ledger.changes.extend(changes)
-        await self._note_synced(
-            self._settings.name,
-            self._ledger.stored_version,
-        )
+        self._commands.extend(commands)
+        await self._note_synced(self._settings.name, len(self._commands))
 
     async def _note_synced(self, name: str, version: int) -> None:
         self._synced[name] = version
         async with self._changed:
-            if self.is_leader and self._ledger.commit(self._quorum_version()):
+            if self.is_leader and self._commit(self._quorum_version()):
                 self._log.info(
                     LogEvent.CHANGE_ACCEPTED,
-                    version=self._ledger.committed_version,
+                    version=self._committed,
                 )
             self._changed.notify_all()
 
@@ -206,82 +209,21 @@
             await self._changed.wait_for(lambda: sent != self._position())
 
     def _position(self) -> tuple[int, int]:
-        ledger = self._ledger
-        return ledger.stored_version, ledger.committed_version
+        return len(self._commands), self._committed
 
     def _append_from(self, known: int | None) -> Append:
-        changes = () if known is None else tuple(self._ledger.changes[known:])
+        changes = () if known is None else tuple(self._commands[known:])
         return Append(
-            version=self._ledger.stored_version if known is None else known,
-            committed_version=self._ledger.committed_version,
+            version=len(self._commands) if known is None else known,
+            committed_version=self._committed,
             changes=changes,
         )
 
     async def _follow(self, append: Append) -> AppendReply:
         async with self._writing:
-            if append.version == self._ledger.stored_version:
+            if append.version == len(self._commands):
                 await self._store(append.changes)
         async with self._changed:
-            if self._ledger.commit(append.committed_version):
+            if self._commit(append.committed_version):
                 self._changed.notify_all()
-        return AppendReply(self._settings.name, self._ledger.stored_version)
-
-    async def _serve_subscriber(
-        self,
-        channel: Channel,
-        subscribe: Subscribe,
-    ) -> None:
-        reading = asyncio.ensure_future(
-            self._read_acks(channel, subscribe),
-        )
-        try:
-            await self._push(channel, subscribe.version, reading)
-        finally:
-            reading.cancel()
-            self._subscribers.pop(subscribe.process, None)
-
-    async def _push(
-        self,
-        channel: Channel,
-        version: int,
-        reading: asyncio.Future[None],
-    ) -> None:
-        known = version
-        reading.add_done_callback(lambda _: self.add_future(self._wake()))
-        while not reading.done():
-            read = self._read()
-            if read.version > known:
-                await channel.send(ConfigUpdate(read.version, read.text))
-                known = read.version
-            await self._wait_newer(known, reading)
-
-    async def _wait_newer(
-        self,
-        version: int,
-        reading: asyncio.Future[None],
-    ) -> None:
-        async with self._changed:
-            await self._changed.wait_for(
-                lambda: (
-                    reading.done() or self._ledger.committed_version > version
-                ),
-            )
-
-    async def _wake(self) -> None:
-        async with self._changed:
-            self._changed.notify_all()
-
-    async def _read_acks(self, channel: Channel, start: Subscribe) -> None:
-        version = start.version
-        while True:
-            self._subscribers[start.process] = SubscriberStatus(
-                start.process,
-                start.zone,
-                version,
-            )
-            try:
-                message = await channel.receive()
-            except WireError:
-                return
-            if isinstance(message, ConfigAck):
-                version = message.version
+        return AppendReply(self._settings.name, len(self._commands))
--- a/src/wigeonreach/wire/_messages.py
+++ b/src/wigeonreach/wire/_messages.py
@@ -4,17 +4,6 @@
 
 from typing import TypeAlias
 
-from wigeonreach.wire._config_messages import (
-    ApplyReply,
-    ApplyText,
-    ConfigAck,
-    ConfigUpdate,
-    ReadReply,
-    ReadText,
-    StatusReply,
-    StatusRequest,
-    Subscribe,
-)
 from wigeonreach.wire._peer_messages import Goodbye, Heartbeat, PeerHello
 from wigeonreach.wire._replica_messages import Append, AppendReply
 from wigeonreach.wire._rollout_messages import RolloutMessage
@@ -24,20 +13,11 @@
 Message: TypeAlias = (
     Append
     | AppendReply
-    | ApplyReply
-    | ApplyText
-    | ConfigAck
-    | ConfigUpdate
     | Goodbye
     | Heartbeat
     | PeerHello
-    | ReadReply
-    | ReadText
     | RolloutMessage
     | StateMessage
-    | StatusReply
-    | StatusRequest
-    | Subscribe
     | TargetRecord
     | Targets
 )
--- a/src/wigeonreach/wire/_replica_messages.py
+++ b/src/wigeonreach/wire/_replica_messages.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from wigeonreach.wire._base import WireMessage
-from wigeonreach.wire._config_messages import ApplyText
 
 
 class Append(WireMessage, frozen=True):
@@ -11,7 +10,7 @@
 
     version: int
     committed_version: int
-    changes: tuple[ApplyText, ...]
+    changes: tuple[bytes, ...]
 
 
 class AppendReply(WireMessage, frozen=True):
