--- a/src/wigeonreach/cli/_client.py
+++ b/src/wigeonreach/cli/_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import getpass
 from collections.abc import Mapping, Sequence
 
@@ -19,6 +20,14 @@
 _STATUS_TIMEOUT_S = 1.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Spread:
+    """Names of the processes that act on a version and of the others."""
+
+    reached: list[str]
+    behind: list[str]
+
+
 def operator_client(replicas: Sequence[Member]) -> StateClient:
     """Return a client that acts in the name of whoever runs the command."""
     return StateClient(getpass.getuser(), replicas)
@@ -58,11 +67,8 @@
     return newest
 
 
-def processes_behind(
-    statuses: Sequence[ReplicaStatus],
-    version: int,
-) -> list[str]:
-    """Return the processes that are not known to act on a version.
+def find_spread(statuses: Sequence[ReplicaStatus], version: int) -> Spread:
+    """Tell which processes act on a version.
 
     Parameters
     ----------
@@ -73,19 +79,20 @@
 
     Returns
     -------
-    list of str
-        Names of followers that are behind, and of registered processes that
-        no replica reaches at present.
+    Spread
+        Names of all followers and of registered processes that no replica
+        reaches at present.
     """
     followers = followers_by_name(statuses)
     expected = set(followers)
     for status in statuses:
         expected.update(status.registered)
-    return sorted(
+    reached = {
         name
-        for name in expected
-        if name not in followers or followers[name].version < version
-    )
+        for name, follower in followers.items()
+        if follower.version >= version
+    }
+    return Spread(sorted(reached), sorted(expected - reached))
 
 
 async def _status_of(replica: Member) -> ReplicaStatus:
--- a/src/wigeonreach/cli/_config_commands.py
+++ b/src/wigeonreach/cli/_config_commands.py
@@ -14,7 +14,8 @@
 from wigeonreach.cli import _options as options
 from wigeonreach.cli._client import (
     operator_client,
-    processes_behind,
+    Spread,
+    find_spread,
     status_of_all,
 )
 from wigeonreach.cli._errors import errors_as_exits, exit_for, leave
@@ -53,6 +54,7 @@
     name: str
     detail: str
     version: int
+    reached: list[str]
     behind: list[str]
 
 
@@ -156,19 +158,20 @@
     else:
         action = RestoreText(base, wanted)
     reply = await client.submit(action, change_id)
-    behind: list[str] = []
+    spread = Spread([], [])
     if reply.code == ResultCode.OK:
-        behind = await _wait_in_force(members, reply.version, wait_s)
-    return _report(reply, behind)
+        spread = await _wait_in_force(members, reply.version, wait_s)
+    return _report(reply, spread)
 
 
-def _report(reply: Reply, behind: list[str]) -> ChangeReport:
+def _report(reply: Reply, spread: Spread) -> ChangeReport:
     return ChangeReport(
         reply.code,
         ResultCode(reply.code).name.lower(),
         reply.detail,
         reply.version,
-        behind,
+        spread.reached,
+        spread.behind,
     )
 
 
@@ -176,12 +179,12 @@
     members: Sequence[Member],
     version: int,
     wait_s: float,
-) -> list[str]:
+) -> Spread:
     ends_s = time.monotonic() + wait_s
     while True:
-        behind = processes_behind(await status_of_all(members), version)
-        if not behind or time.monotonic() >= ends_s:
-            return behind
+        spread = find_spread(await status_of_all(members), version)
+        if not spread.behind or time.monotonic() >= ends_s:
+            return spread
         await asyncio.sleep(_POLL_S)
 
 
@@ -200,4 +203,7 @@
             exit_code,
             f'version {report.version} accepted, not yet in force on: {names}',
         )
-    typer.echo(f'version {report.version} accepted and in force')
+    typer.echo(
+        f'version {report.version} accepted and in force '
+        f'on {len(report.reached)} processes',
+    )
--- a/src/wigeonreach/cli/_status_commands.py
+++ b/src/wigeonreach/cli/_status_commands.py
@@ -12,9 +12,9 @@
 
 from wigeonreach.cli import _options as options
 from wigeonreach.cli._client import (
+    find_spread,
     followers_by_name,
     operator_client,
-    processes_behind,
     status_of_all,
 )
 from wigeonreach.cli._errors import errors_as_exits, exit_for, leave
@@ -99,7 +99,7 @@
             _replica_note(reply, newest),
         )
     followers = followers_by_name(replies)
-    behind = processes_behind(replies, newest)
+    behind = find_spread(replies, newest).behind
     for name in sorted(followers.keys() | set(behind)):
         follower = followers.get(name)
         note = 'behind' if name in behind else ''
