--- a/src/wigeonreach/charts/_table.py
+++ b/src/wigeonreach/charts/_table.py
@@ -26,11 +26,19 @@
     initial: str
     states: frozenset[str]
     targets: Mapping[tuple[str, str], str]
+    entries: Mapping[str, str]
+    actions: Mapping[tuple[str, str], str]
 
     def step(self, state: str, event: str) -> str | None:
         """Return the state that an event leads to, or None if not allowed."""
         return self.targets.get((state, event))
 
+    def effects(self, state: str, event: str) -> tuple[str, ...]:
+        """Return the names of the effects of an event, in their order."""
+        action = self.actions.get((state, event))
+        entry = self.entries.get(self.targets.get((state, event), ''))
+        return tuple(name for name in (action, entry) if name)
+
     def events(self, state: str) -> tuple[str, ...]:
         """Return the events that are allowed in a state."""
         return tuple(
@@ -63,9 +71,28 @@
         initial=root.initial,
         states=frozenset(chart.children_for(chart.root)),
         targets=MappingProxyType(_targets(chart)),
+        entries=MappingProxyType(_entries(chart)),
+        actions=MappingProxyType(
+            {
+                (transition.source, transition.event): transition.action
+                for transition in chart.transitions
+                if transition.action
+            }
+        ),
     )
 
 
+def _entries(chart: Statechart) -> dict[str, str]:
+    states = {
+        name: chart.state_for(name) for name in chart.children_for(chart.root)
+    }
+    return {
+        name: state.on_entry
+        for name, state in states.items()
+        if getattr(state, 'on_entry', None)
+    }
+
+
 def _targets(chart: Statechart) -> dict[tuple[str, str], str]:
     targets: dict[tuple[str, str], str] = {}
     for transition in chart.transitions:
