Lend slots of targets between the entries of a zone

Fixed shares keep the sum over entries within a target's slots, but half of them lie idle when all callers use one entry. Each entry now lends the slots that it does not need, all but a small reserve, under leases of one second that the borrower counts from its question. The lender uses them again when they are returned, or after the lease and the longest run.

- A slot whose request was given up stays occupied until its run surely ended.
- A restarted entry waits for one lease and one longest run before it uses its own share, unless a target announces itself for the first time.
- The share of a peer that refuses connections is used by the others after the same time; the share of a peer that is only silent is left alone.
- Other zones borrow only while more than half of a share lies idle, and a quarter of it at most.

Random programs of waits, losses, repeats, freezes, kills and restarts passed 8 slots in each of six planted variants (reuse at once, reuse at the end of the lease, lease ignored, given-up slot reused, no wait after a restart, no wait before a takeover) and in none without them.

--- /dev/null
+++ b/src/wigeonreach/entry/_credits_daemon.py
@@ -0,0 +1,94 @@
+"""Carry loans of slots between this entry and the others."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+import mode
+
+from wigeonreach.entry._peers import PeerExchange
+from wigeonreach.entry._routing import Router
+from wigeonreach.entry._slots import TargetKey
+from wigeonreach.wire._credit_messages import (
+    SlotsAsked,
+    SlotsLent,
+    SlotsReturned,
+    TargetFirstSeen,
+)
+from wigeonreach.wire._peer_messages import PeerHello
+from wigeonreach.wire._target_messages import TargetRecord
+
+_TICK_S = 0.05
+_FIRST_SEQUENCE = 1
+
+
+class CreditDaemon(mode.Service):
+    """Pass messages between the router's credits and the peers.
+
+    Parameters
+    ----------
+    router
+        Whose slots are lent and borrowed.
+    peers
+        Channels to the other entries.
+    """
+
+    def __init__(self, router: Router, peers: PeerExchange) -> None:
+        """Take over the handling of messages about slots."""
+        super().__init__()
+        self._router = router
+        self._credits = router.credits
+        self._peers = peers
+        self._listeners: list[Callable[[str], None]] = []
+        peers.handle(SlotsAsked, self._on_asked)
+        peers.handle(SlotsLent, self._on_lent)
+        peers.handle(SlotsReturned, self._on_returned)
+        peers.handle(TargetFirstSeen, self._on_first_seen)
+        peers.on_refused(self._credits.note_refused)
+        peers.on_heard(self._credits.note_connected)
+
+    def on_slots(self, listener: Callable[[str], None]) -> None:
+        """Call a listener with each service that was lent new slots."""
+        self._listeners.append(listener)
+
+    def note_announced(self, record: TargetRecord) -> None:
+        """Learn what a target announced to this entry itself.
+
+        The first announcement of an incarnation proves that no entry, nor a
+        former incarnation of one, has anything in flight there.  It is told
+        on channels that are open now, so that only incarnations hear it that
+        lived before the target was known.
+        """
+        if record.sequence != _FIRST_SEQUENCE:
+            return
+        key = TargetKey(record.target_id, record.incarnation_ns)
+        self._credits.note_first_seen(key)
+        self._peers.post_to_zone(
+            TargetFirstSeen(record.target_id, record.incarnation_ns),
+        )
+
+    @mode.Service.task
+    async def _tick(self) -> None:
+        while not self.should_stop:
+            for one in self._router.tick(time.monotonic()):
+                self._peers.post(one.peer, one.message)
+            await self.sleep(_TICK_S)
+
+    def _on_asked(self, hello: PeerHello, asked: SlotsAsked) -> None:
+        lent = self._credits.on_asked(asked, time.monotonic())
+        if lent is not None:
+            self._peers.post(hello.process, lent)
+
+    def _on_lent(self, _hello: PeerHello, lent: SlotsLent) -> None:
+        for service in self._credits.on_lent(lent, time.monotonic()):
+            for listener in self._listeners:
+                listener(service)
+
+    def _on_returned(self, _hello: PeerHello, returned: SlotsReturned) -> None:
+        self._credits.on_returned(returned)
+
+    def _on_first_seen(self, _hello: PeerHello, seen: TargetFirstSeen) -> None:
+        self._credits.note_first_seen(
+            TargetKey(seen.target_id, seen.incarnation_ns),
+        )
--- /dev/null
+++ b/src/wigeonreach/entry/_credits_lender.py
@@ -0,0 +1,285 @@
+"""Lend slots of this entry's own shares and take them back safely."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Callable, Iterable
+
+from wigeonreach.entry._credits import (
+    LEASE_S,
+    Sharer,
+    foreign_cap,
+    home_share,
+    reserve_of,
+)
+from wigeonreach.entry._slots import SlotPool, TargetKey
+from wigeonreach.wire._credit_messages import (
+    SlotLoan,
+    SlotsAsked,
+    SlotsReturned,
+    SlotWish,
+)
+from wigeonreach.wire._target_messages import TargetRecord
+
+_PEAK_WINDOW_S = 1.0
+
+
+@dataclasses.dataclass(slots=True)
+class Loan:
+    """One slot that another entry may fill for a while."""
+
+    borrower: str
+    is_foreign: bool
+    service: str
+    work_bound_s: float
+    reclaim_s: float
+
+    def renew(self, now_s: float) -> None:
+        """Start the lease again.
+
+        The borrower counts its lease from before it asked, so that it ends
+        before this one; a request sent at its very end may then be at work
+        for another ``work_bound_s``.
+        """
+        self.reclaim_s = now_s + LEASE_S + self.work_bound_s
+
+
+@dataclasses.dataclass(slots=True)
+class OwnShare:
+    """This entry's share of one target's slots."""
+
+    pool: SlotPool
+    usable_from_s: float
+    loans: dict[int, Loan] = dataclasses.field(default_factory=dict)
+    window_s: float = 0
+    peak: int = 0
+    last_peak: int = 0
+
+    def free(self, now_s: float) -> int:
+        """Return how many slots this entry may fill now."""
+        if now_s < self.usable_from_s:
+            return 0
+        self._reclaim(now_s)
+        return self.pool.size - self.pool.busy(now_s) - len(self.loans)
+
+    def lendable(self, now_s: float) -> int:
+        """Return how many more slots may be lent within the zone."""
+        self._roll(now_s)
+        kept = max(reserve_of(self.pool.size), self.peak, self.last_peak)
+        unlent = self.pool.size - len(self.loans) - kept
+        return min(unlent, self.free(now_s))
+
+    def lendable_abroad(self, now_s: float) -> int:
+        """Return how many more slots may be lent to other zones.
+
+        Only while more than half of the share lies idle, so that callers of
+        another zone can't crowd out those of this one.
+        """
+        idle = self.lendable(now_s)
+        if idle * 2 <= self.pool.size:
+            return 0
+        abroad = sum(loan.is_foreign for loan in self.loans.values())
+        return min(idle, foreign_cap(self.pool.size) - abroad)
+
+    def take(self, now_s: float) -> None:
+        """Fill one slot and remember the peak of use."""
+        self.pool.take()
+        self._roll(now_s)
+        self.peak = max(self.peak, self.pool.busy(now_s))
+
+    def _reclaim(self, now_s: float) -> None:
+        ended = [
+            loan_id
+            for loan_id, loan in self.loans.items()
+            if loan.reclaim_s <= now_s
+        ]
+        for one in ended:
+            self.loans.pop(one)
+
+    def _roll(self, now_s: float) -> None:
+        past_s = now_s - self.window_s
+        if past_s < _PEAK_WINDOW_S:
+            return
+        busy = self.pool.busy(now_s)
+        self.last_peak = self.peak if past_s < 2 * _PEAK_WINDOW_S else busy
+        self.peak = busy
+        self.window_s = now_s
+
+
+class Lender:
+    """This entry's shares of all targets of its zone, and its loans.
+
+    Parameters
+    ----------
+    sharer
+        This entry.  What its former incarnation lent or had in flight is
+        unknown; it ends one lease and one longest run after the start.
+    work_bound_s
+        Returns the longest run of a service, in seconds.
+    """
+
+    def __init__(
+        self,
+        sharer: Sharer,
+        work_bound_s: Callable[[str], float],
+    ) -> None:
+        """Start with no share known."""
+        self._sharer = sharer
+        self._work_bound_s = work_bound_s
+        self._shares: dict[TargetKey, OwnShare] = {}
+        self._unknown_before: set[TargetKey] = set()
+        self._sequences: dict[str, tuple[int, int]] = {}
+        self._last_loan_id = 0
+
+    def note_first_seen(self, key: TargetKey) -> None:
+        """Learn that no entry knew this incarnation of a target before."""
+        self._unknown_before.add(key)
+        share = self._shares.get(key)
+        if share is not None:
+            share.usable_from_s = self._sharer.started_s
+
+    def share(self, record: TargetRecord) -> OwnShare:
+        """Return this entry's share of a target of its own zone."""
+        key = TargetKey(record.target_id, record.incarnation_ns)
+        found = self._shares.get(key)
+        if found is None:
+            found = self._new_share(key, record)
+            self._shares[key] = found
+        return found
+
+    def is_repeated(self, asked: SlotsAsked) -> bool:
+        """Whether a request was overtaken by a later one of its sender."""
+        newest = (asked.borrower_incarnation_ns, asked.sequence)
+        if newest <= self._sequences.get(asked.borrower, (0, 0)):
+            return True
+        self._sequences[asked.borrower] = newest
+        return False
+
+    def renew(
+        self,
+        asked: SlotsAsked,
+        is_kept: Callable[[str, TargetKey], bool],
+        now_s: float,
+    ) -> tuple[int, ...]:
+        """Renew loans and return which.
+
+        Parameters
+        ----------
+        asked
+            The borrower's request.
+        is_kept
+            Tells by service and target whether the loan may go on.
+        now_s
+            Monotonic time of this process, in seconds.
+        """
+        if asked.lender_incarnation_ns != self._sharer.incarnation_ns:
+            return ()
+        wanted = set(asked.renewals)
+        renewed: list[int] = []
+        for key, share in self._shares.items():
+            for loan_id in wanted.intersection(share.loans):
+                loan = share.loans[loan_id]
+                if loan.reclaim_s > now_s and is_kept(loan.service, key):
+                    loan.renew(now_s)
+                    renewed.append(loan_id)
+        return tuple(renewed)
+
+    def lend(
+        self,
+        asked: SlotsAsked,
+        wish: SlotWish,
+        records: Iterable[TargetRecord],
+        now_s: float,
+    ) -> list[SlotLoan]:
+        """Lend up to as many slots as wished, evenly over the targets.
+
+        Parameters
+        ----------
+        asked
+            The borrower's request.
+        wish
+            One of its wishes.
+        records
+            Targets of the service that may be given new work.
+        now_s
+            Monotonic time of this process, in seconds.
+
+        Returns
+        -------
+        list of SlotLoan
+            The new loans.
+        """
+        open_records = list(records)
+        lent: list[SlotLoan] = []
+        while open_records and len(lent) < wish.count:
+            open_records = [
+                record
+                for record in open_records
+                if self._lendable(asked, record, now_s) > 0
+            ]
+            for record in open_records[: wish.count - len(lent)]:
+                lent.append(self._lend_one(asked, wish, record, now_s))
+        return lent
+
+    def take_back(self, returned: SlotsReturned) -> None:
+        """Take loans back before their time."""
+        if returned.lender_incarnation_ns != self._sharer.incarnation_ns:
+            return
+        for share in self._shares.values():
+            for loan_id in returned.loan_ids:
+                share.loans.pop(loan_id, None)
+
+    def forget_idle(self, known: set[TargetKey], now_s: float) -> None:
+        """Forget shares of targets that are gone and have nothing left."""
+        gone = [
+            key
+            for key, share in self._shares.items()
+            if key not in known
+            and not share.loans
+            and not share.pool.busy(now_s)
+        ]
+        for key in gone:
+            self._shares.pop(key)
+        self._unknown_before.intersection_update(known)
+
+    def _new_share(self, key: TargetKey, record: TargetRecord) -> OwnShare:
+        size = home_share(
+            record.slots,
+            self._sharer.zone_names,
+            self._sharer.name,
+            record.target_id,
+        )
+        usable_from_s = self._sharer.started_s
+        if key not in self._unknown_before:
+            usable_from_s += LEASE_S + self._work_bound_s(record.service)
+        return OwnShare(SlotPool(size), usable_from_s)
+
+    def _lendable(
+        self,
+        asked: SlotsAsked,
+        record: TargetRecord,
+        now_s: float,
+    ) -> int:
+        share = self.share(record)
+        if asked.zone == self._sharer.zone:
+            return share.lendable(now_s)
+        return share.lendable_abroad(now_s)
+
+    def _lend_one(
+        self,
+        asked: SlotsAsked,
+        wish: SlotWish,
+        record: TargetRecord,
+        now_s: float,
+    ) -> SlotLoan:
+        self._last_loan_id += 1
+        loan = Loan(
+            borrower=asked.borrower,
+            is_foreign=asked.zone != self._sharer.zone,
+            service=wish.service,
+            work_bound_s=wish.work_bound_s,
+            reclaim_s=now_s,
+        )
+        loan.renew(now_s)
+        self.share(record).loans[self._last_loan_id] = loan
+        return SlotLoan(self._last_loan_id, record)
--- a/src/wigeonreach/entry/_daemon.py
+++ b/src/wigeonreach/entry/_daemon.py
@@ -14,6 +14,8 @@
 from wigeonreach.entry._config import ConfigFollower
 from wigeonreach.entry._config_header import tell_versions
 from wigeonreach.entry._config_peers import ConfigPeers
+from wigeonreach.entry._credits import WORK_GRACE_S, Sharer
+from wigeonreach.entry._credits_daemon import CreditDaemon
 from wigeonreach.entry._membership import Membership
 from wigeonreach.entry._peers import PeerExchange
 from wigeonreach.entry._proxy import Proxy
@@ -64,10 +66,12 @@
         self._config_peers = ConfigPeers(self._config, self._peers)
         self._spread = Spread(self._membership, self._peers, logger)
         self._router = Router(
+            self._sharer(),
             self._membership,
-            len(settings.zone_peers) + 1,
             random.Random(),  # noqa: S311 - choices of targets are no secret
+            self._work_bound_s,
         )
+        self._credits = CreditDaemon(self._router, self._peers)
         self._proxy = Proxy(
             settings,
             self._config,
@@ -82,6 +86,7 @@
         await self.add_runtime_dependency(self._config)
         await self.add_runtime_dependency(self._peers)
         await self.add_runtime_dependency(self._config_peers)
+        await self.add_runtime_dependency(self._credits)
         await self._proxy.open()
         self._runner = web.AppRunner(
             self._application(),
@@ -125,6 +130,23 @@
                 )
             await self.sleep(_EXPIRY_CHECK_S)
 
+    def _sharer(self) -> Sharer:
+        settings = self._settings
+        return Sharer(
+            name=settings.name,
+            zone=settings.zone,
+            incarnation_ns=self._peers.incarnation_ns,
+            started_s=time.monotonic(),
+            zone_peers=tuple(peer.name for peer in settings.zone_peers),
+            foreign_peers=tuple(peer.name for peer in settings.foreign_peers),
+        )
+
+    def _work_bound_s(self, service: str) -> float:
+        text = self._config.text
+        if text is None or service not in text.services:
+            return self._settings.max_deadline_s + WORK_GRACE_S
+        return text.services[service].deadline_s + WORK_GRACE_S
+
     def _application(self) -> web.Application:
         application = web.Application(
             client_max_size=self._settings.max_body_bytes,
@@ -184,4 +206,5 @@
                 error.detail,
             )
         self._spread.learn(record)
+        self._credits.note_announced(record)
         return web.Response(status=204)
--- a/src/wigeonreach/entry/_peers.py
+++ b/src/wigeonreach/entry/_peers.py
@@ -73,6 +73,8 @@
         self._handlers: dict[type[WireMessage], Handler[Any]] = {}
         self._syncs: list[Sync] = []
         self._on_restart: list[Callable[[str], None]] = []
+        self._on_refused: list[Callable[[str, float], None]] = []
+        self._on_heard: list[Callable[[str], None]] = []
         self._heard = asyncio.Event()
         self._server: asyncio.Server | None = None
         self.handle(Heartbeat, self._on_heartbeat)
@@ -109,6 +111,19 @@
         """Call a listener with the name of each peer that was restarted."""
         self._on_restart.append(listener)
 
+    def on_refused(self, listener: Callable[[str, float], None]) -> None:
+        """Call a listener with each peer that refused a connection.
+
+        Unlike silence, this proves that no process listens there.  The
+        listener also gets the monotonic time at which the connection was
+        tried.
+        """
+        self._on_refused.append(listener)
+
+    def on_heard(self, listener: Callable[[str], None]) -> None:
+        """Call a listener with each peer heard on a new channel."""
+        self._on_heard.append(listener)
+
     def post(self, name: str, message: WireMessage) -> bool:
         """Queue a message to one peer without waiting.
 
@@ -200,6 +215,8 @@
         self.contacts.leave(hello)
 
     def _sync(self, link: PeerLink) -> None:
+        for listener in self._on_heard:
+            listener(link.peer.name)
         for sync in self._syncs:
             for message in sync(link.peer.name):
                 link.channel.post(message)
@@ -220,11 +237,18 @@
 
     async def _keep_connected(self, peer: Member) -> None:
         while not self.should_stop:
+            began_s = time.monotonic()
             try:
                 await self._talk(peer)
-            except WireError:
+            except WireError as error:
+                if isinstance(error.__cause__, ConnectionRefusedError):
+                    self._tell_refused(peer.name, began_s)
                 await self.sleep(_RETRY_S)
 
+    def _tell_refused(self, name: str, began_s: float) -> None:
+        for listener in self._on_refused:
+            listener(name, began_s)
+
     async def _talk(self, peer: Member) -> None:
         channel = await connect(peer.address)
         settings = self._settings
--- a/src/wigeonreach/entry/_settings.py
+++ b/src/wigeonreach/entry/_settings.py
@@ -29,6 +29,11 @@
             if peer.zone == self.zone and peer.name != self.name
         )
 
+    @property
+    def foreign_peers(self) -> tuple[Member, ...]:
+        """The entries of other zones."""
+        return tuple(peer for peer in self.peers if peer.zone != self.zone)
+
     @property
     def replicas_nearest_first(self) -> tuple[Member, ...]:
         """The replicas, those of this entry's zone first."""
--- a/src/wigeonreach/standins/_target.py
+++ b/src/wigeonreach/standins/_target.py
@@ -102,6 +102,11 @@
             await asyncio.sleep(_ANNOUNCE_S / 10)
 
     async def _announce(self, session: aiohttp.ClientSession) -> bool:
+        # The first of all announcements must not be lost: it tells that no
+        # entry can have anything in flight here yet.
+        entry = self._rng.choice(self._entries)
+        if not self._sequence and not await _is_up(session, entry):
+            return False
         self._sequence += 1
         body = msgspec.json.encode(
             {
@@ -114,7 +119,6 @@
                 'lease_s': _LEASE_S,
             }
         )
-        entry = self._rng.choice(self._entries)
         try:
             async with session.post(
                 f'http://{entry}/v1/targets',
@@ -143,6 +147,17 @@
         )
 
 
+async def _is_up(session: aiohttp.ClientSession, entry: str) -> bool:
+    try:
+        async with session.get(
+            f'http://{entry}/healthz',
+            timeout=aiohttp.ClientTimeout(total=1),
+        ) as answer:
+            return answer.ok
+    except (aiohttp.ClientError, TimeoutError):
+        return False
+
+
 def target(
     target_id: Annotated[str, typer.Option()],
     service: Annotated[str, typer.Option()],
--- a/src/wigeonreach/wire/_messages.py
+++ b/src/wigeonreach/wire/_messages.py
@@ -4,6 +4,7 @@
 
 from typing import TypeAlias
 
+from wigeonreach.wire._credit_messages import CreditMessage
 from wigeonreach.wire._peer_messages import Goodbye, Heartbeat, PeerHello
 from wigeonreach.wire._replica_messages import Append, AppendReply
 from wigeonreach.wire._rollout_messages import RolloutMessage
@@ -13,6 +14,7 @@
 Message: TypeAlias = (
     Append
     | AppendReply
+    | CreditMessage
     | Goodbye
     | Heartbeat
     | PeerHello
