Agree on the log among the replicas instead of by a fixed leader

The fixed leader was a single point of failure: with it down nothing could be changed. The agreement is a pure state machine (events in; writes, messages and committed entries out) with a trial before each election, a leader that steps down without its quorum, reads confirmed by a heartbeat round, learners that count only once caught up, and disks with incarnations, so that a replica which lost its disk never votes as if it remembered.

A thread writes whatever waits under one sync.

--- /dev/null
+++ b/src/wigeonreach/state/_agreement.py
@@ -0,0 +1,368 @@
+"""Run the agreement: one task owns it, a thread writes for it."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Callable, Sequence
+
+import mode
+
+from wigeonreach.codes import ResultCode
+from wigeonreach.exceptions import StateError
+from wigeonreach.observe import LogEvent, Logger
+from wigeonreach.state._applier import Applier
+from wigeonreach.state._disk_writer import DiskWriter
+from wigeonreach.state._links import Link
+from wigeonreach.state._raft import Raft
+from wigeonreach.state._raft_types import (
+    DiskDone,
+    Origin,
+    Output,
+    Propose,
+    RaftEvent,
+    RaftSettings,
+    Read,
+    Received,
+    Role,
+    Tick,
+)
+from wigeonreach.state._requests import (
+    Done,
+    NotStored,
+    Readable,
+    RequestOutcome,
+    Requests,
+    Unknown,
+)
+from wigeonreach.state._settings import ReplicaSettings
+from wigeonreach.state._state_machine import StateMachine
+from wigeonreach.state._storage import Storage, Stored
+from wigeonreach.wire._raft_messages import (
+    MemberId,
+    Proposal,
+    ProposalReply,
+    RaftMessage,
+    ReadIndexReply,
+    ReadRequest,
+)
+
+_TICK_S = 0.05
+_RETRY_S = 0.05
+_REPLY_TIMEOUT_S = 2.5
+_MAX_COMMAND_BYTES = 4 * 1024 * 1024
+_MAX_STORED = 4096
+
+
+class RaftAgreement(mode.Service):
+    """One replica of the agreement, with its disk and its links.
+
+    Parameters
+    ----------
+    settings
+        Who this replica is and where the others are.
+    machine
+        What is replicated.
+    storage
+        Its durable side.
+    stored
+        What the storage held at the start.
+    on_failed
+        Called with an error after which the process must not go on.
+    logger
+        Where events are logged.
+    """
+
+    def __init__(
+        self,
+        settings: ReplicaSettings,
+        machine: StateMachine,
+        storage: Storage,
+        stored: Stored,
+        on_failed: Callable[[Exception], None],
+        logger: Logger,
+    ) -> None:
+        """Restore the state machine; nothing is sent before ``start``."""
+        super().__init__()
+        self._log = logger
+        self._on_failed = on_failed
+        self._raft = Raft(
+            settings.name,
+            [member.name for member in settings.members],
+            stored,
+            RaftSettings(),
+            random.Random(stored.hard.incarnation),  # noqa: S311
+        )
+        self._applier = Applier(machine, stored.snapshot, logger)
+        self._requests = Requests()
+        self._inbox: asyncio.Queue[RaftEvent] = asyncio.Queue()
+        self._writer = DiskWriter(
+            storage,
+            lambda number: self._inbox.put_nowait(DiskDone(number)),
+            on_failed,
+            logger,
+        )
+        self._links = {
+            member.name: Link(member, logger)
+            for member in settings.members
+            if member.name != settings.name
+        }
+        self._seen_role = self._raft.state.role
+        self._seen_leader: MemberId | None = None
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this replica decides on changes now."""
+        return self._raft.state.role is Role.LEADER
+
+    @property
+    def role(self) -> str:
+        """Role of this replica, for people."""
+        return self._raft.state.role.value
+
+    @property
+    def applied_index(self) -> int:
+        """Index of the last entry that was applied here."""
+        return self._applier.index
+
+    async def on_start(self) -> None:
+        """Start the links and the writer."""
+        for service in (self._writer, *self._links.values()):
+            await self.add_runtime_dependency(service)
+
+    def receive(self, message: RaftMessage) -> None:
+        """Take a message of another replica."""
+        if isinstance(message, Proposal | ReadRequest):
+            self._receive_request(message)
+        elif isinstance(message, ProposalReply | ReadIndexReply):
+            self._receive_outcome(message)
+        else:
+            self._inbox.put_nowait(Received(message))
+
+    async def propose(self, command: bytes) -> bytes:
+        """Replicate a command and return the state machine's reply.
+
+        Raises
+        ------
+        StateError
+            With ``STATE_NO_QUORUM`` if no quorum confirmed in time: the
+            command may still be applied later, or never.
+        """
+        if len(command) > _MAX_COMMAND_BYTES:
+            raise StateError(
+                ResultCode.STATE_TOO_LARGE,
+                f'{len(command)} bytes; allowed: {_MAX_COMMAND_BYTES}',
+            )
+        outcome = await self._request(
+            lambda number: self._ask_to_store(number, command),
+        )
+        if isinstance(outcome, Done):
+            return outcome.reply
+        raise StateError(
+            ResultCode.STATE_NO_QUORUM,
+            'a quorum did not confirm; unknown whether it will be applied, '
+            'resend with the same id to learn more',
+        )
+
+    async def read_barrier(self) -> None:
+        """Wait until all that was acknowledged before is applied here.
+
+        Raises
+        ------
+        StateError
+            With ``STATE_NO_QUORUM`` if no leader confirmed in time.
+        """
+        outcome = await self._request(self._ask_to_read)
+        if not isinstance(outcome, Readable):
+            raise StateError(
+                ResultCode.STATE_NO_QUORUM,
+                'no leader confirmed that this is the newest state',
+            )
+        await self._applier.wait_index(outcome.index)
+
+    async def wait_applied(self, known_index: int) -> int:
+        """Wait until more than ``known_index`` is applied; return how far."""
+        return await self._applier.wait_index(known_index + 1)
+
+    async def _request(
+        self,
+        ask: Callable[[int], None],
+    ) -> RequestOutcome:
+        try:
+            async with asyncio.timeout(_REPLY_TIMEOUT_S):
+                return await self._ask_until_stored(ask)
+        except TimeoutError:
+            return Unknown()
+
+    async def _ask_until_stored(
+        self,
+        ask: Callable[[int], None],
+    ) -> RequestOutcome:
+        while True:
+            number, future = self._requests.open()
+            if self._raft.state.leader is None:
+                future.cancel()
+            else:
+                ask(number)
+                outcome = await future
+                if not isinstance(outcome, NotStored):
+                    return outcome
+            await asyncio.sleep(_RETRY_S)
+
+    def _ask_to_store(self, number: int, command: bytes) -> None:
+        self._to_leader(
+            Propose(Origin(self._raft.state.me, number), command),
+            Proposal(*self._header(), number, command),
+        )
+
+    def _ask_to_read(self, number: int) -> None:
+        self._to_leader(
+            Read(Origin(self._raft.state.me, number)),
+            ReadRequest(*self._header(), number),
+        )
+
+    def _to_leader(self, event: RaftEvent, message: RaftMessage) -> None:
+        leader = self._raft.state.leader
+        assert leader is not None
+        if leader == self._raft.state.me:
+            self._inbox.put_nowait(event)
+        else:
+            self._links[leader.name].post(message)
+
+    def _header(
+        self,
+        target: MemberId | None = None,
+    ) -> tuple[MemberId, int, int]:
+        state = self._raft.state
+        receiver = target or state.leader or state.me
+        return state.me, receiver.incarnation, state.hard.term
+
+    def _receive_request(self, message: Proposal | ReadRequest) -> None:
+        if message.target_incarnation != self._raft.state.me.incarnation:
+            return
+        origin = Origin(message.sender, message.request_id)
+        if isinstance(message, ReadRequest):
+            self._inbox.put_nowait(Read(origin))
+        elif self._requests.stored_count < _MAX_STORED:
+            self._inbox.put_nowait(Propose(origin, message.command))
+        else:
+            self._answer(origin, NotStored())
+
+    def _receive_outcome(
+        self,
+        message: ProposalReply | ReadIndexReply,
+    ) -> None:
+        if message.target_incarnation != self._raft.state.me.incarnation:
+            return
+        self._requests.settle(message.request_id, _outcome(message))
+
+    @mode.Service.task
+    async def _run(self) -> None:
+        tick_due_s = 0.0
+        while not self.should_stop:
+            events = await self._next_events(tick_due_s - time.monotonic())
+            if time.monotonic() >= tick_due_s:
+                tick_due_s = time.monotonic() + _TICK_S
+                events.append(Tick())
+            try:
+                await self._step(events)
+            except Exception as error:  # noqa: BLE001, W0718 - it must stop
+                self._on_failed(error)
+                raise
+
+    async def _next_events(self, wait_s: float) -> list[RaftEvent]:
+        events: list[RaftEvent] = []
+        try:
+            async with asyncio.timeout(max(wait_s, 0)):
+                events.append(await self._inbox.get())
+        except TimeoutError:
+            return events
+        while not self._inbox.empty():
+            events.append(self._inbox.get_nowait())
+        return events
+
+    async def _step(self, events: Sequence[RaftEvent]) -> None:
+        output = self._raft.step(events, time.monotonic())
+        self._carry_out(output)
+        await self._apply(output)
+        self._note_role()
+
+    def _carry_out(self, output: Output) -> None:
+        self._writer.post(output.writes)
+        for outgoing in output.messages:
+            link = self._links.get(outgoing.target)
+            if link is not None:
+                link.post(outgoing.message)
+        for accepted in output.accepted:
+            self._requests.note_stored(accepted)
+        for origin in output.refused:
+            self._answer(origin, NotStored())
+        for read in output.reads:
+            self._answer(read.origin, Readable(read.index))
+
+    async def _apply(self, output: Output) -> None:
+        if output.restored is not None:
+            self._applier.restore(output.restored)
+        for entry in output.committed:
+            reply = self._applier.apply(entry)
+            origin = self._requests.take_applied(entry.index, entry.term)
+            if origin is not None:
+                self._answer(origin, Done(reply))
+        if output.restored is not None or output.committed:
+            await self._applier.tell_waiting()
+        taken = self._applier.snapshot_if_due()
+        if taken is not None:
+            self._inbox.put_nowait(taken)
+
+    def _answer(self, origin: Origin, outcome: RequestOutcome) -> None:
+        if origin.member == self._raft.state.me:
+            self._requests.settle(origin.request_id, outcome)
+            return
+        link = self._links.get(origin.member.name)
+        if link is not None:
+            header = self._header(origin.member)
+            link.post(_reply(header, origin.request_id, outcome))
+
+    def _note_role(self) -> None:
+        state = self._raft.state
+        if state.role is not self._seen_role:
+            self._seen_role = state.role
+            self._log.info(
+                LogEvent.ROLE_CHANGED,
+                role=state.role.value,
+                term=state.hard.term,
+            )
+        if state.leader != self._seen_leader:
+            # Whatever the former leader was asked is not known here now.
+            self._seen_leader = state.leader
+            self._requests.settle_all(Unknown())
+            for origin in self._requests.take_all_stored():
+                self._answer(origin, Unknown())
+
+
+def _outcome(message: ProposalReply | ReadIndexReply) -> RequestOutcome:
+    if isinstance(message, ProposalReply):
+        if message.code == ResultCode.OK:
+            return Done(message.reply)
+        return Unknown()
+    if message.index < 0:
+        return NotStored()
+    return Readable(message.index)
+
+
+def _reply(
+    header: tuple[MemberId, int, int],
+    request_id: int,
+    outcome: RequestOutcome,
+) -> RaftMessage:
+    match outcome:
+        case Readable(index=index):
+            return ReadIndexReply(*header, request_id, index)
+        case Done(reply=reply):
+            return ProposalReply(*header, request_id, ResultCode.OK, '', reply)
+        case NotStored():
+            return ReadIndexReply(*header, request_id, -1)
+        case _:
+            code = ResultCode.STATE_NO_QUORUM
+            return ProposalReply(*header, request_id, code, '', b'')
--- /dev/null
+++ b/src/wigeonreach/state/_disk_writer.py
@@ -0,0 +1,77 @@
+"""Write in a thread, everything that waits under one sync."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Sequence
+
+import mode
+
+from wigeonreach.exceptions import StateError
+from wigeonreach.observe import LogEvent, Logger
+from wigeonreach.state._raft_types import Write
+from wigeonreach.state._storage import Storage
+
+_RETRY_S = 1.0
+
+
+class DiskWriter(mode.Service):
+    """Hand writes to the storage in the order in which they came.
+
+    Parameters
+    ----------
+    storage
+        What it writes to; nothing else uses it meanwhile.
+    on_synced
+        Called with the number of the last write that is synced.
+    on_failed
+        Called if a sync failed; the process must not go on.
+    logger
+        Where events are logged.
+    """
+
+    def __init__(
+        self,
+        storage: Storage,
+        on_synced: Callable[[int], None],
+        on_failed: Callable[[Exception], None],
+        logger: Logger,
+    ) -> None:
+        """Write once started."""
+        super().__init__()
+        self._storage = storage
+        self._on_synced = on_synced
+        self._on_failed = on_failed
+        self._log = logger
+        self._waiting: list[Write] = []
+        self._has_write = asyncio.Event()
+
+    def post(self, writes: Sequence[Write]) -> None:
+        """Write soon."""
+        if writes:
+            self._waiting.extend(writes)
+            self._has_write.set()
+
+    @mode.Service.task
+    async def _run(self) -> None:
+        while not self.should_stop:
+            await self._has_write.wait()
+            self._has_write.clear()
+            batch = self._waiting
+            self._waiting = []
+            await self._write(batch)
+
+    async def _write(self, batch: Sequence[Write]) -> None:
+        while batch and not self.should_stop:
+            try:
+                await asyncio.to_thread(self._storage.write, batch)
+            except StateError as error:
+                self._on_failed(error)
+                return
+            except OSError as error:
+                # Nothing was acknowledged; the others go on meanwhile.
+                self._log.warning(LogEvent.DISK_REFUSED, reason=str(error))
+                await self.sleep(_RETRY_S)
+            else:
+                self._on_synced(batch[-1].number)
+                return
--- a/src/wigeonreach/state/_journal.py
+++ b/src/wigeonreach/state/_journal.py
@@ -1,114 +1,103 @@
-"""Append changes to a checksummed file and sync each batch."""
+"""Encode the journal, which is only ever appended to or replaced."""
 
 from __future__ import annotations
 
-import os
-import pathlib
-import struct
-from collections.abc import Sequence
+import dataclasses
+from collections.abc import Iterable
 
-import xxhash
+import msgspec
 
 from wigeonreach.codes import ResultCode
 from wigeonreach.exceptions import StateError
+from wigeonreach.state._raft_log import RaftLog
+from wigeonreach.state._raft_types import JournalBase
+from wigeonreach.state._records import (
+    Record,
+    RecordKind,
+    frame,
+    read_records,
+)
+from wigeonreach.wire._raft_messages import LogEntry
 
-_HEADER = struct.Struct('>IQ')
+_ENTRY = msgspec.msgpack.Decoder(LogEntry)
+_BASE = msgspec.msgpack.Decoder(JournalBase)
+_COMMIT_BYTES = 8
 
 
-class Journal:
-    """One append-only file of accepted changes.
+@dataclasses.dataclass(slots=True)
+class JournalContent:
+    """What a journal holds."""
 
-    Parameters
-    ----------
-    path
-        The file; it is created where it is missing.
-    """
+    log: RaftLog
+    commit_index: int = 0
+    size_bytes: int = 0
+    torn_bytes: int = 0
 
-    def __init__(self, path: pathlib.Path) -> None:
-        """Open the file and make its folder entry durable."""
-        path.parent.mkdir(parents=True, exist_ok=True)
-        self._descriptor = os.open(path, os.O_RDWR | os.O_CREAT, 0o600)
-        _sync_folder(path.parent)
-
-    def load(self) -> list[bytes]:
-        """Return all stored changes and cut a torn tail off.
-
-        Raises
-        ------
-        StateError
-            If a record before the last one is damaged.
-        """
-        stored = self._read_all()
-        changes: list[bytes] = []
-        offset = 0
-        while offset < len(stored):
-            end, change = _read_record(stored, offset)
-            if change is None:
-                break
-            changes.append(change)
-            offset = end
-        os.ftruncate(self._descriptor, offset)
-        os.lseek(self._descriptor, offset, os.SEEK_SET)
-        return changes
-
-    def append(self, changes: Sequence[bytes]) -> None:
-        """Write changes behind the last one and sync them.
-
-        Raises
-        ------
-        StateError
-            If the disk does not take them.
-        """
-        batch = b''.join(map(_record, changes))
-        try:
-            self._write_synced(batch)
-        except OSError as error:
-            raise StateError(
-                ResultCode.STATE_DISK_FAILED,
-                str(error),
-            ) from error
-
-    def _write_synced(self, batch: bytes) -> None:
-        os.write(self._descriptor, batch)
-        os.fsync(self._descriptor)
-
-    def close(self) -> None:
-        """Close the file."""
-        os.close(self._descriptor)
-
-    def _read_all(self) -> bytes:
-        size = os.fstat(self._descriptor).st_size
-        return os.pread(self._descriptor, size, 0)
-
-
-def _record(payload: bytes) -> bytes:
-    return _HEADER.pack(len(payload), xxhash.xxh3_64_intdigest(payload)) + (
-        payload
-    )
+
+def encode_journal(log: RaftLog) -> bytes:
+    """Return a whole journal."""
+    base = JournalBase(log.base_index, log.base_term, log.base_voters)
+    header = frame(RecordKind.JOURNAL_BASE, msgspec.msgpack.encode(base))
+    return header + encode_entries(log.entries)
 
 
-def _read_record(stored: bytes, offset: int) -> tuple[int, bytes | None]:
-    start = offset + _HEADER.size
-    if start > len(stored):
-        return offset, None
-    size, checksum = _HEADER.unpack_from(stored, offset)
-    end = start + size
-    if end > len(stored):
-        return offset, None
-    payload = stored[start:end]
-    if xxhash.xxh3_64_intdigest(payload) == checksum:
-        return end, payload
-    if end == len(stored):
-        return offset, None
-    raise StateError(
-        ResultCode.STATE_DAMAGED,
-        f'bad checksum at byte {offset}; restore this replica from a peer',
+def encode_entries(entries: Iterable[LogEntry]) -> bytes:
+    """Return the records of entries.
+
+    An entry replaces what stands before it from its index on, so that a
+    conflict needs no change in the middle of the file.
+    """
+    return b''.join(
+        frame(RecordKind.ENTRY, msgspec.msgpack.encode(entry))
+        for entry in entries
     )
 
 
-def _sync_folder(folder: pathlib.Path) -> None:
-    descriptor = os.open(folder, os.O_RDONLY)
-    try:
-        os.fsync(descriptor)
-    finally:
-        os.close(descriptor)
+def encode_commit(commit_index: int) -> bytes:
+    """Return the record of how far the log was known to be committed."""
+    return frame(RecordKind.COMMIT, commit_index.to_bytes(_COMMIT_BYTES))
+
+
+def read_journal(stored: bytes, name: str) -> JournalContent:
+    """Read a journal up to its end or its torn tail.
+
+    Raises
+    ------
+    StateError
+        If it is damaged.
+    """
+    records = read_records(stored, name)
+    first = next(records, None)
+    if first is None or first.kind != RecordKind.JOURNAL_BASE:
+        raise _damaged(name, 'does not say where it begins')
+    base = _BASE.decode(first.payload)
+    content = JournalContent(
+        RaftLog(base.index, base.term, base.voters),
+        base.index,
+        first.end_bytes,
+    )
+    for record in records:
+        _take(content, record, name)
+    content.torn_bytes = len(stored) - content.size_bytes
+    return content
+
+
+def _take(content: JournalContent, record: Record, name: str) -> None:
+    content.size_bytes = record.end_bytes
+    if record.kind == RecordKind.COMMIT:
+        marked_index = int.from_bytes(record.payload)
+        content.commit_index = max(content.commit_index, marked_index)
+        return
+    entry = _ENTRY.decode(record.payload)
+    log = content.log
+    if not log.base_index < entry.index <= log.last_index + 1:
+        raise _damaged(name, f'entry {entry.index} after {log.last_index}')
+    if entry.index <= content.commit_index:
+        known_term = log.term_at(entry.index)
+        if known_term != entry.term:
+            raise _damaged(name, f'replaces committed entry {entry.index}')
+    log.store((entry,))
+
+
+def _damaged(name: str, detail: str) -> StateError:
+    return StateError(ResultCode.STATE_DAMAGED, f'{name}: {detail}')
--- /dev/null
+++ b/src/wigeonreach/state/_raft.py
@@ -0,0 +1,219 @@
+"""Agree on a log: events in; writes, messages and entries out, no I/O."""
+
+from __future__ import annotations
+
+import functools
+import random
+from collections.abc import Iterable, Sequence
+
+from wigeonreach.state import _raft_election as election
+from wigeonreach.state import _raft_following as following
+from wigeonreach.state import _raft_leading as leading
+from wigeonreach.state import _raft_members as members
+from wigeonreach.state import _raft_reads as reads
+from wigeonreach.state import _raft_transfer as transfer
+from wigeonreach.state._raft_state import RaftState
+from wigeonreach.state._storage import Stored
+from wigeonreach.state._raft_types import (
+    DiskDone,
+    Output,
+    Propose,
+    RaftEvent,
+    RaftSettings,
+    Read,
+    Received,
+    Role,
+    SnapshotTaken,
+    Tick,
+)
+from wigeonreach.wire._raft_messages import (
+    AppendEntries,
+    AppendReply,
+    Join,
+    RaftMessage,
+    SnapshotChunk,
+    SnapshotReply,
+    VoteReply,
+    VoteRequest,
+)
+
+
+class Raft:
+    """The agreement of one replica.
+
+    Parameters
+    ----------
+    name
+        Name of this replica.
+    names
+        Names of all replicas; the first one founds the agreement.
+    stored
+        What its data folder holds.
+    settings
+        Times and sizes.
+    rng
+        Source of the randomised timeouts.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        names: Sequence[str],
+        stored: Stored,
+        settings: RaftSettings,
+        rng: random.Random,
+    ) -> None:
+        """Start from what is stored; nothing is sent before a step."""
+        applied_index = stored.snapshot.index if stored.snapshot else 0
+        self.state = RaftState(
+            names=tuple(names),
+            name=name,
+            settings=settings,
+            rng=rng,
+            hard=stored.hard,
+            log=stored.log,
+            snapshot=stored.snapshot,
+            commit_index=max(applied_index, stored.commit_index),
+            applied_index=applied_index,
+            synced_index=stored.log.last_index,
+        )
+        self._is_started = False
+
+    def step(self, events: Iterable[RaftEvent], now_s: float) -> Output:
+        """Take events in and return their effects.
+
+        Parameters
+        ----------
+        events
+            What happened since the last step, in order.
+        now_s
+            Monotonic clock in seconds.
+
+        Returns
+        -------
+        Output
+            Effects; messages may leave at once, also before the writes are
+            synced.
+        """
+        state = self.state
+        state.now_s = now_s
+        if not self._is_started:
+            self._is_started = True
+            state.delay_election()
+            state.follow_voters()
+        for event in events:
+            _on_event(event, state)
+        _finish(state)
+        output = state.output
+        state.output = Output()
+        return output
+
+
+def _finish(state: RaftState) -> None:
+    lead = state.leading
+    if lead is not None:
+        state.follow_voters()
+        leading.advance_commit(state)
+        reads.confirm(state)
+    if state.leading is not None and lead is not None:
+        if state.now_s >= lead.heartbeat_due_s:
+            leading.send_to_all(state)
+        leading.send_new(state)
+    _apply(state)
+
+
+def _apply(state: RaftState) -> None:
+    if state.applied_index < state.commit_index:
+        first_index = state.applied_index + 1
+        state.output.committed.extend(
+            state.log.between(first_index, state.commit_index),
+        )
+        state.applied_index = state.commit_index
+
+
+@functools.singledispatch
+def _on_event(event: object, state: RaftState) -> None:
+    raise TypeError(type(event).__name__)
+
+
+@_on_event.register
+def _on_tick(event: Tick, state: RaftState) -> None:
+    state.mark_commit()
+    if state.role is Role.LEADER:
+        leading.on_tick(state)
+    elif state.is_voter:
+        if state.now_s >= state.election_due_s:
+            election.start_trial(state)
+    elif state.now_s >= state.join_due_s:
+        members.ask_to_join(state)
+
+
+@_on_event.register
+def _on_disk_done(event: DiskDone, state: RaftState) -> None:
+    state.output.messages.extend(state.note_synced(event.number))
+    election.on_own_vote_synced(state)
+    following.on_synced(state)
+
+
+@_on_event.register
+def _on_propose(event: Propose, state: RaftState) -> None:
+    leading.on_propose(state, event)
+
+
+@_on_event.register
+def _on_read(event: Read, state: RaftState) -> None:
+    reads.on_read(state, event)
+
+
+@_on_event.register
+def _on_snapshot_taken(event: SnapshotTaken, state: RaftState) -> None:
+    transfer.take(state, event.index, event.state)
+
+
+@_on_event.register
+def _on_received(event: Received, state: RaftState) -> None:
+    message = event.message
+    is_for_me = message.target_incarnation == state.me.incarnation
+    is_open_join = isinstance(message, Join) and not message.target_incarnation
+    if is_for_me or is_open_join:
+        _on_message(message, state)
+
+
+@functools.singledispatch
+def _on_message(message: RaftMessage, state: RaftState) -> None:
+    raise TypeError(type(message).__name__)
+
+
+@_on_message.register
+def _on_vote_request(message: VoteRequest, state: RaftState) -> None:
+    election.on_vote_request(state, message)
+
+
+@_on_message.register
+def _on_vote_reply(message: VoteReply, state: RaftState) -> None:
+    election.on_vote_reply(state, message)
+
+
+@_on_message.register
+def _on_append(message: AppendEntries, state: RaftState) -> None:
+    following.on_append(state, message)
+
+
+@_on_message.register
+def _on_append_reply(message: AppendReply, state: RaftState) -> None:
+    leading.on_append_reply(state, message)
+
+
+@_on_message.register
+def _on_chunk(message: SnapshotChunk, state: RaftState) -> None:
+    transfer.on_chunk(state, message)
+
+
+@_on_message.register
+def _on_snapshot_reply(message: SnapshotReply, state: RaftState) -> None:
+    transfer.on_snapshot_reply(state, message)
+
+
+@_on_message.register
+def _on_join(message: Join, state: RaftState) -> None:
+    members.on_join(state, message)
--- a/src/wigeonreach/wire/_messages.py
+++ b/src/wigeonreach/wire/_messages.py
@@ -6,14 +6,13 @@
 
 from wigeonreach.wire._credit_messages import CreditMessage
 from wigeonreach.wire._peer_messages import Goodbye, Heartbeat, PeerHello
-from wigeonreach.wire._replica_messages import Append, AppendReply
+from wigeonreach.wire._raft_messages import AnyRaftMessage
 from wigeonreach.wire._rollout_messages import RolloutMessage
 from wigeonreach.wire._state_messages import StateMessage
 from wigeonreach.wire._target_messages import TargetRecord, Targets
 
 Message: TypeAlias = (
-    Append
-    | AppendReply
+    AnyRaftMessage
     | CreditMessage
     | Goodbye
     | Heartbeat
