Add moves between pools, damped and explained

A VM moves only when a pool lacks it: at once where the depth of a budget is reached, after a grace time where a promise is missed, and after usage has been high for long. Usage from before the last move showed counts for nothing. VMs are ranked by what the move disturbs; flapping and newly moved VMs stay.

--- a/src/wigeonreach/fleet/__init__.py
+++ b/src/wigeonreach/fleet/__init__.py
@@ -21,6 +21,17 @@
     pool_needs,
     widest,
 )
+from wigeonreach.fleet._moves_model import (
+    UNDAMPED,
+    MoveCause,
+    MoveEnded,
+    MoveRecord,
+    MoveSettings,
+    UsageReport,
+    VmChanged,
+    VmWork,
+)
+from wigeonreach.fleet._moves_planner import MovePlanner
 from wigeonreach.fleet._waves_chart import EffectKind, Phase, VmEvent
 from wigeonreach.fleet._waves_gates import Gate, ZonePartGate
 from wigeonreach.fleet._waves_model import (
@@ -48,6 +59,11 @@
     'EffectKind',
     'Gate',
     'Inventory',
+    'MoveCause',
+    'MoveEnded',
+    'MovePlanner',
+    'MoveRecord',
+    'MoveSettings',
     'PauseWave',
     'Phase',
     'PoolNeed',
@@ -58,12 +74,16 @@
     'StopWave',
     'Tick',
     'Track',
+    'UNDAMPED',
+    'UsageReport',
     'Verdict',
     'Vm',
     'VmBack',
+    'VmChanged',
     'VmEvent',
     'VmReport',
     'VmState',
+    'VmWork',
     'Wave',
     'WaveEffect',
     'WavePlanner',
--- a/src/wigeonreach/fleet/_budget.py
+++ b/src/wigeonreach/fleet/_budget.py
@@ -137,6 +137,24 @@
         reasons = self._reasons(vm, now_s, expected_s, may_spend=may_spend)
         return next(reasons, ALLOWED)
 
+    def judge_leaving(self, vm: Vm) -> Verdict:
+        """Decide whether a VM may leave its pool for another.
+
+        The fleet loses nothing by it, but the pool must keep its promise and
+        survive the largest guarded domain without the VM.
+        """
+        if self._inventory.is_watched(vm.pool):
+            return Verdict(Refusal.WATCHED, vm.pool)
+        if not vm.is_up:
+            return Verdict(Refusal.MAINTAINED, vm.name)
+        need = self.needs.get(vm.pool)
+        if need is None:
+            return ALLOWED
+        left = self._inventory.up_slots(vm.pool) - vm.slots
+        if left < need.slots:
+            return Verdict(Refusal.DEPTH, vm.pool, left, need.slots)
+        return next(self._pool_reasons(vm, need), ALLOWED)
+
     def _reasons(
         self,
         vm: Vm,
--- a/src/wigeonreach/fleet/_inventory.py
+++ b/src/wigeonreach/fleet/_inventory.py
@@ -39,6 +39,7 @@
         self._up: dict[tuple[str, FailureDomain], PeakCounts] = {}
         self._present = {kind: PeakCounts() for kind in FailureDomain}
         self._maintained: collections.Counter[str] = collections.Counter()
+        self._held: collections.Counter[str] = collections.Counter()
         self._members: dict[str, dict[str, None]] = {}
         for vm in vms:
             self.put(vm)
@@ -98,10 +99,15 @@
         """Return the slots of a zone that own actions hold down."""
         return self._maintained[zone]
 
+    def held_slots(self, pool: str) -> int:
+        """Return the slots of a pool that own actions hold down."""
+        return self._held[pool]
+
     def _count(self, vm: Vm, sign: int) -> None:
         slots = sign * vm.slots
         if vm.is_maintained:
             self._maintained[vm.zone] += slots
+            self._held[vm.pool] += slots
         groups = [self.up(vm.pool, kind) for kind in FailureDomain]
         if not self.is_watched(vm.pool):
             groups.extend(self.fleet_up(kind) for kind in FailureDomain)
--- /dev/null
+++ b/src/wigeonreach/fleet/_moves_planner.py
@@ -0,0 +1,262 @@
+"""Move VMs between pools only when a pool needs one."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import functools
+import itertools
+from collections.abc import Callable, Iterator
+
+from wigeonreach.fleet._budget import Budgets
+from wigeonreach.fleet._inventory import Inventory
+from wigeonreach.fleet._model import Vm, VmState
+from wigeonreach.fleet._moves_damping import PoolDemand, VmHistory
+from wigeonreach.fleet._moves_model import (
+    MoveCause,
+    MoveEnded,
+    MoveRecord,
+    MoveSettings,
+    UsageReport,
+    VmChanged,
+    VmWork,
+)
+from wigeonreach.fleet._waves_model import Tick
+from wigeonreach.text import FailureDomain
+
+# VMs compared for one move; bounds what a decision costs.
+_CANDIDATES_PER_POOL = 32
+_RECORDS_KEPT = 1000
+_ASK_AGAIN_S = 10.0
+
+Message = UsageReport | VmChanged | VmWork | MoveEnded | Tick
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Wish:
+    pool: str
+    cause: MoveCause
+    have_slots: float
+    need_slots: float
+
+
+class MovePlanner:
+    """Decides which VM goes to which pool, and why.
+
+    A VM on its way is draining in its old pool until the move has ended, so
+    it is in exactly one pool and counts nowhere.
+
+    Parameters
+    ----------
+    inventory, budgets
+        The VMs and what pools must keep; changed with each move.
+    settings
+        How much moves are damped.
+    is_busy
+        Whether something else, such as a wave, has a VM in hand.
+    """
+
+    def __init__(
+        self,
+        inventory: Inventory,
+        budgets: Budgets,
+        settings: MoveSettings | None = None,
+        is_busy: Callable[[str], bool] | None = None,
+    ) -> None:
+        """Start with no moves."""
+        self.records: collections.deque[MoveRecord] = collections.deque(
+            maxlen=_RECORDS_KEPT,
+        )
+        self._inventory = inventory
+        self._budgets = budgets
+        self._settings = settings or MoveSettings()
+        self._is_busy = is_busy
+        self._history = VmHistory(self._settings)
+        self._demand = {pool: PoolDemand() for pool in budgets.needs}
+        self._work: dict[str, VmWork] = {}
+        self._moving: dict[str, MoveRecord] = {}
+        self._incoming: collections.Counter[str] = collections.Counter()
+        self._outgoing: collections.Counter[str] = collections.Counter()
+        self._home: dict[str, str] = {}
+
+    def handle(self, message: Message, now_s: float) -> list[MoveRecord]:
+        """Take one message and decide on moves.
+
+        Parameters
+        ----------
+        message
+            A report, the end of a move, or the passing of time.
+        now_s
+            Time, in seconds.
+
+        Returns
+        -------
+        list[MoveRecord]
+            Moves to be made now.
+        """
+        self._take(message, now_s)
+        return list(self._plan(now_s))
+
+    def explain(self, vm: str) -> list[str]:
+        """Return why a VM was moved, newest last."""
+        return [record.line() for record in self.records if record.vm == vm]
+
+    @functools.singledispatchmethod
+    def _take(self, message: Message, now_s: float) -> None:
+        raise TypeError(message)
+
+    @_take.register
+    def _usage(self, message: UsageReport, now_s: float) -> None:
+        demand = self._demand.get(message.pool)
+        if demand is not None:
+            up_slots = self._up_soon(message.pool)
+            demand.note_usage(message, up_slots, self._settings)
+
+    @_take.register
+    def _changed(self, message: VmChanged, now_s: float) -> None:
+        if message.is_lost:
+            self._history.note_lost(message.vm, now_s)
+            self._end(message.vm)
+
+    @_take.register
+    def _note_work(self, message: VmWork, now_s: float) -> None:
+        self._work[message.vm] = message
+
+    @_take.register
+    def _ended(self, message: MoveEnded, now_s: float) -> None:
+        record = self._end(message.vm)
+        vm = self._inventory.find(message.vm)
+        if record is None or vm is None:
+            return
+        pool = record.to_pool if message.is_done else record.from_pool
+        after = dataclasses.replace(vm, pool=pool, state=VmState.SERVING)
+        self._put(vm, after, now_s)
+
+    @_take.register
+    def _tick(self, message: Tick, now_s: float) -> None:
+        """Only time has passed."""
+
+    def _plan(self, now_s: float) -> Iterator[MoveRecord]:
+        for pool in self._demand:
+            wish = self._wish(pool, now_s)
+            while wish is not None:
+                record = self._serve(wish, now_s)
+                if record is None:
+                    break
+                yield record
+                wish = self._wish(pool, now_s)
+        if self._settings.returns_surplus:
+            yield from self._return_surplus(now_s)
+
+    def _wish(self, pool: str, now_s: float) -> _Wish | None:
+        need = self._budgets.needs[pool]
+        demand = self._demand[pool]
+        have = self._up_soon(pool)
+        demand.note_short(now_s, is_short=have < need.slots)
+        if need.is_watched or now_s < demand.asks_again_s:
+            return None
+        if demand.short_since_s is not None:
+            if have < need.least_slots:
+                return _Wish(pool, MoveCause.DEPTH, have, need.slots)
+            if now_s - demand.short_since_s >= self._settings.grace_s:
+                return _Wish(pool, MoveCause.PROMISE, have, need.slots)
+        wanted = demand.used_slots / self._settings.used_ratio
+        if have < wanted and demand.is_high(now_s, self._settings):
+            return _Wish(pool, MoveCause.USAGE, have, wanted)
+        return None
+
+    def _up_soon(self, pool: str) -> int:
+        """Count what is up, what comes back by itself and what is coming."""
+        coming = self._incoming[pool] - self._outgoing[pool]
+        held = self._inventory.held_slots(pool)
+        return self._inventory.up_slots(pool) + held + coming
+
+    def _serve(self, wish: _Wish, now_s: float) -> MoveRecord | None:
+        candidates = list(self._candidates(wish, now_s))
+        if not candidates:
+            # Asking again on each event would cost much and change nothing.
+            self._demand[wish.pool].asks_again_s = now_s + _ASK_AGAIN_S
+            return None
+        best = min(candidates, key=functools.partial(self._cost, wish.pool))
+        return self._move(best, wish, len(candidates), now_s)
+
+    def _candidates(self, wish: _Wish, now_s: float) -> Iterator[Vm]:
+        for pool in self._budgets.needs:
+            if pool != wish.pool:
+                members = self._inventory.members(pool)
+                some = itertools.islice(members, _CANDIDATES_PER_POOL)
+                yield from (
+                    vm for vm in some if self._may_move(vm, wish, now_s)
+                )
+
+    def _may_move(self, vm: Vm, wish: _Wish, now_s: float) -> bool:
+        if self._is_busy is not None and self._is_busy(vm.name):
+            return False
+        if self._history.is_flapping(vm.name, now_s):
+            return False
+        is_urgent = wish.cause is MoveCause.DEPTH
+        if not is_urgent and not self._history.is_settled(vm.name, now_s):
+            return False
+        if wish.cause is MoveCause.USAGE:
+            used = self._demand[vm.pool].used_slots / self._settings.used_ratio
+            if self._inventory.up_slots(vm.pool) - vm.slots < used:
+                return False
+        return self._budgets.judge_leaving(vm).is_allowed
+
+    def _cost(self, pool: str, vm: Vm) -> tuple[int, int, int, str]:
+        """Rank by what is disturbed, then by spread over the zones."""
+        work = self._work.get(vm.name, VmWork(vm.name, 0, 0))
+        in_zone = self._inventory.up(pool, FailureDomain.ZONE).slots(vm.zone)
+        return work.in_flight, work.checkpointable, in_zone, vm.name
+
+    def _move(
+        self,
+        vm: Vm,
+        wish: _Wish,
+        candidates: int,
+        now_s: float,
+    ) -> MoveRecord:
+        work = self._work.get(vm.name, VmWork(vm.name, 0, 0))
+        record = MoveRecord(
+            at_s=now_s,
+            vm=vm.name,
+            from_pool=vm.pool,
+            to_pool=wish.pool,
+            cause=wish.cause,
+            have_slots=wish.have_slots,
+            need_slots=wish.need_slots,
+            candidates=candidates,
+            in_flight=work.in_flight,
+            checkpointable=work.checkpointable,
+        )
+        self.records.append(record)
+        self._moving[vm.name] = record
+        self._incoming[wish.pool] += vm.slots
+        self._outgoing[vm.pool] += vm.slots
+        self._history.note_moved(vm.name, now_s)
+        self._demand[wish.pool].note_move(now_s)
+        self._home.setdefault(vm.name, vm.pool)
+        self._put(vm, dataclasses.replace(vm, state=VmState.DRAINING), now_s)
+        return record
+
+    def _end(self, name: str) -> MoveRecord | None:
+        record = self._moving.pop(name, None)
+        vm = self._inventory.find(name)
+        if record is not None and vm is not None:
+            self._incoming[record.to_pool] -= vm.slots
+            self._outgoing[record.from_pool] -= vm.slots
+        return record
+
+    def _put(self, before: Vm, after: Vm, now_s: float) -> None:
+        self._inventory.put(after)
+        self._budgets.observe(before.pool, now_s)
+        self._budgets.observe(after.pool, now_s)
+
+    def _return_surplus(self, now_s: float) -> Iterator[MoveRecord]:
+        for name, home in tuple(self._home.items()):
+            vm = self._inventory.find(name)
+            if vm is None or vm.pool == home or name in self._moving:
+                continue
+            wish = _Wish(home, MoveCause.SURPLUS, 0, 0)
+            if self._may_move(vm, wish, now_s):
+                yield self._move(vm, wish, 1, now_s)
--- a/src/wigeonreach/fleet/_waves_planner.py
+++ b/src/wigeonreach/fleet/_waves_planner.py
@@ -116,6 +116,10 @@
         effects = self._take(message, now_s)
         return effects + self._grant(now_s)
 
+    def is_busy(self, vm: str) -> bool:
+        """Return whether some wave has a VM on its way."""
+        return self._flights.wave_of(vm) is not None
+
     @functools.singledispatchmethod
     def _take(self, message: Message, now_s: float) -> list[WaveEffect]:
         raise TypeError(message)
