Check the state machine against lost, doubled and late messages

A model of two pools, two operators, a follower of a lagging replica and processes that pause between check and act looks for two pools that may act on one VM, tokens that do not rise, versions that go back and resends that are applied again. Six planted bugs show what it finds.

--- a/src/wigeonreach/state/_feed.py
+++ b/src/wigeonreach/state/_feed.py
@@ -52,8 +52,11 @@
         Returns
         -------
         ConfigDelta or None
-            None if that version is forgotten or was another text.
+            None if that version is forgotten or was another text, and for
+            version 0: the whole text goes out compressed, not as a delta.
         """
+        if version == 0:
+            return None
         newest = self.newest(state)
         key = (version, checksum)
         if key not in self._steps:
--- /dev/null
+++ b/tests/rollout/test_follower.py
@@ -0,0 +1,110 @@
+"""Test what a follower makes of its source."""
+
+from __future__ import annotations
+
+import testtools
+from testtools.matchers import Equals, GreaterThan, HasLength, LessThan
+
+from tests.builders import SAMPLE_TEXT
+from tests.builders_state import apply_command, build_command
+from wigeonreach.rollout._copy import make_copy
+from wigeonreach.rollout._follower import (
+    Effect,
+    Follower,
+    Hold,
+    SendNeed,
+    SourceFault,
+)
+from wigeonreach.state._feed import Feed
+from wigeonreach.state._machine import Machine
+from wigeonreach.wire._command_messages import ChangeText
+from wigeonreach.wire._rollout_messages import ConfigBeat, ConfigNeed
+
+
+class TestFollower(testtools.TestCase):
+    """One follower and a replica with three versions."""
+
+    def setUp(self) -> None:
+        """Accept three texts."""
+        super().setUp()
+        self.machine = Machine()
+        self.feed = Feed()
+        self.follower = Follower()
+        self.texts = [f'{SAMPLE_TEXT}# {number}\n' for number in range(3)]
+        for base, text in enumerate(self.texts):
+            apply_command(
+                self.machine,
+                build_command(ChangeText(base, text), f'c-{base}'),
+            )
+        self.newest = self.feed.newest(self.machine.state)
+
+    def beat(self, age_s: float, now_s: float) -> tuple[Effect, ...]:
+        """Receive a beat of the newest version."""
+        beat = ConfigBeat(self.newest.version, self.newest.checksum, age_s)
+        return self.follower.on_message(beat, now_s)
+
+    def test_delta(self) -> None:
+        """A delta carries what changed and nothing else."""
+        old = make_copy(1, self.texts[0])
+        self.follower.held = old
+
+        step = self.feed.step(self.machine.state, 1, old.checksum)
+        assert step is not None
+        effects = self.follower.on_message(step, 0)
+
+        self.assertThat(step.edits, HasLength(1))
+        self.assertThat(effects, Equals((Hold(self.newest),)))
+
+    def test_other_text(self) -> None:
+        """A copy that went wrong gets the sections that differ."""
+        self.follower.held = make_copy(2, f'{SAMPLE_TEXT}# damaged\n')
+
+        effect = self.beat(0, 0)[0]
+        assert isinstance(effect, SendNeed)
+        sections = self.feed.missing(self.machine.state, effect.need)
+        held = self.follower.on_message(sections, 0)
+
+        whole = self.feed.missing(self.machine.state, ConfigNeed(0, ()))
+        self.assertThat(held, Equals((Hold(self.newest),)))
+        self.assertThat(len(sections.packed), LessThan(len(whole.packed)))
+
+    def test_older(self) -> None:
+        """A source that is behind changes nothing and is left soon."""
+        self.follower.held = make_copy(4, SAMPLE_TEXT)
+        self.follower.choose_source(now_s=0)
+
+        effects = [self.beat(0, now_s) for now_s in (1.0, 2.1)]
+
+        self.assertThat(effects, Equals([(), ()]))
+        self.assertThat(
+            self.follower.source_fault(2.1),
+            Equals(SourceFault.BEHIND),
+        )
+        self.assertThat(
+            self.follower.confirmed_age_s(2.1),
+            GreaterThan(1_000_000),
+        )
+
+    def test_cut_off_source(self) -> None:
+        """A source without a quorum confirms nothing, though it talks."""
+        self.follower.held = self.newest
+        self.follower.choose_source(now_s=0)
+        for now_s in range(1, 5):
+            self.beat(age_s=now_s + 9, now_s=now_s)
+
+        self.assertThat(
+            self.follower.source_fault(4),
+            Equals(SourceFault.UNCONFIRMED),
+        )
+        self.assertThat(self.follower.confirmed_age_s(4), Equals(13))
+
+    def test_silent_source(self) -> None:
+        """A source that says nothing is left, though its channel is open."""
+        self.follower.choose_source(now_s=0)
+        self.beat(0, now_s=1)
+
+        self.assertThat(self.follower.source_fault(3.4), Equals(None))
+        self.assertThat(
+            self.follower.source_fault(3.6),
+            Equals(SourceFault.SILENT),
+        )
--- /dev/null
+++ b/tests/state/model.py
@@ -0,0 +1,305 @@
+"""Drive the state machine as a faulty network and paused processes would."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import msgspec
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+)
+
+from wigeonreach.rollout._copy import make_copy
+from wigeonreach.rollout._follower import Follower, SourceMessage
+from wigeonreach.state._feed import Feed
+from wigeonreach.state._holding import Fence, Holding
+from wigeonreach.state._machine import Machine
+from wigeonreach.wire._command_messages import (
+    Action,
+    ChangeText,
+    Command,
+    ConfirmRelease,
+    GrantVm,
+    ReleaseVm,
+    RenewVm,
+    Reply,
+)
+from wigeonreach.wire._rollout_messages import ConfigBeat
+
+_POOLS = ('desk', 'portal')
+_VMS = ('vm-1', 'vm-2')
+_LEASE_S = 10.0
+_REPLIES = msgspec.msgpack.Decoder(Reply)
+_pools = st.sampled_from(_POOLS)
+_vms = st.sampled_from(_VMS)
+_any = st.integers(min_value=0, max_value=1000)
+
+
+@dataclasses.dataclass
+class _Act:
+    """An act on a VM whose process was paused after its check."""
+
+    vm: str
+    token: int
+
+
+@dataclasses.dataclass
+class _Network:
+    """What was sent, agreed on, pushed, and replies that are on the way."""
+
+    log: list[bytes] = dataclasses.field(default_factory=list)
+    sent: list[Command] = dataclasses.field(default_factory=list)
+    unread: list[tuple[Command, Reply]] = dataclasses.field(
+        default_factory=list,
+    )
+    pushed: list[SourceMessage] = dataclasses.field(default_factory=list)
+
+
+class StateModel(RuleBasedStateMachine):
+    """Two pools and two operators share one log, a follower reads it.
+
+    Commands are delivered late, twice and out of order; the follower reads a
+    replica that lags.  Subclasses plant one bug each.
+    """
+
+    machine_type: type[Machine] = Machine
+    follower_type: type[Follower] = Follower
+    fence_type: type[Fence] = Fence
+    has_late_count = False
+
+    @initialize()
+    def begin(self) -> None:
+        """Start with an empty log."""
+        self.net = _Network()
+        self.leader = self.machine_type()
+        self.lagging = Machine()
+        self.feed = Feed()
+        self.follower = self.follower_type()
+        self.fence = self.fence_type()
+        self.now_s = 100.0
+        self.first_replies: dict[str, Reply] = {}
+        self.holdings: dict[tuple[str, str], Holding] = {}
+        self.texts = {0: ''}
+        self.paused: list[_Act] = []
+        self.admitted: dict[str, int] = {}
+        self.lagging_applied = 0
+        self.highest_token = 0
+        self.learned: set[int] = set()
+
+    @rule(seconds=st.sampled_from((1.0, 11.0)))
+    def wait(self, seconds: float) -> None:
+        """Let time pass."""
+        self.now_s += seconds
+
+    @rule(base_back=st.integers(0, 1), word=st.sampled_from('abc'))
+    def change(self, base_back: int, word: str) -> None:
+        """An operator sends a change, now and then from an old base."""
+        version = self.leader.state.accepted.version
+        base = max(0, version - base_back)
+        self._send(ChangeText(base, f'[{word}]\nx = {len(self.net.sent)}\n'))
+
+    @rule(vm=_vms, pool=_pools, is_late=st.booleans())
+    def grant(self, vm: str, pool: str, is_late: bool) -> None:
+        """A manager asks for a VM."""
+        self._send(GrantVm(vm, pool, _LEASE_S), is_late)
+
+    @rule(
+        vm=_vms,
+        pool=_pools,
+        confirms=st.booleans(),
+        is_late=st.booleans(),
+    )
+    def move(
+        self,
+        vm: str,
+        pool: str,
+        confirms: bool,
+        is_late: bool,
+    ) -> None:
+        """A manager moves a VM, in a hurry or after its pool confirmed."""
+        self.release(vm)
+        if confirms:
+            for owner in _POOLS:
+                self.confirm(vm, owner)
+        self._send(GrantVm(vm, pool, _LEASE_S), is_late)
+
+    @rule(vm=_vms)
+    def release(self, vm: str) -> None:
+        """A manager asks a VM back."""
+        record = self.leader.state.vms.get(vm)
+        if record is not None:
+            self._send(ReleaseVm(vm, record.token))
+
+    @rule(number=_any, is_late=st.booleans())
+    def renew(self, number: int, is_late: bool) -> None:
+        """A pool prolongs its lease."""
+        if self.holdings:
+            (vm, _), holding = self._pick_holding(number)
+            self._send(RenewVm(vm, holding.token, _LEASE_S), is_late)
+
+    @rule(vm=_vms, pool=_pools)
+    def confirm(self, vm: str, pool: str) -> None:
+        """A pool stops using a VM and then says so."""
+        holding = self.holdings.pop((vm, pool), None)
+        if holding is not None:
+            self._send(ConfirmRelease(vm, holding.token))
+
+    @rule(number=_any)
+    def resend(self, number: int) -> None:
+        """The network delivers an earlier command once more."""
+        if self.net.sent:
+            self._deliver(self.net.sent[number % len(self.net.sent)])
+
+    @rule(number=_any)
+    def learn(self, number: int) -> None:
+        """A reply arrives late."""
+        if self.net.unread:
+            self._learn(*self.net.unread.pop(number % len(self.net.unread)))
+
+    @rule(number=_any)
+    def check_then_pause(self, number: int) -> None:
+        """A process checks its lease, then is paused before its act."""
+        if not self.holdings:
+            return
+        (vm, _), holding = self._pick_holding(number)
+        if holding.may_act(self.now_s):
+            self.paused.append(_Act(vm, holding.token))
+
+    @rule(number=_any)
+    def act_late(self, number: int) -> None:
+        """A paused process goes on and acts."""
+        if not self.paused:
+            return
+        act = self.paused.pop(number % len(self.paused))
+        if self.fence.admit(act.vm, act.token):
+            assert act.token >= self.admitted.get(act.vm, 0), 'older owner acts'
+
+    @rule()
+    def restart_leader(self) -> None:
+        """A replica restarts from its snapshot."""
+        restarted = self.machine_type()
+        restarted.restore(self.leader.snapshot())
+        self.leader = restarted
+
+    @rule(steps=st.integers(1, 3))
+    def replicate(self, steps: int) -> None:
+        """The replica that the follower reads applies some commands."""
+        until = self.lagging_applied + steps
+        for command in self.net.log[self.lagging_applied : until]:
+            self.lagging_applied += 1
+            self.lagging.apply(self.lagging_applied, command)
+        held = self.follower.held
+        newest = self.feed.newest(self.lagging.state)
+        step = self.feed.step(
+            self.lagging.state,
+            held.version,
+            held.checksum,
+        )
+        if step is not None:
+            self.net.pushed.append(step)
+        self.net.pushed.append(ConfigBeat(newest.version, newest.checksum, 0))
+
+    @rule(number=_any)
+    def follow(self, number: int) -> None:
+        """The follower gets any message that was pushed, also an old one."""
+        if not self.net.pushed:
+            return
+        before = self.follower.held.version
+        message = self.net.pushed[number % len(self.net.pushed)]
+        for effect in self.follower.on_message(message, self.now_s):
+            need = getattr(effect, 'need', None)
+            if need is not None:
+                sections = self.feed.missing(self.lagging.state, need)
+                self.net.pushed.append(sections)
+        assert self.follower.held.version >= before, 'a version reverted'
+
+    @invariant()
+    def one_pool(self) -> None:
+        """No two pools may act on a VM at a moment."""
+        for vm in _VMS:
+            acting = [
+                pool
+                for pool in _POOLS
+                if (vm, pool) in self.holdings
+                and self.holdings[vm, pool].may_act(self.now_s)
+            ]
+            assert len(acting) <= 1, f'{vm} belongs to {acting}'
+
+    @invariant()
+    def followed_text(self) -> None:
+        """What the follower holds is what was accepted under its version."""
+        held = self.follower.held
+        assert held == make_copy(held.version, self.texts[held.version])
+
+    @rule()
+    def catch_up(self) -> None:
+        """The follower gets everything in order."""
+        self.replicate(len(self.net.log))
+        for _ in range(3):
+            self.follow(len(self.net.pushed) - 1)
+
+    def _pick_holding(self, number: int) -> tuple[tuple[str, str], Holding]:
+        return list(self.holdings.items())[number % len(self.holdings)]
+
+    def _send(self, action: Action, is_late: bool = False) -> None:
+        command = Command(
+            f'c-{len(self.net.sent)}',
+            self.leader.state.revision,
+            'amina',
+            self.now_s,
+            action,
+        )
+        self.net.sent.append(command)
+        self._deliver(command, is_late)
+
+    def _deliver(self, command: Command, is_late: bool = False) -> None:
+        encoded = msgspec.msgpack.encode(command)
+        self.net.log.append(encoded)
+        before = self.leader.state.accepted.version
+        reply = _REPLIES.decode(self.leader.apply(len(self.net.log), encoded))
+        accepted = self.leader.state.accepted
+        assert before <= accepted.version <= before + 1, 'a version reverted'
+        self.texts.setdefault(accepted.version, accepted.text)
+        if isinstance(command.action, GrantVm) and not reply.code:
+            self._check_token(command, reply.token)
+        if not isinstance(command.action, RenewVm):
+            first = self.first_replies.setdefault(command.command_id, reply)
+            assert reply == first, 'a resend was applied again'
+        if reply.code:
+            return
+        if is_late:
+            self.net.unread.append((command, reply))
+        else:
+            self._learn(command, reply)
+
+    def _learn(self, command: Command, reply: Reply) -> None:
+        asked_s = self.now_s if self.has_late_count else command.at_s
+        match command.action:
+            case GrantVm(vm=vm, pool=pool) if reply.token not in self.learned:
+                self.learned.add(reply.token)
+                self.holdings[vm, pool] = Holding(
+                    reply.token,
+                    asked_s,
+                    _LEASE_S,
+                )
+                # The new owner shows its token before it uses the VM.
+                self.fence.admit(vm, reply.token)
+                shown = max(reply.token, self.admitted.get(vm, 0))
+                self.admitted[vm] = shown
+            case RenewVm(vm=renewed, token=token):
+                self._learn_renewed(renewed, token, asked_s)
+
+    def _learn_renewed(self, vm: str, token: int, asked_s: float) -> None:
+        for (held, pool), holding in self.holdings.items():
+            if (held, holding.token) == (vm, token):
+                later_s = max(asked_s, holding.asked_s)
+                self.holdings[held, pool] = holding.renewed(later_s)
+
+    def _check_token(self, command: Command, token: int) -> None:
+        if command.command_id not in self.first_replies:
+            assert token > self.highest_token, 'a token did not rise'
+            self.highest_token = token
--- /dev/null
+++ b/tests/state/test_machine_model.py
@@ -0,0 +1,136 @@
+"""Test that no order of events breaks what must always hold."""
+
+from __future__ import annotations
+
+import types
+
+import testtools
+from hypothesis import HealthCheck, Phase, seed, settings
+from hypothesis.stateful import run_state_machine_as_test
+from testtools.matchers import Contains
+
+from tests.state.model import StateModel
+from wigeonreach.charts import ChartTable
+from wigeonreach.rollout._copy import TextCopy
+from wigeonreach.rollout._follower import Effect, Follower, Hold, SourceMessage
+from wigeonreach.state import _machine_vms
+from wigeonreach.state._holding import Fence
+from wigeonreach.state._machine import Machine
+from wigeonreach.state._machine_state import ResultTable
+from wigeonreach.wire._rollout_messages import ConfigSections
+
+_SETTINGS = settings(
+    max_examples=150,
+    stateful_step_count=60,
+    database=None,
+    deadline=None,
+    derandomize=False,
+    phases=(Phase.generate,),
+    suppress_health_check=list(HealthCheck),
+    print_blob=False,
+)
+# A planted bug ends the run once it is found.
+_PATIENT = settings(_SETTINGS, max_examples=2000)
+
+
+class _ForgetsResults(Machine):
+    """Leaves the table of results out of its snapshot."""
+
+    def restore(self, snapshot: bytes) -> None:
+        super().restore(snapshot)
+        self.state.results = ResultTable()
+
+
+class _ForgetsTokens(Machine):
+    """Leaves the newest token out of its snapshot."""
+
+    def restore(self, snapshot: bytes) -> None:
+        super().restore(snapshot)
+        self.state.vm_token = 0
+
+
+class _TakesAnyVersion(Follower):
+    """Puts whatever arrived last in force."""
+
+    def on_message(
+        self,
+        message: SourceMessage,
+        now_s: float,
+    ) -> tuple[Effect, ...]:
+        if isinstance(message, ConfigSections):
+            self.held = TextCopy(0, '', self.held.checksum)
+        effects = super().on_message(message, now_s)
+        for effect in effects:
+            if isinstance(effect, Hold):
+                self.held = effect.copy
+        return effects
+
+
+class _AdmitsAll(Fence):
+    """Lets every token pass."""
+
+    def admit(self, vm: str, token: int) -> bool:
+        return True
+
+
+class TestModel(testtools.TestCase):
+    """The model, sound and with one planted bug at a time."""
+
+    def run_model(
+        self,
+        settings_used: settings,
+        **planted: object,
+    ) -> None:
+        """Run the model with some attributes replaced."""
+        model = types.new_class(
+            'Planted',
+            (StateModel,),
+            exec_body=lambda namespace: namespace.update(planted),
+        )
+        seed(20)(model)
+        run_state_machine_as_test(model, settings=settings_used)
+
+    def check_finds(self, message: str, **planted: object) -> None:
+        """Expect the check to fail with a message."""
+        error = self.assertRaises(
+            AssertionError,
+            self.run_model,
+            _PATIENT,
+            **planted,
+        )
+        self.assertThat(str(error), Contains(message))
+
+    def test_sound(self) -> None:
+        """No order of events breaks an invariant."""
+        self.run_model(_SETTINGS)
+
+    def test_results_lost(self) -> None:
+        """A snapshot without the results is found by a second application."""
+        self.check_finds('applied again', machine_type=_ForgetsResults)
+
+    def test_tokens_lost(self) -> None:
+        """A snapshot without the newest token is found."""
+        self.check_finds('did not rise', machine_type=_ForgetsTokens)
+
+    def test_version_back(self) -> None:
+        """A follower that takes an older copy is found."""
+        self.check_finds('reverted', follower_type=_TakesAnyVersion)
+
+    def test_no_fence(self) -> None:
+        """A paused process that acts after a newer owner is found."""
+        self.check_finds('older owner', fence_type=_AdmitsAll)
+
+    def test_lease_counted_late(self) -> None:
+        """A holder that counts its lease from the reply is found."""
+        self.check_finds('belongs to', has_late_count=True)
+
+    def test_grant_too_early(self) -> None:
+        """A grant before the release is confirmed or expired is found."""
+        chart = _machine_vms.CHART
+        hasty = ChartTable(
+            chart.initial,
+            chart.states,
+            {**chart.targets, ('releasing', 'grant'): 'owned'},
+        )
+        self.patch(_machine_vms, 'CHART', hasty)
+        self.check_finds('belongs to')
