--- a/tests/state/test_machine_model.py
+++ b/tests/state/test_machine_model.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import types
 
 import testtools
@@ -10,7 +11,6 @@
 from testtools.matchers import Contains
 
 from tests.state.model import StateModel
-from wigeonreach.charts import ChartTable
 from wigeonreach.rollout._copy import TextCopy
 from wigeonreach.rollout._follower import Effect, Follower, Hold, SourceMessage
 from wigeonreach.state import _machine_vms
@@ -127,10 +127,9 @@
     def test_grant_too_early(self) -> None:
         """A grant before the release is confirmed or expired is found."""
         chart = _machine_vms.CHART
-        hasty = ChartTable(
-            chart.initial,
-            chart.states,
-            {**chart.targets, ('releasing', 'grant'): 'owned'},
+        hasty = dataclasses.replace(
+            chart,
+            targets={**chart.targets, ('releasing', 'grant'): 'owned'},
         )
         self.patch(_machine_vms, 'CHART', hasty)
         self.check_finds('belongs to')
