Trust a record only while contact or the target itself vouches for it

A record was trusted until its lease ended, so that a leave told to an entry that was cut off just then went unnoticed for a whole lease.

--- a/bench/bench_capacity.py
+++ b/bench/bench_capacity.py
@@ -106,7 +106,7 @@
             state=TargetState.SERVING,
             slots=8,
             connections=64,
-            lease_left_s=2.0,
+            lease_s=2.0,
         )
         for number in range(count)
     )
--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -85,6 +85,8 @@
     services: tuple[str, ...]
     targets_per_service: int
     service_time_s: float = 0.02
+    target_options: tuple[str, ...] = ()
+    entry_options: tuple[str, ...] = ()
 
 
 class Cluster:
@@ -194,6 +196,7 @@
         command = self._daemon('entry', process)
         command.extend(('--http', process.http))
         command.extend(self._members('--peer', self.entries, process.name))
+        command.extend(self.shape.entry_options)
         return command
 
     def _daemon(self, role: str, process: Process) -> list[str]:
@@ -217,6 +220,7 @@
         )
         command.extend(('--run-log', str(self.run_log)))
         command.extend(('--service-time-s', str(self.shape.service_time_s)))
+        command.extend(self.shape.target_options)
         for entry in self.entries:
             if entry.zone == process.zone:
                 command.append('--entry')
--- a/src/wigeonreach/cli/_daemon_commands.py
+++ b/src/wigeonreach/cli/_daemon_commands.py
@@ -33,6 +33,22 @@
         float,
         typer.Option(envvar='WIGEONREACH_MAX_DEADLINE_S', min=0.1),
     ] = 10.0,
+    readiness_notice_s: Annotated[
+        float,
+        typer.Option(
+            envvar='WIGEONREACH_READINESS_NOTICE_S',
+            min=0,
+            help='How long the balancer needs to see that readiness is gone.',
+        ),
+    ] = 1.0,
+    contact_limit_s: Annotated[
+        float,
+        typer.Option(
+            envvar='WIGEONREACH_CONTACT_LIMIT_S',
+            min=0.6,
+            help='How long a peer may be silent before targets are asked.',
+        ),
+    ] = 1.0,
     log_format: options.Format = LogFormat.JSON,
     log_level: options.Level = 'info',
 ) -> None:
@@ -47,6 +63,8 @@
             replicas=parse_members(replicas, '--replica'),
             max_body_bytes=max_body_bytes,
             max_deadline_s=max_deadline_s,
+            readiness_notice_s=readiness_notice_s,
+            contact_limit_s=contact_limit_s,
         )
         configure_logs(log_format, log_level)
         logger = Logger(name)
--- a/src/wigeonreach/entry/_announce.py
+++ b/src/wigeonreach/entry/_announce.py
@@ -10,7 +10,7 @@
 from wigeonreach.exceptions import RequestRefusedError
 from wigeonreach.wire._target_messages import TargetRecord, TargetState
 
-_MAX_LEASE_S = 60
+_MAX_LEASE_S = 300
 Name = Annotated[str, pydantic.StringConstraints(min_length=1, max_length=128)]
 
 
@@ -31,6 +31,12 @@
     slots: Annotated[int, pydantic.Field(ge=1, le=1024)] = 8
     connections: Annotated[int, pydantic.Field(ge=1, le=4096)] = 64
     lease_s: Annotated[float, pydantic.Field(gt=0, le=_MAX_LEASE_S)] = 2.0
+    state_path: Annotated[
+        str,
+        pydantic.StringConstraints(
+            pattern=r'^(/[\x21-\x7e]*)?$', max_length=256
+        ),
+    ] = ''
 
 
 def read_announcement(body: bytes, zone: str) -> TargetRecord:
@@ -72,5 +78,6 @@
         state=schema.state,
         slots=schema.slots,
         connections=schema.connections,
-        lease_left_s=schema.lease_s,
+        lease_s=schema.lease_s,
+        state_path=schema.state_path,
     )
--- a/src/wigeonreach/entry/_attempt.py
+++ b/src/wigeonreach/entry/_attempt.py
@@ -7,6 +7,7 @@
 import itertools
 import secrets
 import time
+from collections.abc import Callable
 from typing import Final
 
 import aiohttp
@@ -16,6 +17,7 @@
 from wigeonreach.codes import Outcome, ResultCode
 from wigeonreach.entry._request import CallerRequest
 from wigeonreach.entry._request_reading import DEADLINE_HEADER
+from wigeonreach.entry._target_state import TargetAnswered, read_target_state
 from wigeonreach.entry._target_response import (
     REQUEST_ID_HEADER,
     EchoedResponse,
@@ -50,6 +52,13 @@
     content_encoding: str | None = None
 
 
+StateListener = Callable[[TargetAnswered], None]
+
+
+def ignore_state(_answered: TargetAnswered) -> None:
+    """Do nothing with what a target says of itself."""
+
+
 class Attempts:
     """The connections towards targets, on which each request is sent once.
 
@@ -57,11 +66,18 @@
     ----------
     max_answer_bytes
         Larger answers are given up on.
+    on_state
+        Called with what a target says of itself in an answer.
     """
 
-    def __init__(self, max_answer_bytes: int = _MAX_ANSWER_BYTES) -> None:
+    def __init__(
+        self,
+        max_answer_bytes: int = _MAX_ANSWER_BYTES,
+        on_state: StateListener = ignore_state,
+    ) -> None:
         """Prepare; no connection is opened yet."""
         self._max_answer_bytes = max_answer_bytes
+        self._on_state = on_state
         self._prefix = secrets.token_hex(_PREFIX_BYTES)
         self._numbers = itertools.count(1)
         self._echoing: set[str] = set()
@@ -137,6 +153,7 @@
         # Headers that a caller wrote in another case are replaced as well.
         headers = multidict.CIMultiDict(request.headers)
         headers[DEADLINE_HEADER] = str(int(left_s * _MS_PER_S))
+        sent_s = time.monotonic()
         headers[REQUEST_ID_HEADER] = f'{self._prefix}-{next(self._numbers)}'
         async with self._session.request(
             request.method,
@@ -150,6 +167,9 @@
             # A redirect is the target's answer; following it would run more.
             allow_redirects=False,
         ) as response:
+            answered = read_target_state(response.headers, address, sent_s)
+            if answered is not None:
+                self._on_state(answered)
             try:
                 return await self._take(response, address)
             except BaseException:
--- a/src/wigeonreach/entry/_contact.py
+++ b/src/wigeonreach/entry/_contact.py
@@ -142,11 +142,15 @@
         """Whether what a peer learned until ``limit_s`` ago is known here."""
         return now_s - self._peers[name].echoed_s < self._limit_s
 
-    def is_covered(self, names: Iterable[str], now_s: float) -> bool:
-        """Whether each of the peers is in contact or has ended."""
-        return all(
-            self._peers[name].has_left or self.is_in_contact(name, now_s)
-            for name in names
+    def covered_until_s(self, names: Iterable[str]) -> float:
+        """Return until when each of the peers is in contact or has ended."""
+        return min(
+            (
+                self._peers[name].echoed_s + self._limit_s
+                for name in names
+                if not self._peers[name].has_left
+            ),
+            default=float('inf'),
         )
 
     def has_reached(self, names: Iterable[str], posted_s: float) -> bool:
--- a/src/wigeonreach/entry/_daemon.py
+++ b/src/wigeonreach/entry/_daemon.py
@@ -2,47 +2,40 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 import time
 
 import mode
-import msgspec
 from aiohttp import web
 
-from wigeonreach.codes import Outcome
-from wigeonreach.entry._announce import read_announcement
 from wigeonreach.entry._config import ConfigFollower
 from wigeonreach.entry._config_header import tell_versions
 from wigeonreach.entry._config_peers import ConfigPeers
 from wigeonreach.entry._credits import WORK_GRACE_S, Sharer
 from wigeonreach.entry._credits_daemon import CreditDaemon
+from wigeonreach.entry._gate import Gate, end_idle_connections
+from wigeonreach.entry._lifecycle import Lifecycle, Step
 from wigeonreach.entry._membership import Membership
+from wigeonreach.entry._pages import Pages
 from wigeonreach.entry._peers import PeerExchange
 from wigeonreach.entry._proxy import Proxy
-from wigeonreach.entry._replies import error_reply
 from wigeonreach.entry._routing import Router
 from wigeonreach.entry._settings import EntrySettings
 from wigeonreach.entry._spread import Spread
-from wigeonreach.exceptions import RequestRefusedError
+from wigeonreach.entry._verifier import Verifier
 from wigeonreach.observe import LogEvent, Logger, Metrics
 
-_EXPIRY_CHECK_S = 0.5
-_DRAIN_POLL_S = 0.02
-_READINESS_NOTICE_S = 0.5
+_POLL_S = 0.02
+# An entry that no peer answers says that it is ready after this.
+_LEARN_BOUND_S = 3.0
+# A request that crossed the end of its connection arrives within this.
+_CROSSING_S = 0.3
+# Whatever is in flight after the bound of the drain is cut off.
+_CUT_OFF_S = 0.2
 _MAX_HEADER_BYTES = 8190
 
 
-class EntryStatus(msgspec.Struct, frozen=True):
-    """JSON body of ``GET /v1/status``."""
-
-    name: str
-    zone: str
-    version: int
-    in_flight: int
-    draining: bool
-    targets: dict[str, int]
-
-
 class Entry(mode.Service):
     """One entry VM's process.
 
@@ -60,11 +53,23 @@
         self._settings = settings
         self._log = logger
         self._metrics = Metrics()
-        self._membership = Membership()
+        self._lifecycle = Lifecycle()
+        self._gate = Gate(self._lifecycle, self._metrics)
+        self._membership = Membership(settings.zone)
         self._config = ConfigFollower(settings, logger)
         self._peers = PeerExchange(settings, logger)
         self._config_peers = ConfigPeers(self._config, self._peers)
-        self._spread = Spread(self._membership, self._peers, logger)
+        self._spread = Spread(
+            self._membership,
+            self._peers,
+            self._metrics,
+            logger,
+        )
+        self._verifier = Verifier(
+            self._membership,
+            self._spread,
+            self._metrics,
+        )
         self._router = Router(
             self._sharer(),
             self._membership,
@@ -78,57 +83,75 @@
             self._router,
             self._metrics,
             random.Random(),  # noqa: S311 - choices of targets are no secret
+            self._spread.see,
         )
         self._runner: web.AppRunner | None = None
+        self._site: web.TCPSite | None = None
 
     async def on_start(self) -> None:
         """Start every part and listen for HTTP last."""
-        await self.add_runtime_dependency(self._config)
-        await self.add_runtime_dependency(self._peers)
-        await self.add_runtime_dependency(self._config_peers)
-        await self.add_runtime_dependency(self._credits)
+        parts = (
+            self._config,
+            self._peers,
+            self._spread,
+            self._verifier,
+            self._config_peers,
+            self._credits,
+        )
+        for part in parts:
+            await self.add_runtime_dependency(part)
         await self._proxy.open()
         self._runner = web.AppRunner(
             self._application(),
             access_log=None,
-            shutdown_timeout=self._settings.max_deadline_s,
+            shutdown_timeout=_CUT_OFF_S,
             max_line_size=_MAX_HEADER_BYTES,
             max_field_size=_MAX_HEADER_BYTES,
         )
         await self._runner.setup()
         address = self._settings.http
-        site = web.TCPSite(self._runner, address.host, address.port)
-        await site.start()
+        self._site = web.TCPSite(self._runner, address.host, address.port)
+        await self._site.start()
+        self.add_future(self._learn())
 
     async def drain(self) -> None:
         """Withdraw readiness, then wait until nothing is in flight."""
-        self._proxy.is_draining = True
-        await self.sleep(_READINESS_NOTICE_S)
+        self._lifecycle.take(Step.TOLD_TO_STOP)
+        await asyncio.sleep(self._settings.readiness_notice_s)
+        self._lifecycle.take(Step.NOTICE_GIVEN)
         ends_s = time.monotonic() + self._settings.max_deadline_s
-        while self._proxy.in_flight and time.monotonic() < ends_s:
-            await self.sleep(_DRAIN_POLL_S)
-        cut_off = self._proxy.in_flight
+        while self._gate.in_flight and time.monotonic() < ends_s:
+            await asyncio.sleep(_POLL_S)
+        cut_off = self._gate.in_flight
         if cut_off:
+            self._lifecycle.take(Step.BOUND_PASSED)
             self._log.warning(LogEvent.DRAIN_CUT_OFF, requests=cut_off)
         else:
+            self._lifecycle.take(Step.NOTHING_IN_FLIGHT)
             self._log.info(LogEvent.DRAIN_FINISHED)
 
     async def on_stop(self) -> None:
-        """Close the listening socket and the connections."""
+        """Close the listening socket, then the connections."""
         await self._config.leave()
-        if self._runner is not None:
+        if self._runner is not None and self._site is not None:
+            await self._site.stop()
+            # What was accepted last is still handled before its end.
+            await asyncio.sleep(0)
+            server = self._runner.server
+            if server is not None:
+                end_idle_connections(server)
+                await asyncio.sleep(_CROSSING_S)
             await self._runner.cleanup()
         await self._proxy.close()
 
-    @mode.Service.task
-    async def _expire(self) -> None:
-        while not self.should_stop:
-            for record in self._membership.expire(time.monotonic()):
-                self._log.info(
-                    LogEvent.TARGET_EXPIRED,
-                    target=record.target_id,
-                )
-            await self.sleep(_EXPIRY_CHECK_S)
+    async def _learn(self) -> None:
+        """Become ready once the peers have passed on what they know."""
+        ends_s = time.monotonic() + _LEARN_BOUND_S
+        while time.monotonic() < ends_s:
+            if self._peers.is_zone_in_contact(time.monotonic()):
+                break
+            await self.sleep(_POLL_S)
+        self._lifecycle.take(Step.LEARNED)
 
     def _sharer(self) -> Sharer:
         settings = self._settings
@@ -150,61 +173,22 @@
     def _application(self) -> web.Application:
         application = web.Application(
             client_max_size=self._settings.max_body_bytes,
+            middlewares=(self._gate.pass_on,),
         )
         tell_versions(application, self._config)
-        application.router.add_get('/healthz', self._on_health)
-        application.router.add_get('/readyz', self._on_ready)
-        application.router.add_get('/metrics', self._on_metrics)
-        application.router.add_get('/v1/status', self._on_status)
-        application.router.add_post('/v1/targets', self._on_announce)
+        Pages(
+            settings=self._settings,
+            config=self._config,
+            membership=self._membership,
+            spread=self._spread,
+            credits=self._credits,
+            lifecycle=self._lifecycle,
+            gate=self._gate,
+            metrics=self._metrics,
+        ).add_to(application)
         application.router.add_route(
             '*',
             '/s/{service}/{tail:.*}',
             self._proxy.handle,
         )
         return application
-
-    async def _on_health(self, _request: web.Request) -> web.Response:
-        return web.Response(text='ok')
-
-    async def _on_ready(self, _request: web.Request) -> web.Response:
-        if self._proxy.is_draining or self._config.text is None:
-            return web.Response(status=503, text='not ready')
-        return web.Response(text='ready')
-
-    async def _on_metrics(self, _request: web.Request) -> web.Response:
-        return web.Response(text=self._metrics.page())
-
-    async def _on_status(self, _request: web.Request) -> web.Response:
-        now_s = time.monotonic()
-        services = self._config.text.services if self._config.text else ()
-        status = EntryStatus(
-            name=self._settings.name,
-            zone=self._settings.zone,
-            version=self._config.version,
-            in_flight=self._proxy.in_flight,
-            draining=self._proxy.is_draining,
-            targets={
-                name: len(self._membership.serving(name, now_s))
-                for name in services
-            },
-        )
-        return web.Response(
-            body=msgspec.json.encode(status),
-            content_type='application/json',
-        )
-
-    async def _on_announce(self, request: web.Request) -> web.Response:
-        body = await request.read()
-        try:
-            record = read_announcement(body, self._settings.zone)
-        except RequestRefusedError as error:
-            return error_reply(
-                400,
-                error.code,
-                Outcome.NOT_RUN,
-                error.detail,
-            )
-        self._spread.learn(record)
-        self._credits.note_announced(record)
-        return web.Response(status=204)
--- /dev/null
+++ b/src/wigeonreach/entry/_gate.py
@@ -0,0 +1,86 @@
+"""Let requests in, count them, and end connections when the entry stops."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Final
+
+from aiohttp import web
+from aiohttp.typedefs import Handler
+
+from wigeonreach.codes import Outcome, ResultCode
+from wigeonreach.entry._lifecycle import Lifecycle, Phase
+from wigeonreach.entry._replies import error_reply
+from wigeonreach.observe import Metrics
+
+_WORK_PREFIX: Final = '/s/'
+_RETRY_AFTER: Final = 'Retry-After'
+
+
+class Gate:
+    """Stand before every handler of an entry's HTTP server.
+
+    Parameters
+    ----------
+    lifecycle
+        Whether requests are let in.
+    metrics
+        Counters of refusals.
+    """
+
+    def __init__(self, lifecycle: Lifecycle, metrics: Metrics) -> None:
+        """Start with nothing in flight."""
+        self._lifecycle = lifecycle
+        self._metrics = metrics
+        self.in_flight = 0
+
+    @web.middleware
+    async def pass_on(
+        self,
+        request: web.Request,
+        handler: Handler,
+    ) -> web.StreamResponse:
+        """Answer one request, and close its connection when stopping."""
+        if self._lifecycle.phase is Phase.CLOSING:
+            # The connection was ended while this request was under way to
+            # it: no answer can be sent, and nothing may run.
+            self._metrics.count('answers_impossible', 'closing')
+            await asyncio.Event().wait()
+        self.in_flight += 1
+        try:
+            reply = await self._answer(request, handler)
+        finally:
+            self.in_flight -= 1
+        if self._lifecycle.is_stopping:
+            reply.force_close()
+        return reply
+
+    async def _answer(
+        self,
+        request: web.Request,
+        handler: Handler,
+    ) -> web.StreamResponse:
+        is_work = request.path.startswith(_WORK_PREFIX)
+        if is_work and not self._lifecycle.takes_work:
+            return self._refuse()
+        return await handler(request)
+
+    def _refuse(self) -> web.Response:
+        code = ResultCode.REQUEST_SHUTTING_DOWN
+        self._metrics.count('answers', str(int(code)))
+        reply = error_reply(503, code, Outcome.NOT_RUN)
+        # Another entry takes the request at once.
+        reply.headers[_RETRY_AFTER] = '0'
+        return reply
+
+
+def end_idle_connections(server: web.Server) -> None:
+    """Tell each caller that its kept-alive connection ends.
+
+    Only the sending half is closed, so that a request which crosses the end
+    on its way is read and dropped instead of being answered by a reset.
+    """
+    for connection in server.connections:
+        transport = connection.transport
+        if transport is not None and transport.can_write_eof():
+            transport.write_eof()
--- a/src/wigeonreach/entry/_peers.py
+++ b/src/wigeonreach/entry/_peers.py
@@ -68,10 +68,12 @@
         self.contacts = Contacts(
             self.incarnation_ns,
             (peer.name for peer in self._others),
+            settings.contact_limit_s,
         )
         self._links: dict[str, PeerLink] = {}
         self._handlers: dict[type[WireMessage], Handler[Any]] = {}
         self._syncs: list[Sync] = []
+        self._on_contact: list[Handler[Any]] = []
         self._on_restart: list[Callable[[str], None]] = []
         self._on_refused: list[Callable[[str, float], None]] = []
         self._on_heard: list[Callable[[str], None]] = []
@@ -124,6 +126,10 @@
         """Call a listener with each peer heard on a new channel."""
         self._on_heard.append(listener)
 
+    def after_heartbeat(self, listener: Handler[WireMessage]) -> None:
+        """Call a listener after each message that changes contact."""
+        self._on_contact.append(listener)
+
     def post(self, name: str, message: WireMessage) -> bool:
         """Queue a message to one peer without waiting.
 
@@ -146,7 +152,11 @@
 
     def is_zone_in_contact(self, now_s: float) -> bool:
         """Whether all that the zone's entries learned is known here."""
-        return self.contacts.is_covered(self.zone_names, now_s)
+        return now_s < self.zone_contact_until_s()
+
+    def zone_contact_until_s(self) -> float:
+        """Until when the zone is in contact if no heartbeat comes."""
+        return self.contacts.covered_until_s(self.zone_names)
 
     async def confirm(self, timeout_s: float) -> bool:
         """Wait until all that was posted has reached every zone peer.
@@ -210,9 +220,15 @@
             self._sync(link)
         if heartbeat.wants_reply:
             self._beat(hello.process)
+        self._tell_contact(hello, heartbeat)
 
-    def _on_goodbye(self, hello: PeerHello, _goodbye: Goodbye) -> None:
+    def _on_goodbye(self, hello: PeerHello, goodbye: Goodbye) -> None:
         self.contacts.leave(hello)
+        self._tell_contact(hello, goodbye)
+
+    def _tell_contact(self, hello: PeerHello, message: WireMessage) -> None:
+        for listener in self._on_contact:
+            listener(hello, message)
 
     def _sync(self, link: PeerLink) -> None:
         for listener in self._on_heard:
--- a/src/wigeonreach/entry/_proxy.py
+++ b/src/wigeonreach/entry/_proxy.py
@@ -7,7 +7,7 @@
 
 from aiohttp import web
 
-from wigeonreach.entry._attempt import Attempts
+from wigeonreach.entry._attempt import Attempts, StateListener, ignore_state
 from wigeonreach.entry._config import ConfigFollower
 from wigeonreach.entry._dispatch import Dispatcher
 from wigeonreach.entry._replies import (
@@ -38,6 +38,8 @@
         Counters of each refusal.
     rng
         Source of random choices.
+    on_state
+        Called with what a target says of itself in an answer.
     """
 
     def __init__(
@@ -47,16 +49,15 @@
         router: Router,
         metrics: Metrics,
         rng: random.Random,
+        on_state: StateListener = ignore_state,
     ) -> None:
         """Keep what each request needs; no connection is opened yet."""
         self._settings = settings
         self._config = config
         self._metrics = metrics
         self._rng = rng
-        self._attempts = Attempts()
+        self._attempts = Attempts(on_state=on_state)
         self._dispatcher = Dispatcher(router, self._attempts, metrics, rng)
-        self.in_flight = 0
-        self.is_draining = False
 
     async def open(self) -> None:
         """Open the connections towards targets."""
@@ -80,13 +81,7 @@
             The target's answer, or a refusal.
         """
         started_s = time.monotonic()
-        self.in_flight += 1
-        try:
-            reply = await self._answer(request, started_s)
-        finally:
-            self.in_flight -= 1
-        if self.is_draining:
-            reply.force_close()
+        reply = await self._answer(request, started_s)
         self._metrics.count('answers', reply.headers.get(CODE_HEADER, ''))
         self._metrics.observe_s('answer', time.monotonic() - started_s)
         return reply
--- a/src/wigeonreach/entry/_routing.py
+++ b/src/wigeonreach/entry/_routing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import itertools
 import random
 from collections.abc import Callable, Collection, Iterator
 
@@ -198,10 +199,7 @@
 
     def tick(self, now_s: float) -> list[Outgoing]:
         """Do what is due and return what to send to other entries."""
-        known = {
-            TargetKey(record.target_id, record.incarnation_ns)
-            for record in self._membership.records(now_s)
-        }
+        known = set(itertools.starmap(TargetKey, self._membership.known()))
         self.credits.forget_idle(known, now_s)
         self._ejector.forget(known | set(self._in_flight))
         return self.credits.tick(now_s)
--- a/src/wigeonreach/entry/_settings.py
+++ b/src/wigeonreach/entry/_settings.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 
+from wigeonreach.entry._contact import CONTACT_LIMIT_S
 from wigeonreach.wire import Address, Member
 
 
@@ -19,6 +20,8 @@
     replicas: tuple[Member, ...]
     max_body_bytes: int
     max_deadline_s: float
+    readiness_notice_s: float = 1.0
+    contact_limit_s: float = CONTACT_LIMIT_S
 
     @property
     def zone_peers(self) -> tuple[Member, ...]:
--- /dev/null
+++ b/src/wigeonreach/standins/_announcer.py
@@ -0,0 +1,173 @@
+"""Announce a stand-in target to the entries, as a real target should."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import random
+import time
+from typing import Final
+
+import aiohttp
+import msgspec
+
+STATE_PATH: Final = '/wigeonreach/state'
+_TIMEOUT_S: Final = 0.5
+_RETRY_S: Final = 0.05
+_FIRST_INTERVAL_S: Final = 0.5
+_INTERVALS_PER_LEASE: Final = 4
+_KNOWN_EVERYWHERE: Final = 204
+_PASSED_ON_IN_PART: Final = 202
+
+
+class Announcement(msgspec.Struct, frozen=True, omit_defaults=True):
+    """JSON body of ``POST /v1/targets``."""
+
+    target_id: str
+    service: str
+    address: str
+    incarnation_ns: int
+    sequence: int
+    state: str
+    lease_s: float
+    state_path: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnnouncerOptions:
+    """How a target announces itself.
+
+    A naive target announces at a fixed interval, tells its state nowhere
+    else, and takes any answer for enough.  An interval of 0 follows what the
+    entries ask for; a lease of 0 is four intervals.
+    """
+
+    entries: tuple[str, ...]
+    interval_s: float = 0
+    lease_s: float = 0
+    is_naive: bool = False
+
+
+class Announcer:
+    """Tell the entries that a target serves, and later that it leaves.
+
+    Parameters
+    ----------
+    target_id, service, address
+        What is announced.
+    options
+        To whom and how often.
+    """
+
+    def __init__(
+        self,
+        target_id: str,
+        service: str,
+        address: str,
+        options: AnnouncerOptions,
+    ) -> None:
+        """Take a new incarnation."""
+        self._target_id = target_id
+        self._service = service
+        self._address = address
+        self._options = options
+        self._sequence = 0
+        self._interval_s = options.interval_s or _FIRST_INTERVAL_S
+        self._told: set[str] = set()
+        self._left = asyncio.Event()
+        self._rng = random.Random(target_id)  # noqa: S311
+        self.incarnation_ns = time.time_ns()
+
+    @property
+    def state(self) -> str:
+        """What the target says of itself."""
+        return 'leaving' if self._left.is_set() else 'serving'
+
+    @property
+    def headers(self) -> dict[str, str]:
+        """Headers that each answer of the target carries."""
+        if self._options.is_naive:
+            return {}
+        return {
+            'X-Target-State': self.state,
+            'X-Target-Incarnation': str(self.incarnation_ns),
+        }
+
+    def leave(self) -> None:
+        """From now on the target says that it leaves."""
+        self._left.set()
+
+    async def run(self) -> None:
+        """Announce until the target left and enough entries know it."""
+        async with aiohttp.ClientSession() as session:
+            while not self._left.is_set():
+                await self._announce(session, self._pick())
+                with contextlib.suppress(TimeoutError):
+                    await asyncio.wait_for(self._left.wait(), self._interval_s)
+            while not await self._announce_leave(session):
+                await asyncio.sleep(_RETRY_S)
+
+    async def _announce_leave(self, session: aiohttp.ClientSession) -> bool:
+        entry = self._pick()
+        status = await self._announce(session, entry)
+        if status == _PASSED_ON_IN_PART:
+            self._told.add(entry)
+            is_all = len(self._told) == len(self._options.entries)
+            return is_all or self._options.is_naive
+        return status == _KNOWN_EVERYWHERE
+
+    def _pick(self) -> str:
+        entries = self._options.entries
+        fresh = [entry for entry in entries if entry not in self._told]
+        return self._rng.choice(fresh or entries)
+
+    async def _announce(
+        self,
+        session: aiohttp.ClientSession,
+        entry: str,
+    ) -> int:
+        # The first of all announcements must not be lost: it tells that no
+        # entry can have anything in flight here yet.
+        if not self._sequence and not await _is_up(session, entry):
+            return 0
+        self._sequence += 1
+        try:
+            async with session.post(
+                f'http://{entry}/v1/targets',
+                data=msgspec.json.encode(self._announcement()),
+                timeout=aiohttp.ClientTimeout(total=_TIMEOUT_S),
+            ) as answer:
+                self._follow_pace(answer)
+                return answer.status
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return 0
+
+    def _follow_pace(self, answer: aiohttp.ClientResponse) -> None:
+        asked_s = float(answer.headers.get('X-Announce-After-S', '0'))
+        if asked_s and not self._options.interval_s:
+            self._interval_s = asked_s
+
+    def _announcement(self) -> Announcement:
+        lease_s = self._options.lease_s
+        return Announcement(
+            target_id=self._target_id,
+            service=self._service,
+            address=self._address,
+            incarnation_ns=self.incarnation_ns,
+            sequence=self._sequence,
+            state=self.state,
+            lease_s=lease_s or self._interval_s * _INTERVALS_PER_LEASE,
+            state_path='' if self._options.is_naive else STATE_PATH,
+        )
+
+
+async def _is_up(session: aiohttp.ClientSession, entry: str) -> bool:
+    try:
+        async with session.get(
+            f'http://{entry}/healthz',
+            timeout=aiohttp.ClientTimeout(total=_TIMEOUT_S),
+        ) as answer:
+            return answer.ok
+    except (aiohttp.ClientError, OSError, TimeoutError):
+        return False
--- a/src/wigeonreach/wire/_channel.py
+++ b/src/wigeonreach/wire/_channel.py
@@ -188,7 +188,8 @@
         channel = Channel(reader, writer)
         try:
             await on_channel(channel)
-        except WireError:
+        except (WireError, asyncio.CancelledError):
+            # The peer went away, or this process ends.
             return
         finally:
             await channel.close()
--- a/src/wigeonreach/wire/_messages.py
+++ b/src/wigeonreach/wire/_messages.py
@@ -9,7 +9,7 @@
 from wigeonreach.wire._raft_messages import AnyRaftMessage
 from wigeonreach.wire._rollout_messages import RolloutMessage
 from wigeonreach.wire._state_messages import StateMessage
-from wigeonreach.wire._target_messages import TargetRecord, Targets
+from wigeonreach.wire._target_messages import Renewals, TargetRecord, Targets
 
 Message: TypeAlias = (
     AnyRaftMessage
@@ -17,6 +17,7 @@
     | Goodbye
     | Heartbeat
     | PeerHello
+    | Renewals
     | RolloutMessage
     | StateMessage
     | TargetRecord
--- a/src/wigeonreach/wire/_target_messages.py
+++ b/src/wigeonreach/wire/_target_messages.py
@@ -4,6 +4,8 @@
 
 import enum
 
+import msgspec
+
 from wigeonreach.wire._base import WireMessage
 
 
@@ -18,7 +20,10 @@
     """The newest announcement known of one target.
 
     A higher ``incarnation_ns`` is a restart of the target; within one
-    incarnation the higher ``sequence`` is the newer announcement.
+    incarnation the higher ``sequence`` is the newer announcement.  The lease
+    ends ``lease_s`` after the announcement, which was ``age_s`` ago when the
+    record was sent.  ``state_path`` is where the target tells its state, or
+    empty if it can't.
     """
 
     target_id: str
@@ -30,7 +35,22 @@
     state: TargetState
     slots: int
     connections: int
-    lease_left_s: float
+    lease_s: float
+    age_s: float = 0
+    state_path: str = ''
+
+
+class Renewal(
+    msgspec.Struct,
+    frozen=True,
+    array_like=True,
+):
+    """An announcement that changed nothing but its number."""
+
+    target_id: str
+    incarnation_ns: int
+    sequence: int
+    age_s: float
 
 
 class Targets(WireMessage, frozen=True):
@@ -44,3 +64,14 @@
     records: tuple[TargetRecord, ...]
     echo_s: float = 0
     echo_incarnation_ns: int = 0
+
+
+class Renewals(WireMessage, frozen=True):
+    """Announcements since the last batch that changed nothing.
+
+    ``echo_s`` and ``echo_incarnation_ns`` are those of ``Targets``.
+    """
+
+    renewals: tuple[Renewal, ...]
+    echo_s: float
+    echo_incarnation_ns: int
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import zlib
 from typing import Any
 
 import msgspec
@@ -19,6 +20,9 @@
 depends_on = ["records"]
 """
 
+_FIRST_PORT = 9000
+_PORTS = 50_000
+
 _RECORD = TargetRecord(
     target_id='records-0',
     service='records',
@@ -29,10 +33,16 @@
     state=TargetState.SERVING,
     slots=8,
     connections=64,
-    lease_left_s=2.0,
+    lease_s=2.0,
 )
 
 
 def build_record(**changes: Any) -> TargetRecord:
-    """Return a serving target's record with some fields changed."""
+    """Return a serving target's record with some fields changed.
+
+    Each ``target_id`` has an address of its own unless one is given.
+    """
+    target_id = changes.get('target_id', _RECORD.target_id)
+    port = _FIRST_PORT + zlib.crc32(target_id.encode()) % _PORTS
+    changes.setdefault('address', f'127.0.0.1:{port}')
     return msgspec.structs.replace(_RECORD, **changes)
--- a/tests/builders_credits.py
+++ b/tests/builders_credits.py
@@ -65,7 +65,7 @@
 
 def build_forever(**changes: Any) -> TargetRecord:
     """Return the record of a target whose lease never ends."""
-    return build_record(lease_left_s=FAR_FUTURE_S, **changes)
+    return build_record(lease_s=FAR_FUTURE_S, **changes)
 
 
 def acquire_all(router: Router, now_s: float) -> list[Slot]:
--- a/tests/entry/test_contact.py
+++ b/tests/entry/test_contact.py
@@ -76,7 +76,10 @@
         """A peer that said that it ends needs no contact."""
         self.left.leave(_RIGHT)
 
-        self.assertTrue(self.left.is_covered(('right',), 99))
+        self.assertThat(
+            self.left.covered_until_s(('right',)),
+            Equals(float('inf')),
+        )
 
     def test_reached(self) -> None:
         """What was posted has arrived once a later heartbeat is repeated."""
