Answer bad input with numbers, and bound what slow callers hold

Malformed heads are answered by aiohttp before any handler runs, with a plain text and a logged trace for each; they now get a number and no trace.

Ruled out: smaller receive buffers alone changed nothing (197 to 195 MiB), the copies of bodies being read and sent were what grew.

--- a/src/wigeonreach/cli/_daemon_commands.py
+++ b/src/wigeonreach/cli/_daemon_commands.py
@@ -49,6 +49,10 @@
             help='How long a peer may be silent before targets are asked.',
         ),
     ] = 1.0,
+    head_timeout_s: Annotated[
+        float,
+        typer.Option(envvar='WIGEONREACH_HEAD_TIMEOUT_S', min=0.1),
+    ] = 15.0,
     log_format: options.Format = LogFormat.JSON,
     log_level: options.Level = 'info',
 ) -> None:
@@ -65,6 +69,7 @@
             max_deadline_s=max_deadline_s,
             readiness_notice_s=readiness_notice_s,
             contact_limit_s=contact_limit_s,
+            head_timeout_s=head_timeout_s,
         )
         configure_logs(log_format, log_level)
         logger = Logger(name)
--- a/src/wigeonreach/entry/_daemon.py
+++ b/src/wigeonreach/entry/_daemon.py
@@ -21,6 +21,7 @@
 from wigeonreach.entry._peers import PeerExchange
 from wigeonreach.entry._proxy import Proxy
 from wigeonreach.entry._routing import Router
+from wigeonreach.entry._server import EntryRunner, refuse_unknown_path
 from wigeonreach.entry._settings import EntrySettings
 from wigeonreach.entry._spread import Spread
 from wigeonreach.entry._verifier import Verifier
@@ -33,7 +34,6 @@
 _CROSSING_S = 0.3
 # Whatever is in flight after the bound of the drain is cut off.
 _CUT_OFF_S = 0.2
-_MAX_HEADER_BYTES = 8190
 
 
 class Entry(mode.Service):
@@ -101,12 +101,12 @@
         for part in parts:
             await self.add_runtime_dependency(part)
         await self._proxy.open()
-        self._runner = web.AppRunner(
+        self._runner = EntryRunner(
             self._application(),
-            access_log=None,
-            shutdown_timeout=_CUT_OFF_S,
-            max_line_size=_MAX_HEADER_BYTES,
-            max_field_size=_MAX_HEADER_BYTES,
+            self._settings.head_timeout_s,
+            _CUT_OFF_S,
+            self._metrics,
+            self._log,
         )
         await self._runner.setup()
         address = self._settings.http
@@ -191,4 +191,5 @@
             '/s/{service}/{tail:.*}',
             self._proxy.handle,
         )
+        application.router.add_route('*', '/{tail:.*}', refuse_unknown_path)
         return application
--- a/src/wigeonreach/entry/_proxy.py
+++ b/src/wigeonreach/entry/_proxy.py
@@ -7,7 +7,14 @@
 
 from aiohttp import web
 
-from wigeonreach.entry._attempt import Attempts, StateListener, ignore_state
+from wigeonreach.codes import ResultCode
+from wigeonreach.entry._attempt import (
+    Attempts,
+    StateListener,
+    TargetAnswer,
+    ignore_state,
+)
+from wigeonreach.entry._body_budget import BodyBudget
 from wigeonreach.entry._config import ConfigFollower
 from wigeonreach.entry._dispatch import Dispatcher
 from wigeonreach.entry._replies import (
@@ -16,12 +23,16 @@
     refusal_reply,
     target_reply,
 )
-from wigeonreach.entry._request_reading import read_request
+from wigeonreach.entry._request_reading import body_bound_bytes, read_request
 from wigeonreach.entry._routing import Router
 from wigeonreach.entry._settings import EntrySettings
 from wigeonreach.exceptions import AttemptFailedError, RequestRefusedError
 from wigeonreach.observe import Metrics
 
+# As many bodies of the largest size may be kept at once, or more smaller ones;
+# each takes up to three times its size while it is read and sent.
+_MAX_BODIES = 16
+
 
 class Proxy:
     """Serve callers' requests.
@@ -58,6 +69,7 @@
         self._rng = rng
         self._attempts = Attempts(on_state=on_state)
         self._dispatcher = Dispatcher(router, self._attempts, metrics, rng)
+        self._bodies = BodyBudget(_MAX_BODIES * settings.max_body_bytes)
 
     async def open(self) -> None:
         """Open the connections towards targets."""
@@ -92,14 +104,23 @@
         started_s: float,
     ) -> web.Response:
         try:
-            checked = await read_request(
-                request,
-                self._config.text,
-                self._settings.max_deadline_s,
-                started_s,
-            )
-            return target_reply(await self._dispatcher.run(checked))
+            answer = await self._run(request, started_s)
         except RequestRefusedError as refused:
             return refusal_reply(refused, self._rng)
         except AttemptFailedError as failed:
             return failure_reply(failed, self._rng)
+        return target_reply(answer)
+
+    async def _run(
+        self,
+        request: web.Request,
+        started_s: float,
+    ) -> TargetAnswer:
+        size_bytes = body_bound_bytes(request, self._settings.max_body_bytes)
+        if not self._bodies.take(size_bytes):
+            raise RequestRefusedError(ResultCode.REQUEST_BODIES_FULL, '')
+        try:
+            checked = await read_request(request, self._config.text, started_s)
+            return await self._dispatcher.run(checked)
+        finally:
+            self._bodies.give_back(size_bytes)
--- a/src/wigeonreach/entry/_request_reading.py
+++ b/src/wigeonreach/entry/_request_reading.py
@@ -5,7 +5,7 @@
 import asyncio
 
 import aiohttp
-from aiohttp import web
+from aiohttp import http_exceptions, web
 
 from wigeonreach.codes import ResultCode
 from wigeonreach.entry._request import CallerRequest
@@ -22,13 +22,18 @@
 _MAX_TEAM_CHARACTERS = 63
 _MS_PER_S = 1000
 _SERVICE_PREFIX_PARTS = 3
+_BROKEN_BODY_ERRORS = (
+    aiohttp.ClientError,
+    http_exceptions.HttpProcessingError,
+    web.RequestPayloadError,
+    OSError,
+)
 _OTHER_TEAMS = Team(name='', weight=1.0, quota_processors=0, urgent_ratio=0)
 
 
 async def read_request(
     request: web.Request,
     text: FleetText | None,
-    read_timeout_s: float,
     now_s: float,
 ) -> CallerRequest:
     """Return a caller's request once it is whole and valid.
@@ -39,8 +44,6 @@
         What the caller sends to ``/s/SERVICE/...``.
     text
         The text in force, if any.
-    read_timeout_s
-        How long the caller may take to send the body, in seconds.
     now_s
         Monotonic time at which the request's head was read, in seconds.
 
@@ -67,7 +70,7 @@
         method=request.method,
         path=_path_at_target(request),
         headers=_forwarded(request),
-        body=await _read_body(request, read_timeout_s),
+        body=await _read_body(request, due_s - now_s),
         team=team.name,
         weight=team.weight,
         is_urgent=urgent == '1',
@@ -104,6 +107,39 @@
     return min(int(asked) / _MS_PER_S, service.deadline_s)
 
 
+def body_bound_bytes(request: web.Request, max_bytes: int) -> int:
+    """Return the largest size that a request's body can have.
+
+    Parameters
+    ----------
+    request
+        What the caller sends.
+    max_bytes
+        Largest body that is allowed.
+
+    Returns
+    -------
+    int
+        The size that the caller declares, else the largest allowed.
+
+    Raises
+    ------
+    RequestRefusedError
+        If the caller declares more than is allowed.
+    """
+    if not request.body_exists:
+        return 0
+    declared = request.content_length
+    if declared is None:
+        return max_bytes
+    if declared > max_bytes:
+        raise RequestRefusedError(
+            ResultCode.REQUEST_TOO_LARGE,
+            f'allowed: {max_bytes} bytes',
+        )
+    return declared
+
+
 async def _read_body(request: web.Request, timeout_s: float) -> bytes:
     if not request.body_exists:
         return b''
@@ -118,9 +154,9 @@
     except TimeoutError:
         raise RequestRefusedError(
             ResultCode.REQUEST_BODY_INCOMPLETE,
-            f'allowed: the whole body within {timeout_s:g} s',
+            'allowed: the whole body within the deadline',
         ) from None
-    except (aiohttp.ClientError, web.HTTPException, OSError) as broken:
+    except _BROKEN_BODY_ERRORS as broken:
         raise RequestRefusedError(
             ResultCode.REQUEST_BODY_INCOMPLETE,
             type(broken).__name__,
--- a/src/wigeonreach/entry/_settings.py
+++ b/src/wigeonreach/entry/_settings.py
@@ -22,6 +22,7 @@
     max_deadline_s: float
     readiness_notice_s: float = 1.0
     contact_limit_s: float = CONTACT_LIMIT_S
+    head_timeout_s: float = 15.0
 
     @property
     def zone_peers(self) -> tuple[Member, ...]:
--- a/src/wigeonreach/observe/_events.py
+++ b/src/wigeonreach/observe/_events.py
@@ -26,6 +26,7 @@
     DRAIN_FINISHED = 208
     DRAIN_CUT_OFF = 209
     CONFIG_UNREADABLE = 221
+    REQUEST_FAULT = 210
 
     # 300: replicas.
     CHANGE_ACCEPTED = 301
