Place jobs on workers under leases, learning from what they use

Declared sizes are wrong by 0.2 to 5 times, so needs follow reports: up at once, down slowly. Workers are found by groups of powers of two of free room. A failure counts against a worker by how well the same image runs elsewhere, so a bad image can't empty a pool. A billing run that may have run is reported instead of being started again.

Before: nothing placed jobs.

--- a/src/wigeonreach/_codes.py
+++ b/src/wigeonreach/_codes.py
@@ -85,6 +85,9 @@
     STATE_UNKNOWN_RECORD = 3025
     STATE_BEHIND = 3026
 
+    # 4000: capacity and maintenance.
+    CHART_NO_TRANSITION = 4101
+
     # 5000: settings.
     SETTING_MISSING = 5001
     SETTING_INVALID = 5002
--- a/src/wigeonreach/exceptions.py
+++ b/src/wigeonreach/exceptions.py
@@ -93,3 +93,7 @@
 
 class PlatformError(WigeonreachError):
     """The platform refused, or its answer can't be trusted."""
+
+
+class ChartError(WigeonreachError):
+    """A state chart has no transition for what happened."""
--- /dev/null
+++ b/src/wigeonreach/fleet/_placement.py
@@ -0,0 +1,318 @@
+"""Place the jobs of pools on workers under leases."""
+
+from __future__ import annotations
+
+import functools
+import heapq
+from collections.abc import Iterable, Mapping
+
+from wigeonreach.fleet._learning import Learner
+from wigeonreach.fleet._placement_ends import TaskEnds
+from wigeonreach.fleet._placement_jobs import (
+    DONE_STATES,
+    JobEvent,
+    JobRecord,
+    JobState,
+)
+from wigeonreach.fleet._placement_model import (
+    Effect,
+    Event,
+    JobsCancelled,
+    JobSubmitted,
+    Reason,
+    StopTask,
+    TaskChanged,
+    TaskEnd,
+    Tick,
+    UsageReported,
+    WorkerDraining,
+    WorkerHeard,
+    WorkerJoined,
+    WorkerLost,
+)
+from wigeonreach.fleet._placement_pool import Closed
+from wigeonreach.fleet._placement_queue import Offer, PoolQueue
+from wigeonreach.fleet._quarantine import Quarantine
+
+LEASE_S = 30.0
+# A worker's clock may run late by this much before its lease is over.
+_CLOCK_MARGIN_S = 2.0
+
+
+class Placement:
+    """Decide which job runs where; nothing here does I/O.
+
+    Parameters
+    ----------
+    quotas
+        Processors by team.
+    first_token
+        Lease tokens rise from here; each holder of the right to place starts
+        above all earlier ones.
+    held_ratio
+        Part of each worker's processors that is held for urgent work.
+    """
+
+    def __init__(
+        self,
+        quotas: Mapping[str, float],
+        first_token: int = 1,
+        held_ratio: float = 0.0,
+    ) -> None:
+        """Start without workers and jobs."""
+        self._learner = Learner()
+        self._quarantine = Quarantine()
+        self._quotas = dict(quotas)
+        self._held_ratio = held_ratio
+        self._pools: dict[str, PoolQueue] = {}
+        self._pool_of_worker: dict[str, str] = {}
+        self._jobs: dict[str, JobRecord] = {}
+        self._ends = TaskEnds(self._jobs, self._quarantine)
+        self._uncertain: list[tuple[float, str, int]] = []
+        self._next_token = first_token
+
+    def job(self, job_id: str) -> JobRecord | None:
+        """Return what is known of a job."""
+        return self._jobs.get(job_id)
+
+    def pool(self, name: str) -> PoolQueue:
+        """Return a pool, with its workers and waiting jobs."""
+        found = self._pools.get(name)
+        if found is None:
+            found = PoolQueue(
+                self._jobs,
+                self._quotas,
+                self._held_ratio,
+                self._learner,
+                self._quarantine,
+            )
+            self._pools[name] = found
+        return found
+
+    def handle(self, event: Event, now_s: float) -> list[Effect]:
+        """Take one event in and return what is to be done, in this order."""
+        return list(self._on(event, now_s))
+
+    @functools.singledispatchmethod
+    def _on(self, event: Event, now_s: float) -> Iterable[Effect]:
+        raise NotImplementedError(type(event).__name__)
+
+    @_on.register
+    def _on_submitted(
+        self,
+        event: JobSubmitted,
+        now_s: float,
+    ) -> Iterable[Effect]:
+        job = event.job
+        if job.job_id in self._jobs:
+            return ()
+        record = JobRecord(job)
+        self._jobs[job.job_id] = record
+        pool = self.pool(job.pool)
+        if pool.never_fits(record):
+            return self._ends.set_aside(record, Reason.NEVER_FITS)
+        pool.enqueue(record)
+        return self._offer(pool, now_s)
+
+    @_on.register
+    def _on_cancelled(
+        self,
+        event: JobsCancelled,
+        now_s: float,
+    ) -> Iterable[Effect]:
+        effects: list[Effect] = []
+        for job_id in event.job_ids:
+            record = self._jobs.get(job_id)
+            if record is not None and record.allows(JobEvent.CANCEL):
+                effects.extend(self._cancel(record))
+        return effects
+
+    @_on.register
+    def _on_joined(
+        self,
+        event: WorkerJoined,
+        now_s: float,
+    ) -> Iterable[Effect]:
+        worker = event.worker
+        before = self._pool_with(worker.name)
+        pool = self.pool(worker.pool)
+        if before is not None and before is not pool:
+            if before.rooms.state(worker.name).tenants:
+                # It still is of its old pool until its last job has ended.
+                return self._on_draining(WorkerDraining(worker.name), now_s)
+            before.rooms.leave(worker.name)
+        self._pool_of_worker[worker.name] = worker.pool
+        self._quarantine.forget_worker(worker.pool, worker.name)
+        pool.rooms.join(worker)
+        pool.rooms.state(worker.name).heard_until_s = now_s + LEASE_S
+        return self._offer(pool, now_s)
+
+    @_on.register
+    def _on_heard(self, event: WorkerHeard, now_s: float) -> Iterable[Effect]:
+        pool = self._pool_with(event.name)
+        if pool is None:
+            return ()
+        state = pool.rooms.state(event.name)
+        state.heard_until_s = now_s + LEASE_S
+        if Closed.LOST not in state.closed:
+            return ()
+        pool.rooms.open(event.name, Closed.LOST)
+        return self._offer(pool, now_s)
+
+    @_on.register
+    def _on_draining(
+        self,
+        event: WorkerDraining,
+        now_s: float,
+    ) -> Iterable[Effect]:
+        pool = self._pool_with(event.name)
+        if pool is None:
+            return ()
+        pool.rooms.close(event.name, Closed.DRAINING)
+        tenants = tuple(pool.rooms.state(event.name).tenants.values())
+        return [
+            pool.maker.stop(self._jobs[tenant.job_id], Reason.DRAINED)
+            for tenant in tenants
+            if tenant.gives_way
+            and self._jobs[tenant.job_id].state is JobState.RUNNING
+        ]
+
+    @_on.register
+    def _on_lost(self, event: WorkerLost, now_s: float) -> Iterable[Effect]:
+        pool = self._pool_with(event.name)
+        if pool is None:
+            return ()
+        pool.rooms.close(event.name, Closed.LOST)
+        for job_id in tuple(pool.rooms.state(event.name).tenants):
+            self._lose(pool, self._jobs[job_id])
+        return ()
+
+    @_on.register
+    def _on_usage(
+        self,
+        event: UsageReported,
+        now_s: float,
+    ) -> Iterable[Effect]:
+        record = self._current(event.job_id, event.lease_token)
+        # A lagging report may still tell of the time before this start.
+        if record is None or event.measured_at_s < record.started_at_s:
+            return ()
+        need = self._learner.observe(record.job, event.used)
+        return self.pool(record.job.pool).resize(record, need)
+
+    @_on.register
+    def _on_task(self, event: TaskChanged, now_s: float) -> Iterable[Effect]:
+        record = self._current(event.job_id, event.lease_token)
+        if record is None or not record.allows(event.change):
+            return ()
+        record.step(event.change)
+        if event.change is TaskEnd.STARTED:
+            return ()
+        worker = record.worker
+        pool = self.pool(record.job.pool)
+        pool.release(record)
+        self._ends.judge(pool, record, worker, event.change, now_s)
+        effects = self._ends.settle(pool, record, worker)
+        effects.extend(self._offer(pool, now_s))
+        effects.extend(pool.maker.restore(worker))
+        return effects
+
+    @_on.register
+    def _on_tick(self, event: Tick, now_s: float) -> Iterable[Effect]:
+        effects: list[Effect] = []
+        while self._uncertain and self._uncertain[0][0] <= now_s:
+            _, job_id, token = heapq.heappop(self._uncertain)
+            effects.extend(self._lease_ended(job_id, token, now_s))
+        for name in self._quarantine.due_for_probe(now_s):
+            probed = self._pool_with(name)
+            if probed is not None:
+                probed.rooms.open(name, Closed.QUARANTINE)
+        for pool in self._pools.values():
+            effects.extend(self._offer(pool, now_s, is_thorough=True))
+        return effects
+
+    def _offer(
+        self,
+        pool: PoolQueue,
+        now_s: float,
+        *,
+        is_thorough: bool = False,
+    ) -> list[Effect]:
+        offer = Offer(
+            now_s,
+            now_s + LEASE_S,
+            self._next_token,
+            is_thorough,
+        )
+        pool.offer(offer)
+        self._next_token = offer.next_token
+        for record in offer.never_fitting:
+            offer.effects.extend(
+                self._ends.set_aside(record, Reason.NEVER_FITS),
+            )
+        return offer.effects
+
+    def _pool_with(self, worker: str) -> PoolQueue | None:
+        name = self._pool_of_worker.get(worker)
+        return None if name is None else self._pools[name]
+
+    def _current(self, job_id: str, lease_token: int) -> JobRecord | None:
+        record = self._jobs.get(job_id)
+        if record is None or record.lease_token != lease_token:
+            return None
+        return record
+
+    def _cancel(self, record: JobRecord) -> list[Effect]:
+        record.step(JobEvent.CANCEL)
+        pool = self.pool(record.job.pool)
+        if record.state is JobState.CANCELLED:
+            pool.dequeue(record)
+            pool.release(record)
+            return []
+        return [
+            StopTask(
+                record.job.job_id,
+                record.worker,
+                record.lease_token,
+                with_checkpoint=False,
+            ),
+        ]
+
+    def _lose(self, pool: PoolQueue, record: JobRecord) -> None:
+        if not record.allows(JobEvent.LOST):
+            return
+        record.step(JobEvent.LOST)
+        if record.state in DONE_STATES:
+            pool.release(record)
+            return
+        record.reason = Reason.WORKER_LOST
+        self._watch(record, self._lease_end_s(record))
+
+    def _lease_end_s(self, record: JobRecord) -> float:
+        rooms = self.pool(record.job.pool).rooms
+        heard_until_s = rooms.state(record.worker).heard_until_s
+        return max(heard_until_s, record.lease_ends_s) + _CLOCK_MARGIN_S
+
+    def _watch(self, record: JobRecord, ends_s: float) -> None:
+        entry = (ends_s, record.job.job_id, record.lease_token)
+        heapq.heappush(self._uncertain, entry)
+
+    def _lease_ended(
+        self,
+        job_id: str,
+        lease_token: int,
+        now_s: float,
+    ) -> list[Effect]:
+        record = self._current(job_id, lease_token)
+        if record is None or record.state is not JobState.UNCERTAIN:
+            return []
+        # The worker may have been heard again, which renewed the lease.
+        ends_s = self._lease_end_s(record)
+        if ends_s > now_s:
+            self._watch(record, ends_s)
+            return []
+        worker = record.worker
+        record.step(JobEvent.LEASE_ENDED)
+        pool = self.pool(record.job.pool)
+        pool.release(record)
+        return self._ends.settle(pool, record, worker)
--- /dev/null
+++ b/tests/builders_placement.py
@@ -0,0 +1,59 @@
+"""Build jobs, workers and placements with sensible defaults."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Any
+
+from wigeonreach.fleet._placement import Placement
+from wigeonreach.fleet._placement_model import (
+    Job,
+    JobSubmitted,
+    Room,
+    TaskChanged,
+    TaskEnd,
+    Worker,
+    WorkerJoined,
+)
+
+GIB = 1024.0**3
+_JOB = Job('job', 'team', 'image', 'pool', Room(4, 4 * GIB))
+_WORKER = Worker('vm-0', 'pool', 'a', 'a-0', Room(16, 32 * GIB))
+
+
+def build_job(job_id: str, processors: float = 4, **changes: Any) -> Job:
+    """Return a job that needs as many GiB as processors."""
+    declared = Room(processors, processors * GIB)
+    job = dataclasses.replace(_JOB, job_id=job_id, declared=declared)
+    return dataclasses.replace(job, **changes)
+
+
+def build_worker(number: int, **changes: Any) -> Worker:
+    """Return a worker with 16 processors."""
+    return dataclasses.replace(_WORKER, name=f'vm-{number}', **changes)
+
+
+def build_placement(workers: int, **settings: Any) -> Placement:
+    """Return a placement with some workers that joined at second 0."""
+    placement = Placement(settings.pop('quotas', {'team': 1000}), **settings)
+    for number in range(workers):
+        placement.handle(WorkerJoined(build_worker(number)), 0)
+    return placement
+
+
+def submit(placement: Placement, job: Job, now_s: float = 0) -> list[Any]:
+    """Submit a job and return the effects."""
+    return placement.handle(JobSubmitted(job), now_s)
+
+
+def tell(
+    placement: Placement,
+    job_id: str,
+    change: TaskEnd,
+    now_s: float = 0,
+) -> list[Any]:
+    """Tell of the present task of a job and return the effects."""
+    record = placement.job(job_id)
+    assert record is not None
+    event = TaskChanged(job_id, record.lease_token, change)
+    return placement.handle(event, now_s)
