--- a/src/wigeonreach/fleet/__init__.py
+++ b/src/wigeonreach/fleet/__init__.py
@@ -13,6 +13,12 @@
     offer,
     split,
 )
+from wigeonreach.fleet._buffer import (
+    BufferSize,
+    BufferWay,
+    FleetShape,
+    size_buffer,
+)
 from wigeonreach.fleet._inventory import Inventory
 from wigeonreach.fleet._model import (
     PoolNeed,
@@ -30,6 +36,7 @@
     UsageReport,
     VmChanged,
     VmWork,
+    WantSpare,
 )
 from wigeonreach.fleet._moves_planner import MovePlanner
 from wigeonreach.fleet._waves_chart import EffectKind, Phase, VmEvent
@@ -55,8 +62,11 @@
 __all__ = (
     'ALLOWED',
     'Budgets',
+    'BufferSize',
+    'BufferWay',
     'DrainProgress',
     'EffectKind',
+    'FleetShape',
     'Gate',
     'Inventory',
     'MoveCause',
@@ -84,6 +94,7 @@
     'VmReport',
     'VmState',
     'VmWork',
+    'WantSpare',
     'Wave',
     'WaveEffect',
     'WavePlanner',
@@ -98,6 +109,7 @@
     'merge_states',
     'offer',
     'pool_needs',
+    'size_buffer',
     'spare_slots',
     'split',
     'widest',
--- a/src/wigeonreach/fleet/_moves_damping.py
+++ b/src/wigeonreach/fleet/_moves_damping.py
@@ -24,6 +24,8 @@
         When it last got a VM.
     asks_again_s
         Until when no VM could be found for it.
+    wants_spare
+        Whether its maintenance waits for one VM more.
     """
 
     short_since_s: float | None = None
@@ -31,6 +33,7 @@
     used_slots: float = 0.0
     last_move_s: float = float('-inf')
     asks_again_s: float = 0.0
+    wants_spare: bool = False
 
     def note_short(self, now_s: float, *, is_short: bool) -> None:
         """Note whether the promise is missed."""
--- a/src/wigeonreach/fleet/_moves_model.py
+++ b/src/wigeonreach/fleet/_moves_model.py
@@ -56,6 +56,7 @@
     DEPTH = 'depth'
     PROMISE = 'promise'
     USAGE = 'usage'
+    MAINTENANCE = 'maintenance'
     SURPLUS = 'surplus'
 
 
@@ -93,6 +94,13 @@
     checkpointable: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class WantSpare:
+    """Maintenance of a pool waits for spare that it does not have."""
+
+    pool: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class MoveEnded:
     """A move that was asked for is done, or failed."""
--- a/src/wigeonreach/fleet/_moves_planner.py
+++ b/src/wigeonreach/fleet/_moves_planner.py
@@ -20,6 +20,7 @@
     UsageReport,
     VmChanged,
     VmWork,
+    WantSpare,
 )
 from wigeonreach.fleet._waves_model import Tick
 from wigeonreach.text import FailureDomain
@@ -29,7 +30,7 @@
 _RECORDS_KEPT = 1000
 _ASK_AGAIN_S = 10.0
 
-Message = UsageReport | VmChanged | VmWork | MoveEnded | Tick
+Message = UsageReport | VmChanged | VmWork | WantSpare | MoveEnded | Tick
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -122,6 +123,12 @@
     def _note_work(self, message: VmWork, now_s: float) -> None:
         self._work[message.vm] = message
 
+    @_take.register
+    def _want(self, message: WantSpare, now_s: float) -> None:
+        demand = self._demand.get(message.pool)
+        if demand is not None:
+            demand.wants_spare = True
+
     @_take.register
     def _ended(self, message: MoveEnded, now_s: float) -> None:
         record = self._end(message.vm)
@@ -163,6 +170,10 @@
         wanted = demand.used_slots / self._settings.used_ratio
         if have < wanted and demand.is_high(now_s, self._settings):
             return _Wish(pool, MoveCause.USAGE, have, wanted)
+        if demand.wants_spare:
+            demand.wants_spare = False
+            if not self._incoming[pool]:
+                return _Wish(pool, MoveCause.MAINTENANCE, have, need.slots)
         return None
 
     def _up_soon(self, pool: str) -> int:
--- a/src/wigeonreach/fleet/_waves_planner.py
+++ b/src/wigeonreach/fleet/_waves_planner.py
@@ -36,7 +36,7 @@
 # Zones and pools asked for a VM on one event; bounds what an event costs.
 _HEADS_PER_EVENT = 16
 _DAY_S = 86_400.0
-_OPEN_STATES = frozenset((WaveStatus.RUNNING, WaveStatus.PAUSED))
+_POOL_REFUSALS = frozenset((Refusal.DEPTH, Refusal.GUARD))
 
 
 class WavePlanner:
@@ -66,6 +66,7 @@
         self.waves: dict[str, Wave] = {}
         self.refusals: collections.Counter[Refusal] = collections.Counter()
         self.last_refusals: dict[str, Verdict] = {}
+        self._wanting: set[str] = set()
         self._inventory = inventory
         self._settings = settings or WaveSettings()
         self._maintenance = maintenance
@@ -116,6 +117,15 @@
         effects = self._take(message, now_s)
         return effects + self._grant(now_s)
 
+    def take_wanting(self) -> frozenset[str]:
+        """Return the pools that were refused for want of spare, once.
+
+        Another VM lent to such a pool lets its maintenance go on.
+        """
+        wanting = frozenset(self._wanting)
+        self._wanting.clear()
+        return wanting
+
     def is_busy(self, vm: str) -> bool:
         """Return whether some wave has a VM on its way."""
         return self._flights.wave_of(vm) is not None
@@ -266,6 +276,8 @@
         if verdict.refusal is not None:
             self.refusals[verdict.refusal] += 1
             self.last_refusals[wave.wave_id] = verdict
+            if verdict.refusal in _POOL_REFUSALS:
+                self._wanting.add(vm.pool)
             return []
         wave.queue.take(head)
         return self._flights.step(wave, vm, VmEvent.GRANTED, now_s)
