--- a/src/wigeonreach/fleet/_budget.py
+++ b/src/wigeonreach/fleet/_budget.py
@@ -52,6 +52,7 @@
 
 
 ALLOWED = Verdict()
+_POOL_REFUSALS = frozenset((Refusal.DEPTH, Refusal.GUARD))
 
 
 class Budgets:
@@ -69,18 +70,30 @@
     text
         The checked text in force.
     inventory
-        The VMs.  Call `observe` after each change of a VM of a pool.
+        The VMs; told which pools are only watched.  Call `observe` after
+        each change of a VM of a pool.
     """
 
     def __init__(self, text: FleetText, inventory: Inventory) -> None:
         """Take the needs of a text."""
-        self.needs = pool_needs(text)
-        self.clocks = ServiceClocks(text)
         self._inventory = inventory
-        managed = [need for need in self.needs.values() if not need.is_watched]
-        self._managed = managed
-        self._promised_slots = sum(need.slots for need in managed)
-        self._targets = [_target(managed, kind) for kind in FailureDomain]
+        self.clocks = ServiceClocks(text)
+        self._take(text)
+
+    def apply(self, text: FleetText, now_s: float) -> None:
+        """Take a new text; what was spent of budgets stays spent.
+
+        Parameters
+        ----------
+        text
+            The checked text in force from now on.
+        now_s
+            Time, in seconds.
+        """
+        self.clocks = ServiceClocks(text, self.clocks)
+        self._take(text)
+        for pool in self.needs:
+            self.observe(pool, now_s)
 
     def observe(self, pool: str, now_s: float) -> None:
         """Note the capacity of a pool from now on.
@@ -97,7 +110,7 @@
             self.clocks.observe(
                 need.services,
                 now_s,
-                is_lacking=self._inventory.up_slots(pool) < need.slots,
+                is_lacking=self._inventory.up_slots(pool) < need.guarded_slots,
             )
 
     def judge(
@@ -137,11 +150,30 @@
         reasons = self._reasons(vm, now_s, expected_s, may_spend=may_spend)
         return next(reasons, ALLOWED)
 
-    def judge_leaving(self, vm: Vm) -> Verdict:
+    def lacks_spare(self, vm: Vm, now_s: float, expected_s: float) -> bool:
+        """Return whether a VM lent to its pool would let this one go down.
+
+        It would not help where the fleet as a whole, the time of a budget or
+        a dependency refuses, or where the pool has a VM down already.
+        """
+        if self._inventory.held_slots(vm.pool):
+            return False
+        reasons = self._reasons(vm, now_s, expected_s, may_spend=True)
+        return all(reason.refusal in _POOL_REFUSALS for reason in reasons)
+
+    def judge_leaving(self, vm: Vm, *, is_emergency: bool) -> Verdict:
         """Decide whether a VM may leave its pool for another.
 
-        The fleet loses nothing by it, but the pool must keep its promise and
-        survive the largest guarded domain without the VM.
+        The fleet loses nothing by it, but the pool must keep its promise.
+
+        Parameters
+        ----------
+        vm
+            The VM as the inventory holds it.
+        is_emergency
+            Whether the other pool lacks what must be left after a loss.
+            Then work of this pool that can wait does so, and no second
+            loss is guarded against.
         """
         if self._inventory.is_watched(vm.pool):
             return Verdict(Refusal.WATCHED, vm.pool)
@@ -150,11 +182,25 @@
         need = self.needs.get(vm.pool)
         if need is None:
             return ALLOWED
+        kept = need.guarded_slots if is_emergency else need.slots
         left = self._inventory.up_slots(vm.pool) - vm.slots
-        if left < need.slots:
-            return Verdict(Refusal.DEPTH, vm.pool, left, need.slots)
+        if left < kept:
+            return Verdict(Refusal.DEPTH, vm.pool, left, kept)
+        if is_emergency:
+            return ALLOWED
         return next(self._pool_reasons(vm, need), ALLOWED)
 
+    def _take(self, text: FleetText) -> None:
+        self.needs = pool_needs(text)
+        self._managed = [
+            need for need in self.needs.values() if not need.is_watched
+        ]
+        self._promised_slots = sum(need.slots for need in self._managed)
+        self._targets = [_target(self._managed, kind) for kind in FailureDomain]
+        self._inventory.watch(
+            [need.pool for need in self.needs.values() if need.is_watched],
+        )
+
     def _reasons(
         self,
         vm: Vm,
@@ -262,6 +308,6 @@
 def _target(needs: Iterable[PoolNeed], kind: FailureDomain) -> _Target:
     guarded = [need for need in needs if need.guards(kind)]
     # Work that can wait gives way while the domain is lost.
-    slots = sum(need.slots - need.deferrable_slots for need in guarded)
+    slots = sum(need.guarded_slots for need in guarded)
     least_slots = sum(need.least_slots for need in guarded)
     return _Target(kind, slots, min(slots, least_slots))
--- a/src/wigeonreach/fleet/_budget_services.py
+++ b/src/wigeonreach/fleet/_budget_services.py
@@ -19,9 +19,15 @@
     ----------
     text
         The checked text in force.
+    before
+        The clocks of the text before; services keep what they have spent.
     """
 
-    def __init__(self, text: FleetText) -> None:
+    def __init__(
+        self,
+        text: FleetText,
+        before: ServiceClocks | None = None,
+    ) -> None:
         """Work out what each service needs, directly or not."""
         self._services = text.services
         self._needs = _closures(text)
@@ -31,8 +37,12 @@
         for name, needs in self._needs.items():
             for needed in needs:
                 self._dependents[needed].add(name)
-        self._lacking: set[str] = set()
-        self._clocks = {name: MissingClock() for name in text.services}
+        known = before.clocks if before else {}
+        self.clocks: dict[str, MissingClock] = {
+            name: known.get(name, MissingClock()) for name in text.services
+        }
+        lacking = before.lacking if before else set()
+        self.lacking: set[str] = lacking & text.services.keys()
 
     def observe(
         self,
@@ -43,33 +53,33 @@
     ) -> None:
         """Note whether services lack slots of their own from now on."""
         for name in services:
-            if is_lacking == (name in self._lacking):
+            if is_lacking == (name in self.lacking):
                 continue
             if is_lacking:
-                self._lacking.add(name)
+                self.lacking.add(name)
             else:
-                self._lacking.discard(name)
+                self.lacking.discard(name)
             self._turn(name, now_s)
 
     def is_lacking(self, service: str) -> bool:
         """Return whether the service's own slots are missing."""
-        return service in self._lacking
+        return service in self.lacking
 
     def missing_needs(self, services: Iterable[str]) -> Iterator[str]:
         """Yield what some services depend on and that lacks slots."""
         for name in services:
-            yield from sorted(self._lacking & self._needs[name])
+            yield from sorted(self.lacking & self._needs[name])
 
     def is_missing(self, service: str) -> bool:
         """Return whether the service or something it needs lacks slots."""
-        return service in self._lacking or bool(
-            self._lacking & self._needs[service],
+        return service in self.lacking or bool(
+            self.lacking & self._needs[service],
         )
 
     def left_s(self, service: str, now_s: float) -> float:
         """Return how long a service may still be missing, in seconds."""
         budget = self._services[service].budget
-        used_s = self._clocks[service].used_s(now_s, budget.window_s)
+        used_s = self.clocks[service].used_s(now_s, budget.window_s)
         return budget.missing_s - used_s
 
     def affected(self, services: Iterable[str]) -> Iterator[str]:
@@ -81,7 +91,7 @@
     def _turn(self, changed: str, now_s: float) -> None:
         for name in self.affected((changed,)):
             window_s = self._services[name].budget.window_s
-            self._clocks[name] = self._clocks[name].observed(
+            self.clocks[name] = self.clocks[name].observed(
                 now_s,
                 window_s,
                 is_missing=self.is_missing(name),
--- a/src/wigeonreach/fleet/_buffer.py
+++ b/src/wigeonreach/fleet/_buffer.py
@@ -154,7 +154,8 @@
     promised = sum(need.slots for need in pools)
     waiting = sum(need.deferrable_slots for need in pools)
     guarded = promised if way is BufferWay.SHARED else promised - waiting
-    for vms in itertools.count(own_vms):
+    # One VM must be there to be lent to pools whose VMs are maintained.
+    for vms in itertools.count(own_vms + 1):
         left = vms - shape.domain_vms(vms) - maintained
         up = vms - maintained
         has_guarded = left * shape.vm_slots >= guarded
--- a/src/wigeonreach/fleet/_inventory.py
+++ b/src/wigeonreach/fleet/_inventory.py
@@ -44,6 +44,17 @@
         for vm in vms:
             self.put(vm)
 
+    def watch(self, pools: Collection[str]) -> None:
+        """Only count the VMs of some pools; linear if that is a change."""
+        if self._watched == frozenset(pools):
+            return
+        vms = tuple(self._vms.values())
+        for gone in vms:
+            self.remove(gone.name)
+        self._watched = frozenset(pools)
+        for vm in vms:
+            self.put(vm)
+
     def __len__(self) -> int:
         """Return the number of VMs."""
         return len(self._vms)
--- a/src/wigeonreach/fleet/_model.py
+++ b/src/wigeonreach/fleet/_model.py
@@ -110,6 +110,11 @@
     guard: FailureDomain | None
     is_watched: bool
 
+    @property
+    def guarded_slots(self) -> float:
+        """What must be left while a domain is lost and some work waits."""
+        return self.slots - self.deferrable_slots
+
     def guards(self, kind: FailureDomain) -> bool:
         """Return whether the loss of one domain of this kind is guarded.
 
--- a/src/wigeonreach/fleet/_moves_damping.py
+++ b/src/wigeonreach/fleet/_moves_damping.py
@@ -24,8 +24,10 @@
         When it last got a VM.
     asks_again_s
         Until when no VM could be found for it.
-    wants_spare
-        Whether its maintenance waits for one VM more.
+    spare_zone
+        Where its maintenance waits for one VM more, or None.
+    keeps_spare
+        Whether what was lent to it helps its maintenance.
     """
 
     short_since_s: float | None = None
@@ -33,7 +35,8 @@
     used_slots: float = 0.0
     last_move_s: float = float('-inf')
     asks_again_s: float = 0.0
-    wants_spare: bool = False
+    spare_zone: str | None = None
+    keeps_spare: bool = True
 
     def note_short(self, now_s: float, *, is_short: bool) -> None:
         """Note whether the promise is missed."""
@@ -99,10 +102,10 @@
         )
         changes.append(now_s)
 
-    def is_settled(self, vm: str, now_s: float) -> bool:
-        """Return whether a VM has been in its pool for long enough."""
+    def is_settled(self, vm: str, now_s: float, stay_s: float) -> bool:
+        """Return whether a VM has been in its pool for so long."""
         moved_s = self._moved.get(vm)
-        return moved_s is None or now_s - moved_s >= self._settings.stay_s
+        return moved_s is None or now_s - moved_s >= stay_s
 
     def is_flapping(self, vm: str, now_s: float) -> bool:
         """Return whether a VM was lost too often of late."""
--- a/src/wigeonreach/fleet/_moves_model.py
+++ b/src/wigeonreach/fleet/_moves_model.py
@@ -22,6 +22,8 @@
         sooner moves nothing more.
     stay_s
         A VM stays in its pool at least so long.
+    lend_s
+        A VM lent for maintenance stays at least so long.
     flap_window_s, flap_changes
         A VM that was lost so often in this window is not moved.
     used_ratio
@@ -34,6 +36,7 @@
     hold_s: float = 600.0
     lag_s: float = 120.0
     stay_s: float = 3600.0
+    lend_s: float = 900.0
     flap_window_s: float = 3600.0
     flap_changes: int = 2
     used_ratio: float = 0.8
@@ -45,6 +48,7 @@
     hold_s=0.0,
     lag_s=0.0,
     stay_s=0.0,
+    lend_s=0.0,
     flap_window_s=0.0,
     returns_surplus=True,
 )
@@ -96,9 +100,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WantSpare:
-    """Maintenance of a pool waits for spare that it does not have."""
+    """Maintenance of a pool waits for spare that it does not have.
+
+    Attributes
+    ----------
+    zone
+        Where the VM stands that waits; spare in the same zone helps most.
+    """
 
     pool: str
+    zone: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/wigeonreach/fleet/_moves_planner.py
+++ b/src/wigeonreach/fleet/_moves_planner.py
@@ -6,7 +6,8 @@
 import dataclasses
 import functools
 import itertools
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
+from typing import Protocol
 
 from wigeonreach.fleet._budget import Budgets
 from wigeonreach.fleet._inventory import Inventory
@@ -39,6 +40,17 @@
     cause: MoveCause
     have_slots: float
     need_slots: float
+    zone: str = ''
+
+
+class Claims(Protocol):
+    """What waves have in hand."""
+
+    def is_busy(self, vm: str) -> bool:
+        """Return whether a VM is being maintained."""
+
+    def is_waiting(self, pool: str) -> bool:
+        """Return whether VMs of a pool wait for their maintenance."""
 
 
 class MovePlanner:
@@ -53,8 +65,8 @@
         The VMs and what pools must keep; changed with each move.
     settings
         How much moves are damped.
-    is_busy
-        Whether something else, such as a wave, has a VM in hand.
+    claims
+        What waves have in hand, if there are any.
     """
 
     def __init__(
@@ -62,7 +74,7 @@
         inventory: Inventory,
         budgets: Budgets,
         settings: MoveSettings | None = None,
-        is_busy: Callable[[str], bool] | None = None,
+        claims: Claims | None = None,
     ) -> None:
         """Start with no moves."""
         self.records: collections.deque[MoveRecord] = collections.deque(
@@ -71,9 +83,11 @@
         self._inventory = inventory
         self._budgets = budgets
         self._settings = settings or MoveSettings()
-        self._is_busy = is_busy
+        self._claims = claims
         self._history = VmHistory(self._settings)
-        self._demand = {pool: PoolDemand() for pool in budgets.needs}
+        self._demand: dict[str, PoolDemand] = collections.defaultdict(
+            PoolDemand,
+        )
         self._work: dict[str, VmWork] = {}
         self._moving: dict[str, MoveRecord] = {}
         self._incoming: collections.Counter[str] = collections.Counter()
@@ -108,10 +122,9 @@
 
     @_take.register
     def _usage(self, message: UsageReport, now_s: float) -> None:
-        demand = self._demand.get(message.pool)
-        if demand is not None:
-            up_slots = self._up_soon(message.pool)
-            demand.note_usage(message, up_slots, self._settings)
+        demand = self._demand[message.pool]
+        up_slots = self._up_soon(message.pool)
+        demand.note_usage(message, up_slots, self._settings)
 
     @_take.register
     def _changed(self, message: VmChanged, now_s: float) -> None:
@@ -125,9 +138,7 @@
 
     @_take.register
     def _want(self, message: WantSpare, now_s: float) -> None:
-        demand = self._demand.get(message.pool)
-        if demand is not None:
-            demand.wants_spare = True
+        self._demand[message.pool].spare_zone = message.zone
 
     @_take.register
     def _ended(self, message: MoveEnded, now_s: float) -> None:
@@ -144,7 +155,7 @@
         """Only time has passed."""
 
     def _plan(self, now_s: float) -> Iterator[MoveRecord]:
-        for pool in self._demand:
+        for pool in self._budgets.needs:
             wish = self._wish(pool, now_s)
             while wish is not None:
                 record = self._serve(wish, now_s)
@@ -170,11 +181,11 @@
         wanted = demand.used_slots / self._settings.used_ratio
         if have < wanted and demand.is_high(now_s, self._settings):
             return _Wish(pool, MoveCause.USAGE, have, wanted)
-        if demand.wants_spare:
-            demand.wants_spare = False
-            if not self._incoming[pool]:
-                return _Wish(pool, MoveCause.MAINTENANCE, have, need.slots)
-        return None
+        zone = demand.spare_zone
+        demand.spare_zone = None
+        if zone is None or self._incoming[pool]:
+            return None
+        return _Wish(pool, MoveCause.MAINTENANCE, have, need.slots, zone)
 
     def _up_soon(self, pool: str) -> int:
         """Count what is up, what comes back by itself and what is coming."""
@@ -187,38 +198,63 @@
         if not candidates:
             # Asking again on each event would cost much and change nothing.
             self._demand[wish.pool].asks_again_s = now_s + _ASK_AGAIN_S
+            self._demand[wish.pool].keeps_spare = False
             return None
-        best = min(candidates, key=functools.partial(self._cost, wish.pool))
+        best = min(candidates, key=functools.partial(self._cost, wish))
         return self._move(best, wish, len(candidates), now_s)
 
     def _candidates(self, wish: _Wish, now_s: float) -> Iterator[Vm]:
         for pool in self._budgets.needs:
-            if pool != wish.pool:
+            if pool != wish.pool and not self._keeps_spare(pool, wish.cause):
                 members = self._inventory.members(pool)
                 some = itertools.islice(members, _CANDIDATES_PER_POOL)
                 yield from (
                     vm for vm in some if self._may_move(vm, wish, now_s)
                 )
 
+    def _keeps_spare(self, pool: str, cause: MoveCause) -> bool:
+        """Return whether a pool keeps what was lent for its maintenance.
+
+        Otherwise pools would take the same VM from each other in turn.
+        """
+        if cause is not MoveCause.MAINTENANCE or self._claims is None:
+            return False
+        is_needed = self._budgets.needs[pool].slots > 0
+        has_use = self._demand[pool].keeps_spare
+        return is_needed and has_use and self._claims.is_waiting(pool)
+
     def _may_move(self, vm: Vm, wish: _Wish, now_s: float) -> bool:
-        if self._is_busy is not None and self._is_busy(vm.name):
+        if self._claims is not None and self._claims.is_busy(vm.name):
             return False
         if self._history.is_flapping(vm.name, now_s):
             return False
-        is_urgent = wish.cause is MoveCause.DEPTH
-        if not is_urgent and not self._history.is_settled(vm.name, now_s):
+        stay_s = self._stay_s(wish.cause)
+        if not self._history.is_settled(vm.name, now_s, stay_s):
             return False
         if wish.cause is MoveCause.USAGE:
             used = self._demand[vm.pool].used_slots / self._settings.used_ratio
             if self._inventory.up_slots(vm.pool) - vm.slots < used:
                 return False
-        return self._budgets.judge_leaving(vm).is_allowed
-
-    def _cost(self, pool: str, vm: Vm) -> tuple[int, int, int, str]:
-        """Rank by what is disturbed, then by spread over the zones."""
+        need = self._budgets.needs[wish.pool]
+        is_emergency = wish.have_slots < need.guarded_slots
+        verdict = self._budgets.judge_leaving(vm, is_emergency=is_emergency)
+        return verdict.is_allowed
+
+    def _stay_s(self, cause: MoveCause) -> float:
+        if cause is MoveCause.DEPTH:
+            return 0.0
+        if cause is MoveCause.MAINTENANCE:
+            return self._settings.lend_s
+        return self._settings.stay_s
+
+    def _cost(self, wish: _Wish, vm: Vm) -> tuple[int, int, int, int, str]:
+        """Rank by what is disturbed, then by need and spread over zones."""
         work = self._work.get(vm.name, VmWork(vm.name, 0, 0))
-        in_zone = self._inventory.up(pool, FailureDomain.ZONE).slots(vm.zone)
-        return work.in_flight, work.checkpointable, in_zone, vm.name
+        zones = self._inventory.up(wish.pool, FailureDomain.ZONE)
+        # Spare in the zone of a VM under maintenance takes its place there.
+        in_zone = -1 if vm.zone == wish.zone else zones.slots(vm.zone)
+        needed = self._budgets.needs[vm.pool].slots
+        return work.in_flight, work.checkpointable, needed, in_zone, vm.name
 
     def _move(
         self,
@@ -246,6 +282,7 @@
         self._outgoing[vm.pool] += vm.slots
         self._history.note_moved(vm.name, now_s)
         self._demand[wish.pool].note_move(now_s)
+        self._demand[wish.pool].keeps_spare = True
         self._home.setdefault(vm.name, vm.pool)
         self._put(vm, dataclasses.replace(vm, state=VmState.DRAINING), now_s)
         return record
@@ -268,6 +305,7 @@
             vm = self._inventory.find(name)
             if vm is None or vm.pool == home or name in self._moving:
                 continue
-            wish = _Wish(home, MoveCause.SURPLUS, 0, 0)
+            have = self._up_soon(home)
+            wish = _Wish(home, MoveCause.SURPLUS, have, have)
             if self._may_move(vm, wish, now_s):
                 yield self._move(vm, wish, 1, now_s)
--- a/src/wigeonreach/fleet/_waves_planner.py
+++ b/src/wigeonreach/fleet/_waves_planner.py
@@ -6,7 +6,7 @@
 import dataclasses
 import functools
 import itertools
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
 from wigeonreach.fleet._budget import ALLOWED, Budgets, Refusal, Verdict
 from wigeonreach.fleet._inventory import Inventory
@@ -36,7 +36,6 @@
 # Zones and pools asked for a VM on one event; bounds what an event costs.
 _HEADS_PER_EVENT = 16
 _DAY_S = 86_400.0
-_POOL_REFUSALS = frozenset((Refusal.DEPTH, Refusal.GUARD))
 
 
 class WavePlanner:
@@ -66,8 +65,9 @@
         self.waves: dict[str, Wave] = {}
         self.refusals: collections.Counter[Refusal] = collections.Counter()
         self.last_refusals: dict[str, Verdict] = {}
-        self._wanting: set[str] = set()
+        self._wanting: dict[str, str] = {}
         self._inventory = inventory
+        self._budgets = budgets
         self._settings = settings or WaveSettings()
         self._maintenance = maintenance
         self._gates: tuple[Gate, ...] = (budgets, *gates)
@@ -117,19 +117,28 @@
         effects = self._take(message, now_s)
         return effects + self._grant(now_s)
 
-    def take_wanting(self) -> frozenset[str]:
+    def take_wanting(self) -> Mapping[str, str]:
         """Return the pools that were refused for want of spare, once.
 
-        Another VM lent to such a pool lets its maintenance go on.
+        Another VM lent to such a pool lets its maintenance go on; best one
+        in the zone given by pool, where the VM stands that waits.
         """
-        wanting = frozenset(self._wanting)
-        self._wanting.clear()
+        wanting = self._wanting
+        self._wanting = {}
         return wanting
 
     def is_busy(self, vm: str) -> bool:
         """Return whether some wave has a VM on its way."""
         return self._flights.wave_of(vm) is not None
 
+    def is_waiting(self, pool: str) -> bool:
+        """Return whether some running wave has VMs of a pool waiting."""
+        return any(
+            wave.queue.is_waiting(pool)
+            for wave in self._open
+            if wave.status is WaveStatus.RUNNING
+        )
+
     @functools.singledispatchmethod
     def _take(self, message: Message, now_s: float) -> list[WaveEffect]:
         raise TypeError(message)
@@ -276,8 +285,8 @@
         if verdict.refusal is not None:
             self.refusals[verdict.refusal] += 1
             self.last_refusals[wave.wave_id] = verdict
-            if verdict.refusal in _POOL_REFUSALS:
-                self._wanting.add(vm.pool)
+            if self._budgets.lacks_spare(vm, now_s, self._settings.expected_s):
+                self._wanting[vm.pool] = vm.zone
             return []
         wave.queue.take(head)
         return self._flights.step(wave, vm, VmEvent.GRANTED, now_s)
--- a/src/wigeonreach/fleet/_waves_queue.py
+++ b/src/wigeonreach/fleet/_waves_queue.py
@@ -38,6 +38,7 @@
             key=lambda vm: (vm.zone, vm.pool, vm.rack, vm.name),
         )
         self._waiting: dict[tuple[str, str], collections.deque[str]] = {}
+        self._in_pool: collections.Counter[str] = collections.Counter()
         for vm in ordered:
             self.push(vm)
 
@@ -49,6 +50,11 @@
         """Let a VM wait behind the others of its zone and pool."""
         key = (vm.zone, vm.pool)
         self._waiting.setdefault(key, collections.deque()).append(vm.name)
+        self._in_pool[vm.pool] += 1
+
+    def is_waiting(self, pool: str) -> bool:
+        """Return whether some VM of a pool waits."""
+        return self._in_pool[pool] > 0
 
     def heads(self, most: int) -> Iterator[Head]:
         """Yield the first VM of some zones and pools.
@@ -71,6 +77,7 @@
         key = (head.zone, head.pool)
         names = self._waiting[key]
         names.popleft()
+        self._in_pool[head.pool] -= 1
         if not names:
             self._waiting.pop(key)
 
--- a/tests/fleet/test_budget.py
+++ b/tests/fleet/test_budget.py
@@ -91,8 +91,9 @@
 
     def test_watched(self) -> None:
         """A VM of a watched service is never touched."""
-        inventory = Inventory((build_vm(),), watched_pools=('desk',))
-        budgets = Budgets(build_fleet_text(), inventory)
+        watched = FLEET_TEXT.replace('= 40', '= 0\nmode = "watched"')
+        inventory = Inventory((build_vm(),))
+        budgets = Budgets(build_fleet_text(watched), inventory)
 
         verdict = budgets.judge(build_vm(), 0, _EXPECTED_S)
 
@@ -118,6 +119,17 @@
         later = budgets.judge(vm, 4000 + _DAY_S, 3600)
         self.assertThat(later.is_allowed, Equals(True))
 
+    def test_new_text(self) -> None:
+        """A new text takes over what its services have spent."""
+        text = build_fleet_text()
+        inventory = Inventory()
+        budgets = Budgets(text, inventory)
+        budgets.observe('desk', 0)
+
+        budgets.apply(build_fleet_text(), 600)
+
+        self.assertThat(budgets.clocks.left_s('desk', 600), Equals(3000))
+
     def test_dependency(self) -> None:
         """Nothing of a service goes down while what it needs is missing."""
         source = _TWO_POOLS.format(guard='vm', desk=8, hold=8, ratio=0.5)
