Check the agreement under random failures and mend what that found

A simulation drives three replicas over fake disks that lose what was not synced and a network that loses, doubles and reorders; it checks one leader a term, no acknowledged change lost, the same commands applied everywhere, reads that miss nothing and convergence once failures end.

--- a/src/wigeonreach/state/_storage.py
+++ b/src/wigeonreach/state/_storage.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
-import secrets
+import random
 from collections.abc import Sequence
 from typing import TypeVar
 
@@ -29,6 +29,8 @@
 _NEW = '.new'
 _FILES = frozenset((_HARD_STATE, _SNAPSHOT, _JOURNAL))
 _INCARNATION_BITS = 62
+_MARK_BITS = 32
+_SYSTEM_RANDOM = random.SystemRandom()
 _Item = TypeVar('_Item')
 
 
@@ -53,11 +55,18 @@
     ----------
     disk
         Its folder.
+    rng
+        Source of incarnations.
     """
 
-    def __init__(self, disk: Disk) -> None:
+    def __init__(
+        self,
+        disk: Disk,
+        rng: random.Random = _SYSTEM_RANDOM,
+    ) -> None:
         """Touch nothing yet."""
         self._disk = disk
+        self._rng = rng
         self.sync_count = 0
 
     def load(self) -> Stored:
@@ -77,14 +86,19 @@
         if hard is None:
             raise StateError(ResultCode.STATE_DAMAGED, 'hard-state: missing')
         snapshot = self._read_one(_SNAPSHOT, RecordKind.SNAPSHOT, Snapshot)
-        journal = self._load_journal()
+        journal = self._load_journal(hard)
         _check_covered(snapshot, journal)
+        log = journal.log
+        if snapshot is not None and not _reaches(log, snapshot):
+            # A crash came between the snapshot and the journal behind it.
+            log = RaftLog(snapshot.index, snapshot.term, snapshot.voters)
+            self._replace(_JOURNAL, encode_journal(log))
         snapshot_index = snapshot.index if snapshot else 0
         return Stored(
             hard,
             snapshot,
-            journal.log,
-            max(snapshot_index, journal.commit_index),
+            log,
+            max(snapshot_index, min(journal.commit_index, log.last_index)),
             journal.torn_bytes,
         )
 
@@ -93,7 +107,7 @@
 
         The new disk has no vote until a leader admits it, and never founds.
         """
-        mark = secrets.token_hex(4)
+        mark = format(self._rng.getrandbits(_MARK_BITS), 'x')
         for name in self._disk.names() & _FILES:
             self._disk.rename(name, f'damaged-{mark}-{name}')
         return self._create(may_found=False)
@@ -126,12 +140,11 @@
             self._sync(_JOURNAL)
 
     def _create(self, may_found: bool) -> Stored:
-        incarnation = secrets.randbits(_INCARNATION_BITS) + 1
+        incarnation = self._rng.getrandbits(_INCARNATION_BITS) + 1
         hard = HardState(incarnation, may_found)
         log = RaftLog()
-        self._replace(_JOURNAL, encode_journal(log))
-        # A folder counts as made once the hard state is there.
         self._replace(_HARD_STATE, _frame_hard(hard))
+        self._replace(_JOURNAL, encode_journal(log))
         return Stored(hard, None, log, 0)
 
     def _read_one(
@@ -147,7 +160,10 @@
             raise StateError(ResultCode.STATE_DAMAGED, f'{name}: incomplete')
         return msgspec.msgpack.decode(records[0].payload, type=item_type)
 
-    def _load_journal(self) -> JournalContent:
+    def _load_journal(self, hard: HardState) -> JournalContent:
+        if _JOURNAL not in self._disk.names() and hard.term == 0:
+            # Nothing is stored before the first term.
+            self._replace(_JOURNAL, encode_journal(RaftLog()))
         if _JOURNAL not in self._disk.names():
             raise StateError(ResultCode.STATE_DAMAGED, 'journal: missing')
         content = read_journal(self._disk.read(_JOURNAL), _JOURNAL)
@@ -211,6 +227,10 @@
     return later
 
 
+def _reaches(log: RaftLog, snapshot: Snapshot) -> bool:
+    return log.term_at(snapshot.index) == snapshot.term
+
+
 def _check_covered(
     snapshot: Snapshot | None,
     journal: JournalContent,
--- /dev/null
+++ b/tests/builders_raft.py
@@ -0,0 +1,327 @@
+"""Build replicas on fake disks and a network that loses and reorders."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+
+import msgspec
+
+from tests.builders_disk import CrashedError, FakeDisk
+from wigeonreach.state._raft import Raft
+from wigeonreach.state._raft_types import (
+    DiskDone,
+    Origin,
+    Outgoing,
+    Output,
+    Propose,
+    RaftEvent,
+    RaftSettings,
+    Read,
+    Received,
+    Role,
+    SnapshotTaken,
+    Tick,
+    Write,
+)
+from wigeonreach.state._storage import Storage, Stored
+from wigeonreach.wire._raft_messages import EntryKind, LogEntry, MemberId
+
+NAMES = ('a', 'b', 'c')
+_SETTINGS = RaftSettings(
+    batch_bytes=64,
+    window_entries=8,
+    chunk_bytes=48,
+    trailing_entries=2,
+)
+_MAX_IN_FLIGHT = 300
+_COMMANDS = msgspec.msgpack.Decoder(list[bytes])
+
+
+class BrokenPromiseError(AssertionError):
+    """Something happened that must never happen."""
+
+
+@dataclasses.dataclass(slots=True)
+class Node:
+    """One replica; ``raft`` is None while its process is down."""
+
+    name: str
+    disk: FakeDisk
+    storage: Storage
+    raft: Raft | None = None
+    writes: list[Write] = dataclasses.field(default_factory=list)
+    commands: list[bytes] = dataclasses.field(default_factory=list)
+    applied_index: int = 0
+    proposed: dict[int, tuple[int, bytes]] = dataclasses.field(
+        default_factory=dict,
+    )
+
+    def load(self) -> Stored:
+        """Read the disk at the start of the process."""
+        return self.storage.load()
+
+
+class Simulation:
+    """Three replicas of which anything may fail at any moment.
+
+    Parameters
+    ----------
+    seed
+        Source of all that the replicas and disks draw.
+    node_type
+        Type of the replicas; variants with a known fault are planted so.
+    """
+
+    def __init__(self, seed: int, node_type: type[Node] = Node) -> None:
+        """Begin with three empty disks."""
+        self.rng = random.Random(seed)
+        self.now_s = 0.0
+        self.in_flight: list[Outgoing] = []
+        self.history: dict[int, LogEntry] = {}
+        self.acknowledged: dict[int, bytes] = {}
+        self.leaders: dict[int, MemberId] = {}
+        self.reads: dict[int, int] = {}
+        self.done_reads = 0
+        self._serial = 0
+        self.nodes = {name: self._node(name, node_type) for name in NAMES}
+        for node in self.nodes.values():
+            self.start(node)
+
+    def start(self, node: Node) -> None:
+        """Start a replica's process, unless it runs."""
+        if node.raft is not None:
+            return
+        stored = node.load()
+        node.raft = Raft(
+            node.name,
+            NAMES,
+            stored,
+            _SETTINGS,
+            random.Random(self.rng.getrandbits(32)),
+        )
+        node.writes = []
+        node.proposed = {}
+        node.commands = []
+        node.applied_index = 0
+        if stored.snapshot is not None:
+            node.commands = _COMMANDS.decode(stored.snapshot.state)
+            node.applied_index = stored.snapshot.index
+        self.step(node, Tick())
+
+    def crash(self, node: Node) -> None:
+        """Kill a process; what was not synced is lost in part."""
+        node.raft = None
+        node.disk.crash(self.rng)
+
+    def can_lose_a_disk(self) -> bool:
+        """Whether every voter that counts still has its disk."""
+        voters = self._committed_voters()
+        present = {
+            node.raft.state.me for node in self.nodes.values() if node.raft
+        }
+        return len(voters) == len(NAMES) and present.issuperset(voters)
+
+    def lose_disk(self, node: Node) -> None:
+        """Kill a process and lose its whole folder."""
+        node.raft = None
+        node.disk.wipe()
+
+    def tick(self, node: Node, passed_s: float) -> None:
+        """Let time pass and one replica notice it."""
+        self.now_s += passed_s
+        self.step(node, Tick())
+
+    def deliver(self, chosen: int, is_kept: bool = False) -> None:
+        """Deliver one message under way, perhaps not for the last time."""
+        if not self.in_flight:
+            return
+        place = chosen % len(self.in_flight)
+        outgoing = self.in_flight[place]
+        if not is_kept:
+            self.in_flight.pop(place)
+        self.step(self.nodes[outgoing.target], Received(outgoing.message))
+
+    def lose_messages(self, share: float) -> None:
+        """Lose some of the messages under way."""
+        self.in_flight = [
+            outgoing
+            for outgoing in self.in_flight
+            if self.rng.random() >= share
+        ]
+
+    def write(self, node: Node, crash_after: int | None = None) -> None:
+        """Let a replica's disk work, perhaps until a crash."""
+        if node.raft is None or not node.writes:
+            return
+        node.disk.operations_left = crash_after
+        try:
+            node.storage.write(node.writes)
+        except CrashedError:
+            self.crash(node)
+            return
+        node.disk.operations_left = None
+        number = node.writes[-1].number
+        node.writes = []
+        self.step(node, DiskDone(number))
+
+    def leader_or(self, node: Node) -> Node:
+        """Return a replica that leads, or the given one if none does."""
+        leading = (
+            other
+            for other in self.nodes.values()
+            if other.raft is not None and other.raft.state.role is Role.LEADER
+        )
+        return next(leading, node)
+
+    def propose(self, node: Node) -> None:
+        """Ask a replica to store a new command."""
+        self._serial += 1
+        command = f'change-{self._serial}'.encode()
+        if node.raft is not None:
+            origin = Origin(node.raft.state.me, self._serial)
+            self.step(node, Propose(origin, command), command)
+
+    def read(self, node: Node) -> None:
+        """Ask a replica how far a reader must be."""
+        self._serial += 1
+        if node.raft is not None:
+            self.reads[self._serial] = max(self.acknowledged, default=0)
+            self.step(node, Read(Origin(node.raft.state.me, self._serial)))
+
+    def snapshot(self, node: Node) -> None:
+        """Let a replica trim its log behind what it applied."""
+        if node.raft is not None and node.applied_index:
+            state = msgspec.msgpack.encode(node.commands)
+            self.step(node, SnapshotTaken(node.applied_index, state))
+
+    def settle(self, rounds: int) -> None:
+        """Run without any failure for a while."""
+        for _ in range(rounds):
+            for node in self.nodes.values():
+                self.tick(node, 0.02)
+                self.write(node)
+            for _ in tuple(self.in_flight):
+                self.deliver(0)
+
+    def step(
+        self,
+        node: Node,
+        event: RaftEvent,
+        command: bytes = b'',
+    ) -> None:
+        """Hand an event to a replica and check what follows."""
+        if node.raft is None:
+            return
+        output = node.raft.step((event,), self.now_s)
+        node.writes.extend(output.writes)
+        self.in_flight.extend(output.messages)
+        self.in_flight = self.in_flight[-_MAX_IN_FLIGHT:]
+        for accepted in output.accepted:
+            node.proposed[accepted.index] = (accepted.term, command)
+        self._apply(node, output)
+        for read in output.reads:
+            self._check_read(read.origin.request_id, read.index)
+        self._check_leader(node)
+
+    def check_converged(self) -> None:
+        """Check that replicas without failures agree on everything."""
+        for node in self.nodes.values():
+            self.start(node)
+        self.settle(400)
+        last_index = max(self.history)
+        for node in self.nodes.values():
+            _expect(
+                node.applied_index == last_index,
+                f'{node.name} is at {node.applied_index} of {last_index}',
+            )
+        kept = set(self.nodes['a'].commands)
+        lost = set(self.acknowledged.values()).difference(kept)
+        _expect(not lost, f'lost: {lost}')
+
+    def _node(self, name: str, node_type: type[Node]) -> Node:
+        disk = FakeDisk()
+        rng = random.Random(self.rng.getrandbits(32))
+        return node_type(name, disk, Storage(disk, rng))
+
+    def _apply(self, node: Node, output: Output) -> None:
+        if output.restored is not None:
+            _expect(
+                output.restored.index >= node.applied_index,
+                f'{node.name} went back to {output.restored.index}',
+            )
+            node.commands = _COMMANDS.decode(output.restored.state)
+            node.applied_index = output.restored.index
+            self._check_commands(node)
+        for entry in output.committed:
+            self._apply_entry(node, entry)
+
+    def _apply_entry(self, node: Node, entry: LogEntry) -> None:
+        _expect(
+            entry.index == node.applied_index + 1,
+            f'{node.name} skips to {entry.index}',
+        )
+        known = self.history.setdefault(entry.index, entry)
+        _expect(known == entry, f'{node.name}: {entry} is not {known}')
+        node.applied_index = entry.index
+        if entry.kind is EntryKind.COMMAND:
+            node.commands.append(entry.command)
+        term, command = node.proposed.pop(entry.index, (0, b''))
+        if term == entry.term:
+            self.acknowledged[entry.index] = command
+
+    def _check_commands(self, node: Node) -> None:
+        expected = [
+            entry.command
+            for index, entry in sorted(self.history.items())
+            if index <= node.applied_index and entry.kind is EntryKind.COMMAND
+        ]
+        _expect(node.commands == expected, f'{node.name} restored another')
+
+    def _check_read(self, request_id: int, index: int) -> None:
+        self.done_reads += 1
+        _expect(index >= self.reads[request_id], 'a read missed a change')
+
+    def _check_leader(self, node: Node) -> None:
+        assert node.raft is not None
+        state = node.raft.state
+        if state.role is not Role.LEADER:
+            return
+        known = self.leaders.setdefault(state.hard.term, state.me)
+        _expect(
+            known == state.me,
+            f'{known} and {state.me} lead term {state.hard.term}',
+        )
+        for index, command in self.acknowledged.items():
+            self._check_held(node, index, command)
+
+    def _check_held(self, node: Node, index: int, command: bytes) -> None:
+        assert node.raft is not None
+        state = node.raft.state
+        # Only a leader of a later term has to have it.
+        entry = self.history[index]
+        log = state.log
+        if entry.term > state.hard.term or index <= log.base_index:
+            return
+        _expect(
+            log.term_at(index) == entry.term,
+            f'leader {state.me} of {state.hard.term} lacks {command!r}',
+        )
+
+    def _committed_voters(self) -> tuple[MemberId, ...]:
+        changes = [
+            entry
+            for _, entry in sorted(self.history.items())
+            if entry.kind is EntryKind.VOTERS
+        ]
+        if not changes:
+            return ()
+        return msgspec.msgpack.decode(
+            changes[-1].command,
+            type=tuple[MemberId, ...],
+        )
+
+
+def _expect(is_kept: bool, promise: str) -> None:
+    if not is_kept:
+        raise BrokenPromiseError(promise)
