--- a/src/wigeonreach/entry/_config_header.py
+++ b/src/wigeonreach/entry/_config_header.py
@@ -49,7 +49,7 @@
     response: web.StreamResponse,
 ) -> None:
     version = request.get(_VERSION_KEY)
-    if version is not None:
+    if version:
         response.headers[VERSION_HEADER] = str(version)
 
 
