--- a/src/wigeonreach/text/_reader.py
+++ b/src/wigeonreach/text/_reader.py
@@ -77,14 +77,17 @@
 
 def _merge(whole: dict[str, Any], table: Mapping[str, Any]) -> None:
     for key, inner in table.items():
-        known = whole.get(key)
-        if known is None:
+        if key in whole:
+            _merge_known(whole[key], inner, key)
+        else:
             # Tables are kept for the next text, so they are not grown here.
             whole[key] = _copied(inner)
-        elif isinstance(known, dict) and isinstance(inner, dict):
-            _merge(known, inner)
-        else:
-            raise tomllib.TOMLDecodeError(f'{key} stands twice')
+
+
+def _merge_known(known: Any, inner: Any, key: str) -> None:
+    if not isinstance(known, dict) or not isinstance(inner, dict):
+        raise tomllib.TOMLDecodeError(f'{key} stands twice')
+    _merge(known, inner)
 
 
 def _copied(inner: Any) -> Any:
