--- a/src/wigeonreach/text/_reader.py
+++ b/src/wigeonreach/text/_reader.py
@@ -77,11 +77,12 @@
 
 def _merge(whole: dict[str, Any], table: Mapping[str, Any]) -> None:
     for key, inner in table.items():
-        if key in whole:
-            _merge_known(whole[key], inner, key)
-        else:
+        known = whole.get(key)
+        if known is None:
             # Tables are kept for the next text, so they are not grown here.
             whole[key] = _copied(inner)
+        else:
+            _merge_known(known, inner, key)
 
 
 def _merge_known(known: Any, inner: Any, key: str) -> None:
