Run a request at most once under a key that an entry issued

POST /v1/keys/SERVICE hands out a key that names zone, owner, the owner's incarnation, number, expiry and service, under a code of the owner's secret and a checksum. Only that incarnation may dispatch it; others forward to it or say "unknown". A refusal under a key is final, since a copy of the request may still be on its way: a table that let a refused key run again was found out by the stateful test ("ran after not run").

Memory is bounded by the number of valid keys: what can not be remembered is not issued. Ruled out: one bound on the table alone, which would have to refuse, or forget, a key that it handed out.

--- a/src/wigeonreach/cli/_daemon_commands.py
+++ b/src/wigeonreach/cli/_daemon_commands.py
@@ -53,6 +53,14 @@
         float,
         typer.Option(envvar='WIGEONREACH_HEAD_TIMEOUT_S', min=0.1),
     ] = 15.0,
+    key_lifetime_s: Annotated[
+        float,
+        typer.Option(
+            envvar='WIGEONREACH_KEY_LIFETIME_S',
+            min=1,
+            help='How long a request may be sent again under its key.',
+        ),
+    ] = 300.0,
     log_format: options.Format = LogFormat.JSON,
     log_level: options.Level = 'info',
 ) -> None:
@@ -70,6 +78,7 @@
             readiness_notice_s=readiness_notice_s,
             contact_limit_s=contact_limit_s,
             head_timeout_s=head_timeout_s,
+            key_lifetime_s=key_lifetime_s,
         )
         configure_logs(log_format, log_level)
         logger = Logger(name)
--- a/src/wigeonreach/entry/_daemon.py
+++ b/src/wigeonreach/entry/_daemon.py
@@ -83,6 +83,8 @@
             self._router,
             self._metrics,
             random.Random(),  # noqa: S311 - choices of targets are no secret
+            self._peers,
+            self._lifecycle,
             self._spread.see,
         )
         self._runner: web.AppRunner | None = None
@@ -120,9 +122,9 @@
         await asyncio.sleep(self._settings.readiness_notice_s)
         self._lifecycle.take(Step.NOTICE_GIVEN)
         ends_s = time.monotonic() + self._settings.max_deadline_s
-        while self._gate.in_flight and time.monotonic() < ends_s:
+        while self._in_flight() and time.monotonic() < ends_s:
             await asyncio.sleep(_POLL_S)
-        cut_off = self._gate.in_flight
+        cut_off = self._in_flight()
         if cut_off:
             self._lifecycle.take(Step.BOUND_PASSED)
             self._log.warning(LogEvent.DRAIN_CUT_OFF, requests=cut_off)
@@ -144,6 +146,9 @@
             await self._runner.cleanup()
         await self._proxy.close()
 
+    def _in_flight(self) -> int:
+        return self._gate.in_flight + self._proxy.forwarded
+
     async def _learn(self) -> None:
         """Become ready once the peers have passed on what they know."""
         ends_s = time.monotonic() + _LEARN_BOUND_S
@@ -186,6 +191,10 @@
             gate=self._gate,
             metrics=self._metrics,
         ).add_to(application)
+        application.router.add_post(
+            '/v1/keys/{service}',
+            self._proxy.issue_key,
+        )
         application.router.add_route(
             '*',
             '/s/{service}/{tail:.*}',
--- a/src/wigeonreach/entry/_gate.py
+++ b/src/wigeonreach/entry/_gate.py
@@ -11,6 +11,7 @@
 from wigeonreach.codes import Outcome, ResultCode
 from wigeonreach.entry._lifecycle import Lifecycle, Phase
 from wigeonreach.entry._replies import error_reply
+from wigeonreach.entry._request_reading import KEY_HEADER
 from wigeonreach.observe import Metrics
 
 _WORK_PREFIX: Final = '/s/'
@@ -62,13 +63,16 @@
     ) -> web.StreamResponse:
         is_work = request.path.startswith(_WORK_PREFIX)
         if is_work and not self._lifecycle.takes_work:
-            return self._refuse()
+            return self._refuse(request)
         return await handler(request)
 
-    def _refuse(self) -> web.Response:
+    def _refuse(self, request: web.Request) -> web.Response:
         code = ResultCode.REQUEST_SHUTTING_DOWN
         self._metrics.count('answers', str(int(code)))
-        reply = error_reply(503, code, Outcome.NOT_RUN)
+        # Another copy of a request with a key may have run elsewhere.
+        has_key = KEY_HEADER in request.headers
+        outcome = Outcome.UNKNOWN if has_key else Outcome.NOT_RUN
+        reply = error_reply(503, code, outcome)
         # Another entry takes the request at once.
         reply.headers[_RETRY_AFTER] = '0'
         return reply
--- a/src/wigeonreach/entry/_proxy.py
+++ b/src/wigeonreach/entry/_proxy.py
@@ -11,19 +11,28 @@
 from wigeonreach.entry._attempt import (
     Attempts,
     StateListener,
-    TargetAnswer,
     ignore_state,
 )
 from wigeonreach.entry._body_budget import BodyBudget
 from wigeonreach.entry._config import ConfigFollower
 from wigeonreach.entry._dispatch import Dispatcher
+from wigeonreach.entry._keys_forward import KeyedRequests
+from wigeonreach.entry._keys_owner import KeyOwner
+from wigeonreach.entry._keys_replies import issued_reply, key_reply
+from wigeonreach.entry._lifecycle import Lifecycle
+from wigeonreach.entry._peers import PeerExchange
 from wigeonreach.entry._replies import (
     CODE_HEADER,
     failure_reply,
     refusal_reply,
     target_reply,
+    unknown_reply,
+)
+from wigeonreach.entry._request_reading import (
+    KEY_HEADER,
+    body_bound_bytes,
+    read_request,
 )
-from wigeonreach.entry._request_reading import body_bound_bytes, read_request
 from wigeonreach.entry._routing import Router
 from wigeonreach.entry._settings import EntrySettings
 from wigeonreach.exceptions import AttemptFailedError, RequestRefusedError
@@ -49,6 +58,10 @@
         Counters of each refusal.
     rng
         Source of random choices.
+    peers
+        Channels to the other entries.
+    lifecycle
+        Whether new work is taken.
     on_state
         Called with what a target says of itself in an answer.
     """
@@ -60,6 +73,8 @@
         router: Router,
         metrics: Metrics,
         rng: random.Random,
+        peers: PeerExchange,
+        lifecycle: Lifecycle,
         on_state: StateListener = ignore_state,
     ) -> None:
         """Keep what each request needs; no connection is opened yet."""
@@ -69,8 +84,23 @@
         self._rng = rng
         self._attempts = Attempts(on_state=on_state)
         self._dispatcher = Dispatcher(router, self._attempts, metrics, rng)
+        self._lifecycle = lifecycle
+        self._owner = KeyOwner(settings, self._dispatcher, metrics)
+        self._keyed = KeyedRequests(
+            settings.name,
+            self._owner,
+            peers,
+            config,
+            lifecycle,
+            metrics,
+        )
         self._bodies = BodyBudget(_MAX_BODIES * settings.max_body_bytes)
 
+    @property
+    def forwarded(self) -> int:
+        """How many requests of other entries are being answered."""
+        return self._keyed.in_flight
+
     async def open(self) -> None:
         """Open the connections towards targets."""
         await self._attempts.open()
@@ -98,29 +128,65 @@
         self._metrics.observe_s('answer', time.monotonic() - started_s)
         return reply
 
+    async def issue_key(self, request: web.Request) -> web.Response:
+        """Answer a request for a key.
+
+        Parameters
+        ----------
+        request
+            What the caller sent to ``/v1/keys/SERVICE``.
+
+        Returns
+        -------
+        aiohttp.web.Response
+            JSON with a key, or a refusal.
+        """
+        try:
+            key = self._issue(request.match_info['service'])
+        except RequestRefusedError as refused:
+            self._metrics.count('keys', refused.code.name.lower())
+            return refusal_reply(refused, self._rng)
+        return issued_reply(key)
+
+    def _issue(self, service: str) -> str:
+        text = self._config.text
+        if text is None:
+            raise RequestRefusedError(ResultCode.REQUEST_CONFIG_NOT_READY, '')
+        if service not in text.services:
+            raise RequestRefusedError(ResultCode.REQUEST_UNKNOWN_SERVICE, '')
+        if self._lifecycle.is_stopping:
+            # Its keys would end with this process.
+            raise RequestRefusedError(ResultCode.REQUEST_SHUTTING_DOWN, '')
+        return self._owner.issue(service)
+
     async def _answer(
         self,
         request: web.Request,
         started_s: float,
     ) -> web.Response:
         try:
-            answer = await self._run(request, started_s)
+            return await self._run(request, started_s)
         except RequestRefusedError as refused:
+            if KEY_HEADER in request.headers:
+                # Another copy of it may have run through another entry.
+                return unknown_reply(refused)
             return refusal_reply(refused, self._rng)
         except AttemptFailedError as failed:
             return failure_reply(failed, self._rng)
-        return target_reply(answer)
 
     async def _run(
         self,
         request: web.Request,
         started_s: float,
-    ) -> TargetAnswer:
+    ) -> web.Response:
         size_bytes = body_bound_bytes(request, self._settings.max_body_bytes)
         if not self._bodies.take(size_bytes):
             raise RequestRefusedError(ResultCode.REQUEST_BODIES_FULL, '')
         try:
             checked = await read_request(request, self._config.text, started_s)
-            return await self._dispatcher.run(checked)
+            if checked.key:
+                result = await self._keyed.answer(checked)
+                return key_reply(result, self._rng)
+            return target_reply(await self._dispatcher.run(checked))
         finally:
             self._bodies.give_back(size_bytes)
--- a/src/wigeonreach/entry/_replies.py
+++ b/src/wigeonreach/entry/_replies.py
@@ -26,6 +26,8 @@
         ResultCode.REQUEST_BAD_HEADER: 400,
         ResultCode.REQUEST_TOO_LARGE: 413,
         ResultCode.REQUEST_BODY_INCOMPLETE: 400,
+        ResultCode.REQUEST_KEY_INVALID: 400,
+        ResultCode.REQUEST_KEY_MISMATCH: 422,
     },
 )
 
@@ -127,6 +129,28 @@
     )
 
 
+def unknown_reply(refused: RequestRefusedError) -> web.Response:
+    """Build the answer to a refused copy of a request with a key.
+
+    Parameters
+    ----------
+    refused
+        Why this copy was refused.
+
+    Returns
+    -------
+    aiohttp.web.Response
+        An answer that says "unknown": only the owner of the key knows what
+        became of the other copies.
+    """
+    return error_reply(
+        _STATUS_BY_CODE.get(refused.code, _BUSY_STATUS),
+        refused.code,
+        Outcome.UNKNOWN,
+        refused.detail,
+    )
+
+
 def error_reply(
     status: int,
     code: ResultCode,
--- a/src/wigeonreach/entry/_request.py
+++ b/src/wigeonreach/entry/_request.py
@@ -30,5 +30,10 @@
 
     @property
     def is_idempotent(self) -> bool:
-        """Whether running it twice does no harm."""
+        """Whether running it twice does no harm.
+
+        A caller that sends a key asks for at most one run of any method.
+        """
+        if self.key:
+            return False
         return self.method in self.service.idempotent_methods
--- a/src/wigeonreach/entry/_settings.py
+++ b/src/wigeonreach/entry/_settings.py
@@ -23,6 +23,9 @@
     readiness_notice_s: float = 1.0
     contact_limit_s: float = CONTACT_LIMIT_S
     head_timeout_s: float = 15.0
+    key_lifetime_s: float = 300.0
+    max_keys: int = 100_000
+    max_key_answer_bytes: int = 16 * 1024 * 1024
 
     @property
     def zone_peers(self) -> tuple[Member, ...]:
--- a/src/wigeonreach/wire/_messages.py
+++ b/src/wigeonreach/wire/_messages.py
@@ -5,6 +5,7 @@
 from typing import TypeAlias
 
 from wigeonreach.wire._credit_messages import CreditMessage
+from wigeonreach.wire._keys_messages import ForwardReply, ForwardRequest
 from wigeonreach.wire._peer_messages import Goodbye, Heartbeat, PeerHello
 from wigeonreach.wire._raft_messages import AnyRaftMessage
 from wigeonreach.wire._rollout_messages import RolloutMessage
@@ -14,6 +15,8 @@
 Message: TypeAlias = (
     AnyRaftMessage
     | CreditMessage
+    | ForwardReply
+    | ForwardRequest
     | Goodbye
     | Heartbeat
     | PeerHello
