--- a/bench/fleet_baselines.py
+++ b/bench/fleet_baselines.py
@@ -57,7 +57,7 @@
     def _follow(self, message: Message) -> Sequence[WaveEffect]:
         if isinstance(message, DrainProgress):
             return (_effect(EffectKind.REBOOT, message.vm),)
-        if not isinstance(message, VmReport):
+        if not isinstance(message, VmReport) or message.vm not in self._active:
             return ()
         if message.event is VmEvent.REBOOTED:
             return (_effect(EffectKind.CHECK, message.vm),)
--- a/bench/fleet_events.py
+++ b/bench/fleet_events.py
@@ -96,6 +96,10 @@
             yield Event(at_s, Kind.USAGE, pool, round(slots * load, 1))
 
 
+def _plain_wave(user: User, rng: random.Random) -> Iterator[Event]:
+    yield Event(60, Kind.START)
+
+
 def _rack_in_wave(user: User, rng: random.Random) -> Iterator[Event]:
     yield Event(60, Kind.START)
     rack = rng.randrange(6)
@@ -138,6 +142,8 @@
 LISTS = MappingProxyType(
     {
         'day': _ordinary_day,
+        'plain-wave': _plain_wave,
+        'plain-wave': _plain_wave,
         'rack-in-wave': _rack_in_wave,
         'zone-lost': _zone_lost,
         'zone-cut': _zone_cut,
--- a/src/wigeonreach/fleet/_moves_model.py
+++ b/src/wigeonreach/fleet/_moves_model.py
@@ -138,6 +138,7 @@
     vm: str
     from_pool: str
     to_pool: str
+    slots: int
     cause: MoveCause
     have_slots: float
     need_slots: float
--- a/src/wigeonreach/fleet/_moves_planner.py
+++ b/src/wigeonreach/fleet/_moves_planner.py
@@ -5,13 +5,12 @@
 import collections
 import dataclasses
 import functools
-import itertools
 from collections.abc import Iterator
-from typing import Protocol
 
 from wigeonreach.fleet._budget import Budgets
 from wigeonreach.fleet._inventory import Inventory
 from wigeonreach.fleet._model import Vm, VmState
+from wigeonreach.fleet._moves_choice import Claims, MoveChoice, Wish
 from wigeonreach.fleet._moves_damping import PoolDemand, VmHistory
 from wigeonreach.fleet._moves_model import (
     MoveCause,
@@ -24,35 +23,13 @@
     WantSpare,
 )
 from wigeonreach.fleet._waves_model import Tick
-from wigeonreach.text import FailureDomain
 
-# VMs compared for one move; bounds what a decision costs.
-_CANDIDATES_PER_POOL = 32
 _RECORDS_KEPT = 1000
 _ASK_AGAIN_S = 10.0
 
 Message = UsageReport | VmChanged | VmWork | WantSpare | MoveEnded | Tick
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Wish:
-    pool: str
-    cause: MoveCause
-    have_slots: float
-    need_slots: float
-    zone: str = ''
-
-
-class Claims(Protocol):
-    """What waves have in hand."""
-
-    def is_busy(self, vm: str) -> bool:
-        """Return whether a VM is being maintained."""
-
-    def is_waiting(self, pool: str) -> bool:
-        """Return whether VMs of a pool wait for their maintenance."""
-
-
 class MovePlanner:
     """Decides which VM goes to which pool, and why.
 
@@ -83,12 +60,18 @@
         self._inventory = inventory
         self._budgets = budgets
         self._settings = settings or MoveSettings()
-        self._claims = claims
         self._history = VmHistory(self._settings)
         self._demand: dict[str, PoolDemand] = collections.defaultdict(
             PoolDemand,
         )
-        self._work: dict[str, VmWork] = {}
+        self._choice = MoveChoice(
+            inventory,
+            budgets,
+            self._settings,
+            claims,
+            self._history,
+            self._demand,
+        )
         self._moving: dict[str, MoveRecord] = {}
         self._incoming: collections.Counter[str] = collections.Counter()
         self._outgoing: collections.Counter[str] = collections.Counter()
@@ -134,7 +117,7 @@
 
     @_take.register
     def _note_work(self, message: VmWork, now_s: float) -> None:
-        self._work[message.vm] = message
+        self._choice.note_work(message)
 
     @_take.register
     def _want(self, message: WantSpare, now_s: float) -> None:
@@ -166,7 +149,7 @@
         if self._settings.returns_surplus:
             yield from self._return_surplus(now_s)
 
-    def _wish(self, pool: str, now_s: float) -> _Wish | None:
+    def _wish(self, pool: str, now_s: float) -> Wish | None:
         need = self._budgets.needs[pool]
         demand = self._demand[pool]
         have = self._up_soon(pool)
@@ -175,17 +158,17 @@
             return None
         if demand.short_since_s is not None:
             if have < need.least_slots:
-                return _Wish(pool, MoveCause.DEPTH, have, need.slots)
+                return Wish(pool, MoveCause.DEPTH, have, need.slots)
             if now_s - demand.short_since_s >= self._settings.grace_s:
-                return _Wish(pool, MoveCause.PROMISE, have, need.slots)
+                return Wish(pool, MoveCause.PROMISE, have, need.slots)
         wanted = demand.used_slots / self._settings.used_ratio
         if have < wanted and demand.is_high(now_s, self._settings):
-            return _Wish(pool, MoveCause.USAGE, have, wanted)
+            return Wish(pool, MoveCause.USAGE, have, wanted)
         zone = demand.spare_zone
         demand.spare_zone = None
         if zone is None or self._incoming[pool]:
             return None
-        return _Wish(pool, MoveCause.MAINTENANCE, have, need.slots, zone)
+        return Wish(pool, MoveCause.MAINTENANCE, have, need.slots, zone)
 
     def _up_soon(self, pool: str) -> int:
         """Count what is up, what comes back by itself and what is coming."""
@@ -193,82 +176,34 @@
         held = self._inventory.held_slots(pool)
         return self._inventory.up_slots(pool) + held + coming
 
-    def _serve(self, wish: _Wish, now_s: float) -> MoveRecord | None:
-        candidates = list(self._candidates(wish, now_s))
-        if not candidates:
-            # Asking again on each event would cost much and change nothing.
-            self._demand[wish.pool].asks_again_s = now_s + _ASK_AGAIN_S
-            self._demand[wish.pool].keeps_spare = False
+    def _serve(self, wish: Wish, now_s: float) -> MoveRecord | None:
+        candidates = list(self._choice.candidates(wish, now_s))
+        if candidates:
+            cost = functools.partial(self._choice.cost, wish)
+            best = min(candidates, key=cost)
+            return self._move(best, wish, len(candidates), now_s)
+        # Asking again on each event would cost much and change nothing.
+        self._demand[wish.pool].asks_again_s = now_s + _ASK_AGAIN_S
+        self._demand[wish.pool].keeps_spare = False
+        offer = next(self._choice.exchanges(wish, now_s), None)
+        if offer is None:
             return None
-        best = min(candidates, key=functools.partial(self._cost, wish))
-        return self._move(best, wish, len(candidates), now_s)
-
-    def _candidates(self, wish: _Wish, now_s: float) -> Iterator[Vm]:
-        for pool in self._budgets.needs:
-            if pool != wish.pool and not self._keeps_spare(pool, wish.cause):
-                members = self._inventory.members(pool)
-                some = itertools.islice(members, _CANDIDATES_PER_POOL)
-                yield from (
-                    vm for vm in some if self._may_move(vm, wish, now_s)
-                )
-
-    def _keeps_spare(self, pool: str, cause: MoveCause) -> bool:
-        """Return whether a pool keeps what was lent for its maintenance.
-
-        Otherwise pools would take the same VM from each other in turn.
-        """
-        if cause is not MoveCause.MAINTENANCE or self._claims is None:
-            return False
-        is_needed = self._budgets.needs[pool].slots > 0
-        has_use = self._demand[pool].keeps_spare
-        return is_needed and has_use and self._claims.is_waiting(pool)
-
-    def _may_move(self, vm: Vm, wish: _Wish, now_s: float) -> bool:
-        if self._claims is not None and self._claims.is_busy(vm.name):
-            return False
-        if self._history.is_flapping(vm.name, now_s):
-            return False
-        stay_s = self._stay_s(wish.cause)
-        if not self._history.is_settled(vm.name, now_s, stay_s):
-            return False
-        if wish.cause is MoveCause.USAGE:
-            used = self._demand[vm.pool].used_slots / self._settings.used_ratio
-            if self._inventory.up_slots(vm.pool) - vm.slots < used:
-                return False
-        need = self._budgets.needs[wish.pool]
-        is_emergency = wish.have_slots < need.guarded_slots
-        verdict = self._budgets.judge_leaving(vm, is_emergency=is_emergency)
-        return verdict.is_allowed
-
-    def _stay_s(self, cause: MoveCause) -> float:
-        if cause is MoveCause.DEPTH:
-            return 0.0
-        if cause is MoveCause.MAINTENANCE:
-            return self._settings.lend_s
-        return self._settings.stay_s
-
-    def _cost(self, wish: _Wish, vm: Vm) -> tuple[int, int, int, int, str]:
-        """Rank by what is disturbed, then by need and spread over zones."""
-        work = self._work.get(vm.name, VmWork(vm.name, 0, 0))
-        zones = self._inventory.up(wish.pool, FailureDomain.ZONE)
-        # Spare in the zone of a VM under maintenance takes its place there.
-        in_zone = -1 if vm.zone == wish.zone else zones.slots(vm.zone)
-        needed = self._budgets.needs[vm.pool].slots
-        return work.in_flight, work.checkpointable, needed, in_zone, vm.name
+        return self._move(offer.vm, offer.wish, 1, now_s)
 
     def _move(
         self,
         vm: Vm,
-        wish: _Wish,
+        wish: Wish,
         candidates: int,
         now_s: float,
     ) -> MoveRecord:
-        work = self._work.get(vm.name, VmWork(vm.name, 0, 0))
+        work = self._choice.work_of(vm)
         record = MoveRecord(
             at_s=now_s,
             vm=vm.name,
             from_pool=vm.pool,
             to_pool=wish.pool,
+            slots=vm.slots,
             cause=wish.cause,
             have_slots=wish.have_slots,
             need_slots=wish.need_slots,
@@ -289,10 +224,9 @@
 
     def _end(self, name: str) -> MoveRecord | None:
         record = self._moving.pop(name, None)
-        vm = self._inventory.find(name)
-        if record is not None and vm is not None:
-            self._incoming[record.to_pool] -= vm.slots
-            self._outgoing[record.from_pool] -= vm.slots
+        if record is not None:
+            self._incoming[record.to_pool] -= record.slots
+            self._outgoing[record.from_pool] -= record.slots
         return record
 
     def _put(self, before: Vm, after: Vm, now_s: float) -> None:
@@ -306,6 +240,6 @@
             if vm is None or vm.pool == home or name in self._moving:
                 continue
             have = self._up_soon(home)
-            wish = _Wish(home, MoveCause.SURPLUS, have, have)
-            if self._may_move(vm, wish, now_s):
+            wish = Wish(home, MoveCause.SURPLUS, have, have)
+            if self._choice.may_move(vm, wish, now_s):
                 yield self._move(vm, wish, 1, now_s)
