--- a/proofs/test_slots.py
+++ b/proofs/test_slots.py
@@ -22,6 +22,7 @@
 _SLOTS = 8
 _FIXED_SHARE = 4
 _RATE_PER_S = 60.0
+_FAR_RATE_PER_S = 40.0
 _ANNOUNCED_S = 2.0
 # Runs are long enough to span a failure, and all but never reach the bound
 # of the deadline and its grace.
@@ -43,6 +44,14 @@
     targets_per_service=2,
     service_time_s=_SERVICE_TIME_S,
 )
+_TWO_ZONES = Shape(
+    zones=('a', 'b'),
+    entries_per_zone=1,
+    services=('records',),
+    targets_per_service=1,
+    service_time_s=0.05,
+)
+_FOREIGN_CAP = 2
 _Disturb = Callable[[Cluster], Awaitable[None]]
 
 
@@ -101,9 +110,24 @@
         while_alone = [run for run in runs if began_s < run.at_s < ended_s]
         self.assertThat(_most_running(while_alone), GreaterThan(_FIXED_SHARE))
 
-    def _cluster(self, relay: Relay | None) -> Cluster:
+    def test_other_zone(self) -> None:
+        """A zone without targets is served by another, within the cap."""
+        cluster = self._cluster(None, _TWO_ZONES)
+
+        calls = asyncio.run(_drive_far(cluster))
+
+        answered = sum(call.is_answered for call in calls)
+        self.assertThat(answered, GreaterThan(len(calls) / 2))
+        runs = read_run_log(cluster.run_log)
+        self.assertThat(_most_running(runs), Equals(_FOREIGN_CAP))
+
+    def _cluster(
+        self,
+        relay: Relay | None,
+        shape: Shape = _SHAPE,
+    ) -> Cluster:
         shutil.rmtree(_FOLDER, ignore_errors=True)
-        cluster = Cluster(_SHAPE, _FOLDER, relay)
+        cluster = Cluster(shape, _FOLDER, relay)
         self.addCleanup(cluster.stop)
         return cluster
 
@@ -121,13 +145,7 @@
 
 
 async def _drive(cluster: Cluster, disturb: _Disturb) -> list[Call]:
-    cluster.start()
-    text = cluster.folder / 'fleet.toml'
-    text.write_text(_TEXT)
-    applied = cluster.command_line('apply', str(text))
-    assert applied.returncode == 0, applied.stderr
-    cluster.wait_until_ready()
-    await asyncio.sleep(_ANNOUNCED_S)
+    await _start(cluster)
     await _borrow(cluster)
     loads = [
         Load([entry], _SHAPE.services, _RATE_PER_S, seed)
@@ -142,6 +160,22 @@
     return [call for load in loads for call in load.calls]
 
 
+async def _drive_far(cluster: Cluster) -> list[Call]:
+    await _start(cluster)
+    far = [entry for entry in cluster.entries if entry.zone == 'b']
+    return await Load(far, _SHAPE.services, _FAR_RATE_PER_S).run(5)
+
+
+async def _start(cluster: Cluster) -> None:
+    cluster.start()
+    text = cluster.folder / 'fleet.toml'
+    text.write_text(_TEXT)
+    applied = cluster.command_line('apply', str(text))
+    assert applied.returncode == 0, applied.stderr
+    cluster.wait_until_ready()
+    await asyncio.sleep(_ANNOUNCED_S)
+
+
 async def _borrow(cluster: Cluster) -> None:
     # All callers use one entry, so that it holds loans when the rest begins.
     await Load(cluster.entries[:1], _SHAPE.services, _RATE_PER_S).run(3)
--- a/src/wigeonreach/entry/_credits_borrower.py
+++ b/src/wigeonreach/entry/_credits_borrower.py
@@ -55,22 +55,6 @@
         return now_s >= self.valid_until_s or now_s - self.used_s >= _IDLE_S
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Question:
-    """What a lender was asked for, and when."""
-
-    asked_s: float
-    services: frozenset[str]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Accepted:
-    """What came of a question: services with new loans, and those without."""
-
-    granted: frozenset[str] = frozenset()
-    refused: frozenset[str] = frozenset()
-
-
 class Borrower:
     """What this entry borrowed from others.
 
@@ -91,7 +75,7 @@
         self._zone = zone
         self._incarnation_ns = incarnation_ns
         self._sequence = 0
-        self._questions: dict[int, Question] = {}
+        self._asked_s: dict[int, float] = {}
         self._slots: dict[LoanKey, BorrowedSlot] = {}
         self._by_target: dict[TargetKey, list[BorrowedSlot]] = {}
         self._lenders: dict[str, int] = {}
@@ -119,10 +103,7 @@
         if not wishes and not renewals:
             return None
         self._sequence += 1
-        self._questions[self._sequence] = Question(
-            now_s,
-            frozenset(wish.service for wish in wishes),
-        )
+        self._asked_s[self._sequence] = now_s
         return SlotsAsked(
             borrower=self._name,
             zone=self._zone,
@@ -133,8 +114,8 @@
             renewals=renewals,
         )
 
-    def accept(self, lent: SlotsLent, now_s: float) -> Accepted:
-        """Take the answer of a lender.
+    def accept(self, lent: SlotsLent, now_s: float) -> frozenset[str]:
+        """Take the answer of a lender; return services with new loans.
 
         Parameters
         ----------
@@ -144,20 +125,19 @@
             Monotonic time of this process, in seconds.
         """
         if lent.borrower_incarnation_ns != self._incarnation_ns:
-            return Accepted()
-        question = self._questions.pop(lent.sequence, None)
-        if question is None:
-            return Accepted()
+            return frozenset()
+        asked_s = self._asked_s.pop(lent.sequence, None)
+        if asked_s is None:
+            return frozenset()
         self._lenders[lent.lender] = lent.lender_incarnation_ns
-        valid_until_s = question.asked_s + lent.lease_s
+        valid_until_s = asked_s + lent.lease_s
         for loan_id in lent.renewed:
             slot = self._slots.get(_key(lent, loan_id))
             if slot is not None:
                 slot.valid_until_s = max(slot.valid_until_s, valid_until_s)
         for loan in lent.loans:
             self._insert(_key(lent, loan.loan_id), loan, valid_until_s, now_s)
-        granted = frozenset(loan.record.service for loan in lent.loans)
-        return Accepted(granted, question.services - granted)
+        return frozenset(loan.record.service for loan in lent.loans)
 
     def free(self, key: TargetKey, now_s: float) -> Iterator[BorrowedSlot]:
         """Iterate over the slots of a target that may be filled now."""
@@ -222,10 +202,10 @@
 
     def _forget_questions(self, now_s: float) -> None:
         # An answer that comes after the lease it grants is worth nothing.
-        self._questions = {
-            sequence: question
-            for sequence, question in self._questions.items()
-            if now_s - question.asked_s < LEASE_S
+        self._asked_s = {
+            sequence: asked_s
+            for sequence, asked_s in self._asked_s.items()
+            if now_s - asked_s < LEASE_S
         }
 
 
--- a/src/wigeonreach/entry/_credits_daemon.py
+++ b/src/wigeonreach/entry/_credits_daemon.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable
-
 import mode
 
 from wigeonreach.entry._peers import PeerExchange
@@ -40,7 +38,6 @@
         self._router = router
         self._credits = router.credits
         self._peers = peers
-        self._listeners: list[Callable[[str], None]] = []
         peers.handle(SlotsAsked, self._on_asked)
         peers.handle(SlotsLent, self._on_lent)
         peers.handle(SlotsReturned, self._on_returned)
@@ -48,10 +45,6 @@
         peers.on_refused(self._credits.note_refused)
         peers.on_heard(self._credits.note_connected)
 
-    def on_slots(self, listener: Callable[[str], None]) -> None:
-        """Call a listener with each service that was lent new slots."""
-        self._listeners.append(listener)
-
     def note_announced(self, record: TargetRecord) -> None:
         """Learn what a target announced to this entry itself.
 
@@ -81,9 +74,7 @@
             self._peers.post(hello.process, lent)
 
     def _on_lent(self, _hello: PeerHello, lent: SlotsLent) -> None:
-        for service in self._credits.on_lent(lent, time.monotonic()):
-            for listener in self._listeners:
-                listener(service)
+        self._credits.on_lent(lent, time.monotonic())
 
     def _on_returned(self, _hello: PeerHello, returned: SlotsReturned) -> None:
         self._credits.on_returned(returned)
--- a/src/wigeonreach/entry/_credits_exchange.py
+++ b/src/wigeonreach/entry/_credits_exchange.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Iterator
 
 from wigeonreach.entry._credits import LEASE_S, Outgoing, Sharer
 from wigeonreach.entry._credits_borrower import Borrower
@@ -34,7 +34,7 @@
     membership
         The targets that may be given new work.
     rng
-        Chooses which other zone to ask.
+        Chooses which entry of another zone is asked first.
     work_bound_s
         Returns the longest run of a service, in seconds.
     """
@@ -49,7 +49,8 @@
         """Start with the own shares alone."""
         self._sharer = sharer
         self._membership = membership
-        self._rng = rng
+        # Entries start at different places, so as not to ask all the same one.
+        self._turn = rng.randrange(max(1, len(sharer.foreign_peers)))
         self._work_bound_s = work_bound_s
         self._lender = Lender(sharer, work_bound_s)
         self._borrower = Borrower(
@@ -169,12 +170,10 @@
             renewed=renewed,
         )
 
-    def on_lent(self, lent: SlotsLent, now_s: float) -> frozenset[str]:
-        """Take the answer of a lender; return services with new slots."""
-        accepted = self._borrower.accept(lent, now_s)
-        for service in accepted.refused:
-            self._demands.note_refused(service, lent.lender, now_s)
-        return accepted.granted
+    def on_lent(self, lent: SlotsLent, now_s: float) -> None:
+        """Take the answer of a lender."""
+        for service in self._borrower.accept(lent, now_s):
+            self._demands.note_granted(service, lent.lender)
 
     def on_returned(self, returned: SlotsReturned) -> None:
         """Take loans back that a borrower is done with."""
@@ -189,43 +188,55 @@
         """Return loans that are done with and ask for what is missing."""
         outgoing = list(self._borrower.collect_returns(now_s))
         unmet = self._demands.take_unmet()
-        abroad = self._lender_abroad()
+        short = self._short_in_zone(unmet, now_s)
         for peer in self._sharer.zone_peers:
-            wishes = self._wishes(peer, unmet, now_s)
-            outgoing.extend(self._ask(peer, wishes, now_s))
+            outgoing.extend(self._ask(peer, unmet, now_s))
+        abroad = self._lender_abroad() if short else None
         for foreign in self._sharer.foreign_peers:
-            wishes = ()
-            if foreign == abroad:
-                short = self._short_in_zone(unmet, now_s)
-                wishes = self._wishes(foreign, short, now_s)
-            outgoing.extend(self._ask(foreign, wishes, now_s))
+            wanted = short if foreign == abroad else {}
+            outgoing.extend(self._ask(foreign, wanted, now_s))
         return outgoing
 
-    def _ask(
-        self,
-        lender: str,
-        wishes: Sequence[SlotWish],
-        now_s: float,
-    ) -> Iterator[Outgoing]:
-        asked = self._borrower.ask(lender, tuple(wishes), now_s)
-        if asked is not None:
-            yield Outgoing(lender, asked)
+    def may_spill(self, service: str, now_s: float) -> bool:
+        """Whether another zone may still lend slots of a service.
+
+        Parameters
+        ----------
+        service
+            Name of the service.
+        now_s
+            Monotonic time of this process, in seconds.
+        """
+        return any(
+            self._demands.may_ask_far(service, foreign, now_s)
+            for foreign in self._sharer.foreign_peers
+        )
 
-    def _wishes(
+    def _ask(
         self,
         lender: str,
         unmet: dict[str, int],
         now_s: float,
-    ) -> tuple[SlotWish, ...]:
-        return tuple(
+    ) -> Iterator[Outgoing]:
+        wishes = tuple(
             SlotWish(
                 service,
                 min(count, _MOST_WISHED),
                 self._work_bound_s(service),
             )
             for service, count in unmet.items()
-            if self._demands.may_ask(service, lender, now_s)
+            if self._may_ask(service, lender, now_s)
         )
+        for wish in wishes:
+            self._demands.note_asked(wish.service, lender, now_s)
+        asked = self._borrower.ask(lender, wishes, now_s)
+        if asked is not None:
+            yield Outgoing(lender, asked)
+
+    def _may_ask(self, service: str, lender: str, now_s: float) -> bool:
+        if lender in self._sharer.zone_peers:
+            return self._demands.may_ask(service, lender, now_s)
+        return self._demands.may_ask_far(service, lender, now_s)
 
     def _short_in_zone(
         self,
@@ -242,9 +253,11 @@
         }
 
     def _lender_abroad(self) -> str | None:
-        if not self._sharer.foreign_peers:
+        peers = self._sharer.foreign_peers
+        if not peers:
             return None
-        return self._rng.choice(self._sharer.foreign_peers)
+        self._turn += 1
+        return peers[self._turn % len(peers)]
 
     def _lend(
         self,
--- a/src/wigeonreach/entry/_demand.py
+++ b/src/wigeonreach/entry/_demand.py
@@ -6,25 +6,29 @@
 import dataclasses
 
 _PRESSURE_S = 1.0
-_REFUSED_PAUSE_S = 0.25
+_NEAR_PAUSE_S = 0.25
+_FAR_PAUSE_S = 1.0
+_NEVER_S = float('-inf')
 
 
 @dataclasses.dataclass(slots=True)
 class Demand:
-    """What was asked of one service lately."""
+    """What was asked of one service lately.
+
+    ``in_vain_s`` tells by lender when it was asked and has lent nothing since.
+    """
 
     unmet: int = 0
-    unmet_s: float = float('-inf')
-    refused_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    unmet_s: float = _NEVER_S
+    in_vain_s: dict[str, float] = dataclasses.field(default_factory=dict)
 
     def is_pressed(self, now_s: float) -> bool:
         """Whether a request found no slot a short time ago."""
         return now_s - self.unmet_s < _PRESSURE_S
 
-    def may_ask(self, lender: str, now_s: float) -> bool:
-        """Whether a lender that had nothing may be asked again."""
-        refused_s = self.refused_s.get(lender, float('-inf'))
-        return now_s - refused_s >= _REFUSED_PAUSE_S
+    def in_vain_for_s(self, lender: str, now_s: float) -> float:
+        """Return how long ago a lender was asked that lent nothing since."""
+        return now_s - self.in_vain_s.get(lender, _NEVER_S)
 
 
 class Demands:
@@ -59,9 +63,19 @@
         return unmet
 
     def may_ask(self, service: str, lender: str, now_s: float) -> bool:
-        """Whether a lender may be asked for slots of a service now."""
-        return self._demands[service].may_ask(lender, now_s)
-
-    def note_refused(self, service: str, lender: str, now_s: float) -> None:
-        """Learn that a lender had no slot of a service to lend."""
-        self._demands[service].refused_s[lender] = now_s
+        """Whether a lender of this zone may be asked for slots now."""
+        asked_s = self._demands[service].in_vain_for_s(lender, now_s)
+        return asked_s >= _NEAR_PAUSE_S
+
+    def may_ask_far(self, service: str, lender: str, now_s: float) -> bool:
+        """Whether a lender of another zone may be asked for slots now."""
+        asked_s = self._demands[service].in_vain_for_s(lender, now_s)
+        return asked_s >= _FAR_PAUSE_S
+
+    def note_asked(self, service: str, lender: str, now_s: float) -> None:
+        """Learn that a lender was asked; it may be gone and never answer."""
+        self._demands[service].in_vain_s[lender] = now_s
+
+    def note_granted(self, service: str, lender: str) -> None:
+        """Learn that a lender lent something."""
+        self._demands[service].in_vain_s.pop(lender, None)
--- a/src/wigeonreach/entry/_ejection.py
+++ b/src/wigeonreach/entry/_ejection.py
@@ -11,6 +11,7 @@
 _FAILED_RATIO = 0.5
 _FAILED_RATIO_AFTER = 20
 _SMOOTHING = 0.1
+_NEGLIGIBLE_RATIO = 0.05
 _FIRST_BACKOFF_S = 1.0
 _LONGEST_BACKOFF_S = 30.0
 _PROBES_PASSED = 3
@@ -26,20 +27,18 @@
     failures_in_a_row: int = 0
     successes_in_a_row: int = 0
     failed_ratio: float = 0
-    service_s: float = 0
+    failed_s: float = 0
     ejections: int = 0
     ejected_s: float | None = None
     probe_from_s: float = 0
 
-    def record(self, ending: Ending, took_s: float, now_s: float) -> None:
+    def record(self, ending: Ending, now_s: float) -> None:
         """Learn how one attempt ended.
 
         Parameters
         ----------
         ending
             How it ended.
-        took_s
-            How long it took, in seconds.
         now_s
             Monotonic time of this process, in seconds.
         """
@@ -47,24 +46,32 @@
             return
         self.attempts += 1
         if ending is Ending.ANSWERED:
-            self._succeed(took_s)
+            self._succeed()
         else:
             self._fail(now_s)
 
-    def _succeed(self, took_s: float) -> None:
+    def recent_failed_ratio(self, now_s: float) -> float:
+        """Return the share of failures, which fades while nothing is tried.
+
+        Without that a target that failed once would get nothing for as long
+        as another is idle, and so no chance to do better.
+        """
+        if not self.failed_ratio:
+            return 0
+        faded = self.failed_ratio * 0.5 ** (now_s - self.failed_s)
+        return faded if faded > _NEGLIGIBLE_RATIO else 0
+
+    def _succeed(self) -> None:
         self.failures_in_a_row = 0
         self.successes_in_a_row += 1
         self.failed_ratio -= _SMOOTHING * self.failed_ratio
-        if self.service_s:
-            self.service_s += _SMOOTHING * (took_s - self.service_s)
-        else:
-            self.service_s = took_s
         if self.successes_in_a_row >= _PROBES_PASSED:
             self.ejected_s = None
         if self.successes_in_a_row >= _FORGIVEN_AFTER:
             self.ejections = 0
 
     def _fail(self, now_s: float) -> None:
+        self.failed_s = now_s
         self.failures_in_a_row += 1
         self.successes_in_a_row = 0
         self.failed_ratio += _SMOOTHING * (1 - self.failed_ratio)
--- a/src/wigeonreach/entry/_routing.py
+++ b/src/wigeonreach/entry/_routing.py
@@ -9,7 +9,7 @@
 
 from wigeonreach.entry._credits import Outgoing, Sharer
 from wigeonreach.entry._credits_exchange import CreditExchange
-from wigeonreach.entry._ejection import Ejector, Health, Judgement
+from wigeonreach.entry._ejection import Ejector, Judgement
 from wigeonreach.entry._membership import Membership
 from wigeonreach.entry._slots import (
     Ending,
@@ -24,23 +24,19 @@
 
 _SMOOTHING = 0.05
 _FAILURE_WEIGHT = 4
-_UNKNOWN_SERVICE_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Candidate:
     record: TargetRecord
     key: TargetKey
-    health: Health
     in_flight: int
-    usual_s: float
+    failed_ratio: float
 
     @property
-    def expected_s(self) -> float:
-        """Time until one more request would be done, as far as is known."""
-        waiting = self.in_flight + 1
-        failing = 1 + _FAILURE_WEIGHT * self.health.failed_ratio
-        return waiting * failing * (self.health.service_s or self.usual_s)
+    def cost(self) -> float:
+        """What is in flight, weighed by how often attempts failed there."""
+        return (self.in_flight + 1) * (1 + _FAILURE_WEIGHT * self.failed_ratio)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -135,17 +131,14 @@
             free_from_s = slot.acquired_s + self._work_bound_s(slot.service)
         taken.source.give_back(free_from_s)
         took_s = now_s - slot.acquired_s
-        self._ejector.health(taken.key).record(ending, took_s, now_s)
+        self._ejector.health(taken.key).record(ending, now_s)
         if ending is Ending.ANSWERED:
             self._learn_service_time(slot.service, took_s)
 
     def is_served(self, service: str, now_s: float) -> bool:
-        """Whether any target of a service may be given new work."""
-        return any(
-            True
-            for records in self._by_distance(service, now_s)
-            for _ in records
-        )
+        """Whether any target of a service may be given new work, or lent."""
+        is_known = any(self._by_distance(service, now_s))
+        return is_known or self.credits.may_spill(service, now_s)
 
     def usable_slots(self, service: str, now_s: float) -> int:
         """Return how many slots of a service this entry may fill in all."""
@@ -222,9 +215,9 @@
         # flight at once, so that bounding these bounds the connections too.
         candidates = self._candidates(records, exclude, now_s)
         while candidates:
-            least_s = min(one.expected_s for one in candidates)
+            least = min(one.cost for one in candidates)
             chosen = self._rng.choice(
-                [one for one in candidates if one.expected_s == least_s],
+                [one for one in candidates if one.cost == least],
             )
             source = self.credits.take(chosen.record, now_s)
             if source is not None:
@@ -244,9 +237,8 @@
             _Candidate(
                 record,
                 key,
-                self._ejector.health(key),
                 self._in_flight.get(key, 0),
-                self._service_s.get(record.service, _UNKNOWN_SERVICE_S),
+                self._ejector.health(key).recent_failed_ratio(now_s),
             )
             for record, key in zip(records, keys, strict=True)
             if record.target_id not in exclude
--- a/src/wigeonreach/entry/_slot_queue.py
+++ b/src/wigeonreach/entry/_slot_queue.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import math
 import random
 import time
 
@@ -178,6 +179,9 @@
         for ticket in self._queue.remove_due(now_s + needed_s):
             self._refuse(ticket, ResultCode.REQUEST_DEADLINE_PASSED)
         self._hand_out(now_s)
+        if not self._router.is_served(self._service, now_s):
+            for left_over in self._queue.remove_due(math.inf):
+                self._refuse(left_over, ResultCode.REQUEST_NO_TARGET)
         self._check_later()
 
     def _refuse(self, ticket: Ticket, code: ResultCode) -> None:
--- a/tests/entry/test_credits.py
+++ b/tests/entry/test_credits.py
@@ -289,3 +289,14 @@
 
         self.assertThat(empty.in_flight_at('records-0'), Equals(2))
         self.assertThat(acquire_all(full, 0.9), HasLength(6))
+
+    def test_nobody_serves(self) -> None:
+        """A service is given up for a while once every zone lent nothing."""
+        router = build_router('a0', [], ['b0', 'c0'])
+
+        self.assertTrue(router.is_served('other', 0))
+        for tenth in range(4):
+            router.acquire('other', tenth / 10)
+            router.tick(tenth / 10)
+        self.assertFalse(router.is_served('other', 0.4))
+        self.assertTrue(router.is_served('other', 2))
--- a/tests/entry/test_routing.py
+++ b/tests/entry/test_routing.py
@@ -25,16 +25,25 @@
     return build_router('a0', [], membership=build_membership(*records))
 
 
-def _fail(router: Router, bad: set[str], now_s: float, times: int = 200) -> int:
-    # Returns how many attempts went to the bad targets.
+def _everyone() -> set[str]:
+    return {f'records-{number}' for number in range(_TARGETS)}
+
+
+def _attempt_at(
+    router: Router,
+    target_id: str,
+    ending: Ending,
+    now_s: float,
+    times: int = 200,
+) -> int:
+    # Returns how many attempts the router let go to the target.
     went = 0
     for _ in range(times):
-        slot = router.acquire('records', now_s)
-        assert slot is not None
-        is_bad = slot.target_id in bad
-        went += is_bad
-        ending = Ending.FAILED if is_bad else Ending.ANSWERED
-        router.release(slot, ending, now_s)
+        others = _everyone() - {target_id}
+        slot = router.acquire('records', now_s, exclude=others)
+        if slot is not None:
+            went += 1
+            router.release(slot, ending, now_s)
     return went
 
 
@@ -101,17 +110,18 @@
         """A target that fails everything fast gets a handful of requests."""
         router = _alone()
 
-        self.assertThat(_fail(router, {'records-0'}, 0), Equals(5))
+        went = _attempt_at(router, 'records-0', Ending.FAILED, 0)
+        self.assertThat(went, Equals(5))
 
     def test_probe(self) -> None:
         """It is probed later, less often each time, and comes back if well."""
         router = _alone()
-        _fail(router, {'records-0'}, 0)
+        _attempt_at(router, 'records-0', Ending.FAILED, 0)
 
-        self.assertThat(_fail(router, {'records-0'}, 1.5), Equals(1))
-        self.assertThat(_fail(router, {'records-0'}, 3.2), Equals(0))
-        self.assertThat(_fail(router, {'records-0'}, 3.6), Equals(1))
-        _fail(router, set(), 10)
+        for now_s, probes in ((0.9, 0), (1, 1), (2.9, 0), (3, 1), (6.9, 0)):
+            went = _attempt_at(router, 'records-0', Ending.FAILED, now_s)
+            self.assertThat(went, Equals(probes), str(now_s))
+        _attempt_at(router, 'records-0', Ending.ANSWERED, 7)
         for _ in range(2):
             acquire_all(router, 10)
         self.assertThat(router.in_flight_at('records-0'), Equals(8))
@@ -119,15 +129,26 @@
     def test_whole_wave(self) -> None:
         """If all targets fail, at most half of them get no work."""
         router = _alone()
-        everyone = {f'records-{number}' for number in range(_TARGETS)}
-        _fail(router, everyone, 0)
+        for target_id in _everyone():
+            _attempt_at(router, target_id, Ending.FAILED, 0)
 
         acquire_all(router, 0.1)
-        loads = [
-            router.in_flight_at(f'records-{one}') for one in range(_TARGETS)
-        ]
+        loads = [router.in_flight_at(one) for one in _everyone()]
         self.assertThat(sorted(loads), Equals([0, 0, 8, 8]))
 
+    def test_failed_once(self) -> None:
+        """A target that failed lately comes after the others for a while."""
+        router = _alone(targets=2)
+        _attempt_at(router, 'records-0', Ending.FAILED, 0, times=1)
+
+        first = router.acquire('records', 0.5)
+        assert first is not None
+        self.assertThat(first.target_id, Equals('records-1'))
+        router.release(first, Ending.ANSWERED, 0.6)
+        for _ in range(2):
+            router.acquire('records', 2)
+        self.assertThat(router.in_flight_at('records-0'), Equals(1))
+
     def test_callers_fault(self) -> None:
         """Callers that leave do not eject a target."""
         router = _alone(targets=2)
