--- a/bench/bench_capacity.py
+++ b/bench/bench_capacity.py
@@ -14,6 +14,7 @@
 import aiohttp
 import msgspec
 
+from bench.capacity_state import state_figures
 from bench.cluster import Cluster, Shape
 from bench.figures import Figure, told
 from bench.relay import Relay
@@ -44,6 +45,7 @@
 def run() -> Iterable[Figure]:
     """Measure records in memory, then daemons as processes."""
     yield from _record_figures()
+    yield from state_figures()
     shutil.rmtree(_FOLDER, ignore_errors=True)
     cluster = Cluster(_SHAPE, _FOLDER)
     try:
