End relayed connections before the relay's thread stops

Cause: tasks of open connections were still pending when the loop stopped, which Python reports as destroyed tasks at exit.

--- a/bench/relay.py
+++ b/bench/relay.py
@@ -104,7 +104,8 @@
         return sum(link.passed_bytes for link in filter(chosen, self._links))
 
     def close(self) -> None:
-        """Stop the thread."""
+        """End all connections and stop the thread."""
+        self._call(_cancel_others())
         self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join()
 
@@ -141,6 +142,13 @@
         )
 
 
+async def _cancel_others() -> None:
+    others = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in others:
+        task.cancel()
+    await asyncio.gather(*others, return_exceptions=True)
+
+
 async def _pump(
     reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
