--- a/src/wigeonreach/standins/_target.py
+++ b/src/wigeonreach/standins/_target.py
@@ -20,6 +20,7 @@
 from wigeonreach.standins._run_log import RunKind, RunLog
 
 _LINGER_S: Final = 3.0
+_UNLIMITED: Final = 1_000_000
 _ID_HEADER: Final = 'X-Request-Id'
 
 
@@ -38,6 +39,8 @@
         Where each run is written before it begins.
     service_time_s
         Mean time of one run, in seconds.
+    run_slots
+        How many requests it works on at once; what comes on top waits.
     """
 
     def __init__(
@@ -47,6 +50,7 @@
         announcer: Announcer,
         run_log: RunLog,
         service_time_s: float,
+        run_slots: int = _UNLIMITED,
     ) -> None:
         """Prepare; nothing is announced yet."""
         self._target_id = target_id
@@ -54,6 +58,7 @@
         self._announcer = announcer
         self._run_log = run_log
         self._service_time_s = service_time_s
+        self._work_slots = asyncio.Semaphore(run_slots)
         self._running = 0
         self._left = asyncio.Event()
         self._rng = random.Random(target_id)  # noqa: S311
@@ -89,9 +94,8 @@
         self._running += 1
         self._run_log.write(RunKind.START, work, self._running)
         try:
-            await asyncio.sleep(
-                self._rng.expovariate(1 / self._service_time_s),
-            )
+            async with self._work_slots:
+                await self._work()
         finally:
             self._running -= 1
         self._run_log.write(RunKind.END, work, self._running)
@@ -103,6 +107,11 @@
             },
         )
 
+    async def _work(self) -> None:
+        if self._service_time_s:
+            mean_rate = 1 / self._service_time_s
+            await asyncio.sleep(self._rng.expovariate(mean_rate))
+
 
 def target(
     target_id: Annotated[str, typer.Option()],
@@ -116,12 +125,22 @@
     lease_s: Annotated[float, typer.Option(min=0)] = 0,
     *,
     naive: bool = False,
+    run_slots: Annotated[int, typer.Option(min=1)] = _UNLIMITED,
 ) -> None:
     """Run one target."""
     options = AnnouncerOptions(tuple(entries), announce_s, lease_s, naive)
     log = RunLog(run_log, target_id, os.getpid())
     asyncio.run(
-        _run(target_id, service, http, announced, options, log, service_time_s),
+        _run(
+            target_id,
+            service,
+            http,
+            announced,
+            options,
+            log,
+            service_time_s,
+            run_slots,
+        ),
     )
 
 
@@ -133,6 +152,14 @@
     options: AnnouncerOptions,
     log: RunLog,
     service_time_s: float,
+    run_slots: int,
 ) -> None:
     announcer = Announcer(target_id, service, announced or http, options)
-    await Target(target_id, http, announcer, log, service_time_s).run()
+    await Target(
+        target_id,
+        http,
+        announcer,
+        log,
+        service_time_s,
+        run_slots,
+    ).run()
