--- a/bench/bench_overload.py
+++ b/bench/bench_overload.py
@@ -5,16 +5,14 @@
 import asyncio
 import contextlib
 import dataclasses
-import pathlib
-import shutil
 import sys
-import tempfile
 import time
 from collections.abc import Iterable, Iterator, Sequence
 
-from bench.cluster import Cluster, Process, Shape
+from bench.cluster import Cluster, Shape
 from bench.figures import Figure, at_least, at_most, told
 from bench.open_loop import Sample, Stream, drive, percentile_s
+from bench.small_fleet import laid_out_fleet, start_fleet
 from wigeonreach.codes import ResultCode
 from wigeonreach.standins._run_log import RunKind, read_run_log
 
@@ -40,7 +38,6 @@
 _LOADS = (0.5, 1.0, 2.0, 4.0)
 _DEADLINE_S = 1.0
 _LENGTH_S = 3.0
-_ANNOUNCED_S = 1.2
 _MIN_SHARE_OF_PEAK = 0.9
 _MAX_REFUSAL_SHARE = 0.25
 _P99 = 99
@@ -171,12 +168,7 @@
 @contextlib.contextmanager
 def _fleet() -> Iterator[Cluster]:
     with _laid_out() as cluster:
-        text = cluster.folder / 'fleet.toml'
-        text.write_text(_TEXT)
-        cluster.start()
-        cluster.command_line('apply', str(text))
-        cluster.wait_until_ready()
-        time.sleep(_ANNOUNCED_S)
+        start_fleet(cluster, _TEXT)
         yield cluster
 
 
@@ -186,24 +178,15 @@
         entry = cluster.entries[0]
         entry.command = [sys.executable, '-m', 'bench.naive_entry', entry.http]
         entry.command.append(str(len(cluster.targets)))
-        _start(entry, *cluster.targets)
+        for process in (entry, *cluster.targets):
+            process.start()
         cluster.wait_until_ready()
         yield cluster
 
 
 @contextlib.contextmanager
 def _laid_out() -> Iterator[Cluster]:
-    folder = pathlib.Path(tempfile.mkdtemp())
-    cluster = Cluster(_SHAPE, folder)
-    for target in cluster.targets:
-        target.command.extend(('--run-slots', str(_RUN_SLOTS)))
-    try:
+    with laid_out_fleet(_SHAPE) as cluster:
+        for target in cluster.targets:
+            target.command.extend(('--run-slots', str(_RUN_SLOTS)))
         yield cluster
-    finally:
-        cluster.stop()
-        shutil.rmtree(folder, ignore_errors=True)
-
-
-def _start(*processes: Process) -> None:
-    for process in processes:
-        process.start()
--- a/bench/open_loop.py
+++ b/bench/open_loop.py
@@ -58,9 +58,14 @@
 
 def percentile_s(samples: Iterable[Sample], percentile: float) -> float:
     """Return a percentile of the times, in seconds, late answers included."""
+    return percentile_of_s((one.taken_s for one in samples), percentile)
+
+
+def percentile_of_s(times_s: Iterable[float], percentile: float) -> float:
+    """Return a percentile of times, in seconds."""
     histogram = HdrHistogram(1, _HIGHEST_US, _DIGITS)
-    for sample in samples:
-        histogram.record_value(max(1, int(sample.taken_s * _US_PER_S)))
+    for taken_s in times_s:
+        histogram.record_value(max(1, int(taken_s * _US_PER_S)))
     return float(histogram.get_value_at_percentile(percentile) / _US_PER_S)
 
 
--- a/src/wigeonreach/entry/_dispatch.py
+++ b/src/wigeonreach/entry/_dispatch.py
@@ -4,9 +4,10 @@
 
 import random
 import time
+from typing import Protocol
 
 from wigeonreach.codes import Outcome
-from wigeonreach.entry._attempt import Attempts, TargetAnswer
+from wigeonreach.entry._attempt import TargetAnswer
 from wigeonreach.entry._request import CallerRequest
 from wigeonreach.entry._retry import (
     FailedAttempt,
@@ -14,12 +15,19 @@
     RetryBudget,
     decide_retry,
 )
-from wigeonreach.entry._routing import Ending, Router, Slot, ending_of
-from wigeonreach.entry._slot_queue import SlotQueue
+from wigeonreach.entry._slots import Ending, Slot, ending_of
+from wigeonreach.entry._slot_queue import SlotGiver, SlotQueue
 from wigeonreach.exceptions import AttemptFailedError
 from wigeonreach.observe import Metrics
 
 
+class Attempter(Protocol):
+    """What has one target run a request."""
+
+    async def run(self, request: CallerRequest, address: str) -> TargetAnswer:
+        """Return the target's whole answer."""
+
+
 class Dispatcher:
     """Give requests to targets that have a free slot.
 
@@ -37,8 +45,8 @@
 
     def __init__(
         self,
-        router: Router,
-        attempts: Attempts,
+        router: SlotGiver,
+        attempts: Attempter,
         metrics: Metrics,
         rng: random.Random,
     ) -> None:
--- a/src/wigeonreach/entry/_slot_queue.py
+++ b/src/wigeonreach/entry/_slot_queue.py
@@ -7,6 +7,8 @@
 import math
 import random
 import time
+from collections.abc import Collection
+from typing import Protocol
 
 from wigeonreach.codes import ResultCode
 from wigeonreach.entry._admission import (
@@ -18,7 +20,7 @@
 )
 from wigeonreach.entry._queue import FairQueue, Ticket
 from wigeonreach.entry._request import CallerRequest
-from wigeonreach.entry._routing import Ending, Router, Slot
+from wigeonreach.entry._slots import Ending, Slot
 from wigeonreach.exceptions import RequestRefusedError
 
 _MAX_WAITING = 256
@@ -26,6 +28,24 @@
 _ANSWERS = frozenset((Ending.ANSWERED, Ending.FAILED))
 
 
+class SlotGiver(Protocol):
+    """What hands out the slots of targets."""
+
+    def acquire(
+        self,
+        service: str,
+        now_s: float,
+        exclude: Collection[str] = (),
+    ) -> Slot | None:
+        """Return a free slot of a service, if there is one."""
+
+    def release(self, slot: Slot, ending: Ending, now_s: float) -> None:
+        """Take a slot back."""
+
+    def is_served(self, service: str, now_s: float) -> bool:
+        """Whether any target of a service may be given new work."""
+
+
 class SlotQueue:
     """The slots of one service, and who waits for them.
 
@@ -42,7 +62,7 @@
     def __init__(
         self,
         service: str,
-        router: Router,
+        router: SlotGiver,
         rng: random.Random,
     ) -> None:
         """Start with nobody waiting."""
--- /dev/null
+++ b/tests/entry/test_dispatch.py
@@ -0,0 +1,182 @@
+"""Tests of waiting for slots and of attempts one after the other."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+import time
+from collections.abc import Collection
+
+import testtools
+from testtools.matchers import Equals, Is
+
+from tests.builders_entry import build_request
+from wigeonreach.codes import Outcome, ResultCode
+from wigeonreach.entry._attempt import TargetAnswer
+from wigeonreach.entry._dispatch import Dispatcher
+from wigeonreach.entry._request import CallerRequest
+from wigeonreach.entry._slot_queue import SlotQueue
+from wigeonreach.entry._slots import Ending, Slot
+from wigeonreach.exceptions import AttemptFailedError, RequestRefusedError
+from wigeonreach.observe import Metrics
+
+_ANSWER = TargetAnswer(200, None, b'done')
+
+
+class FakeRouter:
+    """Targets of one slot each, as far as a dispatcher sees them."""
+
+    def __init__(self, *targets: str) -> None:
+        """All slots are free."""
+        self.free = list(targets)
+        self.endings: list[Ending] = []
+        self._numbers = itertools.count()
+
+    def acquire(
+        self,
+        service: str,
+        now_s: float,
+        exclude: Collection[str] = (),
+    ) -> Slot | None:
+        """Take the first free slot."""
+        for target in self.free:
+            if target not in exclude:
+                self.free.remove(target)
+                number = next(self._numbers)
+                return Slot(number, service, target, 1, target, now_s)
+        return None
+
+    def release(self, slot: Slot, ending: Ending, now_s: float) -> None:
+        """Take a slot back."""
+        self.free.append(slot.target_id)
+        self.endings.append(ending)
+
+    def is_served(self, service: str, now_s: float) -> bool:
+        """There are always targets."""
+        return True
+
+
+class FakeAttempts:
+    """Attempts that end as told, by target."""
+
+    def __init__(self, failures: dict[str, Outcome]) -> None:
+        """Every target that is not named answers."""
+        self._failures = failures
+        self.asked: list[str] = []
+
+    async def run(self, request: CallerRequest, address: str) -> TargetAnswer:
+        """End as told."""
+        self.asked.append(address)
+        outcome = self._failures.get(address)
+        if outcome is None:
+            return _ANSWER
+        raise AttemptFailedError(
+            ResultCode.REQUEST_ANSWER_LOST,
+            outcome,
+            address,
+        )
+
+
+class TestDispatcher(testtools.TestCase):
+    """Behaviour of attempts one after the other."""
+
+    def test_other_target_after_not_run(self) -> None:
+        """A request that did not run is run by another target."""
+        attempts = FakeAttempts({'one': Outcome.NOT_RUN})
+        dispatcher, metrics = _dispatcher(FakeRouter('one', 'two'), attempts)
+        answer = asyncio.run(dispatcher.run(build_request('POST')))
+        self.assertThat(answer, Is(_ANSWER))
+        self.assertThat(attempts.asked, Equals(['one', 'two']))
+        self.assertThat(metrics.counted('retries', 'not_run'), Equals(1))
+
+    def test_no_second_run_unless_idempotent(self) -> None:
+        """What may have run is tried again only if that does no harm."""
+        for method, asked in (('POST', ['one']), ('GET', ['one', 'two'])):
+            attempts = FakeAttempts({'one': Outcome.UNKNOWN})
+            router = FakeRouter('one', 'two')
+            dispatcher, _ = _dispatcher(router, attempts)
+            _run(dispatcher, build_request(method))
+            self.assertThat(attempts.asked, Equals(asked))
+
+    def test_unknown_is_not_forgotten(self) -> None:
+        """An attempt that did not run can't hide one before that may have."""
+        attempts = FakeAttempts(
+            {'one': Outcome.UNKNOWN, 'two': Outcome.NOT_RUN},
+        )
+        dispatcher, metrics = _dispatcher(FakeRouter('one', 'two'), attempts)
+        failed = _run(dispatcher, build_request('GET'))
+        assert isinstance(failed, AttemptFailedError)
+        self.assertThat(failed.outcome, Equals(Outcome.UNKNOWN))
+        refusals = metrics.counted('retry_refusals', 'no_other_target')
+        self.assertThat(refusals, Equals(1))
+
+
+class TestSlotQueue(testtools.TestCase):
+    """Behaviour of waiting for a slot."""
+
+    def test_released_slot_goes_to_the_waiting(self) -> None:
+        """Whoever waits has the slot before whoever comes later."""
+        asyncio.run(self._hand_over())
+
+    def test_cancelled_waiter_loses_no_slot(self) -> None:
+        """A slot handed to a cancelled request goes back."""
+        asyncio.run(self._cancel())
+
+    def test_refuses_at_once(self) -> None:
+        """A request whose deadline passed is refused without waiting."""
+        queue = _queue(FakeRouter('one'))
+        request = build_request('POST', due_s=time.monotonic() - 1)
+        refused = self.assertRaises(
+            RequestRefusedError,
+            asyncio.run,
+            queue.acquire(request),
+        )
+        code = ResultCode.REQUEST_DEADLINE_TOO_SHORT
+        self.assertThat(refused.code, Equals(code))
+        self.assertThat((refused.return_after_s or 0) > 0, Is(True))
+
+    async def _hand_over(self) -> None:
+        queue = _queue(FakeRouter('one'))
+        first = await queue.acquire(build_request('POST'))
+        waiting = asyncio.ensure_future(queue.acquire(build_request('POST')))
+        await asyncio.sleep(0)
+        self.assertThat(len(queue), Equals(1))
+        queue.release(first, Ending.ANSWERED)
+        self.assertThat(queue.try_acquire(time.monotonic()), Is(None))
+        self.assertThat((await waiting).target_id, Equals('one'))
+
+    async def _cancel(self) -> None:
+        router = FakeRouter('one')
+        queue = _queue(router)
+        first = await queue.acquire(build_request('POST'))
+        waiting = asyncio.ensure_future(queue.acquire(build_request('POST')))
+        await asyncio.sleep(0)
+        queue.release(first, Ending.ANSWERED)
+        waiting.cancel()
+        await asyncio.wait((waiting,))
+        self.assertThat(router.free, Equals(['one']))
+        self.assertThat(len(queue), Equals(0))
+
+
+def _queue(router: FakeRouter) -> SlotQueue:
+    return SlotQueue('records', router, random.Random(1))
+
+
+def _dispatcher(
+    router: FakeRouter,
+    attempts: FakeAttempts,
+) -> tuple[Dispatcher, Metrics]:
+    metrics = Metrics()
+    rng = random.Random(1)
+    return Dispatcher(router, attempts, metrics, rng), metrics
+
+
+def _run(
+    dispatcher: Dispatcher,
+    request: CallerRequest,
+) -> TargetAnswer | AttemptFailedError:
+    try:
+        return asyncio.run(dispatcher.run(request))
+    except AttemptFailedError as failed:
+        return failed
