--- a/tests/builders_credits.py
+++ b/tests/builders_credits.py
@@ -148,12 +148,12 @@
 
 
 class CreditWorld:
-    """Entries of one zone that share one target, on one true clock.
+    """Entries that share one target of zone ``a``, on one true clock.
 
     Parameters
     ----------
     names
-        The entries.
+        The entries; the first letter of each is its zone.
     slots
         How many slots the target has.
     """
@@ -207,9 +207,12 @@
         self._release_ended()
 
     def _router(self, name: str, started_s: float) -> Router:
+        peers = [peer for peer in self._names if peer != name]
         return build_router(
             name=name,
-            zone_peers=[peer for peer in self._names if peer != name],
+            zone_peers=[peer for peer in peers if peer[0] == name[0]],
+            foreign_peers=[peer for peer in peers if peer[0] != name[0]],
+            zone=name[0],
             incarnation_ns=self._incarnations[name],
             started_s=started_s,
             membership=build_membership(self._record),
--- a/tests/entry/test_credits.py
+++ b/tests/entry/test_credits.py
@@ -5,7 +5,7 @@
 import contextlib
 import random
 import types
-from collections.abc import Callable, Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 from typing import Any
 from unittest import mock
 
@@ -54,8 +54,12 @@
 )
 
 
-def _overfills(program: _Program, entries: int) -> bool:
-    world = CreditWorld([f'a{one}' for one in range(entries)], _SLOTS)
+_PAIR = ('a0', 'a1')
+_GROUPS = (_PAIR, ('a0', 'a1', 'a2'), ('a0', 'a1', 'b0'))
+
+
+def _overfills(program: _Program, names: Sequence[str]) -> bool:
+    world = CreditWorld(names, _SLOTS)
     for step, which, amount in program:
         world.do(step, which, amount)
         if world.running > _SLOTS:
@@ -146,17 +150,17 @@
 
     @seed(1)
     @settings(database=None, deadline=None, max_examples=_EXAMPLES)
-    @given(program=_PROGRAMS, entries=st.integers(2, 3))
-    def test_sum(self, program: _Program, entries: int) -> None:
+    @given(program=_PROGRAMS, names=st.sampled_from(_GROUPS))
+    def test_sum(self, program: _Program, names: Sequence[str]) -> None:
         """No loss, delay, repeat, freeze, kill or restart passes the slots."""
-        self.assertFalse(_overfills(program, entries))
+        self.assertFalse(_overfills(program, names))
 
     def test_planted_faults(self) -> None:
         """Such programs find each shortcut that would be tempting."""
         for name, planted in _PLANTED.items():
             with planted():
                 found = any(
-                    _overfills(_random_program(number), 2)
+                    _overfills(_random_program(number), _PAIR)
                     for number in range(_MOST_PROGRAMS)
                 )
             self.assertTrue(found, name)
@@ -164,7 +168,7 @@
     def test_sound(self) -> None:
         """The programs that find the faults find none without them."""
         for number in range(_EXAMPLES):
-            self.assertFalse(_overfills(_random_program(number), 2))
+            self.assertFalse(_overfills(_random_program(number), _PAIR))
 
     def test_shares(self) -> None:
         """Shares add up to the slots, for any number of entries."""
