--- a/src/wigeonreach/entry/_credits_daemon.py
+++ b/src/wigeonreach/entry/_credits_daemon.py
@@ -8,6 +8,7 @@
 from wigeonreach.entry._peers import PeerExchange
 from wigeonreach.entry._routing import Router
 from wigeonreach.entry._slots import TargetKey
+from wigeonreach.observe import LogEvent, Logger, Metrics
 from wigeonreach.wire._credit_messages import (
     SlotsAsked,
     SlotsLent,
@@ -30,11 +31,24 @@
         Whose slots are lent and borrowed.
     peers
         Channels to the other entries.
+    metrics
+        Counters of loans and of ejected targets.
+    logger
+        Where events are logged.
     """
 
-    def __init__(self, router: Router, peers: PeerExchange) -> None:
+    def __init__(
+        self,
+        router: Router,
+        peers: PeerExchange,
+        metrics: Metrics,
+        logger: Logger,
+    ) -> None:
         """Take over the handling of messages about slots."""
         super().__init__()
+        self._metrics = metrics
+        self._log = logger
+        self._ejected: frozenset[TargetKey] = frozenset()
         self._router = router
         self._credits = router.credits
         self._peers = peers
@@ -66,20 +80,48 @@
         while not self.should_stop:
             for one in self._router.tick(time.monotonic()):
                 self._peers.post(one.peer, one.message)
+            self._tell_ejected()
             await self.sleep(_TICK_S)
 
     def _on_asked(self, hello: PeerHello, asked: SlotsAsked) -> None:
         lent = self._credits.on_asked(asked, time.monotonic())
-        if lent is not None:
-            self._peers.post(hello.process, lent)
+        if lent is None:
+            self._count_loans('overtaken', 1)
+            return
+        self._count_loans('lent', len(lent.loans))
+        self._count_loans('renewed', len(lent.renewed))
+        self._count_loans(
+            'not_renewed', len(asked.renewals) - len(lent.renewed)
+        )
+        wished = sum(wish.count for wish in asked.wishes)
+        self._count_loans('refused', wished - len(lent.loans))
+        self._peers.post(hello.process, lent)
 
     def _on_lent(self, _hello: PeerHello, lent: SlotsLent) -> None:
+        self._count_loans('borrowed', len(lent.loans))
         self._credits.on_lent(lent, time.monotonic())
 
     def _on_returned(self, _hello: PeerHello, returned: SlotsReturned) -> None:
+        self._count_loans('returned', len(returned.loan_ids))
         self._credits.on_returned(returned)
 
     def _on_first_seen(self, _hello: PeerHello, seen: TargetFirstSeen) -> None:
         self._credits.note_first_seen(
             TargetKey(seen.target_id, seen.incarnation_ns),
         )
+
+    def _count_loans(self, reason: str, amount: int) -> None:
+        if amount:
+            self._metrics.count('slot_loans', reason, amount)
+
+    def _tell_ejected(self) -> None:
+        ejected = self._router.ejected_targets()
+        for key in ejected - self._ejected:
+            self._metrics.count('targets_ejected')
+            self._log.warning(LogEvent.TARGET_EJECTED, target=key.target_id)
+        for restored in self._ejected - ejected:
+            self._log.info(
+                LogEvent.TARGET_RESTORED,
+                target=restored.target_id,
+            )
+        self._ejected = ejected
--- a/src/wigeonreach/entry/_daemon.py
+++ b/src/wigeonreach/entry/_daemon.py
@@ -76,7 +76,12 @@
             random.Random(),  # noqa: S311 - choices of targets are no secret
             self._work_bound_s,
         )
-        self._credits = CreditDaemon(self._router, self._peers)
+        self._credits = CreditDaemon(
+            self._router,
+            self._peers,
+            self._metrics,
+            logger,
+        )
         self._proxy = Proxy(
             settings,
             self._config,
--- a/src/wigeonreach/entry/_ejection.py
+++ b/src/wigeonreach/entry/_ejection.py
@@ -149,6 +149,14 @@
         )
         return Judgement(ejected, frozenset(failed) - ejected)
 
+    def failing(self) -> frozenset[TargetKey]:
+        """Return all targets that failed and have not done better since."""
+        return frozenset(
+            key
+            for key, health in self._health.items()
+            if health.ejected_s is not None
+        )
+
     def forget(self, known: set[TargetKey]) -> None:
         """Forget targets that are gone."""
         self._health = {
--- a/src/wigeonreach/entry/_routing.py
+++ b/src/wigeonreach/entry/_routing.py
@@ -190,6 +190,10 @@
             if key.target_id == target_id
         )
 
+    def ejected_targets(self) -> frozenset[TargetKey]:
+        """Return the targets that failed and get no work, or only probes."""
+        return self._ejector.failing()
+
     def tick(self, now_s: float) -> list[Outgoing]:
         """Do what is due and return what to send to other entries."""
         known = set(itertools.starmap(TargetKey, self._membership.known()))
--- a/src/wigeonreach/observe/_events.py
+++ b/src/wigeonreach/observe/_events.py
@@ -26,6 +26,8 @@
     DRAIN_FINISHED = 208
     DRAIN_CUT_OFF = 209
     CONFIG_UNREADABLE = 221
+    TARGET_EJECTED = 231
+    TARGET_RESTORED = 232
     REQUEST_FAULT = 210
 
     # 300: replicas.
