--- a/tests/state/test_machine.py
+++ b/tests/state/test_machine.py
@@ -10,6 +10,7 @@
 from wigeonreach.codes import ResultCode
 from wigeonreach.state._machine import Machine
 from wigeonreach.state._machine_state import Limits
+from wigeonreach.state._ownership import next_step
 from wigeonreach.wire._command_messages import (
     AcquireLease,
     Action,
@@ -173,6 +174,24 @@
         self.assertThat(late.code, Equals(ResultCode.STATE_NOT_HELD))
         self.assertThat(self.machine.state.vms['vm-1'].pool, Equals('portal'))
 
+    def test_steps_of_move(self) -> None:
+        """A move asks for release, waits, then grants; then it is done."""
+        wanted = GrantVm('vm-1', 'portal', 10)
+        self.do(GrantVm('vm-1', 'desk', 10), at_s=0)
+        asked = next_step(self.machine.state.vms['vm-1'], wanted, 1)
+        assert asked is not None
+        self.do(asked, at_s=1)
+        releasing = self.machine.state.vms['vm-1']
+        self.do(wanted, at_s=10)
+
+        self.assertThat(asked, Equals(ReleaseVm('vm-1', releasing.token)))
+        self.assertThat(next_step(releasing, wanted, 9), Equals(None))
+        self.assertThat(next_step(releasing, wanted, 10), Equals(wanted))
+        self.assertThat(
+            next_step(self.machine.state.vms['vm-1'], wanted, 10),
+            Equals(None),
+        )
+
     def test_named_lease(self) -> None:
         """Only the holder of the newest token renews, and in time."""
         first = self.do(AcquireLease('zone-a', 'm-1', 5), at_s=10)
