--- a/src/wigeonreach/entry/_admission.py
+++ b/src/wigeonreach/entry/_admission.py
@@ -7,8 +7,10 @@
 import random
 
 _NEW_SAMPLE_SHARE = 0.05
-# An exponential time passes its mean by three deviations in 4% of cases.
-_DEVIATIONS = 3
+# An exponential time passes its mean by six deviations in 0.5% of cases.  A
+# request that passes its deadline at a target keeps the slot for long, since
+# nobody knows when the target ends it.
+_DEVIATIONS = 6
 _FORGET_AFTER_S = 1.0
 _MIN_RETURN_S = 1
 _MAX_RETURN_S = 30
