--- a/src/wigeonreach/entry/_ejection.py
+++ b/src/wigeonreach/entry/_ejection.py
@@ -118,7 +118,11 @@
 
     def health(self, key: TargetKey) -> Health:
         """Return what is known of a target."""
-        return self._health.setdefault(key, Health())
+        known = self._health.get(key)
+        if known is None:
+            known = Health()
+            self._health[key] = known
+        return known
 
     def judge(
         self,
--- a/src/wigeonreach/entry/_routing.py
+++ b/src/wigeonreach/entry/_routing.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-import dataclasses
 import itertools
 import random
 from collections.abc import Callable, Collection, Iterator
 
+import msgspec
+
 from wigeonreach.entry._credits import Outgoing, Sharer
 from wigeonreach.entry._credits_exchange import CreditExchange
 from wigeonreach.entry._ejection import Ejector, Judgement
@@ -26,8 +27,7 @@
 _FAILURE_WEIGHT = 4
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Candidate:
+class _Candidate(msgspec.Struct, frozen=True):
     record: TargetRecord
     key: TargetKey
     in_flight: int
@@ -39,8 +39,7 @@
         return (self.in_flight + 1) * (1 + _FAILURE_WEIGHT * self.failed_ratio)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Taken:
+class _Taken(msgspec.Struct, frozen=True):
     key: TargetKey
     source: SlotSource
 
--- a/src/wigeonreach/entry/_slots.py
+++ b/src/wigeonreach/entry/_slots.py
@@ -6,6 +6,8 @@
 import enum
 from typing import Protocol
 
+import msgspec
+
 _SERVER_ERROR = 500
 
 
@@ -38,20 +40,19 @@
     return Ending.FAILED if status >= _SERVER_ERROR else Ending.ANSWERED
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class TargetKey:
+class TargetKey(msgspec.Struct, frozen=True):
     """One incarnation of one target.
 
     A restarted target is a new process with free slots, so that what was in
-    flight at its former incarnation doesn't count against the new one.
+    flight at its former incarnation doesn't count against the new one.  Each
+    request looks several keys up, so that hashing must not run Python code.
     """
 
     target_id: str
     incarnation_ns: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Slot:
+class Slot(msgspec.Struct, frozen=True):
     """The right to have one request in flight at one target."""
 
     number: int
