--- /dev/null
+++ b/bench/bench_commit.py
@@ -0,0 +1,201 @@
+"""Measure changes a second and syncs per change of three replicas."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import functools
+import itertools
+import pathlib
+import socket
+import tempfile
+import time
+from collections.abc import AsyncIterator, Iterable, Sequence
+
+from bench.figures import Figure, at_least, at_most, told
+from wigeonreach.observe import LogFormat, Logger, configure_logs
+from wigeonreach.state._agreement import RaftAgreement
+from wigeonreach.state._disk import FolderDisk
+from wigeonreach.state._raft_types import Write
+from wigeonreach.state._settings import ReplicaSettings
+from wigeonreach.state._storage import Storage
+from wigeonreach.wire import Address, Channel, Member, serve
+from wigeonreach.wire._raft_messages import RaftMessage
+
+_Started = tuple[RaftAgreement, Storage]
+_NAMES = ('a', 'b', 'c')
+_LENGTH_S = 3.0
+_PROPOSERS = 64
+_COMMAND = b'c' * 200
+
+
+class _EachAlone(Storage):
+    """The simpler policy: one sync for each write."""
+
+    def write(self, writes: Sequence[Write]) -> None:
+        """Write one after the other."""
+        for write in writes:
+            super().write([write])
+
+
+class _Counter:
+    """A state machine that only counts."""
+
+    def __init__(self) -> None:
+        self.count = 0
+
+    def apply(self, index: int, command: bytes) -> bytes:
+        self.count += 1
+        return b''
+
+    def snapshot(self) -> bytes:
+        return str(self.count).encode()
+
+    def restore(self, snapshot: bytes) -> None:
+        self.count = int(snapshot)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Measured:
+    changes_per_s: float
+    syncs_per_change: float
+    median_ms: float
+
+
+def run() -> Iterable[Figure]:
+    """Compare writing in groups with one sync for each change.
+
+    Yields
+    ------
+    Figure
+        Rates and syncs, with the simpler policy's as the baseline.
+    """
+    configure_logs(LogFormat.JSON, 'error')
+    grouped = asyncio.run(_measure(Storage, _PROPOSERS))
+    alone = asyncio.run(_measure(_EachAlone, _PROPOSERS))
+    single = asyncio.run(_measure(Storage, 1))
+    yield at_least(
+        'commit',
+        'changes_per_s',
+        grouped.changes_per_s,
+        '1/s',
+        alone.changes_per_s,
+        alone.changes_per_s,
+    )
+    yield at_most(
+        'commit',
+        'syncs_per_change',
+        grouped.syncs_per_change,
+        'syncs',
+        alone.syncs_per_change / 4,
+        alone.syncs_per_change,
+    )
+    yield told(
+        'commit',
+        'median_wait',
+        grouped.median_ms,
+        'ms',
+        alone.median_ms,
+    )
+    yield told('commit', 'one_proposer', single.changes_per_s, '1/s')
+    yield told('commit', 'one_proposer_wait', single.median_ms, 'ms')
+
+
+async def _measure(storage_type: type[Storage], proposers: int) -> _Measured:
+    with tempfile.TemporaryDirectory() as folder:
+        async with _replicas(pathlib.Path(folder), storage_type) as started:
+            agreements = [agreement for agreement, _ in started]
+            await agreements[0].propose(_COMMAND)
+            leader, storage = next(
+                pair for pair in started if pair[0].is_leader
+            )
+            return await _propose_for_a_while(leader, storage, proposers)
+
+
+async def _propose_for_a_while(
+    leader: RaftAgreement,
+    storage: Storage,
+    proposers: int,
+) -> _Measured:
+    syncs = storage.sync_count
+    started_s = time.monotonic()
+    waits_s = list(
+        itertools.chain.from_iterable(
+            await asyncio.gather(
+                *(
+                    _propose(leader, started_s + _LENGTH_S)
+                    for _ in range(proposers)
+                ),
+            ),
+        ),
+    )
+    return _Measured(
+        len(waits_s) / (time.monotonic() - started_s),
+        (storage.sync_count - syncs) / len(waits_s),
+        sorted(waits_s)[len(waits_s) // 2] * 1000,
+    )
+
+
+async def _propose(leader: RaftAgreement, ends_s: float) -> list[float]:
+    waits_s: list[float] = []
+    while time.monotonic() < ends_s:
+        asked_s = time.monotonic()
+        await leader.propose(_COMMAND)
+        waits_s.append(time.monotonic() - asked_s)
+    return waits_s
+
+
+@contextlib.asynccontextmanager
+async def _replicas(
+    folder: pathlib.Path,
+    storage_type: type[Storage],
+) -> AsyncIterator[list[_Started]]:
+    members = tuple(Member(name, name, _free_address()) for name in _NAMES)
+    async with contextlib.AsyncExitStack() as stack:
+        started = []
+        for member in members:
+            disk = FolderDisk(folder / member.name)
+            stack.callback(disk.close)
+            storage = storage_type(disk)
+            settings = ReplicaSettings(
+                member.name,
+                member.zone,
+                member.address,
+                members,
+                folder / member.name,
+            )
+            agreement = RaftAgreement(
+                settings,
+                _Counter(),
+                storage,
+                storage.load(),
+                _fail,
+                Logger(member.name),
+            )
+            server = await serve(
+                member.address,
+                functools.partial(_receive, agreement),
+            )
+            stack.callback(server.close)
+            await agreement.start()
+            stack.push_async_callback(agreement.stop)
+            started.append((agreement, storage))
+        yield started
+
+
+async def _receive(agreement: RaftAgreement, channel: Channel) -> None:
+    while True:
+        message = await channel.receive()
+        if isinstance(message, RaftMessage):
+            agreement.receive(message)
+
+
+def _fail(error: Exception) -> None:
+    raise error
+
+
+def _free_address() -> Address:
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return Address('127.0.0.1', probe.getsockname()[1])
--- a/src/wigeonreach/state/_disk_writer.py
+++ b/src/wigeonreach/state/_disk_writer.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable, Sequence
+from concurrent import futures
 
 import mode
 
@@ -45,6 +46,11 @@
         self._log = logger
         self._waiting: list[Write] = []
         self._has_write = asyncio.Event()
+        self._thread = futures.ThreadPoolExecutor(max_workers=1)
+
+    async def on_shutdown(self) -> None:
+        """Wait for the write under way; its files are closed after this."""
+        await asyncio.to_thread(self._thread.shutdown)
 
     def post(self, writes: Sequence[Write]) -> None:
         """Write soon."""
@@ -64,7 +70,11 @@
     async def _write(self, batch: Sequence[Write]) -> None:
         while batch and not self.should_stop:
             try:
-                await asyncio.to_thread(self._storage.write, batch)
+                await asyncio.get_running_loop().run_in_executor(
+                    self._thread,
+                    self._storage.write,
+                    batch,
+                )
             except StateError as error:
                 self._on_failed(error)
                 return
--- a/src/wigeonreach/state/_replica.py
+++ b/src/wigeonreach/state/_replica.py
@@ -62,9 +62,12 @@
         """Do nothing: each acknowledged change is synced already."""
 
     async def on_stop(self) -> None:
-        """Stop listening and give the data folder up."""
+        """Stop listening."""
         if self._server is not None:
             self._server.close()
+
+    async def on_shutdown(self) -> None:
+        """Give the data folder up, once nothing writes to it any more."""
         self._disk.close()
 
     async def _on_channel(self, channel: Channel) -> None:
