Carry waves out by a manager in each zone

One lease, granted by the durable state, says which manager decides. What it decides is recorded under the lease's token before the platform is asked, so the next manager goes on from there with the same action ids. Each effect is read back from the platform's lists; an answer that is late, lost or of another request is counted and the action sent again.

Ruled out: parts of the budget for each zone's manager. Parts are of the whole fleet, a pool's budget would have to be split as well.

Before: waves were decided but nobody carried them out.

--- a/src/wigeonreach/_codes.py
+++ b/src/wigeonreach/_codes.py
@@ -91,6 +91,11 @@
 
     # 4000: capacity and maintenance.
     CHART_NO_TRANSITION = 4101
+    PLATFORM_UNREACHABLE = 4201
+    PLATFORM_REFUSED = 4202
+    PLATFORM_FENCED = 4203
+    PLATFORM_ANSWER_WRONG = 4204
+    WAVE_UNKNOWN = 4301
 
     # 5000: settings.
     SETTING_MISSING = 5001
--- a/src/wigeonreach/cli/_app.py
+++ b/src/wigeonreach/cli/_app.py
@@ -6,6 +6,9 @@
 
 from wigeonreach.cli._config_commands import apply, plan, restore
 from wigeonreach.cli._daemon_commands import entry, replica
+from wigeonreach.cli._explain_command import explain
+from wigeonreach.cli._maintenance_commands import maintenance
+from wigeonreach.cli._manager_command import manager
 from wigeonreach.cli._status_commands import forget, history, status
 
 app = typer.Typer(
@@ -17,9 +20,12 @@
 )
 app.command()(entry)
 app.command()(replica)
+app.command()(manager)
 app.command()(apply)
 app.command()(plan)
 app.command()(restore)
 app.command()(history)
 app.command()(status)
 app.command()(forget)
+app.command()(explain)
+app.add_typer(maintenance, name='maintenance')
--- a/src/wigeonreach/entry/_config.py
+++ b/src/wigeonreach/entry/_config.py
@@ -5,10 +5,11 @@
 import asyncio
 import math
 import time
+from collections.abc import Sequence
+from typing import Protocol
 
 import mode
 
-from wigeonreach.entry._settings import EntrySettings
 from wigeonreach.exceptions import FleetTextError, WireError
 from wigeonreach.observe import LogEvent, Logger, Metrics
 from wigeonreach.rollout._copy import TextCopy
@@ -34,13 +35,29 @@
 _LONGEST_PAUSE_S = 2.0
 
 
+class FollowerSettings(Protocol):
+    """What the follower needs to know of its process."""
+
+    @property
+    def name(self) -> str:
+        """Name of the process."""
+
+    @property
+    def zone(self) -> str:
+        """Its availability zone."""
+
+    @property
+    def replicas_nearest_first(self) -> Sequence[Member]:
+        """The replicas, those of the own zone first."""
+
+
 class ConfigFollower(mode.Service):
     """Follow the nearest replica that is in touch with a quorum.
 
     Parameters
     ----------
     settings
-        Who this entry is and where replicas are.
+        Who this process is and where replicas are.
     metrics
         Counters of each reason to leave a replica.
     logger
@@ -49,7 +66,7 @@
 
     def __init__(
         self,
-        settings: EntrySettings,
+        settings: FollowerSettings,
         metrics: Metrics,
         logger: Logger,
     ) -> None:
--- /dev/null
+++ b/src/wigeonreach/manager/__init__.py
@@ -0,0 +1,13 @@
+"""The daemon that carries maintenance out, one in each zone."""
+
+from wigeonreach.manager._body import WaveBody, decode_body, encode_body
+from wigeonreach.manager._daemon import Manager
+from wigeonreach.manager._settings import ManagerSettings
+
+__all__ = (
+    'Manager',
+    'ManagerSettings',
+    'WaveBody',
+    'decode_body',
+    'encode_body',
+)
--- /dev/null
+++ b/src/wigeonreach/manager/_core.py
@@ -0,0 +1,320 @@
+"""Turn what platform, text and operators say into steps of waves."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Iterable, Mapping, Sequence
+from types import MappingProxyType
+from typing import TypeAlias
+
+from wigeonreach.fleet import (
+    Budgets,
+    DrainProgress,
+    EffectKind,
+    Inventory,
+    PauseWave,
+    Phase,
+    ResumeWave,
+    StartWave,
+    StopWave,
+    Tick,
+    Vm,
+    VmBack,
+    VmEvent,
+    VmReport,
+    WaveEffect,
+    WavePlanner,
+    WaveSettings,
+    WaveState,
+    WaveStatus,
+)
+from wigeonreach.manager._body import WaveBody, decode_body, encode_body
+from wigeonreach.platform import ActionKind, VmPhase, VmView
+from wigeonreach.text import FleetText
+from wigeonreach.wire._command_messages import RecordWave
+from wigeonreach.wire._state_messages import WaveRecord
+
+_Report: TypeAlias = DrainProgress | VmReport | VmBack
+_Command: TypeAlias = type[PauseWave | ResumeWave | StopWave]
+_COMMANDS: Mapping[str, _Command] = MappingProxyType(
+    {'paused': PauseWave, 'running': ResumeWave, 'stopped': StopWave},
+)
+# What brings a VM back that a wave has ended with.
+_LAST_EFFECTS = MappingProxyType(
+    {
+        (VmPhase.BOOTED, Phase.MAINTAINED): EffectKind.RESTORE,
+        (VmPhase.DRAINING, Phase.SKIPPED): EffectKind.UNDRAIN,
+        (VmPhase.DRAINING, Phase.WAITING): EffectKind.UNDRAIN,
+    },
+)
+_RESTING = frozenset((WaveStatus.PAUSED, WaveStatus.HALTED))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """What to record first and then to ask of the platform."""
+
+    records: tuple[RecordWave, ...]
+    effects: tuple[WaveEffect, ...]
+
+
+class ManagerCore:
+    """Everything that one manager decides; no I/O.
+
+    It is built anew from the durable state when the text changes, after a
+    restart, and when another manager was found to have written.
+
+    Parameters
+    ----------
+    text
+        The text in force.
+    settings
+        Limits of waves.
+    """
+
+    def __init__(self, text: FleetText, settings: WaveSettings) -> None:
+        """Know no VM and no wave yet."""
+        watched = frozenset(
+            service.pool
+            for service in text.services.values()
+            if service.mode.value == 'watched' and service.pool
+        )
+        self._inventory = Inventory((), watched)
+        self._planner = WavePlanner(
+            self._inventory,
+            Budgets(text, self._inventory),
+            settings,
+            text.maintenance,
+        )
+        self._pool_of = {
+            vm: pool.name for pool in text.pools.values() for vm in pool.vms
+        }
+        self._records: dict[str, WaveRecord] = {}
+        self._bodies: dict[str, WaveBody] = {}
+        self._effects: list[WaveEffect] = []
+        # What does not serve is looked at each time: news may get lost.
+        self._absent: dict[str, VmView] = {}
+
+    def step(
+        self,
+        vms: Iterable[VmView],
+        records: Sequence[WaveRecord],
+        now_s: float,
+    ) -> Plan:
+        """Take in what changed and decide.
+
+        Parameters
+        ----------
+        vms
+            VMs that changed.
+        records
+            All waves, as the durable state has them.
+        now_s
+            Unix time, in seconds.
+
+        Returns
+        -------
+        Plan
+            What is to be recorded, and done once that is recorded.
+        """
+        for view in vms:
+            self._know(view)
+        for record in records:
+            self._steer(record, now_s)
+        for view in tuple(self._absent.values()):
+            self._observe(view, now_s)
+            if view.phase is VmPhase.SERVING:
+                self._absent.pop(view.name)
+        self._effects.extend(self._planner.handle(Tick(), now_s))
+        effects = tuple(self._effects)
+        self._effects.clear()
+        return Plan(tuple(self._changes()), effects)
+
+    def recorded(self, wave_id: str, version: int) -> None:
+        """Note that the durable state took a record."""
+        record = self._records[wave_id]
+        self._records[wave_id] = _with_version(record, version)
+
+    def _know(self, view: VmView) -> None:
+        self._absent[view.name] = view
+        pool = self._pool_of.get(view.name)
+        if pool is not None and self._inventory.find(view.name) is None:
+            self._inventory.put(
+                Vm(
+                    name=view.name,
+                    zone=view.zone,
+                    rack=view.rack,
+                    pool=pool,
+                    slots=view.slots,
+                    processors=view.processors,
+                    memory_bytes=view.memory_bytes,
+                    accelerators=view.accelerators,
+                )
+            )
+
+    def _steer(self, record: WaveRecord, now_s: float) -> None:
+        wave_id = record.wave_id
+        before = self._records.get(wave_id)
+        if before is None:
+            body = decode_body(record.body)
+            if _is_over(record, body):
+                return
+            self._take_up(record, body, now_s)
+        self._records[wave_id] = record
+        if before is None or before.phase != record.phase:
+            self._command(record, now_s)
+
+    def _take_up(
+        self,
+        record: WaveRecord,
+        body: WaveBody,
+        now_s: float,
+    ) -> None:
+        self._bodies[record.wave_id] = body
+        if body.state is not None:
+            restored = self._planner.restore((body.state,), now_s)
+            self._effects.extend(restored)
+            return
+        vms = tuple(
+            vm.name
+            for vm in self._inventory
+            if not self._inventory.is_watched(vm.pool) and _is_meant(vm, body)
+        )
+        start = StartWave(record.wave_id, record.wave_id, vms)
+        if record.phase == 'running':
+            self._effects.extend(self._planner.handle(start, now_s))
+
+    def _command(self, record: WaveRecord, now_s: float) -> None:
+        wave = self._planner.waves.get(record.wave_id)
+        kind = _COMMANDS.get(record.phase)
+        if kind is None:
+            return
+        is_resting = wave is not None and wave.status in _RESTING
+        if kind is ResumeWave and not is_resting:
+            return
+        command_id = f'{record.phase}@{record.version}'
+        command = kind(command_id, record.wave_id)
+        self._effects.extend(self._planner.handle(command, now_s))
+
+    def _observe(self, view: VmView, now_s: float) -> None:
+        vm = self._inventory.find(view.name)
+        if vm is None:
+            return
+        if self._planner.is_busy(view.name):
+            messages = _on_its_way(view)
+        else:
+            messages = _of_own_accord(vm, view)
+            self._effects.extend(self._left_behind(view))
+        for message in messages:
+            self._effects.extend(self._planner.handle(message, now_s))
+
+    def _left_behind(self, view: VmView) -> Iterable[WaveEffect]:
+        """Send a last action again that the platform seems to have lost."""
+        operation_id, _, _ = view.action_id.rpartition('/')
+        wave_id, vm, _ = (operation_id.rsplit('/', 2) + ['', ''])[:3]
+        wave = self._planner.waves.get(wave_id)
+        track = wave.tracks.get(vm) if wave else None
+        if track is None:
+            return
+        wanted = _LAST_EFFECTS.get((view.phase, track.phase))
+        if wanted is not None:
+            yield WaveEffect(wanted, vm, operation_id)
+
+    def _changes(self) -> Iterable[RecordWave]:
+        for wave_id, record in self._records.items():
+            wave = self._planner.waves.get(wave_id)
+            body = self._bodies.get(wave_id)
+            if wave is None or body is None:
+                continue
+            after = wave.state()
+            changed = WaveBody(
+                body.pools,
+                body.zones,
+                after,
+                self._waits_for(wave_id, after),
+            )
+            event = _event_for(record.phase, after.status)
+            if changed != body or event:
+                self._bodies[wave_id] = changed
+                yield RecordWave(
+                    wave_id,
+                    record.version,
+                    encode_body(changed),
+                    event,
+                )
+
+    def _waits_for(self, wave_id: str, state: WaveState) -> str:
+        if state.reason:
+            return state.reason
+        verdict = self._planner.last_refusals.get(wave_id)
+        has_waiting = any(
+            track.phase is Phase.WAITING for track in state.tracks
+        )
+        if verdict is None or not has_waiting:
+            return ''
+        return f'{verdict.refusal} of {verdict.subject}'
+
+
+def _is_meant(vm: Vm, body: WaveBody) -> bool:
+    is_pool = not body.pools or vm.pool in body.pools
+    return is_pool and (not body.zones or vm.zone in body.zones)
+
+
+def _is_over(record: WaveRecord, body: WaveBody) -> bool:
+    if record.phase == 'finished':
+        return True
+    if record.phase != 'stopped':
+        return False
+    if body.state is None:
+        return True
+    # A stop lets reboots finish, so these are still followed.
+    return all(track.phase.is_final for track in body.state.tracks)
+
+
+def _on_its_way(view: VmView) -> Iterable[_Report]:
+    """Tell of a VM that a wave has drained."""
+    operation_id, _, kind = view.action_id.rpartition('/')
+    if view.phase is VmPhase.DOWN:
+        yield VmReport(view.name, VmEvent.LOST)
+    elif kind == ActionKind.DRAIN and view.phase is VmPhase.DRAINING:
+        yield DrainProgress(view.name, view.in_flight, view.open_checkpoints)
+    elif view.phase is VmPhase.BOOTED:
+        event = _boot_event(kind, view)
+        if event is not None:
+            yield VmReport(view.name, event, operation_id)
+
+
+def _of_own_accord(vm: Vm, view: VmView) -> Iterable[_Report]:
+    """Tell of a VM that changed without an action of ours."""
+    is_serving = view.phase is VmPhase.SERVING
+    if vm.is_up and not is_serving:
+        yield VmReport(view.name, VmEvent.LOST)
+    if is_serving and not vm.is_up:
+        yield VmBack(view.name)
+
+
+def _boot_event(kind: str, view: VmView) -> VmEvent | None:
+    if kind == ActionKind.REBOOT:
+        return VmEvent.REBOOTED
+    if kind != ActionKind.CHECK or view.is_healthy is None:
+        return None
+    return VmEvent.HEALTHY if view.is_healthy else VmEvent.UNHEALTHY
+
+
+def _event_for(phase: str, status: WaveStatus) -> str:
+    if phase != 'running':
+        return ''
+    if status is WaveStatus.HALTED:
+        return 'pause'
+    return 'finish' if status is WaveStatus.DONE else ''
+
+
+def _with_version(record: WaveRecord, version: int) -> WaveRecord:
+    return WaveRecord(
+        wave_id=record.wave_id,
+        version=version,
+        phase=record.phase,
+        author=record.author,
+        at_s=record.at_s,
+        body=record.body,
+    )
--- a/src/wigeonreach/observe/_events.py
+++ b/src/wigeonreach/observe/_events.py
@@ -42,3 +42,9 @@
     SNAPSHOT_TAKEN = 309
     SNAPSHOT_RESTORED = 310
     VOTERS_CHANGED = 311
+
+    # 400: managers.
+    LEASE_HELD = 401
+    WAVE_CHANGED = 402
+    PLATFORM_FAULT = 403
+    ROUND_FAILED = 404
--- /dev/null
+++ b/src/wigeonreach/platform/_client.py
@@ -0,0 +1,198 @@
+"""Ask the platform over HTTP and trust no answer unchecked."""
+
+from __future__ import annotations
+
+import functools
+import uuid
+from collections.abc import Mapping
+from typing import TypeVar
+
+import aiohttp
+import msgspec
+import pydantic
+
+from wigeonreach.codes import ResultCode
+from wigeonreach.exceptions import PlatformError
+from wigeonreach.observe import Metrics
+from wigeonreach.platform._model import (
+    Action,
+    TaskAction,
+    TaskView,
+    VmAction,
+    VmPage,
+)
+from wigeonreach.platform._schema import (
+    DoneSchema,
+    TasksSchema,
+    VmPageSchema,
+)
+
+_TIMEOUT_S = 2.0
+_MAX_ANSWER_BYTES = 32 * 1024 * 1024
+_FENCED_STATUS = 409
+_ERROR_STATUS = 400
+_Schema = TypeVar('_Schema', VmPageSchema, TasksSchema, DoneSchema)
+
+
+class PlatformClient:
+    """The platform behind a base URL.
+
+    Parameters
+    ----------
+    url
+        Where it answers, such as ``http://127.0.0.1:9000``.
+    metrics
+        Where refusals and faults are counted.
+    timeout_s
+        After this time an answer is late and not waited for.
+    """
+
+    def __init__(
+        self,
+        url: str,
+        metrics: Metrics,
+        timeout_s: float = _TIMEOUT_S,
+    ) -> None:
+        """Connect to nothing yet."""
+        self._url = url.rstrip('/')
+        self._metrics = metrics
+        self._timeout = aiohttp.ClientTimeout(total=timeout_s)
+        self._session: aiohttp.ClientSession | None = None
+
+    async def open(self) -> None:
+        """Be ready to ask; call inside a running loop."""
+        self._session = aiohttp.ClientSession(timeout=self._timeout)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def list_vms(self, after_revision: int) -> VmPage:
+        """Return the VMs that changed after a revision; 0 for all."""
+        path = f'/v1/vms?after={after_revision}'
+        answer = await self._ask('GET', path, VmPageSchema)
+        return answer.page()
+
+    async def list_tasks(self, worker: str) -> tuple[TaskView, ...]:
+        """Return the tasks of a worker with their lagging usage."""
+        path = f'/v1/workers/{worker}/tasks'
+        answer = await self._ask('GET', path, TasksSchema)
+        if any(task.worker != worker for task in answer.tasks):
+            raise self._fault(
+                ResultCode.PLATFORM_ANSWER_WRONG,
+                f'tasks of another worker than {worker}',
+            )
+        return tuple(task.view() for task in answer.tasks)
+
+    async def act(self, action: Action) -> None:
+        """Ask for an action; its effect shows in the lists.
+
+        Raises
+        ------
+        PlatformError
+            If the platform refused, or what it did is not known.
+        """
+        body = msgspec.json.encode(action)
+        answer = await self._ask('POST', _path(action), DoneSchema, body)
+        expected = (action.action_id, _subject(action))
+        if (answer.action_id, answer.subject) != expected:
+            raise self._fault(
+                ResultCode.PLATFORM_ANSWER_WRONG,
+                f'{answer.action_id} on {answer.subject}, '
+                f'wanted: {action.action_id}',
+            )
+
+    async def _ask(
+        self,
+        method: str,
+        path: str,
+        schema: type[_Schema],
+        body: bytes | None = None,
+    ) -> _Schema:
+        request_id = uuid.uuid4().hex
+        raw = await self._exchange(
+            method,
+            path,
+            body,
+            {'X-Request-Id': request_id},
+        )
+        try:
+            answer = schema.model_validate_json(raw)
+        except pydantic.ValidationError as error:
+            raise self._fault(
+                ResultCode.PLATFORM_ANSWER_WRONG,
+                f'{path}: {error.error_count()} faults',
+            ) from error
+        if answer.request_id != request_id:
+            # A late answer to an earlier request, or one to somebody else.
+            raise self._fault(
+                ResultCode.PLATFORM_ANSWER_WRONG,
+                f'{path}: the answer belongs to another request',
+            )
+        return answer
+
+    async def _exchange(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None,
+        headers: Mapping[str, str],
+    ) -> bytes:
+        if self._session is None:
+            raise self._fault(ResultCode.PLATFORM_UNREACHABLE, 'not open')
+        url = f'{self._url}{path}'
+        try:
+            async with self._session.request(
+                method, url, data=body, headers=headers
+            ) as response:
+                raw = await response.content.read(_MAX_ANSWER_BYTES)
+                status = response.status
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            raise self._fault(
+                ResultCode.PLATFORM_UNREACHABLE,
+                f'{path}: {error!r}',
+            ) from error
+        if status >= _ERROR_STATUS:
+            is_fenced = status == _FENCED_STATUS
+            raise self._fault(
+                ResultCode.PLATFORM_FENCED
+                if is_fenced
+                else ResultCode.PLATFORM_REFUSED,
+                f'{path}: status {status}',
+            )
+        return raw
+
+    def _fault(self, code: ResultCode, detail: str) -> PlatformError:
+        self._metrics.count('platform_faults', code.name.lower())
+        return PlatformError(code, detail)
+
+
+@functools.singledispatch
+def _path(action: Action) -> str:
+    raise NotImplementedError(type(action).__name__)
+
+
+@_path.register
+def _vm_path(action: VmAction) -> str:
+    return f'/v1/vms/{action.vm}/actions'
+
+
+@_path.register
+def _task_path(action: TaskAction) -> str:
+    return f'/v1/workers/{action.worker}/actions'
+
+
+@functools.singledispatch
+def _subject(action: Action) -> str:
+    raise NotImplementedError(type(action).__name__)
+
+
+@_subject.register
+def _vm_subject(action: VmAction) -> str:
+    return action.vm
+
+
+@_subject.register
+def _task_subject(action: TaskAction) -> str:
+    return action.job_id
--- a/src/wigeonreach/standins/_platform.py
+++ b/src/wigeonreach/standins/_platform.py
@@ -2,20 +2,42 @@
 
 from __future__ import annotations
 
+import asyncio
+import pathlib
+import random
+from collections.abc import Awaitable, Callable
 from typing import Annotated
 
 import msgspec
 import typer
 from aiohttp import web
 
+from wigeonreach.platform import TaskAction, VmAction
+from wigeonreach.standins._platform_fleet import (
+    FencedError,
+    Fleet,
+    Timing,
+    new_vms,
+)
 
-class VmState(msgspec.Struct):
-    """One VM, as the platform tells of it."""
+_LATE_S = 3.0
+_ACTION_LOG = pathlib.Path('actions.jsonl')
+_FLEET = web.AppKey('fleet', Fleet)
+_Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+_BadImages = Annotated[
+    list[str],
+    typer.Option('--bad-image', help='VM that never is healthy again.'),
+]
+_Ratio = Annotated[float, typer.Option(min=0, max=1)]
 
-    name: str
-    zone: str
-    rack: str
-    state: str
+
+class Faults(msgspec.Struct, frozen=True):
+    """How often an answer is late, lost, wrong, or a request done twice."""
+
+    late_ratio: float
+    lost_ratio: float
+    doubled_ratio: float
+    wrong_ratio: float
 
 
 def platform(
@@ -23,43 +45,119 @@
     zones: Annotated[list[str], typer.Option('--zone')],
     vms_per_zone: Annotated[int, typer.Option(min=1)] = 10,
     vms_per_rack: Annotated[int, typer.Option(min=1)] = 4,
+    action_log: pathlib.Path = _ACTION_LOG,
+    bad_images: _BadImages = [],  # noqa: B006, WPS404 - typer copies it
+    drain_s: float = 0.2,
+    reboot_s: float = 0.3,
+    check_s: float = 0.1,
+    late_ratio: _Ratio = 0,
+    lost_ratio: _Ratio = 0,
+    doubled_ratio: _Ratio = 0,
+    wrong_ratio: _Ratio = 0,
+    seed: int = 1,
 ) -> None:
-    """List VMs with their rack and zone, and drain and reboot them."""
-    fleet = {
-        vm.name: vm
-        for zone in zones
-        for vm in _zone_vms(zone, vms_per_zone, vms_per_rack)
-    }
-    application = web.Application()
-    application['fleet'] = fleet
-    application.router.add_get('/vms', _on_list)
-    application.router.add_post('/vms/{name}/{action}', _on_action)
+    """List VMs and tasks and act on them, with faults on demand."""
+    fleet = Fleet(
+        new_vms(zones, vms_per_zone, vms_per_rack),
+        Timing(drain_s, reboot_s, check_s),
+        frozenset(bad_images),
+        action_log,
+    )
+    faults = Faults(late_ratio, lost_ratio, doubled_ratio, wrong_ratio)
+    application = build_application(fleet, faults, seed)
     host, _, port = http.rpartition(':')
     web.run_app(application, host=host, port=int(port), print=None)
 
 
-def _zone_vms(zone: str, count: int, per_rack: int) -> list[VmState]:
-    return [
-        VmState(
-            name=f'{zone}-vm-{number}',
-            zone=zone,
-            rack=f'{zone}-rack-{number // per_rack}',
-            state='running',
-        )
-        for number in range(count)
-    ]
+def build_application(
+    fleet: Fleet,
+    faults: Faults,
+    seed: int,
+) -> web.Application:
+    """Return the platform's HTTP interface over a fleet."""
+    rng = random.Random(seed)  # noqa: S311 - faults are no secret
+
+    @web.middleware
+    async def misbehave(  # noqa: WPS430 - aiohttp wants a function
+        request: web.Request,
+        handler: _Handler,
+    ) -> web.StreamResponse:
+        return await _misbehave(request, handler, faults, rng)
+
+    application = web.Application(middlewares=[misbehave])
+    application[_FLEET] = fleet
+    application.router.add_get('/v1/vms', _on_list)
+    application.router.add_post('/v1/vms/{name}/actions', _on_vm_action)
+    application.router.add_get('/v1/workers/{name}/tasks', _on_tasks)
+    application.router.add_post('/v1/workers/{name}/actions', _on_task_action)
+    return application
+
+
+async def _misbehave(
+    request: web.Request,
+    handler: _Handler,
+    faults: Faults,
+    rng: random.Random,
+) -> web.StreamResponse:
+    answer = await handler(request)
+    if rng.random() < faults.doubled_ratio:
+        answer = await handler(request)
+    if rng.random() < faults.late_ratio:
+        await asyncio.sleep(_LATE_S)
+    if rng.random() < faults.lost_ratio and request.transport is not None:
+        request.transport.close()
+    if rng.random() < faults.wrong_ratio:
+        return _json({'request_id': 'of-another', 'revision': 0, 'vms': ()})
+    return answer
 
 
 async def _on_list(request: web.Request) -> web.Response:
-    return _json(list(request.app['fleet'].values()))
+    after = int(request.query.get('after', '0'))
+    revision, vms = request.app[_FLEET].page(after)
+    return _json(
+        {
+            'request_id': request.headers.get('X-Request-Id', ''),
+            'revision': revision,
+            'vms': vms,
+        }
+    )
+
+
+async def _on_tasks(request: web.Request) -> web.Response:
+    return _json(
+        {
+            'request_id': request.headers.get('X-Request-Id', ''),
+            'tasks': request.app[_FLEET].tasks(request.match_info['name']),
+        }
+    )
+
+
+async def _on_vm_action(request: web.Request) -> web.Response:
+    action = msgspec.json.decode(await request.read(), type=VmAction)
+    try:
+        request.app[_FLEET].act(action)
+    except FencedError as error:
+        raise web.HTTPConflict from error
+    return _done(request, action.action_id, action.vm)
 
 
-async def _on_action(request: web.Request) -> web.Response:
-    vm = request.app['fleet'].get(request.match_info['name'])
-    if vm is None:
-        raise web.HTTPNotFound
-    vm.state = request.match_info['action']
-    return _json(vm)
+async def _on_task_action(request: web.Request) -> web.Response:
+    action = msgspec.json.decode(await request.read(), type=TaskAction)
+    try:
+        request.app[_FLEET].act_on_task(action)
+    except FencedError as error:
+        raise web.HTTPConflict from error
+    return _done(request, action.action_id, action.job_id)
+
+
+def _done(request: web.Request, action_id: str, subject: str) -> web.Response:
+    return _json(
+        {
+            'request_id': request.headers.get('X-Request-Id', ''),
+            'action_id': action_id,
+            'subject': subject,
+        }
+    )
 
 
 def _json(reply: object) -> web.Response:
--- /dev/null
+++ b/src/wigeonreach/standins/_platform_fleet.py
@@ -0,0 +1,246 @@
+"""VMs and tasks of the platform's stand-in, and what befalls them."""
+
+from __future__ import annotations
+
+import dataclasses
+import os
+import pathlib
+import time
+from typing import Any
+
+import msgspec
+
+from wigeonreach.platform import (
+    ActionKind,
+    TaskAction,
+    TaskView,
+    VmAction,
+    VmPhase,
+    VmView,
+)
+
+_SLOTS = 8
+_PROCESSORS = 16.0
+_MEMORY_BYTES = 32 * 1024**3
+
+
+class ActionLine(msgspec.Struct, frozen=True):
+    """One line of the action log: what truly happened to a VM."""
+
+    at_s: float
+    vm: str
+    zone: str
+    what: str
+    action_id: str
+    fencing_token: int
+
+
+class Timing(msgspec.Struct, frozen=True):
+    """How long things take, in seconds."""
+
+    drain_s: float
+    reboot_s: float
+    check_s: float
+
+
+class FencedError(Exception):
+    """The action carries a lower token than one seen before."""
+
+
+class Fleet:
+    """All VMs; the log outlives a killed process.
+
+    Parameters
+    ----------
+    vms
+        Views to begin with.
+    timing
+        How long drains, reboots and checks take.
+    bad_images
+        VMs that come back from a reboot without ever being healthy.
+    log_path
+        File of ``ActionLine``, one JSON line each.
+    """
+
+    def __init__(
+        self,
+        vms: list[VmView],
+        timing: Timing,
+        bad_images: frozenset[str],
+        log_path: pathlib.Path,
+    ) -> None:
+        """Open the log."""
+        self._vms = {vm.name: vm for vm in vms}
+        self._timing = timing
+        self._bad_images = bad_images
+        flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+        self._descriptor = os.open(log_path, flags, 0o600)
+        self._changed = dict.fromkeys(self._vms, 1)
+        self._revision = 1
+        self._tokens: dict[str, int] = {}
+        self._done: set[str] = set()
+        self._due: list[tuple[float, str, ActionKind]] = []
+        self._tasks: dict[str, TaskView] = {}
+
+    def page(self, after: int) -> tuple[int, list[VmView]]:
+        """Return the revision and the VMs that changed after one."""
+        self.advance()
+        changed = [
+            self._vms[name]
+            for name, revision in self._changed.items()
+            if revision > after
+        ]
+        return self._revision, changed
+
+    def tasks(self, worker: str) -> list[TaskView]:
+        """Return the tasks of one worker."""
+        return [task for task in self._tasks.values() if task.worker == worker]
+
+    def act(self, action: VmAction) -> None:
+        """Begin an action once, however often it is sent.
+
+        Raises
+        ------
+        FencedError
+            If it is older than one that was seen.
+        """
+        self.advance()
+        self._fence(action.vm, action.fencing_token)
+        done = f'{action.kind}/{action.action_id}'
+        if done in self._done:
+            return
+        self._done.add(done)
+        self._write(action.vm, action.kind, action)
+        self._begin(action)
+
+    def act_on_task(self, action: TaskAction) -> None:
+        """Start a task under a lease, or end or slow it.
+
+        Raises
+        ------
+        FencedError
+            If the token is lower than one seen for the job.
+        """
+        self._fence(f'job/{action.job_id}', action.lease_token)
+        known = self._tasks.get(action.job_id)
+        if known and known.lease_token == action.lease_token:
+            if action.kind is ActionKind.STOP:
+                self._tasks[action.job_id] = dataclasses.replace(
+                    known,
+                    state='stopped',
+                )
+            return
+        # A stop that overtakes its start leaves proof that it never ran.
+        is_start = action.kind is ActionKind.START
+        self._tasks[action.job_id] = TaskView(
+            action.job_id,
+            action.worker,
+            action.lease_token,
+            'running' if is_start else 'never',
+            0,
+            0,
+            time.time(),
+        )
+
+    def advance(self) -> None:
+        """Let what is due happen."""
+        now_s = time.monotonic()
+        due = [entry for entry in self._due if entry[0] <= now_s]
+        self._due = [entry for entry in self._due if entry[0] > now_s]
+        for _, name, kind in sorted(due):
+            self._finish(name, kind)
+
+    def _begin(self, action: VmAction) -> None:
+        name = action.vm
+        match action.kind:
+            case ActionKind.DRAIN:
+                self._set(
+                    name,
+                    action.action_id,
+                    phase=VmPhase.DRAINING,
+                    in_flight=3,
+                    open_checkpoints=1,
+                    is_healthy=None,
+                )
+                self._later(self._timing.drain_s, action)
+            case ActionKind.REBOOT:
+                self._set(name, action.action_id, phase=VmPhase.REBOOTING)
+                self._later(self._timing.reboot_s, action)
+            case ActionKind.CHECK:
+                self._set(name, action.action_id)
+                self._later(self._timing.check_s, action)
+            case _:
+                self._set(
+                    name,
+                    action.action_id,
+                    phase=VmPhase.SERVING,
+                    in_flight=0,
+                    open_checkpoints=0,
+                )
+
+    def _finish(self, name: str, kind: ActionKind) -> None:
+        vm = self._vms[name]
+        if kind is ActionKind.DRAIN and vm.phase is VmPhase.DRAINING:
+            self._set(name, vm.action_id, in_flight=0, open_checkpoints=0)
+        elif kind is ActionKind.REBOOT and vm.phase is VmPhase.REBOOTING:
+            self._write(name, 'booted', None)
+            self._set(name, vm.action_id, phase=VmPhase.BOOTED)
+        elif kind is ActionKind.CHECK and vm.phase is VmPhase.BOOTED:
+            is_healthy = name not in self._bad_images
+            self._set(name, vm.action_id, is_healthy=is_healthy)
+
+    def _later(self, delay_s: float, action: VmAction) -> None:
+        at_s = time.monotonic() + delay_s
+        self._due.append((at_s, action.vm, action.kind))
+
+    def _set(self, name: str, action_id: str, **changes: Any) -> None:
+        self._vms[name] = dataclasses.replace(
+            self._vms[name],
+            action_id=action_id,
+            **changes,
+        )
+        self._revision += 1
+        self._changed[name] = self._revision
+
+    def _fence(self, subject: str, token: int) -> None:
+        if token < self._tokens.get(subject, 0):
+            raise FencedError(subject)
+        self._tokens[subject] = token
+
+    def _write(self, name: str, what: str, action: VmAction | None) -> None:
+        line = ActionLine(
+            at_s=time.monotonic(),
+            vm=name,
+            zone=self._vms[name].zone,
+            what=str(what),
+            action_id=action.action_id if action else '',
+            fencing_token=action.fencing_token if action else 0,
+        )
+        os.write(self._descriptor, b'%b\n' % msgspec.json.encode(line))
+
+
+def read_action_log(path: pathlib.Path) -> list[ActionLine]:
+    """Return all lines of an action log, in the order written."""
+    return msgspec.json.Decoder(ActionLine).decode_lines(path.read_bytes())
+
+
+def new_vms(zones: list[str], per_zone: int, per_rack: int) -> list[VmView]:
+    """Return VMs that serve, spread over zones and racks."""
+    return [
+        VmView(
+            name=f'{zone}-vm-{number}',
+            zone=zone,
+            rack=f'{zone}-rack-{number // per_rack}',
+            phase=VmPhase.SERVING,
+            slots=_SLOTS,
+            processors=_PROCESSORS,
+            memory_bytes=_MEMORY_BYTES,
+            accelerators=0,
+            in_flight=0,
+            open_checkpoints=0,
+            action_id='',
+            is_healthy=None,
+        )
+        for zone in zones
+        for number in range(per_zone)
+    ]
