--- a/src/wigeonreach/manager/_core.py
+++ b/src/wigeonreach/manager/_core.py
@@ -18,6 +18,7 @@
     StartWave,
     StopWave,
     Tick,
+    Track,
     Vm,
     VmBack,
     VmEvent,
@@ -201,7 +202,9 @@
         if vm is None:
             return
         if self._planner.is_busy(view.name):
-            messages = _on_its_way(view)
+            # Of the platform's accord, or of the attempt that is running.
+            is_news = view.phase is VmPhase.DOWN or self._is_current(view)
+            messages = _on_its_way(view) if is_news else ()
         else:
             messages = _of_own_accord(vm, view)
             self._effects.extend(self._left_behind(view))
@@ -211,14 +214,23 @@
     def _left_behind(self, view: VmView) -> Iterable[WaveEffect]:
         """Send a last action again that the platform seems to have lost."""
         operation_id, _, _ = view.action_id.rpartition('/')
-        wave_id, vm, _ = (operation_id.rsplit('/', 2) + ['', ''])[:3]
-        wave = self._planner.waves.get(wave_id)
-        track = wave.tracks.get(vm) if wave else None
+        track = self._track(operation_id)
         if track is None:
             return
         wanted = _LAST_EFFECTS.get((view.phase, track.phase))
         if wanted is not None:
-            yield WaveEffect(wanted, vm, operation_id)
+            yield WaveEffect(wanted, view.name, operation_id)
+
+    def _is_current(self, view: VmView) -> bool:
+        operation_id, _, _ = view.action_id.rpartition('/')
+        track = self._track(operation_id)
+        attempt = operation_id.rpartition('/')[2]
+        return track is not None and attempt == str(track.attempt)
+
+    def _track(self, operation_id: str) -> Track | None:
+        wave_id, _, rest = operation_id.rpartition('/')[0].rpartition('/')
+        wave = self._planner.waves.get(wave_id)
+        return wave.tracks.get(rest) if wave else None
 
     def _changes(self) -> Iterable[RecordWave]:
         for wave_id, record in self._records.items():
