--- a/src/wigeonreach/state/_opening.py
+++ b/src/wigeonreach/state/_opening.py
@@ -32,10 +32,15 @@
     Raises
     ------
     StateError
-        If the folder is damaged and there is no peer.
+        If the disk refuses, or the folder is damaged and there is no peer.
     """
     try:
         stored = storage.load()
+    except OSError as error:
+        raise StateError(
+            ResultCode.STATE_DISK_FAILED,
+            f'the data folder can not be opened: {error}',
+        ) from error
     except StateError as error:
         if error.code is not ResultCode.STATE_DAMAGED:
             raise
