Make the sharing of announcements pure and let targets vouch by answers

What a zone agrees on was spread over a service with sockets and clocks, so that no test could bring its failures about.

It now trusts nothing from before its start that has not vouched for itself since. Announcements vouch only for targets that announce no path of their state, because one can be held up under way for any time.

--- a/src/wigeonreach/entry/_daemon.py
+++ b/src/wigeonreach/entry/_daemon.py
@@ -155,12 +155,15 @@
         return self._gate.in_flight + self._proxy.forwarded
 
     async def _learn(self) -> None:
-        """Become ready once the peers have passed on what they know."""
-        ends_s = time.monotonic() + _LEARN_BOUND_S
-        while time.monotonic() < ends_s:
-            if self._peers.is_zone_in_contact(time.monotonic()):
+        """Become ready once peers told what they know, and targets vouch."""
+        now_s = time.monotonic()
+        ends_s = now_s + _LEARN_BOUND_S
+        while now_s < ends_s:
+            is_told = self._peers.is_zone_in_contact(now_s)
+            if is_told and not self._membership.lapsing(0, now_s):
                 break
             await self.sleep(_POLL_S)
+            now_s = time.monotonic()
         self._lifecycle.take(Step.LEARNED)
 
     def _sharer(self) -> Sharer:
--- a/src/wigeonreach/entry/_membership.py
+++ b/src/wigeonreach/entry/_membership.py
@@ -74,14 +74,14 @@
         if self._is_address_taken(record):
             return Merge.STALE
         known = self._members.get(record.target_id)
-        seen_s = now_s - record.age_s
         if known is None:
-            return self._insert(record, seen_s)
+            return self._insert(record, now_s)
         if record.incarnation_ns > known.record.incarnation_ns:
-            return self._restart(known, record, seen_s)
+            self._forget(known)
+            return self._insert(record, now_s)
         if record.incarnation_ns < known.record.incarnation_ns:
             return Merge.STALE
-        return renew(known, record, seen_s)
+        return renew(known, record, now_s)
 
     def see(self, answered: TargetAnswered) -> TargetRecord | None:
         """Note what a target said of itself in an answer to this entry.
@@ -103,6 +103,7 @@
             return None
         if answered.state is TargetState.SERVING:
             member.seen_s = max(member.seen_s, answered.sent_s)
+            member.renewed_s = max(member.renewed_s, answered.sent_s)
             return None
         member.record = msgspec.structs.replace(
             member.record,
@@ -123,7 +124,7 @@
             sequence=renewal.sequence,
             age_s=renewal.age_s,
         )
-        return renew(member, renewed, now_s - renewal.age_s)
+        return renew(member, renewed, now_s)
 
     def find(self, target_id: str) -> Member | None:
         """Return what is known of a target."""
@@ -136,7 +137,8 @@
     def distrust(self, now_s: float) -> None:
         """Trust no record until its target was seen after ``now_s``.
 
-        A peer that was restarted may have forgotten that a target left.
+        A peer that was restarted may have forgotten that a target left, and
+        so may this entry itself.
         """
         self._distrusted_s = now_s
 
@@ -153,10 +155,8 @@
 
     def trusted_until_s(self, member: Member) -> float:
         """Return until when a record is trusted without being seen again."""
-        alone_s = member.seen_s + TRUST_S
-        is_covered = (
-            self._is_near(member) and member.seen_s >= self._distrusted_s
-        )
+        alone_s = member.vouched_s + TRUST_S
+        is_covered = self._is_near(member) and self._is_since_distrust(member)
         return max(alone_s, self._contact_until_s) if is_covered else alone_s
 
     def lapsing(self, ahead_s: float, now_s: float) -> list[Member]:
@@ -201,7 +201,8 @@
         fresh = [member.record for member in ended if not member.has_expired]
         for one in ended:
             one.has_expired = True
-            if one.expires_s + TOMBSTONE_S <= now_s:
+            kept_until_s = one.touched_s + one.record.lease_s + TOMBSTONE_S
+            if kept_until_s <= now_s:
                 self._forget(one)
         return fresh
 
@@ -227,30 +228,15 @@
             return False
         return owner.record.incarnation_ns >= record.incarnation_ns
 
-    def _insert(self, record: TargetRecord, seen_s: float) -> Merge:
-        member = Member(record, seen_s)
+    def _insert(self, record: TargetRecord, now_s: float) -> Merge:
+        member = Member(record, now_s - record.age_s, now_s)
         self._members[record.target_id] = member
         self._by_service.setdefault(record.service, []).append(member)
         self._take_address(member)
         return Merge.JOINED
 
-    def _restart(
-        self,
-        known: Member,
-        record: TargetRecord,
-        seen_s: float,
-    ) -> Merge:
-        if record.service != known.record.service:
-            self._forget(known)
-            return self._insert(record, seen_s)
-        if self._by_address.get(known.record.address) is known:
-            self._by_address.pop(known.record.address)
-        known.record = record
-        known.seen_s = seen_s
-        known.is_superseded = False
-        known.has_expired = False
-        self._take_address(known)
-        return Merge.JOINED
+    def _is_since_distrust(self, member: Member) -> bool:
+        return member.vouched_s >= self._distrusted_s
 
     def _take_address(self, member: Member) -> None:
         owner = self._by_address.get(member.record.address)
--- a/src/wigeonreach/entry/_spread.py
+++ b/src/wigeonreach/entry/_spread.py
@@ -1,23 +1,22 @@
-"""Pass on what targets announced, and count how long that took."""
+"""Carry what targets announced between this entry and its peers."""
 
 from __future__ import annotations
 
 import time
-from collections.abc import Iterator
+from collections.abc import Iterable
 
 import mode
 import msgspec
 
-from wigeonreach.entry._member import aged
 from wigeonreach.entry._membership import Membership, Merge
 from wigeonreach.entry._pause import PauseWatch
 from wigeonreach.entry._peers import PeerExchange
+from wigeonreach.entry._spreading import Merged, Spreading, ToPeer
 from wigeonreach.entry._target_state import TargetAnswered
 from wigeonreach.observe import LogEvent, Logger, Metrics
 from wigeonreach.wire._base import WireMessage
 from wigeonreach.wire._peer_messages import PeerHello
 from wigeonreach.wire._target_messages import (
-    Renewal,
     Renewals,
     TargetRecord,
     Targets,
@@ -29,7 +28,6 @@
 _TICKS_PER_EXPIRY = 5
 # A leaving target is answered within this, told or not told.
 _CONFIRM_S = 0.4
-_PASSED_ON_WHOLE = frozenset((Merge.JOINED, Merge.CHANGED, Merge.LEFT))
 
 
 class Spread(mode.Service):
@@ -61,13 +59,20 @@
         self._metrics = metrics
         self._log = logger
         self._pause = PauseWatch(time.monotonic())
-        self._renewed: set[str] = set()
+        self._spreading = Spreading(
+            membership,
+            peers.contacts,
+            peers.incarnation_ns,
+            peers.zone_names,
+        )
         peers.handle(Targets, self._on_targets)
         peers.handle(Renewals, self._on_renewals)
         peers.sync_with(self._sync)
         peers.after_heartbeat(self._on_contact)
         peers.on_peer_restart(self._on_restart)
-        self._extend_contact()
+        self._spreading.extend_contact()
+        # What a former process of this entry was told is forgotten.
+        membership.distrust(time.monotonic())
 
     def learn(self, record: TargetRecord) -> Merge:
         """Merge what a target announced here and pass it on.
@@ -84,15 +89,13 @@
         """
         now_s = time.monotonic()
         waited_s = now_s - self._pause.arrived_s(now_s)
-        merged = self._merge(
+        merged, outgoing = self._spreading.learn(
             msgspec.structs.replace(record, age_s=waited_s),
             now_s,
         )
         self._metrics.count('announcements', merged.name.lower())
-        if merged in _PASSED_ON_WHOLE:
-            self._post((record.target_id,), now_s)
-        elif merged is Merge.RENEWED:
-            self._renewed.add(record.target_id)
+        self._log_merged(Merged(record, merged))
+        self._post(outgoing)
         return merged
 
     async def is_known_everywhere(self, state: TargetState) -> bool:
@@ -111,7 +114,9 @@
         if left is not None:
             self._metrics.count('announcements', 'seen_leaving')
             self._log.info(LogEvent.TARGET_LEAVING, target=left.target_id)
-            self._post((left.target_id,), time.monotonic())
+            self._post(
+                self._spreading.tell(left.target_id, time.monotonic()),
+            )
 
     @mode.Service.task
     async def _keep_ticking(self) -> None:
@@ -122,7 +127,7 @@
             now_s = time.monotonic()
             self._pause.tick(now_s)
             if ticks % _TICKS_PER_BATCH == 0:
-                self._post_renewals(now_s)
+                self._post(self._spreading.take_renewed(now_s))
             if ticks % _TICKS_PER_EXPIRY == 0:
                 self._expire(now_s)
 
@@ -131,94 +136,29 @@
             self._log.info(LogEvent.TARGET_EXPIRED, target=record.target_id)
 
     def _on_contact(self, _hello: PeerHello, _message: WireMessage) -> None:
-        self._extend_contact()
-
-    def _extend_contact(self) -> None:
-        self._membership.extend_contact(self._peers.zone_contact_until_s())
+        self._spreading.extend_contact()
 
     def _on_restart(self, name: str) -> None:
-        if name in self._peers.zone_names:
-            self._membership.distrust(time.monotonic())
-            self._extend_contact()
-
-    def _sync(self, name: str) -> Iterator[WireMessage]:
-        if name in self._peers.zone_names:
-            records = self._membership.records(time.monotonic())
-            yield self._addressed(name, records)
-
-    def _post(self, target_ids: tuple[str, ...], now_s: float) -> None:
-        found = (self._membership.find(one) for one in target_ids)
-        records = tuple(aged(one, now_s) for one in found if one is not None)
-        for name in self._peers.zone_names:
-            self._peers.post(name, self._addressed(name, records))
-
-    def _post_renewals(self, now_s: float) -> None:
-        found = (self._membership.find(one) for one in self._renewed)
-        renewals = tuple(
-            Renewal(
-                one.record.target_id,
-                one.record.incarnation_ns,
-                one.record.sequence,
-                now_s - one.seen_s,
-            )
-            for one in found
-            if one is not None
-        )
-        self._renewed.clear()
-        if not renewals:
-            return
-        for name in self._peers.zone_names:
-            contact = self._peers.contacts.peer(name)
-            self._peers.post(
-                name,
-                Renewals(
-                    renewals,
-                    contact.their_sent_s,
-                    contact.incarnation_ns,
-                ),
-            )
+        self._spreading.on_restart(name, time.monotonic())
 
-    def _addressed(
-        self,
-        name: str,
-        records: tuple[TargetRecord, ...],
-    ) -> Targets:
-        contact = self._peers.contacts.peer(name)
-        return Targets(records, contact.their_sent_s, contact.incarnation_ns)
+    def _sync(self, name: str) -> Iterable[WireMessage]:
+        return self._spreading.sync(name, time.monotonic())
 
     def _on_targets(self, _hello: PeerHello, targets: Targets) -> None:
-        now_s = time.monotonic()
-        under_way_s = self._under_way_s(targets, now_s)
-        for record in targets.records:
-            older = msgspec.structs.replace(
-                record,
-                age_s=record.age_s + under_way_s,
-            )
-            self._merge(older, now_s)
+        for merged in self._spreading.on_targets(targets, time.monotonic()):
+            self._log_merged(merged)
 
     def _on_renewals(self, _hello: PeerHello, batch: Renewals) -> None:
-        now_s = time.monotonic()
-        under_way_s = self._under_way_s(batch, now_s)
-        for renewal in batch.renewals:
-            self._membership.renew(
-                msgspec.structs.replace(
-                    renewal,
-                    age_s=renewal.age_s + under_way_s,
-                ),
-                now_s,
-            )
+        self._spreading.on_renewals(batch, time.monotonic())
 
-    def _under_way_s(self, batch: Targets | Renewals, now_s: float) -> float:
-        """Return the longest time that a batch can have been under way."""
-        if batch.echo_incarnation_ns == self._peers.incarnation_ns:
-            return now_s - batch.echo_s
-        # Without an echo nothing is known of the age, and no lease is left.
-        return float('inf')
+    def _post(self, outgoing: list[ToPeer]) -> None:
+        for one in outgoing:
+            self._peers.post(one.peer, one.message)
 
-    def _merge(self, record: TargetRecord, now_s: float) -> Merge:
-        merged = self._membership.merge(record, now_s)
-        if merged is Merge.JOINED and record.state is TargetState.SERVING:
+    def _log_merged(self, merged: Merged) -> None:
+        record = merged.record
+        is_serving = record.state is TargetState.SERVING
+        if merged.merge is Merge.JOINED and is_serving:
             self._log.info(LogEvent.TARGET_JOINED, target=record.target_id)
-        elif merged is Merge.LEFT:
+        elif merged.merge is Merge.LEFT:
             self._log.info(LogEvent.TARGET_LEAVING, target=record.target_id)
-        return merged
--- a/tests/entry/test_contact.py
+++ b/tests/entry/test_contact.py
@@ -50,6 +50,7 @@
 
     def test_not_synced(self) -> None:
         """A peer that has not passed on what it knows is not in contact."""
+        self.right.hear(_LEFT, self._beat_left(10), 110)
         early = self.right.heartbeat('left', 110, has_synced=False)
 
         self.left.hear(_RIGHT, early, 10)
