--- a/bench/relay.py
+++ b/bench/relay.py
@@ -136,19 +136,10 @@
         except OSError:
             writer.close()
             return
-        # The relay is closed while connections are open.
-        with contextlib.suppress(asyncio.CancelledError):
-            await asyncio.gather(
-                _pump(reader, far_writer, link, lambda: link.forward_cut),
-                _pump(far_reader, writer, link, lambda: link.backward_cut),
-            )
-
-
-async def _cancel_others() -> None:
-    others = asyncio.all_tasks() - {asyncio.current_task()}
-    for task in others:
-        task.cancel()
-    await asyncio.gather(*others, return_exceptions=True)
+        await asyncio.gather(
+            _pump(reader, far_writer, link, lambda: link.forward_cut),
+            _pump(far_reader, writer, link, lambda: link.backward_cut),
+        )
 
 
 async def _cancel_others() -> None:
