End an entry without resetting connections that wait to be accepted

Closing a listening socket resets the connections that the kernel holds in its queue, and closing a kept-alive connection resets a request that is under way to it.

--- /dev/null
+++ b/proofs/test_shutdown.py
@@ -0,0 +1,137 @@
+"""Prove that a graceful stop cuts off nothing, whatever else happens."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import pathlib
+import signal
+import tempfile
+import time
+
+import testtools
+from testtools.matchers import (
+    Contains,
+    Equals,
+    GreaterThan,
+    HasLength,
+    LessThan,
+)
+
+from bench.check import check
+from bench.cluster import Process, Shape
+from bench.leaving import SERVICE, Disturb, Played, Stage, play
+from bench.load import Load
+
+_SHAPE = Shape(
+    zones=('a',),
+    entries_per_zone=3,
+    services=(SERVICE,),
+    targets_per_service=4,
+    service_time_s=0.1,
+)
+_BEFORE_S = 1.0
+_LENGTH_S = 5.0
+_RATE_PER_S = 120.0
+_AT_ONCE_S = 0.5
+_FORCED = '"number": 104'
+
+
+class TestShutdown(testtools.TestCase):
+    """Each proof stops entries while callers go on sending."""
+
+    def _play(self, disturb: Disturb, length_s: float = _LENGTH_S) -> Played:
+        folder = tempfile.TemporaryDirectory(prefix='shutdown-')
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name) / 'run'
+        return play(self.folder, disturb, length_s, _SHAPE, _RATE_PER_S)
+
+    def _check(self, played: Played) -> None:
+        self.assertThat(
+            check(played.calls, played.runs).violations,
+            HasLength(0),
+        )
+        self.assertThat(len(played.calls), GreaterThan(0))
+
+    def test_callers_that_ignore_readiness(self) -> None:
+        """Callers that go on sending to the entry get an answer, or none."""
+        direct: list[Load] = []
+
+        async def disturb(stage: Stage) -> None:
+            stopped = stage.cluster.entries[0]
+            load = Load([stopped], (SERVICE,), 200.0, seed=2)
+            direct.append(load)
+            sending = asyncio.ensure_future(load.run(4.0))
+            await asyncio.sleep(_BEFORE_S)
+            await _stop(stopped)
+            await sending
+
+        played = self._play(disturb)
+        calls = direct[0].calls
+        outcomes = collections.Counter(call.outcome for call in calls)
+        self.assertThat(outcomes['lost'], Equals(0))
+        self.assertThat(outcomes['ran'], GreaterThan(150))
+        self.assertThat(outcomes['not-run'], GreaterThan(150))
+        self._check(Played([*played.calls, *calls], played.runs))
+
+    def test_two_at_once(self) -> None:
+        """Two of three entries stop at once; the third takes over."""
+
+        async def disturb(stage: Stage) -> None:
+            await asyncio.sleep(_BEFORE_S)
+            first, second, _ = stage.cluster.entries
+            await asyncio.gather(_stop(first), _stop(second))
+
+        played = self._play(disturb)
+        self._check(played)
+        after = [call for call in played.calls if call.is_answered]
+        self.assertThat(
+            len(after),
+            GreaterThan(len(played.calls) * 0.95),
+        )
+
+    def test_frozen_and_killed(self) -> None:
+        """One entry stops after it slept, while another is killed."""
+
+        async def disturb(stage: Stage) -> None:
+            frozen, killed, _ = stage.cluster.entries
+            await asyncio.sleep(_BEFORE_S)
+            frozen.send(signal.SIGSTOP)
+            frozen.send(signal.SIGTERM)
+            killed.send(signal.SIGKILL)
+            await asyncio.sleep(1)
+            frozen.send(signal.SIGCONT)
+            await asyncio.to_thread(frozen.wait)
+
+        played = self._play(disturb)
+        # Only a kill cuts off what was in flight.
+        lost = {call.entry for call in played.calls if call.outcome == 'lost'}
+        self.assertThat(lost - {'entry-a1'}, Equals(set()))
+
+    def test_second_signal(self) -> None:
+        """A second signal ends the entry at once, with a numbered event."""
+        took: list[float] = []
+
+        async def disturb(stage: Stage) -> None:
+            stopped = stage.cluster.entries[0]
+            await asyncio.sleep(_BEFORE_S)
+            stopped.send(signal.SIGTERM)
+            await asyncio.sleep(0.2)
+            began_s = time.monotonic()
+            stopped.send(signal.SIGTERM)
+            status = await asyncio.to_thread(stopped.wait)
+            took.append(time.monotonic() - began_s)
+            self.assertThat(status, Equals(1))
+
+        self._play(disturb, length_s=2.5)
+        log = (self.folder / 'entry-a0.log').read_text()
+        self.assertThat(log, Contains(_FORCED))
+        self.assertThat(took, HasLength(1))
+        self.assertThat(took[0], LessThan(_AT_ONCE_S))
+
+
+async def _stop(entry: Process) -> None:
+    entry.send(signal.SIGTERM)
+    status = await asyncio.to_thread(entry.wait)
+    if status:
+        raise AssertionError(f'{entry.name} ended with {status}')
--- a/src/wigeonreach/entry/_daemon.py
+++ b/src/wigeonreach/entry/_daemon.py
@@ -14,8 +14,9 @@
 from wigeonreach.entry._config_peers import ConfigPeers
 from wigeonreach.entry._credits import WORK_GRACE_S, Sharer
 from wigeonreach.entry._credits_daemon import CreditDaemon
-from wigeonreach.entry._gate import Gate, end_idle_connections
+from wigeonreach.entry._gate import Gate
 from wigeonreach.entry._lifecycle import Lifecycle, Step
+from wigeonreach.entry._listener import Listener, end_idle_connections
 from wigeonreach.entry._membership import Membership
 from wigeonreach.entry._pages import Pages
 from wigeonreach.entry._peers import PeerExchange
@@ -93,7 +94,7 @@
             self._spread.see,
         )
         self._runner: web.AppRunner | None = None
-        self._site: web.TCPSite | None = None
+        self._listener: Listener | None = None
 
     async def on_start(self) -> None:
         """Start every part and listen for HTTP last."""
@@ -116,9 +117,8 @@
             self._log,
         )
         await self._runner.setup()
-        address = self._settings.http
-        self._site = web.TCPSite(self._runner, address.host, address.port)
-        await self._site.start()
+        self._listener = Listener(self._runner, self._settings.http)
+        await self._listener.open()
         self.add_future(self._learn())
 
     async def drain(self) -> None:
@@ -127,8 +127,13 @@
         await asyncio.sleep(self._settings.readiness_notice_s)
         self._lifecycle.take(Step.NOTICE_GIVEN)
         ends_s = time.monotonic() + self._settings.max_deadline_s
-        while self._in_flight() and time.monotonic() < ends_s:
-            await asyncio.sleep(_POLL_S)
+        await self._wait_until_idle(ends_s)
+        if self._listener is not None:
+            await self._listener.close()
+        # A caller that just connected, or whose connection is kept alive, may
+        # be sending: it is still told that its request did not run.
+        await asyncio.sleep(_CROSSING_S)
+        await self._wait_until_idle(ends_s)
         cut_off = self._in_flight()
         if cut_off:
             self._lifecycle.take(Step.BOUND_PASSED)
@@ -138,19 +143,18 @@
             self._log.info(LogEvent.DRAIN_FINISHED)
 
     async def on_stop(self) -> None:
-        """Close the listening socket, then the connections."""
+        """End the connections that are left."""
         await self._config.leave()
-        if self._runner is not None and self._site is not None:
-            await self._site.stop()
-            # What was accepted last is still handled before its end.
-            await asyncio.sleep(0)
-            server = self._runner.server
-            if server is not None:
-                end_idle_connections(server)
-                await asyncio.sleep(_CROSSING_S)
+        if self._runner is not None:
+            end_idle_connections(self._runner)
+            await asyncio.sleep(_CROSSING_S)
             await self._runner.cleanup()
         await self._proxy.close()
 
+    async def _wait_until_idle(self, ends_s: float) -> None:
+        while self._in_flight() and time.monotonic() < ends_s:
+            await asyncio.sleep(_POLL_S)
+
     def _in_flight(self) -> int:
         return self._gate.in_flight + self._proxy.forwarded
 
--- a/src/wigeonreach/entry/_gate.py
+++ b/src/wigeonreach/entry/_gate.py
@@ -76,15 +76,3 @@
         # Another entry takes the request at once.
         reply.headers[_RETRY_AFTER] = '0'
         return reply
-
-
-def end_idle_connections(server: web.Server) -> None:
-    """Tell each caller that its kept-alive connection ends.
-
-    Only the sending half is closed, so that a request which crosses the end
-    on its way is read and dropped instead of being answered by a reset.
-    """
-    for connection in server.connections:
-        transport = connection.transport
-        if transport is not None and transport.can_write_eof():
-            transport.write_eof()
