--- /dev/null
+++ b/src/wigeonreach/standins/_faults.py
@@ -0,0 +1,113 @@
+"""Answer as a broken target would: short, late, crossed or garbage."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+import random
+from typing import Final
+
+from aiohttp import web
+
+REQUEST_ID_HEADER: Final = 'X-Request-Id'
+_LATE_S: Final = 3.0
+_GARBAGE: Final = b'\x00garbage\xff' * 8
+
+
+class Fault(enum.StrEnum):
+    """What is wrong with an answer."""
+
+    SHORT = 'short'
+    LATE = 'late'
+    CROSSED = 'crossed'
+    GARBAGE = 'garbage'
+    DOUBLED = 'doubled'
+
+
+class Faults:
+    """Break some of a target's answers; its work is done all the same.
+
+    Parameters
+    ----------
+    kinds
+        What may be wrong.
+    ratio
+        Share of answers that are broken.
+    rng
+        Source of random choices.
+    """
+
+    def __init__(
+        self,
+        kinds: tuple[Fault, ...],
+        ratio: float,
+        rng: random.Random,
+    ) -> None:
+        """Start with no answer that could be crossed."""
+        self._kinds = kinds
+        self._ratio = ratio
+        self._rng = rng
+        self._previous = ('none', 'none')
+
+    async def spoil(
+        self,
+        request: web.Request,
+        text: str,
+    ) -> web.StreamResponse | None:
+        """Send a broken answer in place of the right one.
+
+        Parameters
+        ----------
+        request
+            What was asked.
+        text
+            The right answer.
+
+        Returns
+        -------
+        aiohttp.web.StreamResponse or None
+            The broken answer, or None if the right one shall be sent.
+        """
+        asked = request.headers.get(REQUEST_ID_HEADER, '')
+        previous = self._previous
+        self._previous = (asked, text)
+        if not self._kinds or self._rng.random() >= self._ratio:
+            return None
+        match self._rng.choice(self._kinds):
+            case Fault.LATE:
+                await asyncio.sleep(_LATE_S)
+                return None
+            case Fault.CROSSED:
+                return _whole(*previous)
+            case Fault.SHORT:
+                raw = _raw(asked, text, len(text) + 5)
+            case Fault.DOUBLED:
+                raw = _raw(asked, text, len(text)) + _raw(*previous, -1)
+            case _:
+                raw = _GARBAGE
+        return _send(request, raw)
+
+
+def _whole(request_id: str, text: str) -> web.Response:
+    return web.Response(text=text, headers={REQUEST_ID_HEADER: request_id})
+
+
+def _raw(request_id: str, text: str, length: int) -> bytes:
+    if length < 0:
+        length = len(text)
+    head = (
+        'HTTP/1.1 200 OK',
+        f'{REQUEST_ID_HEADER}: {request_id}',
+        f'Content-Length: {length}',
+        '',
+        text,
+    )
+    return '\r\n'.join(head).encode()
+
+
+def _send(request: web.Request, raw: bytes) -> web.Response:
+    if request.transport is not None:
+        request.transport.write(raw)
+        request.transport.close()
+    # The connection is closed already: this answer goes nowhere.
+    return web.Response()
--- a/src/wigeonreach/standins/_target.py
+++ b/src/wigeonreach/standins/_target.py
@@ -17,11 +17,11 @@
     Announcer,
     AnnouncerOptions,
 )
+from wigeonreach.standins._faults import REQUEST_ID_HEADER, Fault, Faults
 from wigeonreach.standins._run_log import RunKind, RunLog
 
 _LINGER_S: Final = 3.0
 _UNLIMITED: Final = 1_000_000
-_ID_HEADER: Final = 'X-Request-Id'
 
 
 class Target:
@@ -39,6 +39,8 @@
         Where each run is written before it begins.
     service_time_s
         Mean time of one run, in seconds.
+    faults
+        Breaks some of the answers.
     run_slots
         How many requests it works on at once; what comes on top waits.
     """
@@ -50,6 +52,7 @@
         announcer: Announcer,
         run_log: RunLog,
         service_time_s: float,
+        faults: Faults,
         run_slots: int = _UNLIMITED,
     ) -> None:
         """Prepare; nothing is announced yet."""
@@ -59,6 +62,7 @@
         self._run_log = run_log
         self._service_time_s = service_time_s
         self._work_slots = asyncio.Semaphore(run_slots)
+        self._faults = faults
         self._running = 0
         self._left = asyncio.Event()
         self._rng = random.Random(target_id)  # noqa: S311
@@ -88,7 +92,7 @@
     async def _on_state(self, _request: web.Request) -> web.Response:
         return web.Response(headers=self._announcer.headers)
 
-    async def _on_request(self, request: web.Request) -> web.Response:
+    async def _on_request(self, request: web.Request) -> web.StreamResponse:
         body = await request.read()
         work = body.decode()
         self._running += 1
@@ -99,10 +103,14 @@
         finally:
             self._running -= 1
         self._run_log.write(RunKind.END, work, self._running)
+        text = f'{self._target_id} {work}'
+        spoiled = await self._faults.spoil(request, text)
+        if spoiled is not None:
+            return spoiled
         return web.Response(
-            text=f'{self._target_id} {work}',
+            text=text,
             headers={
-                _ID_HEADER: request.headers.get(_ID_HEADER, ''),
+                REQUEST_ID_HEADER: request.headers.get(REQUEST_ID_HEADER, ''),
                 **self._announcer.headers,
             },
         )
@@ -123,6 +131,8 @@
     service_time_s: Annotated[float, typer.Option(min=0)] = 0.02,
     announce_s: Annotated[float, typer.Option(min=0)] = 0,
     lease_s: Annotated[float, typer.Option(min=0)] = 0,
+    fault: Annotated[list[Fault], typer.Option()] = [],  # noqa: B006, WPS404 - typer copies it
+    fault_ratio: Annotated[float, typer.Option(min=0, max=1)] = 0.3,
     *,
     naive: bool = False,
     run_slots: Annotated[int, typer.Option(min=1)] = _UNLIMITED,
@@ -130,15 +140,20 @@
     """Run one target."""
     options = AnnouncerOptions(tuple(entries), announce_s, lease_s, naive)
     log = RunLog(run_log, target_id, os.getpid())
+    faults = Faults(
+        tuple(fault),
+        fault_ratio,
+        random.Random(target_id),  # noqa: S311
+    )
+    announcer = Announcer(target_id, service, announced or http, options)
     asyncio.run(
         _run(
             target_id,
-            service,
             http,
-            announced,
-            options,
+            announcer,
             log,
             service_time_s,
+            faults,
             run_slots,
         ),
     )
@@ -146,20 +161,19 @@
 
 async def _run(
     target_id: str,
-    service: str,
     http: str,
-    announced: str,
-    options: AnnouncerOptions,
+    announcer: Announcer,
     log: RunLog,
     service_time_s: float,
+    faults: Faults,
     run_slots: int,
 ) -> None:
-    announcer = Announcer(target_id, service, announced or http, options)
     await Target(
         target_id,
         http,
         announcer,
         log,
         service_time_s,
+        faults,
         run_slots,
     ).run()
