Look only at targets that contact does not vouch for

Looking for targets to ask took 1.6 ms ten times a second with 2,000 of them, more than half of what a daemon may spend, though in contact there is nothing to find. Those not vouched for since a restart are kept apart now: 0.03 ms. The pace of announcements follows the measured 567 bytes of one.

--- a/src/wigeonreach/entry/_announce.py
+++ b/src/wigeonreach/entry/_announce.py
@@ -10,7 +10,7 @@
 from wigeonreach.exceptions import RequestRefusedError
 from wigeonreach.wire._target_messages import TargetRecord, TargetState
 
-_MAX_LEASE_S = 300
+_MAX_LEASE_S = 720
 Name = Annotated[str, pydantic.StringConstraints(min_length=1, max_length=128)]
 
 
--- a/src/wigeonreach/entry/_membership.py
+++ b/src/wigeonreach/entry/_membership.py
@@ -50,6 +50,7 @@
         self._by_address: dict[str, Member] = {}
         self._by_service: dict[str, list[Member]] = {}
         self._asked_s: dict[str, float] = {}
+        self._unvouched: set[Member] = set()
 
     @property
     def near_count(self) -> int:
@@ -141,16 +142,18 @@
         so may this entry itself.
         """
         self._distrusted_s = now_s
+        self._unvouched.update(self._members.values())
 
     def serving(self, service: str, now_s: float) -> list[Member]:
         """Return the zone's targets that may be given new work."""
         self._asked_s[service] = now_s
+        in_contact = now_s < self._contact_until_s
         return [
             member
             for member in self._by_service.get(service, ())
             if self._is_near(member)
             and member.is_serving(now_s)
-            and now_s < self.trusted_until_s(member)
+            and self._is_trusted(member, now_s, in_contact=in_contact)
         ]
 
     def trusted_until_s(self, member: Member) -> float:
@@ -169,11 +172,18 @@
         now_s
             Monotonic time of this process, in seconds.
         """
-        near = filter(self._is_near, self._members.values())
+        if now_s + ahead_s < self._contact_until_s:
+            # The rest is vouched for by contact; this is asked all the time.
+            self._forget_vouched()
+            members = list(self._unvouched)
+        else:
+            members = list(self._members.values())
         found = [
-            lapsing
-            for member in near
-            for lapsing in self._if_lapsing(member, ahead_s, now_s)
+            member
+            for member in members
+            if self._is_near(member)
+            and member.is_serving(now_s)
+            and self.trusted_until_s(member) < now_s + ahead_s
         ]
         found.sort(key=self._asked_when, reverse=True)
         return found
@@ -209,15 +219,21 @@
     def _is_near(self, member: Member) -> bool:
         return self._zone is None or member.record.zone == self._zone
 
-    def _if_lapsing(
+    def _is_trusted(
         self,
         member: Member,
-        ahead_s: float,
         now_s: float,
-    ) -> Iterator[Member]:
-        lapses = self.trusted_until_s(member) < now_s + ahead_s
-        if lapses and member.is_serving(now_s):
-            yield member
+        *,
+        in_contact: bool,
+    ) -> bool:
+        vouched_s = member.vouched_s
+        if in_contact and vouched_s >= self._distrusted_s:
+            return True
+        return now_s < vouched_s + TRUST_S
+
+    def _forget_vouched(self) -> None:
+        vouched = filter(self._is_since_distrust, self._unvouched)
+        self._unvouched.difference_update(list(vouched))
 
     def _asked_when(self, member: Member) -> float:
         return self._asked_s.get(member.record.service, _NEVER_S)
@@ -232,6 +248,7 @@
         member = Member(record, now_s - record.age_s, now_s)
         self._members[record.target_id] = member
         self._by_service.setdefault(record.service, []).append(member)
+        self._unvouched.add(member)
         self._take_address(member)
         return Merge.JOINED
 
@@ -247,6 +264,7 @@
     def _forget(self, member: Member) -> None:
         record = member.record
         self._members.pop(record.target_id)
+        self._unvouched.discard(member)
         self._by_service[record.service].remove(member)
         if self._by_address.get(record.address) is member:
             self._by_address.pop(record.address)
--- a/src/wigeonreach/entry/_pace.py
+++ b/src/wigeonreach/entry/_pace.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-#: Announcements a second that one entry has the means for.  One costs about
-#: 0.6 ms and 520 bytes, of 30 ms and 6 KB that an entry may spend a second.
-ANNOUNCED_PER_S = 8.0
+#: Announcements a second that one entry has the means for.  One takes 567
+#: bytes and 0.6 ms here, and 39 bytes on the way to each peer.
+ANNOUNCED_PER_S = 4.0
 SHORTEST_S = 0.5
-LONGEST_S = 60.0
+LONGEST_S = 180.0
 
 
 def announce_after_s(targets: int, entries: int) -> float:
