Place a zone's jobs by its manager, billing runs under a durable claim

Teams submit jobs over HTTP. A non-idempotent job is claimed in the durable state, for ever, before its first start; whoever finds the claim taken reports the job instead. Actions of a worker go out in order and are resent under the same id until the platform confirms them. A manager that starts anew counts the tasks it finds and never starts them again.

--- a/bench/bench_urgent.py
+++ b/bench/bench_urgent.py
@@ -41,6 +41,7 @@
 _REPORT_LAG_S = 5.0
 _WORKERS = 200
 _RUN_S = 300.0
+_SEEDS = (5, 11, 17)
 # Jobs that wait from the start, so that the pool is full throughout.
 _BACKLOG = 2500
 _ORDINARY_MEAN_S = 600.0
@@ -161,9 +162,9 @@
 
 def run() -> Iterable[Figure]:
     """Return delays by policy and the cost of a placement by size."""
-    runs = {policy.name: _simulate(policy) for policy in _POLICIES}
-    none = runs['none']
-    for name, each in runs.items():
+    merged = {policy.name: _merge(policy) for policy in _POLICIES}
+    none = merged['none']
+    for name, each in merged.items():
         figure = told if name in {'none', 'held'} else _bounded
         yield figure(
             _BENCH,
@@ -199,11 +200,26 @@
     return at_most(bench, figure, measured, unit, 0.01, baseline)
 
 
-def _simulate(policy: _Policy) -> _Run:
-    rng = random.Random(11)
+def _merge(policy: _Policy) -> _Run:
+    """Return the first run with what the others measured added."""
+    first, *others = (_simulate(policy, seed) for seed in _SEEDS)
+    for other in others:
+        first.delays_s.extend(other.delays_s)
+        first.served += other.served
+        first.submitted_s.update(
+            {
+                f'{id(other)}/{name}': at_s
+                for name, at_s in other.submitted_s.items()
+            },
+        )
+    return first
+
+
+def _simulate(policy: _Policy, seed: int) -> _Run:
+    rng = random.Random(seed)
     placement = _placement(_WORKERS, policy.held_ratio)
     simulated = _Run(placement, rng)
-    for at_s, job in _arrivals(random.Random(5)):
+    for at_s, job in _arrivals(random.Random(seed)):
         simulated.jobs[job.job_id] = job
         if job.is_urgent:
             simulated.submitted_s[job.job_id] = at_s
--- a/proofs/test_maintenance.py
+++ b/proofs/test_maintenance.py
@@ -10,6 +10,7 @@
 import testtools
 from testtools.matchers import Contains, Equals, LessThan
 
+from bench.cluster import Process
 from bench.managed_cluster import (
     VMS_PER_RACK,
     VMS_PER_ZONE,
@@ -17,6 +18,7 @@
     ManagedCluster,
     wait_until,
 )
+from bench.relay import Relay
 from wigeonreach.standins._platform_fleet import ActionLine
 
 _FOLDER = pathlib.Path('run/proof-maintenance')
@@ -113,10 +115,32 @@
         self.assertThat(str(cluster.wave('w1')['waits_for']), Contains('fail'))
         self._check(cluster, whole=False)
 
-    def _cluster(self, name: str, *options: str) -> ManagedCluster:
+    def test_cut_off(self) -> None:
+        """A deciding manager that is cut off and healed does nothing twice."""
+        relay = Relay()
+        self.addCleanup(relay.close)
+        cluster = self._cluster('cut', '--drain-s=0.5', relay=relay)
+        self._start(cluster)
+        wait_until(lambda: cluster.count('booted') >= 3, 'reboots', 30)
+
+        cut = cluster.leader()
+        replicas = {replica.name for replica in cluster.replicas}
+        relay.cut_between({cut.name}, replicas)
+        wait_until(lambda: _has_other_leader(cluster, cut), 'takeover', 30)
+        relay.heal()
+
+        self._wait_finished(cluster)
+        self._check(cluster, whole=True)
+
+    def _cluster(
+        self,
+        name: str,
+        *options: str,
+        relay: Relay | None = None,
+    ) -> ManagedCluster:
         folder = _FOLDER / name
         shutil.rmtree(folder, ignore_errors=True)
-        cluster = ManagedCluster(folder, options)
+        cluster = ManagedCluster(folder, options, relay)
         self.addCleanup(cluster.stop)
         cluster.start()
         text = folder / 'fleet.toml'
@@ -153,6 +177,10 @@
     return cluster.wave('w1')['phase']
 
 
+def _has_other_leader(cluster: ManagedCluster, cut: Process) -> bool:
+    return cluster.leader().name != cut.name
+
+
 def _down(lines: list[ActionLine]) -> set[str]:
     """Return the VMs that were drained and not yet put back."""
     down: set[str] = set()
--- a/src/wigeonreach/_codes.py
+++ b/src/wigeonreach/_codes.py
@@ -96,6 +96,8 @@
     PLATFORM_FENCED = 4203
     PLATFORM_ANSWER_WRONG = 4204
     WAVE_UNKNOWN = 4301
+    JOB_INVALID = 4401
+    JOB_NOT_PLACING = 4402
 
     # 5000: settings.
     SETTING_MISSING = 5001
--- a/src/wigeonreach/cli/_explain_command.py
+++ b/src/wigeonreach/cli/_explain_command.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterator
 from typing import Annotated
 
+import aiohttp
 import msgspec
 import typer
 
@@ -14,7 +15,8 @@
 from wigeonreach.cli._client import operator_client
 from wigeonreach.cli._errors import errors_as_exits, exit_for, leave
 from wigeonreach.codes import ResultCode
-from wigeonreach.manager import decode_body
+from wigeonreach.exceptions import WireError
+from wigeonreach.manager import JobStatus, decode_body
 from wigeonreach.state import StateClient
 from wigeonreach.text import FleetText, parse_fleet_text
 from wigeonreach.wire import parse_members
@@ -28,11 +30,14 @@
     Waves,
 )
 
+_TIMEOUT_S = 3.0
+
 
 class Subject(enum.StrEnum):
     """What can be explained."""
 
     VM = 'vm'
+    JOB = 'job'
     CODE = 'code'
 
 
@@ -46,14 +51,25 @@
 
 def explain(
     subject: Subject,
-    name: Annotated[str, typer.Argument(help='VM, or number of a result.')],
+    name: Annotated[
+        str, typer.Argument(help='VM, job, or number of a result.')
+    ],
     replicas: options.Replicas = [],  # noqa: B006, WPS404 - typer copies it
+    manager_url: Annotated[
+        str,
+        typer.Option(
+            envvar='WIGEONREACH_MANAGER',
+            help='URL of the manager of the zone of a job.',
+        ),
+    ] = 'http://127.0.0.1:8080',
     as_json: options.AsJson = False,
 ) -> None:
-    """Tell why a VM is where it is, or what a result code means."""
+    """Tell why a VM or job is where it is, or what a result code means."""
     with errors_as_exits():
         if subject is Subject.CODE:
             reasons = _explain_code(name)
+        elif subject is Subject.JOB:
+            reasons = asyncio.run(_explain_job(manager_url, name))
         else:
             members = parse_members(replicas, '--replica')
             reasons = asyncio.run(_explain_vm(operator_client(members), name))
@@ -77,6 +93,32 @@
     return [] if known is None else [f'{known}; see docs/RESULT-CODES.md']
 
 
+async def _explain_job(manager_url: str, job_id: str) -> list[str]:
+    url = f'{manager_url.rstrip("/")}/v1/jobs/{job_id}'
+    timeout = aiohttp.ClientTimeout(total=_TIMEOUT_S)
+    try:
+        async with (
+            aiohttp.ClientSession(timeout=timeout) as session,
+            session.get(url) as answer,
+        ):
+            body = await answer.read()
+            is_known = answer.ok
+    except (aiohttp.ClientError, TimeoutError) as error:
+        raise WireError(ResultCode.WIRE_UNREACHABLE, repr(error)) from error
+    if not is_known:
+        return []
+    status = msgspec.json.decode(body, type=JobStatus)
+    return [
+        line
+        for line in (
+            status.state,
+            status.worker and f'on worker {status.worker}',
+            status.reason and f'because: {status.reason}',
+        )
+        if line
+    ]
+
+
 async def _explain_vm(client: StateClient, vm: str) -> list[str]:
     accepted = await client.read(ReadAccepted(), AcceptedText)
     owned = await client.read(ReadVms(), Vms)
--- a/src/wigeonreach/fleet/_placement.py
+++ b/src/wigeonreach/fleet/_placement.py
@@ -75,6 +75,17 @@
         """Return what is known of a job."""
         return self._jobs.get(job_id)
 
+    def has_jobs(self, worker: str) -> bool:
+        """Whether a worker may have jobs."""
+        pool = self._pool_with(worker)
+        return pool is not None and bool(pool.rooms.state(worker).tenants)
+
+    def change_quotas(self, quotas: Mapping[str, float]) -> None:
+        """Take new quotas, by team."""
+        self._quotas = dict(quotas)
+        for pool in self._pools.values():
+            pool.quota.change(quotas)
+
     def pool(self, name: str) -> PoolQueue:
         """Return a pool, with its workers and waiting jobs."""
         found = self._pools.get(name)
@@ -145,6 +156,11 @@
         self._quarantine.forget_worker(worker.pool, worker.name)
         pool.rooms.join(worker)
         pool.rooms.state(worker.name).heard_until_s = now_s + LEASE_S
+        for task in event.found:
+            if task.job.job_id not in self._jobs:
+                record = JobRecord(task.job)
+                self._jobs[task.job.job_id] = record
+                pool.adopt(record, worker.name, task.lease_token)
         return self._offer(pool, now_s)
 
     @_on.register
--- a/src/wigeonreach/fleet/_placement_model.py
+++ b/src/wigeonreach/fleet/_placement_model.py
@@ -121,11 +121,20 @@
     job_ids: tuple[str, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class FoundTask:
+    """A task that was running before this placement began."""
+
+    job: Job
+    lease_token: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class WorkerJoined:
     """A worker may be used, for the first time or again."""
 
     worker: Worker
+    found: tuple[FoundTask, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/wigeonreach/fleet/_placement_queue.py
+++ b/src/wigeonreach/fleet/_placement_queue.py
@@ -14,6 +14,7 @@
     Reason,
     Room,
     StartTask,
+    TaskEnd,
 )
 from wigeonreach.fleet._placement_pool import Closed, PoolRooms, Tenant
 from wigeonreach.fleet._placement_yield import RoomMaker
@@ -115,6 +116,17 @@
         record.worker = ''
         record.need = NO_ROOM
 
+    def adopt(self, record: JobRecord, worker: str, lease_token: int) -> None:
+        """Count a job that runs already."""
+        job = record.job
+        record.step(JobEvent.PLACE)
+        record.step(TaskEnd.STARTED)
+        record.worker = worker
+        record.lease_token = lease_token
+        record.need = job.declared
+        self.rooms.take(worker, Tenant(job.job_id, record.need, job.gives_way))
+        self.quota.use(job.team, record.need.processors)
+
     def resize(self, record: JobRecord, need: Room) -> list[Effect]:
         """Count a running job by what it was seen to need."""
         if record.worker not in self.rooms:
--- a/src/wigeonreach/fleet/_quota.py
+++ b/src/wigeonreach/fleet/_quota.py
@@ -32,6 +32,14 @@
         self._hungry: SortedSet = SortedSet()
         self._borrowers: SortedSet = SortedSet()
 
+    def change(self, quotas: Mapping[str, float]) -> None:
+        """Take new quotas; those of teams that are left out end."""
+        for team in self._quotas.keys() | quotas.keys():
+            if self._quotas.get(team) != quotas.get(team):
+                self._unlist(team)
+                self._quotas[team] = quotas.get(team, 0)
+                self._list(team)
+
     def share(self, team: str) -> float:
         """Return used processors as a ratio of the team's quota."""
         quota = max(self._quotas.get(team, 0), _SMALLEST_QUOTA)
--- a/src/wigeonreach/manager/_daemon.py
+++ b/src/wigeonreach/manager/_daemon.py
@@ -14,6 +14,7 @@
 from wigeonreach.exceptions import PlatformError, StateError, WireError
 from wigeonreach.fleet import WaveEffect
 from wigeonreach.manager._core import ManagerCore, Plan
+from wigeonreach.manager._job_placer import JobPlacer
 from wigeonreach.manager._lease import LEASE_NAME, DecisionLease
 from wigeonreach.manager._settings import ManagerSettings
 from wigeonreach.observe import LogEvent, Logger, Metrics
@@ -56,6 +57,14 @@
             self._state,
         )
         self._platform = PlatformClient(settings.platform_url, self._metrics)
+        self._placer = JobPlacer(
+            settings,
+            self._config,
+            self._state,
+            self._platform,
+            self._metrics,
+            logger,
+        )
         self._core: ManagerCore | None = None
         self._version = 0
         self._revision = 0
@@ -65,10 +74,12 @@
         """Follow the text and listen for HTTP."""
         await self.add_runtime_dependency(self._config)
         await self._platform.open()
+        await self.add_runtime_dependency(self._placer)
         application = web.Application()
         application.router.add_get('/healthz', self._on_health)
         application.router.add_get('/readyz', self._on_ready)
         application.router.add_get('/metrics', self._on_metrics)
+        self._placer.add_routes(application)
         self._runner = web.AppRunner(application, access_log=None)
         await self._runner.setup()
         address = self._settings.http
--- /dev/null
+++ b/src/wigeonreach/manager/_jobs.py
@@ -0,0 +1,221 @@
+"""Place the jobs of one zone and follow their tasks."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterator
+from types import MappingProxyType
+
+from wigeonreach.exceptions import PlatformError
+from wigeonreach.fleet._placement import Placement
+from wigeonreach.fleet._placement_jobs import DONE_STATES, JobRecord, JobState
+from wigeonreach.fleet._placement_model import (
+    Event,
+    FoundTask,
+    Job,
+    JobSubmitted,
+    Room,
+    TaskChanged,
+    TaskEnd,
+    Tick,
+    UsageReported,
+    Worker,
+    WorkerDraining,
+    WorkerHeard,
+    WorkerJoined,
+    WorkerLost,
+)
+from wigeonreach.manager._job_actions import JobActions
+from wigeonreach.manager._job_schema import JobStatus
+from wigeonreach.platform import Platform, TaskView, VmPhase, VmView
+from wigeonreach.text import FleetText
+
+# Tokens of one holder; far more than it can use up.
+_TOKENS_PER_HOLDER = 2**32
+# A worker that does not answer for so long is treated as lost.
+_SILENCE_S = 10.0
+_ENDS = MappingProxyType(
+    {
+        'running': TaskEnd.STARTED,
+        'finished': TaskEnd.FINISHED,
+        'failed': TaskEnd.FAILED,
+        'stopped': TaskEnd.STOPPED,
+        'never': TaskEnd.NOT_STARTED,
+    }
+)
+
+
+class ZoneJobs:
+    """The jobs of one zone, for one holder of the right to place them.
+
+    Parameters
+    ----------
+    zone
+        Only workers of this zone are used.
+    token
+        Of the lease under which this manager places.
+    text
+        The text in force: pools and quotas.
+    platform, actions
+        Who is asked and what is due there.
+    """
+
+    def __init__(
+        self,
+        zone: str,
+        token: int,
+        text: FleetText,
+        platform: Platform,
+        actions: JobActions,
+    ) -> None:
+        """Know no worker yet."""
+        self._zone = zone
+        self._placement = Placement(
+            {},
+            first_token=token * _TOKENS_PER_HOLDER,
+        )
+        self._pool_of: dict[str, str] = {}
+        self._revision = 0
+        self.take_text(text)
+        self._platform = platform
+        self._actions = actions
+        self._heard_s: dict[str, float] = {}
+        self._once: set[str] = set()
+
+    def take_text(self, text: FleetText) -> None:
+        """Act on a text from the next round on."""
+        self._pool_of = {
+            vm: pool.name for pool in text.pools.values() for vm in pool.vms
+        }
+        self._placement.change_quotas(
+            {team.name: team.quota_processors for team in text.teams.values()},
+        )
+        # Workers may have changed their pool, so all are looked at.
+        self._revision = 0
+
+    def status(self, job_id: str) -> JobStatus | None:
+        """Return where a job is and why, if it is known."""
+        record = self._placement.job(job_id)
+        if record is None:
+            return None
+        return JobStatus(
+            job_id,
+            record.state.value,
+            record.worker,
+            record.reason.value if record.reason else '',
+        )
+
+    def submit(self, job: Job, now_s: float) -> None:
+        """Take a job; one that is known changes nothing."""
+        if not job.is_idempotent:
+            self._once.add(job.job_id)
+        self.handle(JobSubmitted(job), now_s)
+
+    def handle(self, event: Event, now_s: float) -> None:
+        """Take one event and note what is to be done."""
+        self._actions.add(self._placement.handle(event, now_s))
+
+    async def round(self, now_s: float) -> None:
+        """Look at the platform and do what is due.
+
+        Raises
+        ------
+        PlatformError
+            If the workers can't be listed.
+        """
+        page = await self._platform.list_vms(self._revision)
+        for view in page.vms:
+            if view.zone == self._zone and view.name in self._pool_of:
+                await self._observe(view, now_s)
+        self._revision = page.revision
+        await asyncio.gather(
+            *(self._follow(name, now_s) for name in self._asked_workers()),
+        )
+        self.handle(Tick(), now_s)
+        await self.send(now_s)
+
+    async def send(self, now_s: float) -> None:
+        """Do what is due."""
+        for end in await self._actions.send(frozenset(self._once)):
+            self.handle(end, now_s)
+
+    async def _observe(self, view: VmView, now_s: float) -> None:
+        if view.phase is VmPhase.SERVING:
+            is_new = view.name not in self._heard_s
+            found = await self._found(view) if is_new else ()
+            self._heard_s[view.name] = now_s
+            self.handle(WorkerJoined(self._worker(view), found), now_s)
+        elif view.phase is VmPhase.DRAINING:
+            self.handle(WorkerDraining(view.name), now_s)
+        else:
+            self.handle(WorkerLost(view.name), now_s)
+
+    async def _found(self, view: VmView) -> tuple[FoundTask, ...]:
+        """Return the tasks that an earlier manager has left running."""
+        return tuple(
+            FoundTask(self._unknown_job(task), task.lease_token)
+            for task in await self._platform.list_tasks(view.name)
+            if task.state == 'running'
+        )
+
+    def _unknown_job(self, task: TaskView) -> Job:
+        # What it is is not known, so it is never started a second time.
+        return Job(
+            job_id=task.job_id,
+            team='',
+            family='',
+            pool=self._pool_of[task.worker],
+            declared=Room(task.used_processors, task.used_memory_bytes),
+            is_idempotent=False,
+        )
+
+    def _worker(self, view: VmView) -> Worker:
+        return Worker(
+            name=view.name,
+            pool=self._pool_of[view.name],
+            zone=view.zone,
+            rack=view.rack,
+            room=Room(
+                view.processors,
+                view.memory_bytes,
+                view.accelerators,
+            ),
+        )
+
+    def _asked_workers(self) -> list[str]:
+        """Return the workers that have jobs."""
+        return [
+            name for name in self._heard_s if self._placement.has_jobs(name)
+        ]
+
+    async def _follow(self, worker: str, now_s: float) -> None:
+        try:
+            tasks = await self._platform.list_tasks(worker)
+        except PlatformError:
+            if now_s - self._heard_s[worker] > _SILENCE_S:
+                self.handle(WorkerLost(worker), now_s)
+            return
+        self._heard_s[worker] = now_s
+        self.handle(WorkerHeard(worker), now_s)
+        for task in tasks:
+            for event in self._news(task):
+                self.handle(event, now_s)
+
+    def _news(self, task: TaskView) -> Iterator[Event]:
+        record = self._placement.job(task.job_id)
+        if not _is_followed(record):
+            return
+        yield TaskChanged(task.job_id, task.lease_token, _ENDS[task.state])
+        if task.state == 'running' and task.used_memory_bytes:
+            yield UsageReported(
+                task.job_id,
+                task.lease_token,
+                Room(task.used_processors, task.used_memory_bytes),
+                task.measured_at_s,
+            )
+
+
+def _is_followed(record: JobRecord | None) -> bool:
+    if record is None or record.state in DONE_STATES:
+        return False
+    return record.state is not JobState.WAITING
--- a/src/wigeonreach/manager/_lease.py
+++ b/src/wigeonreach/manager/_lease.py
@@ -31,6 +31,8 @@
         For how long each grant lasts.
     state
         Where leases are granted.
+    lease_name
+        What the right is called.
     now_s
         Monotonic time, in seconds.
     """
@@ -40,12 +42,14 @@
         holder: str,
         duration_s: float,
         state: StateAccess,
+        lease_name: str = LEASE_NAME,
         now_s: Callable[[], float] = time.monotonic,
     ) -> None:
         """Hold nothing yet."""
         self._holder = holder
         self._duration_s = duration_s
         self._state = state
+        self._name = lease_name
         self._now_s = now_s
         self._asked_s = float('-inf')
         self.token = 0
@@ -75,9 +79,9 @@
         # Counted from before the question: the answer may be late.
         asked_s = self._now_s()
         action = (
-            RenewLease(LEASE_NAME, self._holder, self.token, self._duration_s)
+            RenewLease(self._name, self._holder, self.token, self._duration_s)
             if self.is_held
-            else AcquireLease(LEASE_NAME, self._holder, self._duration_s)
+            else AcquireLease(self._name, self._holder, self._duration_s)
         )
         try:
             reply = await self._state.submit(action)
@@ -93,6 +97,6 @@
     async def release(self) -> None:
         """Let another manager go on at once."""
         if self.is_held:
-            action = ReleaseLease(LEASE_NAME, self._holder, self.token)
+            action = ReleaseLease(self._name, self._holder, self.token)
             self.token = 0
             await self._state.submit(action)
--- a/src/wigeonreach/observe/_events.py
+++ b/src/wigeonreach/observe/_events.py
@@ -48,3 +48,5 @@
     WAVE_CHANGED = 402
     PLATFORM_FAULT = 403
     ROUND_FAILED = 404
+    JOB_SET_ASIDE = 405
+    JOB_MAY_HAVE_RUN = 406
--- a/src/wigeonreach/standins/_platform.py
+++ b/src/wigeonreach/standins/_platform.py
@@ -50,6 +50,7 @@
     drain_s: float = 0.2,
     reboot_s: float = 0.3,
     check_s: float = 0.1,
+    task_s: float = 1.0,
     late_ratio: _Ratio = 0,
     lost_ratio: _Ratio = 0,
     doubled_ratio: _Ratio = 0,
@@ -59,7 +60,7 @@
     """List VMs and tasks and act on them, with faults on demand."""
     fleet = Fleet(
         new_vms(zones, vms_per_zone, vms_per_rack),
-        Timing(drain_s, reboot_s, check_s),
+        Timing(drain_s, reboot_s, check_s, task_s),
         frozenset(bad_images),
         action_log,
     )
--- a/src/wigeonreach/standins/_platform_fleet.py
+++ b/src/wigeonreach/standins/_platform_fleet.py
@@ -33,6 +33,7 @@
     what: str
     action_id: str
     fencing_token: int
+    job_id: str = ''
 
 
 class Timing(msgspec.Struct, frozen=True):
@@ -41,6 +42,7 @@
     drain_s: float
     reboot_s: float
     check_s: float
+    task_s: float = 1.0
 
 
 class FencedError(Exception):
@@ -86,7 +88,7 @@
         """Return the revision and the VMs that changed after one."""
         self.advance()
         changed = [
-            self._vms[name]
+            self._with_tasks(self._vms[name])
             for name, revision in self._changed.items()
             if revision > after
         ]
@@ -94,6 +96,7 @@
 
     def tasks(self, worker: str) -> list[TaskView]:
         """Return the tasks of one worker."""
+        self.advance()
         return [task for task in self._tasks.values() if task.worker == worker]
 
     def act(self, action: VmAction) -> None:
@@ -125,13 +128,12 @@
         known = self._tasks.get(action.job_id)
         if known and known.lease_token == action.lease_token:
             if action.kind is ActionKind.STOP:
-                self._tasks[action.job_id] = dataclasses.replace(
-                    known,
-                    state='stopped',
-                )
+                self._end_task(known, 'stopped')
             return
         # A stop that overtakes its start leaves proof that it never ran.
         is_start = action.kind is ActionKind.START
+        if is_start:
+            self._write_task(action)
         self._tasks[action.job_id] = TaskView(
             action.job_id,
             action.worker,
@@ -149,6 +151,10 @@
         self._due = [entry for entry in self._due if entry[0] > now_s]
         for _, name, kind in sorted(due):
             self._finish(name, kind)
+        for task in tuple(self._tasks.values()):
+            age_s = time.time() - task.measured_at_s
+            if task.state == 'running' and age_s > self._timing.task_s:
+                self._end_task(task, 'finished')
 
     def _begin(self, action: VmAction) -> None:
         name = action.vm
@@ -165,6 +171,7 @@
                 self._later(self._timing.drain_s, action)
             case ActionKind.REBOOT:
                 self._set(name, action.action_id, phase=VmPhase.REBOOTING)
+                self._stop_tasks(name)
                 self._later(self._timing.reboot_s, action)
             case ActionKind.CHECK:
                 self._set(name, action.action_id)
@@ -189,6 +196,36 @@
             is_healthy = name not in self._bad_images
             self._set(name, vm.action_id, is_healthy=is_healthy)
 
+    def _with_tasks(self, vm: VmView) -> VmView:
+        running = sum(
+            task.worker == vm.name and task.state == 'running'
+            for task in self._tasks.values()
+        )
+        return dataclasses.replace(vm, in_flight=vm.in_flight + running)
+
+    def _stop_tasks(self, worker: str) -> None:
+        for task in self.tasks(worker):
+            if task.state == 'running':
+                self._end_task(task, 'stopped')
+
+    def _end_task(self, task: TaskView, state: str) -> None:
+        self._tasks[task.job_id] = dataclasses.replace(task, state=state)
+        # A drain shows what is still in flight.
+        self._revision += 1
+        self._changed[task.worker] = self._revision
+
+    def _write_task(self, action: TaskAction) -> None:
+        line = ActionLine(
+            at_s=time.monotonic(),
+            vm=action.worker,
+            zone=self._vms[action.worker].zone,
+            what='task-start',
+            action_id=action.action_id,
+            fencing_token=action.lease_token,
+            job_id=action.job_id,
+        )
+        os.write(self._descriptor, b'%b\n' % msgspec.json.encode(line))
+
     def _later(self, delay_s: float, action: VmAction) -> None:
         at_s = time.monotonic() + delay_s
         self._due.append((at_s, action.vm, action.kind))
