Look for one slot only after a release

With 256 callers an entry took 956 us of processor time for a request, with 32 callers 674 us: after each release the queue looked for slots until it found none, and a search in vain is the dearest. A cancelled request that was handed a slot no longer counts as a failure of its target.

--- a/src/wigeonreach/entry/_ejection.py
+++ b/src/wigeonreach/entry/_ejection.py
@@ -42,7 +42,7 @@
         now_s
             Monotonic time of this process, in seconds.
         """
-        if ending is Ending.ABANDONED:
+        if ending in {Ending.ABANDONED, Ending.UNUSED}:
             return
         self.attempts += 1
         if ending is Ending.ANSWERED:
--- a/src/wigeonreach/entry/_slot_queue.py
+++ b/src/wigeonreach/entry/_slot_queue.py
@@ -147,7 +147,10 @@
         self._router.release(slot, ending, now_s)
         if ending in _ANSWERS:
             self.times.learn(now_s - slot.acquired_s, now_s)
-        self._hand_out(now_s)
+        # One slot became free: to look for a second one in vain would cost
+        # more than all else here.
+        if len(self._queue):
+            self._hand_out_one(now_s)
 
     async def _wait(self, request: CallerRequest) -> Slot:
         ticket = Ticket(
@@ -174,16 +177,23 @@
         self._queue.remove(ticket)
         self._waiters.pop(ticket.number, None)
         if waiter.done() and not waiter.cancelled():
-            self.release(waiter.result(), Ending.NOT_SENT)
+            self.release(waiter.result(), Ending.UNUSED)
 
-    def _hand_out(self, now_s: float) -> None:
+    def _hand_out_one(self, now_s: float) -> bool:
+        slot = self.try_acquire(now_s)
+        if slot is None:
+            return False
         while len(self._queue):
-            slot = self.try_acquire(now_s)
-            if slot is None:
-                return
             ticket = self._queue.pop()
-            assert ticket is not None  # noqa: S101 - it is not empty
-            self._waiters.pop(ticket.number).set_result(slot)
+            assert ticket is not None  # noqa: S101 - the queue is not empty
+            waiter = self._waiters.pop(ticket.number)
+            if not waiter.done():
+                waiter.set_result(slot)
+                return True
+        # All that waited were cancelled a moment ago.
+        self._running -= 1
+        self._router.release(slot, Ending.UNUSED, now_s)
+        return False
 
     def _check_later(self) -> None:
         # Slots also become free without a release here: a target joins, or
@@ -198,7 +208,9 @@
         needed_s = self.times.needed_s(now_s)
         for ticket in self._queue.remove_due(now_s + needed_s):
             self._refuse(ticket, ResultCode.REQUEST_DEADLINE_PASSED)
-        self._hand_out(now_s)
+        is_handed_out = True
+        while is_handed_out and len(self._queue):
+            is_handed_out = self._hand_out_one(now_s)
         if not self._router.is_served(self._service, now_s):
             for left_over in self._queue.remove_due(math.inf):
                 self._refuse(left_over, ResultCode.REQUEST_NO_TARGET)
--- a/src/wigeonreach/entry/_slots.py
+++ b/src/wigeonreach/entry/_slots.py
@@ -29,6 +29,9 @@
     ABANDONED = enum.auto()
     """The caller left; the target is not to blame but may still work."""
 
+    UNUSED = enum.auto()
+    """No attempt was made."""
+
     @property
     def may_still_work(self) -> bool:
         """Whether the target may go on with the request."""
--- a/tests/entry/test_dispatch.py
+++ b/tests/entry/test_dispatch.py
@@ -121,7 +121,8 @@
 
     def test_cancelled_waiter_loses_no_slot(self) -> None:
         """A slot handed to a cancelled request goes back."""
-        asyncio.run(self._cancel())
+        asyncio.run(self._cancel(is_cancelled_first=False))
+        asyncio.run(self._cancel(is_cancelled_first=True))
 
     def test_refuses_at_once(self) -> None:
         """A request whose deadline passed is refused without waiting."""
@@ -146,16 +147,19 @@
         self.assertThat(queue.try_acquire(time.monotonic()), Is(None))
         self.assertThat((await waiting).target_id, Equals('one'))
 
-    async def _cancel(self) -> None:
+    async def _cancel(self, *, is_cancelled_first: bool) -> None:
         router = FakeRouter('one')
         queue = _queue(router)
         first = await queue.acquire(build_request('POST'))
         waiting = asyncio.ensure_future(queue.acquire(build_request('POST')))
         await asyncio.sleep(0)
+        if is_cancelled_first:
+            waiting.cancel()
         queue.release(first, Ending.ANSWERED)
         waiting.cancel()
         await asyncio.wait((waiting,))
         self.assertThat(router.free, Equals(['one']))
+        self.assertThat(router.endings[-1], Is(Ending.UNUSED))
         self.assertThat(len(queue), Equals(0))
 
 
