Count a confirmation from the follower's own time

A beat that a cut held back and that arrived late called the copy fresh as of its arrival. The model now checks that nothing was accepted before the moment that a follower calls confirmed, and finds the old way as a planted bug.

--- a/bench/subscribers.py
+++ b/bench/subscribers.py
@@ -85,7 +85,7 @@
             if isinstance(effect, Hold):
                 version = effect.copy.version
                 self.held_at_s.setdefault(version, time.time())
-                channel.post(ConfigInForce(version))
+                channel.post(ConfigInForce(version, time.monotonic()))
             else:
                 channel.post(effect.need)
 
--- a/src/wigeonreach/entry/_config.py
+++ b/src/wigeonreach/entry/_config.py
@@ -26,7 +26,8 @@
 )
 
 _RETRY_S = 0.2
-_WATCH_S = 0.25
+_BEAT_S = 1.0
+_START_BEAT_S = 0.25
 # How long a farther replica is followed before the near one is tried again.
 _RETURN_S = 5.0
 # Reading a text may take this part of a core; a large text that changes
@@ -190,7 +191,9 @@
         chosen_s = time.monotonic()
         is_near = replica.zone == self._settings.zone
         while not self.should_stop:
-            await asyncio.wait((receiving,), timeout=_WATCH_S)
+            self._tell_in_force()
+            beat_s = _BEAT_S if self.has_caught_up else _START_BEAT_S
+            await asyncio.wait((receiving,), timeout=beat_s)
             if receiving.done():
                 return receiving.result()
             now_s = time.monotonic()
@@ -203,13 +206,17 @@
         return None
 
     async def _receive(self, channel: Channel) -> None:
-        channel.post(ConfigInForce(self.version))
         while True:
             message = await channel.receive()
             if isinstance(message, (ConfigBeat, ConfigDelta, ConfigSections)):
                 now_s = time.monotonic()
                 self.take(self.follower.on_message(message, now_s))
 
+    def _tell_in_force(self) -> None:
+        if self._channel is not None:
+            now_s = time.monotonic()
+            self._channel.post(ConfigInForce(self.version, now_s))
+
     def _note_lost(self, replica: Member, reason: str, detail: str) -> None:
         self._metrics.count('config_sources_left', reason)
         self._log.warning(
@@ -238,5 +245,4 @@
         self.text = text
         self.version = copy.version
         self._log.info(LogEvent.CONFIG_IN_FORCE, version=copy.version)
-        if self._channel is not None:
-            self._channel.post(ConfigInForce(self.version))
+        self._tell_in_force()
--- a/src/wigeonreach/rollout/_follower.py
+++ b/src/wigeonreach/rollout/_follower.py
@@ -114,7 +114,7 @@
         self._heard_s = now_s
         match message:
             case ConfigBeat():
-                return self._on_beat(message, now_s)
+                return self._on_beat(message)
             case ConfigDelta():
                 return self._on_delta(message)
         return self._on_sections(message)
@@ -165,14 +165,11 @@
             return SourceFault.BEHIND
         return None
 
-    def _on_beat(
-        self,
-        beat: ConfigBeat,
-        now_s: float,
-    ) -> tuple[Effect, ...]:
+    def _on_beat(self, beat: ConfigBeat) -> tuple[Effect, ...]:
         self._source_version = beat.version
-        if beat.confirmed_age_s >= 0:
-            self._source_confirmed_s = now_s - beat.confirmed_age_s
+        if beat.confirmed_age_s >= 0 and beat.echo_s >= 0:
+            # Not counted from the arrival: a beat may be held up for long.
+            self._source_confirmed_s = beat.echo_s - beat.confirmed_age_s
         if beat.version < self.held.version:
             return _NOTHING
         if beat.checksum != self.held.checksum:
--- a/src/wigeonreach/state/_subscription.py
+++ b/src/wigeonreach/state/_subscription.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from typing import Protocol
 
 from wigeonreach.exceptions import WireError
@@ -20,7 +19,9 @@
     Unfollow,
 )
 
-BEAT_S = 1.0
+# How soon the end of a channel is noticed.
+_LOOK_S = 1.0
+_NEVER_S = -1.0
 
 
 class TextSource(Protocol):
@@ -69,6 +70,7 @@
         self._source = source
         self._sent_version = follow.version
         self._sent_checksum = follow.checksum
+        self._echo_s = _NEVER_S
         self.status = FollowerStatus(
             follow.process,
             follow.zone,
@@ -86,19 +88,12 @@
             reading.cancel()
 
     async def _push(self, reading: asyncio.Future[None]) -> None:
-        beat_due_s = time.monotonic()
         while not reading.done():
             is_behind = self._sent_version < self._source.newest().version
             if is_behind:
                 self._post_newest()
-            if time.monotonic() >= beat_due_s:
-                beat_due_s = time.monotonic() + BEAT_S
-                self._post_beat()
             await self._channel.drain()
-            await self._source.wait_newer(
-                self._sent_version,
-                max(0, beat_due_s - time.monotonic()),
-            )
+            await self._source.wait_newer(self._sent_version, _LOOK_S)
 
     def _post_newest(self) -> None:
         newest = self._source.newest()
@@ -118,6 +113,7 @@
                 newest.version,
                 newest.checksum,
                 self._source.confirmed_age_s(),
+                self._echo_s,
             ),
         )
 
@@ -131,13 +127,15 @@
                 case ConfigNeed():
                     self._channel.post(self._source.missing(message))
                 case ConfigInForce():
-                    self._note_in_force(message.version)
+                    self._note_in_force(message)
                 case Unfollow():
                     self._source.forget(message.process)
 
-    def _note_in_force(self, version: int) -> None:
+    def _note_in_force(self, message: ConfigInForce) -> None:
         self.status = FollowerStatus(
             self.status.process,
             self.status.zone,
-            version,
+            message.version,
         )
+        self._echo_s = message.sent_s
+        self._post_beat()
--- a/src/wigeonreach/wire/_rollout_messages.py
+++ b/src/wigeonreach/wire/_rollout_messages.py
@@ -24,15 +24,19 @@
 
 
 class ConfigBeat(WireMessage, frozen=True):
-    """What the sender holds, sent regularly.
+    """What the sender holds, sent in answer to each ``ConfigInForce``.
 
-    ``confirmed_age_s`` tells how many seconds ago a quorum confirmed that
-    nothing newer was accepted; it is negative where that never was.
+    ``confirmed_age_s`` tells how many seconds before this beat a quorum
+    confirmed that nothing newer was accepted; it is negative where that never
+    was.  ``echo_s`` is the newest ``sent_s`` that arrived from the receiver,
+    negative if none did: a beat that was held up on its way confirms no more
+    than what was true then.
     """
 
     version: int
     checksum: int
     confirmed_age_s: float
+    echo_s: float
 
 
 class ConfigDelta(WireMessage, frozen=True):
@@ -66,9 +70,13 @@
 
 
 class ConfigInForce(WireMessage, frozen=True):
-    """A follower acts on this version now."""
+    """A follower acts on this version now; sent on change and each second.
+
+    ``sent_s`` is the follower's own monotonic time in seconds.
+    """
 
     version: int
+    sent_s: float
 
 
 class ReplicaStatusRequest(WireMessage, frozen=True):
--- a/tests/rollout/test_follower.py
+++ b/tests/rollout/test_follower.py
@@ -38,9 +38,19 @@
             )
         self.newest = self.feed.newest(self.machine.state)
 
-    def beat(self, age_s: float, now_s: float) -> tuple[Effect, ...]:
+    def beat(
+        self,
+        age_s: float,
+        now_s: float,
+        held_up_s: float = 0,
+    ) -> tuple[Effect, ...]:
         """Receive a beat of the newest version."""
-        beat = ConfigBeat(self.newest.version, self.newest.checksum, age_s)
+        beat = ConfigBeat(
+            self.newest.version,
+            self.newest.checksum,
+            age_s,
+            now_s - held_up_s,
+        )
         return self.follower.on_message(beat, now_s)
 
     def test_delta(self) -> None:
@@ -98,6 +108,15 @@
         )
         self.assertThat(self.follower.confirmed_age_s(4), Equals(13))
 
+    def test_held_up(self) -> None:
+        """A beat that was held up confirms no more than was true then."""
+        self.follower.held = self.newest
+        self.follower.choose_source(now_s=0)
+
+        self.beat(age_s=1, now_s=600, held_up_s=580)
+
+        self.assertThat(self.follower.confirmed_age_s(600), Equals(581))
+
     def test_silent_source(self) -> None:
         """A source that says nothing is left, though its channel is open."""
         self.follower.choose_source(now_s=0)
--- a/tests/state/model.py
+++ b/tests/state/model.py
@@ -49,7 +49,7 @@
 
 @dataclasses.dataclass
 class _Network:
-    """What was sent, agreed on, pushed, and replies that are on the way."""
+    """What was sent, agreed on, pushed, and what is late or paused."""
 
     log: list[bytes] = dataclasses.field(default_factory=list)
     sent: list[Command] = dataclasses.field(default_factory=list)
@@ -57,6 +57,7 @@
         default_factory=list,
     )
     pushed: list[SourceMessage] = dataclasses.field(default_factory=list)
+    paused: list[_Act] = dataclasses.field(default_factory=list)
 
 
 class StateModel(RuleBasedStateMachine):
@@ -84,9 +85,10 @@
         self.first_replies: dict[str, Reply] = {}
         self.holdings: dict[tuple[str, str], Holding] = {}
         self.texts = {0: ''}
-        self.paused: list[_Act] = []
         self.admitted: dict[str, int] = {}
         self.lagging_applied = 0
+        self.confirmed_s = 0.0
+        self.accepted_at_s = {0: 0.0}
         self.highest_token = 0
         self.learned: set[int] = set()
 
@@ -167,14 +169,14 @@
             return
         (vm, _), holding = self._pick_holding(number)
         if holding.may_act(self.now_s):
-            self.paused.append(_Act(vm, holding.token))
+            self.net.paused.append(_Act(vm, holding.token))
 
     @rule(number=_any)
     def act_late(self, number: int) -> None:
         """A paused process goes on and acts."""
-        if not self.paused:
+        if not self.net.paused:
             return
-        act = self.paused.pop(number % len(self.paused))
+        act = self.net.paused.pop(number % len(self.net.paused))
         if self.fence.admit(act.vm, act.token):
             assert act.token >= self.admitted.get(act.vm, 0), 'older owner acts'
 
@@ -201,7 +203,16 @@
         )
         if step is not None:
             self.net.pushed.append(step)
-        self.net.pushed.append(ConfigBeat(newest.version, newest.checksum, 0))
+        if self.lagging_applied == len(self.net.log):
+            self.confirmed_s = self.now_s
+        self.net.pushed.append(
+            ConfigBeat(
+                newest.version,
+                newest.checksum,
+                self.now_s - self.confirmed_s,
+                self.now_s,
+            ),
+        )
 
     @rule(number=_any)
     def follow(self, number: int) -> None:
@@ -229,6 +240,17 @@
             ]
             assert len(acting) <= 1, f'{vm} belongs to {acting}'
 
+    @invariant()
+    def confirmed_is_newest(self) -> None:
+        """Nothing was accepted before the moment that is called confirmed."""
+        age_s = self.follower.confirmed_age_s(self.now_s)
+        newest = max(
+            version
+            for version, at_s in self.accepted_at_s.items()
+            if version == 0 or at_s < self.now_s - age_s
+        )
+        assert self.follower.held.version >= newest, 'believed a late beat'
+
     @invariant()
     def followed_text(self) -> None:
         """What the follower holds is what was accepted under its version."""
@@ -264,6 +286,7 @@
         accepted = self.leader.state.accepted
         assert before <= accepted.version <= before + 1, 'a version reverted'
         self.texts.setdefault(accepted.version, accepted.text)
+        self.accepted_at_s.setdefault(accepted.version, self.now_s)
         if isinstance(command.action, GrantVm) and not reply.code:
             self._check_token(command, reply.token)
         if not isinstance(command.action, RenewVm):
--- a/tests/state/test_machine_model.py
+++ b/tests/state/test_machine_model.py
@@ -5,6 +5,7 @@
 import dataclasses
 import types
 
+import msgspec
 import testtools
 from hypothesis import HealthCheck, Phase, seed, settings
 from hypothesis.stateful import run_state_machine_as_test
@@ -17,7 +18,7 @@
 from wigeonreach.state._holding import Fence
 from wigeonreach.state._machine import Machine
 from wigeonreach.state._machine_state import ResultTable
-from wigeonreach.wire._rollout_messages import ConfigSections
+from wigeonreach.wire._rollout_messages import ConfigBeat, ConfigSections
 
 _SETTINGS = settings(
     max_examples=150,
@@ -66,6 +67,19 @@
         return effects
 
 
+class _TrustsArrival(Follower):
+    """Counts a confirmation from the arrival of the beat."""
+
+    def on_message(
+        self,
+        message: SourceMessage,
+        now_s: float,
+    ) -> tuple[Effect, ...]:
+        if isinstance(message, ConfigBeat):
+            message = msgspec.structs.replace(message, echo_s=now_s)
+        return super().on_message(message, now_s)
+
+
 class _AdmitsAll(Fence):
     """Lets every token pass."""
 
@@ -116,6 +130,10 @@
         """A follower that takes an older copy is found."""
         self.check_finds('reverted', follower_type=_TakesAnyVersion)
 
+    def test_late_beat(self) -> None:
+        """A follower that trusts a beat which was held up is found."""
+        self.check_finds('late beat', follower_type=_TrustsArrival)
+
     def test_no_fence(self) -> None:
         """A paused process that acts after a newer owner is found."""
         self.check_finds('older owner', fence_type=_AdmitsAll)
