Return to the near replica first, and bound how long a barrier may take

A follower that left a far replica after its time went on to the next far one before it tried its own; entries of a zone whose replica had come up late followed others for ten seconds and more.

--- a/src/wigeonreach/entry/_config.py
+++ b/src/wigeonreach/entry/_config.py
@@ -145,7 +145,8 @@
     async def _follow(self) -> None:
         while not self.should_stop:
             for replica in self._settings.replicas_nearest_first:
-                await self._follow_one(replica)
+                if await self._follow_one(replica):
+                    break
             await self.sleep(_RETRY_S)
 
     @mode.Service.task
@@ -157,13 +158,21 @@
             if self._pending is not None and self.has_caught_up:
                 self._read(self._pending)
 
-    async def _follow_one(self, replica: Member) -> None:
+    async def _follow_one(self, replica: Member) -> bool:
+        """Follow until there is a reason to leave.
+
+        Returns
+        -------
+        bool
+            Whether the replica is sound and only a nearer one is to be tried.
+        """
         try:
-            await self._talk(replica)
+            return await self._talk(replica)
         except WireError as error:
             self._note_lost(replica, 'unreachable', error.detail)
+        return False
 
-    async def _talk(self, replica: Member) -> None:
+    async def _talk(self, replica: Member) -> bool:
         channel = await connect(replica.address)
         self.follower.choose_source(time.monotonic())
         held = self.follower.held
@@ -174,7 +183,7 @@
         self._channel = channel
         receiving = asyncio.ensure_future(self._receive(channel))
         try:
-            await self._watch(replica, receiving)
+            return await self._watch(replica, receiving)
         finally:
             receiving.cancel()
             await self._hang_up(channel)
@@ -187,7 +196,7 @@
         self,
         replica: Member,
         receiving: asyncio.Future[None],
-    ) -> None:
+    ) -> bool:
         chosen_s = time.monotonic()
         is_near = replica.zone == self._settings.zone
         while not self.should_stop:
@@ -195,15 +204,15 @@
             beat_s = _BEAT_S if self.has_caught_up else _START_BEAT_S
             await asyncio.wait((receiving,), timeout=beat_s)
             if receiving.done():
-                return receiving.result()
+                receiving.result()
             now_s = time.monotonic()
             fault = self.follower.source_fault(now_s)
             if fault is not None:
                 self._note_lost(replica, fault.value, '')
-                return None
+                return False
             if not is_near and now_s - chosen_s > _RETURN_S:
-                return None
-        return None
+                return True
+        return False
 
     async def _receive(self, channel: Channel) -> None:
         while True:
--- a/src/wigeonreach/state/_front.py
+++ b/src/wigeonreach/state/_front.py
@@ -41,6 +41,7 @@
 from wigeonreach.wire._state_messages import Answered, Ask, Submit, Submitted
 
 _CONFIRM_S = 1.0
+_CONFIRM_TIMEOUT_S = 2.0
 _REGISTER_AGAIN_S = 3600.0
 _REPLY_DECODER = msgspec.msgpack.Decoder(Reply)
 _COMMAND_DECODER = msgspec.msgpack.Decoder(Command)
@@ -144,8 +145,9 @@
     async def _confirm(self) -> None:
         while not self.should_stop:
             started_s = time.monotonic()
-            with contextlib.suppress(StateError):
-                await self._agreement.read_barrier()
+            with contextlib.suppress(StateError, TimeoutError):
+                async with asyncio.timeout(_CONFIRM_TIMEOUT_S):
+                    await self._agreement.read_barrier()
                 # All that was accepted before the question is applied here.
                 self._confirmed_s = started_s
             await self.sleep(_CONFIRM_S)
