--- a/src/wigeonreach/entry/_request_reading.py
+++ b/src/wigeonreach/entry/_request_reading.py
@@ -144,6 +144,9 @@
     if not request.body_exists:
         return b''
     try:
+        if request.content.is_eof():
+            # It came whole with the head: a timer would only cost time.
+            return await request.read()
         async with asyncio.timeout(timeout_s):
             return await request.read()
     except web.HTTPRequestEntityTooLarge as error:
