Spend less on idle ticks and on loans of many targets

The estimates of waits and of usable slots are gone with their test: queues measure waits themselves and nothing called them.

--- a/src/wigeonreach/entry/_credits_borrower.py
+++ b/src/wigeonreach/entry/_credits_borrower.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
 
 from wigeonreach.entry._credits import LEASE_S, Outgoing
 from wigeonreach.entry._slots import SlotPool, TargetKey
@@ -97,9 +97,7 @@
         now_s
             Monotonic time of this process; leases count from here.
         """
-        renewals = tuple(
-            slot.key.loan_id for slot in self._renewable(lender, now_s)
-        )
+        renewals = self._renewals(lender, now_s)
         if not wishes and not renewals:
             return None
         self._sequence += 1
@@ -154,7 +152,8 @@
 
     def collect_returns(self, now_s: float) -> Iterator[Outgoing]:
         """Stop using unwanted slots and iterate over what to send for it."""
-        self._forget_questions(now_s)
+        if self._asked_s:
+            self._forget_questions(now_s)
         unwanted = [
             slot for slot in self._slots.values() if slot.is_unwanted(now_s)
         ]
@@ -162,10 +161,14 @@
             self._remove(one)
             yield Outgoing(one.key.lender, self._returned(one.key))
 
-    def _renewable(self, lender: str, now_s: float) -> Iterable[BorrowedSlot]:
+    def lenders(self) -> set[str]:
+        """Return the names of all entries that lent something."""
+        return {slot.key.lender for slot in self._slots.values()}
+
+    def _renewals(self, lender: str, now_s: float) -> tuple[int, ...]:
         current = self._lenders.get(lender)
-        return (
-            slot
+        return tuple(
+            slot.key.loan_id
             for slot in self._slots.values()
             if slot.key.lender == lender
             and slot.key.lender_incarnation_ns == current
--- a/src/wigeonreach/entry/_credits_exchange.py
+++ b/src/wigeonreach/entry/_credits_exchange.py
@@ -77,18 +77,6 @@
             if record.zone != self._sharer.zone
         ]
 
-    def free_slots(self, record: TargetRecord, now_s: float) -> int:
-        """Return how many slots of a target this entry may fill now."""
-        key = TargetKey(record.target_id, record.incarnation_ns)
-        free = sum(1 for _ in self._borrower.free(key, now_s))
-        if record.zone == self._sharer.zone:
-            free += max(0, self._lender.share(record).free(now_s))
-            free += sum(
-                pool.size - pool.busy(now_s)
-                for pool in self._taken_over(record, now_s)
-            )
-        return free
-
     def take(self, record: TargetRecord, now_s: float) -> SlotSource | None:
         """Fill a slot of a target, the own ones before those lent.
 
@@ -189,12 +177,18 @@
         outgoing = list(self._borrower.collect_returns(now_s))
         unmet = self._demands.take_unmet()
         short = self._short_in_zone(unmet, now_s)
-        for peer in self._sharer.zone_peers:
-            outgoing.extend(self._ask(peer, unmet, now_s))
+        lenders = self._borrower.lenders()
+        if unmet:
+            lenders.update(self._sharer.zone_peers)
         abroad = self._lender_abroad() if short else None
-        for foreign in self._sharer.foreign_peers:
-            wanted = short if foreign == abroad else {}
-            outgoing.extend(self._ask(foreign, wanted, now_s))
+        if abroad is not None:
+            lenders.add(abroad)
+        for lender in sorted(lenders):
+            is_near = lender in self._sharer.zone_peers
+            wanted = unmet if is_near else short
+            if not is_near and lender != abroad:
+                wanted = {}
+            outgoing.extend(self._ask(lender, wanted, now_s))
         return outgoing
 
     def may_spill(self, service: str, now_s: float) -> bool:
--- a/src/wigeonreach/entry/_credits_lender.py
+++ b/src/wigeonreach/entry/_credits_lender.py
@@ -28,6 +28,7 @@
 class Loan:
     """One slot that another entry may fill for a while."""
 
+    target: TargetKey
     borrower: str
     is_foreign: bool
     service: str
@@ -128,6 +129,7 @@
         self._work_bound_s = work_bound_s
         self._shares: dict[TargetKey, OwnShare] = {}
         self._unknown_before: set[TargetKey] = set()
+        self._loans: dict[int, Loan] = {}
         self._sequences: dict[str, tuple[int, int]] = {}
         self._last_loan_id = 0
 
@@ -174,14 +176,12 @@
         """
         if asked.lender_incarnation_ns != self._sharer.incarnation_ns:
             return ()
-        wanted = set(asked.renewals)
         renewed: list[int] = []
-        for key, share in self._shares.items():
-            for loan_id in wanted.intersection(share.loans):
-                loan = share.loans[loan_id]
-                if loan.reclaim_s > now_s and is_kept(loan.service, key):
-                    loan.renew(now_s)
-                    renewed.append(loan_id)
+        for loan_id in asked.renewals:
+            loan = self._outstanding(loan_id, now_s)
+            if loan is not None and is_kept(loan.service, loan.target):
+                loan.renew(now_s)
+                renewed.append(loan_id)
         return tuple(renewed)
 
     def lend(
@@ -225,9 +225,10 @@
         """Take loans back before their time."""
         if returned.lender_incarnation_ns != self._sharer.incarnation_ns:
             return
-        for share in self._shares.values():
-            for loan_id in returned.loan_ids:
-                share.loans.pop(loan_id, None)
+        for loan_id in returned.loan_ids:
+            loan = self._loans.pop(loan_id, None)
+            if loan is not None:
+                self._shares[loan.target].loans.pop(loan_id, None)
 
     def forget_idle(self, known: set[TargetKey], now_s: float) -> None:
         """Forget shares of targets that are gone and have nothing left."""
@@ -240,8 +241,19 @@
         ]
         for key in gone:
             self._shares.pop(key)
+        self._loans = {
+            loan_id: loan
+            for loan_id, loan in self._loans.items()
+            if loan.reclaim_s > now_s
+        }
         self._unknown_before.intersection_update(known)
 
+    def _outstanding(self, loan_id: int, now_s: float) -> Loan | None:
+        loan = self._loans.get(loan_id)
+        if loan is None or loan.reclaim_s <= now_s:
+            return None
+        return loan
+
     def _new_share(self, key: TargetKey, record: TargetRecord) -> OwnShare:
         size = home_share(
             record.slots,
@@ -274,6 +286,7 @@
     ) -> SlotLoan:
         self._last_loan_id += 1
         loan = Loan(
+            target=TargetKey(record.target_id, record.incarnation_ns),
             borrower=asked.borrower,
             is_foreign=asked.zone != self._sharer.zone,
             service=wish.service,
@@ -281,5 +294,6 @@
             reclaim_s=now_s,
         )
         loan.renew(now_s)
+        self._loans[self._last_loan_id] = loan
         self.share(record).loans[self._last_loan_id] = loan
         return SlotLoan(self._last_loan_id, record)
--- a/src/wigeonreach/entry/_routing.py
+++ b/src/wigeonreach/entry/_routing.py
@@ -23,20 +23,15 @@
 
 __all__ = ('Ending', 'Router', 'Slot', 'ending_of')
 
-_SMOOTHING = 0.05
 _FAILURE_WEIGHT = 4
+_FORGET_EVERY_S = 1.0
 
 
 class _Candidate(msgspec.Struct, frozen=True):
     record: TargetRecord
     key: TargetKey
     in_flight: int
-    failed_ratio: float
-
-    @property
-    def cost(self) -> float:
-        """What is in flight, weighed by how often attempts failed there."""
-        return (self.in_flight + 1) * (1 + _FAILURE_WEIGHT * self.failed_ratio)
+    cost: float
 
 
 class _Taken(msgspec.Struct, frozen=True):
@@ -76,8 +71,8 @@
         self._ejector = Ejector()
         self._taken: dict[int, _Taken] = {}
         self._in_flight: dict[TargetKey, int] = {}
-        self._service_s: dict[str, float] = {}
         self._last_number = 0
+        self._forget_s = 0.0
 
     def acquire(
         self,
@@ -129,58 +124,13 @@
         if ending.may_still_work:
             free_from_s = slot.acquired_s + self._work_bound_s(slot.service)
         taken.source.give_back(free_from_s)
-        took_s = now_s - slot.acquired_s
         self._ejector.health(taken.key).record(ending, now_s)
-        if ending is Ending.ANSWERED:
-            self._learn_service_time(slot.service, took_s)
 
     def is_served(self, service: str, now_s: float) -> bool:
         """Whether any target of a service may be given new work, or lent."""
         is_known = any(self._by_distance(service, now_s))
         return is_known or self.credits.may_spill(service, now_s)
 
-    def usable_slots(self, service: str, now_s: float) -> int:
-        """Return how many slots of a service this entry may fill in all."""
-        return sum(
-            self.credits.free_slots(record, now_s)
-            + self._in_flight.get(_key(record), 0)
-            for records in self._by_distance(service, now_s)
-            for record in records
-        )
-
-    def expected_wait_s(
-        self,
-        service: str,
-        waiting: int,
-        now_s: float,
-    ) -> float | None:
-        """Estimate how long a request waits for a slot.
-
-        Parameters
-        ----------
-        service
-            Name of the service.
-        waiting
-            How many requests wait before it.
-        now_s
-            Monotonic time of this process, in seconds.
-
-        Returns
-        -------
-        float or None
-            Seconds; None if no slot is in sight at all.
-        """
-        usable = self.usable_slots(service, now_s)
-        if not usable:
-            return None
-        busy = sum(
-            self._in_flight.get(_key(record), 0)
-            for records in self._by_distance(service, now_s)
-            for record in records
-        )
-        before = max(0, waiting + 1 - (usable - busy))
-        return before * self._service_s.get(service, 0) / usable
-
     def in_flight_at(self, target_id: str) -> int:
         """Return how many requests are in flight at a target from here."""
         return sum(
@@ -195,10 +145,15 @@
 
     def tick(self, now_s: float) -> list[Outgoing]:
         """Do what is due and return what to send to other entries."""
+        if now_s >= self._forget_s:
+            self._forget_s = now_s + _FORGET_EVERY_S
+            self._forget(now_s)
+        return self.credits.tick(now_s)
+
+    def _forget(self, now_s: float) -> None:
         known = set(itertools.starmap(TargetKey, self._membership.known()))
         self.credits.forget_idle(known, now_s)
         self._ejector.forget(known | set(self._in_flight))
-        return self.credits.tick(now_s)
 
     def _by_distance(
         self,
@@ -237,12 +192,7 @@
         keys = [_key(record) for record in records]
         judgement = self._ejector.judge(keys, now_s)
         candidates = (
-            _Candidate(
-                record,
-                key,
-                self._in_flight.get(key, 0),
-                self._ejector.health(key).recent_failed_ratio(now_s),
-            )
+            self._candidate(record, key, now_s)
             for record, key in zip(records, keys, strict=True)
             if record.target_id not in exclude
         )
@@ -253,6 +203,17 @@
             and one.in_flight < one.record.connections // self._sharer.entries
         ]
 
+    def _candidate(
+        self,
+        record: TargetRecord,
+        key: TargetKey,
+        now_s: float,
+    ) -> _Candidate:
+        in_flight = self._in_flight.get(key, 0)
+        failed_ratio = self._ejector.health(key).recent_failed_ratio(now_s)
+        cost = (in_flight + 1) * (1 + _FAILURE_WEIGHT * failed_ratio)
+        return _Candidate(record, key, in_flight, cost)
+
     def _enter(
         self,
         chosen: _Candidate,
@@ -278,10 +239,6 @@
         else:
             self._in_flight.pop(key)
 
-    def _learn_service_time(self, service: str, took_s: float) -> None:
-        known_s = self._service_s.get(service, took_s)
-        self._service_s[service] = known_s + _SMOOTHING * (took_s - known_s)
-
 
 def _admits(judgement: Judgement, one: _Candidate) -> bool:
     if one.key in judgement.ejected:
