--- a/src/wigeonreach/manager/_job_placer.py
+++ b/src/wigeonreach/manager/_job_placer.py
@@ -132,7 +132,7 @@
                 self._actions,
             )
         elif self._version != self._config.version:
-            self._jobs.take_text(text)
+            self._jobs.take_text(text, time.time())
         self._version = self._config.version
         return self._jobs
 
--- a/src/wigeonreach/manager/_jobs.py
+++ b/src/wigeonreach/manager/_jobs.py
@@ -76,17 +76,20 @@
         )
         self._pool_of: dict[str, str] = {}
         self._revision = 0
-        self.take_text(text)
+        self.take_text(text, 0)
         self._platform = platform
         self._actions = actions
         self._heard_s: dict[str, float] = {}
         self._once: set[str] = set()
 
-    def take_text(self, text: FleetText) -> None:
+    def take_text(self, text: FleetText, now_s: float) -> None:
         """Act on a text from the next round on."""
+        before = self._pool_of
         self._pool_of = {
             vm: pool.name for pool in text.pools.values() for vm in pool.vms
         }
+        for vm in before.keys() - self._pool_of.keys():
+            self.handle(WorkerDraining(vm), now_s)
         self._placement.change_quotas(
             {team.name: team.quota_processors for team in text.teams.values()},
         )
