Take jobs only once the tasks that already run are known

After a restart a billing run that was submitted again was taken before the first look at the platform, found its own claim and was reported while it still ran (seen by the process proof).

--- a/src/wigeonreach/cli/_explain_command.py
+++ b/src/wigeonreach/cli/_explain_command.py
@@ -104,7 +104,7 @@
             body = await answer.read()
             is_known = answer.ok
     except (aiohttp.ClientError, TimeoutError) as error:
-        raise WireError(ResultCode.WIRE_UNREACHABLE, repr(error)) from error
+        raise WireError(ResultCode.WIRE_UNREACHABLE, str(error)) from error
     if not is_known:
         return []
     status = msgspec.json.decode(body, type=JobStatus)
--- a/src/wigeonreach/fleet/_placement.py
+++ b/src/wigeonreach/fleet/_placement.py
@@ -31,6 +31,7 @@
     WorkerLost,
 )
 from wigeonreach.fleet._placement_pool import Closed
+from wigeonreach.fleet._placement_pools import Pools
 from wigeonreach.fleet._placement_queue import Offer, PoolQueue
 from wigeonreach.fleet._quarantine import Quarantine
 
@@ -62,11 +63,14 @@
         """Start without workers and jobs."""
         self._learner = Learner()
         self._quarantine = Quarantine()
-        self._quotas = dict(quotas)
-        self._held_ratio = held_ratio
-        self._pools: dict[str, PoolQueue] = {}
-        self._pool_of_worker: dict[str, str] = {}
         self._jobs: dict[str, JobRecord] = {}
+        self._pools = Pools(
+            self._jobs,
+            quotas,
+            held_ratio,
+            self._learner,
+            self._quarantine,
+        )
         self._ends = TaskEnds(self._jobs, self._quarantine)
         self._uncertain: list[tuple[float, str, int]] = []
         self._next_token = first_token
@@ -77,28 +81,16 @@
 
     def has_jobs(self, worker: str) -> bool:
         """Whether a worker may have jobs."""
-        pool = self._pool_with(worker)
+        pool = self._pools.of_worker(worker)
         return pool is not None and bool(pool.rooms.state(worker).tenants)
 
     def change_quotas(self, quotas: Mapping[str, float]) -> None:
         """Take new quotas, by team."""
-        self._quotas = dict(quotas)
-        for pool in self._pools.values():
-            pool.quota.change(quotas)
+        self._pools.change_quotas(quotas)
 
     def pool(self, name: str) -> PoolQueue:
         """Return a pool, with its workers and waiting jobs."""
-        found = self._pools.get(name)
-        if found is None:
-            found = PoolQueue(
-                self._jobs,
-                self._quotas,
-                self._held_ratio,
-                self._learner,
-                self._quarantine,
-            )
-            self._pools[name] = found
-        return found
+        return self._pools.get(name)
 
     def handle(self, event: Event, now_s: float) -> list[Effect]:
         """Take one event in and return what is to be done, in this order."""
@@ -145,14 +137,14 @@
         now_s: float,
     ) -> Iterable[Effect]:
         worker = event.worker
-        before = self._pool_with(worker.name)
+        before = self._pools.of_worker(worker.name)
         pool = self.pool(worker.pool)
         if before is not None and before is not pool:
             if before.rooms.state(worker.name).tenants:
                 # It still is of its old pool until its last job has ended.
                 return self._on_draining(WorkerDraining(worker.name), now_s)
             before.rooms.leave(worker.name)
-        self._pool_of_worker[worker.name] = worker.pool
+        self._pools.assign(worker.name, worker.pool)
         self._quarantine.forget_worker(worker.pool, worker.name)
         pool.rooms.join(worker)
         pool.rooms.state(worker.name).heard_until_s = now_s + LEASE_S
@@ -165,7 +157,7 @@
 
     @_on.register
     def _on_heard(self, event: WorkerHeard, now_s: float) -> Iterable[Effect]:
-        pool = self._pool_with(event.name)
+        pool = self._pools.of_worker(event.name)
         if pool is None:
             return ()
         state = pool.rooms.state(event.name)
@@ -181,7 +173,7 @@
         event: WorkerDraining,
         now_s: float,
     ) -> Iterable[Effect]:
-        pool = self._pool_with(event.name)
+        pool = self._pools.of_worker(event.name)
         if pool is None:
             return ()
         pool.rooms.close(event.name, Closed.DRAINING)
@@ -195,7 +187,7 @@
 
     @_on.register
     def _on_lost(self, event: WorkerLost, now_s: float) -> Iterable[Effect]:
-        pool = self._pool_with(event.name)
+        pool = self._pools.of_worker(event.name)
         if pool is None:
             return ()
         pool.rooms.close(event.name, Closed.LOST)
@@ -240,10 +232,10 @@
             _, job_id, token = heapq.heappop(self._uncertain)
             effects.extend(self._lease_ended(job_id, token, now_s))
         for name in self._quarantine.due_for_probe(now_s):
-            probed = self._pool_with(name)
+            probed = self._pools.of_worker(name)
             if probed is not None:
                 probed.rooms.open(name, Closed.QUARANTINE)
-        for pool in self._pools.values():
+        for pool in self._pools.all():
             effects.extend(self._offer(pool, now_s, is_thorough=True))
         return effects
 
@@ -268,10 +260,6 @@
             )
         return offer.effects
 
-    def _pool_with(self, worker: str) -> PoolQueue | None:
-        name = self._pool_of_worker.get(worker)
-        return None if name is None else self._pools[name]
-
     def _current(self, job_id: str, lease_token: int) -> JobRecord | None:
         record = self._jobs.get(job_id)
         if record is None or record.lease_token != lease_token:
--- a/src/wigeonreach/manager/_core.py
+++ b/src/wigeonreach/manager/_core.py
@@ -9,7 +9,6 @@
 
 from wigeonreach.fleet import (
     Budgets,
-    DrainProgress,
     EffectKind,
     Inventory,
     PauseWave,
@@ -20,9 +19,6 @@
     Tick,
     Track,
     Vm,
-    VmBack,
-    VmEvent,
-    VmReport,
     WaveEffect,
     WavePlanner,
     WaveSettings,
@@ -30,12 +26,12 @@
     WaveStatus,
 )
 from wigeonreach.manager._body import WaveBody, decode_body, encode_body
-from wigeonreach.platform import ActionKind, VmPhase, VmView
+from wigeonreach.manager._news import of_own_accord, on_its_way
+from wigeonreach.platform import VmPhase, VmView
 from wigeonreach.text import FleetText
 from wigeonreach.wire._command_messages import RecordWave
 from wigeonreach.wire._state_messages import WaveRecord
 
-_Report: TypeAlias = DrainProgress | VmReport | VmBack
 _Command: TypeAlias = type[PauseWave | ResumeWave | StopWave]
 _COMMANDS: Mapping[str, _Command] = MappingProxyType(
     {'paused': PauseWave, 'running': ResumeWave, 'stopped': StopWave},
@@ -204,9 +200,9 @@
         if self._planner.is_busy(view.name):
             # Of the platform's accord, or of the attempt that is running.
             is_news = view.phase is VmPhase.DOWN or self._is_current(view)
-            messages = _on_its_way(view) if is_news else ()
+            messages = on_its_way(view) if is_news else ()
         else:
-            messages = _of_own_accord(vm, view)
+            messages = of_own_accord(vm, view)
             self._effects.extend(self._left_behind(view))
         for message in messages:
             self._effects.extend(self._planner.handle(message, now_s))
@@ -283,36 +279,6 @@
     return all(track.phase.is_final for track in body.state.tracks)
 
 
-def _on_its_way(view: VmView) -> Iterable[_Report]:
-    """Tell of a VM that a wave has drained."""
-    operation_id, _, kind = view.action_id.rpartition('/')
-    if view.phase is VmPhase.DOWN:
-        yield VmReport(view.name, VmEvent.LOST)
-    elif kind == ActionKind.DRAIN and view.phase is VmPhase.DRAINING:
-        yield DrainProgress(view.name, view.in_flight, view.open_checkpoints)
-    elif view.phase is VmPhase.BOOTED:
-        event = _boot_event(kind, view)
-        if event is not None:
-            yield VmReport(view.name, event, operation_id)
-
-
-def _of_own_accord(vm: Vm, view: VmView) -> Iterable[_Report]:
-    """Tell of a VM that changed without an action of ours."""
-    is_serving = view.phase is VmPhase.SERVING
-    if vm.is_up and not is_serving:
-        yield VmReport(view.name, VmEvent.LOST)
-    if is_serving and not vm.is_up:
-        yield VmBack(view.name)
-
-
-def _boot_event(kind: str, view: VmView) -> VmEvent | None:
-    if kind == ActionKind.REBOOT:
-        return VmEvent.REBOOTED
-    if kind != ActionKind.CHECK or view.is_healthy is None:
-        return None
-    return VmEvent.HEALTHY if view.is_healthy else VmEvent.UNHEALTHY
-
-
 def _event_for(phase: str, status: WaveStatus) -> str:
     if phase != 'running':
         return ''
--- a/src/wigeonreach/manager/_job_placer.py
+++ b/src/wigeonreach/manager/_job_placer.py
@@ -93,14 +93,20 @@
             if jobs is None:
                 await self.sleep(self._settings.poll_s)
                 continue
-            await self._take_messages(jobs)
-            try:
-                await jobs.round(time.time())
-            except PlatformError as error:
-                self._metrics.count(
-                    'placement_rounds_failed',
-                    error.code.name.lower(),
-                )
+            await self._round(jobs)
+            if jobs.is_ready:
+                await self._take_messages(jobs)
+            else:
+                await self.sleep(self._settings.poll_s)
+
+    async def _round(self, jobs: ZoneJobs) -> None:
+        try:
+            await jobs.round(time.time())
+        except PlatformError as error:
+            self._metrics.count(
+                'placement_rounds_failed',
+                error.code.name.lower(),
+            )
 
     async def _take_messages(self, jobs: ZoneJobs) -> None:
         """Wait for messages, but no longer than until the next round."""
@@ -163,7 +169,8 @@
         )
 
     def _send(self, message: Job | JobsCancelled) -> web.Response:
-        if self._jobs is None or self._inbox.full():
+        is_ready = self._jobs is not None and self._jobs.is_ready
+        if not is_ready or self._inbox.full():
             self._metrics.count('jobs_refused', 'not_placing')
             return _refusal(
                 503,
--- a/src/wigeonreach/manager/_jobs.py
+++ b/src/wigeonreach/manager/_jobs.py
@@ -81,6 +81,15 @@
         self._actions = actions
         self._heard_s: dict[str, float] = {}
         self._once: set[str] = set()
+        self._is_ready = False
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the tasks that already run are known.
+
+        A job that is submitted again before that would be taken for new.
+        """
+        return self._is_ready
 
     def take_text(self, text: FleetText, now_s: float) -> None:
         """Act on a text from the next round on."""
@@ -131,6 +140,7 @@
             if view.zone == self._zone and view.name in self._pool_of:
                 await self._observe(view, now_s)
         self._revision = page.revision
+        self._is_ready = True
         await asyncio.gather(
             *(self._follow(name, now_s) for name in self._asked_workers()),
         )
--- /dev/null
+++ b/src/wigeonreach/manager/_news.py
@@ -0,0 +1,41 @@
+"""Read from a VM's view what has happened to it."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import TypeAlias
+
+from wigeonreach.fleet import DrainProgress, Vm, VmBack, VmEvent, VmReport
+from wigeonreach.platform import ActionKind, VmPhase, VmView
+
+Report: TypeAlias = DrainProgress | VmReport | VmBack
+
+
+def on_its_way(view: VmView) -> Iterable[Report]:
+    """Tell of a VM that a wave has drained."""
+    operation_id, _, kind = view.action_id.rpartition('/')
+    if view.phase is VmPhase.DOWN:
+        yield VmReport(view.name, VmEvent.LOST)
+    elif kind == ActionKind.DRAIN and view.phase is VmPhase.DRAINING:
+        yield DrainProgress(view.name, view.in_flight, view.open_checkpoints)
+    elif view.phase is VmPhase.BOOTED:
+        event = _boot_event(kind, view)
+        if event is not None:
+            yield VmReport(view.name, event, operation_id)
+
+
+def of_own_accord(vm: Vm, view: VmView) -> Iterable[Report]:
+    """Tell of a VM that changed without an action of ours."""
+    is_serving = view.phase is VmPhase.SERVING
+    if vm.is_up and not is_serving:
+        yield VmReport(view.name, VmEvent.LOST)
+    if is_serving and not vm.is_up:
+        yield VmBack(view.name)
+
+
+def _boot_event(kind: str, view: VmView) -> VmEvent | None:
+    if kind == ActionKind.REBOOT:
+        return VmEvent.REBOOTED
+    if kind != ActionKind.CHECK or view.is_healthy is None:
+        return None
+    return VmEvent.HEALTHY if view.is_healthy else VmEvent.UNHEALTHY
