--- a/src/wigeonreach/entry/_attempt.py
+++ b/src/wigeonreach/entry/_attempt.py
@@ -27,7 +27,8 @@
 
 _KEEPALIVE_S: Final = 30
 _MS_PER_S: Final = 1000
-_CONNECT_TIMEOUT_S: Final = 1.0
+# Trust in a target lasts 1.2 s at most, and a leave must be heeded within 2 s.
+_CONNECT_TIMEOUT_S: Final = 0.7
 _MAX_ANSWER_BYTES: Final = 4 * 1024 * 1024
 _MAX_HEADER_BYTES: Final = 8190
 _MAX_ECHOING: Final = 4096
--- a/src/wigeonreach/entry/_verifier.py
+++ b/src/wigeonreach/entry/_verifier.py
@@ -15,11 +15,12 @@
 from wigeonreach.entry._target_state import read_target_state
 from wigeonreach.observe import Metrics
 
-_TICK_S = 0.1
+_SHORTEST_TICK_S = 0.1
+# Looking for whom to ask may take one part in this many of the time.
+_LOOKING_DIVISOR = 60
 # Looked at this long before trust lapses, so that it need not lapse.
 _AHEAD_S = 0.35
 _PROBE_TIMEOUT_S = 0.3
-# At 0.6 ms a probe this is below 3% of a core.
 _PROBES_PER_TICK = 5
 _AT_ONCE = 32
 
@@ -58,10 +59,14 @@
             asyncio.TaskGroup() as group,
         ):
             while not self.should_stop:
-                for member in self._choose(time.monotonic()):
+                began_s = time.monotonic()
+                chosen = self._choose(began_s)
+                looked_s = time.monotonic() - began_s
+                for member in chosen:
                     self._asked.add(member.record.address)
                     group.create_task(self._probe(session, member))
-                await self.sleep(_TICK_S)
+                tick_s = max(_SHORTEST_TICK_S, looked_s * _LOOKING_DIVISOR)
+                await self.sleep(tick_s)
 
     def _choose(self, now_s: float) -> list[Member]:
         able = (
--- /dev/null
+++ b/tests/entry/test_lifecycle.py
@@ -0,0 +1,47 @@
+"""Test what an entry does between its start and its end."""
+
+from __future__ import annotations
+
+import testtools
+from testtools.matchers import Equals
+
+from wigeonreach.charts import load_chart
+from wigeonreach.entry._lifecycle import Lifecycle, Phase, Step
+from wigeonreach.entry._pace import announce_after_s
+
+
+class TestLifecycle(testtools.TestCase):
+    """The chart ``entry_lifecycle`` and what is read from it."""
+
+    def test_chart(self) -> None:
+        """Each state of the chart is a phase."""
+        states = load_chart('entry_lifecycle').states
+
+        self.assertThat(states, Equals({phase.value for phase in Phase}))
+
+    def test_stop(self) -> None:
+        """Readiness goes first, then new work is refused."""
+        lifecycle = Lifecycle()
+        self.assertFalse(lifecycle.is_ready)
+        lifecycle.take(Step.LEARNED)
+        self.assertTrue(lifecycle.is_ready)
+
+        lifecycle.take(Step.TOLD_TO_STOP)
+        self.assertFalse(lifecycle.is_ready)
+        self.assertTrue(lifecycle.takes_work)
+        self.assertTrue(lifecycle.is_stopping)
+        lifecycle.take(Step.LEARNED)
+        self.assertFalse(lifecycle.is_ready)
+
+        lifecycle.take(Step.NOTICE_GIVEN)
+        self.assertFalse(lifecycle.takes_work)
+
+
+class TestPace(testtools.TestCase):
+    """How often targets shall announce themselves."""
+
+    def test_bounds(self) -> None:
+        """The interval grows with the targets that each entry serves."""
+        self.assertThat(announce_after_s(10, 2), Equals(1.25))
+        self.assertThat(announce_after_s(2, 2), Equals(0.5))
+        self.assertThat(announce_after_s(2000, 2), Equals(180.0))
