Let reads try again after an election, and grow to five voters

- A read that met an election ended with state_no_quorum, though asking again is always safe; it now asks the next leader until its time is over.
- A link that was busy for two seconds on end looked like one that hung: the timeout now holds for each message.
- Two replicas added to three count once they caught up, and two of the five may then be lost: seen in the simulation.

--- a/src/wigeonreach/state/_agreement.py
+++ b/src/wigeonreach/state/_agreement.py
@@ -178,7 +178,8 @@
         StateError
             With ``STATE_NO_QUORUM`` if no leader confirmed in time.
         """
-        outcome = await self._request(self._ask_to_read)
+        # A read may be asked again, whatever became of the first one.
+        outcome = await self._request(self._ask_to_read, Unknown)
         if not isinstance(outcome, Readable):
             raise StateError(
                 ResultCode.STATE_NO_QUORUM,
@@ -193,20 +194,22 @@
     async def _request(
         self,
         ask: Callable[[int], None],
+        retried: type[RequestOutcome] = NotStored,
     ) -> RequestOutcome:
         try:
             async with asyncio.timeout(_REPLY_TIMEOUT_S):
-                return await self._ask_until_stored(ask)
+                return await self._ask_until_stored(ask, retried)
         except TimeoutError:
             return Unknown()
 
     async def _ask_until_stored(
         self,
         ask: Callable[[int], None],
+        retried: type[RequestOutcome],
     ) -> RequestOutcome:
         while True:
             outcome = await self._ask_once(ask)
-            if not isinstance(outcome, NotStored):
+            if not isinstance(outcome, NotStored | retried):
                 return outcome
             await asyncio.sleep(_RETRY_S)
 
--- a/src/wigeonreach/state/_links.py
+++ b/src/wigeonreach/state/_links.py
@@ -69,6 +69,6 @@
         while not self.should_stop:
             await self._has_message.wait()
             self._has_message.clear()
-            async with asyncio.timeout(_SEND_TIMEOUT_S):
-                while self._waiting:
+            while self._waiting:
+                async with asyncio.timeout(_SEND_TIMEOUT_S):
                     await channel.send(self._waiting.popleft())
--- a/tests/builders_raft.py
+++ b/tests/builders_raft.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import random
+from collections.abc import Iterable
 
 import msgspec
 
@@ -88,6 +89,15 @@
         for node in self.nodes.values():
             self.start(node)
 
+    def grow(self, names: Iterable[str]) -> None:
+        """Add replicas and restart the others with the longer list."""
+        for name in names:
+            self.nodes[name] = self._node(name, Node)
+        for node in self.nodes.values():
+            self.crash(node)
+        for restarted in self.nodes.values():
+            self.start(restarted)
+
     def start(self, node: Node) -> None:
         """Start a replica's process, unless it runs."""
         if node.raft is not None:
@@ -95,7 +105,7 @@
         stored = node.load()
         node.raft = Raft(
             node.name,
-            NAMES,
+            tuple(self.nodes),
             stored,
             _SETTINGS,
             random.Random(self.rng.getrandbits(32)),
@@ -116,11 +126,11 @@
 
     def can_lose_a_disk(self) -> bool:
         """Whether every voter that counts still has its disk."""
-        voters = self._committed_voters()
+        voters = self.committed_voters()
         present = {
             node.raft.state.me for node in self.nodes.values() if node.raft
         }
-        return len(voters) == len(NAMES) and present.issuperset(voters)
+        return len(voters) == len(self.nodes) and present.issuperset(voters)
 
     def lose_disk(self, node: Node) -> None:
         """Kill a process and lose its whole folder."""
@@ -308,7 +318,7 @@
             f'leader {state.me} of {state.hard.term} lacks {command!r}',
         )
 
-    def _committed_voters(self) -> tuple[MemberId, ...]:
+    def committed_voters(self) -> tuple[MemberId, ...]:
         changes = [
             entry
             for _, entry in sorted(self.history.items())
--- a/tests/state/test_raft_model.py
+++ b/tests/state/test_raft_model.py
@@ -11,6 +11,7 @@
 import testtools
 from hypothesis import stateful
 from hypothesis import strategies as st
+from testtools import matchers
 
 from tests.builders_raft import (
     NAMES,
@@ -274,6 +275,27 @@
         self.assertGreater(len(simulation.leaders), _RACES // 2)
 
 
+class TestVoters(testtools.TestCase):
+    """How the voters change."""
+
+    def test_three_grow_to_five(self) -> None:
+        """New replicas count once caught up; two of five may then be lost."""
+        simulation = Simulation(1)
+        simulation.settle(60)
+        simulation.propose(simulation.leader_or(simulation.nodes['a']))
+        simulation.grow(('d', 'e'))
+        simulation.settle(300)
+        self.assertThat(simulation.committed_voters(), matchers.HasLength(5))
+        for name in ('a', 'b'):
+            simulation.lose_disk(simulation.nodes[name])
+        simulation.settle(300)
+        count = len(simulation.acknowledged)
+        simulation.propose(simulation.leader_or(simulation.nodes['c']))
+        simulation.settle(10)
+        self.assertEqual(count + 1, len(simulation.acknowledged))
+        simulation.check_converged()
+
+
 class TestChosenFailures(testtools.TestCase):
     """What holds whatever fails, with failures chosen step by step."""
 
