Never take a late answer for one to a request of the next process

A replica numbered what it forwards to the leader from 0 after each start. An answer to its former process, still under way, settled the request of the same number: a change could be reported as accepted that never was. Numbers begin at a random place now; the test failed before.

Requests and their answers moved to a module of their own, and a read that waits for its index to be applied ends in time.

--- a/src/wigeonreach/state/_agreement.py
+++ b/src/wigeonreach/state/_agreement.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 import time
 from collections.abc import Callable, Sequence
@@ -13,48 +14,29 @@
 from wigeonreach.exceptions import StateError
 from wigeonreach.observe import LogEvent, Logger
 from wigeonreach.state._applier import Applier
+from wigeonreach.state._callers import Callers
 from wigeonreach.state._disk_writer import DiskWriter
 from wigeonreach.state._links import Link
-from wigeonreach.state._outcomes import read_outcome, write_outcome
 from wigeonreach.state._raft import Raft
 from wigeonreach.state._raft_types import (
     DiskDone,
-    Origin,
     Output,
-    Propose,
     RaftEvent,
     RaftSettings,
-    Read,
     Received,
     Role,
     Tick,
 )
-from wigeonreach.state._requests import (
-    Done,
-    NotStored,
-    Readable,
-    RequestOutcome,
-    Requests,
-    Unknown,
-)
+from wigeonreach.state._requests import Done, Readable
 from wigeonreach.state._settings import ReplicaSettings
 from wigeonreach.state._state_machine import StateMachine
 from wigeonreach.state._storage import Storage, Stored
-from wigeonreach.wire._raft_messages import (
-    MemberId,
-    Proposal,
-    ProposalReply,
-    RaftMessage,
-    ReadIndexReply,
-    ReadRequest,
-)
+from wigeonreach.wire._raft_messages import MemberId, RaftMessage
 
 _DEFAULT_TIMES = RaftSettings()
 _TICK_S = 0.05
-_RETRY_S = 0.05
-_REPLY_TIMEOUT_S = 2.5
+_CATCH_UP_TIMEOUT_S = 2.5
 _MAX_COMMAND_BYTES = 4 * 1024 * 1024
-_MAX_STORED = 4096
 
 
 class RaftAgreement(mode.Service):
@@ -100,7 +82,6 @@
             random.Random(stored.hard.incarnation),  # noqa: S311
         )
         self._applier = Applier(machine, stored.snapshot, logger)
-        self._requests = Requests()
         self._inbox: asyncio.Queue[RaftEvent] = asyncio.Queue()
         self._writer = DiskWriter(
             storage,
@@ -113,6 +94,11 @@
             for member in settings.members
             if member.name != settings.name
         }
+        self._callers = Callers(
+            self._raft.state,
+            self._inbox.put_nowait,
+            self._post_message,
+        )
         self._seen_role = self._raft.state.role
         self._seen_leader: MemberId | None = None
 
@@ -138,11 +124,7 @@
 
     def receive(self, message: RaftMessage) -> None:
         """Take a message of another replica."""
-        if isinstance(message, Proposal | ReadRequest):
-            self._receive_request(message)
-        elif isinstance(message, ProposalReply | ReadIndexReply):
-            self._receive_outcome(message)
-        else:
+        if not self._callers.receive(message):
             self._inbox.put_nowait(Received(message))
 
     async def propose(self, command: bytes) -> bytes:
@@ -159,9 +141,7 @@
                 ResultCode.STATE_TOO_LARGE,
                 f'{len(command)} bytes; allowed: {_MAX_COMMAND_BYTES}',
             )
-        outcome = await self._request(
-            lambda number: self._ask_to_store(number, command),
-        )
+        outcome = await self._callers.propose(command)
         if isinstance(outcome, Done):
             return outcome.reply
         raise StateError(
@@ -178,96 +158,21 @@
         StateError
             With ``STATE_NO_QUORUM`` if no leader confirmed in time.
         """
-        # A read may be asked again, whatever became of the first one.
-        outcome = await self._request(self._ask_to_read, Unknown)
-        if not isinstance(outcome, Readable):
-            raise StateError(
-                ResultCode.STATE_NO_QUORUM,
-                'no leader confirmed that this is the newest state',
-            )
-        await self._applier.wait_index(outcome.index)
+        outcome = await self._callers.read()
+        if isinstance(outcome, Readable):
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(_CATCH_UP_TIMEOUT_S):
+                    await self._applier.wait_index(outcome.index)
+                    return
+        raise StateError(
+            ResultCode.STATE_NO_QUORUM,
+            'no leader confirmed that this is the newest state',
+        )
 
     async def wait_applied(self, known_index: int) -> int:
         """Wait until more than ``known_index`` is applied; return how far."""
         return await self._applier.wait_index(known_index + 1)
 
-    async def _request(
-        self,
-        ask: Callable[[int], None],
-        retried: type[RequestOutcome] = NotStored,
-    ) -> RequestOutcome:
-        try:
-            async with asyncio.timeout(_REPLY_TIMEOUT_S):
-                return await self._ask_until_stored(ask, retried)
-        except TimeoutError:
-            return Unknown()
-
-    async def _ask_until_stored(
-        self,
-        ask: Callable[[int], None],
-        retried: type[RequestOutcome],
-    ) -> RequestOutcome:
-        while True:
-            outcome = await self._ask_once(ask)
-            if not isinstance(outcome, NotStored | retried):
-                return outcome
-            await asyncio.sleep(_RETRY_S)
-
-    async def _ask_once(self, ask: Callable[[int], None]) -> RequestOutcome:
-        is_full = self._requests.stored_count >= _MAX_STORED
-        if self._raft.state.leader is None or is_full:
-            return NotStored()
-        number, future = self._requests.open()
-        ask(number)
-        return await future
-
-    def _ask_to_store(self, number: int, command: bytes) -> None:
-        self._to_leader(
-            Propose(Origin(self._raft.state.me, number), command),
-            Proposal(*self._header(), number, command),
-        )
-
-    def _ask_to_read(self, number: int) -> None:
-        self._to_leader(
-            Read(Origin(self._raft.state.me, number)),
-            ReadRequest(*self._header(), number),
-        )
-
-    def _to_leader(self, event: RaftEvent, message: RaftMessage) -> None:
-        leader = self._raft.state.leader
-        assert leader is not None
-        if leader == self._raft.state.me:
-            self._inbox.put_nowait(event)
-        else:
-            self._links[leader.name].post(message)
-
-    def _header(
-        self,
-        target: MemberId | None = None,
-    ) -> tuple[MemberId, int, int]:
-        state = self._raft.state
-        receiver = target or state.leader or state.me
-        return state.me, receiver.incarnation, state.hard.term
-
-    def _receive_request(self, message: Proposal | ReadRequest) -> None:
-        if message.target_incarnation != self._raft.state.me.incarnation:
-            return
-        origin = Origin(message.sender, message.request_id)
-        if isinstance(message, ReadRequest):
-            self._inbox.put_nowait(Read(origin))
-        elif self._requests.stored_count < _MAX_STORED:
-            self._inbox.put_nowait(Propose(origin, message.command))
-        else:
-            self._answer(origin, NotStored())
-
-    def _receive_outcome(
-        self,
-        message: ProposalReply | ReadIndexReply,
-    ) -> None:
-        if message.target_incarnation != self._raft.state.me.incarnation:
-            return
-        self._requests.settle(message.request_id, read_outcome(message))
-
     @mode.Service.task
     async def _run(self) -> None:
         tick_due_s = 0.0
@@ -302,38 +207,25 @@
     def _carry_out(self, output: Output) -> None:
         self._writer.post(output.writes)
         for outgoing in output.messages:
-            link = self._links.get(outgoing.target)
-            if link is not None:
-                link.post(outgoing.message)
-        for accepted in output.accepted:
-            self._requests.note_stored(accepted)
-        for origin in output.refused:
-            self._answer(origin, NotStored())
-        for read in output.reads:
-            self._answer(read.origin, Readable(read.index))
+            self._post_message(outgoing.target, outgoing.message)
+        self._callers.note_output(output)
 
     async def _apply(self, output: Output) -> None:
         if output.restored is not None:
             self._applier.restore(output.restored)
         for entry in output.committed:
             reply = self._applier.apply(entry)
-            origin = self._requests.take_applied(entry.index, entry.term)
-            if origin is not None:
-                self._answer(origin, Done(reply))
+            self._callers.note_applied(entry, reply)
         if output.restored is not None or output.committed:
             await self._applier.tell_waiting()
         taken = self._applier.snapshot_if_due()
         if taken is not None:
             self._inbox.put_nowait(taken)
 
-    def _answer(self, origin: Origin, outcome: RequestOutcome) -> None:
-        if origin.member == self._raft.state.me:
-            self._requests.settle(origin.request_id, outcome)
-            return
-        link = self._links.get(origin.member.name)
+    def _post_message(self, name: str, message: RaftMessage) -> None:
+        link = self._links.get(name)
         if link is not None:
-            header = self._header(origin.member)
-            link.post(write_outcome(header, origin.request_id, outcome))
+            link.post(message)
 
     def _note_role(self) -> None:
         state = self._raft.state
@@ -345,8 +237,5 @@
                 term=state.hard.term,
             )
         if state.leader != self._seen_leader:
-            # Whatever the former leader was asked is not known here now.
             self._seen_leader = state.leader
-            self._requests.settle_all(Unknown())
-            for origin in self._requests.take_all_stored():
-                self._answer(origin, Unknown())
+            self._callers.note_other_leader()
--- a/src/wigeonreach/state/_requests.py
+++ b/src/wigeonreach/state/_requests.py
@@ -5,11 +5,14 @@
 import asyncio
 import dataclasses
 import itertools
+import secrets
 
 import msgspec
 
 from wigeonreach.state._raft_types import Accepted, Origin
 
+_BITS = 60
+
 
 class Done(msgspec.Struct, frozen=True):
     """A proposal was applied."""
@@ -38,8 +41,10 @@
 class Requests:
     """Requests of this replica's callers, and proposals in its log."""
 
+    # Answers to a request of this replica's former process may still be
+    # under way; they must not be taken for an answer to a new one.
     _numbers: itertools.count[int] = dataclasses.field(
-        default_factory=itertools.count,
+        default_factory=lambda: itertools.count(secrets.randbits(_BITS)),
     )
     _waiting: dict[int, asyncio.Future[RequestOutcome]] = dataclasses.field(
         default_factory=dict,
--- /dev/null
+++ b/tests/state/test_requests.py
@@ -0,0 +1,25 @@
+"""Check how outcomes find whoever waits for them."""
+
+from __future__ import annotations
+
+import asyncio
+
+import testtools
+
+from wigeonreach.state._requests import Done, Requests
+
+
+class TestRequests(testtools.TestCase):
+    """Requests of a replica that restarted."""
+
+    def test_answer_to_a_former_process_is_dropped(self) -> None:
+        """A late answer never settles a request of the next process."""
+        self.assertFalse(asyncio.run(_settles_across_a_restart()))
+
+
+async def _settles_across_a_restart() -> bool:
+    former, present = Requests(), Requests()
+    number, _ = former.open()
+    _, waiting = present.open()
+    present.settle(number, Done(b'stored'))
+    return waiting.done()
