Drop requests whose caller hung up while they waited

Under overload callers time out before their turn, and their work took slots from those who still wait. Keyed requests still run: the caller may come back for the answer. With the check switched off the new test fails, as the request is run.

--- a/src/wigeonreach/entry/_dispatch.py
+++ b/src/wigeonreach/entry/_dispatch.py
@@ -4,9 +4,10 @@
 
 import random
 import time
+from collections.abc import Callable
 from typing import Protocol
 
-from wigeonreach.codes import Outcome
+from wigeonreach.codes import Outcome, ResultCode
 from wigeonreach.entry._attempt import TargetAnswer
 from wigeonreach.entry._request import CallerRequest
 from wigeonreach.entry._retry import (
@@ -17,10 +18,14 @@
 )
 from wigeonreach.entry._slots import Ending, Slot, ending_of
 from wigeonreach.entry._slot_queue import SlotGiver, SlotQueue
-from wigeonreach.exceptions import AttemptFailedError
+from wigeonreach.exceptions import AttemptFailedError, RequestRefusedError
 from wigeonreach.observe import Metrics
 
 
+def _never() -> bool:
+    return False
+
+
 class Attempter(Protocol):
     """What has one target run a request."""
 
@@ -58,13 +63,19 @@
         self._queues: dict[str, SlotQueue] = {}
         self._budgets: dict[str, RetryBudget] = {}
 
-    async def run(self, request: CallerRequest) -> TargetAnswer:
+    async def run(
+        self,
+        request: CallerRequest,
+        is_gone: Callable[[], bool] = _never,
+    ) -> TargetAnswer:
         """Return a target's whole answer.
 
         Parameters
         ----------
         request
             What to run.
+        is_gone
+            Whether the caller hung up; what nobody waits for is not begun.
 
         Returns
         -------
@@ -78,10 +89,21 @@
         AttemptFailedError
             If no attempt gave a whole answer.
         """
+        queue = self._queue_of(request.service.name)
+        slot = await queue.acquire(request)
+        if is_gone():
+            queue.release(slot, Ending.UNUSED)
+            raise RequestRefusedError(ResultCode.REQUEST_CALLER_GONE, '')
+        return await self._run_from(slot, request, queue)
+
+    async def _run_from(
+        self,
+        slot: Slot,
+        request: CallerRequest,
+        queue: SlotQueue,
+    ) -> TargetAnswer:
         service = request.service
-        queue = self._queue_of(service.name)
         budget = self._budgets.setdefault(service.name, RetryBudget())
-        slot = await queue.acquire(request)
         budget.on_first_attempt(service.retry_ratio)
         tried: tuple[str, ...] = ()
         may_have_run: AttemptFailedError | None = None
--- a/src/wigeonreach/entry/_proxy.py
+++ b/src/wigeonreach/entry/_proxy.py
@@ -187,6 +187,10 @@
             if checked.key:
                 result = await self._keyed.answer(checked)
                 return key_reply(result, self._rng)
-            return target_reply(await self._dispatcher.run(checked))
+            answer = await self._dispatcher.run(
+                checked,
+                lambda: request.transport is None,
+            )
+            return target_reply(answer)
         finally:
             self._bodies.give_back(size_bytes)
--- a/tests/entry/test_dispatch.py
+++ b/tests/entry/test_dispatch.py
@@ -90,6 +90,17 @@
         self.assertThat(attempts.asked, Equals(['one', 'two']))
         self.assertThat(metrics.counted('retries', 'not_run'), Equals(1))
 
+    def test_nothing_runs_for_nobody(self) -> None:
+        """A request whose caller hung up gives its slot back unused."""
+        attempts = FakeAttempts({})
+        router = FakeRouter('one')
+        dispatcher, _ = _dispatcher(router, attempts)
+        running = dispatcher.run(build_request('POST'), lambda: True)
+        refused = self.assertRaises(RequestRefusedError, asyncio.run, running)
+        self.assertThat(refused.code, Equals(ResultCode.REQUEST_CALLER_GONE))
+        self.assertThat(attempts.asked, Equals([]))
+        self.assertThat(router.endings, Equals([Ending.UNUSED]))
+
     def test_no_second_run_unless_idempotent(self) -> None:
         """What may have run is tried again only if that does no harm."""
         for method, asked in (('POST', ['one']), ('GET', ['one', 'two'])):
