Say after ten seconds what a replica without a leader waits for

A first start with one replica missing showed nothing in the logs. Batches for a replica that lags no longer copy the whole rest of the log.

--- a/src/wigeonreach/observe/_events.py
+++ b/src/wigeonreach/observe/_events.py
@@ -42,6 +42,7 @@
     SNAPSHOT_TAKEN = 309
     SNAPSHOT_RESTORED = 310
     VOTERS_CHANGED = 311
+    LEADER_MISSING = 312
 
     # 400: managers.
     LEASE_HELD = 401
--- a/src/wigeonreach/state/_agreement.py
+++ b/src/wigeonreach/state/_agreement.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import math
 import random
 import time
 from collections.abc import Callable, Sequence
@@ -18,6 +19,7 @@
 from wigeonreach.state._disk_writer import DiskWriter
 from wigeonreach.state._links import Link
 from wigeonreach.state._raft import Raft
+from wigeonreach.state._raft_state import RaftState
 from wigeonreach.state._raft_types import (
     DiskDone,
     Output,
@@ -36,6 +38,7 @@
 _DEFAULT_TIMES = RaftSettings()
 _TICK_S = 0.05
 _CATCH_UP_TIMEOUT_S = 2.5
+_LEADER_MISSING_S = 10.0
 _MAX_COMMAND_BYTES = 4 * 1024 * 1024
 
 
@@ -101,6 +104,7 @@
         )
         self._seen_role = self._raft.state.role
         self._seen_leader: MemberId | None = None
+        self._leader_due_s = math.inf
 
     @property
     def is_leader(self) -> bool:
@@ -239,3 +243,25 @@
         if state.leader != self._seen_leader:
             self._seen_leader = state.leader
             self._callers.note_other_leader()
+        self._note_missing_leader(state)
+
+    def _note_missing_leader(self, state: RaftState) -> None:
+        latest_s = state.now_s + _LEADER_MISSING_S
+        if state.leader:
+            self._leader_due_s = math.inf
+        elif state.now_s < self._leader_due_s:
+            self._leader_due_s = min(self._leader_due_s, latest_s)
+        else:
+            self._leader_due_s = latest_s
+            self._log.warning(
+                LogEvent.LEADER_MISSING,
+                reason=_waits_for(state),
+            )
+
+
+def _waits_for(state: RaftState) -> str:
+    if state.is_blank:
+        return 'new: waits until all replicas were started once'
+    if state.is_voter:
+        return 'waits until a majority can be reached'
+    return 'has no vote: waits until a leader brings it up to date'
--- a/src/wigeonreach/state/_raft_log.py
+++ b/src/wigeonreach/state/_raft_log.py
@@ -10,6 +10,7 @@
 from wigeonreach.wire._raft_messages import EntryKind, LogEntry, MemberId
 
 Voters = tuple[MemberId, ...]
+_MAX_BATCH_ENTRIES = 1024
 _VOTERS = msgspec.msgpack.Decoder(Voters)
 
 
@@ -80,7 +81,8 @@
         """Return entries from an index on: one at least, up to a size."""
         total_bytes = 0
         taken: list[LogEntry] = []
-        for entry in self.entries[first_index - self.base_index - 1 :]:
+        start = first_index - self.base_index - 1
+        for entry in self.entries[start : start + _MAX_BATCH_ENTRIES]:
             total_bytes += len(entry.command)
             if taken and total_bytes > limit_bytes:
                 break
