--- a/bench/bench_buffer.py
+++ b/bench/bench_buffer.py
@@ -11,7 +11,7 @@
 
 _BENCH = 'buffer'
 _BOUND = 1.25
-_LISTS = ('day', 'rack-in-wave', 'zone-lost')
+_LISTS = ('day', 'plain-wave', 'rack-in-wave', 'zone-lost')
 
 
 def run() -> Iterable[Figure]:
@@ -51,6 +51,12 @@
         result = run_list(user, way, events)
         label = f'{name}, {events}'
         yield told(_BENCH, f'{label}: moves', len(result.run.moves), 'moves')
+        yield told(
+            _BENCH,
+            f'{label}: VMs maintained',
+            result.run.maintained,
+            'VMs',
+        )
         yield told(
             _BENCH,
             f'{label}: promise missed',
