--- a/proofs/test_jobs.py
+++ b/proofs/test_jobs.py
@@ -11,7 +11,7 @@
 from urllib import request as urllib_request
 
 import testtools
-from testtools.matchers import Equals
+from testtools.matchers import Contains, Equals
 
 from bench.managed_cluster import VMS_PER_ZONE, ManagedCluster, wait_until
 
@@ -75,6 +75,16 @@
             self._wait_state(cluster, name, 'finished')
             self.assertThat(_starts(cluster, name), Equals(1))
         self._wait_state(cluster, 'huge', 'set_aside')
+        self._check_explained(cluster)
+
+    def _check_explained(self, cluster: ManagedCluster) -> None:
+        url = f'http://{cluster.managers[0].http}'
+        job = cluster.command_line(
+            'explain', 'job', 'huge', '--manager-url', url
+        )
+        self.assertThat(job.stdout, Contains('never-fits'), job.stderr)
+        vm = cluster.command_line('explain', 'vm', 'a-vm-0')
+        self.assertThat(vm.stdout, Contains('in pool night'), vm.stderr)
 
     def _cluster(self, name: str, *options: str) -> ManagedCluster:
         folder = _FOLDER / name
