--- a/bench/bench_capacity.py
+++ b/bench/bench_capacity.py
@@ -14,6 +14,7 @@
 import aiohttp
 import msgspec
 
+from bench.capacity_manager import manager_figures
 from bench.capacity_state import state_figures
 from bench.cluster import Cluster, Shape
 from bench.figures import Figure, told
@@ -52,6 +53,7 @@
         yield from _process_figures(cluster)
     finally:
         cluster.stop()
+    yield from manager_figures()
 
 
 def _record_figures() -> Iterable[Figure]:
--- /dev/null
+++ b/bench/capacity_manager.py
@@ -0,0 +1,55 @@
+"""Measure what an idle manager costs."""
+
+from __future__ import annotations
+
+import pathlib
+import shutil
+import statistics
+import time
+from collections.abc import Iterator
+
+from bench.figures import Figure, told
+from bench.managed_cluster import ManagedCluster
+from bench.usage import read_usage
+
+_NAME = 'capacity'
+_FOLDER = pathlib.Path('run/capacity-manager')
+_SETTLE_S = 2.0
+_IDLE_S = 5.0
+# The bench's managers poll the platform this many times faster than usual.
+_POLLS_PER_USUAL = 10
+
+
+def manager_figures() -> Iterator[Figure]:
+    """Measure memory, and processor time spent on polling."""
+    shutil.rmtree(_FOLDER, ignore_errors=True)
+    cluster = ManagedCluster(_FOLDER)
+    try:
+        cluster.start()
+        yield from _idle_figures(cluster)
+    finally:
+        cluster.stop()
+
+
+def _idle_figures(cluster: ManagedCluster) -> Iterator[Figure]:
+    time.sleep(_SETTLE_S)
+    pids = [manager.pid for manager in cluster.managers]
+    before = [read_usage(pid) for pid in pids]
+    time.sleep(_IDLE_S)
+    after = [read_usage(pid) for pid in pids]
+    spent_s = [
+        later.since(earlier).processor_s
+        for later, earlier in zip(after, before, strict=True)
+    ]
+    yield told(
+        _NAME,
+        'manager_memory_bytes',
+        statistics.median(usage.memory_bytes for usage in after),
+        'bytes',
+    )
+    yield told(
+        _NAME,
+        'manager_idle_core_share',
+        statistics.median(spent_s) / _IDLE_S / _POLLS_PER_USUAL,
+        'cores',
+    )
--- a/bench/capacity_model.py
+++ b/bench/capacity_model.py
@@ -160,7 +160,7 @@
     # A leader sends each change to every other replica and to the entries of
     # its zone; the rest send to their own zone's entries only.
     copies = size.zones - 1 + size.entries_per_zone
-    vm_bytes = of('capacity.vm_record_bytes')
+    text_bytes = of('control_bytes.text_bytes')
     return RoleNeed(
         role='replica (leader)',
         count=size.zones,
@@ -178,7 +178,9 @@
             + stored_per_s * of('control_bytes.replica_change_us') / _US_PER_S
         ),
         memory_bytes=(
-            of('capacity.replica_memory_bytes') + size.workers * vm_bytes
+            of('capacity.replica_memory_bytes')
+            + size.workers * of('capacity.vm_record_bytes')
+            + 2 * text_bytes
         ),
         mechanism=(
             'replicated log, group commit, snapshots; each replica feeds '
@@ -189,21 +191,25 @@
 
 def _manager(measured: Measured, size: Size) -> RoleNeed:
     of = measured.median
-    events_per_s = size.vm_events_per_s / size.zones
-    vm_bytes = of('capacity.vm_record_bytes')
+    # One manager holds the lease and decides on waves for the whole fleet;
+    # the others stand by, and each places the jobs of its own zone.
+    events_per_s = size.vm_events_per_s
     return RoleNeed(
-        role='manager',
+        role='manager (deciding)',
         count=size.zones,
-        state=f'{size.workers_per_zone:.0f} VMs of its zone, waves, leases',
+        state=f'{size.workers} VMs, waves, leases',
         messages_per_s=events_per_s,
         bytes_per_s=events_per_s * of('control_bytes.change_bytes'),
-        core_share=events_per_s * of('capacity.wave_step_us') / _US_PER_S,
+        core_share=(
+            of('capacity.manager_idle_core_share')
+            + events_per_s * of('planner.22000 VMs: one event') / _US_PER_S
+        ),
         memory_bytes=(
             of('capacity.manager_memory_bytes')
-            + size.workers_per_zone * vm_bytes
+            + size.workers * of('planner.22000 VMs: memory')
         ),
         mechanism=(
-            'decides for its own zone within its part of each budget, under '
-            'a lease with a rising token'
+            'one decides under a lease with a rising token; a change feed '
+            'of the platform; decisions of constant cost'
         ),
     )
--- a/bench/usage.py
+++ b/bench/usage.py
@@ -11,6 +11,7 @@
 _USER_TICKS_FIELD = 11
 _SYSTEM_TICKS_FIELD = 12
 _RESIDENT_FIELD = 1
+_NS_PER_S = 1_000_000_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -44,8 +45,24 @@
         If there is no such process.
     """
     folder = pathlib.Path(f'/proc/{pid}')
-    # Fields are counted behind the name, which may contain spaces.
+    resident = (folder / 'statm').read_text().split()[_RESIDENT_FIELD]
+    return Usage(_processor_s(folder), int(resident) * _PAGE_BYTES)
+
+
+def _processor_s(folder: pathlib.Path) -> float:
+    run_ns = [_run_ns(stat) for stat in folder.glob('task/*/schedstat')]
+    if run_ns:
+        return sum(run_ns) / _NS_PER_S
+    # Kernels without these files tell only whole ticks.  Fields are counted
+    # behind the name, which may contain spaces.
     fields = (folder / 'stat').read_text().rpartition(')')[2].split()
     ticks = int(fields[_USER_TICKS_FIELD]) + int(fields[_SYSTEM_TICKS_FIELD])
-    resident = (folder / 'statm').read_text().split()[_RESIDENT_FIELD]
-    return Usage(ticks / _TICKS_PER_S, int(resident) * _PAGE_BYTES)
+    return ticks / _TICKS_PER_S
+
+
+def _run_ns(stat: pathlib.Path) -> int:
+    try:
+        return int(stat.read_text().split()[0])
+    except OSError:
+        # The thread ended just now.
+        return 0
