Refuse every bad setting by number, and list all settings

Cause: what the argument parser refused carried no number, a wrong log level ended in a traceback, and most settings of the manager had no variable.

--- a/bench/bench_commit.py
+++ b/bench/bench_commit.py
@@ -14,7 +14,7 @@
 from collections.abc import AsyncIterator, Iterable, Sequence
 
 from bench.figures import Figure, at_least, at_most, told
-from wigeonreach.observe import LogFormat, Logger, configure_logs
+from wigeonreach.observe import LogFormat, LogLevel, Logger, configure_logs
 from wigeonreach.state._agreement import RaftAgreement
 from wigeonreach.state._disk import FolderDisk
 from wigeonreach.state._raft_types import RaftSettings, Write
@@ -73,7 +73,7 @@
     Figure
         Rates and syncs, with the simpler policy's as the baseline.
     """
-    configure_logs(LogFormat.JSON, 'error')
+    configure_logs(LogFormat.JSON, LogLevel.ERROR)
     grouped = asyncio.run(_measure(Storage, _PROPOSERS))
     alone = asyncio.run(_measure(_EachAlone, _PROPOSERS))
     single = asyncio.run(_measure(Storage, 1))
--- a/src/wigeonreach/cli/_app.py
+++ b/src/wigeonreach/cli/_app.py
@@ -7,11 +7,13 @@
 from wigeonreach.cli._config_commands import apply, plan, restore
 from wigeonreach.cli._daemon_commands import entry, replica
 from wigeonreach.cli._explain_command import explain
+from wigeonreach.cli._group import NumberedGroup
 from wigeonreach.cli._maintenance_commands import maintenance
 from wigeonreach.cli._manager_command import manager
 from wigeonreach.cli._status_commands import forget, history, status
 
 app = typer.Typer(
+    cls=NumberedGroup,
     no_args_is_help=True,
     help='Run the daemons of a fleet and tell them what to do.',
     epilog='Exit codes: 0 done, 1 failed, 2 usage or setting, 3 refused, '
--- a/src/wigeonreach/cli/_daemon_commands.py
+++ b/src/wigeonreach/cli/_daemon_commands.py
@@ -11,7 +11,7 @@
 from wigeonreach.cli import _options as options
 from wigeonreach.cli._errors import errors_as_exits
 from wigeonreach.entry import Entry, EntrySettings
-from wigeonreach.observe import LogFormat, Logger, configure_logs
+from wigeonreach.observe import LogFormat, Logger, LogLevel, configure_logs
 from wigeonreach.state import Replica, ReplicaSettings
 from wigeonreach.wire import parse_address, parse_members
 
@@ -27,11 +27,19 @@
     peers: options.Peers = [],  # noqa: B006, WPS404 - typer copies it
     max_body_bytes: Annotated[
         int,
-        typer.Option(envvar='WIGEONREACH_MAX_BODY_BYTES', min=1),
+        typer.Option(
+            envvar='WIGEONREACH_MAX_BODY_BYTES',
+            min=1,
+            help='Largest body of a request.',
+        ),
     ] = _MEBIBYTE,
     max_deadline_s: Annotated[
         float,
-        typer.Option(envvar='WIGEONREACH_MAX_DEADLINE_S', min=0.1),
+        typer.Option(
+            envvar='WIGEONREACH_MAX_DEADLINE_S',
+            min=0.1,
+            help='Longest deadline; bounds a graceful stop too.',
+        ),
     ] = 10.0,
     readiness_notice_s: Annotated[
         float,
@@ -51,7 +59,11 @@
     ] = 1.0,
     head_timeout_s: Annotated[
         float,
-        typer.Option(envvar='WIGEONREACH_HEAD_TIMEOUT_S', min=0.1),
+        typer.Option(
+            envvar='WIGEONREACH_HEAD_TIMEOUT_S',
+            min=0.1,
+            help='How long a caller may take to send the head of a request.',
+        ),
     ] = 15.0,
     key_lifetime_s: Annotated[
         float,
@@ -62,7 +74,7 @@
         ),
     ] = 300.0,
     log_format: options.Format = LogFormat.JSON,
-    log_level: options.Level = 'info',
+    log_level: options.Level = LogLevel.INFO,
 ) -> None:
     """Run an entry, which passes callers' requests to targets."""
     with errors_as_exits():
@@ -92,7 +104,7 @@
     replicas: options.Replicas,
     data_folder: options.DataFolder = pathlib.Path('data'),
     log_format: options.Format = LogFormat.JSON,
-    log_level: options.Level = 'info',
+    log_level: options.Level = LogLevel.INFO,
 ) -> None:
     """Run a replica, which keeps the durable state on its disk."""
     with errors_as_exits():
--- a/src/wigeonreach/cli/_manager_command.py
+++ b/src/wigeonreach/cli/_manager_command.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Annotated
+from typing import Annotated, Any
 
 import typer
 
@@ -11,10 +11,18 @@
 from wigeonreach.cli._errors import errors_as_exits
 from wigeonreach.fleet import WaveSettings
 from wigeonreach.manager import Manager, ManagerSettings
-from wigeonreach.observe import LogFormat, Logger, configure_logs
+from wigeonreach.observe import LogFormat, Logger, LogLevel, configure_logs
 from wigeonreach.wire import parse_address, parse_members
 
-_Seconds = Annotated[float, typer.Option(min=0.01)]
+_SHORTEST_S = 0.01
+
+
+def _seconds(name: str, text: str) -> Any:
+    return typer.Option(
+        envvar=f'WIGEONREACH_{name}',
+        min=_SHORTEST_S,
+        help=text,
+    )
 
 
 def manager(
@@ -24,25 +32,60 @@
     replicas: options.Replicas,
     platform: Annotated[
         str,
-        typer.Option(envvar='WIGEONREACH_PLATFORM', help='URL of it.'),
+        typer.Option(
+            envvar='WIGEONREACH_PLATFORM', help='URL of the platform.'
+        ),
     ],
     lease_s: Annotated[
         float,
-        typer.Option(envvar='WIGEONREACH_LEASE_S', min=1),
+        typer.Option(
+            envvar='WIGEONREACH_LEASE_S',
+            min=1,
+            help='Lease under which one manager decides.',
+        ),
     ] = 10.0,
     poll_s: Annotated[
         float,
-        typer.Option(envvar='WIGEONREACH_POLL_S', min=0.05),
+        typer.Option(
+            envvar='WIGEONREACH_POLL_S',
+            min=0.05,
+            help='Time between looks at the platform.',
+        ),
     ] = 1.0,
-    max_at_once: Annotated[int, typer.Option(min=1)] = 20,
-    drain_limit_s: _Seconds = 900.0,
-    reboot_limit_s: _Seconds = 600.0,
-    check_limit_s: _Seconds = 180.0,
-    settle_s: _Seconds = 300.0,
-    resend_s: _Seconds = 10.0,
-    expected_s: _Seconds = 900.0,
+    max_at_once: Annotated[
+        int,
+        typer.Option(
+            envvar='WIGEONREACH_MAX_AT_ONCE',
+            min=1,
+            help='Most VMs that one wave has down at once.',
+        ),
+    ] = 20,
+    drain_limit_s: Annotated[
+        float,
+        _seconds('DRAIN_LIMIT_S', 'Longest drain of a VM.'),
+    ] = 900.0,
+    reboot_limit_s: Annotated[
+        float,
+        _seconds('REBOOT_LIMIT_S', 'Longest reboot of a VM.'),
+    ] = 600.0,
+    check_limit_s: Annotated[
+        float,
+        _seconds('CHECK_LIMIT_S', 'Longest wait until a VM is healthy.'),
+    ] = 180.0,
+    settle_s: Annotated[
+        float,
+        _seconds('SETTLE_S', 'How long a VM is watched after its return.'),
+    ] = 300.0,
+    resend_s: Annotated[
+        float,
+        _seconds('RESEND_S', 'After this time an action is sent again.'),
+    ] = 10.0,
+    expected_s: Annotated[
+        float,
+        _seconds('EXPECTED_S', 'How long a VM is down as a rule.'),
+    ] = 900.0,
     log_format: options.Format = LogFormat.JSON,
-    log_level: options.Level = 'info',
+    log_level: options.Level = LogLevel.INFO,
 ) -> None:
     """Run a manager, which carries maintenance waves out."""
     with errors_as_exits():
--- a/src/wigeonreach/cli/_options.py
+++ b/src/wigeonreach/cli/_options.py
@@ -7,7 +7,7 @@
 
 import typer
 
-from wigeonreach.observe import LogFormat
+from wigeonreach.observe import LogFormat, LogLevel
 
 Name = Annotated[
     str,
@@ -56,7 +56,7 @@
     typer.Option(envvar='WIGEONREACH_LOG_FORMAT', help='Shape of log lines.'),
 ]
 Level = Annotated[
-    str,
+    LogLevel,
     typer.Option(envvar='WIGEONREACH_LOG_LEVEL', help='Lowest level logged.'),
 ]
 AsJson = Annotated[bool, typer.Option('--json', help='Print JSON.')]
--- a/src/wigeonreach/observe/__init__.py
+++ b/src/wigeonreach/observe/__init__.py
@@ -1,7 +1,19 @@
 """Count, time and log what a daemon does."""
 
 from wigeonreach.observe._events import LogEvent
-from wigeonreach.observe._logs import LogFormat, Logger, configure_logs
+from wigeonreach.observe._logs import (
+    LogFormat,
+    Logger,
+    LogLevel,
+    configure_logs,
+)
 from wigeonreach.observe._metrics import Metrics
 
-__all__ = ('LogEvent', 'LogFormat', 'Logger', 'Metrics', 'configure_logs')
+__all__ = (
+    'LogEvent',
+    'LogFormat',
+    'LogLevel',
+    'Logger',
+    'Metrics',
+    'configure_logs',
+)
--- a/src/wigeonreach/observe/_logs.py
+++ b/src/wigeonreach/observe/_logs.py
@@ -19,6 +19,15 @@
     TEXT = 'text'
 
 
+class LogLevel(enum.StrEnum):
+    """Lowest level of the lines that are written."""
+
+    DEBUG = 'debug'
+    INFO = 'info'
+    WARNING = 'warning'
+    ERROR = 'error'
+
+
 class Logger:
     """Write numbered events of one process.
 
@@ -41,20 +50,20 @@
         self._logger.warning(event.name.lower(), number=int(event), **fields)
 
 
-def configure_logs(log_format: LogFormat, level_name: str) -> None:
+def configure_logs(log_format: LogFormat, log_level: LogLevel) -> None:
     """Send logs to standard error.
 
     Parameters
     ----------
     log_format
         Shape of each line.
-    level_name
-        Lowest level that is written, such as ``info``.
+    log_level
+        Lowest level that is written.
     """
     renderer: structlog.typing.Processor = structlog.processors.JSONRenderer()
     if log_format is LogFormat.TEXT:
         renderer = structlog.dev.ConsoleRenderer(colors=False)
-    level = logging.getLevelNamesMapping()[level_name.upper()]
+    level = logging.getLevelNamesMapping()[log_level.name]
     structlog.configure(
         processors=[
             structlog.processors.add_log_level,
