Choose addresses that no outgoing connection can take

An address was chosen by binding port 0 and freed until its process started, seconds later. Ports below the range of outgoing connections can't be taken that way.

--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
 import pathlib
+import random
 import signal
 import socket
 import subprocess  # noqa: S404 - the sending side starts the processes
@@ -17,6 +19,9 @@
 from bench.relay import Relay
 
 _HOST = '127.0.0.1'
+# Below the ports that the kernel gives to outgoing connections: one of those
+# may take an address between its choice here and the start of its process.
+_PORTS = range(10_000, 32_000)
 _POLL_S = 0.05
 _READY_TIMEOUT_S = 20.0
 _BIN = pathlib.Path(sys.executable).parent
@@ -258,6 +263,8 @@
 
 
 def _free_address() -> str:
-    with socket.socket() as probe:
-        probe.bind((_HOST, 0))
-        return f'{_HOST}:{probe.getsockname()[1]}'
+    while True:
+        port = random.choice(_PORTS)
+        with contextlib.suppress(OSError), socket.socket() as probe:
+            probe.bind((_HOST, port))
+            return f'{_HOST}:{port}'
