--- a/bench/relay.py
+++ b/bench/relay.py
@@ -136,10 +136,12 @@
         except OSError:
             writer.close()
             return
-        await asyncio.gather(
-            _pump(reader, far_writer, link, lambda: link.forward_cut),
-            _pump(far_reader, writer, link, lambda: link.backward_cut),
-        )
+        # The relay may be closed while connections are open.
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.gather(
+                _pump(reader, far_writer, link, lambda: link.forward_cut),
+                _pump(far_reader, writer, link, lambda: link.backward_cut),
+            )
 
 
 async def _cancel_others() -> None:
