--- a/proofs/test_shutdown.py
+++ b/proofs/test_shutdown.py
@@ -20,8 +20,8 @@
 
 from bench.check import check
 from bench.cluster import Process, Shape
+from bench.kept_alive import KeptAliveCallers
 from bench.leaving import SERVICE, Disturb, Played, Stage, play
-from bench.load import Load
 
 _SHAPE = Shape(
     zones=('a',),
@@ -31,8 +31,9 @@
     service_time_s=0.1,
 )
 _BEFORE_S = 1.0
-_LENGTH_S = 5.0
+_LENGTH_S = 4.0
 _RATE_PER_S = 120.0
+_CALLERS = 48
 _AT_ONCE_S = 0.5
 _FORCED = '"number": 104'
 
@@ -54,25 +55,22 @@
         self.assertThat(len(played.calls), GreaterThan(0))
 
     def test_callers_that_ignore_readiness(self) -> None:
-        """Callers that go on sending to the entry get an answer, or none."""
-        direct: list[Load] = []
+        """Not one request on a kept-alive connection is lost."""
+        outcomes: collections.Counter[str] = collections.Counter()
 
         async def disturb(stage: Stage) -> None:
             stopped = stage.cluster.entries[0]
-            load = Load([stopped], (SERVICE,), 200.0, seed=2)
-            direct.append(load)
-            sending = asyncio.ensure_future(load.run(4.0))
+            callers = KeptAliveCallers(stopped, SERVICE)
+            calling = asyncio.ensure_future(callers.run(_CALLERS))
             await asyncio.sleep(_BEFORE_S)
             await _stop(stopped)
-            await sending
+            await calling
+            outcomes.update(callers.outcomes)
 
-        played = self._play(disturb)
-        calls = direct[0].calls
-        outcomes = collections.Counter(call.outcome for call in calls)
+        self._check(self._play(disturb, length_s=3.5))
         self.assertThat(outcomes['lost'], Equals(0))
-        self.assertThat(outcomes['ran'], GreaterThan(150))
-        self.assertThat(outcomes['not-run'], GreaterThan(150))
-        self._check(Played([*played.calls, *calls], played.runs))
+        self.assertThat(outcomes['refused'], Equals(_CALLERS))
+        self.assertThat(outcomes['ran'], GreaterThan(_CALLERS))
 
     def test_two_at_once(self) -> None:
         """Two of three entries stop at once; the third takes over."""
