Store small changes of the text as edits in the log

Ruled out: compressing the text (48 KB a change still is 16 KB a second), and deltas made by the command line, which would have to hold the base text and trust its own.

The replica that takes the change makes the edits; each replica applies them to the base version, which is the same everywhere, and compares the checksum.

--- a/bench/capacity_state.py
+++ b/bench/capacity_state.py
@@ -9,12 +9,20 @@
 
 import msgspec
 
-from bench.figures import Figure, told
+from bench.config_texts import build_text
+from bench.figures import Figure, at_most, told
+from wigeonreach.fleet import Phase, Track, WaveState, WaveStatus
+from wigeonreach.manager import WaveBody, encode_body
 from wigeonreach.state._machine import Machine
-from wigeonreach.wire._command_messages import Command, GrantVm
+from wigeonreach.state._machine_state import AcceptedState
+from wigeonreach.state._machine_texts import as_edits
+from wigeonreach.wire._command_messages import ChangeText, Command, GrantVm
 
 _NAME = 'capacity'
 _VMS = 22_000
+_POOLS = 40
+# The log must take at most this part of a whole text for a small change.
+_LEAST_SAVING = 100
 _REPEATS = 5
 _LEASE_S = 30.0
 _US_PER_S = 1_000_000
@@ -29,6 +37,8 @@
     used_bytes, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
     yield told(_NAME, 'vm_record_bytes', used_bytes / _VMS, 'bytes/VM')
+    yield _logged_figure()
+    yield told(_NAME, 'wave_record_bytes', _wave_bytes(), 'bytes/VM')
     yield told(_NAME, 'command_apply_us', _apply_us(), 'us/command')
     snapshots_ms = [_snapshot_ms(machine) for _ in range(_REPEATS)]
     yield told(
@@ -45,6 +55,30 @@
     )
 
 
+def _logged_figure() -> Figure:
+    old = build_text(_POOLS, _VMS // _POOLS, 1)
+    change = ChangeText(1, build_text(_POOLS, _VMS // _POOLS, 2))
+    edits = as_edits(change, AcceptedState(1, old))
+    whole_bytes = len(msgspec.msgpack.encode(change))
+    return at_most(
+        _NAME,
+        'logged_change_bytes',
+        len(msgspec.msgpack.encode(edits)),
+        'bytes/change',
+        whole_bytes / _LEAST_SAVING,
+        whole_bytes,
+    )
+
+
+def _wave_bytes() -> float:
+    tracks = tuple(
+        Track(f'region-1-a-vm-{number}', Phase.MAINTAINED, 1, 98765.4321)
+        for number in range(_VMS)
+    )
+    state = WaveState('w', WaveStatus.RUNNING, '', tracks, (), (), ())
+    return len(encode_body(WaveBody(state=state))) / _VMS
+
+
 def _grant_all(machine: Machine) -> None:
     for number in range(_VMS):
         command = Command(
--- a/src/wigeonreach/state/_front.py
+++ b/src/wigeonreach/state/_front.py
@@ -16,6 +16,8 @@
 from wigeonreach.rollout._copy import TextCopy
 from wigeonreach.state._feed import Feed
 from wigeonreach.state._machine import Machine
+from wigeonreach.state._machine_state import AcceptedState
+from wigeonreach.state._machine_texts import as_edits
 from wigeonreach.state._settings import ReplicaSettings
 from wigeonreach.state._state_machine import Agreement
 from wigeonreach.state._subscription import Subscription
@@ -180,6 +182,7 @@
         stamped = msgspec.structs.replace(
             command,
             at_s=min(command.at_s, time.time()),
+            action=await self._shortened(command.action),
         )
         try:
             reply = await self._agreement.propose(
@@ -190,6 +193,15 @@
         self._log_change(command, _REPLY_DECODER.decode(reply))
         return Submitted(ResultCode.OK, '', reply)
 
+    async def _shortened(self, action: Action) -> Action:
+        if not isinstance(action, ChangeText):
+            return action
+        accepted = self._machine.state.accepted
+        # In a thread, since comparing large texts takes milliseconds.  What
+        # was accepted meanwhile makes it a conflict, as it would have anyway.
+        base = AcceptedState(accepted.version, accepted.text)
+        return await asyncio.to_thread(as_edits, action, base)
+
     def _log_change(self, command: Command, reply: Reply) -> None:
         if not isinstance(command.action, (ChangeText, RestoreText)):
             return
--- a/src/wigeonreach/state/_machine_results.py
+++ b/src/wigeonreach/state/_machine_results.py
@@ -7,6 +7,7 @@
 from wigeonreach.state._machine_state import KnownResult, Limits, MachineState
 from wigeonreach.wire._command_messages import (
     ChangeText,
+    EditText,
     ForgetProcess,
     RegisterProcess,
     RenewLease,
@@ -15,6 +16,7 @@
     RestoreText,
 )
 
+_TEXTS = (ChangeText, EditText, RestoreText)
 # Doing one of these twice is the same as doing it once.
 _REPEATABLE = (ForgetProcess, RegisterProcess, RenewLease, RenewVm)
 
@@ -62,7 +64,7 @@
     state = context.state
     command = context.command
     if not isinstance(command.action, _REPEATABLE):
-        is_text = isinstance(command.action, (ChangeText, RestoreText))
+        is_text = isinstance(command.action, _TEXTS)
         is_accepted = is_text and reply.code == ResultCode.OK
         state.results.results[command.command_id] = KnownResult(
             state.revision,
--- a/src/wigeonreach/state/_machine_texts.py
+++ b/src/wigeonreach/state/_machine_texts.py
@@ -9,6 +9,7 @@
 from wigeonreach.rollout import (
     LineEdit,
     apply_edits,
+    checksum_of,
     describe_changes,
     find_edits,
     split_lines,
@@ -19,7 +20,13 @@
     MachineState,
     PastVersion,
 )
-from wigeonreach.wire._command_messages import ChangeText, Reply, RestoreText
+from wigeonreach.wire._command_messages import (
+    Action,
+    ChangeText,
+    EditText,
+    Reply,
+    RestoreText,
+)
 from wigeonreach.wire._state_messages import (
     AcceptedText,
     History,
@@ -67,6 +74,45 @@
     return refusal or _accept(context, action.text, '')
 
 
+@perform.register
+def edit_text(action: EditText, context: Context) -> Reply:
+    """Accept the edited text of the newest version."""
+    refusal = _review(context, action.base_version)
+    if refusal is not None:
+        return refusal
+    base = split_lines(context.state.accepted.text)
+    text = ''.join(apply_edits(base, action.edits))
+    if checksum_of(text) != action.checksum:
+        return context.refused(
+            ResultCode.STATE_DAMAGED,
+            'the edits do not give the text that they were made for',
+            context.state.accepted.version,
+        )
+    return _accept(context, text, '')
+
+
+def as_edits(action: ChangeText, accepted: AcceptedState) -> Action:
+    """Return a change as edits of the text that it is based on.
+
+    Parameters
+    ----------
+    action
+        The change, with its whole text.
+    accepted
+        The text accepted here.
+
+    Returns
+    -------
+    Action
+        The edits, or the change itself if its base is not accepted here.
+    """
+    if action.base_version != accepted.version:
+        return action
+    edits = find_edits(split_lines(accepted.text), split_lines(action.text))
+    checksum = checksum_of(action.text)
+    return EditText(action.base_version, edits, checksum)
+
+
 @perform.register
 def restore_text(action: RestoreText, context: Context) -> Reply:
     """Accept an old text again, under a new version."""
--- a/src/wigeonreach/wire/_command_messages.py
+++ b/src/wigeonreach/wire/_command_messages.py
@@ -4,6 +4,7 @@
 
 from typing import TypeAlias
 
+from wigeonreach.rollout._delta import LineEdit
 from wigeonreach.wire._base import WireMessage
 
 
@@ -14,6 +15,19 @@
     text: str
 
 
+class EditText(WireMessage, frozen=True):
+    """Make the base version's text, with some lines edited, the accepted one.
+
+    A replica puts this in the log in place of a ``ChangeText``, so that a
+    small change of a large text takes few bytes on each disk and link.
+    ``checksum`` is that of the resulting text.
+    """
+
+    base_version: int
+    edits: tuple[LineEdit, ...]
+    checksum: int
+
+
 class RestoreText(WireMessage, frozen=True):
     """Accept the text of an old version again, as a new version."""
 
@@ -121,6 +135,7 @@
 
 Action: TypeAlias = (
     ChangeText
+    | EditText
     | RestoreText
     | StartWave
     | SteerWave
--- a/tests/state/test_machine.py
+++ b/tests/state/test_machine.py
@@ -2,20 +2,24 @@
 
 from __future__ import annotations
 
+import msgspec
 import testtools
-from testtools.matchers import Contains, Equals, MatchesStructure
+from testtools.matchers import Contains, Equals, LessThan, MatchesStructure
 
 from tests.builders import SAMPLE_TEXT
 from tests.builders_state import apply_command, build_command
 from wigeonreach.codes import ResultCode
+from wigeonreach.rollout import LineEdit
 from wigeonreach.state._machine import Machine
 from wigeonreach.state._machine_state import Limits
+from wigeonreach.state._machine_texts import as_edits
 from wigeonreach.state._ownership import next_step
 from wigeonreach.wire._command_messages import (
     AcquireLease,
     Action,
     ChangeText,
     ConfirmRelease,
+    EditText,
     GrantVm,
     RecordWave,
     ReleaseVm,
@@ -56,6 +60,36 @@
 class TestTexts(_MachineTest):
     """Changes of the accepted text."""
 
+    def test_edits(self) -> None:
+        """A change that is stored as edits gives the text that was asked."""
+        self.do(ChangeText(0, SAMPLE_TEXT))
+        edits = as_edits(ChangeText(1, _LARGER), self.machine.state.accepted)
+
+        reply = self.do(edits)
+
+        self.assertThat(reply.version, Equals(2))
+        self.assertThat(self.machine.state.accepted.text, Equals(_LARGER))
+        self.assertThat(len(msgspec.msgpack.encode(edits)), LessThan(60))
+
+    def test_edits_outdated(self) -> None:
+        """Edits of a text that was replaced meanwhile change nothing."""
+        self.do(ChangeText(0, SAMPLE_TEXT))
+        edits = as_edits(ChangeText(1, _LARGER), self.machine.state.accepted)
+        self.do(ChangeText(1, '# Replaced.\n'))
+
+        reply = self.do(edits)
+
+        self.assertThat(reply.code, Equals(ResultCode.STATE_CONFLICT))
+
+    def test_edits_damaged(self) -> None:
+        """Edits that give another text than they should change nothing."""
+        self.do(ChangeText(0, SAMPLE_TEXT))
+
+        reply = self.do(EditText(1, (LineEdit(0, 1, ('x\n',)),), checksum=7))
+
+        self.assertThat(reply.code, Equals(ResultCode.STATE_DAMAGED))
+        self.assertThat(self.machine.state.accepted.text, Equals(SAMPLE_TEXT))
+
     def test_equal_numbers(self) -> None:
         """Of two changes with one base, one wins; the other learns why."""
         self.do(ChangeText(0, SAMPLE_TEXT))
