--- a/Makefile
+++ b/Makefile
@@ -32,3 +32,7 @@
 
 clean:
 	rm -rf $(VENV) run
+
+# Tables of docs/CAPACITY.md from the figures in bench/data.
+capacity: $(STAMP)
+	$(BIN)/python -m bench.capacity_page
--- a/bench/bench_capacity.py
+++ b/bench/bench_capacity.py
@@ -22,7 +22,9 @@
 from bench.relay import Relay
 from bench.usage import Usage, read_usage
 from wigeonreach.entry._membership import Membership
+from wigeonreach.wire._peer_messages import Heartbeat
 from wigeonreach.wire._target_messages import (
+    Renewal,
     TargetRecord,
     Targets,
     TargetState,
@@ -36,6 +38,8 @@
 _RECORD_COUNT = 2000
 _REPEATS = 5
 _US_PER_S = 1_000_000
+_RENEWAL = Renewal('service-12-2012', 1_764_700_000_000_000_000, 99_999, 0.1)
+_HEARTBEAT = Heartbeat(98765.4321, 98765.1234, 1_764_700_000_000_000_000)
 _SHAPE = Shape(
     zones=('a',),
     entries_per_zone=2,
@@ -66,6 +70,8 @@
         len(encoded) / _RECORD_COUNT,
         'bytes/record',
     )
+    yield told(_NAME, 'renewal_bytes', _size(_RENEWAL), 'bytes/renewal')
+    yield told(_NAME, 'heartbeat_bytes', _size(_HEARTBEAT), 'bytes/heartbeat')
     yield told(_NAME, 'record_memory_bytes', _memory_bytes(), 'bytes/record')
     merges_us = [_merge_us() for _ in range(_REPEATS)]
     yield told(
@@ -76,6 +82,10 @@
     )
 
 
+def _size(message: msgspec.Struct) -> int:
+    return len(msgspec.msgpack.encode(message))
+
+
 def _memory_bytes() -> float:
     tracemalloc.start()
     membership = Membership()
--- a/bench/capacity_model.py
+++ b/bench/capacity_model.py
@@ -8,6 +8,7 @@
 
 from bench.measured import Measured
 from wigeonreach.entry._pace import announce_after_s
+from wigeonreach.entry._peers import FAR_HEARTBEAT_S, ZONE_HEARTBEAT_S
 
 _DAY_S: Final = 86_400
 _US_PER_S: Final = 1_000_000
@@ -23,7 +24,8 @@
 
     workers: int = 22_000
     zones: int = 11
-    entries_per_zone: int = 2
+    pools: int = 40
+    entries_per_zone: int = 3
     changes_per_day: int = 29_000
     failures_per_day: int = 410
     restarts_per_day: int = 3200
@@ -39,17 +41,28 @@
         """All entries."""
         return self.zones * self.entries_per_zone
 
+    @property
+    def heartbeats_per_s(self) -> float:
+        """Heartbeats that one entry sends and receives."""
+        near = (self.entries_per_zone - 1) / ZONE_HEARTBEAT_S
+        far = (self.entries - self.entries_per_zone) / FAR_HEARTBEAT_S
+        return 2 * (near + far)
+
     @property
     def changes_per_s(self) -> float:
         """Mean rate of an operator's changes."""
         return self.changes_per_day / _DAY_S
 
+    @property
+    def wave_steps_per_s(self) -> float:
+        """Mean rate of steps that the maintenance of VMs stores."""
+        return self.workers / _MAINTENANCE_DAYS * _VM_STEPS / _DAY_S
+
     @property
     def vm_events_per_s(self) -> float:
         """Mean rate of stored VM events: failures, restarts, maintenance."""
-        maintained = self.workers / _MAINTENANCE_DAYS * _VM_STEPS
-        events = self.failures_per_day + self.restarts_per_day + maintained
-        return events / _DAY_S
+        events = self.failures_per_day + self.restarts_per_day
+        return events / _DAY_S + self.wave_steps_per_s
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -117,7 +130,8 @@
     zone_rate = size.workers_per_zone / announce_interval_s(size)
     own_rate = zone_rate / size.entries_per_zone
     relayed_rate = zone_rate - own_rate
-    record_bytes = of('capacity.record_wire_bytes')
+    # What an entry took is passed on to each peer, and theirs come back.
+    renewals_per_s = 2 * relayed_rate
     text_bytes = of('control_bytes.text_bytes')
     spent_us = (
         own_rate * of('capacity.announce_http_us')
@@ -131,10 +145,16 @@
             f'{size.workers_per_zone:.0f} records of its zone; '
             f'the text ({text_bytes / 1000:.0f} kB)'
         ),
-        messages_per_s=own_rate + relayed_rate + size.changes_per_s,
+        messages_per_s=(
+            own_rate
+            + renewals_per_s
+            + size.heartbeats_per_s
+            + size.changes_per_s
+        ),
         bytes_per_s=(
             own_rate * of('capacity.announce_http_bytes')
-            + (own_rate + relayed_rate) * record_bytes
+            + renewals_per_s * of('capacity.renewal_bytes')
+            + size.heartbeats_per_s * of('capacity.heartbeat_bytes')
             + size.changes_per_s * of('control_bytes.change_bytes')
             + of('control_bytes.entry_idle_bytes')
         ),
@@ -157,20 +177,25 @@
     of = measured.median
     change_bytes = of('control_bytes.change_bytes')
     stored_per_s = size.changes_per_s + size.vm_events_per_s
-    # A leader sends each change to every other replica and to the entries of
-    # its zone; the rest send to their own zone's entries only.
-    copies = size.zones - 1 + size.entries_per_zone
+    # A leader sends each change to the other voters; each replica feeds its
+    # part of the entries.
+    voters = size.voters - 1
+    followers = size.entries / size.voters
     text_bytes = of('control_bytes.text_bytes')
+    wave_bytes = size.workers / size.pools * of('capacity.wave_record_bytes')
+    logged_bytes = of('capacity.logged_change_bytes') + of(
+        'control_bytes.replica_change_bytes'
+    )
     return RoleNeed(
         role='replica (leader)',
-        count=size.zones,
-        state=(
-            f'{size.workers} VM records, the text, history; '
-            f'{size.voters} of {size.zones} vote'
-        ),
-        messages_per_s=stored_per_s * copies,
+        count=size.voters,
+        state=f'{size.workers} VM records, the text, history',
+        messages_per_s=stored_per_s * (voters + followers),
         bytes_per_s=(
-            stored_per_s * copies * change_bytes
+            stored_per_s * voters * logged_bytes
+            + size.wave_steps_per_s * voters * wave_bytes
+            + size.changes_per_s * followers * change_bytes
+            + followers * of('control_bytes.entry_idle_bytes')
             + of('control_bytes.replica_idle_bytes')
         ),
         core_share=(
@@ -183,8 +208,8 @@
             + 2 * text_bytes
         ),
         mechanism=(
-            'replicated log, group commit, snapshots; each replica feeds '
-            'the entries of its zone'
+            'replicated log over 4 regions, group commit, snapshots; each '
+            'replica feeds the entries near it'
         ),
     )
 
@@ -194,15 +219,20 @@
     # One manager holds the lease and decides on waves for the whole fleet;
     # the others stand by, and each places the jobs of its own zone.
     events_per_s = size.vm_events_per_s
+    # Each step of a VM stores the record of its whole wave; a wave over one
+    # pool keeps that as small as operators can make it.
+    wave_bytes = size.workers / size.pools * of('capacity.wave_record_bytes')
     return RoleNeed(
         role='manager (deciding)',
         count=size.zones,
         state=f'{size.workers} VMs, waves, leases',
         messages_per_s=events_per_s,
-        bytes_per_s=events_per_s * of('control_bytes.change_bytes'),
+        bytes_per_s=size.wave_steps_per_s * wave_bytes,
         core_share=(
             of('capacity.manager_idle_core_share')
-            + events_per_s * of('planner.22000 VMs: one event') / _US_PER_S
+            + events_per_s
+            * of('planner.22000 VMs: one event, against a full plan')
+            / _US_PER_S
         ),
         memory_bytes=(
             of('capacity.manager_memory_bytes')
--- a/src/wigeonreach/entry/_peers.py
+++ b/src/wigeonreach/entry/_peers.py
@@ -19,8 +19,10 @@
 from wigeonreach.wire._peer_messages import Goodbye, Heartbeat, PeerHello
 
 _RETRY_S = 0.2
-_ZONE_BEAT_S = 0.25
-_FAR_BEAT_S = 2.0
+#: Time between heartbeats to a peer of the own zone, in seconds.
+ZONE_HEARTBEAT_S = 0.25
+#: Time between heartbeats to a peer of another zone, in seconds.
+FAR_HEARTBEAT_S = 2.0
 # A channel on which nothing arrived for this many heartbeats is opened anew:
 # TCP alone would wait for minutes, and what is posted would pile up.
 _SILENT_BEATS = 12
@@ -290,7 +292,7 @@
     async def _keep_beating(self, link: PeerLink) -> None:
         name = link.peer.name
         is_near = link.peer.zone == self._settings.zone
-        interval_s = _ZONE_BEAT_S if is_near else _FAR_BEAT_S
+        interval_s = ZONE_HEARTBEAT_S if is_near else FAR_HEARTBEAT_S
         while True:
             self._beat(name)
             await asyncio.sleep(interval_s)
--- /dev/null
+++ b/tests/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the benchmarks' own logic."""
