Hand out each address of a small fleet once

Cause: addresses were drawn at random and only probed, so that two processes of one fleet could be laid out with the same one; its second process then never was ready. With 78 addresses out of 22,000 that is one start in eight. Before: 2,000 addresses were not distinct (the new test failed); after: they are drawn without replacement.

--- a/bench/bench_commit.py
+++ b/bench/bench_commit.py
@@ -161,7 +161,7 @@
     folder: pathlib.Path,
     storage_type: type[Storage],
 ) -> AsyncIterator[list[_Started]]:
-    members = tuple(Member(name, name, _free_address()) for name in _NAMES)
+    members = tuple(Member(name, name, free_address()) for name in _NAMES)
     async with contextlib.AsyncExitStack() as stack:
         started = []
         for member in members:
@@ -206,7 +206,7 @@
     raise error
 
 
-def _free_address() -> Address:
+def free_address() -> Address:
     with socket.socket() as probe:
         probe.bind(('127.0.0.1', 0))
         return Address('127.0.0.1', probe.getsockname()[1])
--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -22,6 +22,8 @@
 # Below the ports that the kernel gives to outgoing connections: one of those
 # may take an address between its choice here and the start of its process.
 _PORTS = range(10_000, 32_000)
+# Each is used once: a process that is laid out listens only later.
+_UNUSED_PORTS = iter(random.sample(_PORTS, len(_PORTS)))
 _POLL_S = 0.05
 _READY_TIMEOUT_S = 20.0
 _BIN = pathlib.Path(sys.executable).parent
@@ -189,7 +191,7 @@
 
     def _process(self, name: str, zone: str) -> Process:
         log = (self.folder / f'{name}.log').open('ab')
-        return Process(name, zone, _free_address(), _free_address(), [], log)
+        return Process(name, zone, free_address(), free_address(), [], log)
 
     def _replica_command(self, process: Process) -> list[str]:
         command = self._daemon('replica', process)
@@ -262,9 +264,10 @@
         time.sleep(_POLL_S)
 
 
-def _free_address() -> str:
-    while True:
-        port = random.choice(_PORTS)
+def free_address() -> str:
+    """Return an address of loopback that nothing listens on."""
+    for port in _UNUSED_PORTS:
         with contextlib.suppress(OSError), socket.socket() as probe:
             probe.bind((_HOST, port))
             return f'{_HOST}:{port}'
+    raise RuntimeError('all ports were used')
--- /dev/null
+++ b/tests/bench/test_cluster.py
@@ -0,0 +1,20 @@
+"""Test how a small fleet is laid out."""
+
+from __future__ import annotations
+
+import testtools
+from testtools.matchers import HasLength
+
+from bench.cluster import free_address
+
+_COUNT = 2000
+
+
+class TestFreeAddress(testtools.TestCase):
+    """Addresses for processes that are started later."""
+
+    def test_distinct(self) -> None:
+        """No address is handed out twice."""
+        addresses = {free_address() for _ in range(_COUNT)}
+
+        self.assertThat(addresses, HasLength(_COUNT))
