--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -17,6 +17,7 @@
 from urllib import request as urllib_request
 
 from bench.relay import Relay
+from wigeonreach.wire import Member, parse_address
 
 _HOST = '127.0.0.1'
 # Below the ports that the kernel gives to outgoing connections: one of those
@@ -41,6 +42,15 @@
     log: IO[bytes]
     popen: subprocess.Popen[bytes] | None = None
 
+    @property
+    def member(self) -> Member:
+        """The process as settings of others name it."""
+        return Member(
+            self.name,
+            self.zone,
+            parse_address(self.listen, self.name),
+        )
+
     @property
     def pid(self) -> int:
         """Its process id, once it was started."""
--- a/bench/config_texts.py
+++ b/bench/config_texts.py
@@ -6,7 +6,7 @@
 
 from bench.cluster import Cluster
 from wigeonreach.state import StateClient
-from wigeonreach.wire import Member, parse_address
+from wigeonreach.wire import Member
 from wigeonreach.wire._command_messages import ChangeText
 
 _SERVICE = """
@@ -53,14 +53,7 @@
 
 def members_of(cluster: Cluster) -> list[Member]:
     """Return the replicas of a fleet, as an operator names them."""
-    return [
-        Member(
-            replica.name,
-            replica.zone,
-            parse_address(replica.listen, 'replica'),
-        )
-        for replica in cluster.replicas
-    ]
+    return [replica.member for replica in cluster.replicas]
 
 
 class Changer:
--- a/bench/figures.py
+++ b/bench/figures.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import msgspec
+from msgspec import structs
 
 
 class Figure(msgspec.Struct, frozen=True):
@@ -30,15 +31,8 @@
     baseline: float | None = None,
 ) -> Figure:
     """Return a figure that must not pass its bound."""
-    return Figure(
-        bench,
-        figure,
-        round(measured, 6),
-        unit,
-        baseline,
-        bound,
-        measured <= bound,
-    )
+    free = told(bench, figure, measured, unit, baseline)
+    return structs.replace(free, bound=bound, held=measured <= bound)
 
 
 def at_least(
@@ -50,15 +44,8 @@
     baseline: float | None = None,
 ) -> Figure:
     """Return a figure that must reach its bound."""
-    return Figure(
-        bench,
-        figure,
-        round(measured, 6),
-        unit,
-        baseline,
-        bound,
-        measured >= bound,
-    )
+    free = told(bench, figure, measured, unit, baseline)
+    return structs.replace(free, bound=bound, held=measured >= bound)
 
 
 def told(
--- a/bench/state_stream.py
+++ b/bench/state_stream.py
@@ -10,7 +10,7 @@
 from bench.cluster import Process
 from wigeonreach.exceptions import StateError
 from wigeonreach.state._client import StateClient
-from wigeonreach.wire import Address, Member
+from wigeonreach.wire import Member
 from wigeonreach.wire._command_messages import RegisterProcess
 from wigeonreach.wire._state_messages import Processes, ReadProcesses
 
@@ -109,9 +109,4 @@
 
 def members_of(replicas: Sequence[Process]) -> tuple[Member, ...]:
     """Return how to reach some replicas."""
-    return tuple(map(_member, replicas))
-
-
-def _member(process: Process) -> Member:
-    host, _, port = process.listen.rpartition(':')
-    return Member(process.name, process.zone, Address(host, int(port)))
+    return tuple(replica.member for replica in replicas)
--- a/proofs/test_ownership.py
+++ b/proofs/test_ownership.py
@@ -18,7 +18,6 @@
 from wigeonreach.state import StateClient
 from wigeonreach.state._holding import Fence, Holding
 from wigeonreach.state._ownership import next_step
-from wigeonreach.wire import Member, parse_address
 from wigeonreach.wire._command_messages import (
     ConfirmRelease,
     GrantVm,
@@ -118,13 +117,6 @@
 ) -> StateClient:
     return StateClient(
         author,
-        [
-            Member(
-                replica.name,
-                replica.zone,
-                parse_address(replica.listen, 'replica'),
-            )
-            for replica in replicas
-        ],
+        [replica.member for replica in replicas],
         give_up_s=give_up_s,
     )
--- a/proofs/test_rollout.py
+++ b/proofs/test_rollout.py
@@ -25,7 +25,6 @@
 from wigeonreach.cli._client import followers_by_name, status_of_all
 from wigeonreach.codes import ResultCode
 from wigeonreach.state import StateClient
-from wigeonreach.wire import Member, parse_address
 from wigeonreach.wire._command_messages import ChangeText, Reply
 
 _CONFLICT = ResultCode.STATE_CONFLICT
@@ -80,14 +79,7 @@
         )
         return StateClient(
             'amina',
-            [
-                Member(
-                    replica.name,
-                    replica.zone,
-                    parse_address(replica.listen, 'replica'),
-                )
-                for replica in replicas
-            ],
+            [replica.member for replica in replicas],
         )
 
     def change(self, base: int, slots: int = 0, zone: str = '') -> Reply:
@@ -131,13 +123,7 @@
 
     def wait_followed(self, replica: Process) -> None:
         """Wait until the entries of a replica's zone follow it."""
-        members = [
-            Member(
-                replica.name,
-                replica.zone,
-                parse_address(replica.listen, 'replica'),
-            ),
-        ]
+        members = [replica.member]
         near = {
             entry.name
             for entry in self.cluster.entries
