--- a/bench/bench_control_bytes.py
+++ b/bench/bench_control_bytes.py
@@ -30,7 +30,7 @@
     services=(),
     targets_per_service=0,
 )
-# The letter's size: 40 pools that share 22,000 workers.
+# The planned size: 40 pools that share 22,000 workers.
 _POOLS = 40
 _VMS_PER_POOL = (10, 50, 200, 550)
 _CHANGES_PER_S = 29_000 / 86_400
