Put the bound of the hot path back to 6

Cause: the bound on the processor ratio had been raised from 6 to 8 after a run on a very busy machine gave 6.3, which weakened a check to pass it. Before: 8; after: 6 for the processor and, from 8, for the median too.

--- a/bench/bench_hotpath.py
+++ b/bench/bench_hotpath.py
@@ -36,8 +36,8 @@
 _WARM_UP_S = 1.0
 _MEDIAN = 50
 _US_PER_S = 1_000_000
-_MAX_PROCESSOR_RATIO = 8.0
-_MAX_MEDIAN_RATIO = 8.0
+_MAX_PROCESSOR_RATIO = 6.0
+_MAX_MEDIAN_RATIO = 6.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
