--- a/bench/bench_urgent.py
+++ b/bench/bench_urgent.py
@@ -12,12 +12,12 @@
 
 from bench.figures import Figure, at_most, told
 from wigeonreach.fleet._placement import Placement
+from wigeonreach._room import Room
 from wigeonreach.fleet._placement_model import (
     Effect,
     Event,
     Job,
     JobSubmitted,
-    Room,
     StartTask,
     StopTask,
     TaskChanged,
--- a/src/wigeonreach/charts/_table.py
+++ b/src/wigeonreach/charts/_table.py
@@ -1,17 +1,17 @@
-"""Turn a chart file into a table of transitions."""
+"""Look up the transitions of a state chart."""
 
 from __future__ import annotations
 
 import dataclasses
 import functools
+import json
 import pathlib
 from collections.abc import Mapping
 from types import MappingProxyType
+from typing import Any
 
-from sismic import io as sismic_io
-from sismic.model import Statechart
-
-_FOLDER = pathlib.Path(__file__).parent
+_TABLES = pathlib.Path(__file__).parent / 'tables.json'
+_SEPARATOR = ' '
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -48,7 +48,11 @@
 
 @functools.cache
 def load_chart(name: str) -> ChartTable:
-    """Read ``NAME.yaml`` of this package.
+    """Return the chart of ``NAME.yaml`` of this package.
+
+    The daemons read ``tables.json``, which ``python -m wigeonreach.charts``
+    writes from the charts: reading those takes sismic, which costs each
+    process 20 MB and its start a third of a second.
 
     Parameters
     ----------
@@ -59,45 +63,49 @@
     -------
     ChartTable
         The table; sismic has checked the file.
-
-    Raises
-    ------
-    ValueError
-        If the chart has transitions that need no event.
     """
-    chart = sismic_io.import_from_yaml(filepath=_FOLDER / f'{name}.yaml')
-    root = chart.state_for(chart.root)
+    return decode_table(_tables()[name])
+
+
+def encode_table(table: ChartTable) -> dict[str, object]:
+    """Return a table in the form of ``tables.json``."""
+    return {
+        'initial': table.initial,
+        'states': sorted(table.states),
+        'targets': _join_keys(table.targets),
+        'entries': dict(sorted(table.entries.items())),
+        'actions': _join_keys(table.actions),
+    }
+
+
+def decode_table(fields: Mapping[str, Any]) -> ChartTable:
+    """Return a table that ``encode_table`` wrote."""
     return ChartTable(
-        initial=root.initial,
-        states=frozenset(chart.children_for(chart.root)),
-        targets=MappingProxyType(_targets(chart)),
-        entries=MappingProxyType(_entries(chart)),
-        actions=MappingProxyType(
-            {
-                (transition.source, transition.event): transition.action
-                for transition in chart.transitions
-                if transition.action
-            }
-        ),
+        initial=fields['initial'],
+        states=frozenset(fields['states']),
+        targets=_split_keys(fields['targets']),
+        entries=MappingProxyType(fields['entries']),
+        actions=_split_keys(fields['actions']),
     )
 
 
-def _entries(chart: Statechart) -> dict[str, str]:
-    states = {
-        name: chart.state_for(name) for name in chart.children_for(chart.root)
-    }
+@functools.cache
+def _tables() -> Mapping[str, Mapping[str, Any]]:
+    tables: Mapping[str, Mapping[str, Any]] = json.loads(_TABLES.read_text())
+    return tables
+
+
+def _join_keys(pairs: Mapping[tuple[str, str], str]) -> dict[str, str]:
     return {
-        name: state.on_entry
-        for name, state in states.items()
-        if getattr(state, 'on_entry', None)
+        _SEPARATOR.join(pair): value for pair, value in sorted(pairs.items())
     }
 
 
-def _targets(chart: Statechart) -> dict[tuple[str, str], str]:
-    targets: dict[tuple[str, str], str] = {}
-    for transition in chart.transitions:
-        if transition.event is None:
-            raise ValueError(f'{chart.name}: each transition needs an event')
-        target = transition.target or transition.source
-        targets[transition.source, transition.event] = target
-    return targets
+def _split_keys(
+    pairs: Mapping[str, str],
+) -> Mapping[tuple[str, str], str]:
+    split: dict[tuple[str, str], str] = {}
+    for joined, target in pairs.items():
+        state, _, event = joined.partition(_SEPARATOR)
+        split[state, event] = target
+    return MappingProxyType(split)
--- a/src/wigeonreach/cli/_config_commands.py
+++ b/src/wigeonreach/cli/_config_commands.py
@@ -15,9 +15,9 @@
 from wigeonreach.charts import load_chart
 from wigeonreach.cli import _options as options
 from wigeonreach.cli._client import (
-    operator_client,
     Spread,
     find_spread,
+    operator_client,
     status_of_all,
 )
 from wigeonreach.cli._errors import errors_as_exits, exit_for, leave
--- /dev/null
+++ b/src/wigeonreach/core/_daemon.py
@@ -0,0 +1,281 @@
+"""Run a core process: a replica that decides while it leads."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+
+import mode
+
+from wigeonreach.codes import ExitCode
+from wigeonreach.core._desk import Desk
+from wigeonreach.core._server import CoreServer
+from wigeonreach.core._settings import CoreSettings
+from wigeonreach.core._term import LeaderTerm
+from wigeonreach.exceptions import StateError
+from wigeonreach.gateway import Gateway
+from wigeonreach.jobs import JobBook
+from wigeonreach.observe import LogEvent, Logger, Metrics
+from wigeonreach.state._agreement import RaftAgreement
+from wigeonreach.state._disk import FolderDisk
+from wigeonreach.state._opening import open_storage
+from wigeonreach.state._raft_types import RaftSettings
+from wigeonreach.state._settings import ReplicaSettings
+from wigeonreach.state._storage import Storage, Stored
+from wigeonreach.wire import Member, parse_address
+from wigeonreach.wire._call_messages import (
+    AnyCall,
+    CoreNotice,
+    HearWorker,
+    ReadJob,
+    ReadManifest,
+)
+from wigeonreach.wire._call_replies import (
+    AnyReply,
+    NotDone,
+    Orders,
+    Unknown,
+    WhyNot,
+)
+
+_FORGET_S = 5.0
+# A caller is told within the time that its shortest wait allows (1 s).
+_RELAY_TIMEOUT_S = 0.9
+_NO_LEADER = NotDone(WhyNot.NO_LEADER)
+_READS = (HearWorker, ReadJob, ReadManifest)
+
+
+class Core(mode.Service):
+    """One core process.
+
+    Parameters
+    ----------
+    settings
+        Who it is.
+    logger, metrics
+        Where events are logged and counted.
+    """
+
+    def __init__(
+        self,
+        settings: CoreSettings,
+        logger: Logger,
+        metrics: Metrics,
+    ) -> None:
+        """Open the data folder; nothing is served before ``start``."""
+        super().__init__()
+        self._settings = settings
+        self._log = logger
+        self._metrics = metrics
+        self._book = JobBook()
+        self._disk = FolderDisk(settings.data_folder)
+        self._agreement = self._make_agreement()
+        self._gateway = Gateway(
+            settings.name,
+            settings.seeds,
+            logger,
+            metrics,
+        )
+        self._server = CoreServer(
+            settings.listen,
+            self._notice,
+            self._agreement.receive,
+            self.handle,
+        )
+        self._term: LeaderTerm | None = None
+        self._desk: Desk | None = None
+        self._leading: asyncio.Task[None] | None = None
+        self._told_peers: tuple[str, ...] = ()
+
+    @property
+    def is_leading(self) -> bool:
+        """Whether this process decides now."""
+        term = self._term
+        return term is not None and term.has_begun and self._agreement.is_leader
+
+    async def on_start(self) -> None:
+        """Listen and take part in the agreement."""
+        for service in (self._agreement, self._server, self._gateway):
+            await self.add_runtime_dependency(service)
+
+    async def drain(self) -> None:
+        """Let the others find another leader while calls are passed on."""
+
+    async def on_shutdown(self) -> None:
+        """Give the data folder up, once nothing writes to it any more."""
+        self._disk.close()
+
+    def change_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Take other seeds."""
+        self._gateway.change_seeds(seeds)
+
+    async def call(self, call: AnyCall, timeout_s: float) -> AnyReply:
+        """Answer a call of a caller, a worker or an operator."""
+        if self.is_leading:
+            reply = await self._answer_in(call, timeout_s)
+            if not _is_no_leader(reply):
+                return reply
+        reply = await self._gateway.call(call, timeout_s)
+        return self._with_next_core(reply)
+
+    async def handle(self, call: AnyCall, hops_left: int) -> AnyReply:
+        """Answer a call that another process passed on."""
+        if self.is_leading:
+            return await self._answer(call)
+        if hops_left > 0 and self._agreement.leader != self._settings.name:
+            return await self._gateway.call(call, _RELAY_TIMEOUT_S)
+        return _NO_LEADER
+
+    @mode.Service.timer(_FORGET_S)
+    async def _forget(self) -> None:
+        term = self._term
+        if self.is_leading and term is not None:
+            try:
+                await term.forget_ended()
+            except StateError as error:
+                self._log.warning(LogEvent.CALL_FAILED, reason=str(error))
+
+    @mode.Service.timer(0.2)
+    async def _tend(self) -> None:
+        if self._leading is None:
+            # Only a leader looks at what changed.
+            self._book.changed.clear()
+        cores = self._gateway.cores
+        if cores != self._told_peers:
+            self._told_peers = cores
+            self._agreement.note_peers(cores)
+
+    async def _answer_in(self, call: AnyCall, timeout_s: float) -> AnyReply:
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._answer(call)
+        except TimeoutError:
+            return Unknown()
+
+    async def _answer(self, call: AnyCall) -> AnyReply:
+        assert self._desk is not None
+        try:
+            return await self._desk.answer(call)
+        except StateError as error:
+            self._metrics.count('calls_failed', 'no-quorum')
+            self._log.warning(
+                LogEvent.CALL_FAILED,
+                call=type(call).__name__,
+                reason=str(error),
+            )
+            # A call that only reads had no effect that anybody could miss.
+            return _NO_LEADER if isinstance(call, _READS) else Unknown()
+
+    def _with_next_core(self, reply: AnyReply) -> AnyReply:
+        """Tell a worker who leads, which saves its next heartbeat a hop."""
+        leader = self._agreement.leader
+        if not isinstance(reply, Orders) or not leader:
+            return reply
+        host = parse_address(leader, 'leader').host
+        address = f'{host}:{self._settings.api_port}'
+        return Orders(reply.orders.towards(address))
+
+    def _notice(self) -> CoreNotice:
+        leader = self._agreement.leader
+        if leader == self._settings.name and not self.is_leading:
+            leader = ''
+        return CoreNotice(
+            leader,
+            tuple(sorted({*self._agreement.peers, *self._gateway.cores})),
+            self._agreement.term,
+        )
+
+    def _on_role(self) -> None:
+        if self._leading is not None and not self._is_term_over():
+            return
+        if self._leading is not None:
+            self._end_term()
+        if self._agreement.is_leader:
+            self._begin_term()
+        self._server.tell()
+
+    def _is_term_over(self) -> bool:
+        term = self._term
+        if term is None or not self._agreement.is_leader:
+            return True
+        return term.term != self._agreement.term
+
+    def _begin_term(self) -> None:
+        term = LeaderTerm(
+            self._agreement,
+            self._book,
+            self._agreement.term,
+            self._log,
+            self._metrics,
+        )
+        self._term = term
+        self._desk = Desk(term, self._book, self._log, self._metrics)
+        self._leading = asyncio.create_task(self._lead(term))
+
+    def _end_term(self) -> None:
+        assert self._leading is not None
+        self._leading.cancel()
+        self._leading = None
+        self._log.info(
+            LogEvent.TERM_ENDED,
+            term=self._term.term if self._term else 0,
+            leader=self._agreement.leader,
+        )
+        self._term = None
+
+    async def _lead(self, term: LeaderTerm) -> None:
+        while not term.has_begun:
+            try:
+                await term.begin()
+            except StateError as error:
+                self._log.warning(LogEvent.CALL_FAILED, reason=str(error))
+        self._server.tell()
+        await term.run()
+
+    def _make_agreement(self) -> RaftAgreement:
+        settings = self._settings
+        storage = Storage(self._disk)
+        return RaftAgreement(
+            ReplicaSettings(
+                name=settings.name,
+                zone=settings.zone,
+                listen=settings.listen,
+                members=_members(settings),
+                data_folder=settings.data_folder,
+            ),
+            self._book,
+            storage,
+            self._load(storage),
+            self._leave,
+            self._log,
+            RaftSettings(voter_target=settings.voter_target),
+            self._on_role,
+        )
+
+    def _load(self, storage: Storage) -> Stored:
+        has_peers = len(self._settings.seeds) > 1
+        return open_storage(
+            storage,
+            has_peers,
+            self._log,
+            may_found=self._settings.is_first_start,
+        )
+
+    def _leave(self, error: Exception) -> None:
+        # After a failed sync nothing in memory may be told to anybody.
+        self._log.warning(LogEvent.REPLICA_FAILED, reason=repr(error))
+        os._exit(ExitCode.FAILED)  # noqa: SLF001, WPS437
+
+
+def _members(settings: CoreSettings) -> tuple[Member, ...]:
+    """Return the seeds in their order, the first of which founds."""
+    names = settings.seeds
+    if settings.name not in names:
+        names = (*names, settings.name)
+    return tuple(
+        Member(name, '', parse_address(name, 'seed')) for name in names
+    )
+
+
+def _is_no_leader(reply: AnyReply) -> bool:
+    return isinstance(reply, NotDone) and reply.reason is WhyNot.NO_LEADER
--- /dev/null
+++ b/src/wigeonreach/core/_term.py
@@ -0,0 +1,325 @@
+"""Lead for one term: hear workers, decide, and answer them."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from collections.abc import Sequence
+
+import msgspec
+
+from wigeonreach.core._barrier import SharedBarrier
+from wigeonreach.core._clock import steady_s, wall_ms
+from wigeonreach.exceptions import StateError
+from wigeonreach.jobs import (
+    BeginTerm,
+    Command,
+    ForgetJobs,
+    JobBook,
+    RecordRuns,
+    RunEnded,
+    RunStarted,
+    Verdict,
+    decode_reply,
+    encode_command,
+)
+from wigeonreach.observe import LogEvent, Logger, Metrics
+from wigeonreach.scheduling import Scheduler, WorkerLife
+from wigeonreach.scheduling._orders import BUSY_NEXT_MS, HELD_NEXT_MS
+from wigeonreach.state._state_machine import Agreement
+from wigeonreach.wire._worker_messages import WorkerOrders, WorkerReport
+
+_TICK_S = 0.05
+# A sender gives an answer up after 1 s; this leaves it the way back.
+_LONGEST_HOLD_S = 0.7
+# Longer than the status of a job that ended may be asked for (120 s).
+_KEEP_ENDED_S = 150.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Heartbeat:
+    """A heartbeat that waits for its answer."""
+
+    report: WorkerReport
+    came_s: float
+    answer: asyncio.Future[WorkerOrders | None]
+    life: WorkerLife | None = None
+
+    def settle(self, orders: WorkerOrders | None) -> None:
+        """Answer, unless whoever waits has gone."""
+        if not self.answer.done():
+            self.answer.set_result(orders)
+
+
+class LeaderTerm:
+    """What a core process does while it leads.
+
+    Parameters
+    ----------
+    agreement, book
+        The replicated state and how it is changed.
+    term
+        Which this is.
+    logger, metrics
+        Where decisions are logged and counted.
+    """
+
+    def __init__(
+        self,
+        agreement: Agreement,
+        book: JobBook,
+        term: int,
+        logger: Logger,
+        metrics: Metrics,
+    ) -> None:
+        """Decide nothing before ``begin``."""
+        self.term = term
+        self.barrier = SharedBarrier(agreement)
+        self.wake = asyncio.Event()
+        self._agreement = agreement
+        self._book = book
+        self._log = logger
+        self._metrics = metrics
+        self._scheduler: Scheduler | None = None
+        self._arrived: list[_Heartbeat] = []
+        self._held: list[_Heartbeat] = []
+        self._ended_s: dict[str, float] = {}
+
+    @property
+    def scheduler(self) -> Scheduler:
+        """What decides; only there once the term began."""
+        assert self._scheduler is not None
+        return self._scheduler
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether earlier leaders can record nothing any more."""
+        return self._scheduler is not None
+
+    async def propose(self, command: Command) -> Verdict:
+        """Replicate a command.
+
+        Raises
+        ------
+        StateError
+            If a quorum did not confirm: the command may still be applied.
+        """
+        encoded = encode_command(command)
+        began_s = steady_s()
+        reply = decode_reply(await self._agreement.propose(encoded))
+        self._metrics.observe_s('commit', steady_s() - began_s)
+        return reply.verdict
+
+    async def begin(self) -> None:
+        """Shut earlier leaders out, then start to decide.
+
+        Raises
+        ------
+        StateError
+            If a quorum did not confirm.
+        """
+        await self.propose(BeginTerm(self.term))
+        self._scheduler = Scheduler(self._book, self.term, steady_s())
+        self._log.info(
+            LogEvent.TERM_BEGAN,
+            term=self.term,
+            jobs=len(self._book.jobs),
+            version=self._book.manifest.version,
+        )
+
+    async def hear(self, report: WorkerReport) -> WorkerOrders | None:
+        """Take a heartbeat; return its answer, or None if there is none."""
+        heartbeat = _Heartbeat(report, steady_s(), asyncio.Future())
+        self._arrived.append(heartbeat)
+        self.wake.set()
+        return await heartbeat.answer
+
+    def note_leaving(self, worker: str) -> None:
+        """Take note that a worker says that it ends."""
+        self.scheduler.workers.leave(worker, steady_s())
+        self._log.info(LogEvent.WORKER_ENDED, worker=worker, reason='leaves')
+
+    async def run(self) -> None:
+        """Decide until cancelled."""
+        try:
+            while True:
+                await self._wait()
+                await self._cycle_safely()
+        finally:
+            self._settle_all()
+
+    async def _wait(self) -> None:
+        try:
+            async with asyncio.timeout(_TICK_S):
+                await self.wake.wait()
+        except TimeoutError:
+            return
+        self.wake.clear()
+
+    async def _cycle_safely(self) -> None:
+        try:
+            await self._cycle()
+        except StateError as error:
+            # The term may go on: only what waited now gets no answer.
+            self._log.warning(
+                LogEvent.CALL_FAILED,
+                reason=str(error),
+                term=self.term,
+                heartbeats=len(self._arrived) + len(self._held),
+            )
+            self._settle_all()
+
+    async def _cycle(self) -> None:
+        arrived = self._arrived
+        self._arrived = []
+        self._held.extend(arrived)
+        now_s = steady_s()
+        ends = self._hear_all(arrived, now_s)
+        lost = self.scheduler.lost(now_s)
+        if lost:
+            self._log.info(
+                LogEvent.RUNS_GIVEN_ON,
+                workers=sorted({run.worker for run in lost}),
+                runs=len(lost),
+            )
+        await self._record_ends((*ends, *lost))
+        for heartbeat in arrived:
+            _note_ends(heartbeat)
+        starts = self.scheduler.plan(steady_s(), wall_ms())
+        await self._record_starts(starts)
+        if arrived and not ends and not starts:
+            await self.barrier.wait()
+        self._answer(steady_s())
+
+    def _hear_all(
+        self,
+        arrived: Sequence[_Heartbeat],
+        now_s: float,
+    ) -> tuple[RunEnded, ...]:
+        ends: list[RunEnded] = []
+        for heartbeat in arrived:
+            known = self.scheduler.workers.lives.get(heartbeat.report.worker)
+            heard = self.scheduler.hear(heartbeat.report, heartbeat.came_s)
+            if heard is None:
+                self._metrics.count('heartbeats_late')
+                heartbeat.settle(WorkerOrders())
+                continue
+            heartbeat.life = heard.life
+            ends.extend(heard.ends)
+            if known is None:
+                self._log_joined(heartbeat.report)
+        self._metrics.count('heartbeats', amount=len(arrived))
+        return tuple(ends)
+
+    def _log_joined(self, report: WorkerReport) -> None:
+        self._log.info(
+            LogEvent.WORKER_JOINED,
+            worker=report.worker,
+            vm=report.vm,
+            service=report.service,
+            address=report.address,
+            zone=report.zone,
+            rack=report.rack,
+            sequence=report.sequence,
+            running=len(report.running),
+        )
+
+    async def _record_ends(self, ends: tuple[RunEnded, ...]) -> None:
+        if not ends:
+            return
+        before = {
+            ended.task.job_id: self._book.jobs[ended.task.job_id].phase
+            for ended in ends
+            if ended.task.job_id in self._book.jobs
+        }
+        await self._record(RecordRuns(self.term, ends=ends))
+        for ended in ends:
+            self._metrics.count('runs_ended', ended.end.name.lower())
+        for job_id, phase in before.items():
+            job = self._book.jobs.get(job_id)
+            if job is not None and job.phase is not phase:
+                self._log.info(
+                    LogEvent.JOB_ENDED,
+                    job=job_id,
+                    queue=job.queue.name,
+                    phase=job.phase.name.lower(),
+                )
+
+    async def _record_starts(self, starts: tuple[RunStarted, ...]) -> None:
+        if not starts:
+            return
+        await self._record(RecordRuns(self.term, starts=starts))
+        self._metrics.count('runs_ordered', amount=len(starts))
+        self._log.info(
+            LogEvent.RUNS_ORDERED,
+            runs=[
+                f'{start.task.job_id}.{start.task.occurrence}'
+                f'.{start.task.step}.{start.task.index}'
+                f'/{start.run}@{start.worker}'
+                for start in starts
+            ],
+        )
+
+    async def _record(self, command: RecordRuns) -> None:
+        verdict = await self.propose(command)
+        if verdict is Verdict.OUTDATED:
+            raise asyncio.CancelledError
+
+    def _answer(self, now_s: float) -> None:
+        still_held: list[_Heartbeat] = []
+        for heartbeat in self._held:
+            if heartbeat.answer.done():
+                continue
+            orders = self._orders_due(heartbeat, now_s)
+            if orders is None:
+                still_held.append(heartbeat)
+            else:
+                heartbeat.settle(orders)
+        self._held = still_held
+
+    def _orders_due(
+        self,
+        heartbeat: _Heartbeat,
+        now_s: float,
+    ) -> WorkerOrders | None:
+        """Return a worker's orders, or None to wait until there are some."""
+        life = heartbeat.life
+        if life is None:
+            return WorkerOrders()
+        orders = self.scheduler.orders(life)
+        has_orders = bool(orders.starts or orders.stops or orders.paces)
+        if has_orders or self.scheduler.has_batch(life):
+            return msgspec.structs.replace(orders, next_after_ms=BUSY_NEXT_MS)
+        if now_s - heartbeat.came_s < _LONGEST_HOLD_S:
+            return None
+        return msgspec.structs.replace(orders, next_after_ms=HELD_NEXT_MS)
+
+    async def forget_ended(self) -> None:
+        """Forget jobs that ended so long ago that nobody may ask."""
+        now_s = steady_s()
+        for job in self._book.jobs.values():
+            if not job.is_active:
+                self._ended_s.setdefault(job.spec.job_id, now_s)
+        old = tuple(
+            job_id
+            for job_id, ended_s in self._ended_s.items()
+            if now_s - ended_s > _KEEP_ENDED_S
+        )
+        if old:
+            await self.propose(ForgetJobs(old))
+            for job_id in old:
+                self._ended_s.pop(job_id)
+
+    def _settle_all(self) -> None:
+        for heartbeat in (*self._arrived, *self._held):
+            heartbeat.settle(None)
+        self._arrived = []
+        self._held = []
+
+
+def _note_ends(heartbeat: _Heartbeat) -> None:
+    """Take note that a heartbeat's ends are recorded."""
+    life = heartbeat.life
+    if life is not None:
+        for ended in heartbeat.report.ended:
+            life.noted = max(life.noted, ended.number)
--- a/src/wigeonreach/entry/_attempt.py
+++ b/src/wigeonreach/entry/_attempt.py
@@ -17,12 +17,12 @@
 from wigeonreach.codes import Outcome, ResultCode
 from wigeonreach.entry._request import CallerRequest
 from wigeonreach.entry._request_reading import DEADLINE_HEADER
-from wigeonreach.entry._target_state import TargetAnswered, read_target_state
 from wigeonreach.entry._target_response import (
     REQUEST_ID_HEADER,
     EchoedResponse,
     send_once,
 )
+from wigeonreach.entry._target_state import TargetAnswered, read_target_state
 from wigeonreach.exceptions import AttemptFailedError
 
 _KEEPALIVE_S: Final = 30
--- a/src/wigeonreach/entry/_credits_daemon.py
+++ b/src/wigeonreach/entry/_credits_daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+
 import mode
 
 from wigeonreach.entry._peers import PeerExchange
--- a/src/wigeonreach/entry/_dispatch.py
+++ b/src/wigeonreach/entry/_dispatch.py
@@ -16,8 +16,8 @@
     RetryBudget,
     decide_retry,
 )
-from wigeonreach.entry._slots import Ending, Slot, ending_of
 from wigeonreach.entry._slot_queue import SlotGiver, SlotQueue
+from wigeonreach.entry._slots import Ending, Slot, ending_of
 from wigeonreach.exceptions import AttemptFailedError, RequestRefusedError
 from wigeonreach.observe import Metrics
 
--- a/src/wigeonreach/fleet/_learning.py
+++ b/src/wigeonreach/fleet/_learning.py
@@ -4,7 +4,8 @@
 
 import dataclasses
 
-from wigeonreach.fleet._placement_model import Job, Room
+from wigeonreach._room import Room
+from wigeonreach.fleet._placement_model import Job
 
 # Declared sizes were seen to be wrong by these factors.
 LOWEST_RATIO = 0.2
--- a/src/wigeonreach/fleet/_placement_index.py
+++ b/src/wigeonreach/fleet/_placement_index.py
@@ -9,7 +9,7 @@
 
 from sortedcontainers import SortedDict, SortedList
 
-from wigeonreach.fleet._placement_model import Room
+from wigeonreach._room import Room
 
 _PROBES = 16
 # Accelerators, then processors and memory as powers of two.
--- a/src/wigeonreach/fleet/_placement_jobs.py
+++ b/src/wigeonreach/fleet/_placement_jobs.py
@@ -5,14 +5,13 @@
 import dataclasses
 import enum
 
+from wigeonreach._room import NO_ROOM, Room
 from wigeonreach.charts import load_chart
 from wigeonreach.codes import ResultCode
 from wigeonreach.exceptions import ChartError
 from wigeonreach.fleet._placement_model import (
-    NO_ROOM,
     Job,
     Reason,
-    Room,
     TaskEnd,
 )
 
--- a/src/wigeonreach/fleet/_placement_pool.py
+++ b/src/wigeonreach/fleet/_placement_pool.py
@@ -6,8 +6,9 @@
 import enum
 from collections.abc import Container, Iterator
 
+from wigeonreach._room import NO_ROOM, Room
 from wigeonreach.fleet._placement_index import RoomIndex
-from wigeonreach.fleet._placement_model import NO_ROOM, Job, Room, Worker
+from wigeonreach.fleet._placement_model import Job, Worker
 
 
 class Closed(enum.StrEnum):
--- a/src/wigeonreach/fleet/_placement_queue.py
+++ b/src/wigeonreach/fleet/_placement_queue.py
@@ -6,13 +6,12 @@
 import dataclasses
 from collections.abc import Mapping
 
+from wigeonreach._room import NO_ROOM, Room
 from wigeonreach.fleet._learning import Learner
 from wigeonreach.fleet._placement_jobs import JobEvent, JobRecord
 from wigeonreach.fleet._placement_model import (
-    NO_ROOM,
     Effect,
     Reason,
-    Room,
     StartTask,
     TaskEnd,
 )
--- a/src/wigeonreach/fleet/_placement_yield.py
+++ b/src/wigeonreach/fleet/_placement_yield.py
@@ -5,12 +5,11 @@
 import dataclasses
 from collections.abc import Container, Mapping
 
+from wigeonreach._room import NO_ROOM, Room
 from wigeonreach.fleet._placement_jobs import JobEvent, JobRecord, JobState
 from wigeonreach.fleet._placement_model import (
-    NO_ROOM,
     Effect,
     Reason,
-    Room,
     StopTask,
     ThrottleTask,
 )
--- /dev/null
+++ b/src/wigeonreach/jobs/__init__.py
@@ -0,0 +1,68 @@
+"""Accept jobs once and keep what became of them."""
+
+from wigeonreach.jobs._book import JobBook
+from wigeonreach.jobs._commands import (
+    AddJob,
+    BeginTerm,
+    CancelJob,
+    Command,
+    CommandReply,
+    ForgetJobs,
+    RecordRuns,
+    RecordVmStep,
+    RunEnded,
+    RunStarted,
+    SetManifest,
+    StartWave,
+    Verdict,
+    VmStep,
+    decode_reply,
+    encode_command,
+)
+from wigeonreach.jobs._model import (
+    AdvicePolicy,
+    JobPhase,
+    JobSpec,
+    Manifest,
+    QueueSpec,
+    RunEnd,
+    ServiceSpec,
+    StepSpec,
+    TaskKey,
+    TaskPhase,
+)
+from wigeonreach.jobs._records import JobRecord, TaskRecord
+from wigeonreach.jobs._waves import WaveRecord
+
+__all__ = (
+    'AddJob',
+    'AdvicePolicy',
+    'BeginTerm',
+    'CancelJob',
+    'Command',
+    'CommandReply',
+    'ForgetJobs',
+    'JobBook',
+    'JobPhase',
+    'JobRecord',
+    'JobSpec',
+    'Manifest',
+    'QueueSpec',
+    'RecordRuns',
+    'RecordVmStep',
+    'RunEnd',
+    'RunEnded',
+    'RunStarted',
+    'ServiceSpec',
+    'SetManifest',
+    'StartWave',
+    'StepSpec',
+    'TaskKey',
+    'TaskPhase',
+    'TaskRecord',
+    'Verdict',
+    'VmStep',
+    'WaveRecord',
+    'decode_reply',
+    'encode_command',
+)
--- /dev/null
+++ b/src/wigeonreach/jobs/_book.py
@@ -0,0 +1,221 @@
+"""Replicate the manifest, the jobs and the waves."""
+
+from __future__ import annotations
+
+import functools
+
+import msgspec
+
+from wigeonreach.jobs import _runs as runs
+from wigeonreach.jobs import _waves as waves
+from wigeonreach.jobs._commands import (
+    AddJob,
+    AnyCommand,
+    BeginTerm,
+    CancelJob,
+    CommandReply,
+    ForgetJobs,
+    RecordRuns,
+    RecordVmStep,
+    RunEnded,
+    RunStarted,
+    SetManifest,
+    StartWave,
+    Verdict,
+)
+from wigeonreach.jobs._model import JobPhase, Manifest, TaskKey
+from wigeonreach.jobs._records import JobRecord, new_record
+from wigeonreach.jobs._waves import WaveRecord
+
+_COMMANDS = msgspec.msgpack.Decoder(AnyCommand)
+
+
+class _Stored(msgspec.Struct, array_like=True):
+    """What a snapshot holds."""
+
+    term: int
+    manifest: Manifest
+    jobs: list[JobRecord]
+    waves: list[WaveRecord]
+
+
+_SNAPSHOTS = msgspec.msgpack.Decoder(_Stored)
+
+
+class JobBook:
+    """The replicated state; it changes only by ``apply`` and ``restore``.
+
+    Attributes
+    ----------
+    term
+        Of the leader whose records of runs count.
+    revision
+        Grows with each restored snapshot, for whoever keeps views of this.
+    jobs
+        All jobs whose state may still be asked for.
+    assigned
+        For each worker, the runs that it has or may have.
+    changed
+        Jobs that changed since a reader last cleared this.
+    """
+
+    def __init__(self) -> None:
+        """Start with nothing accepted."""
+        self.manifest = Manifest(version=0)
+        self.jobs: dict[str, JobRecord] = {}
+        self.waves: dict[int, WaveRecord] = {}
+        self.assigned: dict[str, dict[TaskKey, int]] = {}
+        self.changed: set[str] = set()
+        self.revision = 0
+        self.term = 0
+
+    def apply(self, index: int, command: bytes) -> bytes:
+        """Carry out a committed command."""
+        reply = _on(_COMMANDS.decode(command), self)
+        return msgspec.msgpack.encode(reply)
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+        stored = _Stored(
+            self.term,
+            self.manifest,
+            list(self.jobs.values()),
+            list(self.waves.values()),
+        )
+        return msgspec.msgpack.encode(stored)
+
+    def restore(self, snapshot: bytes) -> None:
+        """Replace the state by one that ``snapshot`` returned."""
+        stored = _SNAPSHOTS.decode(snapshot)
+        self.term = stored.term
+        self.manifest = stored.manifest
+        self.jobs = {job.spec.job_id: job for job in stored.jobs}
+        self.waves = {wave.wave: wave for wave in stored.waves}
+        self.assigned = {}
+        for job in stored.jobs:
+            for key, task in job.assigned():
+                self.assign(task.worker, key, task.run)
+        self.changed = set(self.jobs)
+        self.revision += 1
+
+    def service_of(self, job: JobRecord) -> str:
+        """Return the service whose workers may run a job now."""
+        queue = self.manifest.queue_named(job.queue.name)
+        return queue.service if queue else job.queue.service
+
+    def job_of(self, key: TaskKey) -> JobRecord | None:
+        """Return the job of a task."""
+        return self.jobs.get(key.job_id)
+
+    def assign(self, worker: str, key: TaskKey, run: int) -> None:
+        """Note that a worker has, or may have, a run."""
+        self.assigned.setdefault(worker, {})[key] = run
+
+    def unassign(self, worker: str, key: TaskKey) -> None:
+        """Note that a worker has a run no more."""
+        held = self.assigned.get(worker)
+        if held is not None:
+            held.pop(key, None)
+            if not held:
+                self.assigned.pop(worker)
+
+
+@functools.singledispatch
+def _on(command: object, book: JobBook) -> CommandReply:
+    raise TypeError(type(command).__name__)
+
+
+@_on.register
+def _on_manifest(command: SetManifest, book: JobBook) -> CommandReply:
+    if command.manifest.version > book.manifest.version:
+        book.manifest = command.manifest
+        book.changed.update(book.jobs)
+    return CommandReply(Verdict.DONE, book.manifest.version)
+
+
+@_on.register
+def _on_add(command: AddJob, book: JobBook) -> CommandReply:
+    if command.spec.job_id in book.jobs:
+        return CommandReply(Verdict.KNOWN)
+    queue = book.manifest.queue_named(command.queue)
+    if queue is None:
+        return CommandReply(Verdict.NO_QUEUE)
+    book.jobs[command.spec.job_id] = new_record(command.spec, queue)
+    book.changed.add(command.spec.job_id)
+    return CommandReply(Verdict.DONE)
+
+
+@_on.register
+def _on_cancel(command: CancelJob, book: JobBook) -> CommandReply:
+    job = book.jobs.get(command.job_id)
+    if job is None:
+        return CommandReply(Verdict.UNKNOWN)
+    if job.is_active:
+        job.phase = JobPhase.CANCELLED
+        book.changed.add(command.job_id)
+    return CommandReply(Verdict.DONE)
+
+
+@_on.register
+def _on_term(command: BeginTerm, book: JobBook) -> CommandReply:
+    book.term = max(book.term, command.term)
+    return CommandReply(Verdict.DONE)
+
+
+@_on.register
+def _on_runs(command: RecordRuns, book: JobBook) -> CommandReply:
+    if command.term != book.term:
+        # A former leader's view of its workers counts no more.
+        return CommandReply(Verdict.OUTDATED)
+    for ended in command.ends:
+        _note_end(book, ended)
+    for start in command.starts:
+        _note_start(book, start)
+    return CommandReply(Verdict.DONE)
+
+
+def _note_end(book: JobBook, ended: RunEnded) -> None:
+    job = book.job_of(ended.task)
+    if job is None:
+        return
+    held = [(key, job.task(key)) for key in runs.members(job, ended.task)]
+    workers = {key: task.worker for key, task in held if task is not None}
+    for key in runs.note_end(job, ended):
+        book.unassign(workers[key], key)
+        book.changed.add(key.job_id)
+
+
+def _note_start(book: JobBook, start: RunStarted) -> None:
+    job = book.job_of(start.task)
+    if job is not None and runs.note_start(job, start):
+        book.assign(start.worker, start.task, start.run)
+        book.changed.add(start.task.job_id)
+
+
+@_on.register
+def _on_forget(command: ForgetJobs, book: JobBook) -> CommandReply:
+    for job_id in command.job_ids:
+        job = book.jobs.get(job_id)
+        if job is not None and not job.is_active and not any(job.assigned()):
+            book.jobs.pop(job_id)
+            book.changed.add(job_id)
+    return CommandReply(Verdict.DONE)
+
+
+@_on.register
+def _on_wave(command: StartWave, book: JobBook) -> CommandReply:
+    if command.wave in book.waves:
+        return CommandReply(Verdict.KNOWN)
+    book.waves[command.wave] = waves.new_wave(command)
+    return CommandReply(Verdict.DONE)
+
+
+@_on.register
+def _on_vm_step(command: RecordVmStep, book: JobBook) -> CommandReply:
+    wave = book.waves.get(command.wave)
+    if command.term != book.term:
+        return CommandReply(Verdict.OUTDATED)
+    if wave is None:
+        return CommandReply(Verdict.UNKNOWN)
+    waves.note_step(wave, command)
+    return CommandReply(Verdict.DONE)
--- /dev/null
+++ b/src/wigeonreach/jobs/_commands.py
@@ -0,0 +1,150 @@
+"""Define what is replicated about jobs, the manifest and waves."""
+
+from __future__ import annotations
+
+import enum
+from typing import TypeAlias
+
+import msgspec
+
+from wigeonreach.jobs._model import JobSpec, Manifest, RunEnd, TaskKey
+
+
+class Command(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """Base of all commands."""
+
+
+class SetManifest(Command, frozen=True):
+    """Put a manifest in force unless a higher version is."""
+
+    manifest: Manifest
+
+
+class AddJob(Command, frozen=True):
+    """Accept a job for a queue."""
+
+    spec: JobSpec
+    queue: str
+
+
+class CancelJob(Command, frozen=True):
+    """Let nothing more of a job start."""
+
+    job_id: str
+
+
+class RunStarted(msgspec.Struct, frozen=True, array_like=True):
+    """A run that is about to be ordered from a worker."""
+
+    task: TaskKey
+    run: int
+    worker: str
+
+
+class RunEnded(msgspec.Struct, frozen=True, array_like=True):
+    """How a run ended; ``checkpoint`` is the progress that it saved."""
+
+    task: TaskKey
+    run: int
+    worker: str
+    end: RunEnd
+    checkpoint: str = ''
+
+
+class BeginTerm(Command, frozen=True):
+    """Let only the records of this term's leader count from now on."""
+
+    term: int
+
+
+class RecordRuns(Command, frozen=True):
+    """Note ends, then starts, as the leader of a term saw them."""
+
+    term: int
+    ends: tuple[RunEnded, ...] = ()
+    starts: tuple[RunStarted, ...] = ()
+
+
+class ForgetJobs(Command, frozen=True):
+    """Drop jobs that ended long ago."""
+
+    job_ids: tuple[str, ...]
+
+
+class StartWave(Command, frozen=True):
+    """Have VMs maintained, at most ``limit`` of them at once.
+
+    Attributes
+    ----------
+    due_after_s
+        How long the operator gives, from when the wave is accepted.
+    """
+
+    wave: int
+    vms: tuple[str, ...]
+    due_after_s: float
+    limit: int
+
+
+class VmStep(enum.IntEnum):
+    """How far the maintenance of one VM of a wave is."""
+
+    WAITING = 0
+    ORDERED = 1
+    DONE = 2
+    GONE = 3
+
+
+class RecordVmStep(Command, frozen=True):
+    """Note how far a VM of a wave is, as the leader of a term saw it.
+
+    ``worker`` is the life that the order ends, when one is ordered.
+    """
+
+    term: int
+    wave: int
+    vm: str
+    step: VmStep
+    worker: str = ''
+
+
+AnyCommand: TypeAlias = (
+    AddJob
+    | BeginTerm
+    | CancelJob
+    | ForgetJobs
+    | RecordRuns
+    | RecordVmStep
+    | SetManifest
+    | StartWave
+)
+
+
+class Verdict(enum.IntEnum):
+    """What became of a command."""
+
+    DONE = 0
+    KNOWN = 1
+    UNKNOWN = 2
+    NO_QUEUE = 3
+    OUTDATED = 4
+
+
+class CommandReply(msgspec.Struct, frozen=True, array_like=True):
+    """Reply to whoever proposed a command.
+
+    ``version`` is the manifest's version in force.
+    """
+
+    verdict: Verdict
+    version: int = 0
+
+
+def encode_command(command: Command) -> bytes:
+    """Return the bytes that are replicated."""
+    return msgspec.msgpack.encode(command)
+
+
+def decode_reply(encoded: bytes) -> CommandReply:
+    """Return the reply that a replica gave."""
+    return msgspec.msgpack.decode(encoded, type=CommandReply)
--- /dev/null
+++ b/src/wigeonreach/jobs/_records.py
@@ -0,0 +1,120 @@
+"""Keep what became of each job, step and task."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import msgspec
+
+from wigeonreach.jobs._model import (
+    JobPhase,
+    JobSpec,
+    QueueSpec,
+    StepSpec,
+    TaskKey,
+    TaskPhase,
+    tasks_of,
+)
+
+
+class TaskRecord(msgspec.Struct, array_like=True):
+    """One task: where its newest run is and how earlier ones ended.
+
+    Attributes
+    ----------
+    run
+        Number of the newest run; 0 before the first.
+    worker
+        Which life of a worker the newest run was given to.
+    """
+
+    phase: TaskPhase = TaskPhase.WAITING
+    run: int = 0
+    worker: str = ''
+    failures: int = 0
+    checkpoint: str = ''
+
+
+Occurrence = list[list[TaskRecord]]
+
+
+class JobRecord(msgspec.Struct, array_like=True):
+    """One job that was accepted.
+
+    Attributes
+    ----------
+    queue
+        As it was when the job was accepted; it outlives the queue.
+    occurrences
+        For each occurrence, the tasks of each step.
+    """
+
+    spec: JobSpec
+    queue: QueueSpec
+    phase: JobPhase = JobPhase.ACTIVE
+    has_started: bool = False
+    occurrences: list[Occurrence] = msgspec.field(
+        default_factory=list,
+    )
+
+    @property
+    def is_active(self) -> bool:
+        """Whether tasks of it may start."""
+        return self.phase is JobPhase.ACTIVE
+
+    def task(self, key: TaskKey) -> TaskRecord | None:
+        """Return a task, or None if the job has no such one."""
+        try:
+            return self.occurrences[key.occurrence][key.step][key.index]
+        except IndexError:
+            return None
+
+    def step_tasks(self, key: TaskKey) -> list[TaskRecord]:
+        """Return all tasks of a task's step."""
+        return self.occurrences[key.occurrence][key.step]
+
+    def step_spec(self, key: TaskKey) -> StepSpec:
+        """Return what a task's step asks for."""
+        return self.spec.steps[key.step]
+
+    def is_step_done(self, occurrence: int, step: int) -> bool:
+        """Whether all tasks of a step ended well."""
+        return all(
+            task.phase is TaskPhase.DONE
+            for task in self.occurrences[occurrence][step]
+        )
+
+    def may_start(self, occurrence: int, step: int) -> bool:
+        """Whether all that a step waits for is done."""
+        return all(
+            self.is_step_done(occurrence, earlier)
+            for earlier in self.spec.steps[step].after
+        )
+
+    def is_done(self) -> bool:
+        """Whether all tasks of all occurrences ended well."""
+        return all(
+            self.is_step_done(occurrence, step)
+            for occurrence in range(len(self.occurrences))
+            for step in range(len(self.spec.steps))
+        )
+
+    def assigned(self) -> Iterator[tuple[TaskKey, TaskRecord]]:
+        """Yield the tasks that a worker has, or may have."""
+        for occurrence, _ in enumerate(self.occurrences):
+            for key in tasks_of(self.spec, occurrence):
+                task = self.task(key)
+                if task is not None and task.phase is TaskPhase.ASSIGNED:
+                    yield key, task
+
+
+def new_record(spec: JobSpec, queue: QueueSpec) -> JobRecord:
+    """Return a job of which nothing has started."""
+    return JobRecord(
+        spec,
+        queue,
+        occurrences=[
+            [[TaskRecord() for _ in range(step.count)] for step in spec.steps]
+            for _ in range(spec.occurrences)
+        ],
+    )
--- /dev/null
+++ b/src/wigeonreach/jobs/_runs.py
@@ -0,0 +1,93 @@
+"""Change tasks as their runs start and end."""
+
+from __future__ import annotations
+
+from wigeonreach.jobs._commands import RunEnded, RunStarted
+from wigeonreach.jobs._model import JobPhase, RunEnd, TaskKey, TaskPhase
+from wigeonreach.jobs._records import JobRecord, TaskRecord
+
+
+def note_start(job: JobRecord, start: RunStarted) -> bool:
+    """Assign a task to a worker; tell whether it was free for it."""
+    task = job.task(start.task)
+    if task is None or not job.is_active:
+        return False
+    if task.phase is not TaskPhase.WAITING or start.run <= task.run:
+        return False
+    task.phase = TaskPhase.ASSIGNED
+    task.run = start.run
+    task.worker = start.worker
+    job.has_started = True
+    return True
+
+
+def note_end(job: JobRecord, ended: RunEnded) -> tuple[TaskKey, ...]:
+    """Take the end of a run.
+
+    The end of an older run changes nothing: its task was given on, and only
+    the newest run counts.
+
+    Returns
+    -------
+    tuple of TaskKey
+        The tasks that are assigned no more.
+    """
+    task = job.task(ended.task)
+    if task is None or not _is_newest(task, ended):
+        return ()
+    if ended.checkpoint:
+        _save(job, ended)
+    if ended.end is RunEnd.DONE and not job.step_spec(ended.task).is_service:
+        return _finish(job, ended)
+    _release(job, ended, task)
+    return (ended.task,)
+
+
+def _is_newest(task: TaskRecord, ended: RunEnded) -> bool:
+    is_same_run = task.run == ended.run and task.worker == ended.worker
+    return task.phase is TaskPhase.ASSIGNED and is_same_run
+
+
+def members(job: JobRecord, key: TaskKey) -> tuple[TaskKey, ...]:
+    """Return a task's whole gang, or the task alone."""
+    if not job.step_spec(key).is_gang:
+        return (key,)
+    count = len(job.step_tasks(key))
+    return tuple(
+        TaskKey(key.job_id, key.occurrence, key.step, index)
+        for index in range(count)
+    )
+
+
+def _save(job: JobRecord, ended: RunEnded) -> None:
+    # The progress of one member of a gang is that of all.
+    for key in members(job, ended.task):
+        member = job.task(key)
+        if member is not None:
+            member.checkpoint = ended.checkpoint
+
+
+def _finish(job: JobRecord, ended: RunEnded) -> tuple[TaskKey, ...]:
+    # One member's good end stands for all of its gang.
+    finished = members(job, ended.task)
+    for key in finished:
+        member = job.task(key)
+        if member is not None:
+            member.phase = TaskPhase.DONE
+            member.checkpoint = ''
+    if job.is_active and job.is_done():
+        job.phase = JobPhase.COMPLETED
+    return finished
+
+
+def _release(job: JobRecord, ended: RunEnded, task: TaskRecord) -> None:
+    task.phase = TaskPhase.WAITING
+    step = job.step_spec(ended.task)
+    if ended.end is not RunEnd.FAILED or step.is_service:
+        return
+    task.failures += 1
+    failures = task.failures
+    if step.is_gang:
+        failures = sum(member.failures for member in job.step_tasks(ended.task))
+    if job.is_active and failures >= job.queue.max_failures:
+        job.phase = JobPhase.FAILED
--- a/src/wigeonreach/manager/_core.py
+++ b/src/wigeonreach/manager/_core.py
@@ -27,7 +27,7 @@
 )
 from wigeonreach.manager._body import WaveBody, decode_body, encode_body
 from wigeonreach.manager._news import of_own_accord, on_its_way
-from wigeonreach.platform import VmPhase, VmView
+from wigeonreach.provider import VmPhase, VmView
 from wigeonreach.text import FleetText
 from wigeonreach.wire._command_messages import RecordWave
 from wigeonreach.wire._state_messages import WaveRecord
--- a/src/wigeonreach/manager/_daemon.py
+++ b/src/wigeonreach/manager/_daemon.py
@@ -18,7 +18,7 @@
 from wigeonreach.manager._lease import LEASE_NAME, DecisionLease
 from wigeonreach.manager._settings import ManagerSettings
 from wigeonreach.observe import LogEvent, Logger, Metrics
-from wigeonreach.platform import (
+from wigeonreach.provider import (
     ActionKind,
     PlatformClient,
     VmAction,
--- a/src/wigeonreach/manager/_job_actions.py
+++ b/src/wigeonreach/manager/_job_actions.py
@@ -21,7 +21,7 @@
     ThrottleTask,
 )
 from wigeonreach.observe import LogEvent, Logger, Metrics
-from wigeonreach.platform import ActionKind, Platform, TaskAction
+from wigeonreach.provider import ActionKind, Platform, TaskAction
 from wigeonreach.state import StateAccess
 from wigeonreach.wire._command_messages import AcquireLease
 
--- a/src/wigeonreach/manager/_job_placer.py
+++ b/src/wigeonreach/manager/_job_placer.py
@@ -20,7 +20,7 @@
 from wigeonreach.manager._lease import DecisionLease
 from wigeonreach.manager._settings import ManagerSettings
 from wigeonreach.observe import Logger, Metrics
-from wigeonreach.platform import Platform
+from wigeonreach.provider import Platform
 from wigeonreach.state import StateAccess
 
 _MAX_WAITING = 10_000
--- a/src/wigeonreach/manager/_job_schema.py
+++ b/src/wigeonreach/manager/_job_schema.py
@@ -7,7 +7,8 @@
 import msgspec
 import pydantic
 
-from wigeonreach.fleet._placement_model import Job, Room
+from wigeonreach._room import Room
+from wigeonreach.fleet._placement_model import Job
 
 _Name = Annotated[str, pydantic.StringConstraints(min_length=1, max_length=99)]
 _Amount = Annotated[float, pydantic.Field(gt=0, allow_inf_nan=False)]
--- a/src/wigeonreach/manager/_jobs.py
+++ b/src/wigeonreach/manager/_jobs.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 from types import MappingProxyType
 
+from wigeonreach._room import Room
 from wigeonreach.exceptions import PlatformError
 from wigeonreach.fleet._placement import Placement
 from wigeonreach.fleet._placement_jobs import DONE_STATES, JobRecord, JobState
@@ -14,7 +15,6 @@
     FoundTask,
     Job,
     JobSubmitted,
-    Room,
     TaskChanged,
     TaskEnd,
     Tick,
@@ -27,7 +27,7 @@
 )
 from wigeonreach.manager._job_actions import JobActions
 from wigeonreach.manager._job_schema import JobStatus
-from wigeonreach.platform import Platform, TaskView, VmPhase, VmView
+from wigeonreach.provider import Platform, TaskView, VmPhase, VmView
 from wigeonreach.text import FleetText
 
 # Tokens of one holder; far more than it can use up.
--- a/src/wigeonreach/manager/_news.py
+++ b/src/wigeonreach/manager/_news.py
@@ -6,7 +6,7 @@
 from typing import TypeAlias
 
 from wigeonreach.fleet import DrainProgress, Vm, VmBack, VmEvent, VmReport
-from wigeonreach.platform import ActionKind, VmPhase, VmView
+from wigeonreach.provider import ActionKind, VmPhase, VmView
 
 Report: TypeAlias = DrainProgress | VmReport | VmBack
 
--- a/src/wigeonreach/observe/_events.py
+++ b/src/wigeonreach/observe/_events.py
@@ -51,3 +51,38 @@
     ROUND_FAILED = 404
     JOB_SET_ASIDE = 405
     JOB_MAY_HAVE_RUN = 406
+
+    # 500: jobs and workers, as the leading core process decides.
+    TERM_BEGAN = 501
+    TERM_ENDED = 502
+    MANIFEST_ACCEPTED = 503
+    JOB_ACCEPTED = 511
+    JOB_REFUSED = 512
+    JOB_ENDED = 513
+    JOB_CANCELLED = 514
+    RUNS_ORDERED = 521
+    RUN_ENDED = 522
+    RUNS_GIVEN_ON = 523
+    RUNS_STOPPED = 524
+    WORKER_JOINED = 531
+    WORKER_DRAINING = 532
+    WORKER_ENDED = 533
+    WORKER_RESTS = 534
+    WORKER_PACED = 535
+    HEARTBEAT_LATE = 536
+    WAVE_ACCEPTED = 541
+    WAVE_DONE = 542
+    VM_ORDERED = 543
+    VM_ORDER_FAILED = 544
+    VM_MAINTAINED = 545
+
+    # 600: reaching the leading core process, and the border.
+    CORE_CONNECTED = 601
+    CORE_LOST = 602
+    CORE_UNREACHABLE = 603
+    LEADER_KNOWN = 604
+    LEADER_UNKNOWN = 605
+    CALL_FAILED = 606
+    SETTINGS_RELOADED = 611
+    SETTINGS_REFUSED = 612
+    LINES_OMITTED = 613
--- /dev/null
+++ b/src/wigeonreach/platform/__main__.py
@@ -0,0 +1,67 @@
+"""Start one of the platform's processes: ``entry`` or ``core``."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+import sys
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
+
+from wigeonreach._runner import Daemon, run_daemon
+from wigeonreach.codes import ExitCode, ResultCode
+from wigeonreach.exceptions import SettingError, WigeonreachError
+from wigeonreach.observe import (
+    LogFormat,
+    Logger,
+    LogLevel,
+    Metrics,
+    configure_logs,
+)
+from wigeonreach.platform._processes import CoreProcess, EntryProcess
+from wigeonreach.platform._settings import FILE_VARIABLE, read_platform_file
+
+# The values are of unlike types, so that mypy can't name what they share.
+_PROCESSES: Mapping[str, Callable[..., Daemon]] = MappingProxyType(
+    {'entry': EntryProcess, 'core': CoreProcess},
+)
+
+
+def main(arguments: list[str]) -> int:
+    """Run the process that the arguments name.
+
+    Returns
+    -------
+    int
+        Exit status.
+    """
+    try:
+        _run(arguments)
+    except WigeonreachError as error:
+        sys.stderr.write(f'{error}\n')
+        return ExitCode.USAGE
+    return ExitCode.DONE
+
+
+def _run(arguments: list[str]) -> None:
+    if len(arguments) != 1 or arguments[0] not in _PROCESSES:
+        raise SettingError(
+            ResultCode.SETTING_INVALID,
+            f'arguments: {arguments}; allowed: one of {sorted(_PROCESSES)}',
+        )
+    file_name = os.environ.get(FILE_VARIABLE, '')
+    if not file_name:
+        raise SettingError(
+            ResultCode.SETTING_MISSING,
+            f'{FILE_VARIABLE}: path of the settings file',
+        )
+    path = pathlib.Path(file_name)
+    settings = read_platform_file(path)
+    configure_logs(LogFormat.JSON, LogLevel.INFO)
+    logger = Logger(settings.node_name)
+    process = _PROCESSES[arguments[0]](path, settings, logger, Metrics())
+    run_daemon(process, logger)
+
+
+if __name__ == '__main__':
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/src/wigeonreach/platform/_control.py
@@ -0,0 +1,81 @@
+"""Take the calls of workers and operators."""
+
+from __future__ import annotations
+
+from wigeonreach.core import Core
+from wigeonreach.exceptions import FleetTextError, RequestRefusedError
+from wigeonreach.platform._http import HttpReply, HttpRequest, error_reply
+from wigeonreach.platform._manifest import decode_manifest, decode_wave
+from wigeonreach.platform._replies import http_reply
+from wigeonreach.platform._workers import decode_heartbeat
+from wigeonreach.wire._call_messages import (
+    AnyCall,
+    DropWorker,
+    HearWorker,
+    PutManifest,
+    ReadManifest,
+    ReadWave,
+)
+from wigeonreach.wire._call_replies import (
+    Unknown,
+)
+
+# Callers go on to another process after 1 s.
+_TIMEOUT_S = 0.92
+_HEARTBEAT = '/Instances.Heartbeat/'
+_LEAVE = '/Instances.Deregister/'
+_READ_WAVE = '/wave-get/'
+_UNAVAILABLE = 503
+
+
+class ControlApi:
+    """Translate requests into calls.
+
+    Parameters
+    ----------
+    core
+        Who answers them.
+    """
+
+    def __init__(self, core: Core) -> None:
+        """Keep the core process."""
+        self._core = core
+
+    async def handle(self, request: HttpRequest) -> HttpReply:
+        """Answer one request."""
+        try:
+            call = _decode(request)
+        except (FleetTextError, RequestRefusedError) as error:
+            return error_reply(400, error)
+        if call is None:
+            return HttpReply(404, b'{}')
+        reply = await self._core.call(call, _TIMEOUT_S)
+        if isinstance(reply, Unknown):
+            # The caller asks another process; each call has one effect.
+            return HttpReply(_UNAVAILABLE, b'{"error":"outcome-unknown"}')
+        return http_reply(reply)
+
+
+def _decode(request: HttpRequest) -> AnyCall | None:
+    if request.method == 'GET':
+        return _decode_read(request)
+    path = request.path
+    if path.startswith(_HEARTBEAT):
+        worker = path.removeprefix(_HEARTBEAT)
+        return HearWorker(decode_heartbeat(worker, request.body))
+    if path.startswith(_LEAVE):
+        return DropWorker(path.removeprefix(_LEAVE))
+    if path == '/Config.Replace':
+        return PutManifest(decode_manifest(request.body))
+    if path == '/wave-start':
+        return decode_wave(request.body)
+    return None
+
+
+def _decode_read(request: HttpRequest) -> AnyCall | None:
+    if request.path == '/Config.Read':
+        return ReadManifest()
+    wave = request.path.removeprefix(_READ_WAVE)
+    if wave != request.path and wave.isdecimal():
+        return ReadWave(int(wave))
+    return None
--- /dev/null
+++ b/src/wigeonreach/platform/_manifest.py
@@ -0,0 +1,172 @@
+"""Decode the operator's manifests and waves."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Container
+
+import msgspec
+
+from wigeonreach.codes import ResultCode
+from wigeonreach.exceptions import FleetTextError
+from wigeonreach.jobs import AdvicePolicy, Manifest, QueueSpec, ServiceSpec
+from wigeonreach.wire._call_messages import (
+    StartWaveCall,
+)
+
+
+class _Advice(msgspec.Struct, frozen=True, rename='camel'):
+    decision_ms: int = 0
+    # For each worker that is asked about.
+    period_ms: int = 0
+    validity_ms: int = 0
+
+
+class _Route(msgspec.Struct, frozen=True, rename='camel'):
+    """A queue; the platform calls it a route."""
+
+    name: str
+    host: str
+    path_prefix: str
+    service: str
+    timeout_ms: int
+    # Part of a job's objective; the platform names it after a latency.
+    target_latency_ms: int = 0
+    priority: int = 0
+    # How many failed runs of a task end its job.
+    max_attempts: int = 1
+    # The other part of the objective: times the longest chain of work.
+    slack_factor: float = 1.0
+    # Whether and how the advisor has to be asked about each step.
+    recommendation: _Advice | None = None
+
+
+class _Service(msgspec.Struct, frozen=True, rename='camel'):
+    name: str
+    # Whether its workers refuse what does not fit.
+    enforces_capacity: bool = False
+    # Whether its VMs are off and cost nothing.
+    standby: bool = False
+
+
+class _Limits(msgspec.Struct, frozen=True, rename='camel'):
+    max_body_bytes: int = 0
+
+
+class _Manifest(msgspec.Struct, frozen=True):
+    version: int
+    routes: tuple[_Route, ...]
+    services: tuple[_Service, ...]
+    limits: _Limits = _Limits()
+
+
+class _Wave(msgspec.Struct, frozen=True):
+    wave: int
+    machines: tuple[str, ...]
+    deadline_s: float = msgspec.field(name='deadlineS')
+    # Most of its VMs that are down at once.
+    cap: int = 1
+
+
+_MANIFESTS = msgspec.json.Decoder(_Manifest)
+_WAVES = msgspec.json.Decoder(_Wave)
+
+
+def decode_manifest(body: bytes) -> Manifest:
+    """Return a manifest.
+
+    Raises
+    ------
+    FleetTextError
+        If it can't be read in full or contradicts itself.
+    """
+    try:
+        read = _MANIFESTS.decode(body)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise FleetTextError(ResultCode.TEXT_SYNTAX, str(error)) from error
+    _check(read)
+    return Manifest(
+        version=read.version,
+        queues=tuple(_queue(route) for route in read.routes),
+        services=tuple(
+            ServiceSpec(
+                service.name,
+                service.enforces_capacity,
+                service.standby,
+            )
+            for service in read.services
+        ),
+        max_body_bytes=read.limits.max_body_bytes,
+        document=body,
+    )
+
+
+def decode_wave(body: bytes) -> StartWaveCall:
+    """Return a wave.
+
+    Raises
+    ------
+    FleetTextError
+        If it can't be read.
+    """
+    try:
+        read = _WAVES.decode(body)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise FleetTextError(ResultCode.TEXT_SYNTAX, str(error)) from error
+    return StartWaveCall(read.wave, read.machines, read.deadline_s, read.cap)
+
+
+def _queue(route: _Route) -> QueueSpec:
+    advice = route.recommendation
+    return QueueSpec(
+        name=route.name,
+        host=route.host,
+        path_prefix=route.path_prefix,
+        service=route.service,
+        timeout_ms=route.timeout_ms,
+        priority=route.priority,
+        max_failures=max(route.max_attempts, 1),
+        slack_factor=route.slack_factor,
+        target_latency_ms=route.target_latency_ms,
+        advice=_policy(advice) if advice else None,
+    )
+
+
+def _policy(advice: _Advice) -> AdvicePolicy:
+    return AdvicePolicy(
+        advice.decision_ms,
+        advice.period_ms,
+        advice.validity_ms,
+    )
+
+
+def _check(read: _Manifest) -> None:
+    if read.version < 1:
+        raise FleetTextError(
+            ResultCode.TEXT_BAD_VALUE,
+            f'version: {read.version}; allowed: 1 up',
+        )
+    services = {service.name for service in read.services}
+    places = collections.Counter(
+        (route.host, route.path_prefix) for route in read.routes
+    )
+    for route in read.routes:
+        _check_route(route, services)
+        if places[route.host, route.path_prefix] > 1:
+            raise FleetTextError(
+                ResultCode.TEXT_BAD_VALUE,
+                f'{route.name}: another route has its host and prefix',
+            )
+
+
+def _check_route(route: _Route, services: Container[str]) -> None:
+    if route.service not in services:
+        raise FleetTextError(
+            ResultCode.TEXT_UNKNOWN_REFERENCE,
+            f'{route.name}: no service {route.service!r}',
+        )
+    if route.timeout_ms < 1:
+        raise FleetTextError(
+            ResultCode.TEXT_BAD_VALUE,
+            f'{route.name}.timeoutMs: {route.timeout_ms}; allowed: 1 up',
+        )
--- /dev/null
+++ b/src/wigeonreach/platform/_settings.py
@@ -0,0 +1,135 @@
+"""Read the platform's settings file of a process."""
+
+from __future__ import annotations
+
+import pathlib
+import tomllib
+
+import msgspec
+
+from wigeonreach.codes import ResultCode
+from wigeonreach.core import CoreSettings
+from wigeonreach.exceptions import SettingError
+from wigeonreach.wire import Address, parse_address
+
+# The platform names the file in this variable of the environment.
+FILE_VARIABLE = 'WIGEONREACH_NODE_FILE'
+_DEFAULT_ORDER_PAUSE_MS = 3000
+
+
+class _Listen(msgspec.Struct, frozen=True, rename='camel'):
+    frontend_addr: str = ''
+    ready: str = ''
+    control_addr: str = ''
+
+
+class _Tolerance(msgspec.Struct, frozen=True):
+    machines: int = 1
+
+
+class _Bounds(msgspec.Struct, frozen=True, rename='camel'):
+    # The platform names it after a lease; it is the time that orders of two
+    # holders for one VM have to be apart.
+    lease_ms: int = _DEFAULT_ORDER_PAUSE_MS
+    grace_s: float = 6.0
+
+
+class _Cloud(msgspec.Struct, frozen=True, rename='camel'):
+    address: str = ''
+    rate_per_s: float = 1.0
+    duty_per_s: float = 1.0
+
+
+class PlatformFile(msgspec.Struct, frozen=True, rename='camel'):
+    """The settings file; what is not listed here is not used.
+
+    Attributes
+    ----------
+    port_range
+        First and last port on which the system's own processes may talk.
+    seed_nodes
+        Addresses at which workers reach some of the core processes.
+    bootstrap
+        True only when the whole system starts for the first time.
+    recommendation
+        Address of the advisor, or nothing.
+    """
+
+    node_name: str
+    ip: str
+    zone: str
+    port_range: tuple[int, int]
+    seed_nodes: tuple[str, ...]
+    bootstrap: bool
+    listen_addrs: _Listen
+    data_dir: str = ''
+    recommendation: str = ''
+    fault_tolerance: _Tolerance = _Tolerance()
+    bounds: _Bounds = _Bounds()
+    cloud_api: _Cloud = _Cloud()
+
+    @property
+    def seeds(self) -> tuple[str, ...]:
+        """Names of the seeds: where they listen for other processes.
+
+        Ports are the same on all machines.
+        """
+        return tuple(
+            str(Address(host, self.port_range[0]))
+            for host in map(_host_of, self.seed_nodes)
+        )
+
+    def address(self, text: str, setting: str) -> Address:
+        """Return an address that the role can't do without."""
+        return parse_address(text, setting)
+
+    def core_settings(self) -> CoreSettings:
+        """Return the settings of a core process."""
+        if not self.data_dir:
+            raise SettingError(
+                ResultCode.SETTING_MISSING,
+                'dataDir: a core process needs a folder on a disk',
+            )
+        control = parse_address(self.listen_addrs.control_addr, 'controlAddr')
+        return CoreSettings(
+            listen=Address(self.ip, self.port_range[0]),
+            zone=self.zone,
+            seeds=self.seeds,
+            data_folder=pathlib.Path(self.data_dir),
+            is_first_start=self.bootstrap,
+            tolerated_losses=self.fault_tolerance.machines,
+            api_port=control.port,
+            order_pause_s=self.bounds.lease_ms / 1000,  # noqa: WPS432
+        )
+
+
+def read_platform_file(path: pathlib.Path) -> PlatformFile:
+    """Read and check the settings file.
+
+    Parameters
+    ----------
+    path
+        Of the file.
+
+    Returns
+    -------
+    PlatformFile
+        The checked settings.
+
+    Raises
+    ------
+    SettingError
+        If the file can't be read or a value is of the wrong kind.
+    """
+    try:
+        fields = tomllib.loads(path.read_text(encoding='utf-8'))
+        return msgspec.convert(fields, PlatformFile)
+    except (OSError, UnicodeDecodeError, ValueError) as error:
+        raise SettingError(
+            ResultCode.SETTING_INVALID,
+            f'{FILE_VARIABLE}={path}: {error}',
+        ) from error
+
+
+def _host_of(address: str) -> str:
+    return parse_address(address, 'seedNodes').host
--- a/src/wigeonreach/platform/_client.py
+++ b/src/wigeonreach/provider/_client.py
@@ -14,14 +14,14 @@
 from wigeonreach.codes import ResultCode
 from wigeonreach.exceptions import PlatformError
 from wigeonreach.observe import Metrics
-from wigeonreach.platform._model import (
+from wigeonreach.provider._model import (
     Action,
     TaskAction,
     TaskView,
     VmAction,
     VmPage,
 )
-from wigeonreach.platform._schema import (
+from wigeonreach.provider._schema import (
     DoneSchema,
     TasksSchema,
     VmPageSchema,
--- a/src/wigeonreach/platform/_interface.py
+++ b/src/wigeonreach/provider/_interface.py
@@ -4,7 +4,7 @@
 
 from typing import Protocol
 
-from wigeonreach.platform._model import Action, TaskView, VmPage
+from wigeonreach.provider._model import Action, TaskView, VmPage
 
 
 class Platform(Protocol):
--- a/src/wigeonreach/platform/_schema.py
+++ b/src/wigeonreach/provider/_schema.py
@@ -6,7 +6,7 @@
 
 import pydantic
 
-from wigeonreach.platform._model import TaskView, VmPage, VmPhase, VmView
+from wigeonreach.provider._model import TaskView, VmPage, VmPhase, VmView
 
 _Name = Annotated[str, pydantic.StringConstraints(min_length=1, max_length=99)]
 _Count = Annotated[int, pydantic.Field(ge=0)]
--- /dev/null
+++ b/src/wigeonreach/scheduling/__init__.py
@@ -0,0 +1,10 @@
+"""Decide which task runs on which worker, and when, without any I/O."""
+
+from wigeonreach.scheduling._scheduler import Scheduler
+from wigeonreach.scheduling._workers import LEASE_MS, WorkerLife
+
+__all__ = (
+    'LEASE_MS',
+    'Scheduler',
+    'WorkerLife',
+)
--- /dev/null
+++ b/src/wigeonreach/scheduling/_orders.py
@@ -0,0 +1,106 @@
+"""Answer a heartbeat: what to start, stop and slow down."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterator
+
+from wigeonreach.jobs import JobBook, JobRecord, TaskKey
+from wigeonreach.scheduling._pacing import FULL_PACE, Pacing
+from wigeonreach.scheduling._workers import LEASE_MS, WorkerLife
+from wigeonreach.wire._worker_messages import (
+    PaceOrder,
+    StartOrder,
+    StopOrder,
+    WorkerOrders,
+)
+
+# An end makes a worker send at once; a start waits for the next heartbeat.
+# A quarter of a second is a small part of the shortest objective (3 s), and
+# 4 heartbeats a second from 40 workers take about a tenth of a core.
+BUSY_NEXT_MS = 250
+# Where the answer was held back until there was something to order.
+HELD_NEXT_MS = 20
+
+
+def orders_for(
+    life: WorkerLife,
+    book: JobBook,
+    pacing: Pacing,
+    stopping: Collection[tuple[TaskKey, int]],
+    term: int,
+) -> WorkerOrders:
+    """Return the orders that a worker is owed, by its newest heartbeat.
+
+    A start that the heartbeat does not list was lost on its way, and is
+    ordered again: a worker has one heartbeat under way at a time, and drops
+    answers that come too late.
+    """
+    worker = life.report.worker
+    held = book.assigned.get(worker, {})
+    return WorkerOrders(
+        lease_ms=LEASE_MS,
+        fence=term,
+        acknowledged=life.noted,
+        starts=tuple(_starts(life, book, held, stopping)),
+        stops=tuple(_stops(life, book, held, stopping)),
+        paces=tuple(_paces(life, book, pacing)),
+    )
+
+
+def not_begun(life: WorkerLife, book: JobBook) -> Iterator[tuple[TaskKey, int]]:
+    """Yield the runs that a worker was given and does not list."""
+    listed = {(row.task, row.run) for row in life.running}
+    listed.update((ended.task, ended.run) for ended in life.report.ended)
+    for run in book.assigned.get(life.report.worker, {}).items():
+        if run not in listed:
+            yield run
+
+
+def _starts(
+    life: WorkerLife,
+    book: JobBook,
+    held: dict[TaskKey, int],
+    stopping: Collection[tuple[TaskKey, int]],
+) -> Iterator[StartOrder]:
+    if life.report.is_draining:
+        return
+    for key, run in not_begun(life, book):
+        job = book.job_of(key)
+        if job is None or not job.is_active or (key, run) in stopping:
+            continue
+        if book.service_of(job) == life.report.service:
+            yield _start(job, key, run)
+
+
+def _start(job: JobRecord, key: TaskKey, run: int) -> StartOrder:
+    task = job.task(key)
+    checkpoint = task.checkpoint if task else ''
+    return StartOrder(key, run, job.spec.payload, checkpoint)
+
+
+def _stops(
+    life: WorkerLife,
+    book: JobBook,
+    held: dict[TaskKey, int],
+    stopping: Collection[tuple[TaskKey, int]],
+) -> Iterator[StopOrder]:
+    for row in life.running:
+        job = book.job_of(row.task)
+        is_wanted = held.get(row.task) == row.run
+        is_active = job is not None and job.is_active
+        if not is_wanted or not is_active or (row.task, row.run) in stopping:
+            yield StopOrder(row.task, row.run)
+
+
+def _paces(
+    life: WorkerLife,
+    book: JobBook,
+    pacing: Pacing,
+) -> Iterator[PaceOrder]:
+    pace = pacing.pace(life.report.worker)
+    if pace is None:
+        return
+    for row in life.running:
+        job = book.job_of(row.task)
+        if job is not None and not job.step_spec(row.task).is_service:
+            yield PaceOrder(row.task, row.run, min(pace, FULL_PACE))
--- /dev/null
+++ b/src/wigeonreach/scheduling/_placing.py
@@ -0,0 +1,161 @@
+"""Choose workers for the tasks that may start."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Iterable, Sequence
+
+from wigeonreach.jobs import JobBook, RunStarted, StepSpec, TaskKey
+from wigeonreach.scheduling._ready import ReadyStep
+from wigeonreach.scheduling._room_book import WorkerRoom
+
+# Weights of what speaks for a worker; each outweighs all behind it.
+_FAILED_HERE = 100.0
+_FAR_FROM_DATA = 10.0
+_BESIDE_SERVING = 4.0
+
+
+class Plan:
+    """Starts that are decided together, on the room of this moment.
+
+    Parameters
+    ----------
+    book
+        What is accepted and where it runs.
+    rooms
+        The workers that may take something, by service.
+    """
+
+    def __init__(
+        self,
+        book: JobBook,
+        rooms: dict[str, list[WorkerRoom]],
+    ) -> None:
+        """Start nothing yet."""
+        self._book = book
+        self._rooms = rooms
+        self.starts: list[RunStarted] = []
+        self.unplaced: list[ReadyStep] = []
+
+    def place(self, steps: Iterable[ReadyStep]) -> None:
+        """Place the tasks of steps, in their order."""
+        for step in steps:
+            rooms = self._rooms.get(self._book.service_of(step.job), [])
+            if step.spec.is_gang:
+                is_placed = self._place_gang(step, rooms)
+            else:
+                is_placed = self._place_each(step, rooms)
+            if not is_placed:
+                self.unplaced.append(step)
+
+    def _place_each(
+        self,
+        step: ReadyStep,
+        rooms: Sequence[WorkerRoom],
+    ) -> bool:
+        for index in step.waiting:
+            key = _key(step, index)
+            room = _best(step, key, rooms)
+            if room is None:
+                return False
+            self._start(step, key, room, _next_run(step, index))
+        return True
+
+    def _place_gang(
+        self,
+        step: ReadyStep,
+        rooms: Sequence[WorkerRoom],
+    ) -> bool:
+        # Only whole: members that wait for others hold room for nothing.
+        if len(step.waiting) < step.spec.count:
+            return False
+        copies = [_copy(room) for room in rooms]
+        originals = dict(zip(map(id, copies), rooms, strict=True))
+        chosen: list[tuple[TaskKey, WorkerRoom]] = []
+        for index in step.waiting:
+            key = _key(step, index)
+            room = _best(step, key, copies)
+            if room is None:
+                return False
+            room.add(key, step.spec)
+            chosen.append((key, originals[id(room)]))
+        run = max(_next_run(step, index) for index in step.waiting)
+        for member, taken in chosen:
+            self._start(step, member, taken, run)
+        return True
+
+    def _start(
+        self,
+        step: ReadyStep,
+        key: TaskKey,
+        room: WorkerRoom,
+        run: int,
+    ) -> None:
+        room.add(key, step.spec)
+        self.starts.append(RunStarted(key, run, room.life.report.worker))
+
+
+def _copy(room: WorkerRoom) -> WorkerRoom:
+    return WorkerRoom(
+        room.life,
+        room.left,
+        collections.Counter(room.steps),
+        room.serving,
+        room.is_reserved,
+    )
+
+
+def _key(step: ReadyStep, index: int) -> TaskKey:
+    return TaskKey(step.job.spec.job_id, step.occurrence, step.step, index)
+
+
+def _next_run(step: ReadyStep, index: int) -> int:
+    task = step.job.task(_key(step, index))
+    return task.run + 1 if task else 1
+
+
+def _best(
+    step: ReadyStep,
+    key: TaskKey,
+    rooms: Iterable[WorkerRoom],
+) -> WorkerRoom | None:
+    fitting = [room for room in rooms if room.holds(key, step.spec)]
+    return min(
+        fitting,
+        key=lambda room: _cost(step, key, room),
+        default=None,
+    )
+
+
+def _cost(
+    step: ReadyStep,
+    key: TaskKey,
+    room: WorkerRoom,
+) -> tuple[float, float, str]:
+    """Return what speaks against a worker; the lowest is taken."""
+    spec = step.spec
+    report = room.life.report
+    task = step.job.task(key)
+    cost = 0.0
+    if task is not None and task.failures and task.worker == report.worker:
+        cost += _FAILED_HERE
+    if spec.data_rack and spec.data_rack != report.rack:
+        cost += _FAR_FROM_DATA
+    if spec.is_service:
+        cost += _serving_cost(key, room)
+    elif room.serving:
+        cost += _BESIDE_SERVING
+    return cost, _tightness(spec, room), report.worker
+
+
+def _serving_cost(key: TaskKey, room: WorkerRoom) -> float:
+    """Spread serving tasks, so that one worker's loss costs few of them."""
+    same_step = room.steps[key.job_id, key.occurrence, key.step]
+    return same_step * 2 + room.serving
+
+
+def _tightness(spec: StepSpec, room: WorkerRoom) -> float:
+    """Return the room that would be left; tight fits keep others whole."""
+    if spec.is_service:
+        return -room.left.processors
+    return room.left.processors
--- /dev/null
+++ b/src/wigeonreach/scheduling/_preempting.py
@@ -0,0 +1,91 @@
+"""Make room for serving tasks by stopping batch work.
+
+Answers the case of a serving task that lost its worker while its pool is
+full: its users wait, while batch work can be done again.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from wigeonreach._room import Room
+from wigeonreach.jobs import JobBook, TaskKey
+from wigeonreach.scheduling._ready import ReadyStep
+from wigeonreach.scheduling._room_book import WorkerRoom
+
+Run = tuple[TaskKey, int]
+
+
+def victims_for(
+    step: ReadyStep,
+    rooms: Iterable[WorkerRoom],
+    book: JobBook,
+    stopping: set[Run],
+) -> tuple[WorkerRoom, tuple[Run, ...]] | None:
+    """Return where room can be made for one task, and what has to stop.
+
+    Parameters
+    ----------
+    step
+        The step that finds no room.
+    rooms
+        The workers that may take it.
+    book
+        What runs where.
+    stopping
+        What is being stopped already; its room is waited for.
+
+    Returns
+    -------
+    tuple or None
+        The worker for which the fewest runs stop, and these runs; None if
+        it would not help anywhere.
+    """
+    key = TaskKey(step.job.spec.job_id, step.occurrence, step.step, 0)
+    options = [
+        (room, found)
+        for room in rooms
+        if (found := _stops_on(room, step, key, book, stopping)) is not None
+    ]
+    return min(options, key=lambda option: len(option[1]), default=None)
+
+
+def _stops_on(
+    room: WorkerRoom,
+    step: ReadyStep,
+    key: TaskKey,
+    book: JobBook,
+    stopping: set[Run],
+) -> tuple[Run, ...] | None:
+    spec = step.spec
+    same = room.steps[key.job_id, key.occurrence, key.step]
+    if spec.spread_limit and same >= spec.spread_limit:
+        return None
+    if spec.label and spec.label not in room.life.report.labels:
+        return None
+    left = room.left
+    chosen: list[Run] = []
+    for run, freed in _batch_runs(room, book):
+        if left.holds(spec.room):
+            break
+        left += freed
+        if run not in stopping:
+            chosen.append(run)
+    return tuple(chosen) if left.holds(spec.room) else None
+
+
+def _batch_runs(
+    room: WorkerRoom,
+    book: JobBook,
+) -> list[tuple[Run, Room]]:
+    """Return what may be stopped, the least progress in front."""
+    progress = {row.task: row.percent for row in room.life.running}
+    held = book.assigned.get(room.life.report.worker, {})
+    found: list[tuple[int, Run, Room]] = []
+    for key, run in held.items():
+        job = book.job_of(key)
+        if job is not None and not job.step_spec(key).is_service:
+            spec = job.step_spec(key)
+            found.append((progress.get(key, 0), (key, run), spec.room))
+    found.sort(key=lambda item: (item[0], item[1]))
+    return [(run, freed) for _, run, freed in found]
--- /dev/null
+++ b/src/wigeonreach/scheduling/_ready.py
@@ -0,0 +1,177 @@
+"""Find the steps that may start, and put them into the order of service.
+
+Answers the load pattern of short peaks: a queue asks for several times what
+its pool holds for some seconds and for little in between.  What can still be
+finished within its objective goes first, by least laxity; what can't is done
+in the order of the work that it still needs.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Iterable
+
+from wigeonreach.jobs import JobBook, JobRecord, StepSpec, TaskPhase
+
+# Where a team gave no estimate.
+_UNKNOWN_ESTIMATE_MS = 1000
+_MS = 1000.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadyStep:
+    """A step of one occurrence with tasks that may start.
+
+    Attributes
+    ----------
+    latest_start_s
+        When it has to start for its job to end within its objective.
+    remaining_s
+        Longest chain of work that its job still needs.
+    work_s
+        Processor seconds that its job still needs.
+    """
+
+    job: JobRecord
+    occurrence: int
+    step: int
+    waiting: tuple[int, ...]
+    due_ms: int
+    latest_start_s: float
+    remaining_s: float
+    work_s: float
+
+    @property
+    def spec(self) -> StepSpec:
+        """What its tasks need."""
+        return self.job.spec.steps[self.step]
+
+
+class ReadySteps:
+    """The steps that may start, kept up to date job by job."""
+
+    def __init__(self) -> None:
+        """Know no job."""
+        self._by_job: dict[str, tuple[ReadyStep, ...]] = {}
+        self._accepted_s: dict[str, float] = {}
+
+    def accepted_s(self, job_id: str) -> float | None:
+        """Return when a job was first seen here."""
+        return self._accepted_s.get(job_id)
+
+    def refresh(self, book: JobBook, now_s: float) -> None:
+        """Look again at the jobs that changed."""
+        changed = book.changed
+        book.changed = set()
+        for job_id in changed:
+            job = book.jobs.get(job_id)
+            if job is None:
+                self._by_job.pop(job_id, None)
+                self._accepted_s.pop(job_id, None)
+                continue
+            accepted_s = self._accepted_s.setdefault(job_id, now_s)
+            steps = _ready_steps(job, accepted_s) if job.is_active else ()
+            if steps:
+                self._by_job[job_id] = steps
+            else:
+                self._by_job.pop(job_id, None)
+
+    def in_order(self, now_s: float, wall_ms: float) -> list[ReadyStep]:
+        """Return the steps that are due, those to be served first in front."""
+        due = [
+            step
+            for steps in self._by_job.values()
+            for step in steps
+            if step.due_ms <= wall_ms
+        ]
+        due.sort(key=lambda step: _rank(step, now_s))
+        return due
+
+
+def _rank(step: ReadyStep, now_s: float) -> tuple[float, ...]:
+    is_late = now_s > step.latest_start_s
+    urgency = step.work_s if is_late else step.latest_start_s
+    return (
+        float(not step.spec.is_service),
+        float(is_late),
+        float(step.job.queue.priority),
+        urgency,
+    )
+
+
+def _ready_steps(job: JobRecord, accepted_s: float) -> tuple[ReadyStep, ...]:
+    remaining_s = chain_s(job)
+    objective_s = objective_of(job)
+    work_s = _work_s(job)
+    found: list[ReadyStep] = []
+    for occurrence, steps in enumerate(job.occurrences):
+        for number, tasks in enumerate(steps):
+            waiting = tuple(
+                index
+                for index, task in enumerate(tasks)
+                if task.phase is TaskPhase.WAITING
+            )
+            if waiting and job.may_start(occurrence, number):
+                found.append(
+                    ReadyStep(
+                        job=job,
+                        occurrence=occurrence,
+                        step=number,
+                        waiting=waiting,
+                        due_ms=job.spec.due_ms(occurrence),
+                        latest_start_s=accepted_s + objective_s - remaining_s,
+                        remaining_s=remaining_s,
+                        work_s=work_s,
+                    ),
+                )
+    return tuple(found)
+
+
+def objective_of(job: JobRecord) -> float:
+    """Return within how many seconds a job is of full use."""
+    whole_s = _longest_s(job.spec.steps, _estimates_s(job, whole=True))
+    queue = job.queue
+    return queue.slack_factor * whole_s + queue.target_latency_ms / _MS
+
+
+def chain_s(job: JobRecord) -> float:
+    """Return the longest chain of work that is left, in seconds."""
+    return _longest_s(job.spec.steps, _estimates_s(job, whole=False))
+
+
+def _estimates_s(job: JobRecord, whole: bool) -> list[float]:
+    return [
+        (step.estimate_ms or _UNKNOWN_ESTIMATE_MS) / _MS
+        if whole or not _is_done_everywhere(job, number)
+        else 0
+        for number, step in enumerate(job.spec.steps)
+    ]
+
+
+def _is_done_everywhere(job: JobRecord, step: int) -> bool:
+    return all(
+        job.is_step_done(occurrence, step)
+        for occurrence in range(len(job.occurrences))
+    )
+
+
+def _longest_s(
+    steps: Iterable[StepSpec],
+    durations_s: list[float],
+) -> float:
+    ends_s: list[float] = []
+    for step, duration_s in zip(steps, durations_s, strict=True):
+        begin_s = max((ends_s[earlier] for earlier in step.after), default=0)
+        ends_s.append(begin_s + duration_s)
+    return max(ends_s, default=0)
+
+
+def _work_s(job: JobRecord) -> float:
+    return sum(
+        step.room.processors
+        * (step.estimate_ms or _UNKNOWN_ESTIMATE_MS)
+        / _MS
+        * sum(task.phase is not TaskPhase.DONE for task in steps[number])
+        for steps in job.occurrences
+        for number, step in enumerate(job.spec.steps)
+    )
--- /dev/null
+++ b/src/wigeonreach/scheduling/_room_book.py
@@ -0,0 +1,74 @@
+"""Tell how much room each worker has left, and what is on it."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+from collections.abc import Collection
+
+from wigeonreach._room import Room
+from wigeonreach.jobs import JobBook, StepSpec, TaskKey
+from wigeonreach.scheduling._workers import WorkerLife
+
+
+@dataclasses.dataclass(slots=True)
+class WorkerRoom:
+    """What one worker has left while a plan is made.
+
+    Attributes
+    ----------
+    steps
+        How many tasks of each step of an occurrence are on it.
+    serving
+        How many serving tasks are on it.
+    is_reserved
+        Room is being made on it for a serving task.
+    """
+
+    life: WorkerLife
+    left: Room
+    steps: collections.Counter[tuple[str, int, int]]
+    serving: int = 0
+    is_reserved: bool = False
+
+    def add(self, key: TaskKey, spec: StepSpec) -> None:
+        """Put a task on it."""
+        self.left = self.left - spec.room
+        self.steps[key.job_id, key.occurrence, key.step] += 1
+        self.serving += spec.is_service
+
+    def holds(self, key: TaskKey, spec: StepSpec) -> bool:
+        """Whether a task may be put on it."""
+        if self.is_reserved and not spec.is_service:
+            return False
+        if not self.left.holds(spec.room):
+            return False
+        if spec.label and spec.label not in self.life.report.labels:
+            return False
+        same = self.steps[key.job_id, key.occurrence, key.step]
+        return not spec.spread_limit or same < spec.spread_limit
+
+
+def room_left(
+    life: WorkerLife,
+    book: JobBook,
+    stopping: Collection[tuple[TaskKey, int]],
+) -> WorkerRoom:
+    """Return what a worker has left beside all that it has or may have."""
+    worker = life.report.worker
+    room = WorkerRoom(life, life.room, collections.Counter())
+    held = book.assigned.get(worker, {})
+    room.is_reserved = any(run in stopping for run in held.items())
+    for key in held:
+        _add_known(room, key, book)
+    for row in life.running:
+        # What is being stopped takes room until its end is listed.
+        if row.task not in held:
+            _add_known(room, row.task, book)
+    return room
+
+
+def _add_known(room: WorkerRoom, key: TaskKey, book: JobBook) -> None:
+    job = book.job_of(key)
+    if job is not None and key.step < len(job.spec.steps):
+        room.add(key, job.step_spec(key))
--- /dev/null
+++ b/src/wigeonreach/scheduling/_scheduler.py
@@ -0,0 +1,225 @@
+"""Decide, as the leader of one term, what runs on which worker."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+
+from wigeonreach.jobs import (
+    JobBook,
+    RunEnd,
+    RunEnded,
+    RunStarted,
+    TaskKey,
+)
+from wigeonreach.scheduling._health import WorkerHealth
+from wigeonreach.scheduling._orders import not_begun, orders_for
+from wigeonreach.scheduling._pacing import Pacing
+from wigeonreach.scheduling._placing import Plan
+from wigeonreach.scheduling._preempting import Run, victims_for
+from wigeonreach.scheduling._ready import ReadyStep, ReadySteps
+from wigeonreach.scheduling._room_book import WorkerRoom, room_left
+from wigeonreach.scheduling._workers import WorkerLife, Workers
+from wigeonreach.wire._worker_messages import WorkerOrders, WorkerReport
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Heard:
+    """What a heartbeat brought.
+
+    ``ends`` have to be recorded before they are acknowledged.
+    """
+
+    life: WorkerLife
+    ends: tuple[RunEnded, ...]
+
+
+class Scheduler:
+    """What the leader of a term knows beside the replicated state.
+
+    Parameters
+    ----------
+    book
+        The replicated state; it is only read.
+    term
+        Of this leader.
+    now_s
+        When the term began, on a clock that also counts suspended time.
+    """
+
+    def __init__(self, book: JobBook, term: int, now_s: float) -> None:
+        """Know no worker yet."""
+        self.term = term
+        self.workers = Workers(now_s)
+        self.pacing = Pacing()
+        self.health = WorkerHealth()
+        self.cordoned: set[str] = set()
+        self.stopping: set[Run] = set()
+        self.ready = ReadySteps()
+        self._book = book
+        book.changed.update(book.jobs)
+        self.ready.refresh(book, now_s)
+
+    def hear(
+        self,
+        report: WorkerReport,
+        now_s: float,
+    ) -> Heard | None:
+        """Take a heartbeat; return None if it counts no more."""
+        life = self.workers.hear(report, now_s)
+        if life is None:
+            return None
+        self.pacing.note(life, self._book)
+        ends = (*self._new_ends(life), *self._withdrawn(life))
+        for ended in ends:
+            self._note_health(ended, now_s)
+        return Heard(life, ends)
+
+    def lost(self, now_s: float) -> tuple[RunEnded, ...]:
+        """Return the runs of workers that are over, to be given on."""
+        over = {life.report.worker for life in self.workers.ended(now_s)}
+        for worker in over:
+            self.pacing.forget(worker)
+            self.health.forget(worker)
+        self._forget_stopped()
+        over.update(
+            worker
+            for worker in self._book.assigned
+            if self.workers.is_over(worker, now_s)
+        )
+        return tuple(
+            RunEnded(key, run, worker, RunEnd.LOST, self._saved(key))
+            for worker in sorted(over)
+            for key, run in self._book.assigned.get(worker, {}).items()
+        )
+
+    def plan(self, now_s: float, wall_ms: float) -> tuple[RunStarted, ...]:
+        """Return what is to be started now."""
+        self.ready.refresh(self._book, now_s)
+        steps = self.ready.in_order(now_s, wall_ms)
+        if not steps:
+            return ()
+        rooms = self._rooms(now_s)
+        plan = Plan(self._book, rooms)
+        plan.place(steps)
+        self._make_room(plan.unplaced, rooms)
+        return tuple(plan.starts)
+
+    def orders(self, life: WorkerLife) -> WorkerOrders:
+        """Return what a worker is to be told."""
+        return orders_for(
+            life,
+            self._book,
+            self.pacing,
+            self.stopping,
+            self.term,
+        )
+
+    def has_batch(self, life: WorkerLife) -> bool:
+        """Whether work that ends by itself is on a worker."""
+        keys = (
+            *self._book.assigned.get(life.report.worker, {}),
+            *(row.task for row in life.running),
+        )
+        return any(not self._is_service(key) for key in keys)
+
+    def _is_service(self, key: TaskKey) -> bool:
+        job = self._book.job_of(key)
+        if job is None or key.step >= len(job.spec.steps):
+            return False
+        return job.step_spec(key).is_service
+
+    def _new_ends(self, life: WorkerLife) -> list[RunEnded]:
+        listed = {(row.task, row.run) for row in life.running}
+        return [
+            RunEnded(
+                ended.task,
+                ended.run,
+                life.report.worker,
+                ended.end,
+                ended.checkpoint,
+            )
+            for ended in life.report.ended
+            if ended.number > life.noted
+            # A second order for what runs already is refused.
+            and not _is_repeat(ended.end, (ended.task, ended.run), listed)
+        ]
+
+    def _withdrawn(self, life: WorkerLife) -> list[RunEnded]:
+        """Give on what a worker did not begin and shall not begin."""
+        return [
+            RunEnded(key, run, life.report.worker, RunEnd.REFUSED)
+            for key, run in not_begun(life, self._book)
+            if self._is_unwanted(life, key, run)
+        ]
+
+    def _is_unwanted(self, life: WorkerLife, key: TaskKey, run: int) -> bool:
+        job = self._book.job_of(key)
+        is_active = job is not None and job.is_active
+        is_stopping = (key, run) in self.stopping
+        return life.report.is_draining or not is_active or is_stopping
+
+    def _forget_stopped(self) -> None:
+        held = {
+            run
+            for assigned in self._book.assigned.values()
+            for run in assigned.items()
+        }
+        self.stopping &= held
+
+    def _saved(self, key: TaskKey) -> str:
+        job = self._book.job_of(key)
+        task = job.task(key) if job else None
+        return task.checkpoint if task else ''
+
+    def _note_health(self, ended: RunEnded, now_s: float) -> None:
+        self.stopping.discard((ended.task, ended.run))
+        if ended.end is RunEnd.DONE:
+            self.health.note_done(ended.worker)
+        elif ended.end is RunEnd.FAILED:
+            job_id = ended.task.job_id
+            self.health.note_failed(ended.worker, job_id, now_s)
+
+    def _rooms(self, now_s: float) -> dict[str, list[WorkerRoom]]:
+        by_service: dict[str, list[WorkerLife]] = collections.defaultdict(list)
+        for life in self.workers.lives.values():
+            if life.may_take(now_s) and life.report.vm not in self.cordoned:
+                by_service[life.report.service].append(life)
+        rooms: dict[str, list[WorkerRoom]] = {}
+        for service, lives in by_service.items():
+            names = [life.report.worker for life in lives]
+            resting = self.health.resting(names, now_s)
+            rooms[service] = [
+                room_left(life, self._book, self.stopping)
+                for life in lives
+                if life.report.worker not in resting
+            ]
+        return rooms
+
+    def _make_room(
+        self,
+        unplaced: list[ReadyStep],
+        rooms: dict[str, list[WorkerRoom]],
+    ) -> None:
+        for step in unplaced:
+            if not step.spec.is_service:
+                continue
+            service = self._book.service_of(step.job)
+            found = victims_for(
+                step,
+                rooms.get(service, []),
+                self._book,
+                self.stopping,
+            )
+            if found is not None:
+                room, runs = found
+                self.stopping.update(runs)
+                rooms[service].remove(room)
+
+
+def _is_repeat(
+    end: RunEnd,
+    run: Run,
+    listed: set[Run],
+) -> bool:
+    return end is RunEnd.REFUSED and run in listed
--- /dev/null
+++ b/src/wigeonreach/scheduling/_workers.py
@@ -0,0 +1,181 @@
+"""Follow the lives of workers by their heartbeats and leases."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from wigeonreach._room import Room
+from wigeonreach.jobs import TaskKey
+from wigeonreach.jobs._model import MEBIBYTE, MILLICORES
+from wigeonreach.wire._worker_messages import RunningTask, WorkerReport
+
+# How long a worker may go on after a heartbeat that was answered.  Longer
+# than an election with a lost heartbeat before and after it (about 3 s); short
+# enough that work of a lost worker is soon somewhere else.
+LEASE_MS = 4000
+_LEASE_S = LEASE_MS / 1000
+# A worker's clock may be 2 % slow, as the platform's pages say.
+_SLOW_CLOCK_RATIO = 1.02
+# What a stop at the end of a lease may take, and a late tick of our own.
+_LAPSE_MARGIN_S = 0.3
+LEASE_OVER_S = _LEASE_S * _SLOW_CLOCK_RATIO + _LAPSE_MARGIN_S
+# A worker that says it ends has ended after this.
+_LEAVE_S = 0.5
+# Heartbeats of a dead life may still arrive, but not over such a time; those
+# of a new life go on.
+_SUCCESSOR_PROVEN_S = 1.0
+# A worker that is silent for longer gets nothing new: heartbeats come several
+# times a second, and one is given up after 1 s by its sender.
+_SILENT_S = 1.3
+# Dead lives are remembered for longer than a heartbeat may be late.
+_FORGET_GONE_S = 120.0
+
+
+@dataclasses.dataclass(slots=True)
+class WorkerLife:
+    """One life of a worker, as its newest heartbeat told.
+
+    Attributes
+    ----------
+    noted
+        Number up to which its ends are recorded for good.
+    leaves_at_s
+        When it surely has ended, once it said that it ends.
+    ordered
+        Runs that were ordered, and the heartbeat that was answered so.
+    """
+
+    report: WorkerReport
+    first_heard_s: float
+    heard_s: float
+    room: Room
+    noted: int = 0
+    leaves_at_s: float | None = None
+    ordered: dict[tuple[TaskKey, int], int] = dataclasses.field(
+        default_factory=dict,
+    )
+
+    @property
+    def running(self) -> tuple[RunningTask, ...]:
+        """What runs there, as it last told."""
+        return self.report.running
+
+    @property
+    def lease_over_s(self) -> float:
+        """When everything on it has surely been ended by its lease."""
+        return self.heard_s + LEASE_OVER_S
+
+    def may_take(self, now_s: float) -> bool:
+        """Whether new work may be given to it."""
+        is_silent = now_s - self.heard_s > _SILENT_S
+        is_ending = self.report.is_draining or self.leaves_at_s is not None
+        return not is_silent and not is_ending
+
+
+def room_of(report: WorkerReport) -> Room:
+    """Return the whole room of a worker."""
+    return Room(
+        report.cpu_millicores / MILLICORES,
+        report.memory_mb * MEBIBYTE,
+        report.accelerators,
+    )
+
+
+class Workers:
+    """All lives heard of in this term.
+
+    Parameters
+    ----------
+    now_s
+        When the term began.
+    """
+
+    def __init__(self, now_s: float) -> None:
+        """Know no worker yet."""
+        self.lives: dict[str, WorkerLife] = {}
+        self._began_s = now_s
+        self._gone_s: dict[str, float] = {}
+
+    def hear(self, report: WorkerReport, now_s: float) -> WorkerLife | None:
+        """Take a heartbeat.
+
+        Returns
+        -------
+        WorkerLife or None
+            The life; None if the heartbeat is late or of a dead life.
+        """
+        if report.worker in self._gone_s:
+            return None
+        known = self.lives.get(report.worker)
+        if known is None:
+            known = WorkerLife(report, now_s, now_s, room_of(report))
+            self.lives[report.worker] = known
+            return known
+        if report.sequence <= known.report.sequence:
+            return None
+        known.report = report
+        known.heard_s = now_s
+        known.room = room_of(report)
+        return known
+
+    def leave(self, worker: str, now_s: float) -> None:
+        """Take note that a worker ends now."""
+        known = self.lives.get(worker)
+        if known is None:
+            self._gone_s[worker] = now_s
+        elif known.leaves_at_s is None:
+            known.leaves_at_s = now_s + _LEAVE_S
+
+    def ended(self, now_s: float) -> list[WorkerLife]:
+        """Return the lives that are over, and remember them as dead."""
+        over = [
+            life for life in self.lives.values() if self._is_over(life, now_s)
+        ]
+        for life in over:
+            self.lives.pop(life.report.worker)
+            self._gone_s[life.report.worker] = now_s
+        self._forget_gone(now_s)
+        return over
+
+    def is_over(self, worker: str, now_s: float) -> bool:
+        """Whether nothing runs any more on a worker that isn't followed."""
+        if worker in self.lives:
+            return False
+        is_gone = worker in self._gone_s
+        return is_gone or now_s >= self._began_s + LEASE_OVER_S
+
+    def of_vm(self, vm: str) -> WorkerLife | None:
+        """Return the newest life on a VM."""
+        return max(
+            (life for life in self.lives.values() if life.report.vm == vm),
+            key=lambda life: life.first_heard_s,
+            default=None,
+        )
+
+    def _is_over(self, life: WorkerLife, now_s: float) -> bool:
+        if now_s >= life.lease_over_s:
+            return True
+        if life.leaves_at_s is not None and now_s >= life.leaves_at_s:
+            return True
+        return self._has_successor(life)
+
+    def _has_successor(self, life: WorkerLife) -> bool:
+        """Whether another life goes on at its VM while it is silent."""
+        vm = life.report.vm
+        if not vm:
+            return False
+        return any(
+            other.report.vm == vm
+            and other is not life
+            and other.heard_s - _SUCCESSOR_PROVEN_S
+            > max(other.first_heard_s, life.heard_s)
+            for other in self.lives.values()
+        )
+
+    def _forget_gone(self, now_s: float) -> None:
+        oldest_s = now_s - _FORGET_GONE_S
+        self._gone_s = {
+            worker: gone_s
+            for worker, gone_s in self._gone_s.items()
+            if gone_s > oldest_s
+        }
--- a/src/wigeonreach/standins/_platform.py
+++ b/src/wigeonreach/standins/_platform.py
@@ -12,7 +12,7 @@
 import typer
 from aiohttp import web
 
-from wigeonreach.platform import TaskAction, VmAction
+from wigeonreach.provider import TaskAction, VmAction
 from wigeonreach.standins._platform_fleet import (
     FencedError,
     Fleet,
--- a/src/wigeonreach/standins/_platform_fleet.py
+++ b/src/wigeonreach/standins/_platform_fleet.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from wigeonreach.platform import (
+from wigeonreach.provider import (
     ActionKind,
     TaskAction,
     TaskView,
--- a/src/wigeonreach/state/_agreement.py
+++ b/src/wigeonreach/state/_agreement.py
@@ -17,12 +17,13 @@
 from wigeonreach.state._applier import Applier
 from wigeonreach.state._callers import Callers
 from wigeonreach.state._disk_writer import DiskWriter
-from wigeonreach.state._links import Link
+from wigeonreach.state._links import Links
 from wigeonreach.state._raft import Raft
 from wigeonreach.state._raft_state import RaftState
 from wigeonreach.state._raft_types import (
     DiskDone,
     Output,
+    PeersKnown,
     RaftEvent,
     RaftSettings,
     Received,
@@ -42,6 +43,10 @@
 _MAX_COMMAND_BYTES = 4 * 1024 * 1024
 
 
+def _ignore() -> None:
+    """Do nothing when the role changes."""
+
+
 class RaftAgreement(mode.Service):
     """One replica of the agreement, with its disk and its links.
 
@@ -61,6 +66,8 @@
         Where events are logged.
     times
         Times and sizes of the agreement.
+    on_role
+        Called after the role or the leader changed.
     """
 
     def __init__(
@@ -72,6 +79,7 @@
         on_failed: Callable[[Exception], None],
         logger: Logger,
         times: RaftSettings = _DEFAULT_TIMES,
+        on_role: Callable[[], None] = _ignore,
     ) -> None:
         """Restore the state machine; nothing is sent before ``start``."""
         super().__init__()
@@ -92,11 +100,8 @@
             on_failed,
             logger,
         )
-        self._links = {
-            member.name: Link(member, logger)
-            for member in settings.members
-            if member.name != settings.name
-        }
+        self._links = Links(settings.members, logger)
+        self._on_role = on_role
         self._callers = Callers(
             self._raft.state,
             self._inbox.put_nowait,
@@ -111,6 +116,30 @@
         """Whether this replica decides on changes now."""
         return self._raft.state.role is Role.LEADER
 
+    @property
+    def term(self) -> int:
+        """The newest term that this replica knows."""
+        return self._raft.state.hard.term
+
+    @property
+    def leader(self) -> str:
+        """Name of the leader, or nothing if none is known."""
+        leader = self._raft.state.leader
+        return leader.name if leader else ''
+
+    @property
+    def peers(self) -> tuple[str, ...]:
+        """Names of all replicas that this one knows of."""
+        state = self._raft.state
+        known = {voter.name for voter in state.log.voters}
+        if state.leading is not None:
+            known.update(member.name for member in state.leading.progress)
+        return tuple(sorted(known))
+
+    def note_peers(self, names: tuple[str, ...]) -> None:
+        """Take note of other replicas that were heard of."""
+        self._inbox.put_nowait(PeersKnown(names))
+
     @property
     def role(self) -> str:
         """Role of this replica, for people."""
@@ -123,7 +152,7 @@
 
     async def on_start(self) -> None:
         """Start the links and the writer."""
-        for service in (self._writer, *self._links.values()):
+        for service in (self._writer, self._links):
             await self.add_runtime_dependency(service)
 
     def receive(self, message: RaftMessage) -> None:
@@ -227,12 +256,12 @@
             self._inbox.put_nowait(taken)
 
     def _post_message(self, name: str, message: RaftMessage) -> None:
-        link = self._links.get(name)
-        if link is not None:
-            link.post(message)
+        self._links.post(name, message)
 
     def _note_role(self) -> None:
         state = self._raft.state
+        is_changed = state.role is not self._seen_role
+        is_changed = is_changed or state.leader != self._seen_leader
         if state.role is not self._seen_role:
             self._seen_role = state.role
             self._log.info(
@@ -244,6 +273,8 @@
             self._seen_leader = state.leader
             self._callers.note_other_leader()
         self._note_missing_leader(state)
+        if is_changed:
+            self._on_role()
 
     def _note_missing_leader(self, state: RaftState) -> None:
         latest_s = state.now_s + _LEADER_MISSING_S
--- a/src/wigeonreach/state/_links.py
+++ b/src/wigeonreach/state/_links.py
@@ -4,17 +4,21 @@
 
 import asyncio
 import collections
+import time
+from collections.abc import Iterable
 
 import mode
 
-from wigeonreach.exceptions import WireError
+from wigeonreach.exceptions import SettingError, WireError
 from wigeonreach.observe import LogEvent, Logger
-from wigeonreach.wire import Channel, Member, connect
+from wigeonreach.wire import Channel, Member, connect, parse_address
 from wigeonreach.wire._raft_messages import RaftMessage
 
 _RETRY_S = 0.1
 _SEND_TIMEOUT_S = 2.0
 _WAITING_MESSAGES = 512
+# A link to a replica that is gone for good is closed after this.
+_UNUSED_S = 30.0
 
 
 class Link(mode.Service):
@@ -38,8 +42,11 @@
         )
         self._has_message = asyncio.Event()
 
+        self.used_s = time.monotonic()
+
     def post(self, message: RaftMessage) -> None:
         """Send a message soon; the oldest is dropped if too many wait."""
+        self.used_s = time.monotonic()
         self._waiting.append(message)
         self._has_message.set()
 
@@ -72,3 +79,61 @@
             while self._waiting:
                 async with asyncio.timeout(_SEND_TIMEOUT_S):
                     await channel.send(self._waiting.popleft())
+
+
+class Links(mode.Service):
+    """The outgoing connections, opened when they are first needed.
+
+    Parameters
+    ----------
+    members
+        Replicas with names of their own; any other is named by its address.
+    logger
+        Where events are logged.
+    """
+
+    def __init__(self, members: Iterable[Member], logger: Logger) -> None:
+        """Connect to nobody yet."""
+        super().__init__()
+        self._log = logger
+        self._members = {member.name: member for member in members}
+        self._links: dict[str, Link] = {}
+        self._opening: set[asyncio.Task[object]] = set()
+
+    def post(self, name: str, message: RaftMessage) -> None:
+        """Send a message soon, if the replica can be addressed."""
+        link = self._links.get(name) or self._open(name)
+        if link is not None:
+            link.post(message)
+
+    async def on_stop(self) -> None:
+        """Close all links."""
+        for link in self._links.values():
+            await link.stop()
+
+    @mode.Service.timer(_UNUSED_S)
+    async def _close_unused(self) -> None:
+        oldest_s = time.monotonic() - _UNUSED_S
+        for name, link in list(self._links.items()):
+            if link.used_s < oldest_s:
+                self._links.pop(name)
+                await link.stop()
+
+    def _open(self, name: str) -> Link | None:
+        member = self._members.get(name) or _member_at(name)
+        if member is None:
+            self._log.warning(LogEvent.FOLLOWER_LOST, replica=name)
+            return None
+        link = Link(member, self._log)
+        self._links[name] = link
+        task = asyncio.get_running_loop().create_task(link.start())
+        self._opening.add(task)
+        task.add_done_callback(self._opening.discard)
+        return link
+
+
+def _member_at(name: str) -> Member | None:
+    try:
+        return Member(name, '', parse_address(name, 'replica'))
+    except SettingError:
+        return None
--- a/src/wigeonreach/state/_opening.py
+++ b/src/wigeonreach/state/_opening.py
@@ -12,6 +12,7 @@
     storage: Storage,
     has_peers: bool,
     logger: Logger,
+    may_found: bool = True,
 ) -> Stored:
     """Load what is stored; set damaged files aside if peers have it all.
 
@@ -23,6 +24,8 @@
         Whether other replicas can bring this one up to date.
     logger
         Where events are logged.
+    may_found
+        Whether an empty folder may belong to a system that never ran.
 
     Returns
     -------
@@ -35,7 +38,7 @@
         If the disk refuses, or the folder is damaged and there is no peer.
     """
     try:
-        stored = storage.load()
+        stored = storage.load(may_found)
     except OSError as error:
         raise StateError(
             ResultCode.STATE_DISK_FAILED,
--- a/src/wigeonreach/state/_raft.py
+++ b/src/wigeonreach/state/_raft.py
@@ -13,10 +13,10 @@
 from wigeonreach.state import _raft_reads as reads
 from wigeonreach.state import _raft_transfer as transfer
 from wigeonreach.state._raft_state import RaftState
-from wigeonreach.state._storage import Stored
 from wigeonreach.state._raft_types import (
     DiskDone,
     Output,
+    PeersKnown,
     Propose,
     RaftEvent,
     RaftSettings,
@@ -26,6 +26,7 @@
     SnapshotTaken,
     Tick,
 )
+from wigeonreach.state._storage import Stored
 from wigeonreach.wire._raft_messages import (
     AppendEntries,
     AppendReply,
@@ -155,6 +156,11 @@
     following.on_synced(state)
 
 
+@_on_event.register
+def _on_peers_known(event: PeersKnown, state: RaftState) -> None:
+    state.contacts = event.names
+
+
 @_on_event.register
 def _on_propose(event: Propose, state: RaftState) -> None:
     leading.on_propose(state, event)
--- a/src/wigeonreach/state/_raft_members.py
+++ b/src/wigeonreach/state/_raft_members.py
@@ -20,7 +20,7 @@
 def ask_to_join(state: RaftState) -> None:
     """Tell all others that this replica has no vote."""
     state.join_due_s = state.now_s + state.settings.join_s
-    for name in state.names:
+    for name in sorted({*state.names, *state.contacts, *_voter_names(state)}):
         if name == state.name:
             continue
         known = state.joins.get(name)
@@ -37,7 +37,8 @@
 
 def on_join(state: RaftState, join: Join) -> None:
     """Take a replica without a vote up as a learner."""
-    if join.sender.name not in state.names:
+    is_open = state.settings.voter_target > 0
+    if not is_open and join.sender.name not in state.names:
         return
     state.joins[join.sender.name] = join.sender
     # A blank join counts only if it was sent after the sender heard of this
@@ -91,10 +92,13 @@
     lead = state.leading
     if lead is None or not _may_change(state, lead):
         return
+    if _drop_spare_voter(state, lead):
+        return
     for learner in _learners(state, lead):
         progress = lead.progress[learner]
         is_alive = not _is_silent(state, progress)
-        if progress.is_caught_up and is_alive:
+        is_ready = progress.is_caught_up and is_alive
+        if is_ready and _is_wanted(state, lead, learner):
             _admit(state, lead, learner)
             return
 
@@ -113,6 +117,52 @@
     state.append(EntryKind.VOTERS, encode_voters(tuple(sorted(kept))))
 
 
+def _is_wanted(
+    state: RaftState,
+    lead: LeaderState,
+    learner: MemberId,
+) -> bool:
+    """Whether a learner gets a vote, where any replica may join."""
+    target = state.settings.voter_target
+    voters = state.log.voters
+    if not target or learner.name in _voter_names(state):
+        return True
+    has_lost_voter = any(_is_lost(state, lead, voter) for voter in voters)
+    return len(voters) < target + has_lost_voter
+
+
+def _drop_spare_voter(state: RaftState, lead: LeaderState) -> bool:
+    """Take a voter's vote away once another one has its place."""
+    target = state.settings.voter_target
+    voters = state.log.voters
+    if not target or len(voters) <= target:
+        return False
+    others = [voter for voter in voters if voter != state.me]
+    # The one that was heard of last longest ago counts least.
+    dropped = min(others, key=lambda voter: _heard_s(lead, voter))
+    kept = tuple(voter for voter in voters if voter != dropped)
+    state.append(EntryKind.VOTERS, encode_voters(kept))
+    if _is_lost(state, lead, dropped):
+        lead.progress.pop(dropped, None)
+    return True
+
+
+def _is_lost(state: RaftState, lead: LeaderState, voter: MemberId) -> bool:
+    if voter == state.me:
+        return False
+    silence_s = state.now_s - _heard_s(lead, voter)
+    return silence_s > state.settings.replace_silent_s
+
+
+def _heard_s(lead: LeaderState, voter: MemberId) -> float:
+    progress = lead.progress.get(voter)
+    return progress.heard_s if progress else float('-inf')
+
+
+def _voter_names(state: RaftState) -> set[str]:
+    return {voter.name for voter in state.log.voters}
+
+
 def _is_silent(state: RaftState, progress: Progress) -> bool:
     return state.now_s - progress.heard_s > state.settings.election_min_s
 
--- a/src/wigeonreach/state/_raft_state.py
+++ b/src/wigeonreach/state/_raft_state.py
@@ -117,6 +117,7 @@
     incoming: Incoming | None = None
     joins: dict[str, MemberId] = dataclasses.field(default_factory=dict)
     blank_joins: set[MemberId] = dataclasses.field(default_factory=set)
+    contacts: tuple[str, ...] = ()
     unsynced: dict[int, Unsynced] = dataclasses.field(default_factory=dict)
     last_write: int = 0
     marked_index: int = 0
--- a/src/wigeonreach/state/_raft_types.py
+++ b/src/wigeonreach/state/_raft_types.py
@@ -69,6 +69,11 @@
     A voter that hears of no leader campaigns after ``election_min_s`` to
     twice as long; a leader that hears of no quorum for ``election_min_s``
     steps down.
+
+    With a ``voter_target`` the membership is open: any replica may join, and
+    the leader makes voters of those that are caught up until there are so
+    many, or in place of a voter that was silent for ``replace_silent_s``.
+    Without one, the configured replicas are the voters.
     """
 
     heartbeat_s: float = 0.15
@@ -78,6 +83,8 @@
     window_entries: int = 4096
     chunk_bytes: int = 128 * 1024
     trailing_entries: int = 1024
+    voter_target: int = 0
+    replace_silent_s: float = 2.5
 
 
 class Write(msgspec.Struct, frozen=True):
@@ -156,6 +163,12 @@
     number: int
 
 
+class PeersKnown(msgspec.Struct, frozen=True):
+    """Other replicas were heard of; a replica without a vote asks them."""
+
+    names: tuple[str, ...]
+
+
 class Propose(msgspec.Struct, frozen=True):
     """Somebody wants a command replicated."""
 
@@ -176,4 +189,6 @@
     state: bytes
 
 
-RaftEvent = Tick | Received | DiskDone | Propose | Read | SnapshotTaken
+RaftEvent = (
+    Tick | Received | DiskDone | PeersKnown | Propose | Read | SnapshotTaken
+)
--- a/src/wigeonreach/state/_storage.py
+++ b/src/wigeonreach/state/_storage.py
@@ -69,9 +69,14 @@
         self._rng = rng
         self.sync_count = 0
 
-    def load(self) -> Stored:
+    def load(self, may_found: bool = True) -> Stored:
         """Return what is stored; an empty folder gets a new incarnation.
 
+        Parameters
+        ----------
+        may_found
+            Whether an empty folder may belong to a system that never ran.
+
         Raises
         ------
         StateError
@@ -81,7 +86,7 @@
             if name.endswith(_NEW):
                 self._disk.remove(name)
         if not self._disk.names() & _FILES:
-            return self._create(may_found=True)
+            return self._create(may_found)
         hard = self._read_one(_HARD_STATE, RecordKind.HARD_STATE, HardState)
         if hard is None:
             raise StateError(ResultCode.STATE_DAMAGED, 'hard-state: missing')
--- a/src/wigeonreach/text/_reader.py
+++ b/src/wigeonreach/text/_reader.py
@@ -16,7 +16,7 @@
 from wigeonreach.rollout import split_sections
 from wigeonreach.text._checks import find_faults
 from wigeonreach.text._model import FleetText
-from wigeonreach.text._parse import parse_fleet_text, fleet_of
+from wigeonreach.text._parse import fleet_of, parse_fleet_text
 from wigeonreach.text._schema import TextSchema
 
 _ARRAY_OF_TABLES = '[['
--- a/src/wigeonreach/wire/_channel.py
+++ b/src/wigeonreach/wire/_channel.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections
 import contextlib
+import socket
 from collections.abc import Awaitable, Callable
 
 import msgpack
@@ -19,6 +20,12 @@
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
 _READ_BYTES = 64 * 1024
 _CONNECT_TIMEOUT_S = 2.0
+# A connection may go silent without a reset.  Bytes that are not acknowledged
+# for so long, or two probes without an answer, end it: a silent peer is found
+# within about 3 s, also where nothing is sent.
+_UNACKNOWLEDGED_MS = 1500
+_PROBE_AFTER_S = 1
+_PROBES = 2
 
 
 class Channel:
@@ -38,6 +45,7 @@
         """Take the connection over."""
         self._reader = reader
         self._writer = writer
+        _find_silence(writer.get_extra_info('socket'))
         self._unpacker = msgpack.Unpacker(max_buffer_size=MAX_MESSAGE_BYTES)
         self._ready: collections.deque[Message] = collections.deque()
         self.sent_bytes = 0
@@ -125,6 +133,18 @@
             raise WireError(ResultCode.WIRE_MALFORMED, str(error)) from error
 
 
+def _find_silence(connection: socket.socket | None) -> None:
+    """Have the kernel end a connection on which nothing gets through."""
+    if connection is None:
+        return
+    tcp = socket.IPPROTO_TCP
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    connection.setsockopt(tcp, socket.TCP_KEEPIDLE, _PROBE_AFTER_S)
+    connection.setsockopt(tcp, socket.TCP_KEEPINTVL, _PROBE_AFTER_S)
+    connection.setsockopt(tcp, socket.TCP_KEEPCNT, _PROBES)
+    connection.setsockopt(tcp, socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_MS)
+
+
 async def connect(
     address: Address,
     timeout_s: float = _CONNECT_TIMEOUT_S,
--- a/src/wigeonreach/wire/_messages.py
+++ b/src/wigeonreach/wire/_messages.py
@@ -4,6 +4,9 @@
 
 from typing import TypeAlias
 
+from wigeonreach.wire._call_messages import (
+    CallMessage,
+)
 from wigeonreach.wire._credit_messages import CreditMessage
 from wigeonreach.wire._keys_messages import ForwardReply, ForwardRequest
 from wigeonreach.wire._peer_messages import Goodbye, Heartbeat, PeerHello
@@ -14,6 +17,7 @@
 
 Message: TypeAlias = (
     AnyRaftMessage
+    | CallMessage
     | CreditMessage
     | ForwardReply
     | ForwardRequest
--- a/tests/bench/test_capacity_page.py
+++ b/tests/bench/test_capacity_page.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 import testtools
-from testtools.matchers import Equals
-
 from bench.capacity_page import FIGURES, PAGE, render
 from bench.measured import Measured
+from testtools.matchers import Equals
 
 
 class TestCapacityPage(testtools.TestCase):
--- a/tests/bench/test_cluster.py
+++ b/tests/bench/test_cluster.py
@@ -3,9 +3,8 @@
 from __future__ import annotations
 
 import testtools
-from testtools.matchers import HasLength
-
 from bench.cluster import free_address
+from testtools.matchers import HasLength
 
 _COUNT = 2000
 
--- a/tests/builders_placement.py
+++ b/tests/builders_placement.py
@@ -5,11 +5,11 @@
 import dataclasses
 from typing import Any
 
+from wigeonreach._room import Room
 from wigeonreach.fleet._placement import Placement
 from wigeonreach.fleet._placement_model import (
     Job,
     JobSubmitted,
-    Room,
     TaskChanged,
     TaskEnd,
     Worker,
--- a/tests/fleet/test_placement.py
+++ b/tests/fleet/test_placement.py
@@ -13,13 +13,13 @@
     submit,
     tell,
 )
+from wigeonreach._room import Room
 from wigeonreach.fleet._placement import LEASE_S, Placement
 from wigeonreach.fleet._placement_jobs import JobState
 from wigeonreach.fleet._placement_model import (
     JobsCancelled,
     Reason,
     ReportRun,
-    Room,
     SetAside,
     StartTask,
     StopTask,
--- a/tests/fleet/test_placement_invariants.py
+++ b/tests/fleet/test_placement_invariants.py
@@ -12,6 +12,7 @@
 from hypothesis import strategies
 
 from tests.builders_placement import GIB, build_job, build_placement
+from wigeonreach._room import Room
 from wigeonreach.fleet._placement import LEASE_S, Placement
 from wigeonreach.fleet._placement_index import RoomIndex
 from wigeonreach.fleet._placement_model import (
@@ -19,7 +20,6 @@
     JobsCancelled,
     JobSubmitted,
     ReportRun,
-    Room,
     StartTask,
     TaskChanged,
     TaskEnd,
--- a/tests/manager/test_core.py
+++ b/tests/manager/test_core.py
@@ -10,7 +10,7 @@
 from wigeonreach.fleet import Phase, WaveSettings
 from wigeonreach.manager import WaveBody, decode_body, encode_body
 from wigeonreach.manager._core import ManagerCore, Plan
-from wigeonreach.platform import VmPhase, VmView
+from wigeonreach.provider import VmPhase, VmView
 from wigeonreach.standins._platform_fleet import new_vms
 from wigeonreach.text import parse_fleet_text
 from wigeonreach.wire._state_messages import WaveRecord
--- a/tests/manager/test_job_actions.py
+++ b/tests/manager/test_job_actions.py
@@ -13,7 +13,7 @@
 from wigeonreach.fleet._placement_model import StartTask, StopTask, TaskEnd
 from wigeonreach.manager._job_actions import JobActions
 from wigeonreach.observe import Logger, Metrics
-from wigeonreach.platform import Action, TaskView, VmPage
+from wigeonreach.provider import Action, TaskView, VmPage
 from wigeonreach.wire._command_messages import Reply
 
 _START = StartTask('bill', 'vm-0', 7, 30)
--- a/tests/platform/test_client.py
+++ b/tests/provider/test_client.py
@@ -16,7 +16,7 @@
 from wigeonreach.codes import ResultCode
 from wigeonreach.exceptions import PlatformError
 from wigeonreach.observe import Metrics
-from wigeonreach.platform import (
+from wigeonreach.provider import (
     ActionKind,
     PlatformClient,
     TaskAction,
