--- a/src/wigeonreach/core/_daemon.py
+++ b/src/wigeonreach/core/_daemon.py
@@ -8,21 +8,21 @@
 import mode
 
 from wigeonreach.codes import ExitCode
+from wigeonreach.core._clock import steady_s
 from wigeonreach.core._desk import Desk
+from wigeonreach.core._opening import open_agreement
 from wigeonreach.core._server import CoreServer
 from wigeonreach.core._settings import CoreSettings
 from wigeonreach.core._term import LeaderTerm
+from wigeonreach.core._upkeep import Upkeep
+from wigeonreach.core._vm_orders import VmOrders
 from wigeonreach.exceptions import StateError
 from wigeonreach.gateway import Gateway
 from wigeonreach.jobs import JobBook
 from wigeonreach.observe import LogEvent, Logger, Metrics
-from wigeonreach.state._agreement import RaftAgreement
+from wigeonreach.scheduling._vms import VmApi
 from wigeonreach.state._disk import FolderDisk
-from wigeonreach.state._opening import open_storage
-from wigeonreach.state._raft_types import RaftSettings
-from wigeonreach.state._settings import ReplicaSettings
-from wigeonreach.state._storage import Storage, Stored
-from wigeonreach.wire import Member, parse_address
+from wigeonreach.wire import parse_address
 from wigeonreach.wire._call_messages import (
     AnyCall,
     CoreNotice,
@@ -41,6 +41,11 @@
 _FORGET_S = 5.0
 # A caller is told within the time that its shortest wait allows (1 s).
 _RELAY_TIMEOUT_S = 0.9
+# An election that nobody contests takes a few syncs and messages.
+_HAND_OVER_S = 1.0
+_HAND_OVER_POLL_S = 0.1
+# Workers and entries that have not heard of the next leader still call here.
+_PASS_ON_S = 1.0
 _NO_LEADER = NotDone(WhyNot.NO_LEADER)
 _READS = (HearWorker, ReadJob, ReadManifest)
 
@@ -52,6 +57,8 @@
     ----------
     settings
         Who it is.
+    api
+        How VMs are maintained and moved.
     logger, metrics
         Where events are logged and counted.
     """
@@ -59,17 +66,26 @@
     def __init__(
         self,
         settings: CoreSettings,
+        api: VmApi,
         logger: Logger,
         metrics: Metrics,
     ) -> None:
         """Open the data folder; nothing is served before ``start``."""
         super().__init__()
         self._settings = settings
+        self._api = api
         self._log = logger
         self._metrics = metrics
         self._book = JobBook()
         self._disk = FolderDisk(settings.data_folder)
-        self._agreement = self._make_agreement()
+        self._agreement = open_agreement(
+            settings,
+            self._book,
+            self._disk,
+            self._leave,
+            self._on_role,
+            logger,
+        )
         self._gateway = Gateway(
             settings.name,
             settings.seeds,
@@ -99,7 +115,12 @@
             await self.add_runtime_dependency(service)
 
     async def drain(self) -> None:
-        """Let the others find another leader while calls are passed on."""
+        """Let another process lead, and pass calls on for a while."""
+        due_s = steady_s() + _HAND_OVER_S
+        while self._agreement.is_leader and steady_s() < due_s:
+            self._agreement.hand_over()
+            await asyncio.sleep(_HAND_OVER_POLL_S)
+        await asyncio.sleep(_PASS_ON_S)
 
     async def on_shutdown(self) -> None:
         """Give the data folder up, once nothing writes to it any more."""
@@ -230,36 +251,22 @@
             except StateError as error:
                 self._log.warning(LogEvent.CALL_FAILED, reason=str(error))
         self._server.tell()
-        await term.run()
-
-    def _make_agreement(self) -> RaftAgreement:
-        settings = self._settings
-        storage = Storage(self._disk)
-        return RaftAgreement(
-            ReplicaSettings(
-                name=settings.name,
-                zone=settings.zone,
-                listen=settings.listen,
-                members=_members(settings),
-                data_folder=settings.data_folder,
-            ),
+        upkeep = Upkeep(
+            term,
             self._book,
-            storage,
-            self._load(storage),
-            self._leave,
-            self._log,
-            RaftSettings(voter_target=settings.voter_target),
-            self._on_role,
-        )
-
-    def _load(self, storage: Storage) -> Stored:
-        has_peers = len(self._settings.seeds) > 1
-        return open_storage(
-            storage,
-            has_peers,
+            self._api,
+            VmOrders(
+                term,
+                self._settings.order_pause_s,
+                self._log,
+                self._metrics,
+            ),
             self._log,
-            may_found=self._settings.is_first_start,
+            self._metrics,
         )
+        async with asyncio.TaskGroup() as group:
+            group.create_task(term.run())
+            group.create_task(upkeep.run())
 
     def _leave(self, error: Exception) -> None:
         # After a failed sync nothing in memory may be told to anybody.
@@ -267,15 +274,5 @@
         os._exit(ExitCode.FAILED)  # noqa: SLF001, WPS437
 
 
-def _members(settings: CoreSettings) -> tuple[Member, ...]:
-    """Return the seeds in their order, the first of which founds."""
-    names = settings.seeds
-    if settings.name not in names:
-        names = (*names, settings.name)
-    return tuple(
-        Member(name, '', parse_address(name, 'seed')) for name in names
-    )
-
-
 def _is_no_leader(reply: AnyReply) -> bool:
     return isinstance(reply, NotDone) and reply.reason is WhyNot.NO_LEADER
--- /dev/null
+++ b/src/wigeonreach/core/_upkeep.py
@@ -0,0 +1,166 @@
+"""Carry out what the waves and pools need, as the leader."""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+
+from wigeonreach.core._clock import steady_s
+from wigeonreach.core._term import LeaderTerm
+from wigeonreach.core._vm_orders import VmOrders
+from wigeonreach.exceptions import StateError
+from wigeonreach.jobs import JobBook, RecordVmStep, VmStep
+from wigeonreach.observe import LogEvent, Logger, Metrics
+from wigeonreach.scheduling._pools import Move
+from wigeonreach.scheduling._vms import OrderResult, VmApi
+
+_ROUND_S = 0.1
+_LIST_S = 1.0
+# Without a wave, the list only tells which VMs stand by.
+_STANDBY_LIST_S = 4.0
+
+
+class Upkeep:
+    """Maintain the VMs of waves and move VMs between pools.
+
+    Parameters
+    ----------
+    term
+        Under which orders are given.
+    book
+        The replicated state; it is only read here.
+    api
+        The platform.
+    orders
+        How orders are given.
+    logger, metrics
+        Where decisions are logged and counted.
+    """
+
+    def __init__(
+        self,
+        term: LeaderTerm,
+        book: JobBook,
+        api: VmApi,
+        orders: VmOrders,
+        logger: Logger,
+        metrics: Metrics,
+    ) -> None:
+        """Order nothing yet."""
+        self._term = term
+        self._book = book
+        self._api = api
+        self._orders = orders
+        self._log = logger
+        self._metrics = metrics
+        self._listed_s = float('-inf')
+
+    async def run(self) -> None:
+        """Follow waves and pools until cancelled."""
+        try:
+            while True:
+                await asyncio.sleep(_ROUND_S)
+                await self._list_if_due()
+                await self._maintain()
+                self._move()
+        finally:
+            self._orders.stop()
+
+    async def _list_if_due(self) -> None:
+        scheduler = self._term.scheduler
+        needs_wave = scheduler.maintenance.needs_list
+        pause_s = _LIST_S if needs_wave else _STANDBY_LIST_S
+        asked_s = steady_s()
+        is_needed = needs_wave or bool(scheduler.pools.standby_pool)
+        if not is_needed or asked_s - self._listed_s < pause_s:
+            return
+        self._listed_s = asked_s
+        vms = await self._api.list_vms()
+        self._metrics.count('platform_calls', 'list')
+        if vms is not None:
+            scheduler.maintenance.note_vms(vms, asked_s)
+            scheduler.pools.note_vms(vms)
+
+    async def _maintain(self) -> None:
+        scheduler = self._term.scheduler
+        if not scheduler.maintenance.is_active:
+            return
+        step = scheduler.maintenance.step(scheduler.stopping, steady_s())
+        if step.stops:
+            scheduler.stopping.update(step.stops)
+            self._term.wake.set()
+        for wave, vm in step.returned:
+            await self._record_safely(wave, vm, VmStep.DONE)
+        for wave, vm, worker in step.orders:
+            if self._orders.is_free(vm):
+                self._orders.start(
+                    vm,
+                    functools.partial(self._maintain_vm, wave, vm, worker),
+                )
+
+    def _move(self) -> None:
+        for move in self._term.scheduler.moves(steady_s()):
+            if self._orders.is_free(move.vm):
+                self._orders.start(
+                    move.vm,
+                    functools.partial(self._move_vm, move),
+                )
+
+    async def _maintain_vm(self, wave: int, vm: str, worker: str) -> None:
+        # First recorded, so that a next leader knows it may be down.
+        await self._record(wave, vm, VmStep.ORDERED, worker)
+        result = await self._orders.give(
+            vm,
+            'maintain',
+            lambda: self._api.maintain(vm, wave, self._term.term),
+        )
+        now_s = steady_s()
+        if result is OrderResult.DONE:
+            # A repeated order may have been carried out long ago; only the
+            # life that it was given for has surely ended.
+            self._term.scheduler.workers.end(worker, now_s)
+            self._term.scheduler.maintenance.note_confirmed(wave, vm, now_s)
+        elif result is OrderResult.IMPOSSIBLE:
+            await self._record(wave, vm, VmStep.GONE)
+
+    async def _move_vm(self, move: Move) -> None:
+        result = await self._orders.give(
+            move.vm,
+            'move',
+            lambda: self._api.move(move.vm, move.to_pool, self._term.term),
+        )
+        scheduler = self._term.scheduler
+        if result is OrderResult.DONE:
+            life = scheduler.workers.of_vm(move.vm)
+            if life is not None and life.report.service == move.from_pool:
+                scheduler.workers.end(life.report.worker, steady_s())
+            scheduler.pools.note_moved(move, steady_s())
+        elif result is not OrderResult.UNKNOWN:
+            scheduler.pools.note_failed(move)
+
+    async def _record_safely(self, wave: int, vm: str, step: VmStep) -> None:
+        try:
+            await self._record(wave, vm, step)
+        except StateError as error:
+            # It is seen again in the next round.
+            self._log.warning(
+                LogEvent.CALL_FAILED,
+                wave=wave,
+                vm=vm,
+                reason=str(error),
+            )
+
+    async def _record(
+        self,
+        wave: int,
+        vm: str,
+        step: VmStep,
+        worker: str = '',
+    ) -> None:
+        await self._term.propose(
+            RecordVmStep(self._term.term, wave, vm, step, worker),
+        )
+        if step is VmStep.DONE:
+            self._log.info(LogEvent.VM_MAINTAINED, wave=wave, vm=vm)
+            if self._book.waves[wave].is_done:
+                self._log.info(LogEvent.WAVE_DONE, wave=wave)
--- a/src/wigeonreach/gateway/_gateway.py
+++ b/src/wigeonreach/gateway/_gateway.py
@@ -20,9 +20,14 @@
     WhyNot,
 )
 
-# How long a call waits for a leader before it is refused.  A little more than
-# a retry would cost a caller; an election takes longer, and callers come back.
-_LEADER_WAIT_S = 0.3
+# How long a call waits for a leader before it is refused: most elections are
+# over by then, and a caller that is refused loses at least a second.
+_LEADER_WAIT_S = 0.8
+# An election takes some 1.5 s.  Without a leader for longer something is
+# down, and callers have few tries: they had better come back later.
+_LONG_OUTAGE_S = 1.5
+_RETRY_SOON_S = 1
+_RETRY_LATER_S = 2
 _RETRY_S = 0.05
 # To a core process that doesn't lead, and from there to the leader.
 _HOPS = 1
@@ -60,6 +65,7 @@
         self._named_s: dict[str, float] = {}
         self._changed = asyncio.Event()
         self._leader = ''
+        self._leaderless_since_s: float | None = None
 
     @property
     def cores(self) -> tuple[str, ...]:
@@ -132,7 +138,13 @@
             self._metrics.count('calls_failed', 'outcome-unknown')
             return Unknown()
         self._metrics.count('calls_failed', 'no-leader')
-        return NotDone(WhyNot.NO_LEADER)
+        since_s = self._leaderless_since_s
+        outage_s = 0.0 if since_s is None else time.monotonic() - since_s
+        is_long = outage_s > _LONG_OUTAGE_S
+        return NotDone(
+            WhyNot.NO_LEADER,
+            _RETRY_LATER_S if is_long else _RETRY_SOON_S,
+        )
 
     async def _reach_leader(self, due_s: float) -> CoreLink | None:
         wait_until_s = min(due_s, time.monotonic() + _LEADER_WAIT_S)
@@ -190,6 +202,7 @@
         event = LogEvent.LEADER_KNOWN if leader else LogEvent.LEADER_UNKNOWN
         self._log.info(event, leader=leader, before=self._leader)
         self._leader = leader
+        self._leaderless_since_s = None if leader else time.monotonic()
 
     async def on_stop(self) -> None:
         """Close all channels."""
--- a/src/wigeonreach/platform/_processes.py
+++ b/src/wigeonreach/platform/_processes.py
@@ -16,6 +16,7 @@
 from wigeonreach.platform._callers import ClientApi
 from wigeonreach.platform._control import ControlApi
 from wigeonreach.platform._http import HttpListener, HttpReply, HttpRequest
+from wigeonreach.platform._machines import MachinesApi
 from wigeonreach.platform._settings import PlatformFile, read_platform_file
 
 # Far above the largest job that a queue takes (256 KB).
@@ -171,7 +172,17 @@
     ) -> None:
         """Serve once started."""
         super().__init__()
-        self._core = Core(settings.core_settings(), logger, metrics)
+        self._machines = MachinesApi(
+            settings.cloud_api.address,
+            settings.node_name,
+            logger,
+        )
+        self._core = Core(
+            settings.core_settings(),
+            self._machines,
+            logger,
+            metrics,
+        )
         control = settings.listen_addrs.control_addr
         self._control = HttpListener(
             settings.address(control, 'controlAddr'),
@@ -185,6 +196,10 @@
         for service in (self._core, self._control, self._watch):
             await self.add_runtime_dependency(service)
 
+    async def on_shutdown(self) -> None:
+        """Close the connections to the platform."""
+        await self._machines.close()
+
     async def drain(self) -> None:
         """Give the lead away and answer what still comes."""
         await self._core.drain()
--- /dev/null
+++ b/src/wigeonreach/scheduling/_maintenance.py
@@ -0,0 +1,229 @@
+"""Decide which VMs of the waves are emptied and maintained next.
+
+Answers waves that fall into the busiest seconds: as many VMs as the wave
+allows are emptied ahead, batch work ends by itself where it can, serving
+tasks leave one by one, and a VM is taken once nothing is on it.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+from collections.abc import Collection
+
+from wigeonreach.jobs import JobBook, TaskKey, VmStep, WaveRecord
+from wigeonreach.scheduling._moving_out import movable_now
+from wigeonreach.scheduling._vms import VmPhase, VmRecord
+from wigeonreach.scheduling._workers import WorkerLife, Workers
+
+# Batch tasks last about a second; what still runs after this is stopped, as
+# it holds one of the few places of the wave.
+_WAIT_FOR_BATCH_S = 3.0
+# Of a pool's workers, so many may be emptied for waves at once.
+_MOST_OF_POOL_RATIO = 0.25
+
+
+Run = tuple[TaskKey, int]
+
+
+@dataclasses.dataclass(slots=True)
+class MaintenanceStep:
+    """What the maintenance of the waves needs now.
+
+    Attributes
+    ----------
+    stops
+        Runs that have to leave their workers.
+    orders
+        VMs that are empty, with their wave and the worker that ends.
+    returned
+        VMs that are back, with their wave.
+    """
+
+    stops: list[Run] = dataclasses.field(default_factory=list)
+    orders: list[tuple[int, str, str]] = dataclasses.field(
+        default_factory=list,
+    )
+    returned: list[tuple[int, str]] = dataclasses.field(default_factory=list)
+
+
+class Maintenance:
+    """Follow the waves, for the leader of one term.
+
+    Parameters
+    ----------
+    book
+        The replicated state; it is only read.
+    workers
+        The lives of the workers.
+    """
+
+    def __init__(self, book: JobBook, workers: Workers) -> None:
+        """Empty nothing yet."""
+        self._book = book
+        self._workers = workers
+        self._vms: dict[str, VmRecord] = {}
+        self._emptied_since_s: dict[str, float] = {}
+        self._confirmed_s: dict[tuple[int, str], float] = {}
+        self._listed_s = float('-inf')
+
+    @property
+    def cordoned(self) -> set[str]:
+        """VMs that get nothing new."""
+        ordered = {
+            vm
+            for wave in self._book.waves.values()
+            for vm, progress in wave.vms.items()
+            if progress.step is VmStep.ORDERED
+        }
+        return ordered | self._emptied_since_s.keys()
+
+    @property
+    def is_active(self) -> bool:
+        """Whether a wave is under way."""
+        return any(not wave.is_done for wave in self._book.waves.values())
+
+    @property
+    def needs_list(self) -> bool:
+        """Whether there are VMs of which no heartbeat tells enough."""
+        return any(
+            progress.step is VmStep.ORDERED or self._workers.of_vm(vm) is None
+            for wave in self._book.waves.values()
+            for vm, progress in wave.vms.items()
+            if progress.step in {VmStep.WAITING, VmStep.ORDERED}
+        )
+
+    def note_vms(self, vms: tuple[VmRecord, ...], asked_s: float) -> None:
+        """Take the platform's list of VMs, which was asked for then."""
+        self._vms = {record.vm: record for record in vms}
+        self._listed_s = asked_s
+
+    def note_confirmed(self, wave: int, vm: str, now_s: float) -> None:
+        """Take note that the platform carried an order out."""
+        self._confirmed_s[wave, vm] = now_s
+
+    def step(self, stopping: Collection[Run], now_s: float) -> MaintenanceStep:
+        """Return what is to be done now."""
+        self._choose(now_s)
+        found = MaintenanceStep()
+        for wave in self._book.waves.values():
+            for vm, progress in wave.vms.items():
+                if progress.step is VmStep.ORDERED:
+                    self._follow(wave, vm, found)
+                elif vm in self._emptied_since_s:
+                    self._empty(wave, vm, stopping, now_s, found)
+        return found
+
+    def _follow(
+        self,
+        wave: WaveRecord,
+        vm: str,
+        found: MaintenanceStep,
+    ) -> None:
+        if self._is_back(wave, vm):
+            found.returned.append((wave.wave, vm))
+        elif (wave.wave, vm) not in self._confirmed_s:
+            found.orders.append((wave.wave, vm, wave.vms[vm].worker))
+
+    def _empty(
+        self,
+        wave: WaveRecord,
+        vm: str,
+        stopping: Collection[Run],
+        now_s: float,
+        found: MaintenanceStep,
+    ) -> None:
+        life = self._workers.of_vm(vm)
+        if life is None or self._is_empty(life):
+            worker = life.report.worker if life else ''
+            found.orders.append((wave.wave, vm, worker))
+            self._emptied_since_s.pop(vm)
+            return
+        leaving = {*stopping, *found.stops}
+        lives = self._workers.lives
+        found.stops.extend(movable_now(life, lives, self._book, leaving))
+        if now_s - self._emptied_since_s[vm] > _WAIT_FOR_BATCH_S:
+            found.stops.extend(self._batch_runs(life))
+
+    def _choose(self, now_s: float) -> None:
+        """Begin to empty as many VMs as the waves allow."""
+        for wave in self._book.waves.values():
+            emptying = self._emptied_since_s.keys() & wave.vms.keys()
+            free = wave.limit - wave.ordered - len(emptying)
+            for vm in self._candidates(wave):
+                if free <= 0:
+                    break
+                if self._may_empty(vm):
+                    self._emptied_since_s[vm] = now_s
+                    free -= 1
+
+    def _candidates(self, wave: WaveRecord) -> list[str]:
+        """Return the VMs that wait, those with the least on them in front."""
+        waiting = [
+            vm
+            for vm, progress in wave.vms.items()
+            if progress.step is VmStep.WAITING
+            and vm not in self._emptied_since_s
+            and self._is_known(vm)
+        ]
+        waiting.sort(key=lambda vm: (self._load(vm), vm))
+        return waiting
+
+    def _is_known(self, vm: str) -> bool:
+        life = self._workers.of_vm(vm)
+        if life is not None:
+            return not life.report.is_draining
+        record = self._vms.get(vm)
+        return record is not None and record.phase is VmPhase.UP
+
+    def _load(self, vm: str) -> int:
+        life = self._workers.of_vm(vm)
+        if life is None:
+            return 0
+        return len(self._book.assigned.get(life.report.worker, {}))
+
+    def _may_empty(self, vm: str) -> bool:
+        life = self._workers.of_vm(vm)
+        if life is None:
+            return True
+        service = life.report.service
+        size = collections.Counter(
+            other.report.service for other in self._workers.lives.values()
+        )[service]
+        away = sum(
+            other.report.service == service
+            and other.report.vm in self._emptied_since_s
+            for other in self._workers.lives.values()
+        )
+        return away < max(1, round(size * _MOST_OF_POOL_RATIO))
+
+    def _is_empty(self, life: WorkerLife) -> bool:
+        held = self._book.assigned.get(life.report.worker)
+        return not held and not life.running
+
+    def _batch_runs(self, life: WorkerLife) -> list[Run]:
+        held = self._book.assigned.get(life.report.worker, {})
+        return [
+            run
+            for run in held.items()
+            if (job := self._book.job_of(run[0])) is not None
+            and not job.step_spec(run[0]).is_service
+        ]
+
+    def _is_back(self, wave: WaveRecord, vm: str) -> bool:
+        """Whether a VM runs again, by a new life or by the list.
+
+        A worker that crashes has a new life too, so nothing counts that came
+        before the platform confirmed the order.
+        """
+        confirmed_s = self._confirmed_s.get((wave.wave, vm), float('inf'))
+        life = self._workers.of_vm(vm)
+        if life is not None and life.first_heard_s > confirmed_s:
+            return True
+        if self._listed_s <= confirmed_s:
+            # A list from before the order tells nothing.
+            return False
+        record = self._vms.get(vm)
+        if record is None or record.phase is not VmPhase.UP:
+            return False
+        return record.worker != wave.vms[vm].worker or not record.worker
--- /dev/null
+++ b/src/wigeonreach/scheduling/_moving_out.py
@@ -0,0 +1,83 @@
+"""Empty a worker without taking more of a serving step than it may miss."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+from wigeonreach.jobs import JobBook, JobRecord, StepSpec, TaskKey, TaskPhase
+from wigeonreach.scheduling._workers import WorkerLife
+
+# A serving task whose step says nothing is moved with one away at a time.
+_DEFAULT_MAY_MISS = 1
+_AT_WORK_PERCENT = 100
+
+
+def movable_now(
+    life: WorkerLife,
+    lives: Mapping[str, WorkerLife],
+    book: JobBook,
+    stopping: Iterable[tuple[TaskKey, int]],
+) -> list[tuple[TaskKey, int]]:
+    """Return the serving runs that may be stopped on a worker now.
+
+    Of each step one at most is returned, so that what is away is counted
+    anew before the next.
+    """
+    leaving = set(stopping)
+    steps: set[tuple[str, int, int]] = set()
+    chosen: list[tuple[TaskKey, int]] = []
+    for run in book.assigned.get(life.report.worker, {}).items():
+        key, _ = run
+        step = (key.job_id, key.occurrence, key.step)
+        job = book.job_of(key)
+        if job is None or run in leaving or step in steps:
+            continue
+        spec = job.step_spec(key)
+        if spec.is_service and _may_go(key, job, spec, lives, leaving):
+            steps.add(step)
+            chosen.append(run)
+    return chosen
+
+
+def _may_go(
+    key: TaskKey,
+    job: JobRecord,
+    spec: StepSpec,
+    lives: Mapping[str, WorkerLife],
+    leaving: set[tuple[TaskKey, int]],
+) -> bool:
+    may_miss = _DEFAULT_MAY_MISS if spec.may_miss is None else spec.may_miss
+    away = sum(
+        not _is_at_work(other, job, lives, leaving)
+        for other in _others(key, job)
+    )
+    return away < may_miss
+
+
+def _others(key: TaskKey, job: JobRecord) -> list[TaskKey]:
+    count = len(job.step_tasks(key))
+    return [
+        TaskKey(key.job_id, key.occurrence, key.step, index)
+        for index in range(count)
+        if index != key.index
+    ]
+
+
+def _is_at_work(
+    key: TaskKey,
+    job: JobRecord,
+    lives: Mapping[str, WorkerLife],
+    leaving: set[tuple[TaskKey, int]],
+) -> bool:
+    task = job.task(key)
+    if task is None or task.phase is not TaskPhase.ASSIGNED:
+        return False
+    if (key, task.run) in leaving:
+        return False
+    life = lives.get(task.worker)
+    if life is None:
+        return False
+    return any(
+        row.task == key and row.percent >= _AT_WORK_PERCENT
+        for row in life.running
+    )
--- a/src/wigeonreach/scheduling/_placing.py
+++ b/src/wigeonreach/scheduling/_placing.py
@@ -13,6 +13,8 @@
 _FAILED_HERE = 100.0
 _FAR_FROM_DATA = 10.0
 _BESIDE_SERVING = 4.0
+# Serving tasks that share a worker before another one is taken.
+_MOST_SERVING = 3
 
 
 class Plan:
@@ -149,9 +151,14 @@
 
 
 def _serving_cost(key: TaskKey, room: WorkerRoom) -> float:
-    """Spread serving tasks, so that one worker's loss costs few of them."""
+    """Keep a step's tasks apart, and serving tasks on few workers.
+
+    The loss of one worker should cost a step few of its tasks; workers
+    without any serving task run batch work undisturbed, and can be moved.
+    """
     same_step = room.steps[key.job_id, key.occurrence, key.step]
-    return same_step * 2 + room.serving
+    crowding = max(0, room.serving - _MOST_SERVING)
+    return same_step * _MOST_SERVING + crowding - min(room.serving, 1)
 
 
 def _tightness(spec: StepSpec, room: WorkerRoom) -> float:
--- /dev/null
+++ b/src/wigeonreach/scheduling/_pools.py
@@ -0,0 +1,297 @@
+"""Decide which VMs move between pools, for some seconds at a time.
+
+Answers turns of demand: the queue of one pool asks for more than its workers
+hold while others are nearly idle.  VMs come from pools that need them least,
+or from the standby pool, where they cost nothing, and go back there once they
+idle.  A VM is emptied first; one with serving tasks on it stays.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import math
+from collections.abc import Iterable, Mapping
+
+from wigeonreach.jobs import JobBook
+from wigeonreach.scheduling._demand import ServiceDemand
+from wigeonreach.scheduling._vms import VmPhase, VmRecord
+from wigeonreach.scheduling._workers import WorkerLife, Workers
+
+# Work is of full use for some 5 s; a VM that is ordered now works in 2 s, so
+# what is to be had within this is worth a move.
+_FINISH_S = 3.0
+_LOOKAHEAD_S = 1.5
+# Part of a pool's processors that packing leaves unused.
+_USABLE_RATIO = 0.85
+# A VM that is not needed stays for this, as the next turn may need it.
+_IDLE_S = 1.5
+# A move that is not confirmed by a heartbeat within this is forgotten.
+_MOVE_LASTS_S = 6.0
+# Workers beyond those that serving tasks need, for the loss of one.
+_SPARE_WORKERS = 1
+# A VM that can't be emptied in this time stays where it is.
+_EMPTY_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Move:
+    """A VM that is empty and goes to another pool."""
+
+    vm: str
+    from_pool: str
+    to_pool: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Emptying:
+    """A VM that is about to move."""
+
+    to_pool: str
+    since_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PoolState:
+    """One pool now.
+
+    Attributes
+    ----------
+    lives
+        Workers that may take work.
+    wanted
+        Workers that its work needs.
+    """
+
+    name: str
+    lives: tuple[WorkerLife, ...]
+    wanted: int
+
+
+class PoolPlanner:
+    """Follow the pools, for the leader of one term.
+
+    Parameters
+    ----------
+    book
+        The replicated state; it is only read.
+    workers
+        The lives of the workers.
+    """
+
+    def __init__(self, book: JobBook, workers: Workers) -> None:
+        """Move nothing yet."""
+        self._book = book
+        self._workers = workers
+        self._demand: dict[str, ServiceDemand] = collections.defaultdict(
+            ServiceDemand,
+        )
+        self._standby: dict[str, VmRecord] = {}
+        self._emptying: dict[str, _Emptying] = {}
+        self._incoming: dict[str, tuple[str, float]] = {}
+        self._surplus_since_s: dict[str, float] = {}
+
+    @property
+    def cordoned(self) -> set[str]:
+        """VMs that get nothing new."""
+        return set(self._emptying)
+
+    @property
+    def standby_pool(self) -> str:
+        """The pool whose VMs cost nothing, or nothing."""
+        return next(
+            (
+                service.name
+                for service in self._book.manifest.services
+                if service.is_standby
+            ),
+            '',
+        )
+
+    def note_accepted(self, service: str, work_s: float, now_s: float) -> None:
+        """Take work that was just accepted, in processor seconds."""
+        self._demand[service].note(work_s, now_s)
+
+    def note_vms(self, vms: Iterable[VmRecord]) -> None:
+        """Take the platform's list of VMs."""
+        standby = self.standby_pool
+        self._standby = {
+            record.vm: record
+            for record in vms
+            if record.pool == standby and record.phase is VmPhase.UP
+        }
+
+    def note_moved(self, move: Move, now_s: float) -> None:
+        """Take note that the platform carries a move out."""
+        self._emptying.pop(move.vm, None)
+        self._standby.pop(move.vm, None)
+        if move.to_pool != self.standby_pool:
+            self._incoming[move.vm] = (move.to_pool, now_s)
+
+    def note_failed(self, move: Move) -> None:
+        """Take note that a move was refused."""
+        self._emptying.pop(move.vm, None)
+        self._standby.pop(move.vm, None)
+
+    def step(
+        self,
+        backlog: Mapping[str, float],
+        taken: set[str],
+        now_s: float,
+    ) -> list[Move]:
+        """Return the moves to be ordered now.
+
+        Parameters
+        ----------
+        backlog
+            Processor seconds that the accepted jobs of each service need.
+        taken
+            VMs that waves have in hand.
+        now_s
+            Clock in seconds.
+        """
+        self._forget_arrived(now_s)
+        pools = self._pools(backlog, taken, now_s)
+        self._fill(pools, taken, now_s)
+        self._give_back(pools, now_s)
+        return self._due(now_s)
+
+    def _pools(
+        self,
+        backlog: Mapping[str, float],
+        taken: set[str],
+        now_s: float,
+    ) -> dict[str, PoolState]:
+        lives: dict[str, list[WorkerLife]] = collections.defaultdict(list)
+        for life in self._workers.lives.values():
+            vm = life.report.vm
+            is_free = vm not in taken and vm not in self._emptying
+            if is_free and life.may_take(now_s):
+                lives[life.report.service].append(life)
+        return {
+            service.name: PoolState(
+                service.name,
+                tuple(lives[service.name]),
+                self._wanted(service.name, lives[service.name], backlog, now_s),
+            )
+            for service in self._book.manifest.services
+            if not service.is_standby
+        }
+
+    def _wanted(
+        self,
+        service: str,
+        lives: list[WorkerLife],
+        backlog: Mapping[str, float],
+        now_s: float,
+    ) -> int:
+        processors = max((life.room.processors for life in lives), default=0)
+        serving = sum(map(self._is_serving, lives))
+        if not processors:
+            return 0
+        arriving_s = self._demand[service].rate_at(now_s) * _LOOKAHEAD_S
+        work_s = backlog.get(service, 0) + arriving_s
+        busy = work_s / (processors * _USABLE_RATIO * _FINISH_S)
+        return max(math.ceil(busy), serving + _SPARE_WORKERS)
+
+    def _fill(
+        self,
+        pools: Mapping[str, PoolState],
+        taken: set[str],
+        now_s: float,
+    ) -> None:
+        """Find VMs for the pools that lack most."""
+        lacking = sorted(
+            pools.values(),
+            key=lambda pool: self._have(pool) - pool.wanted,
+        )
+        for pool in lacking:
+            missing = pool.wanted - self._have(pool)
+            for _ in range(max(missing, 0)):
+                vm = self._donor(pool, pools, taken)
+                if vm is None:
+                    return
+                self._emptying[vm] = _Emptying(pool.name, now_s)
+
+    def _have(self, pool: PoolState) -> int:
+        coming = sum(name == pool.name for name, _ in self._incoming.values())
+        promised = sum(
+            emptying.to_pool == pool.name
+            for emptying in self._emptying.values()
+        )
+        return len(pool.lives) + coming + promised
+
+    def _donor(
+        self,
+        wanting: PoolState,
+        pools: Mapping[str, PoolState],
+        taken: set[str],
+    ) -> str | None:
+        spare = [
+            vm
+            for pool in pools.values()
+            if pool.name != wanting.name and self._have(pool) > pool.wanted
+            for vm in self._idle_vms(pool)
+        ]
+        standby = [
+            vm
+            for vm in self._standby
+            if vm not in taken and vm not in self._emptying
+        ]
+        return min(spare, default=None) or min(standby, default=None)
+
+    def _give_back(
+        self,
+        pools: Mapping[str, PoolState],
+        now_s: float,
+    ) -> None:
+        """Send VMs that idle to the standby pool."""
+        if not self.standby_pool:
+            return
+        for pool in pools.values():
+            surplus = self._have(pool) - pool.wanted
+            if surplus <= 0:
+                self._surplus_since_s.pop(pool.name, None)
+                continue
+            since_s = self._surplus_since_s.setdefault(pool.name, now_s)
+            if now_s - since_s >= _IDLE_S:
+                for vm in sorted(self._idle_vms(pool))[:surplus]:
+                    self._emptying[vm] = _Emptying(self.standby_pool, now_s)
+
+    def _due(self, now_s: float) -> list[Move]:
+        moves: list[Move] = []
+        for vm, emptying in list(self._emptying.items()):
+            life = self._workers.of_vm(vm)
+            pool = life.report.service if life else self.standby_pool
+            if life is None or self._is_empty(life):
+                moves.append(Move(vm, pool, emptying.to_pool))
+            elif now_s - emptying.since_s > _EMPTY_S:
+                self._emptying.pop(vm)
+        return moves
+
+    def _forget_arrived(self, now_s: float) -> None:
+        for vm, (pool, since_s) in list(self._incoming.items()):
+            life = self._workers.of_vm(vm)
+            is_here = life is not None and life.report.service == pool
+            if is_here or now_s - since_s > _MOVE_LASTS_S:
+                self._incoming.pop(vm)
+
+    def _is_serving(self, life: WorkerLife) -> bool:
+        for key in self._book.assigned.get(life.report.worker, {}):
+            job = self._book.job_of(key)
+            if job is not None and job.step_spec(key).is_service:
+                return True
+        return False
+
+    def _idle_vms(self, pool: PoolState) -> list[str]:
+        return [
+            life.report.vm
+            for life in pool.lives
+            if life.report.vm
+            and life.report.vm not in self._emptying
+            and self._is_empty(life)
+        ]
+
+    def _is_empty(self, life: WorkerLife) -> bool:
+        held = self._book.assigned.get(life.report.worker)
+        return not held and not life.running
--- a/src/wigeonreach/scheduling/_ready.py
+++ b/src/wigeonreach/scheduling/_ready.py
@@ -54,27 +54,56 @@
         """Know no job."""
         self._by_job: dict[str, tuple[ReadyStep, ...]] = {}
         self._accepted_s: dict[str, float] = {}
+        self._work_s: dict[str, tuple[str, float]] = {}
+
+    def backlog(self) -> dict[str, float]:
+        """Return the processor seconds that each service still owes."""
+        total: dict[str, float] = {}
+        for service, work_s in self._work_s.values():
+            total[service] = total.get(service, 0) + work_s
+        return total
 
     def accepted_s(self, job_id: str) -> float | None:
         """Return when a job was first seen here."""
         return self._accepted_s.get(job_id)
 
-    def refresh(self, book: JobBook, now_s: float) -> None:
-        """Look again at the jobs that changed."""
+    def refresh(
+        self,
+        book: JobBook,
+        now_s: float,
+    ) -> list[tuple[str, float]]:
+        """Look again at the jobs that changed.
+
+        Returns
+        -------
+        list of tuple
+            For each job that is new, its service and its processor seconds.
+        """
         changed = book.changed
         book.changed = set()
+        accepted: list[tuple[str, float]] = []
         for job_id in changed:
-            job = book.jobs.get(job_id)
-            if job is None:
-                self._by_job.pop(job_id, None)
-                self._accepted_s.pop(job_id, None)
-                continue
-            accepted_s = self._accepted_s.setdefault(job_id, now_s)
-            steps = _ready_steps(job, accepted_s) if job.is_active else ()
-            if steps:
-                self._by_job[job_id] = steps
-            else:
-                self._by_job.pop(job_id, None)
+            is_new = job_id not in self._accepted_s
+            self._refresh_job(book, job_id, now_s)
+            if is_new and job_id in self._work_s:
+                accepted.append(self._work_s[job_id])
+        return accepted
+
+    def _refresh_job(self, book: JobBook, job_id: str, now_s: float) -> None:
+        self._by_job.pop(job_id, None)
+        self._work_s.pop(job_id, None)
+        job = book.jobs.get(job_id)
+        if job is None:
+            self._accepted_s.pop(job_id, None)
+            return
+        accepted_s = self._accepted_s.setdefault(job_id, now_s)
+        if not job.is_active:
+            return
+        steps = _ready_steps(job, accepted_s)
+        if steps:
+            self._by_job[job_id] = steps
+        if not any(step.is_service for step in job.spec.steps):
+            self._work_s[job_id] = (book.service_of(job), _work_s(job))
 
     def in_order(self, now_s: float, wall_ms: float) -> list[ReadyStep]:
         """Return the steps that are due, those to be served first in front."""
--- a/src/wigeonreach/scheduling/_scheduler.py
+++ b/src/wigeonreach/scheduling/_scheduler.py
@@ -13,9 +13,11 @@
     TaskKey,
 )
 from wigeonreach.scheduling._health import WorkerHealth
+from wigeonreach.scheduling._maintenance import Maintenance
 from wigeonreach.scheduling._orders import not_begun, orders_for
 from wigeonreach.scheduling._pacing import Pacing
 from wigeonreach.scheduling._placing import Plan
+from wigeonreach.scheduling._pools import Move, PoolPlanner
 from wigeonreach.scheduling._preempting import Run, victims_for
 from wigeonreach.scheduling._ready import ReadyStep, ReadySteps
 from wigeonreach.scheduling._room_book import WorkerRoom, room_left
@@ -53,7 +55,8 @@
         self.workers = Workers(now_s)
         self.pacing = Pacing()
         self.health = WorkerHealth()
-        self.cordoned: set[str] = set()
+        self.maintenance = Maintenance(book, self.workers)
+        self.pools = PoolPlanner(book, self.workers)
         self.stopping: set[Run] = set()
         self.ready = ReadySteps()
         self._book = book
@@ -95,16 +98,22 @@
 
     def plan(self, now_s: float, wall_ms: float) -> tuple[RunStarted, ...]:
         """Return what is to be started now."""
-        self.ready.refresh(self._book, now_s)
+        for service, work_s in self.ready.refresh(self._book, now_s):
+            self.pools.note_accepted(service, work_s, now_s)
         steps = self.ready.in_order(now_s, wall_ms)
         if not steps:
             return ()
-        rooms = self._rooms(now_s)
+        rooms = self.rooms(now_s)
         plan = Plan(self._book, rooms)
         plan.place(steps)
         self._make_room(plan.unplaced, rooms)
         return tuple(plan.starts)
 
+    def moves(self, now_s: float) -> list[Move]:
+        """Return the VMs that are to go to another pool now."""
+        taken = self.maintenance.cordoned
+        return self.pools.step(self.ready.backlog(), taken, now_s)
+
     def orders(self, life: WorkerLife) -> WorkerOrders:
         """Return what a worker is to be told."""
         return orders_for(
@@ -180,10 +189,12 @@
             job_id = ended.task.job_id
             self.health.note_failed(ended.worker, job_id, now_s)
 
-    def _rooms(self, now_s: float) -> dict[str, list[WorkerRoom]]:
+    def rooms(self, now_s: float) -> dict[str, list[WorkerRoom]]:
+        """Return what each worker that may take something has left."""
         by_service: dict[str, list[WorkerLife]] = collections.defaultdict(list)
+        cordoned = self.maintenance.cordoned | self.pools.cordoned
         for life in self.workers.lives.values():
-            if life.may_take(now_s) and life.report.vm not in self.cordoned:
+            if life.may_take(now_s) and life.report.vm not in cordoned:
                 by_service[life.report.service].append(life)
         rooms: dict[str, list[WorkerRoom]] = {}
         for service, lives in by_service.items():
--- a/src/wigeonreach/scheduling/_workers.py
+++ b/src/wigeonreach/scheduling/_workers.py
@@ -126,6 +126,12 @@
         elif known.leaves_at_s is None:
             known.leaves_at_s = now_s + _LEAVE_S
 
+    def end(self, worker: str, now_s: float) -> None:
+        """Take note that all on a worker was ended just now."""
+        known = self.lives.get(worker)
+        if known is not None:
+            known.leaves_at_s = now_s
+
     def ended(self, now_s: float) -> list[WorkerLife]:
         """Return the lives that are over, and remember them as dead."""
         over = [
--- a/src/wigeonreach/state/_agreement.py
+++ b/src/wigeonreach/state/_agreement.py
@@ -22,6 +22,7 @@
 from wigeonreach.state._raft_state import RaftState
 from wigeonreach.state._raft_types import (
     DiskDone,
+    HandOver,
     Output,
     PeersKnown,
     RaftEvent,
@@ -136,6 +137,10 @@
             known.update(member.name for member in state.leading.progress)
         return tuple(sorted(known))
 
+    def hand_over(self) -> None:
+        """Let another replica lead, if this one does."""
+        self._inbox.put_nowait(HandOver())
+
     def note_peers(self, names: tuple[str, ...]) -> None:
         """Take note of other replicas that were heard of."""
         self._inbox.put_nowait(PeersKnown(names))
--- a/src/wigeonreach/state/_raft.py
+++ b/src/wigeonreach/state/_raft.py
@@ -15,6 +15,7 @@
 from wigeonreach.state._raft_state import RaftState
 from wigeonreach.state._raft_types import (
     DiskDone,
+    HandOver,
     Output,
     PeersKnown,
     Propose,
@@ -31,6 +32,7 @@
     AppendEntries,
     AppendReply,
     Join,
+    LeadNow,
     RaftMessage,
     SnapshotChunk,
     SnapshotReply,
@@ -100,8 +102,8 @@
         state.now_s = now_s
         if not self._is_started:
             self._is_started = True
-            state.delay_election()
             state.follow_voters()
+            state.hasten_election()
         for event in events:
             _on_event(event, state)
         _finish(state)
@@ -156,6 +158,11 @@
     following.on_synced(state)
 
 
+@_on_event.register
+def _on_hand_over(event: HandOver, state: RaftState) -> None:
+    leading.hand_over(state)
+
+
 @_on_event.register
 def _on_peers_known(event: PeersKnown, state: RaftState) -> None:
     state.contacts = event.names
@@ -220,6 +227,11 @@
     transfer.on_snapshot_reply(state, message)
 
 
+@_on_message.register
+def _on_lead_now(message: LeadNow, state: RaftState) -> None:
+    election.on_lead_now(state, message)
+
+
 @_on_message.register
 def _on_join(message: Join, state: RaftState) -> None:
     members.on_join(state, message)
--- a/src/wigeonreach/state/_raft_election.py
+++ b/src/wigeonreach/state/_raft_election.py
@@ -5,7 +5,7 @@
 from wigeonreach.state import _raft_leading as leading
 from wigeonreach.state._raft_state import RaftState
 from wigeonreach.state._raft_types import Role, RoleEvent
-from wigeonreach.wire._raft_messages import VoteReply, VoteRequest
+from wigeonreach.wire._raft_messages import LeadNow, VoteReply, VoteRequest
 
 
 def start_trial(state: RaftState) -> None:
@@ -24,6 +24,19 @@
     _request_votes(state, is_trial=True)
 
 
+def on_lead_now(state: RaftState, message: LeadNow) -> None:
+    """Be elected at once, as the leader of this term asks.
+
+    No trial is needed: the leader itself gives its place away, and the vote
+    shows whether this log has all that is committed.
+    """
+    is_current = message.term == state.hard.term
+    if is_current and state.is_voter and state.leading is None:
+        state.change_role(RoleEvent.ELECTION_DUE)
+        state.leader = None
+        _start_election(state)
+
+
 def on_vote_request(state: RaftState, request: VoteRequest) -> None:
     """Give a vote to a candidate that has all that is stored here."""
     if request.is_trial:
--- a/src/wigeonreach/state/_raft_following.py
+++ b/src/wigeonreach/state/_raft_following.py
@@ -88,16 +88,14 @@
 
 
 def _refuse(state: RaftState, message: AppendEntries) -> None:
-    hint = min(state.log.last_index, message.previous_index - 1)
+    hint = min(state.log.last_index, message.previous_index)
     # One refusal skips a whole term of entries that the leader lacks.
     wrong_term = state.log.term_at(hint)
-    while (
-        hint > state.commit_index
-        and wrong_term is not None
-        and wrong_term > message.previous_term
-    ):
-        hint -= 1
-        wrong_term = state.log.term_at(hint)
+    if message.previous_index <= state.log.last_index:
+        while (
+            hint > state.commit_index and state.log.term_at(hint) == wrong_term
+        ):
+            hint -= 1
     state.send(
         message.sender,
         AppendReply(
--- a/src/wigeonreach/state/_raft_leading.py
+++ b/src/wigeonreach/state/_raft_leading.py
@@ -15,6 +15,7 @@
     AppendEntries,
     AppendReply,
     EntryKind,
+    LeadNow,
     LogEntry,
     MemberId,
 )
@@ -77,6 +78,28 @@
     state.delay_election()
 
 
+def hand_over(state: RaftState) -> None:
+    """Ask the voter that lacks least to lead in this replica's place."""
+    lead = state.leading
+    if lead is None:
+        return
+    oldest_s = state.now_s - state.settings.election_min_s
+    heirs = [
+        voter
+        for voter in state.log.voters
+        if voter in lead.progress and lead.progress[voter].heard_s >= oldest_s
+    ]
+    if not heirs:
+        return
+    heir = max(heirs, key=lambda voter: lead.progress[voter].match_index)
+    message = LeadNow(
+        sender=state.me,
+        target_incarnation=heir.incarnation,
+        term=state.hard.term,
+    )
+    state.send(heir, message)
+
+
 def send_to_all(state: RaftState) -> None:
     """Send each replica what it lacks, or a heartbeat."""
     lead = state.leading
@@ -108,7 +131,7 @@
     if previous_term is None or progress.transfer is not None:
         transfer.send_chunk(state, member, progress)
         return
-    batch = _next_batch(state, progress)
+    batch = () if progress.is_searching else _next_batch(state, progress)
     message = AppendEntries(
         sender=state.me,
         target_incarnation=member.incarnation,
@@ -146,6 +169,8 @@
     members.admit_caught_up(state)
     if state.leading is lead and _has_more(state, progress):
         send_entries(state, reply.sender, progress)
+    elif state.leading is lead and not reply.is_accepted:
+        send_entries(state, reply.sender, progress)
 
 
 def advance_commit(state: RaftState) -> None:
@@ -182,6 +207,7 @@
     reply: AppendReply,
 ) -> None:
     if reply.is_accepted:
+        progress.is_searching = False
         progress.match_index = max(progress.match_index, reply.match_index)
         progress.next_index = max(
             progress.next_index,
@@ -190,12 +216,13 @@
         if progress.match_index >= progress.transfer_index:
             progress.transfer = None
         return
+    progress.is_searching = True
     retry_index = min(progress.next_index - 1, reply.match_index + 1)
     progress.next_index = max(progress.match_index + 1, retry_index)
 
 
 def _has_more(state: RaftState, progress: Progress) -> bool:
-    if progress.transfer is not None:
+    if progress.transfer is not None or progress.is_searching:
         return False
     window = state.settings.window_entries
     in_flight = progress.next_index - 1 - progress.match_index
--- a/src/wigeonreach/state/_raft_state.py
+++ b/src/wigeonreach/state/_raft_state.py
@@ -38,7 +38,9 @@
 
     ``transfer`` is the snapshot under way to it, if one is.  A learner is
     caught up once it reached ``goal_index``, the end of the log when the
-    present round of catching up began, quickly enough.
+    present round of catching up began, quickly enough.  While ``is_searching``
+    it is not known where the two logs part, and no entries are sent: each
+    would be refused, and move ``next_index`` up again.
     """
 
     next_index: int
@@ -51,6 +53,7 @@
     goal_index: int = 0
     goal_since_s: float = 0.0
     is_caught_up: bool = False
+    is_searching: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -172,6 +175,17 @@
         spread = 1 + self.rng.random()
         self.election_due_s = self.now_s + spread * self.settings.election_min_s
 
+    def hasten_election(self) -> None:
+        """Draw the time of the first election after a start.
+
+        A leader that lives is heard well before; without one, nobody has to
+        be waited for.  The trial shows whether the others see it so too.
+        """
+        spread = self.settings.heartbeat_s * 2 + self.rng.random() * (
+            self.settings.election_min_s - self.settings.heartbeat_s
+        )
+        self.election_due_s = self.now_s + spread
+
     def send(self, target: MemberId, message: RaftMessage) -> None:
         """Send a message at once."""
         self.output.messages.append(Outgoing(target.name, message))
--- a/src/wigeonreach/state/_raft_types.py
+++ b/src/wigeonreach/state/_raft_types.py
@@ -169,6 +169,10 @@
     names: tuple[str, ...]
 
 
+class HandOver(msgspec.Struct, frozen=True):
+    """This replica ends soon and should not lead any more."""
+
+
 class Propose(msgspec.Struct, frozen=True):
     """Somebody wants a command replicated."""
 
@@ -190,5 +194,12 @@
 
 
 RaftEvent = (
-    Tick | Received | DiskDone | PeersKnown | Propose | Read | SnapshotTaken
+    Tick
+    | Received
+    | DiskDone
+    | HandOver
+    | PeersKnown
+    | Propose
+    | Read
+    | SnapshotTaken
 )
--- a/src/wigeonreach/wire/_channel.py
+++ b/src/wigeonreach/wire/_channel.py
@@ -57,7 +57,9 @@
         await self.drain()
 
     def post(self, message: WireMessage) -> None:
-        """Queue one message without waiting."""
+        """Queue one message without waiting; a closed channel drops it."""
+        if self._writer.is_closing():
+            return
         encoded = msgspec.msgpack.encode(message)
         self.sent_bytes += len(encoded)
         self._writer.write(encoded)
--- a/src/wigeonreach/wire/_raft_messages.py
+++ b/src/wigeonreach/wire/_raft_messages.py
@@ -113,6 +113,10 @@
     is_blank: bool
 
 
+class LeadNow(RaftMessage, frozen=True):
+    """A leader that ends asks a replica to be elected at once."""
+
+
 class ReadRequest(RaftMessage, frozen=True):
     """Ask the leader how far a read must have applied."""
 
@@ -146,6 +150,7 @@
     AppendEntries
     | AppendReply
     | Join
+    | LeadNow
     | Proposal
     | ProposalReply
     | ReadIndexReply
--- /dev/null
+++ b/tests/builders_jobs.py
@@ -0,0 +1,243 @@
+"""Build manifests, jobs and workers, and lead them without a network."""
+
+from __future__ import annotations
+
+import dataclasses
+import itertools
+from collections.abc import Iterable
+
+from wigeonreach import jobs as made
+from wigeonreach.jobs import (
+    AddJob,
+    BeginTerm,
+    Command,
+    JobBook,
+    JobSpec,
+    Manifest,
+    QueueSpec,
+    RecordRuns,
+    RecordVmStep,
+    RunEnd,
+    RunStarted,
+    ServiceSpec,
+    SetManifest,
+    StartWave,
+    StepSpec,
+    TaskKey,
+    Verdict,
+    VmStep,
+    decode_reply,
+    encode_command,
+)
+from wigeonreach.scheduling import Scheduler
+from wigeonreach.wire._worker_messages import (
+    EndedRun,
+    RunningTask,
+    WorkerOrders,
+    WorkerReport,
+)
+
+QUEUE = 'bookings'
+SERVICE = 'desk'
+TERM = 3
+JOB = '00000000000000a1'
+OTHER_JOB = '00000000000000b2'
+_INDEXES = itertools.count(1)
+
+
+def queue(name: str = QUEUE, **changes: object) -> QueueSpec:
+    """Return a queue of the service."""
+    fields: dict[str, object] = {
+        'name': name,
+        'host': 'club.example',
+        'path_prefix': f'/{name}/',
+        'service': SERVICE,
+        'timeout_ms': 3000,
+        'max_failures': 2,
+        'slack_factor': 1.6,
+        'target_latency_ms': 3600,
+    }
+    fields.update(changes)
+    return QueueSpec(**fields)  # type: ignore[arg-type]
+
+
+def manifest(*queues: QueueSpec, version: int = 1) -> Manifest:
+    """Return a manifest of one service."""
+    return Manifest(
+        version=version,
+        queues=queues or (queue(),),
+        services=(ServiceSpec(SERVICE),),
+        document=b'{"version":%d}' % version,
+    )
+
+
+def step(count: int = 1, **changes: object) -> StepSpec:
+    """Return a step of small tasks."""
+    fields: dict[str, object] = {
+        'count': count,
+        'cpu_millicores': 1000,
+        'memory_mb': 1024,
+        'estimate_ms': 600,
+    }
+    fields.update(changes)
+    return StepSpec(**fields)  # type: ignore[arg-type]
+
+
+def serving_step(count: int = 3, **changes: object) -> StepSpec:
+    """Return a step of tasks that serve, one on a worker."""
+    fields: dict[str, object] = {
+        'is_service': True,
+        'spread_limit': 1,
+        'may_miss': 1,
+        'latency_target_ms': 100,
+    }
+    fields.update(changes)
+    return step(count, **fields)
+
+
+def job(*steps: StepSpec, job_id: str = JOB) -> JobSpec:
+    """Return a job that runs once, at once."""
+    return JobSpec(job_id, 'payload', steps or (step(),))
+
+
+def key(index: int = 0, step_number: int = 0, job_id: str = JOB) -> TaskKey:
+    """Return a task of the first occurrence."""
+    return TaskKey(job_id, 0, step_number, index)
+
+
+def commit(book: JobBook, command: Command) -> Verdict:
+    """Replicate a command to a book."""
+    reply = book.apply(next(_INDEXES), encode_command(command))
+    return decode_reply(reply).verdict
+
+
+def book_with(*jobs: JobSpec) -> JobBook:
+    """Return a book with a manifest, a term and jobs of one queue."""
+    book = JobBook()
+    commit(book, SetManifest(manifest()))
+    commit(book, BeginTerm(TERM))
+    for spec in jobs:
+        commit(book, AddJob(spec, QUEUE))
+    return book
+
+
+@dataclasses.dataclass(slots=True)
+class FakeWorker:
+    """A worker that does what it is ordered, when it is told to.
+
+    ``vm`` outlives the worker; ``ended`` holds ends until acknowledged.
+    """
+
+    name: str
+    vm: str
+    service: str = SERVICE
+    cpu_millicores: int = 16_000
+    sequence: int = 0
+    is_draining: bool = False
+    running: dict[tuple[TaskKey, int], RunningTask] = dataclasses.field(
+        default_factory=dict,
+    )
+    ended: list[EndedRun] = dataclasses.field(default_factory=list)
+    _numbers: itertools.count[int] = dataclasses.field(
+        default_factory=lambda: itertools.count(1),
+    )
+
+    def report(self) -> WorkerReport:
+        """Return the next heartbeat."""
+        self.sequence += 1
+        return WorkerReport(
+            worker=self.name,
+            vm=self.vm,
+            service=self.service,
+            address='127.0.0.1:1',
+            zone='a',
+            sequence=self.sequence,
+            is_draining=self.is_draining,
+            cpu_millicores=self.cpu_millicores,
+            memory_mb=32 * 1024,
+            labels=('kind', 'rack'),
+            rack='rack',
+            running=tuple(self.running.values()),
+            ended=tuple(self.ended),
+        )
+
+    def obey(self, orders: WorkerOrders, percent: int = 100) -> None:
+        """Start and stop what the orders say."""
+        self.ended = [
+            ended for ended in self.ended if ended.number > orders.acknowledged
+        ]
+        for stop in orders.stops:
+            self.end((stop.task, stop.run), RunEnd.STOPPED)
+        for start in orders.starts:
+            run = (start.task, start.run)
+            self.running[run] = RunningTask(*run, '', percent)
+
+    def end(self, run: tuple[TaskKey, int], how: RunEnd) -> None:
+        """Let a run end."""
+        self.running.pop(run)
+        self.ended.append(EndedRun(next(self._numbers), *run, how))
+
+
+class FakeLead:
+    """A leader's scheduler, whose records are committed at once.
+
+    Parameters
+    ----------
+    book
+        The replicated state.
+    workers
+        Who sends heartbeats to it.
+    """
+
+    def __init__(self, book: JobBook, workers: Iterable[FakeWorker]) -> None:
+        """Begin the term at second 0."""
+        self.book = book
+        self.workers = {worker.name: worker for worker in workers}
+        self.scheduler = Scheduler(book, TERM, 0.0)
+        self.now_s = 0.0
+
+    def round(self, passed_s: float = 0.1) -> None:
+        """Hear all workers, plan, and let them obey."""
+        self.now_s += passed_s
+        for worker in self.workers.values():
+            self.hear(worker)
+        self.plan()
+        for told in self.workers.values():
+            life = self.scheduler.workers.lives.get(told.name)
+            if life is not None:
+                told.obey(self.scheduler.orders(life))
+
+    def hear(self, worker: FakeWorker) -> None:
+        """Take one heartbeat in."""
+        heard = self.scheduler.hear(worker.report(), self.now_s)
+        if heard is None:
+            return
+        commit(self.book, RecordRuns(TERM, ends=heard.ends))
+        heard.life.noted = max(
+            (heard.life.noted, *(ended.number for ended in worker.ended)),
+        )
+
+    def plan(self) -> tuple[RunStarted, ...]:
+        """Record what is lost, then what is to start."""
+        lost = self.scheduler.lost(self.now_s)
+        commit(self.book, RecordRuns(TERM, ends=lost))
+        starts = self.scheduler.plan(self.now_s, self.now_s * 1000)
+        commit(self.book, RecordRuns(TERM, starts=starts))
+        return starts
+
+    def cancel(self, job_id: str = JOB) -> None:
+        """Cancel a job."""
+        commit(self.book, made.CancelJob(job_id))
+
+    def start_wave(self, vms: Iterable[str], limit: int) -> None:
+        """Accept wave 1."""
+        commit(self.book, StartWave(1, tuple(vms), 20.0, limit))
+
+    def record_vm(self, vm: str, reached: VmStep, worker: str = '') -> None:
+        """Record how far a VM of wave 1 is."""
+        commit(self.book, RecordVmStep(TERM, 1, vm, reached, worker))
+
+
+def workers(count: int) -> list[FakeWorker]:
+    """Return workers on VMs of their own."""
+    return [FakeWorker(f'w{number}', f'vm{number}') for number in range(count)]
--- a/tests/builders_raft.py
+++ b/tests/builders_raft.py
@@ -10,8 +10,10 @@
 
 from tests.builders_disk import CrashedError, FakeDisk
 from wigeonreach.state._raft import Raft
+from wigeonreach.state._raft_log import RaftLog, encode_voters
 from wigeonreach.state._raft_types import (
     DiskDone,
+    HardState,
     Origin,
     Outgoing,
     Output,
@@ -335,3 +337,24 @@
 def _expect(is_kept: bool, promise: str) -> None:
     if not is_kept:
         raise BrokenPromiseError(promise)
+
+
+def stored_log(name: str, terms: Iterable[tuple[int, int]]) -> Stored:
+    """Return a disk with so many entries of each term, none committed.
+
+    All replicas of such logs know each other as voters of incarnation 1.
+    """
+    voters = tuple(MemberId(voter, 1) for voter in NAMES)
+    entries = [LogEntry(1, 1, EntryKind.VOTERS, encode_voters(voters))]
+    for term, count in terms:
+        entries.extend(
+            LogEntry(len(entries) + 1 + place, term, EntryKind.COMMAND, b'x')
+            for place in range(count)
+        )
+    last_term = entries[-1].term
+    return Stored(
+        HardState(incarnation=1, may_found=False, term=last_term),
+        None,
+        RaftLog(entries=entries),
+        1,
+    )
--- /dev/null
+++ b/tests/scheduling/test_maintenance.py
@@ -0,0 +1,110 @@
+"""Test that waves stay within their limits and the steps' budgets."""
+
+from __future__ import annotations
+
+import testtools
+from testtools import matchers
+
+from tests.builders_jobs import (
+    FakeLead,
+    FakeWorker,
+    book_with,
+    job,
+    serving_step,
+    workers,
+)
+from wigeonreach.jobs import VmStep
+from wigeonreach.scheduling._vms import VmPhase, VmRecord
+
+
+def _record(vm: str, phase: VmPhase) -> VmRecord:
+    return VmRecord(vm, 'standby', phase, 'a', 'rack', '')
+
+
+class TestMaintenance(testtools.TestCase):
+    """Decisions about the VMs of one wave."""
+
+    def test_one_task_of_a_step_leaves_at_once(self) -> None:
+        """Two VMs are emptied together; only one of their tasks stops."""
+        lead = FakeLead(book_with(job(serving_step(3))), workers(8))
+        lead.round()
+        lead.round()
+        busy = [worker.vm for worker in lead.workers.values() if worker.running]
+        lead.start_wave(busy[:2], limit=2)
+        step = lead.scheduler.maintenance.step(set(), lead.now_s)
+        self.assertThat(step.stops, matchers.HasLength(1))
+
+    def test_no_task_leaves_while_another_is_away(self) -> None:
+        """A task that is on its way to another worker counts as away."""
+        lead = FakeLead(book_with(job(serving_step(3))), workers(8))
+        lead.round()
+        lead.round()
+        busy = [worker for worker in lead.workers.values() if worker.running]
+        lead.start_wave([busy[0].vm], limit=2)
+        run = next(iter(busy[1].running))
+        lead.scheduler.stopping.add(run)
+        step = lead.scheduler.maintenance.step(
+            lead.scheduler.stopping,
+            lead.now_s,
+        )
+        self.assertThat(step.stops, matchers.HasLength(0))
+
+    def test_standby_vm_is_back_by_a_newer_list_only(self) -> None:
+        """A list from before the order does not show that it is over."""
+        lead = FakeLead(book_with(), workers(1))
+        maintenance = lead.scheduler.maintenance
+        maintenance.note_vms((_record('off1', VmPhase.UP),), 1.0)
+        lead.start_wave(('off1', 'off2'), limit=1)
+        lead.record_vm('off1', VmStep.ORDERED)
+        maintenance.note_confirmed(1, 'off1', 1.5)
+        self.assertThat(
+            maintenance.step(set(), 1.6).returned,
+            matchers.HasLength(0),
+        )
+        maintenance.note_vms((_record('off1', VmPhase.MAINTAINED),), 2.0)
+        self.assertThat(
+            maintenance.step(set(), 2.1).returned,
+            matchers.HasLength(0),
+        )
+        maintenance.note_vms((_record('off1', VmPhase.UP),), 4.0)
+        self.assertThat(
+            maintenance.step(set(), 4.1).returned,
+            matchers.Equals([(1, 'off1')]),
+        )
+
+    def test_worker_that_came_back_by_itself_was_not_maintained(self) -> None:
+        """A crash between record and order is no maintenance."""
+        lead = FakeLead(book_with(), workers(2))
+        maintenance = lead.scheduler.maintenance
+        lead.round()
+        lead.start_wave(('vm0',), limit=1)
+        lead.record_vm('vm0', VmStep.ORDERED, 'w0')
+        lead.workers['w0'] = FakeWorker('reborn', 'vm0')
+        for _ in range(12):
+            lead.round(0.2)
+        step = maintenance.step(set(), lead.now_s)
+        self.assertThat(step.returned, matchers.HasLength(0))
+        self.assertThat(step.orders, matchers.HasLength(1))
+        maintenance.note_confirmed(1, 'vm0', lead.now_s)
+        lead.round()
+        self.assertThat(
+            maintenance.step(set(), lead.now_s).returned,
+            matchers.HasLength(0),
+        )
+        lead.workers['w0'] = FakeWorker('maintained', 'vm0')
+        lead.round()
+        self.assertThat(
+            maintenance.step(set(), lead.now_s).returned,
+            matchers.Equals([(1, 'vm0')]),
+        )
+
+    def test_order_comes_once_a_vm_is_empty(self) -> None:
+        """An idle VM is ordered, and counts until it is back."""
+        lead = FakeLead(book_with(), workers(3))
+        lead.round()
+        lead.start_wave(('vm0', 'vm1', 'vm2'), limit=1)
+        step = lead.scheduler.maintenance.step(set(), lead.now_s)
+        self.assertThat(step.orders, matchers.Equals([(1, 'vm0', 'w0')]))
+        lead.record_vm('vm0', VmStep.ORDERED, 'w0')
+        again = lead.scheduler.maintenance.step(set(), lead.now_s + 1)
+        self.assertThat(again.orders, matchers.Equals([(1, 'vm0', 'w0')]))
--- /dev/null
+++ b/tests/scheduling/test_pools.py
@@ -0,0 +1,110 @@
+"""Test that VMs follow the turns of demand.
+
+Pattern: a queue asks for several times what its pool holds for some seconds,
+and for next to nothing in between, while the standby pool's VMs cost nothing.
+"""
+
+from __future__ import annotations
+
+import testtools
+from testtools import matchers
+
+from tests.builders_jobs import (
+    SERVICE,
+    FakeLead,
+    book_with,
+    commit,
+    job,
+    serving_step,
+    step,
+    workers,
+)
+from wigeonreach.jobs import JobBook, Manifest, ServiceSpec, SetManifest
+from wigeonreach.scheduling._pools import Move
+from wigeonreach.scheduling._vms import VmPhase, VmRecord
+
+_STANDBY = 'standby'
+
+
+def _with_standby(book: JobBook) -> JobBook:
+    known = book.manifest
+    services = (ServiceSpec(SERVICE), ServiceSpec(_STANDBY, is_standby=True))
+    commit(book, SetManifest(Manifest(2, known.queues, services)))
+    return book
+
+
+def _off(*vms: str) -> list[VmRecord]:
+    return [VmRecord(vm, _STANDBY, VmPhase.UP, 'a', 'rack', '') for vm in vms]
+
+
+class TestPools(testtools.TestCase):
+    """Moves between one busy pool and the standby pool."""
+
+    def test_peak_takes_standby_vms(self) -> None:
+        """More work than the pool finishes in time brings VMs at once."""
+        peak = [
+            job(step(20, estimate_ms=1500), job_id=f'{number:016x}')
+            for number in range(1, 9)
+        ]
+        lead = FakeLead(_with_standby(book_with(*peak)), workers(4))
+        lead.scheduler.pools.note_vms(_off('off1', 'off2'))
+        lead.round()
+        moves = lead.scheduler.moves(lead.now_s)
+        self.assertThat(
+            moves,
+            matchers.Equals(
+                [
+                    Move('off1', _STANDBY, SERVICE),
+                    Move('off2', _STANDBY, SERVICE),
+                ],
+            ),
+        )
+
+    def test_idle_vms_go_back(self) -> None:
+        """Beside serving tasks one spare worker stays, not more."""
+        book = _with_standby(book_with(job(serving_step(2))))
+        lead = FakeLead(book, workers(6))
+        moves: list[Move] = []
+        for _ in range(30):
+            lead.round()
+            moves = lead.scheduler.moves(lead.now_s) or moves
+        self.assertThat(
+            {move.to_pool for move in moves}, matchers.Equals({_STANDBY})
+        )
+        self.assertThat(moves, matchers.HasLength(3))
+
+    def test_worker_with_serving_tasks_stays(self) -> None:
+        """A VM is never taken from under a serving task."""
+        book = _with_standby(book_with(job(serving_step(4))))
+        lead = FakeLead(book, workers(4))
+        for _ in range(30):
+            lead.round()
+            self.assertThat(
+                lead.scheduler.moves(lead.now_s),
+                matchers.HasLength(0),
+            )
+
+    def test_vm_of_a_wave_stays(self) -> None:
+        """A VM that a wave has in hand goes nowhere else."""
+        book = _with_standby(book_with())
+        lead = FakeLead(book, workers(4))
+        lead.round()
+        lead.start_wave([f'vm{number}' for number in range(4)], limit=4)
+        lead.scheduler.maintenance.step(set(), lead.now_s)
+        taken = lead.scheduler.maintenance.cordoned
+        moved: set[str] = set()
+        for _ in range(30):
+            lead.round()
+            moves = lead.scheduler.moves(lead.now_s)
+            moved.update(move.vm for move in moves)
+        self.assertThat(moved & taken, matchers.HasLength(0))
+
+    def test_no_vm_moves_without_standby_pool(self) -> None:
+        """Where idle VMs cost the same anywhere, they stay."""
+        lead = FakeLead(book_with(), workers(4))
+        for _ in range(30):
+            lead.round()
+            self.assertThat(
+                lead.scheduler.moves(lead.now_s),
+                matchers.HasLength(0),
+            )
--- /dev/null
+++ b/tests/scheduling/test_scheduler.py
@@ -0,0 +1,215 @@
+"""Test what the leader of a term decides about workers and runs."""
+
+from __future__ import annotations
+
+import testtools
+from testtools import matchers
+
+from tests.builders_jobs import (
+    JOB,
+    OTHER_JOB,
+    FakeLead,
+    FakeWorker,
+    book_with,
+    job,
+    key,
+    serving_step,
+    step,
+    workers,
+)
+from wigeonreach.jobs import JobPhase, RunEnd, RunEnded
+from wigeonreach.scheduling._workers import LEASE_OVER_S
+from wigeonreach.wire._worker_messages import WorkerReport
+
+_FULL = 16_000
+
+
+class TestStarting(testtools.TestCase):
+    """Which tasks start, and where."""
+
+    def test_step_waits_for_the_steps_before(self) -> None:
+        """A step starts after all tasks of those that it depends on."""
+        book = book_with(job(step(2), step(1, after=(0,))))
+        lead = FakeLead(book, workers(2))
+        lead.round()
+        started = [
+            run for worker in lead.workers.values() for run in worker.running
+        ]
+        self.assertThat({run[0].step for run in started}, matchers.Equals({0}))
+        for worker in lead.workers.values():
+            for run in list(worker.running):
+                worker.end(run, RunEnd.DONE)
+        lead.round()
+        running = [
+            run for worker in lead.workers.values() for run in worker.running
+        ]
+        self.assertThat(running, matchers.Equals([(key(0, 1), 1)]))
+
+    def test_room_of_a_stopping_run_is_taken(self) -> None:
+        """What is being stopped takes room until its end is listed."""
+        book = book_with(job(step(1, cpu_millicores=_FULL)))
+        lead = FakeLead(book, workers(1))
+        lead.round()
+        lead.cancel()
+        worker = lead.workers['w0']
+        lead.hear(worker)
+        self.assertThat(lead.plan(), matchers.HasLength(0))
+        rooms = lead.scheduler.rooms(lead.now_s)
+        left = rooms['desk'][0].left
+        self.assertThat(left.processors, matchers.Equals(0))
+
+    def test_draining_worker_gets_nothing(self) -> None:
+        """A start that it was given but did not begin is given on."""
+        book = book_with(job())
+        lead = FakeLead(book, workers(1))
+        lead.hear(lead.workers['w0'])
+        lead.plan()
+        lead.workers['w0'].is_draining = True
+        lead.workers['w1'] = FakeWorker('w1', 'vm1')
+        lead.round()
+        lead.round()
+        self.assertThat(lead.workers['w0'].running, matchers.HasLength(0))
+        self.assertThat(
+            list(lead.workers['w1'].running),
+            matchers.Equals([(key(), 2)]),
+        )
+
+    def test_worker_of_another_service_gets_nothing(self) -> None:
+        """An address that another service took over runs none of it."""
+        lead = FakeLead(
+            book_with(job()),
+            [FakeWorker('w0', 'vm0', service='other')],
+        )
+        lead.round()
+        self.assertThat(lead.workers['w0'].running, matchers.HasLength(0))
+
+    def test_failed_task_tries_another_worker(self) -> None:
+        """What failed on a worker goes elsewhere while there is room."""
+        lead = FakeLead(book_with(job()), workers(2))
+        lead.round()
+        first = next(
+            worker for worker in lead.workers.values() if worker.running
+        )
+        first.end((key(), 1), RunEnd.FAILED)
+        lead.round()
+        self.assertThat(first.running, matchers.HasLength(0))
+
+    def test_gang_starts_whole_or_not_at_all(self) -> None:
+        """Members hold no room while others of them find none."""
+        gang = step(3, cpu_millicores=_FULL, is_gang=True)
+        lead = FakeLead(book_with(job(gang)), workers(2))
+        lead.round()
+        self.assertThat(lead.book.assigned, matchers.HasLength(0))
+        lead.workers['w2'] = FakeWorker('w2', 'vm2')
+        lead.round()
+        self.assertThat(lead.book.assigned, matchers.HasLength(3))
+
+
+class TestLeases(testtools.TestCase):
+    """When a worker's runs may be given on."""
+
+    def test_silent_worker_keeps_its_runs_for_its_lease(self) -> None:
+        """A task runs nowhere else before its lease is surely over."""
+        lead = FakeLead(book_with(job()), workers(1))
+        lead.round()
+        lead.now_s += LEASE_OVER_S - 0.05
+        self.assertThat(lead.scheduler.lost(lead.now_s), matchers.HasLength(0))
+        lead.now_s += 0.1
+        self.assertThat(lead.scheduler.lost(lead.now_s), matchers.HasLength(1))
+
+    def test_new_leader_waits_out_unknown_leases(self) -> None:
+        """An earlier leader may have answered just before the term began."""
+        book = book_with(job())
+        FakeLead(book, workers(1)).round()
+        lead = FakeLead(book, [FakeWorker('w1', 'vm1')])
+        lead.now_s = LEASE_OVER_S - 0.05
+        self.assertThat(lead.scheduler.lost(lead.now_s), matchers.HasLength(0))
+        lead.now_s = LEASE_OVER_S
+        self.assertThat(lead.scheduler.lost(lead.now_s), matchers.HasLength(1))
+
+    def test_late_heartbeat_changes_nothing(self) -> None:
+        """A heartbeat that was overtaken is not believed."""
+        lead = FakeLead(book_with(job()), workers(1))
+        worker = lead.workers['w0']
+        late = worker.report()
+        lead.round()
+        self.assertThat(lead.scheduler.hear(late, 5.0), matchers.Is(None))
+
+    def test_late_heartbeat_of_a_dead_life_ends_no_successor(self) -> None:
+        """One heartbeat of an old life does not end the new one."""
+        lead = FakeLead(book_with(job()), [FakeWorker('new', 'vm0')])
+        lead.round()
+        lead.hear(FakeWorker('old', 'vm0'))
+        for _ in range(8):
+            lead.round(0.3)
+        self.assertThat(
+            list(lead.workers['new'].running),
+            matchers.Equals([(key(), 1)]),
+        )
+
+    def test_successor_ends_an_old_life(self) -> None:
+        """A life that goes on at a VM shows that the old one is gone."""
+        lead = FakeLead(book_with(job()), [FakeWorker('old', 'vm0')])
+        lead.round()
+        lead.workers = {'new': FakeWorker('new', 'vm0')}
+        for _ in range(8):
+            lead.round(0.3)
+        self.assertThat(
+            list(lead.workers['new'].running),
+            matchers.Equals([(key(), 2)]),
+        )
+
+
+def _ends(lead: FakeLead, report: WorkerReport) -> tuple[RunEnded, ...]:
+    heard = lead.scheduler.hear(report, lead.now_s)
+    assert heard is not None
+    return heard.ends
+
+
+class TestEnds(testtools.TestCase):
+    """Ends that workers list until they are acknowledged."""
+
+    def test_end_is_acknowledged_once(self) -> None:
+        """An end that is listed again is recorded once."""
+        lead = FakeLead(book_with(job(step(2))), workers(1))
+        lead.round()
+        worker = lead.workers['w0']
+        worker.end((key(0), 1), RunEnd.FAILED)
+        report = worker.report()
+        self.assertThat(_ends(lead, report), matchers.HasLength(1))
+        lead.scheduler.workers.lives['w0'].noted = 1
+        self.assertThat(_ends(lead, worker.report()), matchers.HasLength(0))
+
+    def test_cancelled_job_is_stopped(self) -> None:
+        """What runs of it is told to stop with the next answer."""
+        lead = FakeLead(book_with(job(step(2))), workers(1))
+        lead.round()
+        lead.cancel()
+        lead.round()
+        self.assertThat(lead.workers['w0'].running, matchers.HasLength(0))
+        self.assertThat(
+            lead.book.jobs[JOB].phase,
+            matchers.Equals(JobPhase.CANCELLED),
+        )
+
+
+class TestMakingRoom(testtools.TestCase):
+    """Serving tasks in a full pool."""
+
+    def test_batch_work_gives_way(self) -> None:
+        """Batch work stops, and nothing else takes its room meanwhile."""
+        filling = job(step(40, cpu_millicores=4000))
+        lead = FakeLead(book_with(filling), workers(2))
+        lead.round()
+        serving = job(serving_step(2), job_id=OTHER_JOB)
+        lead.book.jobs.update(book_with(serving).jobs)
+        lead.book.changed.add(OTHER_JOB)
+        for _ in range(4):
+            lead.round()
+        served = [
+            run
+            for worker in lead.workers.values()
+            for run in worker.running
+            if run[0].job_id == OTHER_JOB
+        ]
+        self.assertThat(served, matchers.HasLength(2))
--- /dev/null
+++ b/tests/state/test_raft_catch_up.py
@@ -0,0 +1,121 @@
+"""Bring a replica up to date whose log ends in entries of a lost leader."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+
+import testtools
+from testtools import matchers
+
+from tests.builders_raft import stored_log
+from wigeonreach.state._raft import Raft
+from wigeonreach.state._raft_types import (
+    DiskDone,
+    HandOver,
+    Outgoing,
+    RaftEvent,
+    RaftSettings,
+    Received,
+    Role,
+    Tick,
+)
+from wigeonreach.wire._raft_messages import AppendEntries
+
+_SHARED = 760
+_CONFLICTING = 24
+_MISSED = 1500
+_STEP_S = 0.2
+_STEPS = 60
+
+
+class _Pair:
+    """Two of three replicas, with a network that takes one step of time."""
+
+    def __init__(self) -> None:
+        behind = stored_log('a', ((2, _SHARED), (3, _CONFLICTING)))
+        ahead = stored_log('b', ((2, _SHARED), (4, _MISSED)))
+        self.rafts = {
+            name: Raft(
+                name,
+                ('a', 'b', 'c'),
+                stored,
+                RaftSettings(),
+                random.Random(1),
+            )
+            for name, stored in (('a', behind), ('b', ahead))
+        }
+        self.in_flight: list[Outgoing] = []
+        self.sent_entries = 0
+
+    def step(self, now_s: float) -> None:
+        """Deliver what is under way; a tick comes before each delivery."""
+        arriving = self.in_flight
+        self.in_flight = []
+        for name, raft in self.rafts.items():
+            events = [
+                Received(outgoing.message)
+                for outgoing in arriving
+                if outgoing.target == name
+            ]
+            self._run(raft, now_s, events)
+
+    def tell(self, name: str, event: RaftEvent, now_s: float) -> None:
+        """Let something happen to one replica."""
+        self._run(self.rafts[name], now_s, [event])
+
+    def _run(
+        self,
+        raft: Raft,
+        now_s: float,
+        events: Sequence[RaftEvent],
+    ) -> None:
+        for batch in ((Tick(),), events):
+            output = raft.step(batch, now_s)
+            self.in_flight.extend(output.messages)
+            if output.writes:
+                done = raft.step((DiskDone(output.writes[-1].number),), now_s)
+                self.in_flight.extend(done.messages)
+        self.sent_entries = sum(
+            len(outgoing.message.entries)
+            for outgoing in self.in_flight
+            if isinstance(outgoing.message, AppendEntries)
+        )
+
+
+class TestCatchUp(testtools.TestCase):
+    """A leader and a replica that led before, while it was cut off."""
+
+    def test_conflicting_end_is_replaced(self) -> None:
+        """Heartbeats between the refusals don't undo what they taught."""
+        pair = _Pair()
+        most_entries = 0
+        for number in range(_STEPS):
+            pair.step(number * _STEP_S)
+            most_entries = max(most_entries, pair.sent_entries)
+        leader = pair.rafts['b'].state
+        self.assertThat(leader.role, matchers.Equals(Role.LEADER))
+        self.assertThat(
+            pair.rafts['a'].state.log.last_index,
+            matchers.Equals(leader.log.last_index),
+        )
+        self.assertThat(leader.commit_index, matchers.GreaterThan(_SHARED))
+
+
+class TestHandOver(testtools.TestCase):
+    """A leader that is told to end."""
+
+    def test_other_replica_leads_at_once(self) -> None:
+        """It takes messages only, and no election timeout."""
+        pair = _Pair()
+        for number in range(_STEPS):
+            pair.step(number * _STEP_S)
+        began_s = _STEPS * _STEP_S
+        pair.tell('b', HandOver(), began_s)
+        for late in range(6):
+            pair.step(began_s + late * 0.01)
+        roles = {name: raft.state.role for name, raft in pair.rafts.items()}
+        self.assertThat(
+            roles,
+            matchers.Equals({'a': Role.LEADER, 'b': Role.FOLLOWER}),
+        )
