--- a/src/wigeonreach/core/_desk.py
+++ b/src/wigeonreach/core/_desk.py
@@ -13,6 +13,7 @@
     QueueSpec,
     SetManifest,
     StartWave,
+    StepSpec,
     Verdict,
 )
 from wigeonreach.observe import LogEvent, Logger, Metrics
@@ -119,11 +120,21 @@
             job=job_id,
             queue=queue.name,
             version=desk.book.manifest.version,
-            tasks=[step.count for step in call.spec.steps],
+            steps=[_shape(step) for step in call.spec.steps],
         )
     return Done()
 
 
+def _shape(step: StepSpec) -> str:
+    """Return what decides where a step's tasks may go, for a log line."""
+    kind = 'serving' if step.is_service else 'batch'
+    return (
+        f'{step.count} {kind} {step.cpu_millicores}m {step.memory_mb}MB'
+        f' {step.estimate_ms}ms spread={step.spread_limit}'
+        f' miss={step.may_miss} tail={step.latency_target_ms}'
+    )
+
+
 @_on.register
 async def _on_read_job(call: ReadJob, desk: Desk) -> AnyReply:
     await desk.term.barrier.wait()
--- a/src/wigeonreach/core/_term.py
+++ b/src/wigeonreach/core/_term.py
@@ -62,6 +62,11 @@
         Which this is.
     logger, metrics
         Where decisions are logged and counted.
+
+    Attributes
+    ----------
+    is_first
+        Whether nobody ever led before.
     """
 
     def __init__(
@@ -76,6 +81,7 @@
         self.term = term
         self.barrier = SharedBarrier(agreement)
         self.wake = asyncio.Event()
+        self.is_first = False
         self._agreement = agreement
         self._book = book
         self._log = logger
@@ -118,6 +124,7 @@
         StateError
             If a quorum did not confirm.
         """
+        self.is_first = self._book.term == 0
         await self.propose(BeginTerm(self.term))
         self._scheduler = Scheduler(self._book, self.term, steady_s())
         self._log.info(
--- a/src/wigeonreach/core/_vm_orders.py
+++ b/src/wigeonreach/core/_vm_orders.py
@@ -41,7 +41,8 @@
     ) -> None:
         """Order nothing yet."""
         self._term = term
-        self._first_order_s = steady_s() + order_pause_s + _PAUSE_MARGIN_S
+        pause_s = 0 if term.is_first else order_pause_s + _PAUSE_MARGIN_S
+        self._first_order_s = steady_s() + pause_s
         self._log = logger
         self._metrics = metrics
         self._running: dict[str, asyncio.Task[None]] = {}
--- a/src/wigeonreach/scheduling/_maintenance.py
+++ b/src/wigeonreach/scheduling/_maintenance.py
@@ -122,7 +122,7 @@
     ) -> None:
         if self._is_back(wave, vm):
             found.returned.append((wave.wave, vm))
-        elif (wave.wave, vm) not in self._confirmed_s:
+        elif (wave.wave, vm) not in self._confirmed_s and self._is_up(vm):
             found.orders.append((wave.wave, vm, wave.vms[vm].worker))
 
     def _empty(
@@ -176,6 +176,10 @@
         record = self._vms.get(vm)
         return record is not None and record.phase is VmPhase.UP
 
+    def _is_up(self, vm: str) -> bool:
+        record = self._vms.get(vm)
+        return record is None or record.phase is VmPhase.UP
+
     def _load(self, vm: str) -> int:
         life = self._workers.of_vm(vm)
         if life is None:
--- a/src/wigeonreach/scheduling/_placing.py
+++ b/src/wigeonreach/scheduling/_placing.py
@@ -6,15 +6,14 @@
 from collections.abc import Iterable, Sequence
 
 from wigeonreach.jobs import JobBook, RunStarted, StepSpec, TaskKey
-from wigeonreach.scheduling._ready import ReadyStep
+from wigeonreach.scheduling._ready import ReadyStep, most_together
 from wigeonreach.scheduling._room_book import WorkerRoom
 
 # Weights of what speaks for a worker; each outweighs all behind it.
 _FAILED_HERE = 100.0
 _FAR_FROM_DATA = 10.0
 _BESIDE_SERVING = 4.0
-# Serving tasks that share a worker before another one is taken.
-_MOST_SERVING = 3
+_CROWDED = 20.0
 
 
 class Plan:
@@ -144,21 +143,22 @@
     if spec.data_rack and spec.data_rack != report.rack:
         cost += _FAR_FROM_DATA
     if spec.is_service:
-        cost += _serving_cost(key, room)
+        cost += _serving_cost(key, spec, room)
     elif room.serving:
         cost += _BESIDE_SERVING
     return cost, _tightness(spec, room), report.worker
 
 
-def _serving_cost(key: TaskKey, room: WorkerRoom) -> float:
-    """Keep a step's tasks apart, and serving tasks on few workers.
+def _serving_cost(key: TaskKey, spec: StepSpec, room: WorkerRoom) -> float:
+    """Keep a step's tasks on two workers or more, but serving tasks on few.
 
-    The loss of one worker should cost a step few of its tasks; workers
+    The loss of one worker must not cost a step all of its tasks; workers
     without any serving task run batch work undisturbed, and can be moved.
     """
     same_step = room.steps[key.job_id, key.occurrence, key.step]
-    crowding = max(0, room.serving - _MOST_SERVING)
-    return same_step * _MOST_SERVING + crowding - min(room.serving, 1)
+    if same_step >= most_together(spec):
+        return _CROWDED + same_step
+    return -min(room.serving, 1)
 
 
 def _tightness(spec: StepSpec, room: WorkerRoom) -> float:
--- a/src/wigeonreach/scheduling/_pools.py
+++ b/src/wigeonreach/scheduling/_pools.py
@@ -90,6 +90,7 @@
         self._emptying: dict[str, _Emptying] = {}
         self._incoming: dict[str, tuple[str, float]] = {}
         self._surplus_since_s: dict[str, float] = {}
+        self._processors = 0.0
 
     @property
     def cordoned(self) -> set[str]:
@@ -136,6 +137,7 @@
     def step(
         self,
         backlog: Mapping[str, float],
+        serving: Mapping[str, int],
         taken: set[str],
         now_s: float,
     ) -> list[Move]:
@@ -145,13 +147,16 @@
         ----------
         backlog
             Processor seconds that the accepted jobs of each service need.
+        serving
+            Workers that the serving tasks of each service need.
         taken
             VMs that waves have in hand.
         now_s
             Clock in seconds.
         """
         self._forget_arrived(now_s)
-        pools = self._pools(backlog, taken, now_s)
+        self._note_sizes()
+        pools = self._pools(backlog, serving, taken, now_s)
         self._fill(pools, taken, now_s)
         self._give_back(pools, now_s)
         return self._due(now_s)
@@ -159,6 +164,7 @@
     def _pools(
         self,
         backlog: Mapping[str, float],
+        serving: Mapping[str, int],
         taken: set[str],
         now_s: float,
     ) -> dict[str, PoolState]:
@@ -172,27 +178,29 @@
             service.name: PoolState(
                 service.name,
                 tuple(lives[service.name]),
-                self._wanted(service.name, lives[service.name], backlog, now_s),
+                max(
+                    self._wanted_by_work(service.name, backlog, now_s),
+                    serving.get(service.name, 0) + _SPARE_WORKERS,
+                ),
             )
             for service in self._book.manifest.services
             if not service.is_standby
         }
 
-    def _wanted(
+    def _note_sizes(self) -> None:
+        for life in self._workers.lives.values():
+            self._processors = max(self._processors, life.room.processors)
+
+    def _wanted_by_work(
         self,
         service: str,
-        lives: list[WorkerLife],
         backlog: Mapping[str, float],
         now_s: float,
     ) -> int:
-        processors = max((life.room.processors for life in lives), default=0)
-        serving = sum(map(self._is_serving, lives))
-        if not processors:
-            return 0
         arriving_s = self._demand[service].rate_at(now_s) * _LOOKAHEAD_S
         work_s = backlog.get(service, 0) + arriving_s
-        busy = work_s / (processors * _USABLE_RATIO * _FINISH_S)
-        return max(math.ceil(busy), serving + _SPARE_WORKERS)
+        usable = self._processors * _USABLE_RATIO
+        return math.ceil(work_s / (usable * _FINISH_S)) if usable else 0
 
     def _fill(
         self,
@@ -276,13 +284,6 @@
             if is_here or now_s - since_s > _MOVE_LASTS_S:
                 self._incoming.pop(vm)
 
-    def _is_serving(self, life: WorkerLife) -> bool:
-        for key in self._book.assigned.get(life.report.worker, {}):
-            job = self._book.job_of(key)
-            if job is not None and job.step_spec(key).is_service:
-                return True
-        return False
-
     def _idle_vms(self, pool: PoolState) -> list[str]:
         return [
             life.report.vm
--- a/src/wigeonreach/scheduling/_ready.py
+++ b/src/wigeonreach/scheduling/_ready.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 from collections.abc import Iterable
 
 from wigeonreach.jobs import JobBook, JobRecord, StepSpec, TaskPhase
@@ -55,6 +56,7 @@
         self._by_job: dict[str, tuple[ReadyStep, ...]] = {}
         self._accepted_s: dict[str, float] = {}
         self._work_s: dict[str, tuple[str, float]] = {}
+        self._serving: dict[str, tuple[str, int]] = {}
 
     def backlog(self) -> dict[str, float]:
         """Return the processor seconds that each service still owes."""
@@ -63,6 +65,13 @@
             total[service] = total.get(service, 0) + work_s
         return total
 
+    def serving(self) -> dict[str, int]:
+        """Return how many workers the serving tasks of each service need."""
+        needed: dict[str, int] = {}
+        for service, workers in self._serving.values():
+            needed[service] = max(needed.get(service, 0), workers)
+        return needed
+
     def accepted_s(self, job_id: str) -> float | None:
         """Return when a job was first seen here."""
         return self._accepted_s.get(job_id)
@@ -92,6 +101,7 @@
     def _refresh_job(self, book: JobBook, job_id: str, now_s: float) -> None:
         self._by_job.pop(job_id, None)
         self._work_s.pop(job_id, None)
+        self._serving.pop(job_id, None)
         job = book.jobs.get(job_id)
         if job is None:
             self._accepted_s.pop(job_id, None)
@@ -102,8 +112,11 @@
         steps = _ready_steps(job, accepted_s)
         if steps:
             self._by_job[job_id] = steps
-        if not any(step.is_service for step in job.spec.steps):
-            self._work_s[job_id] = (book.service_of(job), _work_s(job))
+        service = book.service_of(job)
+        if any(step.is_service for step in job.spec.steps):
+            self._serving[job_id] = (service, _workers_for(job))
+        else:
+            self._work_s[job_id] = (service, _work_s(job))
 
     def in_order(self, now_s: float, wall_ms: float) -> list[ReadyStep]:
         """Return the steps that are due, those to be served first in front."""
@@ -117,6 +130,22 @@
         return due
 
 
+def _workers_for(job: JobRecord) -> int:
+    """Return on how many workers a job's serving tasks should be."""
+    return max(
+        math.ceil(step.count / most_together(step)) for step in job.spec.steps
+    )
+
+
+def most_together(step: StepSpec) -> int:
+    """Return how many serving tasks of a step should share a worker.
+
+    The loss of one worker must leave a step half of its tasks.
+    """
+    half = max(step.count // 2, 1)
+    return min(step.spread_limit, half) if step.spread_limit else half
+
+
 def _rank(step: ReadyStep, now_s: float) -> tuple[float, ...]:
     is_late = now_s > step.latest_start_s
     urgency = step.work_s if is_late else step.latest_start_s
--- a/src/wigeonreach/scheduling/_scheduler.py
+++ b/src/wigeonreach/scheduling/_scheduler.py
@@ -112,7 +112,12 @@
     def moves(self, now_s: float) -> list[Move]:
         """Return the VMs that are to go to another pool now."""
         taken = self.maintenance.cordoned
-        return self.pools.step(self.ready.backlog(), taken, now_s)
+        return self.pools.step(
+            self.ready.backlog(),
+            self.ready.serving(),
+            taken,
+            now_s,
+        )
 
     def orders(self, life: WorkerLife) -> WorkerOrders:
         """Return what a worker is to be told."""
--- a/tests/scheduling/test_maintenance.py
+++ b/tests/scheduling/test_maintenance.py
@@ -98,6 +98,23 @@
             matchers.Equals([(1, 'vm0')]),
         )
 
+    def test_vm_that_is_down_is_not_asked_again(self) -> None:
+        """A refused order waits until the list shows the VM up."""
+        lead = FakeLead(book_with(), workers(1))
+        maintenance = lead.scheduler.maintenance
+        lead.start_wave(('off1',), limit=1)
+        lead.record_vm('off1', VmStep.ORDERED)
+        maintenance.note_vms((_record('off1', VmPhase.DOWN),), 1.0)
+        self.assertThat(
+            maintenance.step(set(), 1.1).orders,
+            matchers.HasLength(0),
+        )
+        maintenance.note_vms((_record('off1', VmPhase.UP),), 2.0)
+        self.assertThat(
+            maintenance.step(set(), 2.1).orders,
+            matchers.HasLength(1),
+        )
+
     def test_order_comes_once_a_vm_is_empty(self) -> None:
         """An idle VM is ordered, and counts until it is back."""
         lead = FakeLead(book_with(), workers(3))
--- a/tests/scheduling/test_pools.py
+++ b/tests/scheduling/test_pools.py
@@ -60,6 +60,21 @@
             ),
         )
 
+    def test_empty_pool_gets_vms(self) -> None:
+        """A pool that lost its last worker is not forgotten."""
+        serving = job(serving_step(3))
+        lead = FakeLead(_with_standby(book_with(serving)), workers(1))
+        lead.scheduler.pools.note_vms(_off('off1', 'off2', 'off3', 'off4'))
+        lead.round()
+        lead.workers.clear()
+        lead.now_s += 60
+        lead.round()
+        moves = lead.scheduler.moves(lead.now_s)
+        self.assertThat(
+            [move.to_pool for move in moves],
+            matchers.Equals([SERVICE, SERVICE, SERVICE, SERVICE]),
+        )
+
     def test_idle_vms_go_back(self) -> None:
         """Beside serving tasks one spare worker stays, not more."""
         book = _with_standby(book_with(job(serving_step(2))))
