Know returned VMs at once, finish a peak in 4 s, keep no spare worker

What a spare worker and an early give-back cost was seen by printing the sizes of the pools twice a second.

--- a/src/wigeonreach/core/_daemon.py
+++ b/src/wigeonreach/core/_daemon.py
@@ -226,6 +226,7 @@
             self._agreement,
             self._book,
             self._agreement.term,
+            self._settings.move_s,
             self._log,
             self._metrics,
         )
--- a/src/wigeonreach/core/_settings.py
+++ b/src/wigeonreach/core/_settings.py
@@ -27,6 +27,8 @@
         Port on which workers reach any core process.
     order_pause_s
         How long two holders' orders for one VM must be apart.
+    move_s
+        How long a VM is away while it moves to another pool.
     """
 
     listen: Address
@@ -37,6 +39,7 @@
     tolerated_losses: int
     api_port: int
     order_pause_s: float
+    move_s: float
 
     @property
     def name(self) -> str:
--- a/src/wigeonreach/core/_term.py
+++ b/src/wigeonreach/core/_term.py
@@ -60,6 +60,8 @@
         The replicated state and how it is changed.
     term
         Which this is.
+    move_s
+        How long a VM is away while it moves to another pool.
     logger, metrics
         Where decisions are logged and counted.
 
@@ -74,6 +76,7 @@
         agreement: Agreement,
         book: JobBook,
         term: int,
+        move_s: float,
         logger: Logger,
         metrics: Metrics,
     ) -> None:
@@ -84,6 +87,7 @@
         self.is_first = False
         self._agreement = agreement
         self._book = book
+        self._move_s = move_s
         self._log = logger
         self._metrics = metrics
         self._scheduler: Scheduler | None = None
@@ -126,7 +130,12 @@
         """
         self.is_first = self._book.term == 0
         await self.propose(BeginTerm(self.term))
-        self._scheduler = Scheduler(self._book, self.term, steady_s())
+        self._scheduler = Scheduler(
+            self._book,
+            self.term,
+            steady_s(),
+            self._move_s,
+        )
         self._log.info(
             LogEvent.TERM_BEGAN,
             term=self.term,
--- a/src/wigeonreach/platform/_settings.py
+++ b/src/wigeonreach/platform/_settings.py
@@ -31,7 +31,8 @@
     # The platform names it after a lease; it is the time that orders of two
     # holders for one VM have to be apart.
     lease_ms: int = _DEFAULT_ORDER_PAUSE_MS
-    grace_s: float = 6.0
+    # The platform's word for moving a VM to another pool.
+    migration_s: float = 1.5
 
 
 class _Cloud(msgspec.Struct, frozen=True, rename='camel'):
@@ -100,6 +101,7 @@
             tolerated_losses=self.fault_tolerance.machines,
             api_port=control.port,
             order_pause_s=self.bounds.lease_ms / 1000,  # noqa: WPS432
+            move_s=self.bounds.migration_s,
         )
 
 
--- a/src/wigeonreach/scheduling/_pools.py
+++ b/src/wigeonreach/scheduling/_pools.py
@@ -20,7 +20,7 @@
 
 # Work is of full use for some 5 s; a VM that is ordered now works in 2 s, so
 # what is to be had within this is worth a move.
-_FINISH_S = 3.0
+_FINISH_S = 4.0
 _LOOKAHEAD_S = 1.5
 # Part of a pool's processors that packing leaves unused.
 _USABLE_RATIO = 0.85
@@ -28,8 +28,8 @@
 _IDLE_S = 1.5
 # A move that is not confirmed by a heartbeat within this is forgotten.
 _MOVE_LASTS_S = 6.0
-# Workers beyond those that serving tasks need, for the loss of one.
-_SPARE_WORKERS = 1
+# What a term knows of demand at its start is too little to send VMs away.
+_SETTLE_S = 8.0
 # A VM that can't be emptied in this time stays where it is.
 _EMPTY_S = 1.0
 
@@ -77,16 +77,29 @@
         The replicated state; it is only read.
     workers
         The lives of the workers.
+    move_s
+        How long a VM is away while it moves.
+    now_s
+        When the term began.
     """
 
-    def __init__(self, book: JobBook, workers: Workers) -> None:
+    def __init__(
+        self,
+        book: JobBook,
+        workers: Workers,
+        move_s: float,
+        now_s: float,
+    ) -> None:
         """Move nothing yet."""
         self._book = book
         self._workers = workers
+        self._move_s = move_s
+        self._settled_s = now_s + _SETTLE_S
+        self._returning_s: dict[str, float] = {}
         self._demand: dict[str, ServiceDemand] = collections.defaultdict(
             ServiceDemand,
         )
-        self._standby: dict[str, VmRecord] = {}
+        self._standby: set[str] = set()
         self._emptying: dict[str, _Emptying] = {}
         self._incoming: dict[str, tuple[str, float]] = {}
         self._surplus_since_s: dict[str, float] = {}
@@ -117,7 +130,7 @@
         """Take the platform's list of VMs."""
         standby = self.standby_pool
         self._standby = {
-            record.vm: record
+            record.vm
             for record in vms
             if record.pool == standby and record.phase is VmPhase.UP
         }
@@ -125,14 +138,16 @@
     def note_moved(self, move: Move, now_s: float) -> None:
         """Take note that the platform carries a move out."""
         self._emptying.pop(move.vm, None)
-        self._standby.pop(move.vm, None)
-        if move.to_pool != self.standby_pool:
+        self._standby.discard(move.vm)
+        if move.to_pool == self.standby_pool:
+            self._returning_s[move.vm] = now_s + self._move_s
+        else:
             self._incoming[move.vm] = (move.to_pool, now_s)
 
     def note_failed(self, move: Move) -> None:
         """Take note that a move was refused."""
         self._emptying.pop(move.vm, None)
-        self._standby.pop(move.vm, None)
+        self._standby.discard(move.vm)
 
     def step(
         self,
@@ -180,7 +195,7 @@
                 tuple(lives[service.name]),
                 max(
                     self._wanted_by_work(service.name, backlog, now_s),
-                    serving.get(service.name, 0) + _SPARE_WORKERS,
+                    serving.get(service.name, 0),
                 ),
             )
             for service in self._book.manifest.services
@@ -254,7 +269,7 @@
         now_s: float,
     ) -> None:
         """Send VMs that idle to the standby pool."""
-        if not self.standby_pool:
+        if not self.standby_pool or now_s < self._settled_s:
             return
         for pool in pools.values():
             surplus = self._have(pool) - pool.wanted
@@ -283,6 +298,10 @@
             is_here = life is not None and life.report.service == pool
             if is_here or now_s - since_s > _MOVE_LASTS_S:
                 self._incoming.pop(vm)
+        back = [vm for vm, at_s in self._returning_s.items() if at_s <= now_s]
+        for vm in back:
+            self._returning_s.pop(vm)
+            self._standby.add(vm)
 
     def _idle_vms(self, pool: PoolState) -> list[str]:
         return [
--- a/src/wigeonreach/scheduling/_scheduler.py
+++ b/src/wigeonreach/scheduling/_scheduler.py
@@ -25,6 +25,11 @@
 from wigeonreach.wire._worker_messages import WorkerOrders, WorkerReport
 
 
+# Where a platform does not tell: a VM that only changes its pool is not
+# rebooted.
+_MOVE_S = 1.5
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Heard:
     """What a heartbeat brought.
@@ -47,16 +52,24 @@
         Of this leader.
     now_s
         When the term began, on a clock that also counts suspended time.
+    move_s
+        How long a VM is away while it moves to another pool.
     """
 
-    def __init__(self, book: JobBook, term: int, now_s: float) -> None:
+    def __init__(
+        self,
+        book: JobBook,
+        term: int,
+        now_s: float,
+        move_s: float = _MOVE_S,
+    ) -> None:
         """Know no worker yet."""
         self.term = term
         self.workers = Workers(now_s)
         self.pacing = Pacing()
         self.health = WorkerHealth()
         self.maintenance = Maintenance(book, self.workers)
-        self.pools = PoolPlanner(book, self.workers)
+        self.pools = PoolPlanner(book, self.workers, move_s, now_s)
         self.stopping: set[Run] = set()
         self.ready = ReadySteps()
         self._book = book
