--- a/src/wigeonreach/core/_term.py
+++ b/src/wigeonreach/core/_term.py
@@ -24,7 +24,7 @@
     encode_command,
 )
 from wigeonreach.observe import LogEvent, Logger, Metrics
-from wigeonreach.scheduling import Scheduler, WorkerLife
+from wigeonreach.scheduling import Heard, Scheduler, WorkerLife
 from wigeonreach.scheduling._orders import BUSY_NEXT_MS, HELD_NEXT_MS
 from wigeonreach.state._state_machine import Agreement
 from wigeonreach.wire._worker_messages import WorkerOrders, WorkerReport
@@ -222,11 +222,21 @@
                 continue
             heartbeat.life = heard.life
             ends.extend(heard.ends)
+            if heard.still:
+                self._log_still(heard)
             if known is None:
                 self._log_joined(heartbeat.report)
         self._metrics.count('heartbeats', amount=len(arrived))
         return tuple(ends)
 
+    def _log_still(self, heard: Heard) -> None:
+        self._log.info(
+            LogEvent.RUNS_STOPPED,
+            reason='no progress',
+            worker=heard.life.report.worker,
+            runs=[f'{task.job_id}/{run}' for task, run in heard.still],
+        )
+
     def _log_joined(self, report: WorkerReport) -> None:
         self._log.info(
             LogEvent.WORKER_JOINED,
--- a/src/wigeonreach/scheduling/_pacing.py
+++ b/src/wigeonreach/scheduling/_pacing.py
@@ -33,6 +33,10 @@
         """Return the share in percent, or None if none was ever set."""
         return self._paces.get(worker)
 
+    def set(self, worker: str, percent: int) -> None:
+        """Let batch work on a worker run at a share of its speed."""
+        self._paces[worker] = percent
+
     def forget(self, worker: str) -> None:
         """Drop what is known of a dead worker."""
         self._paces.pop(worker, None)
--- a/src/wigeonreach/scheduling/_placing.py
+++ b/src/wigeonreach/scheduling/_placing.py
@@ -11,6 +11,7 @@
 
 # Weights of what speaks for a worker; each outweighs all behind it.
 _FAILED_HERE = 100.0
+_SLOW = 50.0
 _FAR_FROM_DATA = 10.0
 _BESIDE_SERVING = 4.0
 _CROWDED = 20.0
@@ -103,6 +104,7 @@
         collections.Counter(room.steps),
         room.serving,
         room.is_reserved,
+        room.is_slow,
     )
 
 
@@ -138,10 +140,12 @@
     report = room.life.report
     task = step.job.task(key)
     cost = 0.0
-    if task is not None and task.failures and task.worker == report.worker:
+    if task is not None and task.run and task.worker == report.worker:
         cost += _FAILED_HERE
     if spec.data_rack and spec.data_rack != report.rack:
         cost += _FAR_FROM_DATA
+    if room.is_slow:
+        cost += _SLOW
     if spec.is_service:
         cost += _serving_cost(key, spec, room)
     elif room.serving:
--- /dev/null
+++ b/src/wigeonreach/scheduling/_progress.py
@@ -0,0 +1,151 @@
+"""Find runs that stand still and workers that are slow.
+
+Answers workers that look healthy while what runs on them stands still or
+takes several times as long: their tasks decide when a step ends, so they are
+stopped early and done elsewhere, and the worker is chosen last.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import statistics
+from collections.abc import Mapping
+
+from wigeonreach.jobs import JobBook, StepSpec, TaskKey
+from wigeonreach.scheduling._pacing import FULL_PACE
+from wigeonreach.scheduling._workers import WorkerLife
+from wigeonreach.wire._worker_messages import RunningTask
+
+# Heartbeats come every quarter of a second, and a task that works moves by a
+# percent in a hundredth of its time: this is several heartbeats.
+_STILL_S = 1.5
+# Long tasks move by a percent only now and then.
+_STILL_RATIO = 0.05
+# A new worker may be cold for as long as it says; a serving task that does not
+# come to work in this time does not come at all.
+_NO_START_S = 4.0
+# Of the newest run in a worker's mean.
+_NEWEST_RATIO = 0.3
+# Sizes and estimates differ by half, so only much slower is told from chance.
+_SLOW_RATIO = 2.5
+_LEAST_RUNS = 3
+
+Run = tuple[TaskKey, int]
+
+
+@dataclasses.dataclass(slots=True)
+class _Seen:
+    """A run since its last progress."""
+
+    percent: int
+    moved_s: float
+    began_s: float
+
+
+@dataclasses.dataclass(slots=True)
+class _Speed:
+    """How much longer than estimated runs take on a worker."""
+
+    ratio: float = 1.0
+    runs: int = 0
+
+
+class ProgressWatch:
+    """What heartbeats tell of the runs' progress."""
+
+    def __init__(self) -> None:
+        """Have seen nothing."""
+        self._seen: dict[Run, _Seen] = {}
+        self._speeds: dict[str, _Speed] = {}
+
+    def note(
+        self,
+        life: WorkerLife,
+        book: JobBook,
+        pace_percent: int | None,
+        now_s: float,
+    ) -> list[Run]:
+        """Take a heartbeat; return the runs that stand still.
+
+        Parameters
+        ----------
+        life
+            Whose heartbeat it was.
+        book
+            What runs.
+        pace_percent
+            At which share of its speed batch work was told to run, or None.
+        now_s
+            Clock in seconds.
+        """
+        still: list[Run] = []
+        is_paced = pace_percent is not None and pace_percent < FULL_PACE
+        for row in life.running:
+            seen = self._look(row, is_paced, now_s)
+            spec = _spec(book, row.task)
+            if spec is not None and _stands_still(spec, seen, now_s):
+                still.append((row.task, row.run))
+        return still
+
+    def _look(self, row: RunningTask, is_paced: bool, now_s: float) -> _Seen:
+        run = (row.task, row.run)
+        seen = self._seen.setdefault(run, _Seen(row.percent, now_s, now_s))
+        if row.percent != seen.percent or is_paced:
+            seen.percent = row.percent
+            seen.moved_s = now_s
+        return seen
+
+    def note_done(
+        self, worker: str, run: Run, book: JobBook, now_s: float
+    ) -> None:
+        """Take note that a run ended well, and how long it took."""
+        seen = self._seen.pop(run, None)
+        spec = _spec(book, run[0])
+        if seen is None or spec is None or not spec.estimate_ms:
+            return
+        ratio = (now_s - seen.began_s) * 1000 / spec.estimate_ms
+        speed = self._speeds.setdefault(worker, _Speed(ratio))
+        speed.ratio += _NEWEST_RATIO * (ratio - speed.ratio)
+        speed.runs += 1
+
+    def forget(self, worker: str, runs: Mapping[TaskKey, int]) -> None:
+        """Drop what is known of a dead worker and its runs."""
+        self._speeds.pop(worker, None)
+        for run in runs.items():
+            self._seen.pop(run, None)
+
+    def forget_run(self, run: Run) -> None:
+        """Drop a run that ended."""
+        self._seen.pop(run, None)
+
+    def slow(self, workers: list[str]) -> set[str]:
+        """Return who of a service's workers is much slower than the others."""
+        known = {
+            worker: self._speeds[worker].ratio
+            for worker in workers
+            if worker in self._speeds
+            and self._speeds[worker].runs >= _LEAST_RUNS
+        }
+        if len(known) < _LEAST_RUNS:
+            return set()
+        usual = statistics.median(known.values())
+        return {
+            worker
+            for worker, ratio in known.items()
+            if ratio > usual * _SLOW_RATIO
+        }
+
+
+def _spec(book: JobBook, key: TaskKey) -> StepSpec | None:
+    job = book.job_of(key)
+    if job is None or key.step >= len(job.spec.steps):
+        return None
+    return job.step_spec(key)
+
+
+def _stands_still(spec: StepSpec, seen: _Seen, now_s: float) -> bool:
+    if spec.is_service:
+        is_at_work = seen.percent >= FULL_PACE
+        return not is_at_work and now_s - seen.began_s > _NO_START_S
+    allowed_s = max(_STILL_S, spec.estimate_ms / 1000 * _STILL_RATIO)
+    return now_s - seen.moved_s > allowed_s
--- a/src/wigeonreach/scheduling/_room_book.py
+++ b/src/wigeonreach/scheduling/_room_book.py
@@ -23,6 +23,8 @@
         How many serving tasks are on it.
     is_reserved
         Room is being made on it for a serving task.
+    is_slow
+        Its runs take much longer than on other workers.
     """
 
     life: WorkerLife
@@ -30,6 +32,7 @@
     steps: collections.Counter[tuple[str, int, int]]
     serving: int = 0
     is_reserved: bool = False
+    is_slow: bool = False
 
     def add(self, key: TaskKey, spec: StepSpec) -> None:
         """Put a task on it."""
--- a/src/wigeonreach/scheduling/_scheduler.py
+++ b/src/wigeonreach/scheduling/_scheduler.py
@@ -14,17 +14,18 @@
 )
 from wigeonreach.scheduling._health import WorkerHealth
 from wigeonreach.scheduling._maintenance import Maintenance
+from wigeonreach.scheduling._moving_out import movable_now
 from wigeonreach.scheduling._orders import not_begun, orders_for
 from wigeonreach.scheduling._pacing import Pacing
 from wigeonreach.scheduling._placing import Plan
 from wigeonreach.scheduling._pools import Move, PoolPlanner
 from wigeonreach.scheduling._preempting import Run, victims_for
+from wigeonreach.scheduling._progress import ProgressWatch
 from wigeonreach.scheduling._ready import ReadyStep, ReadySteps
 from wigeonreach.scheduling._room_book import WorkerRoom, room_left
 from wigeonreach.scheduling._workers import WorkerLife, Workers
 from wigeonreach.wire._worker_messages import WorkerOrders, WorkerReport
 
-
 # Where a platform does not tell: a VM that only changes its pool is not
 # rebooted.
 _MOVE_S = 1.5
@@ -34,11 +35,13 @@
 class Heard:
     """What a heartbeat brought.
 
-    ``ends`` have to be recorded before they are acknowledged.
+    ``ends`` have to be recorded before they are acknowledged.  ``still`` are
+    runs without progress, which are being stopped.
     """
 
     life: WorkerLife
     ends: tuple[RunEnded, ...]
+    still: tuple[Run, ...] = ()
 
 
 class Scheduler:
@@ -68,6 +71,7 @@
         self.workers = Workers(now_s)
         self.pacing = Pacing()
         self.health = WorkerHealth()
+        self.progress = ProgressWatch()
         self.maintenance = Maintenance(book, self.workers)
         self.pools = PoolPlanner(book, self.workers, move_s, now_s)
         self.stopping: set[Run] = set()
@@ -88,8 +92,11 @@
         self.pacing.note(life, self._book)
         ends = (*self._new_ends(life), *self._withdrawn(life))
         for ended in ends:
-            self._note_health(ended, now_s)
-        return Heard(life, ends)
+            self._note_end(ended, now_s)
+        still = self._stop_still(life, now_s)
+        if report.is_draining:
+            self._move_out(life)
+        return Heard(life, ends, still)
 
     def lost(self, now_s: float) -> tuple[RunEnded, ...]:
         """Return the runs of workers that are over, to be given on."""
@@ -97,6 +104,7 @@
         for worker in over:
             self.pacing.forget(worker)
             self.health.forget(worker)
+            self.progress.forget(worker, self._book.assigned.get(worker, {}))
         self._forget_stopped()
         over.update(
             worker
@@ -199,13 +207,40 @@
         task = job.task(key) if job else None
         return task.checkpoint if task else ''
 
-    def _note_health(self, ended: RunEnded, now_s: float) -> None:
-        self.stopping.discard((ended.task, ended.run))
+    def _stop_still(self, life: WorkerLife, now_s: float) -> tuple[Run, ...]:
+        """Stop runs without progress, and trust their worker less."""
+        worker = life.report.worker
+        pace = self.pacing.pace(worker)
+        still = [
+            run
+            for run in self.progress.note(life, self._book, pace, now_s)
+            if run not in self.stopping
+        ]
+        for run in still:
+            self.stopping.add(run)
+            self.health.note_failed(worker, run[0].job_id, now_s)
+        return tuple(still)
+
+    def _move_out(self, life: WorkerLife) -> None:
+        """Let serving tasks leave a worker that leaves."""
+        runs = movable_now(
+            life,
+            self.workers.lives,
+            self._book,
+            self.stopping,
+        )
+        self.stopping.update(runs)
+
+    def _note_end(self, ended: RunEnded, now_s: float) -> None:
+        run = (ended.task, ended.run)
+        self.stopping.discard(run)
         if ended.end is RunEnd.DONE:
             self.health.note_done(ended.worker)
+            self.progress.note_done(ended.worker, run, self._book, now_s)
         elif ended.end is RunEnd.FAILED:
             job_id = ended.task.job_id
             self.health.note_failed(ended.worker, job_id, now_s)
+        self.progress.forget_run(run)
 
     def rooms(self, now_s: float) -> dict[str, list[WorkerRoom]]:
         """Return what each worker that may take something has left."""
@@ -223,6 +258,9 @@
                 for life in lives
                 if life.report.worker not in resting
             ]
+            slow = self.progress.slow(names)
+            for room in rooms[service]:
+                room.is_slow = room.life.report.worker in slow
         return rooms
 
     def _make_room(
--- a/tests/builders_jobs.py
+++ b/tests/builders_jobs.py
@@ -172,6 +172,11 @@
             run = (start.task, start.run)
             self.running[run] = RunningTask(*run, '', percent)
 
+    def advance(self, percent: int) -> None:
+        """Let all runs be so far."""
+        for run in self.running:
+            self.running[run] = RunningTask(*run, '', percent)
+
     def end(self, run: tuple[TaskKey, int], how: RunEnd) -> None:
         """Let a run end."""
         self.running.pop(run)
