--- a/src/wigeonreach/core/_term.py
+++ b/src/wigeonreach/core/_term.py
@@ -16,7 +16,9 @@
     Command,
     ForgetJobs,
     JobBook,
+    JobRecord,
     RecordRuns,
+    RunEnd,
     RunEnded,
     RunStarted,
     Verdict,
@@ -26,6 +28,7 @@
 from wigeonreach.observe import LogEvent, Logger, Metrics
 from wigeonreach.scheduling import Heard, Scheduler, WorkerLife
 from wigeonreach.scheduling._orders import BUSY_NEXT_MS, HELD_NEXT_MS
+from wigeonreach.scheduling._ready import objective_of
 from wigeonreach.state._state_machine import Agreement
 from wigeonreach.wire._worker_messages import WorkerOrders, WorkerReport
 
@@ -153,7 +156,6 @@
     def note_leaving(self, worker: str) -> None:
         """Take note that a worker says that it ends."""
         self.scheduler.workers.leave(worker, steady_s())
-        self._log.info(LogEvent.WORKER_ENDED, worker=worker, reason='leaves')
 
     async def run(self) -> None:
         """Decide until cancelled."""
@@ -198,6 +200,7 @@
                 workers=sorted({run.worker for run in lost}),
                 runs=len(lost),
             )
+        self._log_notes()
         await self._record_ends((*ends, *lost))
         for heartbeat in arrived:
             _note_ends(heartbeat)
@@ -229,6 +232,16 @@
         self._metrics.count('heartbeats', amount=len(arrived))
         return tuple(ends)
 
+    def _log_notes(self) -> None:
+        for note in self.scheduler.notes:
+            self._metrics.count('beliefs', note.event.name.lower())
+            self._log.info(
+                note.event,
+                subject=note.subject,
+                reason=note.reason,
+            )
+        self.scheduler.notes.clear()
+
     def _log_still(self, heard: Heard) -> None:
         self._log.info(
             LogEvent.RUNS_STOPPED,
@@ -261,15 +274,37 @@
         await self._record(RecordRuns(self.term, ends=ends))
         for ended in ends:
             self._metrics.count('runs_ended', ended.end.name.lower())
+            if ended.end is not RunEnd.DONE:
+                self._log_end(ended)
         for job_id, phase in before.items():
             job = self._book.jobs.get(job_id)
             if job is not None and job.phase is not phase:
-                self._log.info(
-                    LogEvent.JOB_ENDED,
-                    job=job_id,
-                    queue=job.queue.name,
-                    phase=job.phase.name.lower(),
-                )
+                self._log_job_end(job)
+
+    def _log_job_end(self, job: JobRecord) -> None:
+        accepted_s = self.scheduler.ready.accepted_s(job.spec.job_id)
+        now_s = steady_s()
+        took_s = now_s - (now_s if accepted_s is None else accepted_s)
+        self._metrics.observe_s('accepted_to_end', took_s)
+        self._log.info(
+            LogEvent.JOB_ENDED,
+            job=job.spec.job_id,
+            queue=job.queue.name,
+            phase=job.phase.name.lower(),
+            took_s=round(took_s, 3),
+            objective_s=round(objective_of(job), 3),
+        )
+
+    def _log_end(self, ended: RunEnded) -> None:
+        job = self._book.job_of(ended.task)
+        task = job.task(ended.task) if job else None
+        self._log.info(
+            LogEvent.RUN_ENDED,
+            run=_run_name(ended),
+            how=ended.end.name.lower(),
+            failures=task.failures if task else 0,
+            is_saved=bool(ended.checkpoint),
+        )
 
     async def _record_starts(self, starts: tuple[RunStarted, ...]) -> None:
         if not starts:
@@ -278,12 +313,7 @@
         self._metrics.count('runs_ordered', amount=len(starts))
         self._log.info(
             LogEvent.RUNS_ORDERED,
-            runs=[
-                f'{start.task.job_id}.{start.task.occurrence}'
-                f'.{start.task.step}.{start.task.index}'
-                f'/{start.run}@{start.worker}'
-                for start in starts
-            ],
+            runs=[_run_name(start) for start in starts],
         )
 
     async def _record(self, command: RecordRuns) -> None:
@@ -343,6 +373,13 @@
         self._held = []
 
 
+def _run_name(run: RunStarted | RunEnded) -> str:
+    """Return TASK/RUN@WORKER."""
+    key = run.task
+    task = f'{key.job_id}.{key.occurrence}.{key.step}.{key.index}'
+    return f'{task}/{run.run}@{run.worker}'
+
+
 def _note_ends(heartbeat: _Heartbeat) -> None:
     """Take note that a heartbeat's ends are recorded."""
     life = heartbeat.life
--- a/src/wigeonreach/gateway/_gateway.py
+++ b/src/wigeonreach/gateway/_gateway.py
@@ -72,6 +72,11 @@
         """Addresses of the core processes that are known."""
         return tuple(sorted(self._links))
 
+    @property
+    def leader(self) -> str:
+        """Address of the leader, or nothing if none is known."""
+        return self._leader
+
     @property
     def has_leader(self) -> bool:
         """Whether a call would reach a leader, as far as is known."""
--- a/src/wigeonreach/observe/_logs.py
+++ b/src/wigeonreach/observe/_logs.py
@@ -5,11 +5,16 @@
 import enum
 import logging
 import sys
+from collections.abc import Callable
 from typing import Any
 
+import msgspec
 import structlog
 
 from wigeonreach.observe._events import LogEvent
+from wigeonreach.observe._lines import LineSink, stdout_sink
+
+_URGENT = frozenset(('warning', 'error', 'critical'))
 
 
 class LogFormat(enum.StrEnum):
@@ -50,8 +55,33 @@
         self._logger.warning(event.name.lower(), number=int(event), **fields)
 
 
-def configure_logs(log_format: LogFormat, log_level: LogLevel) -> None:
-    """Send logs to standard error.
+class _SinkLogger:
+    """The end of structlog's chain: one method for each level."""
+
+    def __init__(self, sink: LineSink) -> None:
+        self._sink = sink
+
+    def __getattr__(self, level: str) -> Callable[[str], None]:
+        return lambda line: self._put(level, line)
+
+    def _put(self, level: str, line: str) -> None:
+        omitted = self._sink.omitted_if_due()
+        if omitted:
+            told = {
+                'number': int(LogEvent.LINES_OMITTED),
+                'event': LogEvent.LINES_OMITTED.name.lower(),
+                'lines': omitted,
+            }
+            self._sink.put(msgspec.json.encode(told), is_urgent=True)
+        self._sink.put(line.encode(), is_urgent=level in _URGENT)
+
+
+def configure_logs(
+    log_format: LogFormat,
+    log_level: LogLevel,
+    sink: LineSink | None = None,
+) -> None:
+    """Send logs to standard output, without ever waiting for it.
 
     Parameters
     ----------
@@ -59,11 +89,16 @@
         Shape of each line.
     log_level
         Lowest level that is written.
+    sink
+        Where lines go, if not to standard output.
     """
-    renderer: structlog.typing.Processor = structlog.processors.JSONRenderer()
+    renderer: structlog.typing.Processor = structlog.processors.JSONRenderer(
+        serializer=_encode,
+    )
     if log_format is LogFormat.TEXT:
         renderer = structlog.dev.ConsoleRenderer(colors=False)
     level = logging.getLevelNamesMapping()[log_level.name]
+    end = _SinkLogger(sink or stdout_sink())
     structlog.configure(
         processors=[
             structlog.processors.add_log_level,
@@ -71,6 +106,11 @@
             renderer,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(level),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=lambda *_: end,
+        cache_logger_on_first_use=True,
     )
     logging.basicConfig(level=logging.WARNING, stream=sys.stderr)
+
+
+def _encode(fields: object, **_: object) -> str:
+    return msgspec.json.encode(fields, enc_hook=str).decode()
--- a/src/wigeonreach/platform/_callers.py
+++ b/src/wigeonreach/platform/_callers.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import time
+
 from wigeonreach.exceptions import RequestRefusedError
 from wigeonreach.gateway import Gateway
+from wigeonreach.observe import LogEvent, Logger, Metrics
 from wigeonreach.platform._http import HttpReply, HttpRequest, error_reply
 from wigeonreach.platform._jobs import decode_job
 from wigeonreach.platform._replies import http_reply
@@ -13,6 +16,7 @@
     ReadJob,
     SubmitJob,
 )
+from wigeonreach.wire._call_replies import NotDone, Unknown
 
 # How long a client waits for its answer.
 _DEADLINE_HEADER = 'X-Deadline-Ms'
@@ -29,23 +33,59 @@
     ----------
     gateway
         Where calls go.
+    logger, metrics
+        Where refusals are logged and requests counted.
     """
 
-    def __init__(self, gateway: Gateway) -> None:
+    def __init__(
+        self,
+        gateway: Gateway,
+        logger: Logger,
+        metrics: Metrics,
+    ) -> None:
         """Keep the gateway."""
         self._gateway = gateway
+        self._log = logger
+        self._metrics = metrics
 
     async def handle(self, request: HttpRequest) -> HttpReply:
         """Answer one request."""
         try:
             call = _decode(request)
         except RequestRefusedError as error:
+            self._note_refusal(request, 'invalid', str(error), 0)
             return error_reply(400, error)
         if call is None:
             return HttpReply(405, b'{}')
+        began_s = time.monotonic()
         reply = await self._gateway.call(call, _timeout_s(request))
+        took_s = time.monotonic() - began_s
+        self._metrics.observe_s(request.method.lower(), took_s)
+        if isinstance(reply, NotDone):
+            self._note_refusal(request, reply.reason.value, '', took_s)
+        elif isinstance(reply, Unknown):
+            self._note_refusal(request, 'outcome-unknown', '', took_s)
         return http_reply(reply)
 
+    def _note_refusal(
+        self,
+        request: HttpRequest,
+        reason: str,
+        detail: str,
+        waited_s: float,
+    ) -> None:
+        self._metrics.count('requests_refused', reason)
+        self._log.warning(
+            LogEvent.JOB_REFUSED,
+            method=request.method,
+            host=request.host,
+            path=request.path,
+            reason=reason,
+            detail=detail,
+            waited_s=round(waited_s, 3),
+            leader=self._gateway.leader,
+        )
+
 
 def _decode(request: HttpRequest) -> AnyCall | None:
     place = (request.host, request.path)
--- a/src/wigeonreach/platform/_processes.py
+++ b/src/wigeonreach/platform/_processes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import pathlib
 import signal
 from collections.abc import Callable
@@ -17,7 +18,11 @@
 from wigeonreach.platform._control import ControlApi
 from wigeonreach.platform._http import HttpListener, HttpReply, HttpRequest
 from wigeonreach.platform._machines import MachinesApi
-from wigeonreach.platform._settings import PlatformFile, read_platform_file
+from wigeonreach.platform._settings import (
+    METRICS_VARIABLE,
+    PlatformFile,
+    read_platform_file,
+)
 
 # Far above the largest job that a queue takes (256 KB).
 _MAX_JOB_BYTES = 1024 * 1024
@@ -90,6 +95,37 @@
             self._on_change(found)
 
 
+class MetricsPage(mode.Service):
+    """Serve a process's metrics, where a port is set for them.
+
+    Parameters
+    ----------
+    settings
+        What the settings file holds.
+    metrics
+        What is served.
+    """
+
+    def __init__(self, settings: PlatformFile, metrics: Metrics) -> None:
+        """Listen once started."""
+        super().__init__()
+        self._listener: HttpListener | None = None
+        self._page = metrics
+        port = os.environ.get(METRICS_VARIABLE, '')
+        if port:
+            place = f'{settings.ip}:{port}'
+            address = settings.address(place, METRICS_VARIABLE)
+            self._listener = HttpListener(address, self._on_request, 0)
+
+    async def on_start(self) -> None:
+        """Listen."""
+        if self._listener is not None:
+            await self.add_runtime_dependency(self._listener)
+
+    async def _on_request(self, request: HttpRequest) -> HttpReply:
+        return HttpReply(200, self._page.page().encode())
+
+
 class EntryProcess(mode.Service):
     """Take clients' requests and bring them to the core.
 
@@ -119,7 +155,7 @@
         listen = settings.listen_addrs
         self._clients = HttpListener(
             settings.address(listen.frontend_addr, 'frontendAddr'),
-            ClientApi(self._gateway).handle,
+            ClientApi(self._gateway, logger, metrics).handle,
             _MAX_JOB_BYTES,
         )
         self._probe = HttpListener(
@@ -127,12 +163,19 @@
             self._on_probe,
             0,
         )
+        self._metrics = MetricsPage(settings, metrics)
         self._watch = SettingsWatch(path, settings, self._take, logger)
         self._is_draining = False
 
     async def on_start(self) -> None:
         """Listen and connect."""
-        services = (self._clients, self._probe, self._gateway, self._watch)
+        services = (
+            self._clients,
+            self._probe,
+            self._metrics,
+            self._gateway,
+            self._watch,
+        )
         for service in services:
             await self.add_runtime_dependency(service)
 
@@ -189,11 +232,12 @@
             ControlApi(self._core).handle,
             _MAX_MANIFEST_BYTES,
         )
+        self._metrics = MetricsPage(settings, metrics)
         self._watch = SettingsWatch(path, settings, self._take, logger)
 
     async def on_start(self) -> None:
         """Take part in the agreement, then listen."""
-        for service in (self._core, self._control, self._watch):
+        for service in (self._core, self._control, self._metrics, self._watch):
             await self.add_runtime_dependency(service)
 
     async def on_shutdown(self) -> None:
--- a/src/wigeonreach/platform/_settings.py
+++ b/src/wigeonreach/platform/_settings.py
@@ -14,6 +14,8 @@
 
 # The platform names the file in this variable of the environment.
 FILE_VARIABLE = 'WIGEONREACH_NODE_FILE'
+# A port of our own choice, on which each process serves its metrics.
+METRICS_VARIABLE = 'WIGEONREACH_METRICS_PORT'
 _DEFAULT_ORDER_PAUSE_MS = 3000
 
 
--- /dev/null
+++ b/src/wigeonreach/scheduling/_notes.py
@@ -0,0 +1,24 @@
+"""Tell why the leader believes something else than before."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from wigeonreach.observe import LogEvent
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Note:
+    """One change of belief, for a log line.
+
+    Attributes
+    ----------
+    subject
+        What it is about: a worker or a VM.
+    reason
+        What decided it, with its age or figure.
+    """
+
+    event: LogEvent
+    subject: str
+    reason: str
--- a/src/wigeonreach/scheduling/_pacing.py
+++ b/src/wigeonreach/scheduling/_pacing.py
@@ -41,8 +41,14 @@
         """Drop what is known of a dead worker."""
         self._paces.pop(worker, None)
 
-    def note(self, life: WorkerLife, book: JobBook) -> None:
-        """Look at the tails that a worker reports."""
+    def note(self, life: WorkerLife, book: JobBook) -> str:
+        """Look at the tails that a worker reports.
+
+        Returns
+        -------
+        str
+            What changed, or nothing.
+        """
         worker = life.report.worker
         ratio = _worst_ratio(life, book)
         pace = self._paces.get(worker, FULL_PACE)
@@ -51,6 +57,10 @@
             self._paces[worker] = slower if slower >= _LEAST_PACE else 0
         elif ratio < _FASTER_BELOW_RATIO and worker in self._paces:
             self._paces[worker] = min(pace + _STEP_UP, FULL_PACE)
+        changed = self._paces.get(worker, FULL_PACE)
+        if changed == pace:
+            return ''
+        return f'{pace} to {changed} percent, tail at {ratio:.2f} of target'
 
 
 def _worst_ratio(life: WorkerLife, book: JobBook) -> float:
--- a/src/wigeonreach/scheduling/_scheduler.py
+++ b/src/wigeonreach/scheduling/_scheduler.py
@@ -12,9 +12,11 @@
     RunStarted,
     TaskKey,
 )
+from wigeonreach.observe import LogEvent
 from wigeonreach.scheduling._health import WorkerHealth
 from wigeonreach.scheduling._maintenance import Maintenance
 from wigeonreach.scheduling._moving_out import movable_now
+from wigeonreach.scheduling._notes import Note
 from wigeonreach.scheduling._orders import not_begun, orders_for
 from wigeonreach.scheduling._pacing import Pacing
 from wigeonreach.scheduling._placing import Plan
@@ -57,6 +59,11 @@
         When the term began, on a clock that also counts suspended time.
     move_s
         How long a VM is away while it moves to another pool.
+
+    Attributes
+    ----------
+    notes
+        Changes of belief that nobody logged yet.
     """
 
     def __init__(
@@ -72,6 +79,7 @@
         self.pacing = Pacing()
         self.health = WorkerHealth()
         self.progress = ProgressWatch()
+        self.notes: list[Note] = []
         self.maintenance = Maintenance(book, self.workers)
         self.pools = PoolPlanner(book, self.workers, move_s, now_s)
         self.stopping: set[Run] = set()
@@ -86,10 +94,16 @@
         now_s: float,
     ) -> Heard | None:
         """Take a heartbeat; return None if it counts no more."""
+        known = self.workers.lives.get(report.worker)
+        was_draining = known is not None and known.report.is_draining
         life = self.workers.hear(report, now_s)
         if life is None:
             return None
-        self.pacing.note(life, self._book)
+        if report.is_draining and not was_draining:
+            left = f'has {report.drain_left_ms} ms left'
+            self._note(LogEvent.WORKER_DRAINING, life, left)
+        paced = self.pacing.note(life, self._book)
+        self._note(LogEvent.WORKER_PACED, life, paced)
         ends = (*self._new_ends(life), *self._withdrawn(life))
         for ended in ends:
             self._note_end(ended, now_s)
@@ -100,7 +114,10 @@
 
     def lost(self, now_s: float) -> tuple[RunEnded, ...]:
         """Return the runs of workers that are over, to be given on."""
-        over = {life.report.worker for life in self.workers.ended(now_s)}
+        ended = self.workers.ended(now_s)
+        for gone, why in ended.items():
+            self.notes.append(Note(LogEvent.WORKER_ENDED, gone, why))
+        over = set(ended)
         for worker in over:
             self.pacing.forget(worker)
             self.health.forget(worker)
@@ -218,7 +235,7 @@
         ]
         for run in still:
             self.stopping.add(run)
-            self.health.note_failed(worker, run[0].job_id, now_s)
+            self._distrust(worker, run[0].job_id, now_s)
         return tuple(still)
 
     def _move_out(self, life: WorkerLife) -> None:
@@ -238,10 +255,18 @@
             self.health.note_done(ended.worker)
             self.progress.note_done(ended.worker, run, self._book, now_s)
         elif ended.end is RunEnd.FAILED:
-            job_id = ended.task.job_id
-            self.health.note_failed(ended.worker, job_id, now_s)
+            self._distrust(ended.worker, ended.task.job_id, now_s)
         self.progress.forget_run(run)
 
+    def _distrust(self, worker: str, job_id: str, now_s: float) -> None:
+        if self.health.note_failed(worker, job_id, now_s):
+            reason = 'failed or held up runs of several jobs in a row'
+            self.notes.append(Note(LogEvent.WORKER_RESTS, worker, reason))
+
+    def _note(self, event: LogEvent, life: WorkerLife, reason: str) -> None:
+        if reason:
+            self.notes.append(Note(event, life.report.worker, reason))
+
     def rooms(self, now_s: float) -> dict[str, list[WorkerRoom]]:
         """Return what each worker that may take something has left."""
         by_service: dict[str, list[WorkerLife]] = collections.defaultdict(list)
--- a/src/wigeonreach/scheduling/_workers.py
+++ b/src/wigeonreach/scheduling/_workers.py
@@ -5,7 +5,6 @@
 import dataclasses
 
 from wigeonreach._room import Room
-from wigeonreach.jobs import TaskKey
 from wigeonreach.jobs._model import MEBIBYTE, MILLICORES
 from wigeonreach.wire._worker_messages import RunningTask, WorkerReport
 
@@ -41,8 +40,6 @@
         Number up to which its ends are recorded for good.
     leaves_at_s
         When it surely has ended, once it said that it ends.
-    ordered
-        Runs that were ordered, and the heartbeat that was answered so.
     """
 
     report: WorkerReport
@@ -51,9 +48,6 @@
     room: Room
     noted: int = 0
     leaves_at_s: float | None = None
-    ordered: dict[tuple[TaskKey, int], int] = dataclasses.field(
-        default_factory=dict,
-    )
 
     @property
     def running(self) -> tuple[RunningTask, ...]:
@@ -132,14 +126,16 @@
         if known is not None:
             known.leaves_at_s = now_s
 
-    def ended(self, now_s: float) -> list[WorkerLife]:
-        """Return the lives that are over, and remember them as dead."""
-        over = [
-            life for life in self.lives.values() if self._is_over(life, now_s)
-        ]
-        for life in over:
-            self.lives.pop(life.report.worker)
-            self._gone_s[life.report.worker] = now_s
+    def ended(self, now_s: float) -> dict[str, str]:
+        """Return the lives that are over and why; remember them as dead."""
+        over = {
+            worker: why
+            for worker, life in self.lives.items()
+            if (why := self._why_over(life, now_s))
+        }
+        for worker in over:
+            self.lives.pop(worker)
+            self._gone_s[worker] = now_s
         self._forget_gone(now_s)
         return over
 
@@ -158,12 +154,15 @@
             default=None,
         )
 
-    def _is_over(self, life: WorkerLife, now_s: float) -> bool:
+    def _why_over(self, life: WorkerLife, now_s: float) -> str:
+        """Return why a life is over, or nothing if it goes on."""
         if now_s >= life.lease_over_s:
-            return True
+            return f'lease over, silent for {now_s - life.heard_s:.2f} s'
         if life.leaves_at_s is not None and now_s >= life.leaves_at_s:
-            return True
-        return self._has_successor(life)
+            return 'left, or was ended by an order'
+        if self._has_successor(life):
+            return f'another life goes on at {life.report.vm}'
+        return ''
 
     def _has_successor(self, life: WorkerLife) -> bool:
         """Whether another life goes on at its VM while it is silent."""
