--- a/src/wigeonreach/core/_daemon.py
+++ b/src/wigeonreach/core/_daemon.py
@@ -8,6 +8,7 @@
 import mode
 
 from wigeonreach.codes import ExitCode
+from wigeonreach.core._advising import Advising, AdvisorApi
 from wigeonreach.core._clock import steady_s
 from wigeonreach.core._desk import Desk
 from wigeonreach.core._opening import open_agreement
@@ -59,6 +60,8 @@
         Who it is.
     api
         How VMs are maintained and moved.
+    advisor
+        Who knows which workers may run some queues' steps.
     logger, metrics
         Where events are logged and counted.
     """
@@ -67,6 +70,7 @@
         self,
         settings: CoreSettings,
         api: VmApi,
+        advisor: AdvisorApi,
         logger: Logger,
         metrics: Metrics,
     ) -> None:
@@ -74,6 +78,7 @@
         super().__init__()
         self._settings = settings
         self._api = api
+        self._advisor = advisor
         self._log = logger
         self._metrics = metrics
         self._book = JobBook()
@@ -265,9 +270,11 @@
             self._log,
             self._metrics,
         )
+        advising = Advising(term, self._advisor, self._metrics)
         async with asyncio.TaskGroup() as group:
             group.create_task(term.run())
             group.create_task(upkeep.run())
+            group.create_task(advising.run())
 
     def _leave(self, error: Exception) -> None:
         # After a failed sync nothing in memory may be told to anybody.
--- a/src/wigeonreach/core/_term.py
+++ b/src/wigeonreach/core/_term.py
@@ -279,12 +279,14 @@
         for job_id, phase in before.items():
             job = self._book.jobs.get(job_id)
             if job is not None and job.phase is not phase:
+                self.scheduler.advice.forget(job_id)
                 self._log_job_end(job)
 
     def _log_job_end(self, job: JobRecord) -> None:
         accepted_s = self.scheduler.ready.accepted_s(job.spec.job_id)
-        now_s = steady_s()
-        took_s = now_s - (now_s if accepted_s is None else accepted_s)
+        took_s = 0.0
+        if accepted_s is not None:
+            took_s = steady_s() - accepted_s
         self._metrics.observe_s('accepted_to_end', took_s)
         self._log.info(
             LogEvent.JOB_ENDED,
@@ -342,7 +344,7 @@
         life = heartbeat.life
         if life is None:
             return WorkerOrders()
-        orders = self.scheduler.orders(life)
+        orders = self.scheduler.orders(life, now_s)
         has_orders = bool(orders.starts or orders.stops or orders.paces)
         if has_orders or self.scheduler.has_batch(life):
             return msgspec.structs.replace(orders, next_after_ms=BUSY_NEXT_MS)
--- a/src/wigeonreach/platform/_processes.py
+++ b/src/wigeonreach/platform/_processes.py
@@ -14,6 +14,7 @@
 from wigeonreach.exceptions import SettingError
 from wigeonreach.gateway import Gateway
 from wigeonreach.observe import LogEvent, Logger, Metrics
+from wigeonreach.platform._advisor import RecommendationApi
 from wigeonreach.platform._callers import ClientApi
 from wigeonreach.platform._control import ControlApi
 from wigeonreach.platform._http import HttpListener, HttpReply, HttpRequest
@@ -220,9 +221,11 @@
             settings.node_name,
             logger,
         )
+        self._advisor = RecommendationApi(settings.recommendation, logger)
         self._core = Core(
             settings.core_settings(),
             self._machines,
+            self._advisor,
             logger,
             metrics,
         )
@@ -243,6 +246,7 @@
     async def on_shutdown(self) -> None:
         """Close the connections to the platform."""
         await self._machines.close()
+        await self._advisor.close()
 
     async def drain(self) -> None:
         """Give the lead away and answer what still comes."""
--- a/src/wigeonreach/scheduling/_orders.py
+++ b/src/wigeonreach/scheduling/_orders.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import dataclasses
 from collections.abc import Collection, Iterator
 
 from wigeonreach.jobs import JobBook, JobRecord, TaskKey
+from wigeonreach.scheduling._advice import AdviceBook
 from wigeonreach.scheduling._pacing import FULL_PACE, Pacing
 from wigeonreach.scheduling._workers import LEASE_MS, WorkerLife
 from wigeonreach.wire._worker_messages import (
@@ -22,11 +24,24 @@
 HELD_NEXT_MS = 20
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tickets:
+    """The tickets that are valid at a time."""
+
+    book: AdviceBook
+    now_s: float
+
+    def of(self, key: TaskKey, worker: str) -> str:
+        """Return the ticket for a task on a worker, or nothing."""
+        return self.book.ticket(key, worker, self.now_s)
+
+
 def orders_for(
     life: WorkerLife,
     book: JobBook,
     pacing: Pacing,
     stopping: Collection[tuple[TaskKey, int]],
+    tickets: Tickets,
     term: int,
 ) -> WorkerOrders:
     """Return the orders that a worker is owed, by its newest heartbeat.
@@ -41,7 +56,7 @@
         lease_ms=LEASE_MS,
         fence=term,
         acknowledged=life.noted,
-        starts=tuple(_starts(life, book, held, stopping)),
+        starts=tuple(_starts(life, book, stopping, tickets)),
         stops=tuple(_stops(life, book, held, stopping)),
         paces=tuple(_paces(life, book, pacing)),
     )
@@ -59,23 +74,40 @@
 def _starts(
     life: WorkerLife,
     book: JobBook,
-    held: dict[TaskKey, int],
     stopping: Collection[tuple[TaskKey, int]],
+    tickets: Tickets,
 ) -> Iterator[StartOrder]:
     if life.report.is_draining:
         return
     for key, run in not_begun(life, book):
         job = book.job_of(key)
-        if job is None or not job.is_active or (key, run) in stopping:
+        if job is None or (key, run) in stopping:
             continue
-        if book.service_of(job) == life.report.service:
-            yield _start(job, key, run)
+        ticket = tickets.of(key, life.report.worker)
+        if _may_start(job, life, book, ticket):
+            yield _start(job, key, run, ticket)
 
 
-def _start(job: JobRecord, key: TaskKey, run: int) -> StartOrder:
+def _may_start(
+    job: JobRecord,
+    life: WorkerLife,
+    book: JobBook,
+    ticket: str,
+) -> bool:
+    is_advised = job.queue.advice is None or bool(ticket)
+    is_here = book.service_of(job) == life.report.service
+    return job.is_active and is_here and is_advised
+
+
+def _start(
+    job: JobRecord,
+    key: TaskKey,
+    run: int,
+    ticket: str,
+) -> StartOrder:
     task = job.task(key)
     checkpoint = task.checkpoint if task else ''
-    return StartOrder(key, run, job.spec.payload, checkpoint)
+    return StartOrder(key, run, job.spec.payload, checkpoint, ticket)
 
 
 def _stops(
--- a/src/wigeonreach/scheduling/_placing.py
+++ b/src/wigeonreach/scheduling/_placing.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable, Sequence
 
 from wigeonreach.jobs import JobBook, RunStarted, StepSpec, TaskKey
+from wigeonreach.scheduling._advice import AdviceBook
 from wigeonreach.scheduling._ready import ReadyStep, most_together
 from wigeonreach.scheduling._room_book import WorkerRoom
 
@@ -26,16 +27,24 @@
         What is accepted and where it runs.
     rooms
         The workers that may take something, by service.
+    advice
+        Tickets of the queues that need them.
+    now_s
+        Clock in seconds.
     """
 
     def __init__(
         self,
         book: JobBook,
         rooms: dict[str, list[WorkerRoom]],
+        advice: AdviceBook,
+        now_s: float,
     ) -> None:
         """Start nothing yet."""
         self._book = book
         self._rooms = rooms
+        self._advice = advice
+        self._now_s = now_s
         self.starts: list[RunStarted] = []
         self.unplaced: list[ReadyStep] = []
 
@@ -43,6 +52,8 @@
         """Place the tasks of steps, in their order."""
         for step in steps:
             rooms = self._rooms.get(self._book.service_of(step.job), [])
+            if step.job.queue.advice is not None:
+                rooms = self._advice.allowed(step, rooms, self._now_s)
             if step.spec.is_gang:
                 is_placed = self._place_gang(step, rooms)
             else:
--- a/src/wigeonreach/scheduling/_scheduler.py
+++ b/src/wigeonreach/scheduling/_scheduler.py
@@ -13,11 +13,12 @@
     TaskKey,
 )
 from wigeonreach.observe import LogEvent
+from wigeonreach.scheduling._advice import AdviceBook
 from wigeonreach.scheduling._health import WorkerHealth
 from wigeonreach.scheduling._maintenance import Maintenance
 from wigeonreach.scheduling._moving_out import movable_now
 from wigeonreach.scheduling._notes import Note
-from wigeonreach.scheduling._orders import not_begun, orders_for
+from wigeonreach.scheduling._orders import Tickets, not_begun, orders_for
 from wigeonreach.scheduling._pacing import Pacing
 from wigeonreach.scheduling._placing import Plan
 from wigeonreach.scheduling._pools import Move, PoolPlanner
@@ -79,6 +80,7 @@
         self.pacing = Pacing()
         self.health = WorkerHealth()
         self.progress = ProgressWatch()
+        self.advice = AdviceBook()
         self.notes: list[Note] = []
         self.maintenance = Maintenance(book, self.workers)
         self.pools = PoolPlanner(book, self.workers, move_s, now_s)
@@ -142,7 +144,7 @@
         if not steps:
             return ()
         rooms = self.rooms(now_s)
-        plan = Plan(self._book, rooms)
+        plan = Plan(self._book, rooms, self.advice, now_s)
         plan.place(steps)
         self._make_room(plan.unplaced, rooms)
         return tuple(plan.starts)
@@ -157,13 +159,14 @@
             now_s,
         )
 
-    def orders(self, life: WorkerLife) -> WorkerOrders:
+    def orders(self, life: WorkerLife, now_s: float) -> WorkerOrders:
         """Return what a worker is to be told."""
         return orders_for(
             life,
             self._book,
             self.pacing,
             self.stopping,
+            Tickets(self.advice, now_s),
             self.term,
         )
 
@@ -208,8 +211,12 @@
     def _is_unwanted(self, life: WorkerLife, key: TaskKey, run: int) -> bool:
         job = self._book.job_of(key)
         is_active = job is not None and job.is_active
-        is_stopping = (key, run) in self.stopping
-        return life.report.is_draining or not is_active or is_stopping
+        if life.report.is_draining or not is_active:
+            return True
+        # A worker that waits for a ticket holds room for nothing.
+        needs = job is not None and job.queue.advice is not None
+        ticket = self.advice.ticket(key, life.report.worker, life.heard_s)
+        return (key, run) in self.stopping or (needs and not ticket)
 
     def _forget_stopped(self) -> None:
         held = {
--- a/tests/builders_jobs.py
+++ b/tests/builders_jobs.py
@@ -210,7 +210,7 @@
         for told in self.workers.values():
             life = self.scheduler.workers.lives.get(told.name)
             if life is not None:
-                told.obey(self.scheduler.orders(life))
+                told.obey(self.scheduler.orders(life, self.now_s))
 
     def hear(self, worker: FakeWorker) -> None:
         """Take one heartbeat in."""
--- /dev/null
+++ b/tests/scheduling/test_advice.py
@@ -0,0 +1,95 @@
+"""Test that steps that need an advisor's word start with it only."""
+
+from __future__ import annotations
+
+import testtools
+from testtools import matchers
+
+from tests.builders_jobs import (
+    FakeLead,
+    commit,
+    job,
+    key,
+    manifest,
+    queue,
+    step,
+    workers,
+)
+from wigeonreach.jobs import (
+    AddJob,
+    AdvicePolicy,
+    BeginTerm,
+    JobBook,
+    SetManifest,
+)
+from wigeonreach.scheduling._advice import Advice
+
+_POLICY = AdvicePolicy(decision_ms=20, per_worker_ms=5, validity_ms=3000)
+
+
+def _lead(count: int) -> FakeLead:
+    book = JobBook()
+    commit(book, SetManifest(manifest(queue(advice=_POLICY))))
+    commit(book, BeginTerm(3))
+    commit(book, AddJob(job(step(count)), 'bookings'))
+    return FakeLead(book, workers(4))
+
+
+class TestAdvice(testtools.TestCase):
+    """One step of a queue with an advisor."""
+
+    def test_nothing_starts_without_a_ticket(self) -> None:
+        """The advisor is asked first, about a few workers."""
+        lead = _lead(1)
+        lead.round()
+        self.assertThat(lead.book.assigned, matchers.HasLength(0))
+        questions = lead.scheduler.advice.questions()
+        self.assertThat(questions, matchers.HasLength(1))
+        self.assertThat(questions[0].workers, matchers.HasLength(2))
+
+    def test_task_starts_on_an_allowed_worker_with_its_ticket(self) -> None:
+        """A ticket goes with the order."""
+        lead = _lead(1)
+        lead.round()
+        question = lead.scheduler.advice.questions()[0]
+        worker = question.workers[-1]
+        advice = Advice({worker: 'paper'}, valid_s=3)
+        lead.scheduler.advice.note(question, advice, lead.now_s)
+        lead.hear(lead.workers[worker])
+        lead.plan()
+        life = lead.scheduler.workers.lives[worker]
+        orders = lead.scheduler.orders(life, lead.now_s)
+        self.assertThat(
+            [(start.task, start.ticket) for start in orders.starts],
+            matchers.Equals([(key(), 'paper')]),
+        )
+
+    def test_old_ticket_is_asked_for_again(self) -> None:
+        """A ticket that would be over on arrival counts no more."""
+        lead = _lead(1)
+        lead.round()
+        question = lead.scheduler.advice.questions()[0]
+        advice = Advice({question.workers[0]: 'paper'}, valid_s=3)
+        lead.scheduler.advice.note(question, advice, lead.now_s)
+        for worker in lead.workers.values():
+            worker.cpu_millicores = 0
+        lead.round()
+        for restored in lead.workers.values():
+            restored.cpu_millicores = 16_000
+        lead.round(2.6)
+        self.assertThat(lead.book.assigned, matchers.HasLength(0))
+        self.assertThat(
+            lead.scheduler.advice.questions(),
+            matchers.HasLength(1),
+        )
+
+    def test_step_is_asked_once_at_a_time(self) -> None:
+        """The advisor's time is short: no question is asked twice."""
+        lead = _lead(1)
+        lead.round()
+        lead.scheduler.advice.questions()
+        lead.round()
+        self.assertThat(
+            lead.scheduler.advice.questions(),
+            matchers.HasLength(0),
+        )
