--- /dev/null
+++ b/tests/builders_core.py
@@ -0,0 +1,148 @@
+"""Run core processes and callers in one event loop."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import socket
+import tempfile
+from collections.abc import Awaitable, Callable
+
+from tests.builders_jobs import manifest
+from wigeonreach.core import Core, CoreSettings
+from wigeonreach.gateway import Gateway
+from wigeonreach.observe import Logger, Metrics
+from wigeonreach.scheduling._advice import Advice, Question
+from wigeonreach.scheduling._vms import OrderResult, VmRecord
+from wigeonreach.wire import parse_address
+from wigeonreach.wire._call_messages import AnyCall, PutManifest
+from wigeonreach.wire._call_replies import AnyReply, Done
+
+# Far above what anything here takes; it only ends a test that hangs.
+_PATIENCE_S = 30.0
+_CALL_S = 3.0
+
+
+class FakeVms:
+    """A platform that carries every order out at once."""
+
+    def __init__(self) -> None:
+        """Have no orders."""
+        self.orders: list[tuple[str, str, int]] = []
+
+    async def list_vms(self) -> tuple[VmRecord, ...] | None:
+        """Return no VM."""
+        return ()
+
+    async def maintain(self, vm: str, wave: int, fence: int) -> OrderResult:
+        """Take an order."""
+        self.orders.append((vm, f'wave {wave}', fence))
+        return OrderResult.DONE
+
+    async def move(self, vm: str, pool: str, fence: int) -> OrderResult:
+        """Take an order."""
+        self.orders.append((vm, pool, fence))
+        return OrderResult.DONE
+
+    async def advise(self, question: Question) -> Advice | None:
+        """Allow every worker."""
+        return Advice({worker: 'paper' for worker in question.workers}, 3)
+
+
+def free_addresses(count: int) -> list[str]:
+    """Return loopback addresses that nobody listens on."""
+    sockets = [socket.socket() for _ in range(count)]
+    for opened in sockets:
+        opened.bind(('127.0.0.1', 0))
+    names = [f'127.0.0.1:{opened.getsockname()[1]}' for opened in sockets]
+    for used in sockets:
+        used.close()
+    return names
+
+
+class CoreCluster:
+    """Core processes of one system, and a gateway to them.
+
+    Parameters
+    ----------
+    folder
+        Where their disks are.
+    """
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        """Start nothing yet."""
+        self.names = free_addresses(3)
+        self.cores: dict[str, Core] = {}
+        self.vms = FakeVms()
+        self._folder = folder
+        self.gateway = Gateway(
+            'caller',
+            self.names,
+            Logger('caller'),
+            Metrics(),
+        )
+
+    async def start(self, name: str, is_first_start: bool = False) -> None:
+        """Start one process on its disk."""
+        settings = CoreSettings(
+            listen=parse_address(name, 'listen'),
+            zone='a',
+            seeds=tuple(self.names),
+            data_folder=self._folder / name.replace(':', '-'),
+            is_first_start=is_first_start,
+            tolerated_losses=1,
+            api_port=1,
+            order_pause_s=0,
+            move_s=0,
+        )
+        core = Core(settings, self.vms, self.vms, Logger(name), Metrics())
+        self.cores[name] = core
+        await core.start()
+
+    async def stop(self, name: str) -> None:
+        """End one process."""
+        await self.cores.pop(name).stop()
+
+    async def stop_all(self) -> None:
+        """End everything."""
+        await self.gateway.stop()
+        for name in list(self.cores):
+            await self.stop(name)
+
+    async def leader(self) -> str:
+        """Wait for a leader and return its name."""
+        while True:
+            for name, core in self.cores.items():
+                if core.is_leading:
+                    return name
+            await asyncio.sleep(0.02)
+
+    async def call(self, call: AnyCall) -> AnyReply:
+        """Make a call until it has an effect."""
+        while True:
+            reply = await self.gateway.call(call, _CALL_S)
+            if type(reply).__name__ not in {'NotDone', 'Unknown'}:
+                return reply
+
+
+def run_cluster(body: Callable[[CoreCluster], Awaitable[None]]) -> None:
+    """Run a body with three processes that have a manifest."""
+    with tempfile.TemporaryDirectory() as folder:
+        asyncio.run(_run(body, pathlib.Path(folder)))
+
+
+async def _run(
+    body: Callable[[CoreCluster], Awaitable[None]],
+    folder: pathlib.Path,
+) -> None:
+    cluster = CoreCluster(folder)
+    try:
+        async with asyncio.timeout(_PATIENCE_S):
+            await cluster.gateway.start()
+            for name in cluster.names:
+                await cluster.start(name, is_first_start=True)
+            accepted = await cluster.call(PutManifest(manifest()))
+            assert isinstance(accepted, Done)
+            await body(cluster)
+    finally:
+        await cluster.stop_all()
--- /dev/null
+++ b/tests/platform/test_decoding.py
@@ -0,0 +1,300 @@
+"""Test that the platform's words are read once and checked at the border."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import tempfile
+
+import testtools
+from testtools import matchers
+
+from wigeonreach.codes import ResultCode
+from wigeonreach.exceptions import (
+    FleetTextError,
+    RequestRefusedError,
+    SettingError,
+)
+from wigeonreach.jobs import JobPhase, RunEnd, TaskKey
+from wigeonreach.platform._jobs import decode_job, encode_state
+from wigeonreach.platform._manifest import decode_manifest, decode_wave
+from wigeonreach.platform._settings import read_platform_file
+from wigeonreach.platform._workers import decode_heartbeat, encode_orders
+from wigeonreach.wire._call_replies import JobState
+from wigeonreach.wire._worker_messages import (
+    PaceOrder,
+    StartOrder,
+    StopOrder,
+    WorkerOrders,
+)
+
+_JOB = '5c0e7a21d94b36f8'
+_SETTINGS = """
+nodeName = "core-a-1"
+role = "core"
+ip = "10.1.0.12"
+zone = "a"
+portRange = [7060, 7075]
+seedNodes = ["10.1.0.12:8623", "10.2.0.25:8623"]
+bootstrap = true
+dataDir = "/data/core"
+unknown = "ignored"
+[listenAddrs]
+controlAddr = "10.1.0.12:8623"
+[faultTolerance]
+machines = 2
+[bounds]
+leaseMs = 3000
+migrationS = 1.5
+"""
+
+
+def _job(**changes: object) -> bytes:
+    phase: dict[str, object] = {'count': 2, 'cpu': 500, 'memMb': 256}
+    phase.update(changes)
+    return json.dumps({'spec': 'text', 'phases': [phase]}).encode()
+
+
+class TestJobs(testtools.TestCase):
+    """Submitted jobs."""
+
+    def test_fields_get_their_meaning(self) -> None:
+        """Names that say little are decoded into names that do."""
+        body = _job(
+            checkpointing=True,
+            longRunning=True,
+            utilisation=True,
+            antiAffinity=2,
+            affinity='r1-3',
+            missAllowed=1,
+            targetMs=80,
+        )
+        step = decode_job(body).steps[0]
+        self.assertThat(
+            (
+                step.saves_progress,
+                step.is_service,
+                step.is_filler,
+                step.spread_limit,
+                step.data_rack,
+                step.may_miss,
+                step.latency_target_ms,
+            ),
+            matchers.Equals((True, True, True, 2, 'r1-3', 1, 80)),
+        )
+
+    def test_filler_takes_no_processors(self) -> None:
+        """It lives on what others leave, but its memory counts."""
+        room = decode_job(_job(utilisation=True)).steps[0].room
+        self.assertThat(room.processors, matchers.Equals(0))
+        self.assertThat(room.memory_bytes, matchers.GreaterThan(0))
+
+    def test_impossible_jobs_are_refused(self) -> None:
+        """Each with a number, and nothing is taken."""
+        bodies = (
+            b'{',
+            b'{"spec":"x","phases":[]}',
+            b'{"spec":"x"}',
+            _job(count=0),
+            _job(cpu=-1),
+            _job(dependsOn=[0]),
+            _job(count='many'),
+            json.dumps(
+                {'spec': 'x' * 4001, 'phases': [{'count': 1}]},
+            ).encode(),
+        )
+        for body in bodies:
+            error = self.assertRaises(RequestRefusedError, decode_job, body)
+            self.assertThat(error.code, matchers.Equals(ResultCode.JOB_INVALID))
+
+    def test_states_have_the_platforms_words(self) -> None:
+        """A job that has not started is queued."""
+        words = {
+            (JobPhase.ACTIVE, False): 'queued',
+            (JobPhase.ACTIVE, True): 'running',
+            (JobPhase.COMPLETED, True): 'completed',
+            (JobPhase.FAILED, True): 'failed',
+            (JobPhase.CANCELLED, False): 'cancelled',
+        }
+        for (phase, has_started), word in words.items():
+            body = json.loads(encode_state(JobState(phase, has_started)))
+            self.assertThat(body, matchers.Equals({'state': word}))
+
+
+class TestHeartbeats(testtools.TestCase):
+    """Reports of workers and the answers to them."""
+
+    def test_report_is_read(self) -> None:
+        """Rows without names become typed records."""
+        body = {
+            'service': 's',
+            'address': '10.0.0.9:8080',
+            'zone': 'a',
+            'sequence': 4,
+            'state': 'draining',
+            'remainingMs': 900,
+            'machine': 'm-1',
+            'labels': ['kind', 'r1-3'],
+            'capacity': {'cpu': 16000, 'memMb': 32768, 'gpu': 0},
+            'running': [[f'{_JOB}.0.1.17', 2, 'saved', 41, 700]],
+            'finished': [[58, f'{_JOB}.0.1.9', 1, 'broken', '']],
+        }
+        report = decode_heartbeat('i-1', json.dumps(body).encode())
+        self.assertThat(
+            report.running[0].task, matchers.Equals(TaskKey(_JOB, 0, 1, 17))
+        )
+        self.assertThat(report.running[0].load, matchers.Equals(700))
+        self.assertThat(report.ended[0].end, matchers.Equals(RunEnd.PEER_ENDED))
+        self.assertThat(
+            (report.vm, report.rack, report.is_draining, report.drain_left_ms),
+            matchers.Equals(('m-1', 'r1-3', True, 900)),
+        )
+
+    def test_unreadable_report_is_refused(self) -> None:
+        """A heartbeat of which a part is not understood counts nowhere."""
+        broken = (
+            b'[]',
+            b'{"service":"s","address":"x","zone":"a"}',
+            b'{"service":"s","address":"x","zone":"a","sequence":1,'
+            b'"running":[["no-task",1,"",0]]}',
+            b'{"service":"s","address":"x","zone":"a","sequence":1,'
+            b'"finished":[[1,"a.0.0.0",1,"exploded",""]]}',
+        )
+        for body in broken:
+            self.assertRaises(RequestRefusedError, decode_heartbeat, 'i', body)
+
+    def test_orders_have_the_platforms_rows(self) -> None:
+        """What is empty is left out."""
+        key = TaskKey(_JOB, 0, 1, 2)
+        orders = WorkerOrders(
+            lease_ms=4000,
+            fence=7,
+            acknowledged=58,
+            starts=(StartOrder(key, 1, 'text', '', 'paper'),),
+            stops=(StopOrder(key, 2),),
+            paces=(PaceOrder(key, 2, 20),),
+        )
+        self.assertThat(
+            json.loads(encode_orders(orders)),
+            matchers.Equals(
+                {
+                    'holdMs': 4000,
+                    'ackedSeq': 58,
+                    'fencingToken': 7,
+                    'startTasks': [[f'{_JOB}.0.1.2', 1, 'text', '', 'paper']],
+                    'stopTasks': [[f'{_JOB}.0.1.2', 2]],
+                    'rate': [[f'{_JOB}.0.1.2', 2, 20]],
+                },
+            ),
+        )
+
+    def test_late_heartbeat_extends_no_lease(self) -> None:
+        """An answer without orders says nothing that a worker acts on."""
+        self.assertThat(
+            json.loads(encode_orders(WorkerOrders())),
+            matchers.Equals({}),
+        )
+
+
+def _route(**changes: object) -> dict[str, object]:
+    route: dict[str, object] = {
+        'name': 'r-1',
+        'host': 'a.example',
+        'pathPrefix': '/a/',
+        'service': 's',
+        'timeoutMs': 3000,
+    }
+    route.update(changes)
+    return route
+
+
+def _manifest(*routes: dict[str, object], version: int = 3) -> bytes:
+    return json.dumps(
+        {
+            'version': version,
+            'routes': routes,
+            'services': [{'name': 's', 'standby': True}],
+        },
+    ).encode()
+
+
+class TestManifests(testtools.TestCase):
+    """The operator's manifests and waves."""
+
+    def test_document_is_kept_as_it_was_sent(self) -> None:
+        """A read gives back the very bytes."""
+        body = _manifest(_route())
+        manifest = decode_manifest(body)
+        self.assertThat(manifest.document, matchers.Equals(body))
+        self.assertThat(manifest.services[0].is_standby, matchers.Is(True))
+
+    def test_invalid_manifests_are_refused(self) -> None:
+        """Cut short, contradicting itself, or out of range."""
+        broken = (
+            _manifest(_route())[:-5],
+            _manifest(_route(service='other')),
+            _manifest(_route(), _route(name='r-2')),
+            _manifest(_route(timeoutMs=0)),
+            _manifest(_route(), version=0),
+        )
+        for body in broken:
+            self.assertRaises(FleetTextError, decode_manifest, body)
+
+    def test_wave_is_read(self) -> None:
+        """Its limit is how many VMs are down at once."""
+        body = b'{"wave":1,"machines":["m-1"],"deadlineS":20,"cap":3}'
+        call = decode_wave(body)
+        self.assertThat(
+            (call.wave, call.vms, call.due_after_s, call.limit),
+            matchers.Equals((1, ('m-1',), 20, 3)),
+        )
+        self.assertRaises(FleetTextError, decode_wave, b'{"wave":1}')
+
+
+class TestSettings(testtools.TestCase):
+    """The platform's settings file."""
+
+    def _write(self, text: str) -> pathlib.Path:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        path = pathlib.Path(folder.name) / 'settings.toml'
+        path.write_text(text)
+        return path
+
+    def test_seeds_are_named_by_where_they_talk(self) -> None:
+        """Ports are the same everywhere, and unknown keys are ignored."""
+        settings = read_platform_file(self._write(_SETTINGS))
+        core = settings.core_settings()
+        self.assertThat(
+            core.seeds,
+            matchers.Equals(('10.1.0.12:7060', '10.2.0.25:7060')),
+        )
+        self.assertThat(core.name, matchers.Equals('10.1.0.12:7060'))
+        self.assertThat(core.voter_target, matchers.Equals(5))
+        self.assertThat(core.order_pause_s, matchers.Equals(3))
+
+    def test_wrong_files_are_refused_by_number(self) -> None:
+        """A file that is missing, cut short or of wrong kinds ends a start."""
+        texts = (_SETTINGS[:90], _SETTINGS.replace('true', '"yes"'), 'x = [')
+        for text in texts:
+            error = self.assertRaises(
+                SettingError,
+                read_platform_file,
+                self._write(text),
+            )
+            self.assertThat(
+                error.code,
+                matchers.Equals(ResultCode.SETTING_INVALID),
+            )
+        self.assertRaises(
+            SettingError,
+            read_platform_file,
+            pathlib.Path('missing.toml'),
+        )
+
+    def test_core_process_needs_a_disk(self) -> None:
+        """Its data folder can't be left out."""
+        text = _SETTINGS.replace('dataDir', 'otherDir')
+        settings = read_platform_file(self._write(text))
+        error = self.assertRaises(SettingError, settings.core_settings)
+        self.assertThat(error.code, matchers.Equals(ResultCode.SETTING_MISSING))
