--- a/src/wigeonreach/cli/_app.py
+++ b/src/wigeonreach/cli/_app.py
@@ -11,6 +11,7 @@
 from wigeonreach.cli._maintenance_commands import maintenance
 from wigeonreach.cli._manager_command import manager
 from wigeonreach.cli._status_commands import forget, history, status
+from wigeonreach.cli._trace_command import trace
 
 app = typer.Typer(
     cls=NumberedGroup,
@@ -30,4 +31,5 @@
 app.command()(status)
 app.command()(forget)
 app.command()(explain)
+app.command()(trace)
 app.add_typer(maintenance, name='maintenance')
--- a/src/wigeonreach/scheduling/_placing.py
+++ b/src/wigeonreach/scheduling/_placing.py
@@ -66,13 +66,17 @@
         step: ReadyStep,
         rooms: Sequence[WorkerRoom],
     ) -> bool:
+        is_placed = True
         for index in step.waiting:
             key = _key(step, index)
             room = _best(step, key, rooms)
             if room is None:
                 return False
+            if _waits_for_another(step, key, room, rooms):
+                is_placed = False
+                continue
             self._start(step, key, room, _next_run(step, index))
-        return True
+        return is_placed
 
     def _place_gang(
         self,
@@ -128,6 +132,23 @@
     return task.run + 1 if task else 1
 
 
+def _waits_for_another(
+    step: ReadyStep,
+    key: TaskKey,
+    room: WorkerRoom,
+    rooms: Sequence[WorkerRoom],
+) -> bool:
+    """Whether a task's last run would be where it failed before.
+
+    A worker that fails all that it starts must not end a job by itself.
+    """
+    task = step.job.task(key)
+    if task is None or task.worker != room.life.report.worker:
+        return False
+    is_last = task.failures + 1 >= step.job.queue.max_failures
+    return bool(task.failures) and is_last and len(rooms) > 1
+
+
 def _best(
     step: ReadyStep,
     key: TaskKey,
--- /dev/null
+++ b/tests/observe/test_trace.py
@@ -0,0 +1,51 @@
+"""Test that lines of machines with unlike clocks become one story."""
+
+from __future__ import annotations
+
+import json
+
+import testtools
+from testtools import matchers
+
+from wigeonreach.observe._trace import parse_lines, tell_story
+
+
+def _line(second: float, process: str, event: str, **fields: object) -> str:
+    stamp = f'2026-12-02T10:00:{second:09.6f}+00:00'
+    told = {'timestamp': stamp, 'process': process, 'event': event, **fields}
+    return json.dumps(told)
+
+
+class TestStory(testtools.TestCase):
+    """Lines of an entry whose clock is two seconds ahead."""
+
+    def test_order_is_that_of_the_events(self) -> None:
+        """Clocks are compared by when processes heard of a leader."""
+        lines = [
+            _line(1.0, 'core', 'term_began', term=2),
+            _line(1.001, 'other', 'leader_known', leader='core'),
+            _line(3.002, 'entry', 'leader_known', leader='core'),
+            _line(5.0, 'entry', 'job_refused', path='/q/abc', reason='x'),
+            _line(4.0, 'core', 'job_accepted', job='abc'),
+            _line(4.5, 'core', 'job_accepted', job='other'),
+        ]
+        story = tell_story(parse_lines(lines), 'abc')
+        self.assertThat(
+            [told.split()[1:3] for told in story],
+            matchers.Equals(
+                [['entry', 'job_refused'], ['core', 'job_accepted']],
+            ),
+        )
+
+    def test_other_output_is_skipped(self) -> None:
+        """Prefixes, tracebacks and cut lines do no harm."""
+        lines = [
+            'Traceback (most recent call last):',
+            f'  12.5 core-1 {_line(1.0, "core", "job_accepted", job="abc")}',
+            '{"timestamp": "2026',
+            '{"timestamp": 5}',
+        ]
+        self.assertThat(
+            tell_story(parse_lines(lines), 'abc'),
+            matchers.HasLength(1),
+        )
--- a/tests/scheduling/test_progress.py
+++ b/tests/scheduling/test_progress.py
@@ -112,6 +112,30 @@
         )
         self.assertThat(lead.workers['w0'].running, matchers.HasLength(0))
 
+    def test_last_run_waits_for_another_worker(self) -> None:
+        """A task is not given up on because of one worker."""
+        lead = FakeLead(book_with(job()), workers(2))
+        lead.round()
+        first = _busy(lead)[0]
+        other = next(
+            worker for worker in lead.workers.values() if worker is not first
+        )
+        other.cpu_millicores = 0
+        first.end((key(), 1), RunEnd.FAILED)
+        lead.round()
+        self.assertThat(_busy(lead), matchers.HasLength(0))
+        other.cpu_millicores = 16_000
+        lead.round()
+        self.assertThat(_busy(lead), matchers.Equals([other]))
+
+    def test_last_run_does_not_wait_where_there_is_one_worker(self) -> None:
+        """A pool of one worker tries there again."""
+        lead = FakeLead(book_with(job()), workers(1))
+        lead.round()
+        lead.workers['w0'].end((key(), 1), RunEnd.FAILED)
+        lead.round()
+        self.assertThat(_busy(lead), matchers.HasLength(1))
+
 
 class TestDraining(testtools.TestCase):
     """Workers that say that they leave."""
