Tell at once that the leader is out of reach

A core process names a leader only while it has a channel to it. In a long outage callers are refused at once.

--- a/src/wigeonreach/core/_daemon.py
+++ b/src/wigeonreach/core/_daemon.py
@@ -202,15 +202,19 @@
         return Orders(reply.orders.towards(address))
 
     def _notice(self) -> CoreNotice:
-        leader = self._agreement.leader
-        if leader == self._settings.name and not self.is_leading:
-            leader = ''
         return CoreNotice(
-            leader,
+            self._reachable_leader(),
             tuple(sorted({*self._agreement.peers, *self._gateway.cores})),
             self._agreement.term,
         )
 
+    def _reachable_leader(self) -> str:
+        """Return the leader, unless calls from here would not reach it."""
+        leader = self._agreement.leader
+        if leader == self._settings.name:
+            return leader if self.is_leading else ''
+        return leader if self._gateway.reaches(leader) else ''
+
     def _on_role(self) -> None:
         if self._leading is not None and not self._is_term_over():
             return
--- a/src/wigeonreach/gateway/_gateway.py
+++ b/src/wigeonreach/gateway/_gateway.py
@@ -24,7 +24,8 @@
 # over by then, and a caller that is refused loses at least a second.
 _LEADER_WAIT_S = 0.8
 # An election takes some 1.5 s.  Without a leader for longer something is
-# down, and callers have few tries: they had better come back later.
+# down: callers are told at once, and had better come back later, as they have
+# few tries.
 _LONG_OUTAGE_S = 1.5
 _RETRY_SOON_S = 1
 _RETRY_LATER_S = 2
@@ -65,7 +66,7 @@
         self._named_s: dict[str, float] = {}
         self._changed = asyncio.Event()
         self._leader = ''
-        self._leaderless_since_s: float | None = None
+        self._leaderless_since_s: float | None = time.monotonic()
 
     @property
     def cores(self) -> tuple[str, ...]:
@@ -86,6 +87,11 @@
         """Connect to the seeds."""
         await self._open_links()
 
+    def reaches(self, core: str) -> bool:
+        """Whether there is a channel to a core process."""
+        link = self._links.get(core)
+        return link is not None and link.is_open
+
     def change_seeds(self, seeds: Iterable[str]) -> None:
         """Take other seeds; known core processes stay known."""
         self._seeds = tuple(seeds)
@@ -143,16 +149,21 @@
             self._metrics.count('calls_failed', 'outcome-unknown')
             return Unknown()
         self._metrics.count('calls_failed', 'no-leader')
-        since_s = self._leaderless_since_s
-        outage_s = 0.0 if since_s is None else time.monotonic() - since_s
-        is_long = outage_s > _LONG_OUTAGE_S
+        is_long = self._outage_s() > _LONG_OUTAGE_S
         return NotDone(
             WhyNot.NO_LEADER,
             _RETRY_LATER_S if is_long else _RETRY_SOON_S,
         )
 
+    def _outage_s(self) -> float:
+        """Return for how long no leader has been known."""
+        since_s = self._leaderless_since_s
+        return 0.0 if since_s is None else time.monotonic() - since_s
+
     async def _reach_leader(self, due_s: float) -> CoreLink | None:
-        wait_until_s = min(due_s, time.monotonic() + _LEADER_WAIT_S)
+        is_long = self._outage_s() > _LONG_OUTAGE_S
+        wait_s = _RETRY_S if is_long else _LEADER_WAIT_S
+        wait_until_s = min(due_s, time.monotonic() + wait_s)
         while True:
             link = self._best_link()
             if link is not None or time.monotonic() >= wait_until_s:
