--- a/src/wigeonreach/core/_barrier.py
+++ b/src/wigeonreach/core/_barrier.py
@@ -35,10 +35,12 @@
         """
         if self._running is None or self._running.done():
             self._running = asyncio.create_task(self._agreement.read_barrier())
+            self._running.add_done_callback(_take_failure)
             await asyncio.shield(self._running)
             return
         if self._next is None or self._next.done():
             self._next = asyncio.create_task(self._after(self._running))
+            self._next.add_done_callback(_take_failure)
         await asyncio.shield(self._next)
 
     async def _after(self, running: asyncio.Task[None]) -> None:
@@ -46,3 +48,9 @@
         self._running = self._next
         self._next = None
         await self._agreement.read_barrier()
+
+
+def _take_failure(barrier: asyncio.Task[None]) -> None:
+    """Take note of a failure that all who waited have left before."""
+    if not barrier.cancelled():
+        barrier.exception()
