--- a/src/wigeonreach/core/_daemon.py
+++ b/src/wigeonreach/core/_daemon.py
@@ -242,6 +242,13 @@
         self._term = term
         self._desk = Desk(term, self._book, self._log, self._metrics)
         self._leading = asyncio.create_task(self._lead(term))
+        self._leading.add_done_callback(self._on_lead_end)
+
+    def _on_lead_end(self, leading: asyncio.Task[None]) -> None:
+        # A leader that does not decide would hold everything up.
+        error = None if leading.cancelled() else leading.exception()
+        if isinstance(error, Exception):
+            self._leave(error)
 
     def _end_term(self) -> None:
         assert self._leading is not None
--- a/src/wigeonreach/core/_term.py
+++ b/src/wigeonreach/core/_term.py
@@ -10,25 +10,23 @@
 
 from wigeonreach.core._barrier import SharedBarrier
 from wigeonreach.core._clock import steady_s, wall_ms
+from wigeonreach.core._term_log import TermLog
 from wigeonreach.exceptions import StateError
 from wigeonreach.jobs import (
     BeginTerm,
     Command,
     ForgetJobs,
     JobBook,
-    JobRecord,
     RecordRuns,
-    RunEnd,
     RunEnded,
     RunStarted,
     Verdict,
     decode_reply,
     encode_command,
 )
-from wigeonreach.observe import LogEvent, Logger, Metrics
-from wigeonreach.scheduling import Heard, Scheduler, WorkerLife
+from wigeonreach.observe import Logger, Metrics
+from wigeonreach.scheduling import Scheduler, WorkerLife
 from wigeonreach.scheduling._orders import BUSY_NEXT_MS, HELD_NEXT_MS
-from wigeonreach.scheduling._ready import objective_of
 from wigeonreach.state._state_machine import Agreement
 from wigeonreach.wire._worker_messages import WorkerOrders, WorkerReport
 
@@ -91,7 +89,7 @@
         self._agreement = agreement
         self._book = book
         self._move_s = move_s
-        self._log = logger
+        self._log = TermLog(book, logger, metrics)
         self._metrics = metrics
         self._scheduler: Scheduler | None = None
         self._arrived: list[_Heartbeat] = []
@@ -139,12 +137,7 @@
             steady_s(),
             self._move_s,
         )
-        self._log.info(
-            LogEvent.TERM_BEGAN,
-            term=self.term,
-            jobs=len(self._book.jobs),
-            version=self._book.manifest.version,
-        )
+        self._log.term_began(self.term)
 
     async def hear(self, report: WorkerReport) -> WorkerOrders | None:
         """Take a heartbeat; return its answer, or None if there is none."""
@@ -179,12 +172,8 @@
             await self._cycle()
         except StateError as error:
             # The term may go on: only what waited now gets no answer.
-            self._log.warning(
-                LogEvent.CALL_FAILED,
-                reason=str(error),
-                term=self.term,
-                heartbeats=len(self._arrived) + len(self._held),
-            )
+            waiting = len(self._arrived) + len(self._held)
+            self._log.cycle_failed(self.term, str(error), waiting)
             self._settle_all()
 
     async def _cycle(self) -> None:
@@ -194,13 +183,9 @@
         now_s = steady_s()
         ends = self._hear_all(arrived, now_s)
         lost = self.scheduler.lost(now_s)
-        if lost:
-            self._log.info(
-                LogEvent.RUNS_GIVEN_ON,
-                workers=sorted({run.worker for run in lost}),
-                runs=len(lost),
-            )
-        self._log_notes()
+        self._log.given_on(lost)
+        self._log.notes(self.scheduler.notes)
+        self.scheduler.notes.clear()
         await self._record_ends((*ends, *lost))
         for heartbeat in arrived:
             _note_ends(heartbeat)
@@ -220,49 +205,18 @@
             known = self.scheduler.workers.lives.get(heartbeat.report.worker)
             heard = self.scheduler.hear(heartbeat.report, heartbeat.came_s)
             if heard is None:
-                self._metrics.count('heartbeats_late')
+                self._log.late(heartbeat.report)
                 heartbeat.settle(WorkerOrders())
                 continue
             heartbeat.life = heard.life
             ends.extend(heard.ends)
             if heard.still:
-                self._log_still(heard)
+                self._log.stopped_still(heard)
             if known is None:
-                self._log_joined(heartbeat.report)
+                self._log.joined(heartbeat.report)
         self._metrics.count('heartbeats', amount=len(arrived))
         return tuple(ends)
 
-    def _log_notes(self) -> None:
-        for note in self.scheduler.notes:
-            self._metrics.count('beliefs', note.event.name.lower())
-            self._log.info(
-                note.event,
-                subject=note.subject,
-                reason=note.reason,
-            )
-        self.scheduler.notes.clear()
-
-    def _log_still(self, heard: Heard) -> None:
-        self._log.info(
-            LogEvent.RUNS_STOPPED,
-            reason='no progress',
-            worker=heard.life.report.worker,
-            runs=[f'{task.job_id}/{run}' for task, run in heard.still],
-        )
-
-    def _log_joined(self, report: WorkerReport) -> None:
-        self._log.info(
-            LogEvent.WORKER_JOINED,
-            worker=report.worker,
-            vm=report.vm,
-            service=report.service,
-            address=report.address,
-            zone=report.zone,
-            rack=report.rack,
-            sequence=report.sequence,
-            running=len(report.running),
-        )
-
     async def _record_ends(self, ends: tuple[RunEnded, ...]) -> None:
         if not ends:
             return
@@ -273,50 +227,22 @@
         }
         await self._record(RecordRuns(self.term, ends=ends))
         for ended in ends:
-            self._metrics.count('runs_ended', ended.end.name.lower())
-            if ended.end is not RunEnd.DONE:
-                self._log_end(ended)
+            self._log.run_ended(ended)
         for job_id, phase in before.items():
             job = self._book.jobs.get(job_id)
             if job is not None and job.phase is not phase:
                 self.scheduler.advice.forget(job_id)
-                self._log_job_end(job)
-
-    def _log_job_end(self, job: JobRecord) -> None:
-        accepted_s = self.scheduler.ready.accepted_s(job.spec.job_id)
-        took_s = 0.0
-        if accepted_s is not None:
-            took_s = steady_s() - accepted_s
-        self._metrics.observe_s('accepted_to_end', took_s)
-        self._log.info(
-            LogEvent.JOB_ENDED,
-            job=job.spec.job_id,
-            queue=job.queue.name,
-            phase=job.phase.name.lower(),
-            took_s=round(took_s, 3),
-            objective_s=round(objective_of(job), 3),
-        )
-
-    def _log_end(self, ended: RunEnded) -> None:
-        job = self._book.job_of(ended.task)
-        task = job.task(ended.task) if job else None
-        self._log.info(
-            LogEvent.RUN_ENDED,
-            run=_run_name(ended),
-            how=ended.end.name.lower(),
-            failures=task.failures if task else 0,
-            is_saved=bool(ended.checkpoint),
-        )
+                self._log.job_ended(job, self._age_s(job_id))
 
     async def _record_starts(self, starts: tuple[RunStarted, ...]) -> None:
         if not starts:
             return
         await self._record(RecordRuns(self.term, starts=starts))
-        self._metrics.count('runs_ordered', amount=len(starts))
-        self._log.info(
-            LogEvent.RUNS_ORDERED,
-            runs=[_run_name(start) for start in starts],
-        )
+        self._log.runs_ordered(starts)
+
+    def _age_s(self, job_id: str) -> float:
+        accepted_s = self.scheduler.ready.accepted_s(job_id)
+        return 0.0 if accepted_s is None else steady_s() - accepted_s
 
     async def _record(self, command: RecordRuns) -> None:
         verdict = await self.propose(command)
@@ -375,13 +301,6 @@
         self._held = []
 
 
-def _run_name(run: RunStarted | RunEnded) -> str:
-    """Return TASK/RUN@WORKER."""
-    key = run.task
-    task = f'{key.job_id}.{key.occurrence}.{key.step}.{key.index}'
-    return f'{task}/{run.run}@{run.worker}'
-
-
 def _note_ends(heartbeat: _Heartbeat) -> None:
     """Take note that a heartbeat's ends are recorded."""
     life = heartbeat.life
