--- a/tests/builders_jobs.py
+++ b/tests/builders_jobs.py
@@ -194,12 +194,20 @@
         Who sends heartbeats to it.
     """
 
-    def __init__(self, book: JobBook, workers: Iterable[FakeWorker]) -> None:
-        """Begin the term at second 0."""
+    def __init__(
+        self,
+        book: JobBook,
+        workers: Iterable[FakeWorker],
+        term: int = TERM,
+        now_s: float = 0.0,
+    ) -> None:
+        """Begin the term."""
         self.book = book
+        self.term = term
         self.workers = {worker.name: worker for worker in workers}
-        self.scheduler = Scheduler(book, TERM, 0.0)
-        self.now_s = 0.0
+        commit(book, BeginTerm(term))
+        self.scheduler = Scheduler(book, term, now_s)
+        self.now_s = now_s
 
     def round(self, passed_s: float = 0.1) -> None:
         """Hear all workers, plan, and let them obey."""
@@ -217,7 +225,7 @@
         heard = self.scheduler.hear(worker.report(), self.now_s)
         if heard is None:
             return
-        commit(self.book, RecordRuns(TERM, ends=heard.ends))
+        commit(self.book, RecordRuns(self.term, ends=heard.ends))
         heard.life.noted = max(
             (heard.life.noted, *(ended.number for ended in worker.ended)),
         )
@@ -225,9 +233,9 @@
     def plan(self) -> tuple[RunStarted, ...]:
         """Record what is lost, then what is to start."""
         lost = self.scheduler.lost(self.now_s)
-        commit(self.book, RecordRuns(TERM, ends=lost))
+        commit(self.book, RecordRuns(self.term, ends=lost))
         starts = self.scheduler.plan(self.now_s, self.now_s * 1000)
-        commit(self.book, RecordRuns(TERM, starts=starts))
+        commit(self.book, RecordRuns(self.term, starts=starts))
         return starts
 
     def cancel(self, job_id: str = JOB) -> None:
@@ -240,7 +248,7 @@
 
     def record_vm(self, vm: str, reached: VmStep, worker: str = '') -> None:
         """Record how far a VM of wave 1 is."""
-        commit(self.book, RecordVmStep(TERM, 1, vm, reached, worker))
+        commit(self.book, RecordVmStep(self.term, 1, vm, reached, worker))
 
 
 def workers(count: int) -> list[FakeWorker]:
--- /dev/null
+++ b/tests/scheduling/test_random_days.py
@@ -0,0 +1,287 @@
+"""Play short days in virtual time, with faults at random, and check rules.
+
+Workers are cut off, crash and come back as other lives, leave, lose answers
+and send heartbeats late; leaders change; jobs are cancelled and tasks fail.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import random
+from unittest import mock
+
+import testtools
+from testtools import matchers
+
+from tests.builders_jobs import (
+    QUEUE,
+    FakeLead,
+    FakeWorker,
+    book_with,
+    commit,
+    job,
+    serving_step,
+    step,
+)
+from wigeonreach.jobs import (
+    AddJob,
+    CancelJob,
+    JobBook,
+    JobPhase,
+    RunEnd,
+    TaskKey,
+)
+from wigeonreach.scheduling import _room_book, _workers
+from wigeonreach.wire._worker_messages import RunningTask, WorkerReport
+
+_DAYS = 25
+_DAYS_UNTIL_FOUND = 25
+_STEP_S = 0.1
+_STEPS = 300
+_CALM_STEPS = 400
+_VMS = 6
+_SLOW_CLOCK = 1.02
+
+
+class BrokenRuleError(AssertionError):
+    """Something happened that must never happen."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Machine:
+    """A VM and the life of its worker."""
+
+    vm: str
+    worker: FakeWorker
+    lease_until_s: float = 0.0
+    cut_until_s: float = 0.0
+    down_until_s: float = 0.0
+    late: WorkerReport | None = None
+    work: dict[tuple[TaskKey, int], int] = dataclasses.field(
+        default_factory=dict,
+    )
+
+
+class _Day:
+    """One day, drawn from a seed."""
+
+    def __init__(self, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.book: JobBook = book_with()
+        self.machines = [
+            _Machine(f'vm{number}', FakeWorker(f'w{number}', f'vm{number}'))
+            for number in range(_VMS)
+        ]
+        self.lead = FakeLead(self.book, ())
+        self.now_s = 0.0
+        self.serial = 0
+        self.failures: collections.Counter[TaskKey] = collections.Counter()
+        self.noted_done: set[TaskKey] = set()
+
+    def step(self, is_calm: bool) -> None:
+        """Let a tenth of a second pass."""
+        self.now_s += _STEP_S
+        self.lead.now_s = self.now_s
+        if not is_calm:
+            self._disturb()
+        for machine in self.machines:
+            self._live(machine)
+        self.lead.plan()
+        for told in self.machines:
+            self._answer(told)
+        self._check()
+
+    def _disturb(self) -> None:
+        rng = self.rng
+        if self._happens(20):
+            self._submit()
+        if self._happens(2) and self.book.jobs:
+            commit(self.book, CancelJob(rng.choice(list(self.book.jobs))))
+        if self._happens(3):
+            rng.choice(self.machines).cut_until_s = self.now_s + rng.uniform(
+                0.5,
+                9,
+            )
+        if self._happens(2):
+            self._crash(rng.choice(self.machines))
+        if self._happens(1):
+            self.lead = FakeLead(
+                self.book,
+                (),
+                self.lead.term + 1,
+                self.now_s,
+            )
+
+    def _happens(self, percent: int) -> bool:
+        return self.rng.randrange(100) < percent
+
+    def _submit(self) -> None:
+        self.serial += 1
+        rng = self.rng
+        steps = [
+            step(rng.randint(1, 6), cpu_millicores=rng.choice((500, 4000)))
+        ]
+        if self._happens(50):
+            steps.append(step(rng.randint(1, 4), after=(0,)))
+        if self._happens(10):
+            steps = [serving_step(2)]
+        spec = job(*steps, job_id=f'{self.serial:016x}')
+        commit(self.book, AddJob(spec, QUEUE))
+
+    def _crash(self, machine: _Machine) -> None:
+        self.serial += 1
+        machine.down_until_s = self.now_s + self.rng.uniform(0.2, 3)
+        machine.worker = FakeWorker(f'life{self.serial}', machine.vm)
+        machine.work.clear()
+        machine.lease_until_s = 0
+
+    def _live(self, machine: _Machine) -> None:
+        """Let a worker's tasks go on, end and lapse."""
+        worker = machine.worker
+        if self.now_s < machine.down_until_s:
+            return
+        if worker.running and self.now_s > machine.lease_until_s:
+            for lapsed in list(worker.running):
+                worker.end(lapsed, RunEnd.LAPSED)
+            machine.work.clear()
+        for run, left in list(machine.work.items()):
+            machine.work[run] = left - 1
+            self._progress(machine, run, left)
+        if machine.late is not None and self._happens(30):
+            self.lead.scheduler.hear(machine.late, self.now_s)
+            machine.late = None
+        if self.now_s >= machine.cut_until_s:
+            self._send(machine)
+
+    def _progress(
+        self,
+        machine: _Machine,
+        run: tuple[TaskKey, int],
+        left: int,
+    ) -> None:
+        worker = machine.worker
+        record = self.book.job_of(run[0])
+        is_serving = record is not None and record.step_spec(run[0]).is_service
+        if left > 0 or is_serving:
+            percent = 100 if is_serving else max(1, 99 - left)
+            worker.running[run] = RunningTask(*run, '', percent)
+            return
+        machine.work.pop(run)
+        has_failed = self._happens(5)
+        worker.end(run, RunEnd.FAILED if has_failed else RunEnd.DONE)
+
+    def _send(self, machine: _Machine) -> None:
+        if self._happens(5):
+            machine.late = machine.worker.report()
+            return
+        self.lead.hear(machine.worker)
+
+    def _answer(self, machine: _Machine) -> None:
+        worker = machine.worker
+        life = self.lead.scheduler.workers.lives.get(worker.name)
+        is_reached = self.now_s >= machine.cut_until_s
+        is_up = self.now_s >= machine.down_until_s
+        is_fresh = life is not None and life.report.sequence == worker.sequence
+        if life is None or not (is_reached and is_up and is_fresh):
+            return
+        if self._happens(10):
+            return
+        orders = self.lead.scheduler.orders(life, self.now_s)
+        for start in orders.starts:
+            self._check_start(start.task)
+            machine.work[start.task, start.run] = self.rng.randint(1, 30)
+        worker.obey(orders, percent=1)
+        machine.work = {
+            run: left
+            for run, left in machine.work.items()
+            if run in worker.running
+        }
+        hold_s = orders.lease_ms / 1000 * _SLOW_CLOCK
+        machine.lease_until_s = max(
+            machine.lease_until_s,
+            self.now_s + hold_s,
+        )
+
+    def _check_start(self, key: TaskKey) -> None:
+        record = self.book.job_of(key)
+        if record is None or not record.is_active:
+            raise BrokenRuleError(f'{key}: started after its job ended')
+        if not record.may_start(key.occurrence, key.step):
+            raise BrokenRuleError(f'{key}: started before its turn')
+        task = record.task(key)
+        limit = record.queue.max_failures
+        is_service = record.step_spec(key).is_service
+        if task is None or (task.failures >= limit and not is_service):
+            raise BrokenRuleError(f'{key}: started too often')
+
+    def _check(self) -> None:
+        up = [
+            machine
+            for machine in self.machines
+            if self.now_s >= machine.down_until_s
+        ]
+        runs: collections.Counter[TaskKey] = collections.Counter(
+            key for machine in up for key, _ in machine.worker.running
+        )
+        for key, count in runs.items():
+            if count > 1:
+                raise BrokenRuleError(f'{key}: {count} runs at once')
+        for machine in up:
+            if self._used(machine.worker) > machine.worker.cpu_millicores:
+                raise BrokenRuleError(f'{machine.vm}: over its capacity')
+
+    def _used(self, worker: FakeWorker) -> int:
+        records = [(key, self.book.job_of(key)) for key, _ in worker.running]
+        return sum(
+            record.step_spec(key).cpu_millicores
+            for key, record in records
+            if record is not None
+        )
+
+
+def _play(seed: int) -> _Day:
+    day = _Day(seed)
+    for _ in range(_STEPS):
+        day.step(is_calm=False)
+    for _ in range(_CALM_STEPS):
+        day.step(is_calm=True)
+    return day
+
+
+class TestPlantedFaults(testtools.TestCase):
+    """Variants that such days have to find out."""
+
+    def test_lease_that_is_taken_for_shorter_is_found(self) -> None:
+        """Work is given on while its worker still runs it."""
+        with mock.patch.object(_workers, 'LEASE_OVER_S', 2.5):
+            self.assertRaises(BrokenRuleError, self._play_all)
+
+    def test_room_of_stopping_runs_that_is_forgotten_is_found(self) -> None:
+        """Only what is assigned is counted, not what still runs."""
+        with mock.patch.object(
+            _room_book,
+            '_add_known',
+            lambda room, key, book: None,
+        ):
+            self.assertRaises(BrokenRuleError, self._play_all)
+
+    def _play_all(self) -> None:
+        for seed in range(_DAYS_UNTIL_FOUND):
+            _play(seed)
+
+
+class TestRandomDays(testtools.TestCase):
+    """Days with faults, then a calm while."""
+
+    def test_rules_hold_and_work_ends(self) -> None:
+        """No rule is broken, and all that can be done is done."""
+        for seed in range(_DAYS):
+            day = _play(seed)
+            left = [
+                record.spec.job_id
+                for record in day.book.jobs.values()
+                if record.phase is JobPhase.ACTIVE
+                and not record.spec.steps[0].is_service
+            ]
+            self.assertThat(left, matchers.Equals([]), f'seed {seed}')
