--- a/src/wigeonreach/jobs/_book.py
+++ b/src/wigeonreach/jobs/_book.py
@@ -23,7 +23,7 @@
     StartWave,
     Verdict,
 )
-from wigeonreach.jobs._model import JobPhase, Manifest, TaskKey
+from wigeonreach.jobs._model import JobPhase, Manifest, StepSpec, TaskKey
 from wigeonreach.jobs._records import JobRecord, new_record
 from wigeonreach.jobs._waves import WaveRecord
 
@@ -107,6 +107,23 @@
         """Return the job of a task."""
         return self.jobs.get(key.job_id)
 
+    def spec_of(self, key: TaskKey) -> StepSpec | None:
+        """Return what a task's step asks for, if a job has such a task."""
+        job = self.jobs.get(key.job_id)
+        if job is None or job.task(key) is None:
+            return None
+        return job.step_spec(key)
+
+    def is_serving(self, key: TaskKey) -> bool:
+        """Whether a task runs until its job is cancelled."""
+        spec = self.spec_of(key)
+        return spec is not None and spec.is_service
+
+    def is_batch(self, key: TaskKey) -> bool:
+        """Whether a task is known and ends by itself."""
+        spec = self.spec_of(key)
+        return spec is not None and not spec.is_service
+
     def assign(self, worker: str, key: TaskKey, run: int) -> None:
         """Note that a worker has, or may have, a run."""
         self.assigned.setdefault(worker, {})[key] = run
@@ -176,7 +193,8 @@
 
 def _note_end(book: JobBook, ended: RunEnded) -> None:
     job = book.job_of(ended.task)
-    if job is None:
+    if job is None or job.task(ended.task) is None:
+        # A worker tells of what no job has.
         return
     held = [(key, job.task(key)) for key in runs.members(job, ended.task)]
     workers = {key: task.worker for key, task in held if task is not None}
--- a/src/wigeonreach/platform/_workers.py
+++ b/src/wigeonreach/platform/_workers.py
@@ -169,7 +169,7 @@
 def _parse_task(name: str) -> TaskKey:
     """Read ID.OCCURRENCE.STEP.INDEX."""
     parts = name.split('.')
-    if len(parts) != _TASK_PARTS:
+    if len(parts) != _TASK_PARTS or not all(map(str.isdecimal, parts[1:])):
         raise ValueError(name)
     job_id, occurrence, step, index = parts
     return TaskKey(job_id, int(occurrence), int(step), int(index))
--- a/src/wigeonreach/scheduling/_maintenance.py
+++ b/src/wigeonreach/scheduling/_maintenance.py
@@ -207,12 +207,7 @@
 
     def _batch_runs(self, life: WorkerLife) -> list[Run]:
         held = self._book.assigned.get(life.report.worker, {})
-        return [
-            run
-            for run in held.items()
-            if (job := self._book.job_of(run[0])) is not None
-            and not job.step_spec(run[0]).is_service
-        ]
+        return [run for run in held.items() if self._book.is_batch(run[0])]
 
     def _is_back(self, wave: WaveRecord, vm: str) -> bool:
         """Whether a VM runs again, by a new life or by the list.
--- a/src/wigeonreach/scheduling/_orders.py
+++ b/src/wigeonreach/scheduling/_orders.py
@@ -133,6 +133,5 @@
     if pace is None:
         return
     for row in life.running:
-        job = book.job_of(row.task)
-        if job is not None and not job.step_spec(row.task).is_service:
+        if book.is_batch(row.task):
             yield PaceOrder(row.task, row.run, min(pace, FULL_PACE))
--- a/src/wigeonreach/scheduling/_pacing.py
+++ b/src/wigeonreach/scheduling/_pacing.py
@@ -33,6 +33,10 @@
         """Return the share in percent, or None if none was ever set."""
         return self._paces.get(worker)
 
+    def is_paced(self, worker: str) -> bool:
+        """Whether batch work on a worker is slowed down."""
+        return self._paces.get(worker, FULL_PACE) < FULL_PACE
+
     def set(self, worker: str, percent: int) -> None:
         """Let batch work on a worker run at a share of its speed."""
         self._paces[worker] = percent
@@ -78,10 +82,9 @@
 def _serving_specs(life: WorkerLife, book: JobBook) -> Mapping[str, StepSpec]:
     found: dict[str, StepSpec] = {}
     for row in life.running:
-        job = book.job_of(row.task)
-        if job is None or row.task.step >= len(job.spec.steps):
+        spec = book.spec_of(row.task)
+        if spec is None:
             continue
-        spec = job.step_spec(row.task)
         if spec.is_service and spec.latency_target_ms:
             found[row.task.job_id] = spec
     return found
--- a/src/wigeonreach/scheduling/_placing.py
+++ b/src/wigeonreach/scheduling/_placing.py
@@ -54,6 +54,8 @@
             rooms = self._rooms.get(self._book.service_of(step.job), [])
             if step.job.queue.advice is not None:
                 rooms = self._advice.allowed(step, rooms, self._now_s)
+            if step.spec.is_rack_local:
+                rooms = _one_rack(step, rooms) or rooms
             if step.spec.is_gang:
                 is_placed = self._place_gang(step, rooms)
             else:
@@ -86,16 +88,9 @@
         # Only whole: members that wait for others hold room for nothing.
         if len(step.waiting) < step.spec.count:
             return False
-        copies = [_copy(room) for room in rooms]
-        originals = dict(zip(map(id, copies), rooms, strict=True))
-        chosen: list[tuple[TaskKey, WorkerRoom]] = []
-        for index in step.waiting:
-            key = _key(step, index)
-            room = _best(step, key, copies)
-            if room is None:
-                return False
-            room.add(key, step.spec)
-            chosen.append((key, originals[id(room)]))
+        chosen = _fit_all(step, rooms)
+        if chosen is None:
+            return False
         run = max(_next_run(step, index) for index in step.waiting)
         for member, taken in chosen:
             self._start(step, member, taken, run)
@@ -112,6 +107,37 @@
         self.starts.append(RunStarted(key, run, room.life.report.worker))
 
 
+def _fit_all(
+    step: ReadyStep,
+    rooms: Sequence[WorkerRoom],
+) -> list[tuple[TaskKey, WorkerRoom]] | None:
+    """Return where all waiting tasks of a step fit together, if they do."""
+    copies = [_copy(room) for room in rooms]
+    originals = dict(zip(map(id, copies), rooms, strict=True))
+    chosen: list[tuple[TaskKey, WorkerRoom]] = []
+    for index in step.waiting:
+        key = _key(step, index)
+        room = _best(step, key, copies)
+        if room is None:
+            return None
+        room.add(key, step.spec)
+        chosen.append((key, originals[id(room)]))
+    return chosen
+
+
+def _one_rack(
+    step: ReadyStep,
+    rooms: Sequence[WorkerRoom],
+) -> list[WorkerRoom]:
+    """Return the workers of a rack that holds a whole step, or nothing."""
+    racks = sorted({room.life.report.rack for room in rooms})
+    for rack in racks:
+        on_rack = [room for room in rooms if room.life.report.rack == rack]
+        if _fit_all(step, on_rack) is not None:
+            return on_rack
+    return []
+
+
 def _copy(room: WorkerRoom) -> WorkerRoom:
     return WorkerRoom(
         room.life,
--- a/src/wigeonreach/scheduling/_preempting.py
+++ b/src/wigeonreach/scheduling/_preempting.py
@@ -83,9 +83,8 @@
     held = book.assigned.get(room.life.report.worker, {})
     found: list[tuple[int, Run, Room]] = []
     for key, run in held.items():
-        job = book.job_of(key)
-        if job is not None and not job.step_spec(key).is_service:
-            spec = job.step_spec(key)
+        spec = book.spec_of(key)
+        if spec is not None and not spec.is_service:
             found.append((progress.get(key, 0), (key, run), spec.room))
     found.sort(key=lambda item: (item[0], item[1]))
     return [(run, freed) for _, run, freed in found]
--- a/src/wigeonreach/scheduling/_progress.py
+++ b/src/wigeonreach/scheduling/_progress.py
@@ -82,7 +82,7 @@
         is_paced = pace_percent is not None and pace_percent < FULL_PACE
         for row in life.running:
             seen = self._look(row, is_paced, now_s)
-            spec = _spec(book, row.task)
+            spec = book.spec_of(row.task)
             if spec is not None and _stands_still(spec, seen, now_s):
                 still.append((row.task, row.run))
         return still
@@ -100,7 +100,7 @@
     ) -> None:
         """Take note that a run ended well, and how long it took."""
         seen = self._seen.pop(run, None)
-        spec = _spec(book, run[0])
+        spec = book.spec_of(run[0])
         if seen is None or spec is None or not spec.estimate_ms:
             return
         ratio = (now_s - seen.began_s) * 1000 / spec.estimate_ms
@@ -136,13 +136,6 @@
         }
 
 
-def _spec(book: JobBook, key: TaskKey) -> StepSpec | None:
-    job = book.job_of(key)
-    if job is None or key.step >= len(job.spec.steps):
-        return None
-    return job.step_spec(key)
-
-
 def _stands_still(spec: StepSpec, seen: _Seen, now_s: float) -> bool:
     if spec.is_service:
         is_at_work = seen.percent >= FULL_PACE
--- a/src/wigeonreach/scheduling/_room_book.py
+++ b/src/wigeonreach/scheduling/_room_book.py
@@ -24,7 +24,7 @@
     is_reserved
         Room is being made on it for a serving task.
     is_slow
-        Its runs take much longer than on other workers.
+        Its runs take much longer than on other workers, or are slowed down.
     """
 
     life: WorkerLife
@@ -72,6 +72,6 @@
 
 
 def _add_known(room: WorkerRoom, key: TaskKey, book: JobBook) -> None:
-    job = book.job_of(key)
-    if job is not None and key.step < len(job.spec.steps):
-        room.add(key, job.step_spec(key))
+    spec = book.spec_of(key)
+    if spec is not None:
+        room.add(key, spec)
--- a/src/wigeonreach/scheduling/_scheduler.py
+++ b/src/wigeonreach/scheduling/_scheduler.py
@@ -11,6 +11,7 @@
     RunEnded,
     RunStarted,
     TaskKey,
+    TaskPhase,
 )
 from wigeonreach.observe import LogEvent
 from wigeonreach.scheduling._advice import AdviceBook
@@ -130,11 +131,14 @@
             for worker in self._book.assigned
             if self.workers.is_over(worker, now_s)
         )
-        return tuple(
+        lost = tuple(
             RunEnded(key, run, worker, RunEnd.LOST, self._saved(key))
             for worker in sorted(over)
             for key, run in self._book.assigned.get(worker, {}).items()
         )
+        for run_lost in lost:
+            self._stop_gang(run_lost.task)
+        return lost
 
     def plan(self, now_s: float, wall_ms: float) -> tuple[RunStarted, ...]:
         """Return what is to be started now."""
@@ -176,13 +180,7 @@
             *self._book.assigned.get(life.report.worker, {}),
             *(row.task for row in life.running),
         )
-        return any(not self._is_service(key) for key in keys)
-
-    def _is_service(self, key: TaskKey) -> bool:
-        job = self._book.job_of(key)
-        if job is None or key.step >= len(job.spec.steps):
-            return False
-        return job.step_spec(key).is_service
+        return any(not self._book.is_serving(key) for key in keys)
 
     def _new_ends(self, life: WorkerLife) -> list[RunEnded]:
         listed = {(row.task, row.run) for row in life.running}
@@ -264,6 +262,19 @@
         elif ended.end is RunEnd.FAILED:
             self._distrust(ended.worker, ended.task.job_id, now_s)
         self.progress.forget_run(run)
+        if ended.end is not RunEnd.DONE:
+            self._stop_gang(ended.task)
+
+    def _stop_gang(self, key: TaskKey) -> None:
+        """Stop the members of a gang that would wait for one in vain."""
+        job = self._book.job_of(key)
+        spec = self._book.spec_of(key)
+        if job is None or spec is None or not spec.is_gang:
+            return
+        for index, member in enumerate(job.step_tasks(key)):
+            if index != key.index and member.phase is TaskPhase.ASSIGNED:
+                other = TaskKey(key.job_id, key.occurrence, key.step, index)
+                self.stopping.add((other, member.run))
 
     def _distrust(self, worker: str, job_id: str, now_s: float) -> None:
         if self.health.note_failed(worker, job_id, now_s):
@@ -292,7 +303,8 @@
             ]
             slow = self.progress.slow(names)
             for room in rooms[service]:
-                room.is_slow = room.life.report.worker in slow
+                worker = room.life.report.worker
+                room.is_slow = worker in slow or self.pacing.is_paced(worker)
         return rooms
 
     def _make_room(
--- a/tests/builders_jobs.py
+++ b/tests/builders_jobs.py
@@ -134,6 +134,7 @@
     cpu_millicores: int = 16_000
     sequence: int = 0
     is_draining: bool = False
+    rack: str = 'rack'
     running: dict[tuple[TaskKey, int], RunningTask] = dataclasses.field(
         default_factory=dict,
     )
@@ -155,8 +156,8 @@
             is_draining=self.is_draining,
             cpu_millicores=self.cpu_millicores,
             memory_mb=32 * 1024,
-            labels=('kind', 'rack'),
-            rack='rack',
+            labels=('kind', self.rack),
+            rack=self.rack,
             running=tuple(self.running.values()),
             ended=tuple(self.ended),
         )
--- a/tests/jobs/test_book.py
+++ b/tests/jobs/test_book.py
@@ -203,6 +203,19 @@
         self.assertThat(book.assigned, matchers.HasLength(0))
 
 
+class TestStrangeTasks(testtools.TestCase):
+    """Tasks that a worker tells of and no job has."""
+
+    def test_end_of_a_task_that_no_job_has_changes_nothing(self) -> None:
+        """A replica must not stumble over what a worker made up."""
+        book = book_with(job())
+        before = book.snapshot()
+        for strange in (key(7), key(0, 7), key(0, 0, '00000000000000ff')):
+            ended = RunEnded(strange, 1, _WORKER, RunEnd.DONE)
+            commit(book, RecordRuns(TERM, ends=(ended,)))
+        self.assertThat(book.snapshot(), matchers.Equals(before))
+
+
 class TestSnapshots(testtools.TestCase):
     """Whole states."""
 
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -158,6 +158,8 @@
             b'{"service":"s","address":"x","zone":"a","sequence":1,'
             b'"running":[["no-task",1,"",0]]}',
             b'{"service":"s","address":"x","zone":"a","sequence":1,'
+            b'"running":[["a.0.-1.0",1,"",0]]}',
+            b'{"service":"s","address":"x","zone":"a","sequence":1,'
             b'"finished":[[1,"a.0.0.0",1,"exploded",""]]}',
         )
         for body in broken:
--- a/tests/scheduling/test_scheduler.py
+++ b/tests/scheduling/test_scheduler.py
@@ -19,7 +19,7 @@
 )
 from wigeonreach.jobs import JobPhase, RunEnd, RunEnded
 from wigeonreach.scheduling._workers import LEASE_OVER_S
-from wigeonreach.wire._worker_messages import WorkerReport
+from wigeonreach.wire._worker_messages import RunningTask, WorkerReport
 
 _FULL = 16_000
 
@@ -194,6 +194,23 @@
         )
 
 
+class TestStrangeReports(testtools.TestCase):
+    """Workers that tell of what nobody ordered."""
+
+    def test_run_that_nobody_ordered_is_stopped(self) -> None:
+        """Whatever its name is, and the leader goes on."""
+        lead = FakeLead(book_with(job()), workers(1))
+        worker = lead.workers['w0']
+        for strange in (key(7), key(0, 7), key(0, 0, '00000000000000ff')):
+            worker.running[strange, 1] = RunningTask(strange, 1, '', 5)
+        lead.scheduler.pacing.set('w0', 50)
+        lead.round()
+        self.assertThat(
+            list(worker.running),
+            matchers.Equals([(key(), 1)]),
+        )
+
+
 class TestMakingRoom(testtools.TestCase):
     """Serving tasks in a full pool."""
 
