--- a/src/wigeonreach/cli/_trace_command.py
+++ b/src/wigeonreach/cli/_trace_command.py
@@ -10,7 +10,7 @@
 
 from wigeonreach.cli._errors import leave
 from wigeonreach.codes import ExitCode
-from wigeonreach.observe._trace import parse_lines, tell_story
+from wigeonreach.observe._timeline import describe_timeline, parse_lines
 
 
 def trace(
@@ -33,7 +33,7 @@
         lines.extend(path.read_text(encoding='utf-8').splitlines())
     if not files:
         lines.extend(sys.stdin)
-    story = tell_story(parse_lines(lines), subject)
+    story = describe_timeline(parse_lines(lines), subject)
     if not story:
         leave(ExitCode.REFUSED, f'no line names {subject}')
     for told in story:
--- a/src/wigeonreach/core/_desk.py
+++ b/src/wigeonreach/core/_call_handler.py
@@ -9,7 +9,7 @@
 from wigeonreach.jobs import (
     AddJob,
     CancelJob,
-    JobBook,
+    JobStore,
     QueueSpec,
     SetManifest,
     StartWave,
@@ -49,14 +49,14 @@
 _NO_MANIFEST = NotDone(WhyNot.NO_MANIFEST)
 
 
-class Desk:
+class CallHandler:
     """What a leader answers.
 
     Parameters
     ----------
     term
         Under which it leads.
-    book
+    store
         The replicated state; it is only read here.
     logger, metrics
         Where decisions are logged and counted.
@@ -65,13 +65,13 @@
     def __init__(
         self,
         term: LeaderTerm,
-        book: JobBook,
+        store: JobStore,
         logger: Logger,
         metrics: Metrics,
     ) -> None:
-        """Answer by the state of the book."""
+        """Answer by the state of the store."""
         self.term = term
-        self.book = book
+        self.store = store
         self.log = logger
         self.metrics = metrics
 
@@ -87,39 +87,41 @@
 
     def queue_of(self, call: QueueCall) -> tuple[QueueSpec, str] | None:
         """Return a call's queue and what follows its prefix."""
-        queue = self.book.manifest.queue_of(call.host, call.path)
+        queue = self.store.manifest.queue_of(call.host, call.path)
         if queue is None:
             return None
         return queue, call.path.removeprefix(queue.path_prefix)
 
 
 @functools.singledispatch
-async def _on(call: object, desk: Desk) -> AnyReply:
+async def _on(call: object, handler: CallHandler) -> AnyReply:
     raise TypeError(type(call).__name__)
 
 
 @_on.register
-async def _on_submit(call: SubmitJob, desk: Desk) -> AnyReply:
-    if not desk.book.manifest.version:
+async def _on_submit(call: SubmitJob, handler: CallHandler) -> AnyReply:
+    if not handler.store.manifest.version:
         return _NO_MANIFEST
-    found = desk.queue_of(call)
+    found = handler.queue_of(call)
     if found is None:
-        await desk.term.barrier.wait()
+        await handler.term.barrier.wait()
         return NotFound()
     queue, job_id = found
     if not _JOB_ID.fullmatch(job_id):
         return Invalid(f'job id {job_id!r}; allowed: 16 hexadecimal digits')
-    verdict = await desk.term.propose(AddJob(call.spec_for(job_id), queue.name))
+    verdict = await handler.term.propose(
+        AddJob(call.spec_for(job_id), queue.name)
+    )
     if verdict is Verdict.NO_QUEUE:
         return NotFound()
     if verdict is Verdict.DONE:
-        desk.metrics.count('jobs_accepted')
-        desk.term.wake.set()
-        desk.log.info(
+        handler.metrics.count('jobs_accepted')
+        handler.term.wake.set()
+        handler.log.info(
             LogEvent.JOB_ACCEPTED,
             job=job_id,
             queue=queue.name,
-            version=desk.book.manifest.version,
+            version=handler.store.manifest.version,
             steps=[_shape(step) for step in call.spec.steps],
         )
     return Done()
@@ -136,73 +138,75 @@
 
 
 @_on.register
-async def _on_read_job(call: ReadJob, desk: Desk) -> AnyReply:
-    await desk.term.barrier.wait()
-    if not desk.book.manifest.version:
+async def _on_read_job(call: ReadJob, handler: CallHandler) -> AnyReply:
+    await handler.term.barrier.wait()
+    if not handler.store.manifest.version:
         return _NO_MANIFEST
-    found = desk.queue_of(call)
+    found = handler.queue_of(call)
     if found is None:
         return NotFound()
     queue, job_id = found
     if not job_id:
-        return WaitingJobs(_count_waiting(desk.book, queue))
-    job = desk.book.jobs.get(job_id)
+        return WaitingJobs(_count_waiting(handler.store, queue))
+    job = handler.store.jobs.get(job_id)
     if job is None:
         return NoSuchJob()
     return JobState(job.phase, job.has_started)
 
 
-def _count_waiting(book: JobBook, queue: QueueSpec) -> int:
+def _count_waiting(store: JobStore, queue: QueueSpec) -> int:
     return sum(
         job.is_active and not job.has_started
-        for job in book.jobs.values()
+        for job in store.jobs.values()
         if job.queue.name == queue.name
     )
 
 
 @_on.register
-async def _on_cancel(call: CancelJobCall, desk: Desk) -> AnyReply:
-    found = desk.queue_of(call)
+async def _on_cancel(call: CancelJobCall, handler: CallHandler) -> AnyReply:
+    found = handler.queue_of(call)
     job_id = found[1] if found else call.path.rpartition('/')[2]
-    if job_id not in desk.book.jobs:
-        await desk.term.barrier.wait()
-        if job_id not in desk.book.jobs:
+    if job_id not in handler.store.jobs:
+        await handler.term.barrier.wait()
+        if job_id not in handler.store.jobs:
             return NoSuchJob()
-    verdict = await desk.term.propose(CancelJob(job_id))
+    verdict = await handler.term.propose(CancelJob(job_id))
     if verdict is Verdict.UNKNOWN:
         return NoSuchJob()
-    desk.log.info(LogEvent.JOB_CANCELLED, job=job_id)
-    desk.term.wake.set()
+    handler.log.info(LogEvent.JOB_CANCELLED, job=job_id)
+    handler.term.wake.set()
     return Done()
 
 
 @_on.register
-async def _on_read_manifest(call: ReadManifest, desk: Desk) -> AnyReply:
-    await desk.term.barrier.wait()
-    manifest = desk.book.manifest
+async def _on_read_manifest(
+    call: ReadManifest, handler: CallHandler
+) -> AnyReply:
+    await handler.term.barrier.wait()
+    manifest = handler.store.manifest
     return ManifestText(manifest.document) if manifest.version else _NO_MANIFEST
 
 
 @_on.register
-async def _on_put_manifest(call: PutManifest, desk: Desk) -> AnyReply:
-    before = desk.book.manifest.version
-    await desk.term.propose(SetManifest(call.manifest))
-    desk.log.info(
+async def _on_put_manifest(call: PutManifest, handler: CallHandler) -> AnyReply:
+    before = handler.store.manifest.version
+    await handler.term.propose(SetManifest(call.manifest))
+    handler.log.info(
         LogEvent.MANIFEST_ACCEPTED,
         version=call.manifest.version,
         before=before,
-        in_force=desk.book.manifest.version,
+        in_force=handler.store.manifest.version,
     )
-    desk.term.wake.set()
+    handler.term.wake.set()
     return Done()
 
 
 @_on.register
-async def _on_start_wave(call: StartWaveCall, desk: Desk) -> AnyReply:
-    await desk.term.propose(
+async def _on_start_wave(call: StartWaveCall, handler: CallHandler) -> AnyReply:
+    await handler.term.propose(
         StartWave(call.wave, call.vms, call.due_after_s, call.limit),
     )
-    desk.log.info(
+    handler.log.info(
         LogEvent.WAVE_ACCEPTED,
         wave=call.wave,
         vms=len(call.vms),
@@ -213,20 +217,20 @@
 
 
 @_on.register
-async def _on_read_wave(call: ReadWave, desk: Desk) -> AnyReply:
-    await desk.term.barrier.wait()
-    wave = desk.book.waves.get(call.wave)
+async def _on_read_wave(call: ReadWave, handler: CallHandler) -> AnyReply:
+    await handler.term.barrier.wait()
+    wave = handler.store.waves.get(call.wave)
     return NotFound() if wave is None else WaveState(wave.is_done)
 
 
 @_on.register
-async def _on_hear(call: HearWorker, desk: Desk) -> AnyReply:
-    orders = await desk.term.hear(call.report)
+async def _on_hear(call: HearWorker, handler: CallHandler) -> AnyReply:
+    orders = await handler.term.hear(call.report)
     return Unknown() if orders is None else Orders(orders)
 
 
 @_on.register
-async def _on_drop(call: DropWorker, desk: Desk) -> AnyReply:
-    desk.term.note_leaving(call.worker)
-    await desk.term.barrier.wait()
+async def _on_drop(call: DropWorker, handler: CallHandler) -> AnyReply:
+    handler.term.note_leaving(call.worker)
+    await handler.term.barrier.wait()
     return Done()
--- a/src/wigeonreach/core/_daemon.py
+++ b/src/wigeonreach/core/_daemon.py
@@ -9,17 +9,17 @@
 
 from wigeonreach.codes import ExitCode
 from wigeonreach.core._advising import Advising, AdvisorApi
+from wigeonreach.core._call_handler import CallHandler
 from wigeonreach.core._clock import steady_s
-from wigeonreach.core._desk import Desk
 from wigeonreach.core._opening import open_agreement
 from wigeonreach.core._server import CoreServer
 from wigeonreach.core._settings import CoreSettings
 from wigeonreach.core._term import LeaderTerm
-from wigeonreach.core._upkeep import Upkeep
+from wigeonreach.core._vm_actions import VmActions
 from wigeonreach.core._vm_orders import VmOrders
 from wigeonreach.exceptions import StateError
 from wigeonreach.gateway import Gateway
-from wigeonreach.jobs import JobBook
+from wigeonreach.jobs import JobStore
 from wigeonreach.observe import LogEvent, Logger, Metrics
 from wigeonreach.scheduling._vms import VmApi
 from wigeonreach.state._disk import FolderDisk
@@ -81,11 +81,11 @@
         self._advisor = advisor
         self._log = logger
         self._metrics = metrics
-        self._book = JobBook()
+        self._store = JobStore()
         self._disk = FolderDisk(settings.data_folder)
         self._agreement = open_agreement(
             settings,
-            self._book,
+            self._store,
             self._disk,
             self._leave,
             self._on_role,
@@ -104,7 +104,7 @@
             self.handle,
         )
         self._term: LeaderTerm | None = None
-        self._desk: Desk | None = None
+        self._handler: CallHandler | None = None
         self._leading: asyncio.Task[None] | None = None
         self._told_peers: tuple[str, ...] = ()
 
@@ -165,7 +165,7 @@
     async def _tend(self) -> None:
         if self._leading is None:
             # Only a leader looks at what changed.
-            self._book.changed.clear()
+            self._store.changed.clear()
         cores = self._gateway.cores
         if cores != self._told_peers:
             self._told_peers = cores
@@ -179,9 +179,9 @@
             return Unknown()
 
     async def _answer(self, call: AnyCall) -> AnyReply:
-        assert self._desk is not None
+        assert self._handler is not None
         try:
-            return await self._desk.answer(call)
+            return await self._handler.answer(call)
         except StateError as error:
             self._metrics.count('calls_failed', 'no-quorum')
             self._log.warning(
@@ -233,14 +233,14 @@
     def _begin_term(self) -> None:
         term = LeaderTerm(
             self._agreement,
-            self._book,
+            self._store,
             self._agreement.term,
             self._settings.move_s,
             self._log,
             self._metrics,
         )
         self._term = term
-        self._desk = Desk(term, self._book, self._log, self._metrics)
+        self._handler = CallHandler(term, self._store, self._log, self._metrics)
         self._leading = asyncio.create_task(self._lead(term))
         self._leading.add_done_callback(self._on_lead_end)
 
@@ -268,9 +268,9 @@
             except StateError as error:
                 self._log.warning(LogEvent.CALL_FAILED, reason=str(error))
         self._server.tell()
-        upkeep = Upkeep(
+        vm_actions = VmActions(
             term,
-            self._book,
+            self._store,
             self._api,
             VmOrders(
                 term,
@@ -284,7 +284,7 @@
         advising = Advising(term, self._advisor, self._metrics)
         async with asyncio.TaskGroup() as group:
             group.create_task(term.run())
-            group.create_task(upkeep.run())
+            group.create_task(vm_actions.run())
             group.create_task(advising.run())
 
     def _leave(self, error: Exception) -> None:
--- a/src/wigeonreach/core/_opening.py
+++ b/src/wigeonreach/core/_opening.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from wigeonreach.core._settings import CoreSettings
-from wigeonreach.jobs import JobBook
+from wigeonreach.jobs import JobStore
 from wigeonreach.observe import Logger
 from wigeonreach.state._agreement import RaftAgreement
 from wigeonreach.state._disk import FolderDisk
@@ -18,7 +18,7 @@
 
 def open_agreement(
     settings: CoreSettings,
-    book: JobBook,
+    store: JobStore,
     disk: FolderDisk,
     on_failed: Callable[[Exception], None],
     on_role: Callable[[], None],
@@ -30,7 +30,7 @@
     ----------
     settings
         Who the process is.
-    book
+    store
         What is replicated.
     disk
         Its data folder.
@@ -68,7 +68,7 @@
     times = RaftSettings(voter_target=settings.voter_target)
     return RaftAgreement(
         replica,
-        book,
+        store,
         storage,
         stored,
         on_failed,
--- a/src/wigeonreach/core/_term.py
+++ b/src/wigeonreach/core/_term.py
@@ -16,7 +16,7 @@
     BeginTerm,
     Command,
     ForgetJobs,
-    JobBook,
+    JobStore,
     RecordRuns,
     RunEnded,
     RunStarted,
@@ -25,7 +25,7 @@
     encode_command,
 )
 from wigeonreach.observe import Logger, Metrics
-from wigeonreach.scheduling import Scheduler, WorkerLife
+from wigeonreach.scheduling import Incarnation, Scheduler
 from wigeonreach.scheduling._orders import BUSY_NEXT_MS, HELD_NEXT_MS
 from wigeonreach.state._state_machine import Agreement
 from wigeonreach.wire._worker_messages import WorkerOrders, WorkerReport
@@ -44,7 +44,7 @@
     report: WorkerReport
     came_s: float
     answer: asyncio.Future[WorkerOrders | None]
-    life: WorkerLife | None = None
+    incarnation: Incarnation | None = None
 
     def settle(self, orders: WorkerOrders | None) -> None:
         """Answer, unless whoever waits has gone."""
@@ -57,7 +57,7 @@
 
     Parameters
     ----------
-    agreement, book
+    agreement, store
         The replicated state and how it is changed.
     term
         Which this is.
@@ -75,7 +75,7 @@
     def __init__(
         self,
         agreement: Agreement,
-        book: JobBook,
+        store: JobStore,
         term: int,
         move_s: float,
         logger: Logger,
@@ -87,9 +87,9 @@
         self.wake = asyncio.Event()
         self.is_first = False
         self._agreement = agreement
-        self._book = book
+        self._store = store
         self._move_s = move_s
-        self._log = TermLog(book, logger, metrics)
+        self._log = TermLog(store, logger, metrics)
         self._metrics = metrics
         self._scheduler: Scheduler | None = None
         self._arrived: list[_Heartbeat] = []
@@ -129,10 +129,10 @@
         StateError
             If a quorum did not confirm.
         """
-        self.is_first = self._book.term == 0
+        self.is_first = self._store.term == 0
         await self.propose(BeginTerm(self.term))
         self._scheduler = Scheduler(
-            self._book,
+            self._store,
             self.term,
             steady_s(),
             self._move_s,
@@ -183,7 +183,7 @@
         now_s = steady_s()
         ends = self._hear_all(arrived, now_s)
         lost = self.scheduler.lost(now_s)
-        self._log.given_on(lost)
+        self._log.reassigned(lost)
         self._log.notes(self.scheduler.notes)
         self.scheduler.notes.clear()
         await self._record_ends((*ends, *lost))
@@ -202,16 +202,18 @@
     ) -> tuple[RunEnded, ...]:
         ends: list[RunEnded] = []
         for heartbeat in arrived:
-            known = self.scheduler.workers.lives.get(heartbeat.report.worker)
+            known = self.scheduler.workers.incarnations.get(
+                heartbeat.report.worker
+            )
             heard = self.scheduler.hear(heartbeat.report, heartbeat.came_s)
             if heard is None:
                 self._log.late(heartbeat.report)
                 heartbeat.settle(WorkerOrders())
                 continue
-            heartbeat.life = heard.life
+            heartbeat.incarnation = heard.incarnation
             ends.extend(heard.ends)
-            if heard.still:
-                self._log.stopped_still(heard)
+            if heard.stalled:
+                self._log.stopped_stalled(heard)
             if known is None:
                 self._log.joined(heartbeat.report)
         self._metrics.count('heartbeats', amount=len(arrived))
@@ -221,15 +223,15 @@
         if not ends:
             return
         before = {
-            ended.task.job_id: self._book.jobs[ended.task.job_id].phase
+            ended.task.job_id: self._store.jobs[ended.task.job_id].phase
             for ended in ends
-            if ended.task.job_id in self._book.jobs
+            if ended.task.job_id in self._store.jobs
         }
         await self._record(RecordRuns(self.term, ends=ends))
         for ended in ends:
             self._log.run_ended(ended)
         for job_id, phase in before.items():
-            job = self._book.jobs.get(job_id)
+            job = self._store.jobs.get(job_id)
             if job is not None and job.phase is not phase:
                 self.scheduler.advice.forget(job_id)
                 self._log.job_ended(job, self._age_s(job_id))
@@ -267,12 +269,12 @@
         now_s: float,
     ) -> WorkerOrders | None:
         """Return a worker's orders, or None to wait until there are some."""
-        life = heartbeat.life
-        if life is None:
+        incarnation = heartbeat.incarnation
+        if incarnation is None:
             return WorkerOrders()
-        orders = self.scheduler.orders(life, now_s)
+        orders = self.scheduler.orders(incarnation, now_s)
         has_orders = bool(orders.starts or orders.stops or orders.paces)
-        if has_orders or self.scheduler.has_batch(life):
+        if has_orders or self.scheduler.has_batch(incarnation):
             return msgspec.structs.replace(orders, next_after_ms=BUSY_NEXT_MS)
         if now_s - heartbeat.came_s < _LONGEST_HOLD_S:
             return None
@@ -281,7 +283,7 @@
     async def forget_ended(self) -> None:
         """Forget jobs that ended so long ago that nobody may ask."""
         now_s = steady_s()
-        for job in self._book.jobs.values():
+        for job in self._store.jobs.values():
             if not job.is_active:
                 self._ended_s.setdefault(job.spec.job_id, now_s)
         old = tuple(
@@ -303,7 +305,7 @@
 
 def _note_ends(heartbeat: _Heartbeat) -> None:
     """Take note that a heartbeat's ends are recorded."""
-    life = heartbeat.life
-    if life is not None:
+    incarnation = heartbeat.incarnation
+    if incarnation is not None:
         for ended in heartbeat.report.ended:
-            life.noted = max(life.noted, ended.number)
+            incarnation.noted = max(incarnation.noted, ended.number)
--- a/src/wigeonreach/core/_term_log.py
+++ b/src/wigeonreach/core/_term_log.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable
 
-from wigeonreach.jobs import JobBook, JobRecord, RunEnd, RunEnded, RunStarted
+from wigeonreach.jobs import JobRecord, JobStore, RunEnd, RunEnded, RunStarted
 from wigeonreach.observe import LogEvent, Logger, Metrics
 from wigeonreach.scheduling import Heard
 from wigeonreach.scheduling._notes import Note
@@ -17,7 +17,7 @@
 
     Parameters
     ----------
-    book
+    store
         What the lines are about; it is only read.
     logger, metrics
         Where decisions are logged and counted.
@@ -25,12 +25,12 @@
 
     def __init__(
         self,
-        book: JobBook,
+        store: JobStore,
         logger: Logger,
         metrics: Metrics,
     ) -> None:
         """Log nothing yet."""
-        self._book = book
+        self._store = store
         self._log = logger
         self._metrics = metrics
 
@@ -39,8 +39,8 @@
         self._log.info(
             LogEvent.TERM_BEGAN,
             term=term,
-            jobs=len(self._book.jobs),
-            version=self._book.manifest.version,
+            jobs=len(self._store.jobs),
+            version=self._store.manifest.version,
         )
 
     def cycle_failed(self, term: int, reason: str, heartbeats: int) -> None:
@@ -53,7 +53,7 @@
         )
 
     def joined(self, report: WorkerReport) -> None:
-        """Tell of the first heartbeat of a worker's life."""
+        """Tell of the first heartbeat of a worker's incarnation."""
         self._log.info(
             LogEvent.WORKER_JOINED,
             worker=report.worker,
@@ -67,7 +67,7 @@
         )
 
     def late(self, report: WorkerReport) -> None:
-        """Tell of a heartbeat that was overtaken, or of a dead life."""
+        """Tell of a heartbeat that was overtaken, or of a dead incarnation."""
         self._metrics.count('heartbeats_late')
         self._log.info(
             LogEvent.HEARTBEAT_LATE,
@@ -76,13 +76,13 @@
             sequence=report.sequence,
         )
 
-    def stopped_still(self, heard: Heard) -> None:
+    def stopped_stalled(self, heard: Heard) -> None:
         """Tell of runs that are stopped as they make no progress."""
         self._log.info(
             LogEvent.RUNS_STOPPED,
             reason='no progress',
-            worker=heard.life.report.worker,
-            runs=[f'{task.job_id}/{run}' for task, run in heard.still],
+            worker=heard.incarnation.report.worker,
+            runs=[f'{task.job_id}/{run}' for task, run in heard.stalled],
         )
 
     def notes(self, notes: Iterable[Note]) -> None:
@@ -95,11 +95,11 @@
                 reason=note.reason,
             )
 
-    def given_on(self, lost: tuple[RunEnded, ...]) -> None:
+    def reassigned(self, lost: tuple[RunEnded, ...]) -> None:
         """Tell of runs whose workers are over."""
         if lost:
             self._log.info(
-                LogEvent.RUNS_GIVEN_ON,
+                LogEvent.RUNS_REASSIGNED,
                 workers=sorted({run.worker for run in lost}),
                 runs=len(lost),
             )
@@ -109,7 +109,7 @@
         self._metrics.count('runs_ended', ended.end.name.lower())
         if ended.end is RunEnd.DONE:
             return
-        job = self._book.job_of(ended.task)
+        job = self._store.job_of(ended.task)
         task = job.task(ended.task) if job else None
         self._log.info(
             LogEvent.RUN_ENDED,
--- a/src/wigeonreach/core/_upkeep.py
+++ b/src/wigeonreach/core/_vm_actions.py
@@ -9,7 +9,7 @@
 from wigeonreach.core._term import LeaderTerm
 from wigeonreach.core._vm_orders import VmOrders
 from wigeonreach.exceptions import StateError
-from wigeonreach.jobs import JobBook, RecordVmStep, VmStep
+from wigeonreach.jobs import JobStore, RecordVmStep, VmStep
 from wigeonreach.observe import LogEvent, Logger, Metrics
 from wigeonreach.scheduling._pools import Move
 from wigeonreach.scheduling._vms import OrderResult, VmApi
@@ -20,14 +20,14 @@
 _STANDBY_LIST_S = 4.0
 
 
-class Upkeep:
+class VmActions:
     """Maintain the VMs of waves and move VMs between pools.
 
     Parameters
     ----------
     term
         Under which orders are given.
-    book
+    store
         The replicated state; it is only read here.
     api
         The platform.
@@ -40,7 +40,7 @@
     def __init__(
         self,
         term: LeaderTerm,
-        book: JobBook,
+        store: JobStore,
         api: VmApi,
         orders: VmOrders,
         logger: Logger,
@@ -48,7 +48,7 @@
     ) -> None:
         """Order nothing yet."""
         self._term = term
-        self._book = book
+        self._store = store
         self._api = api
         self._orders = orders
         self._log = logger
@@ -117,7 +117,7 @@
         now_s = steady_s()
         if result is OrderResult.DONE:
             # A repeated order may have been carried out long ago; only the
-            # life that it was given for has surely ended.
+            # incarnation that it was given for has surely ended.
             self._term.scheduler.workers.end(worker, now_s)
             self._term.scheduler.maintenance.note_confirmed(wave, vm, now_s)
         elif result is OrderResult.IMPOSSIBLE:
@@ -131,9 +131,12 @@
         )
         scheduler = self._term.scheduler
         if result is OrderResult.DONE:
-            life = scheduler.workers.of_vm(move.vm)
-            if life is not None and life.report.service == move.from_pool:
-                scheduler.workers.end(life.report.worker, steady_s())
+            incarnation = scheduler.workers.of_vm(move.vm)
+            if (
+                incarnation is not None
+                and incarnation.report.service == move.from_pool
+            ):
+                scheduler.workers.end(incarnation.report.worker, steady_s())
             scheduler.pools.note_moved(move, steady_s())
         elif result is not OrderResult.UNKNOWN:
             scheduler.pools.note_failed(move)
@@ -162,5 +165,5 @@
         )
         if step is VmStep.DONE:
             self._log.info(LogEvent.VM_MAINTAINED, wave=wave, vm=vm)
-            if self._book.waves[wave].is_done:
+            if self._store.waves[wave].is_done:
                 self._log.info(LogEvent.WAVE_DONE, wave=wave)
--- a/src/wigeonreach/jobs/__init__.py
+++ b/src/wigeonreach/jobs/__init__.py
@@ -1,6 +1,5 @@
 """Accept jobs once and keep what became of them."""
 
-from wigeonreach.jobs._book import JobBook
 from wigeonreach.jobs._commands import (
     AddJob,
     BeginTerm,
@@ -32,6 +31,7 @@
     TaskPhase,
 )
 from wigeonreach.jobs._records import JobRecord, TaskRecord
+from wigeonreach.jobs._store import JobStore
 from wigeonreach.jobs._waves import WaveRecord
 
 __all__ = (
@@ -42,7 +42,7 @@
     'Command',
     'CommandReply',
     'ForgetJobs',
-    'JobBook',
+    'JobStore',
     'JobPhase',
     'JobRecord',
     'JobSpec',
--- a/src/wigeonreach/jobs/_commands.py
+++ b/src/wigeonreach/jobs/_commands.py
@@ -98,7 +98,7 @@
 class RecordVmStep(Command, frozen=True):
     """Note how far a VM of a wave is, as the leader of a term saw it.
 
-    ``worker`` is the life that the order ends, when one is ordered.
+    ``worker`` is the incarnation that the order ends, when one is ordered.
     """
 
     term: int
--- a/src/wigeonreach/jobs/_records.py
+++ b/src/wigeonreach/jobs/_records.py
@@ -25,7 +25,7 @@
     run
         Number of the newest run; 0 before the first.
     worker
-        Which life of a worker the newest run was given to.
+        Which incarnation of a worker the newest run was given to.
     """
 
     phase: TaskPhase = TaskPhase.WAITING
--- a/src/wigeonreach/jobs/_runs.py
+++ b/src/wigeonreach/jobs/_runs.py
@@ -24,7 +24,7 @@
 def note_end(job: JobRecord, ended: RunEnded) -> tuple[TaskKey, ...]:
     """Take the end of a run.
 
-    The end of an older run changes nothing: its task was given on, and only
+    The end of an older run changes nothing: its task was reassigned, and only
     the newest run counts.
 
     Returns
--- a/src/wigeonreach/jobs/_book.py
+++ b/src/wigeonreach/jobs/_store.py
@@ -42,7 +42,7 @@
 _SNAPSHOTS = msgspec.msgpack.Decoder(_Stored)
 
 
-class JobBook:
+class JobStore:
     """The replicated state; it changes only by ``apply`` and ``restore``.
 
     Attributes
@@ -138,100 +138,100 @@
 
 
 @functools.singledispatch
-def _on(command: object, book: JobBook) -> CommandReply:
+def _on(command: object, store: JobStore) -> CommandReply:
     raise TypeError(type(command).__name__)
 
 
 @_on.register
-def _on_manifest(command: SetManifest, book: JobBook) -> CommandReply:
-    if command.manifest.version > book.manifest.version:
-        book.manifest = command.manifest
-        book.changed.update(book.jobs)
-    return CommandReply(Verdict.DONE, book.manifest.version)
+def _on_manifest(command: SetManifest, store: JobStore) -> CommandReply:
+    if command.manifest.version > store.manifest.version:
+        store.manifest = command.manifest
+        store.changed.update(store.jobs)
+    return CommandReply(Verdict.DONE, store.manifest.version)
 
 
 @_on.register
-def _on_add(command: AddJob, book: JobBook) -> CommandReply:
-    if command.spec.job_id in book.jobs:
+def _on_add(command: AddJob, store: JobStore) -> CommandReply:
+    if command.spec.job_id in store.jobs:
         return CommandReply(Verdict.KNOWN)
-    queue = book.manifest.queue_named(command.queue)
+    queue = store.manifest.queue_named(command.queue)
     if queue is None:
         return CommandReply(Verdict.NO_QUEUE)
-    book.jobs[command.spec.job_id] = new_record(command.spec, queue)
-    book.changed.add(command.spec.job_id)
+    store.jobs[command.spec.job_id] = new_record(command.spec, queue)
+    store.changed.add(command.spec.job_id)
     return CommandReply(Verdict.DONE)
 
 
 @_on.register
-def _on_cancel(command: CancelJob, book: JobBook) -> CommandReply:
-    job = book.jobs.get(command.job_id)
+def _on_cancel(command: CancelJob, store: JobStore) -> CommandReply:
+    job = store.jobs.get(command.job_id)
     if job is None:
         return CommandReply(Verdict.UNKNOWN)
     if job.is_active:
         job.phase = JobPhase.CANCELLED
-        book.changed.add(command.job_id)
+        store.changed.add(command.job_id)
     return CommandReply(Verdict.DONE)
 
 
 @_on.register
-def _on_term(command: BeginTerm, book: JobBook) -> CommandReply:
-    book.term = max(book.term, command.term)
+def _on_term(command: BeginTerm, store: JobStore) -> CommandReply:
+    store.term = max(store.term, command.term)
     return CommandReply(Verdict.DONE)
 
 
 @_on.register
-def _on_runs(command: RecordRuns, book: JobBook) -> CommandReply:
-    if command.term != book.term:
+def _on_runs(command: RecordRuns, store: JobStore) -> CommandReply:
+    if command.term != store.term:
         # A former leader's view of its workers counts no more.
         return CommandReply(Verdict.OUTDATED)
     for ended in command.ends:
-        _note_end(book, ended)
+        _note_end(store, ended)
     for start in command.starts:
-        _note_start(book, start)
+        _note_start(store, start)
     return CommandReply(Verdict.DONE)
 
 
-def _note_end(book: JobBook, ended: RunEnded) -> None:
-    job = book.job_of(ended.task)
+def _note_end(store: JobStore, ended: RunEnded) -> None:
+    job = store.job_of(ended.task)
     if job is None or job.task(ended.task) is None:
         # A worker tells of what no job has.
         return
     held = [(key, job.task(key)) for key in runs.members(job, ended.task)]
     workers = {key: task.worker for key, task in held if task is not None}
     for key in runs.note_end(job, ended):
-        book.unassign(workers[key], key)
-        book.changed.add(key.job_id)
+        store.unassign(workers[key], key)
+        store.changed.add(key.job_id)
 
 
-def _note_start(book: JobBook, start: RunStarted) -> None:
-    job = book.job_of(start.task)
+def _note_start(store: JobStore, start: RunStarted) -> None:
+    job = store.job_of(start.task)
     if job is not None and runs.note_start(job, start):
-        book.assign(start.worker, start.task, start.run)
-        book.changed.add(start.task.job_id)
+        store.assign(start.worker, start.task, start.run)
+        store.changed.add(start.task.job_id)
 
 
 @_on.register
-def _on_forget(command: ForgetJobs, book: JobBook) -> CommandReply:
+def _on_forget(command: ForgetJobs, store: JobStore) -> CommandReply:
     for job_id in command.job_ids:
-        job = book.jobs.get(job_id)
+        job = store.jobs.get(job_id)
         if job is not None and not job.is_active and not any(job.assigned()):
-            book.jobs.pop(job_id)
-            book.changed.add(job_id)
+            store.jobs.pop(job_id)
+            store.changed.add(job_id)
     return CommandReply(Verdict.DONE)
 
 
 @_on.register
-def _on_wave(command: StartWave, book: JobBook) -> CommandReply:
-    if command.wave in book.waves:
+def _on_wave(command: StartWave, store: JobStore) -> CommandReply:
+    if command.wave in store.waves:
         return CommandReply(Verdict.KNOWN)
-    book.waves[command.wave] = waves.new_wave(command)
+    store.waves[command.wave] = waves.new_wave(command)
     return CommandReply(Verdict.DONE)
 
 
 @_on.register
-def _on_vm_step(command: RecordVmStep, book: JobBook) -> CommandReply:
-    wave = book.waves.get(command.wave)
-    if command.term != book.term:
+def _on_vm_step(command: RecordVmStep, store: JobStore) -> CommandReply:
+    wave = store.waves.get(command.wave)
+    if command.term != store.term:
         return CommandReply(Verdict.OUTDATED)
     if wave is None:
         return CommandReply(Verdict.UNKNOWN)
--- a/src/wigeonreach/jobs/_waves.py
+++ b/src/wigeonreach/jobs/_waves.py
@@ -10,7 +10,7 @@
 
 
 class VmProgress(msgspec.Struct, array_like=True):
-    """One VM of a wave; ``worker`` is the life that its order ends."""
+    """One VM of a wave; ``worker`` is the incarnation that its order ends."""
 
     step: VmStep = VmStep.WAITING
     worker: str = ''
--- a/src/wigeonreach/observe/_logs.py
+++ b/src/wigeonreach/observe/_logs.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import enum
+import json
 import logging
 import sys
 from collections.abc import Callable
 from typing import Any
 
-import msgspec
 import structlog
 
 from wigeonreach.observe._events import LogEvent
@@ -72,7 +72,7 @@
                 'event': LogEvent.LINES_OMITTED.name.lower(),
                 'lines': omitted,
             }
-            self._sink.put(msgspec.json.encode(told), is_urgent=True)
+            self._sink.put(json.dumps(told).encode(), is_urgent=True)
         self._sink.put(line.encode(), is_urgent=level in _URGENT)
 
 
@@ -92,9 +92,7 @@
     sink
         Where lines go, if not to standard output.
     """
-    renderer: structlog.typing.Processor = structlog.processors.JSONRenderer(
-        serializer=_encode,
-    )
+    renderer: structlog.typing.Processor = structlog.processors.JSONRenderer()
     if log_format is LogFormat.TEXT:
         renderer = structlog.dev.ConsoleRenderer(colors=False)
     level = logging.getLevelNamesMapping()[log_level.name]
@@ -110,7 +108,3 @@
         cache_logger_on_first_use=True,
     )
     logging.basicConfig(level=logging.WARNING, stream=sys.stderr)
-
-
-def _encode(fields: object, **_: object) -> str:
-    return msgspec.json.encode(fields, enc_hook=str).decode()
--- a/src/wigeonreach/observe/_trace.py
+++ b/src/wigeonreach/observe/_timeline.py
@@ -96,7 +96,7 @@
     }
 
 
-def tell_story(lines: Iterable[LogLine], subject: str) -> list[str]:
+def describe_timeline(lines: Iterable[LogLine], subject: str) -> list[str]:
     """Return the lines about an id, in the order in which they happened.
 
     Parameters
--- a/src/wigeonreach/platform/_machines.py
+++ b/src/wigeonreach/platform/_machines.py
@@ -43,7 +43,7 @@
     zone: str = ''
     # The kind of the VM, then its rack.
     labels: tuple[str, ...] = ()
-    # Of the worker's life that runs on it.
+    # Of the worker's incarnation that runs on it.
     id: str | None = None  # noqa: WPS125 - the platform's name
 
 
--- a/src/wigeonreach/platform/_workers.py
+++ b/src/wigeonreach/platform/_workers.py
@@ -45,10 +45,10 @@
     """A heartbeat."""
 
     service: str
-    # Where the worker serves; a later life may have the same.
+    # Where the worker serves; a later incarnation may have the same.
     address: str
     zone: str
-    # Counts the heartbeats of one life.
+    # Counts the heartbeats of one incarnation.
     sequence: int
     # "ready" or "draining".
     state: str = 'ready'
--- a/src/wigeonreach/scheduling/_advice.py
+++ b/src/wigeonreach/scheduling/_advice.py
@@ -13,7 +13,7 @@
 
 from wigeonreach.jobs import TaskKey
 from wigeonreach.scheduling._ready import ReadyStep
-from wigeonreach.scheduling._room_book import WorkerRoom
+from wigeonreach.scheduling._room_left import WorkerRoom
 
 # Workers named in one call, and how many more than there are tasks, as the
 # advisor may allow only some.
@@ -54,7 +54,7 @@
     is_asked: bool = False
 
 
-class AdviceBook:
+class TicketCache:
     """Tickets of this term."""
 
     def __init__(self) -> None:
@@ -82,7 +82,7 @@
         found = [
             room
             for room in all_rooms
-            if self.ticket(key, room.life.report.worker, now_s)
+            if self.ticket(key, room.incarnation.report.worker, now_s)
         ]
         if len(found) < len(step.waiting):
             self._want(step, all_rooms, now_s)
@@ -132,7 +132,9 @@
         count = min(len(step.waiting) * _SPARE_RATIO, _MOST_WORKERS)
         fitting = [room for room in rooms if room.left.holds(step.spec.room)]
         fitting.sort(key=lambda room: -room.left.processors)
-        workers = tuple(room.life.report.worker for room in fitting[:count])
+        workers = tuple(
+            room.incarnation.report.worker for room in fitting[:count]
+        )
         if workers:
             self._wanted[name] = Question(name, workers)
 
--- a/src/wigeonreach/scheduling/_maintenance.py
+++ b/src/wigeonreach/scheduling/_maintenance.py
@@ -11,10 +11,10 @@
 import dataclasses
 from collections.abc import Collection
 
-from wigeonreach.jobs import JobBook, TaskKey, VmStep, WaveRecord
+from wigeonreach.jobs import JobStore, TaskKey, VmStep, WaveRecord
 from wigeonreach.scheduling._moving_out import movable_now
 from wigeonreach.scheduling._vms import VmPhase, VmRecord
-from wigeonreach.scheduling._workers import WorkerLife, Workers
+from wigeonreach.scheduling._workers import Incarnation, Workers
 
 # Batch tasks last about a second; what still runs after this is stopped, as
 # it holds one of the few places of the wave.
@@ -52,15 +52,15 @@
 
     Parameters
     ----------
-    book
+    store
         The replicated state; it is only read.
     workers
-        The lives of the workers.
+        The incarnations of the workers.
     """
 
-    def __init__(self, book: JobBook, workers: Workers) -> None:
+    def __init__(self, store: JobStore, workers: Workers) -> None:
         """Empty nothing yet."""
-        self._book = book
+        self._store = store
         self._workers = workers
         self._vms: dict[str, VmRecord] = {}
         self._emptied_since_s: dict[str, float] = {}
@@ -72,7 +72,7 @@
         """VMs that get nothing new."""
         ordered = {
             vm
-            for wave in self._book.waves.values()
+            for wave in self._store.waves.values()
             for vm, progress in wave.vms.items()
             if progress.step is VmStep.ORDERED
         }
@@ -81,14 +81,14 @@
     @property
     def is_active(self) -> bool:
         """Whether a wave is under way."""
-        return any(not wave.is_done for wave in self._book.waves.values())
+        return any(not wave.is_done for wave in self._store.waves.values())
 
     @property
     def needs_list(self) -> bool:
         """Whether there are VMs of which no heartbeat tells enough."""
         return any(
             progress.step is VmStep.ORDERED or self._workers.of_vm(vm) is None
-            for wave in self._book.waves.values()
+            for wave in self._store.waves.values()
             for vm, progress in wave.vms.items()
             if progress.step in {VmStep.WAITING, VmStep.ORDERED}
         )
@@ -106,7 +106,7 @@
         """Return what is to be done now."""
         self._choose(now_s)
         found = MaintenanceStep()
-        for wave in self._book.waves.values():
+        for wave in self._store.waves.values():
             for vm, progress in wave.vms.items():
                 if progress.step is VmStep.ORDERED:
                     self._follow(wave, vm, found)
@@ -133,21 +133,23 @@
         now_s: float,
         found: MaintenanceStep,
     ) -> None:
-        life = self._workers.of_vm(vm)
-        if life is None or self._is_empty(life):
-            worker = life.report.worker if life else ''
+        incarnation = self._workers.of_vm(vm)
+        if incarnation is None or self._is_empty(incarnation):
+            worker = incarnation.report.worker if incarnation else ''
             found.orders.append((wave.wave, vm, worker))
             self._emptied_since_s.pop(vm)
             return
         leaving = {*stopping, *found.stops}
-        lives = self._workers.lives
-        found.stops.extend(movable_now(life, lives, self._book, leaving))
+        incarnations = self._workers.incarnations
+        found.stops.extend(
+            movable_now(incarnation, incarnations, self._store, leaving)
+        )
         if now_s - self._emptied_since_s[vm] > _WAIT_FOR_BATCH_S:
-            found.stops.extend(self._batch_runs(life))
+            found.stops.extend(self._batch_runs(incarnation))
 
     def _choose(self, now_s: float) -> None:
         """Begin to empty as many VMs as the waves allow."""
-        for wave in self._book.waves.values():
+        for wave in self._store.waves.values():
             emptying = self._emptied_since_s.keys() & wave.vms.keys()
             free = wave.limit - wave.ordered - len(emptying)
             for vm in self._candidates(wave):
@@ -170,9 +172,9 @@
         return waiting
 
     def _is_known(self, vm: str) -> bool:
-        life = self._workers.of_vm(vm)
-        if life is not None:
-            return not life.report.is_draining
+        incarnation = self._workers.of_vm(vm)
+        if incarnation is not None:
+            return not incarnation.report.is_draining
         record = self._vms.get(vm)
         return record is not None and record.phase is VmPhase.UP
 
@@ -181,43 +183,44 @@
         return record is None or record.phase is VmPhase.UP
 
     def _load(self, vm: str) -> int:
-        life = self._workers.of_vm(vm)
-        if life is None:
+        incarnation = self._workers.of_vm(vm)
+        if incarnation is None:
             return 0
-        return len(self._book.assigned.get(life.report.worker, {}))
+        return len(self._store.assigned.get(incarnation.report.worker, {}))
 
     def _may_empty(self, vm: str) -> bool:
-        life = self._workers.of_vm(vm)
-        if life is None:
+        incarnation = self._workers.of_vm(vm)
+        if incarnation is None:
             return True
-        service = life.report.service
+        service = incarnation.report.service
         size = collections.Counter(
-            other.report.service for other in self._workers.lives.values()
+            other.report.service
+            for other in self._workers.incarnations.values()
         )[service]
         away = sum(
             other.report.service == service
             and other.report.vm in self._emptied_since_s
-            for other in self._workers.lives.values()
+            for other in self._workers.incarnations.values()
         )
         return away < max(1, round(size * _MOST_OF_POOL_RATIO))
 
-    def _is_empty(self, life: WorkerLife) -> bool:
-        held = self._book.assigned.get(life.report.worker)
-        return not held and not life.running
+    def _is_empty(self, incarnation: Incarnation) -> bool:
+        held = self._store.assigned.get(incarnation.report.worker)
+        return not held and not incarnation.running
 
-    def _batch_runs(self, life: WorkerLife) -> list[Run]:
-        held = self._book.assigned.get(life.report.worker, {})
-        return [run for run in held.items() if self._book.is_batch(run[0])]
+    def _batch_runs(self, incarnation: Incarnation) -> list[Run]:
+        held = self._store.assigned.get(incarnation.report.worker, {})
+        return [run for run in held.items() if self._store.is_batch(run[0])]
 
     def _is_back(self, wave: WaveRecord, vm: str) -> bool:
-        """Whether a VM runs again, by a new life or by the list.
+        """Whether a VM runs again, by a new incarnation or by the list.
 
-        A worker that crashes has a new life too, so nothing counts that came
+        A worker that crashes has a new incarnation too, so nothing counts that came
         before the platform confirmed the order.
         """
         confirmed_s = self._confirmed_s.get((wave.wave, vm), float('inf'))
-        life = self._workers.of_vm(vm)
-        if life is not None and life.first_heard_s > confirmed_s:
+        incarnation = self._workers.of_vm(vm)
+        if incarnation is not None and incarnation.first_heard_s > confirmed_s:
             return True
         if self._listed_s <= confirmed_s:
             # A list from before the order tells nothing.
--- a/src/wigeonreach/scheduling/_moving_out.py
+++ b/src/wigeonreach/scheduling/_moving_out.py
@@ -4,8 +4,8 @@
 
 from collections.abc import Iterable, Mapping
 
-from wigeonreach.jobs import JobBook, JobRecord, StepSpec, TaskKey, TaskPhase
-from wigeonreach.scheduling._workers import WorkerLife
+from wigeonreach.jobs import JobRecord, JobStore, StepSpec, TaskKey, TaskPhase
+from wigeonreach.scheduling._workers import Incarnation
 
 # A serving task whose step says nothing is moved with one away at a time.
 _DEFAULT_MAY_MISS = 1
@@ -13,9 +13,9 @@
 
 
 def movable_now(
-    life: WorkerLife,
-    lives: Mapping[str, WorkerLife],
-    book: JobBook,
+    incarnation: Incarnation,
+    incarnations: Mapping[str, Incarnation],
+    store: JobStore,
     stopping: Iterable[tuple[TaskKey, int]],
 ) -> list[tuple[TaskKey, int]]:
     """Return the serving runs that may be stopped on a worker now.
@@ -26,14 +26,14 @@
     leaving = set(stopping)
     steps: set[tuple[str, int, int]] = set()
     chosen: list[tuple[TaskKey, int]] = []
-    for run in book.assigned.get(life.report.worker, {}).items():
+    for run in store.assigned.get(incarnation.report.worker, {}).items():
         key, _ = run
         step = (key.job_id, key.occurrence, key.step)
-        job = book.job_of(key)
+        job = store.job_of(key)
         if job is None or run in leaving or step in steps:
             continue
         spec = job.step_spec(key)
-        if spec.is_service and _may_go(key, job, spec, lives, leaving):
+        if spec.is_service and _may_go(key, job, spec, incarnations, leaving):
             steps.add(step)
             chosen.append(run)
     return chosen
@@ -43,12 +43,12 @@
     key: TaskKey,
     job: JobRecord,
     spec: StepSpec,
-    lives: Mapping[str, WorkerLife],
+    incarnations: Mapping[str, Incarnation],
     leaving: set[tuple[TaskKey, int]],
 ) -> bool:
     may_miss = _DEFAULT_MAY_MISS if spec.may_miss is None else spec.may_miss
     away = sum(
-        not _is_at_work(other, job, lives, leaving)
+        not _is_at_work(other, job, incarnations, leaving)
         for other in _others(key, job)
     )
     return away < may_miss
@@ -66,7 +66,7 @@
 def _is_at_work(
     key: TaskKey,
     job: JobRecord,
-    lives: Mapping[str, WorkerLife],
+    incarnations: Mapping[str, Incarnation],
     leaving: set[tuple[TaskKey, int]],
 ) -> bool:
     task = job.task(key)
@@ -74,10 +74,10 @@
         return False
     if (key, task.run) in leaving:
         return False
-    life = lives.get(task.worker)
-    if life is None:
+    incarnation = incarnations.get(task.worker)
+    if incarnation is None:
         return False
     return any(
         row.task == key and row.percent >= _AT_WORK_PERCENT
-        for row in life.running
+        for row in incarnation.running
     )
--- a/src/wigeonreach/scheduling/_orders.py
+++ b/src/wigeonreach/scheduling/_orders.py
@@ -5,10 +5,10 @@
 import dataclasses
 from collections.abc import Collection, Iterator
 
-from wigeonreach.jobs import JobBook, JobRecord, TaskKey
-from wigeonreach.scheduling._advice import AdviceBook
+from wigeonreach.jobs import JobRecord, JobStore, TaskKey
+from wigeonreach.scheduling._advice import TicketCache
 from wigeonreach.scheduling._pacing import FULL_PACE, Pacing
-from wigeonreach.scheduling._workers import LEASE_MS, WorkerLife
+from wigeonreach.scheduling._workers import LEASE_MS, Incarnation
 from wigeonreach.wire._worker_messages import (
     PaceOrder,
     StartOrder,
@@ -28,17 +28,17 @@
 class Tickets:
     """The tickets that are valid at a time."""
 
-    book: AdviceBook
+    store: TicketCache
     now_s: float
 
     def of(self, key: TaskKey, worker: str) -> str:
         """Return the ticket for a task on a worker, or nothing."""
-        return self.book.ticket(key, worker, self.now_s)
+        return self.store.ticket(key, worker, self.now_s)
 
 
 def orders_for(
-    life: WorkerLife,
-    book: JobBook,
+    incarnation: Incarnation,
+    store: JobStore,
     pacing: Pacing,
     stopping: Collection[tuple[TaskKey, int]],
     tickets: Tickets,
@@ -50,52 +50,54 @@
     ordered again: a worker has one heartbeat under way at a time, and drops
     answers that come too late.
     """
-    worker = life.report.worker
-    held = book.assigned.get(worker, {})
+    worker = incarnation.report.worker
+    held = store.assigned.get(worker, {})
     return WorkerOrders(
         lease_ms=LEASE_MS,
         fence=term,
-        acknowledged=life.noted,
-        starts=tuple(_starts(life, book, stopping, tickets)),
-        stops=tuple(_stops(life, book, held, stopping)),
-        paces=tuple(_paces(life, book, pacing)),
+        acknowledged=incarnation.noted,
+        starts=tuple(_starts(incarnation, store, stopping, tickets)),
+        stops=tuple(_stops(incarnation, store, held, stopping)),
+        paces=tuple(_paces(incarnation, store, pacing)),
     )
 
 
-def not_begun(life: WorkerLife, book: JobBook) -> Iterator[tuple[TaskKey, int]]:
+def not_begun(
+    incarnation: Incarnation, store: JobStore
+) -> Iterator[tuple[TaskKey, int]]:
     """Yield the runs that a worker was given and does not list."""
-    listed = {(row.task, row.run) for row in life.running}
-    listed.update((ended.task, ended.run) for ended in life.report.ended)
-    for run in book.assigned.get(life.report.worker, {}).items():
+    listed = {(row.task, row.run) for row in incarnation.running}
+    listed.update((ended.task, ended.run) for ended in incarnation.report.ended)
+    for run in store.assigned.get(incarnation.report.worker, {}).items():
         if run not in listed:
             yield run
 
 
 def _starts(
-    life: WorkerLife,
-    book: JobBook,
+    incarnation: Incarnation,
+    store: JobStore,
     stopping: Collection[tuple[TaskKey, int]],
     tickets: Tickets,
 ) -> Iterator[StartOrder]:
-    if life.report.is_draining:
+    if incarnation.report.is_draining:
         return
-    for key, run in not_begun(life, book):
-        job = book.job_of(key)
+    for key, run in not_begun(incarnation, store):
+        job = store.job_of(key)
         if job is None or (key, run) in stopping:
             continue
-        ticket = tickets.of(key, life.report.worker)
-        if _may_start(job, life, book, ticket):
+        ticket = tickets.of(key, incarnation.report.worker)
+        if _may_start(job, incarnation, store, ticket):
             yield _start(job, key, run, ticket)
 
 
 def _may_start(
     job: JobRecord,
-    life: WorkerLife,
-    book: JobBook,
+    incarnation: Incarnation,
+    store: JobStore,
     ticket: str,
 ) -> bool:
     is_advised = job.queue.advice is None or bool(ticket)
-    is_here = book.service_of(job) == life.report.service
+    is_here = store.service_of(job) == incarnation.report.service
     return job.is_active and is_here and is_advised
 
 
@@ -111,13 +113,13 @@
 
 
 def _stops(
-    life: WorkerLife,
-    book: JobBook,
+    incarnation: Incarnation,
+    store: JobStore,
     held: dict[TaskKey, int],
     stopping: Collection[tuple[TaskKey, int]],
 ) -> Iterator[StopOrder]:
-    for row in life.running:
-        job = book.job_of(row.task)
+    for row in incarnation.running:
+        job = store.job_of(row.task)
         is_wanted = held.get(row.task) == row.run
         is_active = job is not None and job.is_active
         if not is_wanted or not is_active or (row.task, row.run) in stopping:
@@ -125,13 +127,13 @@
 
 
 def _paces(
-    life: WorkerLife,
-    book: JobBook,
+    incarnation: Incarnation,
+    store: JobStore,
     pacing: Pacing,
 ) -> Iterator[PaceOrder]:
-    pace = pacing.pace(life.report.worker)
+    pace = pacing.pace(incarnation.report.worker)
     if pace is None:
         return
-    for row in life.running:
-        if book.is_batch(row.task):
+    for row in incarnation.running:
+        if store.is_batch(row.task):
             yield PaceOrder(row.task, row.run, min(pace, FULL_PACE))
--- a/src/wigeonreach/scheduling/_pacing.py
+++ b/src/wigeonreach/scheduling/_pacing.py
@@ -9,8 +9,8 @@
 
 from collections.abc import Mapping
 
-from wigeonreach.jobs import JobBook, StepSpec
-from wigeonreach.scheduling._workers import WorkerLife
+from wigeonreach.jobs import JobStore, StepSpec
+from wigeonreach.scheduling._workers import Incarnation
 
 FULL_PACE = 100
 # Tails are figures of the last half second, so pace has to go down before
@@ -45,7 +45,7 @@
         """Drop what is known of a dead worker."""
         self._paces.pop(worker, None)
 
-    def note(self, life: WorkerLife, book: JobBook) -> str:
+    def note(self, incarnation: Incarnation, store: JobStore) -> str:
         """Look at the tails that a worker reports.
 
         Returns
@@ -53,8 +53,8 @@
         str
             What changed, or nothing.
         """
-        worker = life.report.worker
-        ratio = _worst_ratio(life, book)
+        worker = incarnation.report.worker
+        ratio = _worst_ratio(incarnation, store)
         pace = self._paces.get(worker, FULL_PACE)
         if ratio > _SLOWER_ABOVE_RATIO:
             slower = pace // 2
@@ -67,22 +67,24 @@
         return f'{pace} to {changed} percent, tail at {ratio:.2f} of target'
 
 
-def _worst_ratio(life: WorkerLife, book: JobBook) -> float:
-    specs = _serving_specs(life, book)
+def _worst_ratio(incarnation: Incarnation, store: JobStore) -> float:
+    specs = _serving_specs(incarnation, store)
     return max(
         (
             row.load / specs[row.task.job_id].latency_target_ms
-            for row in life.running
+            for row in incarnation.running
             if row.task.job_id in specs
         ),
         default=0.0,
     )
 
 
-def _serving_specs(life: WorkerLife, book: JobBook) -> Mapping[str, StepSpec]:
+def _serving_specs(
+    incarnation: Incarnation, store: JobStore
+) -> Mapping[str, StepSpec]:
     found: dict[str, StepSpec] = {}
-    for row in life.running:
-        spec = book.spec_of(row.task)
+    for row in incarnation.running:
+        spec = store.spec_of(row.task)
         if spec is None:
             continue
         if spec.is_service and spec.latency_target_ms:
--- a/src/wigeonreach/scheduling/_placing.py
+++ b/src/wigeonreach/scheduling/_placing.py
@@ -5,10 +5,10 @@
 import collections
 from collections.abc import Iterable, Sequence
 
-from wigeonreach.jobs import JobBook, RunStarted, StepSpec, TaskKey
-from wigeonreach.scheduling._advice import AdviceBook
+from wigeonreach.jobs import JobStore, RunStarted, StepSpec, TaskKey
+from wigeonreach.scheduling._advice import TicketCache
 from wigeonreach.scheduling._ready import ReadyStep, most_together
-from wigeonreach.scheduling._room_book import WorkerRoom
+from wigeonreach.scheduling._room_left import WorkerRoom
 
 # Weights of what speaks for a worker; each outweighs all behind it.
 _FAILED_HERE = 100.0
@@ -23,7 +23,7 @@
 
     Parameters
     ----------
-    book
+    store
         What is accepted and where it runs.
     rooms
         The workers that may take something, by service.
@@ -35,13 +35,13 @@
 
     def __init__(
         self,
-        book: JobBook,
+        store: JobStore,
         rooms: dict[str, list[WorkerRoom]],
-        advice: AdviceBook,
+        advice: TicketCache,
         now_s: float,
     ) -> None:
         """Start nothing yet."""
-        self._book = book
+        self._store = store
         self._rooms = rooms
         self._advice = advice
         self._now_s = now_s
@@ -51,7 +51,7 @@
     def place(self, steps: Iterable[ReadyStep]) -> None:
         """Place the tasks of steps, in their order."""
         for step in steps:
-            rooms = self._rooms.get(self._book.service_of(step.job), [])
+            rooms = self._rooms.get(self._store.service_of(step.job), [])
             if step.job.queue.advice is not None:
                 rooms = self._advice.allowed(step, rooms, self._now_s)
             if step.spec.is_rack_local:
@@ -104,7 +104,7 @@
         run: int,
     ) -> None:
         room.add(key, step.spec)
-        self.starts.append(RunStarted(key, run, room.life.report.worker))
+        self.starts.append(RunStarted(key, run, room.incarnation.report.worker))
 
 
 def _fit_all(
@@ -130,9 +130,11 @@
     rooms: Sequence[WorkerRoom],
 ) -> list[WorkerRoom]:
     """Return the workers of a rack that holds a whole step, or nothing."""
-    racks = sorted({room.life.report.rack for room in rooms})
+    racks = sorted({room.incarnation.report.rack for room in rooms})
     for rack in racks:
-        on_rack = [room for room in rooms if room.life.report.rack == rack]
+        on_rack = [
+            room for room in rooms if room.incarnation.report.rack == rack
+        ]
         if _fit_all(step, on_rack) is not None:
             return on_rack
     return []
@@ -140,7 +142,7 @@
 
 def _copy(room: WorkerRoom) -> WorkerRoom:
     return WorkerRoom(
-        room.life,
+        room.incarnation,
         room.left,
         collections.Counter(room.steps),
         room.serving,
@@ -169,7 +171,7 @@
     A worker that fails all that it starts must not end a job by itself.
     """
     task = step.job.task(key)
-    if task is None or task.worker != room.life.report.worker:
+    if task is None or task.worker != room.incarnation.report.worker:
         return False
     is_last = task.failures + 1 >= step.job.queue.max_failures
     return bool(task.failures) and is_last and len(rooms) > 1
@@ -195,7 +197,7 @@
 ) -> tuple[float, float, str]:
     """Return what speaks against a worker; the lowest is taken."""
     spec = step.spec
-    report = room.life.report
+    report = room.incarnation.report
     task = step.job.task(key)
     cost = 0.0
     if task is not None and task.run and task.worker == report.worker:
--- a/src/wigeonreach/scheduling/_pools.py
+++ b/src/wigeonreach/scheduling/_pools.py
@@ -13,10 +13,10 @@
 import math
 from collections.abc import Iterable, Mapping
 
-from wigeonreach.jobs import JobBook
+from wigeonreach.jobs import JobStore
 from wigeonreach.scheduling._demand import ServiceDemand
 from wigeonreach.scheduling._vms import VmPhase, VmRecord
-from wigeonreach.scheduling._workers import WorkerLife, Workers
+from wigeonreach.scheduling._workers import Incarnation, Workers
 
 # Work is of full use for some 5 s; a VM that is ordered now works in 2 s, so
 # what is to be had within this is worth a move.
@@ -57,14 +57,14 @@
 
     Attributes
     ----------
-    lives
+    incarnations
         Workers that may take work.
     wanted
         Workers that its work needs.
     """
 
     name: str
-    lives: tuple[WorkerLife, ...]
+    incarnations: tuple[Incarnation, ...]
     wanted: int
 
 
@@ -73,10 +73,10 @@
 
     Parameters
     ----------
-    book
+    store
         The replicated state; it is only read.
     workers
-        The lives of the workers.
+        The incarnations of the workers.
     move_s
         How long a VM is away while it moves.
     now_s
@@ -85,13 +85,13 @@
 
     def __init__(
         self,
-        book: JobBook,
+        store: JobStore,
         workers: Workers,
         move_s: float,
         now_s: float,
     ) -> None:
         """Move nothing yet."""
-        self._book = book
+        self._store = store
         self._workers = workers
         self._move_s = move_s
         self._settled_s = now_s + _SETTLE_S
@@ -116,7 +116,7 @@
         return next(
             (
                 service.name
-                for service in self._book.manifest.services
+                for service in self._store.manifest.services
                 if service.is_standby
             ),
             '',
@@ -183,28 +183,32 @@
         taken: set[str],
         now_s: float,
     ) -> dict[str, PoolState]:
-        lives: dict[str, list[WorkerLife]] = collections.defaultdict(list)
-        for life in self._workers.lives.values():
-            vm = life.report.vm
+        incarnations: dict[str, list[Incarnation]] = collections.defaultdict(
+            list
+        )
+        for incarnation in self._workers.incarnations.values():
+            vm = incarnation.report.vm
             is_free = vm not in taken and vm not in self._emptying
-            if is_free and life.may_take(now_s):
-                lives[life.report.service].append(life)
+            if is_free and incarnation.may_take(now_s):
+                incarnations[incarnation.report.service].append(incarnation)
         return {
             service.name: PoolState(
                 service.name,
-                tuple(lives[service.name]),
+                tuple(incarnations[service.name]),
                 max(
                     self._wanted_by_work(service.name, backlog, now_s),
                     serving.get(service.name, 0),
                 ),
             )
-            for service in self._book.manifest.services
+            for service in self._store.manifest.services
             if not service.is_standby
         }
 
     def _note_sizes(self) -> None:
-        for life in self._workers.lives.values():
-            self._processors = max(self._processors, life.room.processors)
+        for incarnation in self._workers.incarnations.values():
+            self._processors = max(
+                self._processors, incarnation.room.processors
+            )
 
     def _wanted_by_work(
         self,
@@ -242,7 +246,7 @@
             emptying.to_pool == pool.name
             for emptying in self._emptying.values()
         )
-        return len(pool.lives) + coming + promised
+        return len(pool.incarnations) + coming + promised
 
     def _donor(
         self,
@@ -284,9 +288,11 @@
     def _due(self, now_s: float) -> list[Move]:
         moves: list[Move] = []
         for vm, emptying in list(self._emptying.items()):
-            life = self._workers.of_vm(vm)
-            pool = life.report.service if life else self.standby_pool
-            if life is None or self._is_empty(life):
+            incarnation = self._workers.of_vm(vm)
+            pool = (
+                incarnation.report.service if incarnation else self.standby_pool
+            )
+            if incarnation is None or self._is_empty(incarnation):
                 moves.append(Move(vm, pool, emptying.to_pool))
             elif now_s - emptying.since_s > _EMPTY_S:
                 self._emptying.pop(vm)
@@ -294,8 +300,10 @@
 
     def _forget_arrived(self, now_s: float) -> None:
         for vm, (pool, since_s) in list(self._incoming.items()):
-            life = self._workers.of_vm(vm)
-            is_here = life is not None and life.report.service == pool
+            incarnation = self._workers.of_vm(vm)
+            is_here = (
+                incarnation is not None and incarnation.report.service == pool
+            )
             if is_here or now_s - since_s > _MOVE_LASTS_S:
                 self._incoming.pop(vm)
         back = [vm for vm, at_s in self._returning_s.items() if at_s <= now_s]
@@ -305,13 +313,13 @@
 
     def _idle_vms(self, pool: PoolState) -> list[str]:
         return [
-            life.report.vm
-            for life in pool.lives
-            if life.report.vm
-            and life.report.vm not in self._emptying
-            and self._is_empty(life)
+            incarnation.report.vm
+            for incarnation in pool.incarnations
+            if incarnation.report.vm
+            and incarnation.report.vm not in self._emptying
+            and self._is_empty(incarnation)
         ]
 
-    def _is_empty(self, life: WorkerLife) -> bool:
-        held = self._book.assigned.get(life.report.worker)
-        return not held and not life.running
+    def _is_empty(self, incarnation: Incarnation) -> bool:
+        held = self._store.assigned.get(incarnation.report.worker)
+        return not held and not incarnation.running
--- a/src/wigeonreach/scheduling/_preempting.py
+++ b/src/wigeonreach/scheduling/_preempting.py
@@ -9,9 +9,9 @@
 from collections.abc import Iterable
 
 from wigeonreach._room import Room
-from wigeonreach.jobs import JobBook, TaskKey
+from wigeonreach.jobs import JobStore, TaskKey
 from wigeonreach.scheduling._ready import ReadyStep
-from wigeonreach.scheduling._room_book import WorkerRoom
+from wigeonreach.scheduling._room_left import WorkerRoom
 
 Run = tuple[TaskKey, int]
 
@@ -19,7 +19,7 @@
 def victims_for(
     step: ReadyStep,
     rooms: Iterable[WorkerRoom],
-    book: JobBook,
+    store: JobStore,
     stopping: set[Run],
 ) -> tuple[WorkerRoom, tuple[Run, ...]] | None:
     """Return where room can be made for one task, and what has to stop.
@@ -30,7 +30,7 @@
         The step that finds no room.
     rooms
         The workers that may take it.
-    book
+    store
         What runs where.
     stopping
         What is being stopped already; its room is waited for.
@@ -45,7 +45,7 @@
     options = [
         (room, found)
         for room in rooms
-        if (found := _stops_on(room, step, key, book, stopping)) is not None
+        if (found := _stops_on(room, step, key, store, stopping)) is not None
     ]
     return min(options, key=lambda option: len(option[1]), default=None)
 
@@ -54,18 +54,18 @@
     room: WorkerRoom,
     step: ReadyStep,
     key: TaskKey,
-    book: JobBook,
+    store: JobStore,
     stopping: set[Run],
 ) -> tuple[Run, ...] | None:
     spec = step.spec
     same = room.steps[key.job_id, key.occurrence, key.step]
     if spec.spread_limit and same >= spec.spread_limit:
         return None
-    if spec.label and spec.label not in room.life.report.labels:
+    if spec.label and spec.label not in room.incarnation.report.labels:
         return None
     left = room.left
     chosen: list[Run] = []
-    for run, freed in _batch_runs(room, book):
+    for run, freed in _batch_runs(room, store):
         if left.holds(spec.room):
             break
         left += freed
@@ -76,14 +76,14 @@
 
 def _batch_runs(
     room: WorkerRoom,
-    book: JobBook,
+    store: JobStore,
 ) -> list[tuple[Run, Room]]:
     """Return what may be stopped, the least progress in front."""
-    progress = {row.task: row.percent for row in room.life.running}
-    held = book.assigned.get(room.life.report.worker, {})
+    progress = {row.task: row.percent for row in room.incarnation.running}
+    held = store.assigned.get(room.incarnation.report.worker, {})
     found: list[tuple[int, Run, Room]] = []
     for key, run in held.items():
-        spec = book.spec_of(key)
+        spec = store.spec_of(key)
         if spec is not None and not spec.is_service:
             found.append((progress.get(key, 0), (key, run), spec.room))
     found.sort(key=lambda item: (item[0], item[1]))
--- a/src/wigeonreach/scheduling/_progress.py
+++ b/src/wigeonreach/scheduling/_progress.py
@@ -11,16 +11,16 @@
 import statistics
 from collections.abc import Mapping
 
-from wigeonreach.jobs import JobBook, StepSpec, TaskKey
+from wigeonreach.jobs import JobStore, StepSpec, TaskKey
 from wigeonreach.scheduling._pacing import FULL_PACE
-from wigeonreach.scheduling._workers import WorkerLife
+from wigeonreach.scheduling._workers import Incarnation
 from wigeonreach.wire._worker_messages import RunningTask
 
 # Heartbeats come every quarter of a second, and a task that works moves by a
 # percent in a hundredth of its time: this is several heartbeats.
-_STILL_S = 1.5
+_STALLED_S = 1.5
 # Long tasks move by a percent only now and then.
-_STILL_RATIO = 0.05
+_STALLED_RATIO = 0.05
 # A new worker may be cold for as long as it says; a serving task that does not
 # come to work in this time does not come at all.
 _NO_START_S = 4.0
@@ -60,8 +60,8 @@
 
     def note(
         self,
-        life: WorkerLife,
-        book: JobBook,
+        incarnation: Incarnation,
+        store: JobStore,
         pace_percent: int | None,
         now_s: float,
     ) -> list[Run]:
@@ -69,23 +69,23 @@
 
         Parameters
         ----------
-        life
+        incarnation
             Whose heartbeat it was.
-        book
+        store
             What runs.
         pace_percent
             At which share of its speed batch work was told to run, or None.
         now_s
             Clock in seconds.
         """
-        still: list[Run] = []
+        stalled: list[Run] = []
         is_paced = pace_percent is not None and pace_percent < FULL_PACE
-        for row in life.running:
+        for row in incarnation.running:
             seen = self._look(row, is_paced, now_s)
-            spec = book.spec_of(row.task)
-            if spec is not None and _stands_still(spec, seen, now_s):
-                still.append((row.task, row.run))
-        return still
+            spec = store.spec_of(row.task)
+            if spec is not None and _is_stalled(spec, seen, now_s):
+                stalled.append((row.task, row.run))
+        return stalled
 
     def _look(self, row: RunningTask, is_paced: bool, now_s: float) -> _Seen:
         run = (row.task, row.run)
@@ -96,11 +96,11 @@
         return seen
 
     def note_done(
-        self, worker: str, run: Run, book: JobBook, now_s: float
+        self, worker: str, run: Run, store: JobStore, now_s: float
     ) -> None:
         """Take note that a run ended well, and how long it took."""
         seen = self._seen.pop(run, None)
-        spec = book.spec_of(run[0])
+        spec = store.spec_of(run[0])
         if seen is None or spec is None or not spec.estimate_ms:
             return
         ratio = (now_s - seen.began_s) * 1000 / spec.estimate_ms
@@ -136,9 +136,9 @@
         }
 
 
-def _stands_still(spec: StepSpec, seen: _Seen, now_s: float) -> bool:
+def _is_stalled(spec: StepSpec, seen: _Seen, now_s: float) -> bool:
     if spec.is_service:
         is_at_work = seen.percent >= FULL_PACE
         return not is_at_work and now_s - seen.began_s > _NO_START_S
-    allowed_s = max(_STILL_S, spec.estimate_ms / 1000 * _STILL_RATIO)
+    allowed_s = max(_STALLED_S, spec.estimate_ms / 1000 * _STALLED_RATIO)
     return now_s - seen.moved_s > allowed_s
--- a/src/wigeonreach/scheduling/_health.py
+++ b/src/wigeonreach/scheduling/_quarantine.py
@@ -26,7 +26,7 @@
     resting_until_s: float = 0.0
 
 
-class WorkerHealth:
+class WorkerQuarantine:
     """Which workers rest, by the ends of their runs."""
 
     def __init__(self) -> None:
@@ -48,17 +48,19 @@
         score.failed_jobs.clear()
         return True
 
-    def resting(self, workers: list[str], now_s: float) -> set[str]:
+    def quarantined(self, workers: list[str], now_s: float) -> set[str]:
         """Return who of a service's workers rests."""
-        resting = [
+        quarantined = [
             worker
             for worker in workers
             if worker in self._scores
             and self._scores[worker].resting_until_s > now_s
         ]
         allowed = int(len(workers) * _MOST_RESTING_RATIO)
-        resting.sort(key=lambda worker: -self._scores[worker].resting_until_s)
-        return set(resting[:allowed])
+        quarantined.sort(
+            key=lambda worker: -self._scores[worker].resting_until_s
+        )
+        return set(quarantined[:allowed])
 
     def forget(self, worker: str) -> None:
         """Drop what is known of a dead worker."""
--- a/src/wigeonreach/scheduling/_ready.py
+++ b/src/wigeonreach/scheduling/_ready.py
@@ -12,7 +12,7 @@
 import math
 from collections.abc import Iterable
 
-from wigeonreach.jobs import JobBook, JobRecord, StepSpec, TaskPhase
+from wigeonreach.jobs import JobRecord, JobStore, StepSpec, TaskPhase
 
 # Where a team gave no estimate.
 _UNKNOWN_ESTIMATE_MS = 1000
@@ -78,7 +78,7 @@
 
     def refresh(
         self,
-        book: JobBook,
+        store: JobStore,
         now_s: float,
     ) -> list[tuple[str, float]]:
         """Look again at the jobs that changed.
@@ -88,21 +88,21 @@
         list of tuple
             For each job that is new, its service and its processor seconds.
         """
-        changed = book.changed
-        book.changed = set()
+        changed = store.changed
+        store.changed = set()
         accepted: list[tuple[str, float]] = []
         for job_id in changed:
             is_new = job_id not in self._accepted_s
-            self._refresh_job(book, job_id, now_s)
+            self._refresh_job(store, job_id, now_s)
             if is_new and job_id in self._work_s:
                 accepted.append(self._work_s[job_id])
         return accepted
 
-    def _refresh_job(self, book: JobBook, job_id: str, now_s: float) -> None:
+    def _refresh_job(self, store: JobStore, job_id: str, now_s: float) -> None:
         self._by_job.pop(job_id, None)
         self._work_s.pop(job_id, None)
         self._serving.pop(job_id, None)
-        job = book.jobs.get(job_id)
+        job = store.jobs.get(job_id)
         if job is None:
             self._accepted_s.pop(job_id, None)
             return
@@ -112,7 +112,7 @@
         steps = _ready_steps(job, accepted_s)
         if steps:
             self._by_job[job_id] = steps
-        service = book.service_of(job)
+        service = store.service_of(job)
         if any(step.is_service for step in job.spec.steps):
             self._serving[job_id] = (service, _workers_for(job))
         else:
--- a/src/wigeonreach/scheduling/_room_book.py
+++ b/src/wigeonreach/scheduling/_room_left.py
@@ -7,8 +7,8 @@
 from collections.abc import Collection
 
 from wigeonreach._room import Room
-from wigeonreach.jobs import JobBook, StepSpec, TaskKey
-from wigeonreach.scheduling._workers import WorkerLife
+from wigeonreach.jobs import JobStore, StepSpec, TaskKey
+from wigeonreach.scheduling._workers import Incarnation
 
 
 @dataclasses.dataclass(slots=True)
@@ -27,7 +27,7 @@
         Its runs take much longer than on other workers, or are slowed down.
     """
 
-    life: WorkerLife
+    incarnation: Incarnation
     left: Room
     steps: collections.Counter[tuple[str, int, int]]
     serving: int = 0
@@ -46,32 +46,32 @@
             return False
         if not self.left.holds(spec.room):
             return False
-        if spec.label and spec.label not in self.life.report.labels:
+        if spec.label and spec.label not in self.incarnation.report.labels:
             return False
         same = self.steps[key.job_id, key.occurrence, key.step]
         return not spec.spread_limit or same < spec.spread_limit
 
 
 def room_left(
-    life: WorkerLife,
-    book: JobBook,
+    incarnation: Incarnation,
+    store: JobStore,
     stopping: Collection[tuple[TaskKey, int]],
 ) -> WorkerRoom:
     """Return what a worker has left beside all that it has or may have."""
-    worker = life.report.worker
-    room = WorkerRoom(life, life.room, collections.Counter())
-    held = book.assigned.get(worker, {})
+    worker = incarnation.report.worker
+    room = WorkerRoom(incarnation, incarnation.room, collections.Counter())
+    held = store.assigned.get(worker, {})
     room.is_reserved = any(run in stopping for run in held.items())
     for key in held:
-        _add_known(room, key, book)
-    for row in life.running:
+        _add_known(room, key, store)
+    for row in incarnation.running:
         # What is being stopped takes room until its end is listed.
         if row.task not in held:
-            _add_known(room, row.task, book)
+            _add_known(room, row.task, store)
     return room
 
 
-def _add_known(room: WorkerRoom, key: TaskKey, book: JobBook) -> None:
-    spec = book.spec_of(key)
+def _add_known(room: WorkerRoom, key: TaskKey, store: JobStore) -> None:
+    spec = store.spec_of(key)
     if spec is not None:
         room.add(key, spec)
--- a/src/wigeonreach/scheduling/_scheduler.py
+++ b/src/wigeonreach/scheduling/_scheduler.py
@@ -6,7 +6,7 @@
 import dataclasses
 
 from wigeonreach.jobs import (
-    JobBook,
+    JobStore,
     RunEnd,
     RunEnded,
     RunStarted,
@@ -14,8 +14,7 @@
     TaskPhase,
 )
 from wigeonreach.observe import LogEvent
-from wigeonreach.scheduling._advice import AdviceBook
-from wigeonreach.scheduling._health import WorkerHealth
+from wigeonreach.scheduling._advice import TicketCache
 from wigeonreach.scheduling._maintenance import Maintenance
 from wigeonreach.scheduling._moving_out import movable_now
 from wigeonreach.scheduling._notes import Note
@@ -25,9 +24,10 @@
 from wigeonreach.scheduling._pools import Move, PoolPlanner
 from wigeonreach.scheduling._preempting import Run, victims_for
 from wigeonreach.scheduling._progress import ProgressWatch
+from wigeonreach.scheduling._quarantine import WorkerQuarantine
 from wigeonreach.scheduling._ready import ReadyStep, ReadySteps
-from wigeonreach.scheduling._room_book import WorkerRoom, room_left
-from wigeonreach.scheduling._workers import WorkerLife, Workers
+from wigeonreach.scheduling._room_left import WorkerRoom, room_left
+from wigeonreach.scheduling._workers import Incarnation, Workers
 from wigeonreach.wire._worker_messages import WorkerOrders, WorkerReport
 
 # Where a platform does not tell: a VM that only changes its pool is not
@@ -39,13 +39,13 @@
 class Heard:
     """What a heartbeat brought.
 
-    ``ends`` have to be recorded before they are acknowledged.  ``still`` are
+    ``ends`` have to be recorded before they are acknowledged.  ``stalled`` are
     runs without progress, which are being stopped.
     """
 
-    life: WorkerLife
+    incarnation: Incarnation
     ends: tuple[RunEnded, ...]
-    still: tuple[Run, ...] = ()
+    stalled: tuple[Run, ...] = ()
 
 
 class Scheduler:
@@ -53,7 +53,7 @@
 
     Parameters
     ----------
-    book
+    store
         The replicated state; it is only read.
     term
         Of this leader.
@@ -70,7 +70,7 @@
 
     def __init__(
         self,
-        book: JobBook,
+        store: JobStore,
         term: int,
         now_s: float,
         move_s: float = _MOVE_S,
@@ -79,17 +79,17 @@
         self.term = term
         self.workers = Workers(now_s)
         self.pacing = Pacing()
-        self.health = WorkerHealth()
+        self.quarantine = WorkerQuarantine()
         self.progress = ProgressWatch()
-        self.advice = AdviceBook()
+        self.advice = TicketCache()
         self.notes: list[Note] = []
-        self.maintenance = Maintenance(book, self.workers)
-        self.pools = PoolPlanner(book, self.workers, move_s, now_s)
+        self.maintenance = Maintenance(store, self.workers)
+        self.pools = PoolPlanner(store, self.workers, move_s, now_s)
         self.stopping: set[Run] = set()
         self.ready = ReadySteps()
-        self._book = book
-        book.changed.update(book.jobs)
-        self.ready.refresh(book, now_s)
+        self._store = store
+        store.changed.update(store.jobs)
+        self.ready.refresh(store, now_s)
 
     def hear(
         self,
@@ -97,44 +97,44 @@
         now_s: float,
     ) -> Heard | None:
         """Take a heartbeat; return None if it counts no more."""
-        known = self.workers.lives.get(report.worker)
+        known = self.workers.incarnations.get(report.worker)
         was_draining = known is not None and known.report.is_draining
-        life = self.workers.hear(report, now_s)
-        if life is None:
+        incarnation = self.workers.hear(report, now_s)
+        if incarnation is None:
             return None
         if report.is_draining and not was_draining:
             left = f'has {report.drain_left_ms} ms left'
-            self._note(LogEvent.WORKER_DRAINING, life, left)
-        paced = self.pacing.note(life, self._book)
-        self._note(LogEvent.WORKER_PACED, life, paced)
-        ends = (*self._new_ends(life), *self._withdrawn(life))
+            self._note(LogEvent.WORKER_DRAINING, incarnation, left)
+        paced = self.pacing.note(incarnation, self._store)
+        self._note(LogEvent.WORKER_PACED, incarnation, paced)
+        ends = (*self._new_ends(incarnation), *self._withdrawn(incarnation))
         for ended in ends:
             self._note_end(ended, now_s)
-        still = self._stop_still(life, now_s)
+        stalled = self._stop_stalled(incarnation, now_s)
         if report.is_draining:
-            self._move_out(life)
-        return Heard(life, ends, still)
+            self._move_out(incarnation)
+        return Heard(incarnation, ends, stalled)
 
     def lost(self, now_s: float) -> tuple[RunEnded, ...]:
-        """Return the runs of workers that are over, to be given on."""
+        """Return the runs of workers that are over, to be reassigned."""
         ended = self.workers.ended(now_s)
         for gone, why in ended.items():
             self.notes.append(Note(LogEvent.WORKER_ENDED, gone, why))
         over = set(ended)
         for worker in over:
             self.pacing.forget(worker)
-            self.health.forget(worker)
-            self.progress.forget(worker, self._book.assigned.get(worker, {}))
+            self.quarantine.forget(worker)
+            self.progress.forget(worker, self._store.assigned.get(worker, {}))
         self._forget_stopped()
         over.update(
             worker
-            for worker in self._book.assigned
+            for worker in self._store.assigned
             if self.workers.is_over(worker, now_s)
         )
         lost = tuple(
             RunEnded(key, run, worker, RunEnd.LOST, self._saved(key))
             for worker in sorted(over)
-            for key, run in self._book.assigned.get(worker, {}).items()
+            for key, run in self._store.assigned.get(worker, {}).items()
         )
         for run_lost in lost:
             self._stop_gang(run_lost.task)
@@ -142,13 +142,13 @@
 
     def plan(self, now_s: float, wall_ms: float) -> tuple[RunStarted, ...]:
         """Return what is to be started now."""
-        for service, work_s in self.ready.refresh(self._book, now_s):
+        for service, work_s in self.ready.refresh(self._store, now_s):
             self.pools.note_accepted(service, work_s, now_s)
         steps = self.ready.in_order(now_s, wall_ms)
         if not steps:
             return ()
         rooms = self.rooms(now_s)
-        plan = Plan(self._book, rooms, self.advice, now_s)
+        plan = Plan(self._store, rooms, self.advice, now_s)
         plan.place(steps)
         self._make_room(plan.unplaced, rooms)
         return tuple(plan.starts)
@@ -163,92 +163,98 @@
             now_s,
         )
 
-    def orders(self, life: WorkerLife, now_s: float) -> WorkerOrders:
+    def orders(self, incarnation: Incarnation, now_s: float) -> WorkerOrders:
         """Return what a worker is to be told."""
         return orders_for(
-            life,
-            self._book,
+            incarnation,
+            self._store,
             self.pacing,
             self.stopping,
             Tickets(self.advice, now_s),
             self.term,
         )
 
-    def has_batch(self, life: WorkerLife) -> bool:
+    def has_batch(self, incarnation: Incarnation) -> bool:
         """Whether work that ends by itself is on a worker."""
         keys = (
-            *self._book.assigned.get(life.report.worker, {}),
-            *(row.task for row in life.running),
+            *self._store.assigned.get(incarnation.report.worker, {}),
+            *(row.task for row in incarnation.running),
         )
-        return any(not self._book.is_serving(key) for key in keys)
+        return any(not self._store.is_serving(key) for key in keys)
 
-    def _new_ends(self, life: WorkerLife) -> list[RunEnded]:
-        listed = {(row.task, row.run) for row in life.running}
+    def _new_ends(self, incarnation: Incarnation) -> list[RunEnded]:
+        listed = {(row.task, row.run) for row in incarnation.running}
         return [
             RunEnded(
                 ended.task,
                 ended.run,
-                life.report.worker,
+                incarnation.report.worker,
                 ended.end,
                 ended.checkpoint,
             )
-            for ended in life.report.ended
-            if ended.number > life.noted
+            for ended in incarnation.report.ended
+            if ended.number > incarnation.noted
             # A second order for what runs already is refused.
             and not _is_repeat(ended.end, (ended.task, ended.run), listed)
         ]
 
-    def _withdrawn(self, life: WorkerLife) -> list[RunEnded]:
-        """Give on what a worker did not begin and shall not begin."""
+    def _withdrawn(self, incarnation: Incarnation) -> list[RunEnded]:
+        """Reassign what a worker did not begin and shall not begin."""
         return [
-            RunEnded(key, run, life.report.worker, RunEnd.REFUSED)
-            for key, run in not_begun(life, self._book)
-            if self._is_unwanted(life, key, run)
+            RunEnded(key, run, incarnation.report.worker, RunEnd.REFUSED)
+            for key, run in not_begun(incarnation, self._store)
+            if self._is_unwanted(incarnation, key, run)
         ]
 
-    def _is_unwanted(self, life: WorkerLife, key: TaskKey, run: int) -> bool:
-        job = self._book.job_of(key)
+    def _is_unwanted(
+        self, incarnation: Incarnation, key: TaskKey, run: int
+    ) -> bool:
+        job = self._store.job_of(key)
         is_active = job is not None and job.is_active
-        if life.report.is_draining or not is_active:
+        if incarnation.report.is_draining or not is_active:
             return True
         # A worker that waits for a ticket holds room for nothing.
         needs = job is not None and job.queue.advice is not None
-        ticket = self.advice.ticket(key, life.report.worker, life.heard_s)
+        ticket = self.advice.ticket(
+            key, incarnation.report.worker, incarnation.heard_s
+        )
         return (key, run) in self.stopping or (needs and not ticket)
 
     def _forget_stopped(self) -> None:
         held = {
             run
-            for assigned in self._book.assigned.values()
+            for assigned in self._store.assigned.values()
             for run in assigned.items()
         }
         self.stopping &= held
 
     def _saved(self, key: TaskKey) -> str:
-        job = self._book.job_of(key)
+        job = self._store.job_of(key)
         task = job.task(key) if job else None
         return task.checkpoint if task else ''
 
-    def _stop_still(self, life: WorkerLife, now_s: float) -> tuple[Run, ...]:
+    def _stop_stalled(
+        self, incarnation: Incarnation, now_s: float
+    ) -> tuple[Run, ...]:
         """Stop runs without progress, and trust their worker less."""
-        worker = life.report.worker
+        worker = incarnation.report.worker
         pace = self.pacing.pace(worker)
-        still = [
+        stalled = [
             run
-            for run in self.progress.note(life, self._book, pace, now_s)
+            for run in self.progress.note(incarnation, self._store, pace, now_s)
             if run not in self.stopping
         ]
-        for run in still:
+        for run in stalled:
             self.stopping.add(run)
             self._distrust(worker, run[0].job_id, now_s)
-        return tuple(still)
+        return tuple(stalled)
 
-    def _move_out(self, life: WorkerLife) -> None:
+    def _move_out(self, incarnation: Incarnation) -> None:
         """Let serving tasks leave a worker that leaves."""
         runs = movable_now(
-            life,
-            self.workers.lives,
-            self._book,
+            incarnation,
+            self.workers.incarnations,
+            self._store,
             self.stopping,
         )
         self.stopping.update(runs)
@@ -257,8 +263,8 @@
         run = (ended.task, ended.run)
         self.stopping.discard(run)
         if ended.end is RunEnd.DONE:
-            self.health.note_done(ended.worker)
-            self.progress.note_done(ended.worker, run, self._book, now_s)
+            self.quarantine.note_done(ended.worker)
+            self.progress.note_done(ended.worker, run, self._store, now_s)
         elif ended.end is RunEnd.FAILED:
             self._distrust(ended.worker, ended.task.job_id, now_s)
         self.progress.forget_run(run)
@@ -267,8 +273,8 @@
 
     def _stop_gang(self, key: TaskKey) -> None:
         """Stop the members of a gang that would wait for one in vain."""
-        job = self._book.job_of(key)
-        spec = self._book.spec_of(key)
+        job = self._store.job_of(key)
+        spec = self._store.spec_of(key)
         if job is None or spec is None or not spec.is_gang:
             return
         for index, member in enumerate(job.step_tasks(key)):
@@ -277,33 +283,38 @@
                 self.stopping.add((other, member.run))
 
     def _distrust(self, worker: str, job_id: str, now_s: float) -> None:
-        if self.health.note_failed(worker, job_id, now_s):
+        if self.quarantine.note_failed(worker, job_id, now_s):
             reason = 'failed or held up runs of several jobs in a row'
-            self.notes.append(Note(LogEvent.WORKER_RESTS, worker, reason))
+            self.notes.append(Note(LogEvent.WORKER_QUARANTINED, worker, reason))
 
-    def _note(self, event: LogEvent, life: WorkerLife, reason: str) -> None:
+    def _note(
+        self, event: LogEvent, incarnation: Incarnation, reason: str
+    ) -> None:
         if reason:
-            self.notes.append(Note(event, life.report.worker, reason))
+            self.notes.append(Note(event, incarnation.report.worker, reason))
 
     def rooms(self, now_s: float) -> dict[str, list[WorkerRoom]]:
         """Return what each worker that may take something has left."""
-        by_service: dict[str, list[WorkerLife]] = collections.defaultdict(list)
+        by_service: dict[str, list[Incarnation]] = collections.defaultdict(list)
         cordoned = self.maintenance.cordoned | self.pools.cordoned
-        for life in self.workers.lives.values():
-            if life.may_take(now_s) and life.report.vm not in cordoned:
-                by_service[life.report.service].append(life)
+        for incarnation in self.workers.incarnations.values():
+            if (
+                incarnation.may_take(now_s)
+                and incarnation.report.vm not in cordoned
+            ):
+                by_service[incarnation.report.service].append(incarnation)
         rooms: dict[str, list[WorkerRoom]] = {}
-        for service, lives in by_service.items():
-            names = [life.report.worker for life in lives]
-            resting = self.health.resting(names, now_s)
+        for service, incarnations in by_service.items():
+            names = [incarnation.report.worker for incarnation in incarnations]
+            quarantined = self.quarantine.quarantined(names, now_s)
             rooms[service] = [
-                room_left(life, self._book, self.stopping)
-                for life in lives
-                if life.report.worker not in resting
+                room_left(incarnation, self._store, self.stopping)
+                for incarnation in incarnations
+                if incarnation.report.worker not in quarantined
             ]
             slow = self.progress.slow(names)
             for room in rooms[service]:
-                worker = room.life.report.worker
+                worker = room.incarnation.report.worker
                 room.is_slow = worker in slow or self.pacing.is_paced(worker)
         return rooms
 
@@ -315,11 +326,11 @@
         for step in unplaced:
             if not step.spec.is_service:
                 continue
-            service = self._book.service_of(step.job)
+            service = self._store.service_of(step.job)
             found = victims_for(
                 step,
                 rooms.get(service, []),
-                self._book,
+                self._store,
                 self.stopping,
             )
             if found is not None:
--- a/src/wigeonreach/scheduling/_vms.py
+++ b/src/wigeonreach/scheduling/_vms.py
@@ -25,7 +25,7 @@
     pool
         The service whose worker it runs.
     worker
-        The life of its worker, or nothing.
+        The incarnation of its worker, or nothing.
     """
 
     vm: str
--- a/src/wigeonreach/scheduling/_workers.py
+++ b/src/wigeonreach/scheduling/_workers.py
@@ -1,4 +1,4 @@
-"""Follow the lives of workers by their heartbeats and leases."""
+"""Follow the incarnations of workers by their heartbeats and leases."""
 
 from __future__ import annotations
 
@@ -20,19 +20,19 @@
 LEASE_OVER_S = _LEASE_S * _SLOW_CLOCK_RATIO + _LAPSE_MARGIN_S
 # A worker that says it ends has ended after this.
 _LEAVE_S = 0.5
-# Heartbeats of a dead life may still arrive, but not over such a time; those
-# of a new life go on.
+# Heartbeats of a dead incarnation may still arrive, but not over such a time; those
+# of a new incarnation go on.
 _SUCCESSOR_PROVEN_S = 1.0
 # A worker that is silent for longer gets nothing new: heartbeats come several
 # times a second, and one is given up after 1 s by its sender.
 _SILENT_S = 1.3
-# Dead lives are remembered for longer than a heartbeat may be late.
+# Dead incarnations are remembered for longer than a heartbeat may be late.
 _FORGET_GONE_S = 120.0
 
 
 @dataclasses.dataclass(slots=True)
-class WorkerLife:
-    """One life of a worker, as its newest heartbeat told.
+class Incarnation:
+    """One incarnation of a worker, as its newest heartbeat told.
 
     Attributes
     ----------
@@ -76,7 +76,7 @@
 
 
 class Workers:
-    """All lives heard of in this term.
+    """All incarnations heard of in this term.
 
     Parameters
     ----------
@@ -86,24 +86,24 @@
 
     def __init__(self, now_s: float) -> None:
         """Know no worker yet."""
-        self.lives: dict[str, WorkerLife] = {}
+        self.incarnations: dict[str, Incarnation] = {}
         self._began_s = now_s
         self._gone_s: dict[str, float] = {}
 
-    def hear(self, report: WorkerReport, now_s: float) -> WorkerLife | None:
+    def hear(self, report: WorkerReport, now_s: float) -> Incarnation | None:
         """Take a heartbeat.
 
         Returns
         -------
-        WorkerLife or None
-            The life; None if the heartbeat is late or of a dead life.
+        Incarnation or None
+            The incarnation; None if the heartbeat is late or of a dead incarnation.
         """
         if report.worker in self._gone_s:
             return None
-        known = self.lives.get(report.worker)
+        known = self.incarnations.get(report.worker)
         if known is None:
-            known = WorkerLife(report, now_s, now_s, room_of(report))
-            self.lives[report.worker] = known
+            known = Incarnation(report, now_s, now_s, room_of(report))
+            self.incarnations[report.worker] = known
             return known
         if report.sequence <= known.report.sequence:
             return None
@@ -114,7 +114,7 @@
 
     def leave(self, worker: str, now_s: float) -> None:
         """Take note that a worker ends now."""
-        known = self.lives.get(worker)
+        known = self.incarnations.get(worker)
         if known is None:
             self._gone_s[worker] = now_s
         elif known.leaves_at_s is None:
@@ -122,59 +122,66 @@
 
     def end(self, worker: str, now_s: float) -> None:
         """Take note that all on a worker was ended just now."""
-        known = self.lives.get(worker)
+        known = self.incarnations.get(worker)
         if known is not None:
             known.leaves_at_s = now_s
 
     def ended(self, now_s: float) -> dict[str, str]:
-        """Return the lives that are over and why; remember them as dead."""
+        """Return the incarnations that are over and why; remember them as dead."""
         over = {
             worker: why
-            for worker, life in self.lives.items()
-            if (why := self._why_over(life, now_s))
+            for worker, incarnation in self.incarnations.items()
+            if (why := self._why_over(incarnation, now_s))
         }
         for worker in over:
-            self.lives.pop(worker)
+            self.incarnations.pop(worker)
             self._gone_s[worker] = now_s
         self._forget_gone(now_s)
         return over
 
     def is_over(self, worker: str, now_s: float) -> bool:
         """Whether nothing runs any more on a worker that isn't followed."""
-        if worker in self.lives:
+        if worker in self.incarnations:
             return False
         is_gone = worker in self._gone_s
         return is_gone or now_s >= self._began_s + LEASE_OVER_S
 
-    def of_vm(self, vm: str) -> WorkerLife | None:
-        """Return the newest life on a VM."""
+    def of_vm(self, vm: str) -> Incarnation | None:
+        """Return the newest incarnation on a VM."""
         return max(
-            (life for life in self.lives.values() if life.report.vm == vm),
-            key=lambda life: life.first_heard_s,
+            (
+                incarnation
+                for incarnation in self.incarnations.values()
+                if incarnation.report.vm == vm
+            ),
+            key=lambda incarnation: incarnation.first_heard_s,
             default=None,
         )
 
-    def _why_over(self, life: WorkerLife, now_s: float) -> str:
-        """Return why a life is over, or nothing if it goes on."""
-        if now_s >= life.lease_over_s:
-            return f'lease over, silent for {now_s - life.heard_s:.2f} s'
-        if life.leaves_at_s is not None and now_s >= life.leaves_at_s:
+    def _why_over(self, incarnation: Incarnation, now_s: float) -> str:
+        """Return why a incarnation is over, or nothing if it goes on."""
+        if now_s >= incarnation.lease_over_s:
+            return f'lease over, silent for {now_s - incarnation.heard_s:.2f} s'
+        if (
+            incarnation.leaves_at_s is not None
+            and now_s >= incarnation.leaves_at_s
+        ):
             return 'left, or was ended by an order'
-        if self._has_successor(life):
-            return f'another life goes on at {life.report.vm}'
+        if self._has_successor(incarnation):
+            return f'another incarnation goes on at {incarnation.report.vm}'
         return ''
 
-    def _has_successor(self, life: WorkerLife) -> bool:
-        """Whether another life goes on at its VM while it is silent."""
-        vm = life.report.vm
+    def _has_successor(self, incarnation: Incarnation) -> bool:
+        """Whether another incarnation goes on at its VM while it is silent."""
+        vm = incarnation.report.vm
         if not vm:
             return False
         return any(
             other.report.vm == vm
-            and other is not life
+            and other is not incarnation
             and other.heard_s - _SUCCESSOR_PROVEN_S
-            > max(other.first_heard_s, life.heard_s)
-            for other in self.lives.values()
+            > max(other.first_heard_s, incarnation.heard_s)
+            for other in self.incarnations.values()
         )
 
     def _forget_gone(self, now_s: float) -> None:
--- a/src/wigeonreach/wire/_worker_messages.py
+++ b/src/wigeonreach/wire/_worker_messages.py
@@ -30,7 +30,7 @@
 
 
 class EndedRun(msgspec.Struct, frozen=True, array_like=True):
-    """A run that ended; ``number`` counts the ends of one worker's life."""
+    """A run that ended; ``number`` counts the ends of one worker's incarnation."""
 
     number: int
     task: TaskKey
@@ -45,11 +45,11 @@
     Attributes
     ----------
     worker
-        Of one life of a worker; a restart has another.
+        Of one incarnation of a worker; a restart has another.
     vm
         The VM under it, which outlives it; nothing if it isn't told.
     sequence
-        Grows with each heartbeat of one life.
+        Grows with each heartbeat of one incarnation.
     drain_left_ms
         Least time that a draining worker still has.
     cold_ms
--- a/tests/builders_jobs.py
+++ b/tests/builders_jobs.py
@@ -11,8 +11,8 @@
     AddJob,
     BeginTerm,
     Command,
-    JobBook,
     JobSpec,
+    JobStore,
     Manifest,
     QueueSpec,
     RecordRuns,
@@ -105,20 +105,20 @@
     return TaskKey(job_id, 0, step_number, index)
 
 
-def commit(book: JobBook, command: Command) -> Verdict:
-    """Replicate a command to a book."""
-    reply = book.apply(next(_INDEXES), encode_command(command))
+def commit(store: JobStore, command: Command) -> Verdict:
+    """Replicate a command to a store."""
+    reply = store.apply(next(_INDEXES), encode_command(command))
     return decode_reply(reply).verdict
 
 
-def book_with(*jobs: JobSpec) -> JobBook:
-    """Return a book with a manifest, a term and jobs of one queue."""
-    book = JobBook()
-    commit(book, SetManifest(manifest()))
-    commit(book, BeginTerm(TERM))
+def store_with(*jobs: JobSpec) -> JobStore:
+    """Return a store with a manifest, a term and jobs of one queue."""
+    store = JobStore()
+    commit(store, SetManifest(manifest()))
+    commit(store, BeginTerm(TERM))
     for spec in jobs:
-        commit(book, AddJob(spec, QUEUE))
-    return book
+        commit(store, AddJob(spec, QUEUE))
+    return store
 
 
 @dataclasses.dataclass(slots=True)
@@ -189,7 +189,7 @@
 
     Parameters
     ----------
-    book
+    store
         The replicated state.
     workers
         Who sends heartbeats to it.
@@ -197,17 +197,17 @@
 
     def __init__(
         self,
-        book: JobBook,
+        store: JobStore,
         workers: Iterable[FakeWorker],
         term: int = TERM,
         now_s: float = 0.0,
     ) -> None:
         """Begin the term."""
-        self.book = book
+        self.store = store
         self.term = term
         self.workers = {worker.name: worker for worker in workers}
-        commit(book, BeginTerm(term))
-        self.scheduler = Scheduler(book, term, now_s)
+        commit(store, BeginTerm(term))
+        self.scheduler = Scheduler(store, term, now_s)
         self.now_s = now_s
 
     def round(self, passed_s: float = 0.1) -> None:
@@ -217,39 +217,42 @@
             self.hear(worker)
         self.plan()
         for told in self.workers.values():
-            life = self.scheduler.workers.lives.get(told.name)
-            if life is not None:
-                told.obey(self.scheduler.orders(life, self.now_s))
+            incarnation = self.scheduler.workers.incarnations.get(told.name)
+            if incarnation is not None:
+                told.obey(self.scheduler.orders(incarnation, self.now_s))
 
     def hear(self, worker: FakeWorker) -> None:
         """Take one heartbeat in."""
         heard = self.scheduler.hear(worker.report(), self.now_s)
         if heard is None:
             return
-        commit(self.book, RecordRuns(self.term, ends=heard.ends))
-        heard.life.noted = max(
-            (heard.life.noted, *(ended.number for ended in worker.ended)),
+        commit(self.store, RecordRuns(self.term, ends=heard.ends))
+        heard.incarnation.noted = max(
+            (
+                heard.incarnation.noted,
+                *(ended.number for ended in worker.ended),
+            ),
         )
 
     def plan(self) -> tuple[RunStarted, ...]:
         """Record what is lost, then what is to start."""
         lost = self.scheduler.lost(self.now_s)
-        commit(self.book, RecordRuns(self.term, ends=lost))
+        commit(self.store, RecordRuns(self.term, ends=lost))
         starts = self.scheduler.plan(self.now_s, self.now_s * 1000)
-        commit(self.book, RecordRuns(self.term, starts=starts))
+        commit(self.store, RecordRuns(self.term, starts=starts))
         return starts
 
     def cancel(self, job_id: str = JOB) -> None:
         """Cancel a job."""
-        commit(self.book, made.CancelJob(job_id))
+        commit(self.store, made.CancelJob(job_id))
 
     def start_wave(self, vms: Iterable[str], limit: int) -> None:
         """Accept wave 1."""
-        commit(self.book, StartWave(1, tuple(vms), 20.0, limit))
+        commit(self.store, StartWave(1, tuple(vms), 20.0, limit))
 
     def record_vm(self, vm: str, reached: VmStep, worker: str = '') -> None:
         """Record how far a VM of wave 1 is."""
-        commit(self.book, RecordVmStep(self.term, 1, vm, reached, worker))
+        commit(self.store, RecordVmStep(self.term, 1, vm, reached, worker))
 
 
 def workers(count: int) -> list[FakeWorker]:
--- a/tests/jobs/test_book.py
+++ b/tests/jobs/test_store.py
@@ -1,4 +1,4 @@
-"""Test that the book keeps each job once and each run apart."""
+"""Test that the store keeps each job once and each run apart."""
 
 from __future__ import annotations
 
@@ -9,7 +9,6 @@
     JOB,
     QUEUE,
     TERM,
-    book_with,
     commit,
     job,
     key,
@@ -17,14 +16,15 @@
     queue,
     serving_step,
     step,
+    store_with,
 )
 from wigeonreach.jobs import (
     AddJob,
     BeginTerm,
     CancelJob,
     ForgetJobs,
-    JobBook,
     JobPhase,
+    JobStore,
     RecordRuns,
     RunEnd,
     RunEnded,
@@ -37,20 +37,20 @@
 _WORKER = 'w0'
 
 
-def _start(book: JobBook, index: int = 0, run: int = 1) -> None:
+def _start(store: JobStore, index: int = 0, run: int = 1) -> None:
     started = RunStarted(key(index), run, _WORKER)
-    commit(book, RecordRuns(TERM, starts=(started,)))
+    commit(store, RecordRuns(TERM, starts=(started,)))
 
 
 def _end(
-    book: JobBook,
+    store: JobStore,
     how: RunEnd,
     index: int = 0,
     run: int = 1,
     checkpoint: str = '',
 ) -> None:
     ended = RunEnded(key(index), run, _WORKER, how, checkpoint)
-    commit(book, RecordRuns(TERM, ends=(ended,)))
+    commit(store, RecordRuns(TERM, ends=(ended,)))
 
 
 class TestJobs(testtools.TestCase):
@@ -58,40 +58,40 @@
 
     def test_same_id_is_the_same_job(self) -> None:
         """A job that is handed in again changes nothing."""
-        book = book_with(job(step(2)))
-        _start(book)
-        verdict = commit(book, AddJob(job(step(5)), QUEUE))
+        store = store_with(job(step(2)))
+        _start(store)
+        verdict = commit(store, AddJob(job(step(5)), QUEUE))
         self.assertThat(verdict, matchers.Equals(Verdict.KNOWN))
         self.assertThat(
-            len(book.jobs[JOB].occurrences[0][0]),
+            len(store.jobs[JOB].occurrences[0][0]),
             matchers.Equals(2),
         )
 
     def test_dropped_queue_takes_no_job(self) -> None:
         """A manifest that overtook a submission refuses it."""
-        book = book_with()
-        commit(book, SetManifest(manifest(queue('other'), version=2)))
-        verdict = commit(book, AddJob(job(), QUEUE))
+        store = store_with()
+        commit(store, SetManifest(manifest(queue('other'), version=2)))
+        verdict = commit(store, AddJob(job(), QUEUE))
         self.assertThat(verdict, matchers.Equals(Verdict.NO_QUEUE))
-        self.assertThat(book.jobs, matchers.HasLength(0))
+        self.assertThat(store.jobs, matchers.HasLength(0))
 
     def test_cancelled_job_starts_nothing(self) -> None:
         """A start that was decided before the cancellation is void."""
-        book = book_with(job())
-        commit(book, CancelJob(JOB))
-        _start(book)
-        self.assertThat(book.assigned, matchers.HasLength(0))
+        store = store_with(job())
+        commit(store, CancelJob(JOB))
+        _start(store)
+        self.assertThat(store.assigned, matchers.HasLength(0))
 
     def test_running_job_is_not_forgotten(self) -> None:
         """Jobs are dropped once they ended and nothing is left of them."""
-        book = book_with(job())
-        _start(book)
-        commit(book, CancelJob(JOB))
-        commit(book, ForgetJobs((JOB,)))
-        self.assertThat(book.jobs, matchers.HasLength(1))
-        _end(book, RunEnd.STOPPED)
-        commit(book, ForgetJobs((JOB,)))
-        self.assertThat(book.jobs, matchers.HasLength(0))
+        store = store_with(job())
+        _start(store)
+        commit(store, CancelJob(JOB))
+        commit(store, ForgetJobs((JOB,)))
+        self.assertThat(store.jobs, matchers.HasLength(1))
+        _end(store, RunEnd.STOPPED)
+        commit(store, ForgetJobs((JOB,)))
+        self.assertThat(store.jobs, matchers.HasLength(0))
 
 
 class TestManifests(testtools.TestCase):
@@ -99,12 +99,12 @@
 
     def test_highest_version_stays(self) -> None:
         """An older or equal one is taken note of and changes nothing."""
-        book = book_with()
-        commit(book, SetManifest(manifest(queue('new'), version=5)))
+        store = store_with()
+        commit(store, SetManifest(manifest(queue('new'), version=5)))
         for version in (4, 5):
-            commit(book, SetManifest(manifest(queue('late'), version=version)))
+            commit(store, SetManifest(manifest(queue('late'), version=version)))
         self.assertThat(
-            [spec.name for spec in book.manifest.queues],
+            [spec.name for spec in store.manifest.queues],
             matchers.Equals(['new']),
         )
 
@@ -121,51 +121,51 @@
 
     def test_all_tasks_done_complete_a_job(self) -> None:
         """A job is completed by its last task, not before."""
-        book = book_with(job(step(2)))
+        store = store_with(job(step(2)))
         for index in range(2):
             self.assertThat(
-                book.jobs[JOB].phase,
+                store.jobs[JOB].phase,
                 matchers.Equals(JobPhase.ACTIVE),
             )
-            _start(book, index)
-            _end(book, RunEnd.DONE, index)
+            _start(store, index)
+            _end(store, RunEnd.DONE, index)
         self.assertThat(
-            book.jobs[JOB].phase,
+            store.jobs[JOB].phase,
             matchers.Equals(JobPhase.COMPLETED),
         )
 
     def test_late_end_of_an_older_run_is_void(self) -> None:
-        """Only the newest run counts, once a task was given on."""
-        book = book_with(job())
-        _start(book)
-        _end(book, RunEnd.LOST)
-        _start(book, run=2)
-        _end(book, RunEnd.DONE, run=1)
+        """Only the newest run counts, once a task was reassigned."""
+        store = store_with(job())
+        _start(store)
+        _end(store, RunEnd.LOST)
+        _start(store, run=2)
+        _end(store, RunEnd.DONE, run=1)
         self.assertThat(
-            [task.phase for task in book.jobs[JOB].step_tasks(key())],
+            [task.phase for task in store.jobs[JOB].step_tasks(key())],
             matchers.Equals([TaskPhase.ASSIGNED]),
         )
 
     def test_only_failed_runs_count_as_failures(self) -> None:
         """A job fails after so many failed runs, not after lost ones."""
-        book = book_with(job())
+        store = store_with(job())
         ends = (RunEnd.LOST, RunEnd.FAILED, RunEnd.STOPPED, RunEnd.REFUSED)
         for run, how in enumerate(ends, start=1):
-            _start(book, run=run)
-            _end(book, how, run=run)
-        self.assertThat(book.jobs[JOB].phase, matchers.Equals(JobPhase.ACTIVE))
-        _start(book, run=len(ends) + 1)
-        _end(book, RunEnd.FAILED, run=len(ends) + 1)
-        self.assertThat(book.jobs[JOB].phase, matchers.Equals(JobPhase.FAILED))
+            _start(store, run=run)
+            _end(store, how, run=run)
+        self.assertThat(store.jobs[JOB].phase, matchers.Equals(JobPhase.ACTIVE))
+        _start(store, run=len(ends) + 1)
+        _end(store, RunEnd.FAILED, run=len(ends) + 1)
+        self.assertThat(store.jobs[JOB].phase, matchers.Equals(JobPhase.FAILED))
 
     def test_serving_task_waits_again_however_it_ends(self) -> None:
         """It has no limit of failures and is never done."""
-        book = book_with(job(serving_step(1)))
+        store = store_with(job(serving_step(1)))
         ends = (RunEnd.DONE, RunEnd.FAILED, RunEnd.FAILED, RunEnd.FAILED)
         for run, how in enumerate(ends, start=1):
-            _start(book, run=run)
-            _end(book, how, run=run)
-        record = book.jobs[JOB]
+            _start(store, run=run)
+            _end(store, how, run=run)
+        record = store.jobs[JOB]
         self.assertThat(record.phase, matchers.Equals(JobPhase.ACTIVE))
         self.assertThat(
             [task.phase for task in record.step_tasks(key())],
@@ -174,33 +174,33 @@
 
     def test_one_good_end_stands_for_its_gang(self) -> None:
         """All members are done with it, and off their workers."""
-        book = book_with(job(step(3, is_gang=True)))
+        store = store_with(job(step(3, is_gang=True)))
         for index in range(3):
-            _start(book, index)
-        _end(book, RunEnd.DONE, 1)
+            _start(store, index)
+        _end(store, RunEnd.DONE, 1)
         self.assertThat(
-            book.jobs[JOB].phase,
+            store.jobs[JOB].phase,
             matchers.Equals(JobPhase.COMPLETED),
         )
-        self.assertThat(book.assigned, matchers.HasLength(0))
+        self.assertThat(store.assigned, matchers.HasLength(0))
 
     def test_progress_of_one_member_is_that_of_its_gang(self) -> None:
         """All members start again with the same checkpoint."""
-        book = book_with(job(step(2, is_gang=True)))
+        store = store_with(job(step(2, is_gang=True)))
         for index in range(2):
-            _start(book, index)
-        _end(book, RunEnd.STOPPED, 0, checkpoint='saved')
+            _start(store, index)
+        _end(store, RunEnd.STOPPED, 0, checkpoint='saved')
         self.assertThat(
-            [task.checkpoint for task in book.jobs[JOB].occurrences[0][0]],
+            [task.checkpoint for task in store.jobs[JOB].occurrences[0][0]],
             matchers.Equals(['saved', 'saved']),
         )
 
     def test_former_leaders_records_are_void(self) -> None:
         """What a leader of an older term proposes late changes nothing."""
-        book = book_with(job())
-        commit(book, BeginTerm(TERM + 1))
-        _start(book)
-        self.assertThat(book.assigned, matchers.HasLength(0))
+        store = store_with(job())
+        commit(store, BeginTerm(TERM + 1))
+        _start(store)
+        self.assertThat(store.assigned, matchers.HasLength(0))
 
 
 class TestStrangeTasks(testtools.TestCase):
@@ -208,12 +208,12 @@
 
     def test_end_of_a_task_that_no_job_has_changes_nothing(self) -> None:
         """A replica must not stumble over what a worker made up."""
-        book = book_with(job())
-        before = book.snapshot()
+        store = store_with(job())
+        before = store.snapshot()
         for strange in (key(7), key(0, 7), key(0, 0, '00000000000000ff')):
             ended = RunEnded(strange, 1, _WORKER, RunEnd.DONE)
-            commit(book, RecordRuns(TERM, ends=(ended,)))
-        self.assertThat(book.snapshot(), matchers.Equals(before))
+            commit(store, RecordRuns(TERM, ends=(ended,)))
+        self.assertThat(store.snapshot(), matchers.Equals(before))
 
 
 class TestSnapshots(testtools.TestCase):
@@ -221,11 +221,11 @@
 
     def test_restored_state_is_the_same(self) -> None:
         """A replica that got a snapshot goes on where the others are."""
-        book = book_with(job(step(2)))
-        _start(book)
-        other = JobBook()
-        other.restore(book.snapshot())
+        store = store_with(job(step(2)))
+        _start(store)
+        other = JobStore()
+        other.restore(store.snapshot())
         _end(other, RunEnd.DONE)
-        _end(book, RunEnd.DONE)
-        self.assertThat(other.snapshot(), matchers.Equals(book.snapshot()))
-        self.assertThat(other.assigned, matchers.Equals(book.assigned))
+        _end(store, RunEnd.DONE)
+        self.assertThat(other.snapshot(), matchers.Equals(store.snapshot()))
+        self.assertThat(other.assigned, matchers.Equals(store.assigned))
--- a/tests/observe/test_trace.py
+++ b/tests/observe/test_timeline.py
@@ -7,7 +7,7 @@
 import testtools
 from testtools import matchers
 
-from wigeonreach.observe._trace import parse_lines, tell_story
+from wigeonreach.observe._timeline import describe_timeline, parse_lines
 
 
 def _line(second: float, process: str, event: str, **fields: object) -> str:
@@ -16,7 +16,7 @@
     return json.dumps(told)
 
 
-class TestStory(testtools.TestCase):
+class TestTimeline(testtools.TestCase):
     """Lines of an entry whose clock is two seconds ahead."""
 
     def test_order_is_that_of_the_events(self) -> None:
@@ -29,7 +29,7 @@
             _line(4.0, 'core', 'job_accepted', job='abc'),
             _line(4.5, 'core', 'job_accepted', job='other'),
         ]
-        story = tell_story(parse_lines(lines), 'abc')
+        story = describe_timeline(parse_lines(lines), 'abc')
         self.assertThat(
             [told.split()[1:3] for told in story],
             matchers.Equals(
@@ -46,6 +46,6 @@
             '{"timestamp": 5}',
         ]
         self.assertThat(
-            tell_story(parse_lines(lines), 'abc'),
+            describe_timeline(parse_lines(lines), 'abc'),
             matchers.HasLength(1),
         )
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -84,7 +84,7 @@
         )
 
     def test_filler_takes_no_processors(self) -> None:
-        """It lives on what others leave, but its memory counts."""
+        """It incarnations on what others leave, but its memory counts."""
         room = decode_job(_job(utilisation=True)).steps[0].room
         self.assertThat(room.processors, matchers.Equals(0))
         self.assertThat(room.memory_bytes, matchers.GreaterThan(0))
--- a/tests/scheduling/test_advice.py
+++ b/tests/scheduling/test_advice.py
@@ -19,7 +19,7 @@
     AddJob,
     AdvicePolicy,
     BeginTerm,
-    JobBook,
+    JobStore,
     SetManifest,
 )
 from wigeonreach.scheduling._advice import Advice
@@ -28,11 +28,11 @@
 
 
 def _lead(count: int) -> FakeLead:
-    book = JobBook()
-    commit(book, SetManifest(manifest(queue(advice=_POLICY))))
-    commit(book, BeginTerm(3))
-    commit(book, AddJob(job(step(count)), 'bookings'))
-    return FakeLead(book, workers(4))
+    store = JobStore()
+    commit(store, SetManifest(manifest(queue(advice=_POLICY))))
+    commit(store, BeginTerm(3))
+    commit(store, AddJob(job(step(count)), 'bookings'))
+    return FakeLead(store, workers(4))
 
 
 class TestAdvice(testtools.TestCase):
@@ -42,7 +42,7 @@
         """The advisor is asked first, about a few workers."""
         lead = _lead(1)
         lead.round()
-        self.assertThat(lead.book.assigned, matchers.HasLength(0))
+        self.assertThat(lead.store.assigned, matchers.HasLength(0))
         questions = lead.scheduler.advice.questions()
         self.assertThat(questions, matchers.HasLength(1))
         self.assertThat(questions[0].workers, matchers.HasLength(2))
@@ -57,8 +57,8 @@
         lead.scheduler.advice.note(question, advice, lead.now_s)
         lead.hear(lead.workers[worker])
         lead.plan()
-        life = lead.scheduler.workers.lives[worker]
-        orders = lead.scheduler.orders(life, lead.now_s)
+        incarnation = lead.scheduler.workers.incarnations[worker]
+        orders = lead.scheduler.orders(incarnation, lead.now_s)
         self.assertThat(
             [(start.task, start.ticket) for start in orders.starts],
             matchers.Equals([(key(), 'paper')]),
@@ -77,7 +77,7 @@
         for restored in lead.workers.values():
             restored.cpu_millicores = 16_000
         lead.round(2.6)
-        self.assertThat(lead.book.assigned, matchers.HasLength(0))
+        self.assertThat(lead.store.assigned, matchers.HasLength(0))
         self.assertThat(
             lead.scheduler.advice.questions(),
             matchers.HasLength(1),
--- a/tests/scheduling/test_maintenance.py
+++ b/tests/scheduling/test_maintenance.py
@@ -8,9 +8,9 @@
 from tests.builders_jobs import (
     FakeLead,
     FakeWorker,
-    book_with,
     job,
     serving_step,
+    store_with,
     workers,
 )
 from wigeonreach.jobs import VmStep
@@ -26,7 +26,7 @@
 
     def test_one_task_of_a_step_leaves_at_once(self) -> None:
         """Two VMs are emptied together; only one of their tasks stops."""
-        lead = FakeLead(book_with(job(serving_step(3))), workers(8))
+        lead = FakeLead(store_with(job(serving_step(3))), workers(8))
         lead.round()
         lead.round()
         busy = [worker.vm for worker in lead.workers.values() if worker.running]
@@ -36,7 +36,7 @@
 
     def test_no_task_leaves_while_another_is_away(self) -> None:
         """A task that is on its way to another worker counts as away."""
-        lead = FakeLead(book_with(job(serving_step(3))), workers(8))
+        lead = FakeLead(store_with(job(serving_step(3))), workers(8))
         lead.round()
         lead.round()
         busy = [worker for worker in lead.workers.values() if worker.running]
@@ -51,7 +51,7 @@
 
     def test_standby_vm_is_back_by_a_newer_list_only(self) -> None:
         """A list from before the order does not show that it is over."""
-        lead = FakeLead(book_with(), workers(1))
+        lead = FakeLead(store_with(), workers(1))
         maintenance = lead.scheduler.maintenance
         maintenance.note_vms((_record('off1', VmPhase.UP),), 1.0)
         lead.start_wave(('off1', 'off2'), limit=1)
@@ -74,7 +74,7 @@
 
     def test_worker_that_came_back_by_itself_was_not_maintained(self) -> None:
         """A crash between record and order is no maintenance."""
-        lead = FakeLead(book_with(), workers(2))
+        lead = FakeLead(store_with(), workers(2))
         maintenance = lead.scheduler.maintenance
         lead.round()
         lead.start_wave(('vm0',), limit=1)
@@ -100,7 +100,7 @@
 
     def test_vm_that_is_down_is_not_asked_again(self) -> None:
         """A refused order waits until the list shows the VM up."""
-        lead = FakeLead(book_with(), workers(1))
+        lead = FakeLead(store_with(), workers(1))
         maintenance = lead.scheduler.maintenance
         lead.start_wave(('off1',), limit=1)
         lead.record_vm('off1', VmStep.ORDERED)
@@ -117,7 +117,7 @@
 
     def test_order_comes_once_a_vm_is_empty(self) -> None:
         """An idle VM is ordered, and counts until it is back."""
-        lead = FakeLead(book_with(), workers(3))
+        lead = FakeLead(store_with(), workers(3))
         lead.round()
         lead.start_wave(('vm0', 'vm1', 'vm2'), limit=1)
         step = lead.scheduler.maintenance.step(set(), lead.now_s)
--- a/tests/scheduling/test_pools.py
+++ b/tests/scheduling/test_pools.py
@@ -12,25 +12,25 @@
 from tests.builders_jobs import (
     SERVICE,
     FakeLead,
-    book_with,
     commit,
     job,
     serving_step,
     step,
+    store_with,
     workers,
 )
-from wigeonreach.jobs import JobBook, Manifest, ServiceSpec, SetManifest
+from wigeonreach.jobs import JobStore, Manifest, ServiceSpec, SetManifest
 from wigeonreach.scheduling._pools import Move
 from wigeonreach.scheduling._vms import VmPhase, VmRecord
 
 _STANDBY = 'standby'
 
 
-def _with_standby(book: JobBook) -> JobBook:
-    known = book.manifest
+def _with_standby(store: JobStore) -> JobStore:
+    known = store.manifest
     services = (ServiceSpec(SERVICE), ServiceSpec(_STANDBY, is_standby=True))
-    commit(book, SetManifest(Manifest(2, known.queues, services)))
-    return book
+    commit(store, SetManifest(Manifest(2, known.queues, services)))
+    return store
 
 
 def _off(*vms: str) -> list[VmRecord]:
@@ -46,7 +46,7 @@
             job(step(20, estimate_ms=1500), job_id=f'{number:016x}')
             for number in range(1, 13)
         ]
-        lead = FakeLead(_with_standby(book_with(*peak)), workers(4))
+        lead = FakeLead(_with_standby(store_with(*peak)), workers(4))
         lead.scheduler.pools.note_vms(_off('off1', 'off2'))
         lead.round()
         moves = lead.scheduler.moves(lead.now_s)
@@ -63,7 +63,7 @@
     def test_empty_pool_gets_vms(self) -> None:
         """A pool that lost its last worker is not forgotten."""
         serving = job(serving_step(3))
-        lead = FakeLead(_with_standby(book_with(serving)), workers(1))
+        lead = FakeLead(_with_standby(store_with(serving)), workers(1))
         lead.scheduler.pools.note_vms(_off('off1', 'off2', 'off3', 'off4'))
         lead.round()
         lead.workers.clear()
@@ -77,8 +77,8 @@
 
     def test_idle_vms_go_back(self) -> None:
         """Only the workers with serving tasks stay, once demand is known."""
-        book = _with_standby(book_with(job(serving_step(2))))
-        lead = FakeLead(book, workers(6))
+        store = _with_standby(store_with(job(serving_step(2))))
+        lead = FakeLead(store, workers(6))
         moves: list[Move] = []
         for _ in range(100):
             lead.round()
@@ -90,8 +90,8 @@
 
     def test_worker_with_serving_tasks_stays(self) -> None:
         """A VM is never taken from under a serving task."""
-        book = _with_standby(book_with(job(serving_step(4))))
-        lead = FakeLead(book, workers(4))
+        store = _with_standby(store_with(job(serving_step(4))))
+        lead = FakeLead(store, workers(4))
         for _ in range(100):
             lead.round()
             self.assertThat(
@@ -101,8 +101,8 @@
 
     def test_returned_vm_can_be_had_again(self) -> None:
         """A VM that went to the standby pool is known without a new list."""
-        book = _with_standby(book_with(job(serving_step(3))))
-        lead = FakeLead(book, ())
+        store = _with_standby(store_with(job(serving_step(3))))
+        lead = FakeLead(store, ())
         pools = lead.scheduler.pools
         pools.note_moved(Move('vm0', SERVICE, _STANDBY), lead.now_s)
         self.assertThat(
@@ -116,8 +116,8 @@
 
     def test_vm_of_a_wave_stays(self) -> None:
         """A VM that a wave has in hand goes nowhere else."""
-        book = _with_standby(book_with())
-        lead = FakeLead(book, workers(4))
+        store = _with_standby(store_with())
+        lead = FakeLead(store, workers(4))
         lead.round()
         lead.start_wave([f'vm{number}' for number in range(4)], limit=4)
         lead.scheduler.maintenance.step(set(), lead.now_s)
@@ -131,7 +131,7 @@
 
     def test_no_vm_moves_without_standby_pool(self) -> None:
         """Where idle VMs cost the same anywhere, they stay."""
-        lead = FakeLead(book_with(), workers(4))
+        lead = FakeLead(store_with(), workers(4))
         for _ in range(30):
             lead.round()
             self.assertThat(
--- a/tests/scheduling/test_progress.py
+++ b/tests/scheduling/test_progress.py
@@ -12,11 +12,11 @@
 from tests.builders_jobs import (
     FakeLead,
     FakeWorker,
-    book_with,
     job,
     key,
     serving_step,
     step,
+    store_with,
     workers,
 )
 from wigeonreach.jobs import RunEnd
@@ -32,7 +32,7 @@
 
     def test_still_run_goes_elsewhere(self) -> None:
         """It is stopped after a second and a half, and starts elsewhere."""
-        lead = FakeLead(book_with(job()), workers(2))
+        lead = FakeLead(store_with(job()), workers(2))
         lead.round()
         first = _busy(lead)[0]
         for _ in range(9):
@@ -42,7 +42,7 @@
 
     def test_run_that_moves_stays(self) -> None:
         """A slow run goes on while it makes progress."""
-        lead = FakeLead(book_with(job()), workers(2))
+        lead = FakeLead(store_with(job()), workers(2))
         lead.round()
         first = _busy(lead)[0]
         for percent in range(1, 20):
@@ -52,7 +52,7 @@
 
     def test_serving_run_at_work_stays(self) -> None:
         """A task that serves shows no progress."""
-        lead = FakeLead(book_with(job(serving_step(1))), workers(2))
+        lead = FakeLead(store_with(job(serving_step(1))), workers(2))
         for _ in range(40):
             lead.round(0.25)
         runs = [run for worker in _busy(lead) for run in worker.running]
@@ -60,7 +60,7 @@
 
     def test_paced_run_stays(self) -> None:
         """Batch work that was told to stand still does so."""
-        lead = FakeLead(book_with(job()), workers(1))
+        lead = FakeLead(store_with(job()), workers(1))
         lead.round()
         worker = lead.workers['w0']
         lead.scheduler.pacing.set('w0', 0)
@@ -75,19 +75,19 @@
     def test_slow_worker_is_chosen_last(self) -> None:
         """New work goes to the others while they have room."""
         jobs = [job(step(1), job_id=f'{number:016x}') for number in range(40)]
-        lead = FakeLead(book_with(*jobs[:1]), workers(4))
+        lead = FakeLead(store_with(*jobs[:1]), workers(4))
         watch = lead.scheduler.progress
         for name, lasts_s in (('w0', 6.0), ('w1', 1), ('w2', 1), ('w3', 1)):
             for number in range(3):
                 run = (key(job_id=jobs[0].job_id), number + 1)
                 worker = FakeWorker(name, name)
                 worker.running[run] = RunningTask(*run, '', 1)
-                life = lead.scheduler.workers.hear(worker.report(), 0)
-                if life is None:
-                    life = lead.scheduler.workers.lives[name]
-                    life.report = worker.report()
-                watch.note(life, lead.book, None, 0)
-                watch.note_done(name, run, lead.book, lasts_s)
+                incarnation = lead.scheduler.workers.hear(worker.report(), 0)
+                if incarnation is None:
+                    incarnation = lead.scheduler.workers.incarnations[name]
+                    incarnation.report = worker.report()
+                watch.note(incarnation, lead.store, None, 0)
+                watch.note_done(name, run, lead.store, lasts_s)
         self.assertThat(
             watch.slow(['w0', 'w1', 'w2', 'w3']),
             matchers.Equals({'w0'}),
@@ -100,21 +100,23 @@
     def test_worker_that_fails_jobs_rests(self) -> None:
         """Two failures in a row of different jobs, and it gets nothing."""
         jobs = [job(job_id=f'{number:016x}') for number in range(1, 4)]
-        lead = FakeLead(book_with(*jobs), workers(4))
+        lead = FakeLead(store_with(*jobs), workers(4))
         for _ in range(3):
             lead.round()
             for run in list(lead.workers['w0'].running):
                 lead.workers['w0'].end(run, RunEnd.FAILED)
         lead.round()
         self.assertThat(
-            lead.scheduler.health.resting(list(lead.workers), lead.now_s),
+            lead.scheduler.quarantine.quarantined(
+                list(lead.workers), lead.now_s
+            ),
             matchers.Equals({'w0'}),
         )
         self.assertThat(lead.workers['w0'].running, matchers.HasLength(0))
 
     def test_last_run_waits_for_another_worker(self) -> None:
         """A task is not given up on because of one worker."""
-        lead = FakeLead(book_with(job()), workers(2))
+        lead = FakeLead(store_with(job()), workers(2))
         lead.round()
         first = _busy(lead)[0]
         other = next(
@@ -130,7 +132,7 @@
 
     def test_last_run_does_not_wait_where_there_is_one_worker(self) -> None:
         """A pool of one worker tries there again."""
-        lead = FakeLead(book_with(job()), workers(1))
+        lead = FakeLead(store_with(job()), workers(1))
         lead.round()
         lead.workers['w0'].end((key(), 1), RunEnd.FAILED)
         lead.round()
@@ -142,7 +144,7 @@
 
     def test_serving_tasks_leave_a_draining_worker(self) -> None:
         """They start elsewhere before it ends, one of a step at a time."""
-        lead = FakeLead(book_with(job(serving_step(2))), workers(4))
+        lead = FakeLead(store_with(job(serving_step(2))), workers(4))
         lead.round()
         first = _busy(lead)[0]
         first.is_draining = True
--- a/tests/scheduling/test_random_days.py
+++ b/tests/scheduling/test_random_days.py
@@ -1,6 +1,6 @@
 """Play short days in virtual time, with faults at random, and check rules.
 
-Workers are cut off, crash and come back as other lives, leave, lose answers
+Workers are cut off, crash and come back as other incarnations, leave, lose answers
 and send heartbeats late; leaders change; jobs are cancelled and tasks fail.
 """
 
@@ -18,21 +18,21 @@
     QUEUE,
     FakeLead,
     FakeWorker,
-    book_with,
     commit,
     job,
     serving_step,
     step,
+    store_with,
 )
 from wigeonreach.jobs import (
     AddJob,
     CancelJob,
-    JobBook,
     JobPhase,
+    JobStore,
     RunEnd,
     TaskKey,
 )
-from wigeonreach.scheduling import _room_book, _workers
+from wigeonreach.scheduling import _room_left, _workers
 from wigeonreach.wire._worker_messages import RunningTask, WorkerReport
 
 _DAYS = 25
@@ -50,7 +50,7 @@
 
 @dataclasses.dataclass(slots=True)
 class _Machine:
-    """A VM and the life of its worker."""
+    """A VM and the incarnation of its worker."""
 
     vm: str
     worker: FakeWorker
@@ -68,12 +68,12 @@
 
     def __init__(self, seed: int) -> None:
         self.rng = random.Random(seed)
-        self.book: JobBook = book_with()
+        self.store: JobStore = store_with()
         self.machines = [
             _Machine(f'vm{number}', FakeWorker(f'w{number}', f'vm{number}'))
             for number in range(_VMS)
         ]
-        self.lead = FakeLead(self.book, ())
+        self.lead = FakeLead(self.store, ())
         self.now_s = 0.0
         self.serial = 0
         self.failures: collections.Counter[TaskKey] = collections.Counter()
@@ -96,8 +96,8 @@
         rng = self.rng
         if self._happens(20):
             self._submit()
-        if self._happens(2) and self.book.jobs:
-            commit(self.book, CancelJob(rng.choice(list(self.book.jobs))))
+        if self._happens(2) and self.store.jobs:
+            commit(self.store, CancelJob(rng.choice(list(self.store.jobs))))
         if self._happens(3):
             rng.choice(self.machines).cut_until_s = self.now_s + rng.uniform(
                 0.5,
@@ -107,7 +107,7 @@
             self._crash(rng.choice(self.machines))
         if self._happens(1):
             self.lead = FakeLead(
-                self.book,
+                self.store,
                 (),
                 self.lead.term + 1,
                 self.now_s,
@@ -127,12 +127,12 @@
         if self._happens(10):
             steps = [serving_step(2)]
         spec = job(*steps, job_id=f'{self.serial:016x}')
-        commit(self.book, AddJob(spec, QUEUE))
+        commit(self.store, AddJob(spec, QUEUE))
 
     def _crash(self, machine: _Machine) -> None:
         self.serial += 1
         machine.down_until_s = self.now_s + self.rng.uniform(0.2, 3)
-        machine.worker = FakeWorker(f'life{self.serial}', machine.vm)
+        machine.worker = FakeWorker(f'incarnation{self.serial}', machine.vm)
         machine.work.clear()
         machine.lease_until_s = 0
 
@@ -161,7 +161,7 @@
         left: int,
     ) -> None:
         worker = machine.worker
-        record = self.book.job_of(run[0])
+        record = self.store.job_of(run[0])
         is_serving = record is not None and record.step_spec(run[0]).is_service
         if left > 0 or is_serving:
             percent = 100 if is_serving else max(1, 99 - left)
@@ -179,15 +179,18 @@
 
     def _answer(self, machine: _Machine) -> None:
         worker = machine.worker
-        life = self.lead.scheduler.workers.lives.get(worker.name)
+        incarnation = self.lead.scheduler.workers.incarnations.get(worker.name)
         is_reached = self.now_s >= machine.cut_until_s
         is_up = self.now_s >= machine.down_until_s
-        is_fresh = life is not None and life.report.sequence == worker.sequence
-        if life is None or not (is_reached and is_up and is_fresh):
+        is_fresh = (
+            incarnation is not None
+            and incarnation.report.sequence == worker.sequence
+        )
+        if incarnation is None or not (is_reached and is_up and is_fresh):
             return
         if self._happens(10):
             return
-        orders = self.lead.scheduler.orders(life, self.now_s)
+        orders = self.lead.scheduler.orders(incarnation, self.now_s)
         for start in orders.starts:
             self._check_start(start.task)
             machine.work[start.task, start.run] = self.rng.randint(1, 30)
@@ -204,7 +207,7 @@
         )
 
     def _check_start(self, key: TaskKey) -> None:
-        record = self.book.job_of(key)
+        record = self.store.job_of(key)
         if record is None or not record.is_active:
             raise BrokenRuleError(f'{key}: started after its job ended')
         if not record.may_start(key.occurrence, key.step):
@@ -232,7 +235,7 @@
                 raise BrokenRuleError(f'{machine.vm}: over its capacity')
 
     def _used(self, worker: FakeWorker) -> int:
-        records = [(key, self.book.job_of(key)) for key, _ in worker.running]
+        records = [(key, self.store.job_of(key)) for key, _ in worker.running]
         return sum(
             record.step_spec(key).cpu_millicores
             for key, record in records
@@ -253,16 +256,16 @@
     """Variants that such days have to find out."""
 
     def test_lease_that_is_taken_for_shorter_is_found(self) -> None:
-        """Work is given on while its worker still runs it."""
+        """Work is reassigned while its worker still runs it."""
         with mock.patch.object(_workers, 'LEASE_OVER_S', 2.5):
             self.assertRaises(BrokenRuleError, self._play_all)
 
     def test_room_of_stopping_runs_that_is_forgotten_is_found(self) -> None:
         """Only what is assigned is counted, not what still runs."""
         with mock.patch.object(
-            _room_book,
+            _room_left,
             '_add_known',
-            lambda room, key, book: None,
+            lambda room, key, store: None,
         ):
             self.assertRaises(BrokenRuleError, self._play_all)
 
@@ -280,7 +283,7 @@
             day = _play(seed)
             left = [
                 record.spec.job_id
-                for record in day.book.jobs.values()
+                for record in day.store.jobs.values()
                 if record.phase is JobPhase.ACTIVE
                 and not record.spec.steps[0].is_service
             ]
--- a/tests/scheduling/test_scheduler.py
+++ b/tests/scheduling/test_scheduler.py
@@ -10,11 +10,11 @@
     OTHER_JOB,
     FakeLead,
     FakeWorker,
-    book_with,
     job,
     key,
     serving_step,
     step,
+    store_with,
     workers,
 )
 from wigeonreach.jobs import JobPhase, RunEnd, RunEnded
@@ -29,8 +29,8 @@
 
     def test_step_waits_for_the_steps_before(self) -> None:
         """A step starts after all tasks of those that it depends on."""
-        book = book_with(job(step(2), step(1, after=(0,))))
-        lead = FakeLead(book, workers(2))
+        store = store_with(job(step(2), step(1, after=(0,))))
+        lead = FakeLead(store, workers(2))
         lead.round()
         started = [
             run for worker in lead.workers.values() for run in worker.running
@@ -47,8 +47,8 @@
 
     def test_room_of_a_stopping_run_is_taken(self) -> None:
         """What is being stopped takes room until its end is listed."""
-        book = book_with(job(step(1, cpu_millicores=_FULL)))
-        lead = FakeLead(book, workers(1))
+        store = store_with(job(step(1, cpu_millicores=_FULL)))
+        lead = FakeLead(store, workers(1))
         lead.round()
         lead.cancel()
         worker = lead.workers['w0']
@@ -59,9 +59,9 @@
         self.assertThat(left.processors, matchers.Equals(0))
 
     def test_draining_worker_gets_nothing(self) -> None:
-        """A start that it was given but did not begin is given on."""
-        book = book_with(job())
-        lead = FakeLead(book, workers(1))
+        """A start that it was given but did not begin is reassigned."""
+        store = store_with(job())
+        lead = FakeLead(store, workers(1))
         lead.hear(lead.workers['w0'])
         lead.plan()
         lead.workers['w0'].is_draining = True
@@ -77,7 +77,7 @@
     def test_worker_of_another_service_gets_nothing(self) -> None:
         """An address that another service took over runs none of it."""
         lead = FakeLead(
-            book_with(job()),
+            store_with(job()),
             [FakeWorker('w0', 'vm0', service='other')],
         )
         lead.round()
@@ -85,7 +85,7 @@
 
     def test_failed_task_tries_another_worker(self) -> None:
         """What failed on a worker goes elsewhere while there is room."""
-        lead = FakeLead(book_with(job()), workers(2))
+        lead = FakeLead(store_with(job()), workers(2))
         lead.round()
         first = next(
             worker for worker in lead.workers.values() if worker.running
@@ -97,20 +97,20 @@
     def test_gang_starts_whole_or_not_at_all(self) -> None:
         """Members hold no room while others of them find none."""
         gang = step(3, cpu_millicores=_FULL, is_gang=True)
-        lead = FakeLead(book_with(job(gang)), workers(2))
+        lead = FakeLead(store_with(job(gang)), workers(2))
         lead.round()
-        self.assertThat(lead.book.assigned, matchers.HasLength(0))
+        self.assertThat(lead.store.assigned, matchers.HasLength(0))
         lead.workers['w2'] = FakeWorker('w2', 'vm2')
         lead.round()
-        self.assertThat(lead.book.assigned, matchers.HasLength(3))
+        self.assertThat(lead.store.assigned, matchers.HasLength(3))
 
 
 class TestLeases(testtools.TestCase):
-    """When a worker's runs may be given on."""
+    """When a worker's runs may be reassigned."""
 
     def test_silent_worker_keeps_its_runs_for_its_lease(self) -> None:
         """A task runs nowhere else before its lease is surely over."""
-        lead = FakeLead(book_with(job()), workers(1))
+        lead = FakeLead(store_with(job()), workers(1))
         lead.round()
         lead.now_s += LEASE_OVER_S - 0.05
         self.assertThat(lead.scheduler.lost(lead.now_s), matchers.HasLength(0))
@@ -119,9 +119,9 @@
 
     def test_new_leader_waits_out_unknown_leases(self) -> None:
         """An earlier leader may have answered just before the term began."""
-        book = book_with(job())
-        FakeLead(book, workers(1)).round()
-        lead = FakeLead(book, [FakeWorker('w1', 'vm1')])
+        store = store_with(job())
+        FakeLead(store, workers(1)).round()
+        lead = FakeLead(store, [FakeWorker('w1', 'vm1')])
         lead.now_s = LEASE_OVER_S - 0.05
         self.assertThat(lead.scheduler.lost(lead.now_s), matchers.HasLength(0))
         lead.now_s = LEASE_OVER_S
@@ -129,15 +129,15 @@
 
     def test_late_heartbeat_changes_nothing(self) -> None:
         """A heartbeat that was overtaken is not believed."""
-        lead = FakeLead(book_with(job()), workers(1))
+        lead = FakeLead(store_with(job()), workers(1))
         worker = lead.workers['w0']
         late = worker.report()
         lead.round()
         self.assertThat(lead.scheduler.hear(late, 5.0), matchers.Is(None))
 
     def test_late_heartbeat_of_a_dead_life_ends_no_successor(self) -> None:
-        """One heartbeat of an old life does not end the new one."""
-        lead = FakeLead(book_with(job()), [FakeWorker('new', 'vm0')])
+        """One heartbeat of an old incarnation does not end the new one."""
+        lead = FakeLead(store_with(job()), [FakeWorker('new', 'vm0')])
         lead.round()
         lead.hear(FakeWorker('old', 'vm0'))
         for percent in range(8):
@@ -149,8 +149,8 @@
         )
 
     def test_successor_ends_an_old_life(self) -> None:
-        """A life that goes on at a VM shows that the old one is gone."""
-        lead = FakeLead(book_with(job()), [FakeWorker('old', 'vm0')])
+        """A incarnation that goes on at a VM shows that the old one is gone."""
+        lead = FakeLead(store_with(job()), [FakeWorker('old', 'vm0')])
         lead.round()
         lead.workers = {'new': FakeWorker('new', 'vm0')}
         for _ in range(8):
@@ -172,24 +172,24 @@
 
     def test_end_is_acknowledged_once(self) -> None:
         """An end that is listed again is recorded once."""
-        lead = FakeLead(book_with(job(step(2))), workers(1))
+        lead = FakeLead(store_with(job(step(2))), workers(1))
         lead.round()
         worker = lead.workers['w0']
         worker.end((key(0), 1), RunEnd.FAILED)
         report = worker.report()
         self.assertThat(_ends(lead, report), matchers.HasLength(1))
-        lead.scheduler.workers.lives['w0'].noted = 1
+        lead.scheduler.workers.incarnations['w0'].noted = 1
         self.assertThat(_ends(lead, worker.report()), matchers.HasLength(0))
 
     def test_cancelled_job_is_stopped(self) -> None:
         """What runs of it is told to stop with the next answer."""
-        lead = FakeLead(book_with(job(step(2))), workers(1))
+        lead = FakeLead(store_with(job(step(2))), workers(1))
         lead.round()
         lead.cancel()
         lead.round()
         self.assertThat(lead.workers['w0'].running, matchers.HasLength(0))
         self.assertThat(
-            lead.book.jobs[JOB].phase,
+            lead.store.jobs[JOB].phase,
             matchers.Equals(JobPhase.CANCELLED),
         )
 
@@ -199,7 +199,7 @@
 
     def test_run_that_nobody_ordered_is_stopped(self) -> None:
         """Whatever its name is, and the leader goes on."""
-        lead = FakeLead(book_with(job()), workers(1))
+        lead = FakeLead(store_with(job()), workers(1))
         worker = lead.workers['w0']
         for strange in (key(7), key(0, 7), key(0, 0, '00000000000000ff')):
             worker.running[strange, 1] = RunningTask(strange, 1, '', 5)
@@ -217,11 +217,11 @@
     def test_batch_work_gives_way(self) -> None:
         """Batch work stops, and nothing else takes its room meanwhile."""
         filling = job(step(40, cpu_millicores=4000))
-        lead = FakeLead(book_with(filling), workers(2))
+        lead = FakeLead(store_with(filling), workers(2))
         lead.round()
         serving = job(serving_step(2), job_id=OTHER_JOB)
-        lead.book.jobs.update(book_with(serving).jobs)
-        lead.book.changed.add(OTHER_JOB)
+        lead.store.jobs.update(store_with(serving).jobs)
+        lead.store.changed.add(OTHER_JOB)
         for _ in range(4):
             lead.round()
         served = [
