--- a/src/wigeonreach/scheduling/_maintenance.py
+++ b/src/wigeonreach/scheduling/_maintenance.py
@@ -215,8 +215,8 @@
     def _is_back(self, wave: WaveRecord, vm: str) -> bool:
         """Whether a VM runs again, by a new incarnation or by the list.
 
-        A worker that crashes has a new incarnation too, so nothing counts that came
-        before the platform confirmed the order.
+        A worker that crashes has a new incarnation too, so nothing counts that
+        came before the platform confirmed the order.
         """
         confirmed_s = self._confirmed_s.get((wave.wave, vm), float('inf'))
         incarnation = self._workers.of_vm(vm)
--- a/src/wigeonreach/scheduling/_notes.py
+++ b/src/wigeonreach/scheduling/_notes.py
@@ -1,4 +1,4 @@
-"""Tell why the leader believes something else than before."""
+"""Describe why the leader's view of a worker changed."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Note:
-    """One change of belief, for a log line.
+    """One change of that view, for a log line.
 
     Attributes
     ----------
--- a/src/wigeonreach/scheduling/_workers.py
+++ b/src/wigeonreach/scheduling/_workers.py
@@ -20,8 +20,8 @@
 LEASE_OVER_S = _LEASE_S * _SLOW_CLOCK_RATIO + _LAPSE_MARGIN_S
 # A worker that says it ends has ended after this.
 _LEAVE_S = 0.5
-# Heartbeats of a dead incarnation may still arrive, but not over such a time; those
-# of a new incarnation go on.
+# Heartbeats of a dead incarnation may still arrive, but not over such a time;
+# those of a new one go on.
 _SUCCESSOR_PROVEN_S = 1.0
 # A worker that is silent for longer gets nothing new: heartbeats come several
 # times a second, and one is given up after 1 s by its sender.
@@ -96,7 +96,7 @@
         Returns
         -------
         Incarnation or None
-            The incarnation; None if the heartbeat is late or of a dead incarnation.
+            The incarnation; None if the heartbeat is late, or of a dead one.
         """
         if report.worker in self._gone_s:
             return None
@@ -127,7 +127,7 @@
             known.leaves_at_s = now_s
 
     def ended(self, now_s: float) -> dict[str, str]:
-        """Return the incarnations that are over and why; remember them as dead."""
+        """Return which incarnations are over and why; remember them as dead."""
         over = {
             worker: why
             for worker, incarnation in self.incarnations.items()
@@ -159,7 +159,7 @@
         )
 
     def _why_over(self, incarnation: Incarnation, now_s: float) -> str:
-        """Return why a incarnation is over, or nothing if it goes on."""
+        """Return why an incarnation is over, or nothing if it goes on."""
         if now_s >= incarnation.lease_over_s:
             return f'lease over, silent for {now_s - incarnation.heard_s:.2f} s'
         if (
