--- a/src/wigeonreach/core/_vm_actions.py
+++ b/src/wigeonreach/core/_vm_actions.py
@@ -116,9 +116,7 @@
         )
         now_s = steady_s()
         if result is OrderResult.DONE:
-            # A repeated order may have been carried out long ago; only the
-            # incarnation that it was given for has surely ended.
-            self._term.scheduler.workers.end(worker, now_s)
+            self._term.scheduler.workers.note_ordered(worker, now_s)
             self._term.scheduler.maintenance.note_confirmed(wave, vm, now_s)
         elif result is OrderResult.IMPOSSIBLE:
             await self._record(wave, vm, VmStep.GONE)
@@ -136,7 +134,10 @@
                 incarnation is not None
                 and incarnation.report.service == move.from_pool
             ):
-                scheduler.workers.end(incarnation.report.worker, steady_s())
+                scheduler.workers.note_ordered(
+                    incarnation.report.worker,
+                    steady_s(),
+                )
             scheduler.pools.note_moved(move, steady_s())
         elif result is not OrderResult.UNKNOWN:
             scheduler.pools.note_failed(move)
--- a/src/wigeonreach/scheduling/_maintenance.py
+++ b/src/wigeonreach/scheduling/_maintenance.py
@@ -110,7 +110,7 @@
             for vm, progress in wave.vms.items():
                 if progress.step is VmStep.ORDERED:
                     self._follow(wave, vm, found)
-                elif vm in self._emptied_since_s:
+                elif progress.step is VmStep.WAITING:
                     self._empty(wave, vm, stopping, now_s, found)
         return found
 
@@ -133,7 +133,11 @@
         now_s: float,
         found: MaintenanceStep,
     ) -> None:
+        if vm not in self._emptied_since_s:
+            return
         incarnation = self._workers.of_vm(vm)
+        if incarnation is None and self._has_unheard_work(vm):
+            return
         if incarnation is None or self._is_empty(incarnation):
             worker = incarnation.report.worker if incarnation else ''
             found.orders.append((wave.wave, vm, worker))
@@ -204,6 +208,11 @@
         )
         return away < max(1, round(size * _MOST_OF_POOL_RATIO))
 
+    def _has_unheard_work(self, vm: str) -> bool:
+        """Whether a worker that was not heard in this term has tasks."""
+        record = self._vms.get(vm)
+        return record is not None and record.worker in self._store.assigned
+
     def _is_empty(self, incarnation: Incarnation) -> bool:
         held = self._store.assigned.get(incarnation.report.worker)
         return not held and not incarnation.running
--- a/src/wigeonreach/scheduling/_workers.py
+++ b/src/wigeonreach/scheduling/_workers.py
@@ -26,6 +26,9 @@
 # A worker that is silent for longer gets nothing new: heartbeats come several
 # times a second, and one is given up after 1 s by its sender.
 _SILENT_S = 1.3
+# An order for a VM ends what runs on it at once; who is heard well after it was
+# confirmed goes on.
+_ORDER_WORKS_S = 1.0
 # Dead incarnations are remembered for longer than a heartbeat may be late.
 _FORGET_GONE_S = 120.0
 
@@ -40,6 +43,8 @@
         Number up to which its ends are recorded for good.
     leaves_at_s
         When it surely has ended, once it said that it ends.
+    ordered_s
+        When an order for its VM was confirmed last.
     """
 
     report: WorkerReport
@@ -48,6 +53,7 @@
     room: Room
     noted: int = 0
     leaves_at_s: float | None = None
+    ordered_s: float = float('-inf')
 
     @property
     def running(self) -> tuple[RunningTask, ...]:
@@ -63,7 +69,8 @@
         """Whether new work may be given to it."""
         is_silent = now_s - self.heard_s > _SILENT_S
         is_ending = self.report.is_draining or self.leaves_at_s is not None
-        return not is_silent and not is_ending
+        is_ordered = self.heard_s - self.ordered_s < _ORDER_WORKS_S
+        return not is_silent and not is_ending and not is_ordered
 
 
 def room_of(report: WorkerReport) -> Room:
@@ -120,11 +127,15 @@
         elif known.leaves_at_s is None:
             known.leaves_at_s = now_s + _LEAVE_S
 
-    def end(self, worker: str, now_s: float) -> None:
-        """Take note that all on a worker was ended just now."""
+    def note_ordered(self, worker: str, now_s: float) -> None:
+        """Take note that an order for its VM was confirmed.
+
+        It gets nothing new until it is heard a while later: a platform also
+        confirms orders that were carried out long before.
+        """
         known = self.incarnations.get(worker)
         if known is not None:
-            known.leaves_at_s = now_s
+            known.ordered_s = now_s
 
     def ended(self, now_s: float) -> dict[str, str]:
         """Return which incarnations are over and why; remember them as dead."""
--- a/tests/scheduling/test_maintenance.py
+++ b/tests/scheduling/test_maintenance.py
@@ -8,12 +8,13 @@
 from tests.builders_jobs import (
     FakeLead,
     FakeWorker,
+    commit,
     job,
     serving_step,
     store_with,
     workers,
 )
-from wigeonreach.jobs import VmStep
+from wigeonreach.jobs import StartWave, VmStep
 from wigeonreach.scheduling._vms import VmPhase, VmRecord
 
 
@@ -115,6 +116,31 @@
             matchers.HasLength(1),
         )
 
+    def test_vm_of_two_waves_is_ordered_for_the_one_that_waits(self) -> None:
+        """A wave that is done with a VM does not order it again."""
+        lead = FakeLead(store_with(), workers(2))
+        lead.round()
+        lead.start_wave(('vm0',), limit=1)
+        lead.record_vm('vm0', VmStep.ORDERED, 'w0')
+        lead.record_vm('vm0', VmStep.DONE)
+        commit(lead.store, StartWave(2, ('vm0',), 20.0, 1))
+        step = lead.scheduler.maintenance.step(set(), lead.now_s)
+        self.assertThat(step.orders, matchers.Equals([(2, 'vm0', 'w0')]))
+
+    def test_vm_of_a_silent_worker_with_tasks_waits(self) -> None:
+        """A worker that this leader has not heard may still work."""
+        store = store_with(job(serving_step(1)))
+        FakeLead(store, workers(1)).round()
+        lead = FakeLead(store, (), now_s=10.0)
+        maintenance = lead.scheduler.maintenance
+        record = VmRecord('vm0', 'desk', VmPhase.UP, 'a', 'rack', 'w0')
+        maintenance.note_vms((record,), 10.1)
+        lead.start_wave(('vm0',), limit=1)
+        self.assertThat(
+            maintenance.step(set(), 10.2).orders,
+            matchers.HasLength(0),
+        )
+
     def test_order_comes_once_a_vm_is_empty(self) -> None:
         """An idle VM is ordered, and counts until it is back."""
         lead = FakeLead(store_with(), workers(3))
--- a/tests/scheduling/test_scheduler.py
+++ b/tests/scheduling/test_scheduler.py
@@ -127,6 +127,33 @@
         lead.now_s = LEASE_OVER_S
         self.assertThat(lead.scheduler.lost(lead.now_s), matchers.HasLength(1))
 
+    def test_order_that_had_no_effect_ends_no_incarnation(self) -> None:
+        """A platform also confirms what was done long before."""
+        lead = FakeLead(store_with(job()), workers(1))
+        lead.round()
+        lead.scheduler.workers.note_ordered('w0', lead.now_s)
+        for percent in range(12):
+            lead.workers['w0'].advance(percent)
+            lead.round(0.2)
+            self.assertThat(
+                lead.scheduler.lost(lead.now_s),
+                matchers.HasLength(0),
+            )
+        self.assertThat(
+            lead.scheduler.workers.incarnations['w0'].may_take(lead.now_s),
+            matchers.Is(True),
+        )
+
+    def test_ordered_worker_gets_nothing_new(self) -> None:
+        """It is about to end, whatever its last heartbeat said."""
+        lead = FakeLead(store_with(), workers(1))
+        lead.round()
+        lead.scheduler.workers.note_ordered('w0', lead.now_s)
+        self.assertThat(
+            lead.scheduler.workers.incarnations['w0'].may_take(lead.now_s),
+            matchers.Is(False),
+        )
+
     def test_late_heartbeat_changes_nothing(self) -> None:
         """A heartbeat that was overtaken is not believed."""
         lead = FakeLead(store_with(job()), workers(1))
