Let one piece serve where the change wrote things twice

- JobStore.held_by, JobRecord.step_keys, is_empty, WorkerRoom.allows, Run, lacks_leader, rack_of and start_daemon each stand once; before, two to seven places spelled them out (the entry, replica and manager commands among them).
- Gone: Manifest.service_named, ReadyStep.remaining_s, JobStore.revision, PlatformFile.address and two settings that nothing read.
- Runs being stopped are compared with all assigned ones only if there are any; that stood in every cycle of the leader.

--- a/src/wigeonreach/_runner.py
+++ b/src/wigeonreach/_runner.py
@@ -5,10 +5,17 @@
 import asyncio
 import os
 import signal
+from collections.abc import Callable
 from typing import Protocol
 
 from wigeonreach.codes import ExitCode
-from wigeonreach.observe import LogEvent, Logger
+from wigeonreach.observe import (
+    LogEvent,
+    LogFormat,
+    Logger,
+    LogLevel,
+    configure_logs,
+)
 
 
 class Daemon(Protocol):
@@ -24,6 +31,28 @@
         """Release everything."""
 
 
+def start_daemon(
+    name: str,
+    log_format: LogFormat,
+    log_level: LogLevel,
+    make: Callable[[Logger], Daemon],
+) -> None:
+    """Set logs up, then make a daemon and run it.
+
+    Parameters
+    ----------
+    name
+        Of the process, on each of its log lines.
+    log_format, log_level
+        Shape of the lines, and which are written.
+    make
+        Returns the daemon.
+    """
+    configure_logs(log_format, log_level)
+    logger = Logger(name)
+    run_daemon(make(logger), logger)
+
+
 def run_daemon(daemon: Daemon, logger: Logger) -> None:
     """Run a daemon until SIGTERM or SIGINT; a second signal ends it at once.
 
--- a/src/wigeonreach/cli/_daemon_commands.py
+++ b/src/wigeonreach/cli/_daemon_commands.py
@@ -7,11 +7,11 @@
 
 import typer
 
-from wigeonreach._runner import run_daemon
+from wigeonreach._runner import start_daemon
 from wigeonreach.cli import _options as options
 from wigeonreach.cli._errors import errors_as_exits
 from wigeonreach.entry import Entry, EntrySettings
-from wigeonreach.observe import LogFormat, Logger, LogLevel, configure_logs
+from wigeonreach.observe import LogFormat, LogLevel
 from wigeonreach.state import Replica, ReplicaSettings
 from wigeonreach.wire import parse_address, parse_members
 
@@ -92,9 +92,12 @@
             head_timeout_s=head_timeout_s,
             key_lifetime_s=key_lifetime_s,
         )
-        configure_logs(log_format, log_level)
-        logger = Logger(name)
-        run_daemon(Entry(settings, logger), logger)
+        start_daemon(
+            name,
+            log_format,
+            log_level,
+            lambda logger: Entry(settings, logger),
+        )
 
 
 def replica(
@@ -115,6 +118,9 @@
             members=parse_members(replicas, '--replica'),
             data_folder=data_folder,
         )
-        configure_logs(log_format, log_level)
-        logger = Logger(name)
-        run_daemon(Replica(settings, logger), logger)
+        start_daemon(
+            name,
+            log_format,
+            log_level,
+            lambda logger: Replica(settings, logger),
+        )
--- a/src/wigeonreach/cli/_manager_command.py
+++ b/src/wigeonreach/cli/_manager_command.py
@@ -6,12 +6,12 @@
 
 import typer
 
-from wigeonreach._runner import run_daemon
+from wigeonreach._runner import start_daemon
 from wigeonreach.cli import _options as options
 from wigeonreach.cli._errors import errors_as_exits
 from wigeonreach.fleet import WaveSettings
 from wigeonreach.manager import Manager, ManagerSettings
-from wigeonreach.observe import LogFormat, Logger, LogLevel, configure_logs
+from wigeonreach.observe import LogFormat, LogLevel
 from wigeonreach.wire import parse_address, parse_members
 
 _SHORTEST_S = 0.01
@@ -107,6 +107,9 @@
                 expected_s=expected_s,
             ),
         )
-        configure_logs(log_format, log_level)
-        logger = Logger(name)
-        run_daemon(Manager(settings, logger), logger)
+        start_daemon(
+            name,
+            log_format,
+            log_level,
+            lambda logger: Manager(settings, logger),
+        )
--- a/src/wigeonreach/core/_daemon.py
+++ b/src/wigeonreach/core/_daemon.py
@@ -37,6 +37,7 @@
     Orders,
     Unknown,
     WhyNot,
+    lacks_leader,
 )
 
 _FORGET_S = 5.0
@@ -139,7 +140,7 @@
         """Answer a call of a caller, a worker or an operator."""
         if self.is_leading:
             reply = await self._answer_in(call, timeout_s)
-            if not _is_no_leader(reply):
+            if not lacks_leader(reply):
                 return reply
         reply = await self._gateway.call(call, timeout_s)
         return self._with_next_core(reply)
@@ -291,7 +292,3 @@
         # After a failed sync nothing in memory may be told to anybody.
         self._log.warning(LogEvent.REPLICA_FAILED, reason=repr(error))
         os._exit(ExitCode.FAILED)  # noqa: SLF001, WPS437
-
-
-def _is_no_leader(reply: AnyReply) -> bool:
-    return isinstance(reply, NotDone) and reply.reason is WhyNot.NO_LEADER
--- a/src/wigeonreach/core/_server.py
+++ b/src/wigeonreach/core/_server.py
@@ -15,9 +15,7 @@
     CoreHello,
     CoreNotice,
 )
-from wigeonreach.wire._call_replies import (
-    AnyReply,
-)
+from wigeonreach.wire._call_replies import AnyReply
 from wigeonreach.wire._raft_messages import RaftMessage
 
 # Several in the time after which a silent channel is given up (1.2 s).
--- a/src/wigeonreach/gateway/_gateway.py
+++ b/src/wigeonreach/gateway/_gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
 from collections.abc import Iterable
 
@@ -10,14 +11,13 @@
 
 from wigeonreach.gateway._link import CoreLink
 from wigeonreach.observe import LogEvent, Logger, Metrics
-from wigeonreach.wire._call_messages import (
-    AnyCall,
-)
+from wigeonreach.wire._call_messages import AnyCall
 from wigeonreach.wire._call_replies import (
     AnyReply,
     NotDone,
     Unknown,
     WhyNot,
+    lacks_leader,
 )
 
 # How long a call waits for a leader before it is refused: most elections are
@@ -30,6 +30,8 @@
 _RETRY_SOON_S = 1
 _RETRY_LATER_S = 2
 _RETRY_S = 0.05
+# Core processes are named anew at least so often.
+_LOOK_S = 1.0
 # To a core process that doesn't lead, and from there to the leader.
 _HOPS = 1
 # A core process that nobody has named for so long is forgotten.
@@ -126,7 +128,7 @@
             if reply is None:
                 is_sent = True
                 self._metrics.count('call_retries', 'reply-lost')
-            elif _is_no_leader(reply):
+            elif lacks_leader(reply):
                 self._metrics.count('call_retries', 'no-leader')
             else:
                 return reply
@@ -135,11 +137,9 @@
     @mode.Service.task
     async def _follow(self) -> None:
         while not self.should_stop:
-            try:
-                async with asyncio.timeout(1.0):
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(_LOOK_S):
                     await self._changed.wait()
-            except TimeoutError:
-                self._changed.clear()
             self._changed.clear()
             await self._open_links()
             self._note_leader()
@@ -224,7 +224,3 @@
         """Close all channels."""
         for link in self._links.values():
             await link.stop()
-
-
-def _is_no_leader(reply: AnyReply) -> bool:
-    return isinstance(reply, NotDone) and reply.reason is WhyNot.NO_LEADER
--- a/src/wigeonreach/gateway/_link.py
+++ b/src/wigeonreach/gateway/_link.py
@@ -20,9 +20,7 @@
     CoreHello,
     CoreNotice,
 )
-from wigeonreach.wire._call_replies import (
-    AnyReply,
-)
+from wigeonreach.wire._call_replies import AnyReply
 
 # Core processes tell several times a second who leads, so a channel on which
 # nothing comes for longer has gone silent.
--- a/src/wigeonreach/jobs/_model.py
+++ b/src/wigeonreach/jobs/_model.py
@@ -120,6 +120,10 @@
     index: int
 
 
+# A task and the number of one of its runs.
+Run = tuple[TaskKey, int]
+
+
 class AdvicePolicy(msgspec.Struct, frozen=True, array_like=True):
     """How the advisor answers for a queue."""
 
@@ -203,13 +207,6 @@
             None,
         )
 
-    def service_named(self, name: str) -> ServiceSpec | None:
-        """Return a service by name."""
-        return next(
-            (service for service in self.services if service.name == name),
-            None,
-        )
-
 
 class JobPhase(enum.IntEnum):
     """Whether a job goes on, or how it ended."""
--- a/src/wigeonreach/jobs/_records.py
+++ b/src/wigeonreach/jobs/_records.py
@@ -73,6 +73,13 @@
         """Return all tasks of a task's step."""
         return self.occurrences[key.occurrence][key.step]
 
+    def step_keys(self, key: TaskKey) -> tuple[TaskKey, ...]:
+        """Return the keys of all tasks of a task's step."""
+        return tuple(
+            TaskKey(key.job_id, key.occurrence, key.step, index)
+            for index, _ in enumerate(self.step_tasks(key))
+        )
+
     def step_spec(self, key: TaskKey) -> StepSpec:
         """Return what a task's step asks for."""
         return self.spec.steps[key.step]
--- a/src/wigeonreach/jobs/_runs.py
+++ b/src/wigeonreach/jobs/_runs.py
@@ -50,13 +50,7 @@
 
 def members(job: JobRecord, key: TaskKey) -> tuple[TaskKey, ...]:
     """Return a task's whole gang, or the task alone."""
-    if not job.step_spec(key).is_gang:
-        return (key,)
-    count = len(job.step_tasks(key))
-    return tuple(
-        TaskKey(key.job_id, key.occurrence, key.step, index)
-        for index in range(count)
-    )
+    return job.step_keys(key) if job.step_spec(key).is_gang else (key,)
 
 
 def _save(job: JobRecord, ended: RunEnded) -> None:
--- a/src/wigeonreach/jobs/_store.py
+++ b/src/wigeonreach/jobs/_store.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import functools
+from collections.abc import Mapping
+from types import MappingProxyType
 
 import msgspec
 
@@ -27,6 +29,7 @@
 from wigeonreach.jobs._records import JobRecord, new_record
 from wigeonreach.jobs._waves import WaveRecord
 
+_NOTHING: Mapping[TaskKey, int] = MappingProxyType({})
 _COMMANDS = msgspec.msgpack.Decoder(AnyCommand)
 
 
@@ -49,8 +52,6 @@
     ----------
     term
         Of the leader whose records of runs count.
-    revision
-        Grows with each restored snapshot, for whoever keeps views of this.
     jobs
         All jobs whose state may still be asked for.
     assigned
@@ -66,7 +67,6 @@
         self.waves: dict[int, WaveRecord] = {}
         self.assigned: dict[str, dict[TaskKey, int]] = {}
         self.changed: set[str] = set()
-        self.revision = 0
         self.term = 0
 
     def apply(self, index: int, command: bytes) -> bytes:
@@ -96,7 +96,6 @@
             for key, task in job.assigned():
                 self.assign(task.worker, key, task.run)
         self.changed = set(self.jobs)
-        self.revision += 1
 
     def service_of(self, job: JobRecord) -> str:
         """Return the service whose workers may run a job now."""
@@ -107,6 +106,10 @@
         """Return the job of a task."""
         return self.jobs.get(key.job_id)
 
+    def held_by(self, worker: str) -> Mapping[TaskKey, int]:
+        """Return the runs that a worker has or may have."""
+        return self.assigned.get(worker, _NOTHING)
+
     def spec_of(self, key: TaskKey) -> StepSpec | None:
         """Return what a task's step asks for, if a job has such a task."""
         job = self.jobs.get(key.job_id)
--- a/src/wigeonreach/platform/__main__.py
+++ b/src/wigeonreach/platform/__main__.py
@@ -8,16 +8,10 @@
 from collections.abc import Callable, Mapping
 from types import MappingProxyType
 
-from wigeonreach._runner import Daemon, run_daemon
+from wigeonreach._runner import Daemon, start_daemon
 from wigeonreach.codes import ExitCode, ResultCode
 from wigeonreach.exceptions import SettingError, WigeonreachError
-from wigeonreach.observe import (
-    LogFormat,
-    Logger,
-    LogLevel,
-    Metrics,
-    configure_logs,
-)
+from wigeonreach.observe import LogFormat, LogLevel, Metrics
 from wigeonreach.platform._processes import CoreProcess, EntryProcess
 from wigeonreach.platform._settings import FILE_VARIABLE, read_platform_file
 
@@ -57,10 +51,13 @@
         )
     path = pathlib.Path(file_name)
     settings = read_platform_file(path)
-    configure_logs(LogFormat.JSON, LogLevel.INFO)
-    logger = Logger(settings.node_name)
-    process = _PROCESSES[arguments[0]](path, settings, logger, Metrics())
-    run_daemon(process, logger)
+    make = _PROCESSES[arguments[0]]
+    start_daemon(
+        settings.node_name,
+        LogFormat.JSON,
+        LogLevel.INFO,
+        lambda logger: make(path, settings, logger, Metrics()),
+    )
 
 
 if __name__ == '__main__':
--- a/src/wigeonreach/platform/_machines.py
+++ b/src/wigeonreach/platform/_machines.py
@@ -4,10 +4,11 @@
 
 from types import MappingProxyType
 
-import aiohttp
 import msgspec
 
-from wigeonreach.observe import LogEvent, Logger
+from wigeonreach.observe import Logger
+from wigeonreach.platform._session import PlatformSession, expect_ok
+from wigeonreach.platform._workers import rack_of
 from wigeonreach.scheduling._vms import OrderResult, VmPhase, VmRecord
 
 _TIMEOUT_S = 2.0
@@ -75,10 +76,8 @@
 
     def __init__(self, address: str, holder: str, logger: Logger) -> None:
         """Connect at the first call."""
-        self._base = f'http://{address}'
         self._holder = holder
-        self._log = logger
-        self._session: aiohttp.ClientSession | None = None
+        self._session = PlatformSession(address, _TIMEOUT_S, logger)
 
     async def list_vms(self) -> tuple[VmRecord, ...] | None:
         """Return all VMs, or None if the platform did not answer."""
@@ -104,21 +103,11 @@
 
     async def close(self) -> None:
         """Close the connections."""
-        if self._session is not None:
-            await self._session.close()
+        await self._session.close()
 
     async def _page(self, token: str) -> _Page | None:
         query = f'?pageToken={token}' if token else ''
-        try:
-            async with self._open().get(
-                f'{self._base}/machines{query}',
-            ) as response:
-                if response.status == 200:
-                    return _PAGES.decode(await response.read())
-                self._note_failure('machines', f'status {response.status}')
-        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
-            self._note_failure('machines', repr(error))
-        return None
+        return await self._session.get(f'/machines{query}', _decode_page)
 
     async def _order(
         self,
@@ -127,26 +116,13 @@
         fence: int,
     ) -> OrderResult:
         headers = {_HOLDER: self._holder, _FENCE: str(fence)}
-        try:
-            async with self._open().post(
-                f'{self._base}{path}',
-                json=body,
-                headers=headers,
-            ) as response:
-                return _result(response.status, await response.read())
-        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
-            self._note_failure(path, repr(error))
-            return OrderResult.UNKNOWN
-
-    def _open(self) -> aiohttp.ClientSession:
-        if self._session is None:
-            self._session = aiohttp.ClientSession(
-                timeout=aiohttp.ClientTimeout(total=_TIMEOUT_S),
-            )
-        return self._session
-
-    def _note_failure(self, call: str, reason: str) -> None:
-        self._log.warning(LogEvent.PLATFORM_FAULT, call=call, reason=reason)
+        result = await self._session.post(path, _result, body, headers)
+        return result or OrderResult.UNKNOWN
+
+
+def _decode_page(status: int, body: bytes) -> _Page:
+    expect_ok(status)
+    return _PAGES.decode(body)
 
 
 def _result(status: int, body: bytes) -> OrderResult:
@@ -166,6 +142,6 @@
         pool=machine.pool,
         phase=_PHASES.get(machine.state, VmPhase.DOWN),
         zone=machine.zone,
-        rack=machine.labels[1] if len(machine.labels) > 1 else '',
+        rack=rack_of(machine.labels),
         worker=machine.id or '',
     )
--- a/src/wigeonreach/platform/_processes.py
+++ b/src/wigeonreach/platform/_processes.py
@@ -24,6 +24,7 @@
     PlatformFile,
     read_platform_file,
 )
+from wigeonreach.wire import parse_address
 
 # Far above the largest job that a queue takes (256 KB).
 _MAX_JOB_BYTES = 1024 * 1024
@@ -115,7 +116,7 @@
         port = os.environ.get(METRICS_VARIABLE, '')
         if port:
             place = f'{settings.ip}:{port}'
-            address = settings.address(place, METRICS_VARIABLE)
+            address = parse_address(place, METRICS_VARIABLE)
             self._listener = HttpListener(address, self._on_request, 0)
 
     async def on_start(self) -> None:
@@ -155,12 +156,12 @@
         )
         listen = settings.listen_addrs
         self._clients = HttpListener(
-            settings.address(listen.frontend_addr, 'frontendAddr'),
+            parse_address(listen.frontend_addr, 'frontendAddr'),
             ClientApi(self._gateway, logger, metrics).handle,
             _MAX_JOB_BYTES,
         )
         self._probe = HttpListener(
-            settings.address(listen.ready, 'ready'),
+            parse_address(listen.ready, 'ready'),
             self._on_probe,
             0,
         )
@@ -231,7 +232,7 @@
         )
         control = settings.listen_addrs.control_addr
         self._control = HttpListener(
-            settings.address(control, 'controlAddr'),
+            parse_address(control, 'controlAddr'),
             ControlApi(self._core).handle,
             _MAX_MANIFEST_BYTES,
         )
--- a/src/wigeonreach/platform/_settings.py
+++ b/src/wigeonreach/platform/_settings.py
@@ -39,8 +39,6 @@
 
 class _Cloud(msgspec.Struct, frozen=True, rename='camel'):
     address: str = ''
-    rate_per_s: float = 1.0
-    duty_per_s: float = 1.0
 
 
 class PlatformFile(msgspec.Struct, frozen=True, rename='camel'):
@@ -82,10 +80,6 @@
             for host in map(_host_of, self.seed_nodes)
         )
 
-    def address(self, text: str, setting: str) -> Address:
-        """Return an address that the role can't do without."""
-        return parse_address(text, setting)
-
     def core_settings(self) -> CoreSettings:
         """Return the settings of a core process."""
         if not self.data_dir:
--- a/src/wigeonreach/platform/_workers.py
+++ b/src/wigeonreach/platform/_workers.py
@@ -138,12 +138,17 @@
         memory_mb=beat.capacity.mem_mb,
         accelerators=beat.capacity.gpu,
         labels=beat.labels,
-        rack=beat.labels[1] if len(beat.labels) > 1 else '',
+        rack=rack_of(beat.labels),
         running=tuple(_running(row) for row in beat.running),
         ended=tuple(_ended(row) for row in beat.finished),
     )
 
 
+def rack_of(labels: Sequence[str]) -> str:
+    """Return the rack, which the platform puts behind the kind of a VM."""
+    return labels[1] if len(labels) > 1 else ''
+
+
 def _running(row: Sequence[Any]) -> RunningTask:
     task, run, checkpoint, percent, *load = row
     return RunningTask(
--- a/src/wigeonreach/scheduling/_maintenance.py
+++ b/src/wigeonreach/scheduling/_maintenance.py
@@ -7,12 +7,11 @@
 
 from __future__ import annotations
 
-import collections
 import dataclasses
 from collections.abc import Collection
 
-from wigeonreach.jobs import JobStore, TaskKey, VmStep, WaveRecord
-from wigeonreach.scheduling._moving_out import movable_now
+from wigeonreach.jobs import JobStore, Run, VmStep, WaveRecord
+from wigeonreach.scheduling._moving_out import is_empty, movable_now
 from wigeonreach.scheduling._vms import VmPhase, VmRecord
 from wigeonreach.scheduling._workers import Incarnation, Workers
 
@@ -23,9 +22,6 @@
 _MOST_OF_POOL_RATIO = 0.25
 
 
-Run = tuple[TaskKey, int]
-
-
 @dataclasses.dataclass(slots=True)
 class MaintenanceStep:
     """What the maintenance of the waves needs now.
@@ -138,7 +134,7 @@
         incarnation = self._workers.of_vm(vm)
         if incarnation is None and self._has_unheard_work(vm):
             return
-        if incarnation is None or self._is_empty(incarnation):
+        if incarnation is None or is_empty(incarnation, self._store):
             worker = incarnation.report.worker if incarnation else ''
             found.orders.append((wave.wave, vm, worker))
             self._emptied_since_s.pop(vm)
@@ -190,35 +186,27 @@
         incarnation = self._workers.of_vm(vm)
         if incarnation is None:
             return 0
-        return len(self._store.assigned.get(incarnation.report.worker, {}))
+        return len(self._store.held_by(incarnation.report.worker))
 
     def _may_empty(self, vm: str) -> bool:
         incarnation = self._workers.of_vm(vm)
         if incarnation is None:
             return True
-        service = incarnation.report.service
-        size = collections.Counter(
-            other.report.service
-            for other in self._workers.incarnations.values()
-        )[service]
-        away = sum(
-            other.report.service == service
-            and other.report.vm in self._emptied_since_s
+        pool = [
+            other.report.vm
             for other in self._workers.incarnations.values()
-        )
-        return away < max(1, round(size * _MOST_OF_POOL_RATIO))
+            if other.report.service == incarnation.report.service
+        ]
+        away = sum(other in self._emptied_since_s for other in pool)
+        return away < max(1, round(len(pool) * _MOST_OF_POOL_RATIO))
 
     def _has_unheard_work(self, vm: str) -> bool:
         """Whether a worker that was not heard in this term has tasks."""
         record = self._vms.get(vm)
         return record is not None and record.worker in self._store.assigned
 
-    def _is_empty(self, incarnation: Incarnation) -> bool:
-        held = self._store.assigned.get(incarnation.report.worker)
-        return not held and not incarnation.running
-
     def _batch_runs(self, incarnation: Incarnation) -> list[Run]:
-        held = self._store.assigned.get(incarnation.report.worker, {})
+        held = self._store.held_by(incarnation.report.worker)
         return [run for run in held.items() if self._store.is_batch(run[0])]
 
     def _is_back(self, wave: WaveRecord, vm: str) -> bool:
--- a/src/wigeonreach/scheduling/_moving_out.py
+++ b/src/wigeonreach/scheduling/_moving_out.py
@@ -4,7 +4,14 @@
 
 from collections.abc import Iterable, Mapping
 
-from wigeonreach.jobs import JobRecord, JobStore, StepSpec, TaskKey, TaskPhase
+from wigeonreach.jobs import (
+    JobRecord,
+    JobStore,
+    Run,
+    StepSpec,
+    TaskKey,
+    TaskPhase,
+)
 from wigeonreach.scheduling._workers import Incarnation
 
 # A serving task whose step says nothing is moved with one away at a time.
@@ -12,12 +19,18 @@
 _AT_WORK_PERCENT = 100
 
 
+def is_empty(incarnation: Incarnation, store: JobStore) -> bool:
+    """Whether nothing is on a worker, or may be."""
+    held = store.held_by(incarnation.report.worker)
+    return not held and not incarnation.running
+
+
 def movable_now(
     incarnation: Incarnation,
     incarnations: Mapping[str, Incarnation],
     store: JobStore,
-    stopping: Iterable[tuple[TaskKey, int]],
-) -> list[tuple[TaskKey, int]]:
+    stopping: Iterable[Run],
+) -> list[Run]:
     """Return the serving runs that may be stopped on a worker now.
 
     Of each step one at most is returned, so that what is away is counted
@@ -25,8 +38,8 @@
     """
     leaving = set(stopping)
     steps: set[tuple[str, int, int]] = set()
-    chosen: list[tuple[TaskKey, int]] = []
-    for run in store.assigned.get(incarnation.report.worker, {}).items():
+    chosen: list[Run] = []
+    for run in store.held_by(incarnation.report.worker).items():
         key, _ = run
         step = (key.job_id, key.occurrence, key.step)
         job = store.job_of(key)
@@ -44,30 +57,22 @@
     job: JobRecord,
     spec: StepSpec,
     incarnations: Mapping[str, Incarnation],
-    leaving: set[tuple[TaskKey, int]],
+    leaving: set[Run],
 ) -> bool:
     may_miss = _DEFAULT_MAY_MISS if spec.may_miss is None else spec.may_miss
     away = sum(
         not _is_at_work(other, job, incarnations, leaving)
-        for other in _others(key, job)
+        for other in job.step_keys(key)
+        if other != key
     )
     return away < may_miss
 
 
-def _others(key: TaskKey, job: JobRecord) -> list[TaskKey]:
-    count = len(job.step_tasks(key))
-    return [
-        TaskKey(key.job_id, key.occurrence, key.step, index)
-        for index in range(count)
-        if index != key.index
-    ]
-
-
 def _is_at_work(
     key: TaskKey,
     job: JobRecord,
     incarnations: Mapping[str, Incarnation],
-    leaving: set[tuple[TaskKey, int]],
+    leaving: set[Run],
 ) -> bool:
     task = job.task(key)
     if task is None or task.phase is not TaskPhase.ASSIGNED:
--- a/src/wigeonreach/scheduling/_orders.py
+++ b/src/wigeonreach/scheduling/_orders.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Collection, Iterator
+from collections.abc import Collection, Iterator, Mapping
 
-from wigeonreach.jobs import JobRecord, JobStore, TaskKey
+from wigeonreach.jobs import JobRecord, JobStore, Run, TaskKey
 from wigeonreach.scheduling._advice import TicketCache
 from wigeonreach.scheduling._pacing import FULL_PACE, Pacing
 from wigeonreach.scheduling._workers import LEASE_MS, Incarnation
@@ -28,19 +28,19 @@
 class Tickets:
     """The tickets that are valid at a time."""
 
-    store: TicketCache
+    cache: TicketCache
     now_s: float
 
     def of(self, key: TaskKey, worker: str) -> str:
         """Return the ticket for a task on a worker, or nothing."""
-        return self.store.ticket(key, worker, self.now_s)
+        return self.cache.ticket(key, worker, self.now_s)
 
 
 def orders_for(
     incarnation: Incarnation,
     store: JobStore,
     pacing: Pacing,
-    stopping: Collection[tuple[TaskKey, int]],
+    stopping: Collection[Run],
     tickets: Tickets,
     term: int,
 ) -> WorkerOrders:
@@ -51,7 +51,7 @@
     answers that come too late.
     """
     worker = incarnation.report.worker
-    held = store.assigned.get(worker, {})
+    held = store.held_by(worker)
     return WorkerOrders(
         lease_ms=LEASE_MS,
         fence=term,
@@ -62,13 +62,11 @@
     )
 
 
-def not_begun(
-    incarnation: Incarnation, store: JobStore
-) -> Iterator[tuple[TaskKey, int]]:
+def not_begun(incarnation: Incarnation, store: JobStore) -> Iterator[Run]:
     """Yield the runs that a worker was given and does not list."""
     listed = {(row.task, row.run) for row in incarnation.running}
     listed.update((ended.task, ended.run) for ended in incarnation.report.ended)
-    for run in store.assigned.get(incarnation.report.worker, {}).items():
+    for run in store.held_by(incarnation.report.worker).items():
         if run not in listed:
             yield run
 
@@ -76,7 +74,7 @@
 def _starts(
     incarnation: Incarnation,
     store: JobStore,
-    stopping: Collection[tuple[TaskKey, int]],
+    stopping: Collection[Run],
     tickets: Tickets,
 ) -> Iterator[StartOrder]:
     if incarnation.report.is_draining:
@@ -115,8 +113,8 @@
 def _stops(
     incarnation: Incarnation,
     store: JobStore,
-    held: dict[TaskKey, int],
-    stopping: Collection[tuple[TaskKey, int]],
+    held: Mapping[TaskKey, int],
+    stopping: Collection[Run],
 ) -> Iterator[StopOrder]:
     for row in incarnation.running:
         job = store.job_of(row.task)
--- a/src/wigeonreach/scheduling/_placing.py
+++ b/src/wigeonreach/scheduling/_placing.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import collections
+import dataclasses
 from collections.abc import Iterable, Sequence
 
 from wigeonreach.jobs import JobStore, RunStarted, StepSpec, TaskKey
@@ -112,7 +112,9 @@
     rooms: Sequence[WorkerRoom],
 ) -> list[tuple[TaskKey, WorkerRoom]] | None:
     """Return where all waiting tasks of a step fit together, if they do."""
-    copies = [_copy(room) for room in rooms]
+    copies = [
+        dataclasses.replace(room, steps=room.steps.copy()) for room in rooms
+    ]
     originals = dict(zip(map(id, copies), rooms, strict=True))
     chosen: list[tuple[TaskKey, WorkerRoom]] = []
     for index in step.waiting:
@@ -140,17 +142,6 @@
     return []
 
 
-def _copy(room: WorkerRoom) -> WorkerRoom:
-    return WorkerRoom(
-        room.incarnation,
-        room.left,
-        collections.Counter(room.steps),
-        room.serving,
-        room.is_reserved,
-        room.is_slow,
-    )
-
-
 def _key(step: ReadyStep, index: int) -> TaskKey:
     return TaskKey(step.job.spec.job_id, step.occurrence, step.step, index)
 
--- a/src/wigeonreach/scheduling/_pools.py
+++ b/src/wigeonreach/scheduling/_pools.py
@@ -15,6 +15,7 @@
 
 from wigeonreach.jobs import JobStore
 from wigeonreach.scheduling._demand import ServiceDemand
+from wigeonreach.scheduling._moving_out import is_empty
 from wigeonreach.scheduling._vms import VmPhase, VmRecord
 from wigeonreach.scheduling._workers import Incarnation, Workers
 
@@ -292,7 +293,7 @@
             pool = (
                 incarnation.report.service if incarnation else self.standby_pool
             )
-            if incarnation is None or self._is_empty(incarnation):
+            if incarnation is None or is_empty(incarnation, self._store):
                 moves.append(Move(vm, pool, emptying.to_pool))
             elif now_s - emptying.since_s > _EMPTY_S:
                 self._emptying.pop(vm)
@@ -317,9 +318,5 @@
             for incarnation in pool.incarnations
             if incarnation.report.vm
             and incarnation.report.vm not in self._emptying
-            and self._is_empty(incarnation)
+            and is_empty(incarnation, self._store)
         ]
-
-    def _is_empty(self, incarnation: Incarnation) -> bool:
-        held = self._store.assigned.get(incarnation.report.worker)
-        return not held and not incarnation.running
--- a/src/wigeonreach/scheduling/_preempting.py
+++ b/src/wigeonreach/scheduling/_preempting.py
@@ -9,12 +9,10 @@
 from collections.abc import Iterable
 
 from wigeonreach._room import Room
-from wigeonreach.jobs import JobStore, TaskKey
+from wigeonreach.jobs import JobStore, Run, TaskKey
 from wigeonreach.scheduling._ready import ReadyStep
 from wigeonreach.scheduling._room_left import WorkerRoom
 
-Run = tuple[TaskKey, int]
-
 
 def victims_for(
     step: ReadyStep,
@@ -58,10 +56,7 @@
     stopping: set[Run],
 ) -> tuple[Run, ...] | None:
     spec = step.spec
-    same = room.steps[key.job_id, key.occurrence, key.step]
-    if spec.spread_limit and same >= spec.spread_limit:
-        return None
-    if spec.label and spec.label not in room.incarnation.report.labels:
+    if not room.allows(key, spec):
         return None
     left = room.left
     chosen: list[Run] = []
@@ -80,7 +75,7 @@
 ) -> list[tuple[Run, Room]]:
     """Return what may be stopped, the least progress in front."""
     progress = {row.task: row.percent for row in room.incarnation.running}
-    held = store.assigned.get(room.incarnation.report.worker, {})
+    held = store.held_by(room.incarnation.report.worker)
     found: list[tuple[int, Run, Room]] = []
     for key, run in held.items():
         spec = store.spec_of(key)
--- a/src/wigeonreach/scheduling/_progress.py
+++ b/src/wigeonreach/scheduling/_progress.py
@@ -11,7 +11,7 @@
 import statistics
 from collections.abc import Mapping
 
-from wigeonreach.jobs import JobStore, StepSpec, TaskKey
+from wigeonreach.jobs import JobStore, Run, StepSpec, TaskKey
 from wigeonreach.scheduling._pacing import FULL_PACE
 from wigeonreach.scheduling._workers import Incarnation
 from wigeonreach.wire._worker_messages import RunningTask
@@ -30,8 +30,6 @@
 _SLOW_RATIO = 2.5
 _LEAST_RUNS = 3
 
-Run = tuple[TaskKey, int]
-
 
 @dataclasses.dataclass(slots=True)
 class _Seen:
@@ -99,7 +97,7 @@
         self, worker: str, run: Run, store: JobStore, now_s: float
     ) -> None:
         """Take note that a run ended well, and how long it took."""
-        seen = self._seen.pop(run, None)
+        seen = self._seen.get(run)
         spec = store.spec_of(run[0])
         if seen is None or spec is None or not spec.estimate_ms:
             return
--- a/src/wigeonreach/scheduling/_ready.py
+++ b/src/wigeonreach/scheduling/_ready.py
@@ -27,8 +27,6 @@
     ----------
     latest_start_s
         When it has to start for its job to end within its objective.
-    remaining_s
-        Longest chain of work that its job still needs.
     work_s
         Processor seconds that its job still needs.
     """
@@ -39,7 +37,6 @@
     waiting: tuple[int, ...]
     due_ms: int
     latest_start_s: float
-    remaining_s: float
     work_s: float
 
     @property
@@ -178,7 +175,6 @@
                         waiting=waiting,
                         due_ms=job.spec.due_ms(occurrence),
                         latest_start_s=accepted_s + objective_s - remaining_s,
-                        remaining_s=remaining_s,
                         work_s=work_s,
                     ),
                 )
--- a/src/wigeonreach/scheduling/_room_left.py
+++ b/src/wigeonreach/scheduling/_room_left.py
@@ -7,7 +7,7 @@
 from collections.abc import Collection
 
 from wigeonreach._room import Room
-from wigeonreach.jobs import JobStore, StepSpec, TaskKey
+from wigeonreach.jobs import JobStore, Run, StepSpec, TaskKey
 from wigeonreach.scheduling._workers import Incarnation
 
 
@@ -44,8 +44,10 @@
         """Whether a task may be put on it."""
         if self.is_reserved and not spec.is_service:
             return False
-        if not self.left.holds(spec.room):
-            return False
+        return self.left.holds(spec.room) and self.allows(key, spec)
+
+    def allows(self, key: TaskKey, spec: StepSpec) -> bool:
+        """Whether a task may be put on it once there is room."""
         if spec.label and spec.label not in self.incarnation.report.labels:
             return False
         same = self.steps[key.job_id, key.occurrence, key.step]
@@ -55,12 +57,12 @@
 def room_left(
     incarnation: Incarnation,
     store: JobStore,
-    stopping: Collection[tuple[TaskKey, int]],
+    stopping: Collection[Run],
 ) -> WorkerRoom:
     """Return what a worker has left beside all that it has or may have."""
     worker = incarnation.report.worker
     room = WorkerRoom(incarnation, incarnation.room, collections.Counter())
-    held = store.assigned.get(worker, {})
+    held = store.held_by(worker)
     room.is_reserved = any(run in stopping for run in held.items())
     for key in held:
         _add_known(room, key, store)
--- a/src/wigeonreach/scheduling/_scheduler.py
+++ b/src/wigeonreach/scheduling/_scheduler.py
@@ -7,6 +7,7 @@
 
 from wigeonreach.jobs import (
     JobStore,
+    Run,
     RunEnd,
     RunEnded,
     RunStarted,
@@ -22,7 +23,7 @@
 from wigeonreach.scheduling._pacing import Pacing
 from wigeonreach.scheduling._placing import Plan
 from wigeonreach.scheduling._pools import Move, PoolPlanner
-from wigeonreach.scheduling._preempting import Run, victims_for
+from wigeonreach.scheduling._preempting import victims_for
 from wigeonreach.scheduling._progress import ProgressWatch
 from wigeonreach.scheduling._quarantine import WorkerQuarantine
 from wigeonreach.scheduling._ready import ReadyStep, ReadySteps
@@ -124,7 +125,7 @@
         for worker in over:
             self.pacing.forget(worker)
             self.quarantine.forget(worker)
-            self.progress.forget(worker, self._store.assigned.get(worker, {}))
+            self.progress.forget(worker, self._store.held_by(worker))
         self._forget_stopped()
         over.update(
             worker
@@ -134,7 +135,7 @@
         lost = tuple(
             RunEnded(key, run, worker, RunEnd.LOST, self._saved(key))
             for worker in sorted(over)
-            for key, run in self._store.assigned.get(worker, {}).items()
+            for key, run in self._store.held_by(worker).items()
         )
         for run_lost in lost:
             self._stop_gang(run_lost.task)
@@ -177,7 +178,7 @@
     def has_batch(self, incarnation: Incarnation) -> bool:
         """Whether work that ends by itself is on a worker."""
         keys = (
-            *self._store.assigned.get(incarnation.report.worker, {}),
+            *self._store.held_by(incarnation.report.worker),
             *(row.task for row in incarnation.running),
         )
         return any(not self._store.is_serving(key) for key in keys)
@@ -221,6 +222,8 @@
         return (key, run) in self.stopping or (needs and not ticket)
 
     def _forget_stopped(self) -> None:
+        if not self.stopping:
+            return
         held = {
             run
             for assigned in self._store.assigned.values()
@@ -277,10 +280,12 @@
         spec = self._store.spec_of(key)
         if job is None or spec is None or not spec.is_gang:
             return
-        for index, member in enumerate(job.step_tasks(key)):
-            if index != key.index and member.phase is TaskPhase.ASSIGNED:
-                other = TaskKey(key.job_id, key.occurrence, key.step, index)
-                self.stopping.add((other, member.run))
+        members = zip(job.step_keys(key), job.step_tasks(key), strict=True)
+        self.stopping.update(
+            (other, member.run)
+            for other, member in members
+            if other != key and member.phase is TaskPhase.ASSIGNED
+        )
 
     def _distrust(self, worker: str, job_id: str, now_s: float) -> None:
         if self.quarantine.note_failed(worker, job_id, now_s):
--- a/src/wigeonreach/scheduling/_workers.py
+++ b/src/wigeonreach/scheduling/_workers.py
@@ -177,7 +177,7 @@
             incarnation.leaves_at_s is not None
             and now_s >= incarnation.leaves_at_s
         ):
-            return 'left, or was ended by an order'
+            return 'said that it ends'
         if self._has_successor(incarnation):
             return f'another incarnation goes on at {incarnation.report.vm}'
         return ''
--- a/src/wigeonreach/state/_raft_leading.py
+++ b/src/wigeonreach/state/_raft_leading.py
@@ -167,9 +167,9 @@
     reads.confirm(state)
     members.note_progress(state, progress)
     members.admit_caught_up(state)
-    if state.leading is lead and _has_more(state, progress):
-        send_entries(state, reply.sender, progress)
-    elif state.leading is lead and not reply.is_accepted:
+    # A refusal is followed by the next try at once.
+    is_due = not reply.is_accepted or _has_more(state, progress)
+    if state.leading is lead and is_due:
         send_entries(state, reply.sender, progress)
 
 
--- a/src/wigeonreach/wire/_call_replies.py
+++ b/src/wigeonreach/wire/_call_replies.py
@@ -80,6 +80,11 @@
     retry_after_s: int = 1
 
 
+def lacks_leader(reply: Reply) -> bool:
+    """Whether whoever answered does not lead and knows nobody who does."""
+    return isinstance(reply, NotDone) and reply.reason is WhyNot.NO_LEADER
+
+
 class Unknown(Reply, frozen=True):
     """Whether the call has had its effect is not known."""
 
