Keep a leader's cost of a heartbeat the same from 30 to 1,000 workers

Cause: each cycle looked at every pair of incarnations for successors, counted the room of all workers anew and looked at all of them for each task; queues were found by a look at all of them. Ruled out: the decoding of heartbeats and the answers (5 to 9 us each, at any size). Before: bench deciding 114, 204 and 1,266 us a heartbeat at 30, 180 and 1,000 workers. After: 122, 90 and 120 us.

--- /dev/null
+++ b/bench/bench_deciding.py
@@ -0,0 +1,210 @@
+"""Measure what a leader decides in one cycle, by the size of its fleet.
+
+Every worker sends four heartbeats a second, and jobs come at a rate that keeps
+a part of the fleet busy.  A cycle hears a tenth of the workers, records what
+ended, plans and answers.  Commits are left out: they are measured elsewhere.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import itertools
+import random
+import time
+from collections.abc import Iterable, Iterator
+
+import msgspec
+
+from bench.figures import Figure, at_most, told
+from wigeonreach.jobs import (
+    AddJob,
+    BeginTerm,
+    Command,
+    JobSpec,
+    JobStore,
+    Manifest,
+    QueueSpec,
+    RecordRuns,
+    RunEnd,
+    ServiceSpec,
+    SetManifest,
+    StepSpec,
+    encode_command,
+)
+from wigeonreach.scheduling import Scheduler
+from wigeonreach.wire._worker_messages import (
+    EndedRun,
+    RunningTask,
+    WorkerReport,
+)
+
+_BENCH = 'deciding'
+_SIZES = (30, 180, 1000)
+# The deployments at hand have four pools that work.
+_POOLS = 4
+_STEPS = 40
+_STEP_S = 0.25
+_PARTS = 10
+_WORKERS_PER_JOB = 40
+_US_PER_S = 1_000_000
+# From 30 to 1,000 workers a heartbeat may cost this much more; before leases,
+# VMs and rooms were indexed it was 11 times as much.
+_MOST_GROWTH = 2.0
+_TASK = StepSpec(6, cpu_millicores=2000, memory_mb=512, estimate_ms=600)
+_SECOND = msgspec.structs.replace(_TASK, after=(0,))
+
+
+@dataclasses.dataclass(slots=True)
+class _Worker:
+    name: str
+    service: str
+    sequence: int = 0
+    left: dict[RunningTask, int] = dataclasses.field(default_factory=dict)
+    ended: list[EndedRun] = dataclasses.field(default_factory=list)
+    numbers: Iterator[int] = dataclasses.field(
+        default_factory=lambda: itertools.count(1),
+    )
+
+    def report(self) -> WorkerReport:
+        """Let all runs go on, and return the next heartbeat."""
+        self.sequence += 1
+        for run, left in list(self.left.items()):
+            self.left[run] = left - 1
+            if left <= 1:
+                self.left.pop(run)
+                number = next(self.numbers)
+                ended = EndedRun(number, run.task, run.run, RunEnd.DONE)
+                self.ended.append(ended)
+        return WorkerReport(
+            worker=self.name,
+            vm=f'vm-{self.name}',
+            service=self.service,
+            address='127.0.0.1:1',
+            zone='a',
+            sequence=self.sequence,
+            cpu_millicores=16_000,
+            memory_mb=32_768,
+            running=tuple(self.left),
+            ended=tuple(self.ended),
+        )
+
+
+class _Fleet:
+    """Workers, jobs and a leader that records at once."""
+
+    def __init__(self, size: int) -> None:
+        self.rng = random.Random(size)  # noqa: S311
+        self.size = size
+        self.store = JobStore()
+        self.now_s = 0.0
+        self.spent_s = 0.0
+        self.heard = 0
+        self._indexes = itertools.count(1)
+        self._jobs = itertools.count(1)
+        pools = [f'pool-{number}' for number in range(_POOLS)]
+        self.commit(SetManifest(_manifest(pools)))
+        self.commit(BeginTerm(1))
+        self.scheduler = Scheduler(self.store, 1, 0)
+        self.workers = [
+            _Worker(f'w{number}', pools[number % _POOLS])
+            for number in range(size)
+        ]
+
+    def commit(self, command: Command) -> None:
+        """Replicate a command to this store alone."""
+        self.store.apply(next(self._indexes), encode_command(command))
+
+    def step(self) -> None:
+        """Let a quarter of a second pass."""
+        self.now_s += _STEP_S
+        for number in range(max(1, self.size // _WORKERS_PER_JOB)):
+            self._submit(number)
+        for part in range(_PARTS):
+            self._cycle(self.workers[part::_PARTS])
+
+    def _submit(self, number: int) -> None:
+        job_id = f'{next(self._jobs):016x}'
+        spec = JobSpec(job_id, 'payload', (_TASK, _SECOND))
+        self.commit(AddJob(spec, f'queue-{number % _POOLS}'))
+
+    def _cycle(self, heard: list[_Worker]) -> None:
+        reports = [worker.report() for worker in heard]
+        for report in reports:
+            self._hear(report)
+        with self._timed():
+            self.scheduler.lost(self.now_s)
+            starts = self.scheduler.plan(self.now_s, 0)
+            self.scheduler.moves(self.now_s)
+        self.commit(RecordRuns(1, starts=starts))
+        for worker in heard:
+            self._answer(worker)
+
+    def _hear(self, report: WorkerReport) -> None:
+        with self._timed():
+            heard = self.scheduler.hear(report, self.now_s)
+        self.heard += 1
+        if heard is None:
+            return
+        self.commit(RecordRuns(1, ends=heard.ends))
+        numbers = [ended.number for ended in report.ended]
+        noted = max((heard.incarnation.noted, *numbers))
+        heard.incarnation.noted = noted
+
+    def _answer(self, worker: _Worker) -> None:
+        incarnation = self.scheduler.workers.incarnations[worker.name]
+        with self._timed():
+            orders = self.scheduler.orders(incarnation, self.now_s)
+        worker.ended.clear()
+        for start in orders.starts:
+            run = RunningTask(start.task, start.run, '', 1)
+            worker.left[run] = self.rng.randint(2, 5)
+
+    def _timed(self) -> _Timed:
+        return _Timed(self)
+
+
+class _Timed:
+    """Adds the processor time of a block to a fleet's."""
+
+    def __init__(self, fleet: _Fleet) -> None:
+        self._fleet = fleet
+        self._began_s = 0.0
+
+    def __enter__(self) -> None:
+        self._began_s = time.process_time()
+
+    def __exit__(self, *_: object) -> None:
+        self._fleet.spent_s += time.process_time() - self._began_s
+
+
+def run() -> Iterable[Figure]:
+    """Yield the cost of a heartbeat at each size, and how it grows."""
+    costs_us: list[float] = []
+    for size in _SIZES:
+        fleet = _Fleet(size)
+        for _ in range(_STEPS):
+            fleet.step()
+        costs_us.append(fleet.spent_s / fleet.heard * _US_PER_S)
+        name = f'{size} workers: processor time'
+        yield told(_BENCH, name, costs_us[-1], 'us/heartbeat')
+    growth = costs_us[-1] / costs_us[0]
+    name = f'{_SIZES[-1]} workers over {_SIZES[0]}'
+    yield at_most(_BENCH, name, growth, 'ratio', _MOST_GROWTH)
+
+
+def _manifest(pools: list[str]) -> Manifest:
+    queues = tuple(
+        QueueSpec(
+            f'queue-{number}',
+            'jobs.example',
+            f'/{number}/',
+            pool,
+            3000,
+            max_failures=2,
+            slack_factor=1.6,
+            target_latency_ms=3600,
+        )
+        for number, pool in enumerate(pools)
+    )
+    services = tuple(ServiceSpec(pool) for pool in pools)
+    return Manifest(1, queues, services)
--- a/src/wigeonreach/core/_call_handler.py
+++ b/src/wigeonreach/core/_call_handler.py
@@ -87,7 +87,7 @@
 
     def queue_of(self, call: QueueCall) -> tuple[QueueSpec, str] | None:
         """Return a call's queue and what follows its prefix."""
-        queue = self.store.manifest.queue_of(call.host, call.path)
+        queue = self.store.queues.at(call.host, call.path)
         if queue is None:
             return None
         return queue, call.path.removeprefix(queue.path_prefix)
--- a/src/wigeonreach/jobs/_model.py
+++ b/src/wigeonreach/jobs/_model.py
@@ -187,26 +187,6 @@
     max_body_bytes: int = 0
     document: bytes = b''
 
-    def queue_of(self, host: str, path: str) -> QueueSpec | None:
-        """Return the queue whose prefix is the longest that a path has."""
-        matching = [
-            queue
-            for queue in self.queues
-            if queue.host == host and path.startswith(queue.path_prefix)
-        ]
-        return max(
-            matching,
-            key=lambda queue: len(queue.path_prefix),
-            default=None,
-        )
-
-    def queue_named(self, name: str) -> QueueSpec | None:
-        """Return a queue by name."""
-        return next(
-            (queue for queue in self.queues if queue.name == name),
-            None,
-        )
-
 
 class JobPhase(enum.IntEnum):
     """Whether a job goes on, or how it ended."""
--- a/src/wigeonreach/jobs/_store.py
+++ b/src/wigeonreach/jobs/_store.py
@@ -26,6 +26,7 @@
     Verdict,
 )
 from wigeonreach.jobs._model import JobPhase, Manifest, StepSpec, TaskKey
+from wigeonreach.jobs._queue_index import QueueIndex
 from wigeonreach.jobs._records import JobRecord, new_record
 from wigeonreach.jobs._waves import WaveRecord
 
@@ -58,15 +59,21 @@
         For each worker, the runs that it has or may have.
     changed
         Jobs that changed since a reader last cleared this.
+    reassigned
+        Workers whose runs changed since a reader last cleared this.
+    queues
+        Finds the queues of the manifest.
     """
 
     def __init__(self) -> None:
         """Start with nothing accepted."""
         self.manifest = Manifest(version=0)
+        self.queues = QueueIndex(self.manifest)
         self.jobs: dict[str, JobRecord] = {}
         self.waves: dict[int, WaveRecord] = {}
         self.assigned: dict[str, dict[TaskKey, int]] = {}
         self.changed: set[str] = set()
+        self.reassigned: set[str] = set()
         self.term = 0
 
     def apply(self, index: int, command: bytes) -> bytes:
@@ -88,18 +95,24 @@
         """Replace the state by one that ``snapshot`` returned."""
         stored = _SNAPSHOTS.decode(snapshot)
         self.term = stored.term
-        self.manifest = stored.manifest
+        self.put_manifest(stored.manifest)
         self.jobs = {job.spec.job_id: job for job in stored.jobs}
         self.waves = {wave.wave: wave for wave in stored.waves}
+        self.reassigned.update(self.assigned)
         self.assigned = {}
         for job in stored.jobs:
             for key, task in job.assigned():
                 self.assign(task.worker, key, task.run)
         self.changed = set(self.jobs)
 
+    def put_manifest(self, manifest: Manifest) -> None:
+        """Put a manifest in force."""
+        self.manifest = manifest
+        self.queues = QueueIndex(manifest)
+
     def service_of(self, job: JobRecord) -> str:
         """Return the service whose workers may run a job now."""
-        queue = self.manifest.queue_named(job.queue.name)
+        queue = self.queues.named(job.queue.name)
         return queue.service if queue else job.queue.service
 
     def job_of(self, key: TaskKey) -> JobRecord | None:
@@ -130,12 +143,14 @@
     def assign(self, worker: str, key: TaskKey, run: int) -> None:
         """Note that a worker has, or may have, a run."""
         self.assigned.setdefault(worker, {})[key] = run
+        self.reassigned.add(worker)
 
     def unassign(self, worker: str, key: TaskKey) -> None:
         """Note that a worker has a run no more."""
         held = self.assigned.get(worker)
         if held is not None:
             held.pop(key, None)
+            self.reassigned.add(worker)
             if not held:
                 self.assigned.pop(worker)
 
@@ -148,7 +163,7 @@
 @_on.register
 def _on_manifest(command: SetManifest, store: JobStore) -> CommandReply:
     if command.manifest.version > store.manifest.version:
-        store.manifest = command.manifest
+        store.put_manifest(command.manifest)
         store.changed.update(store.jobs)
     return CommandReply(Verdict.DONE, store.manifest.version)
 
@@ -157,7 +172,7 @@
 def _on_add(command: AddJob, store: JobStore) -> CommandReply:
     if command.spec.job_id in store.jobs:
         return CommandReply(Verdict.KNOWN)
-    queue = store.manifest.queue_named(command.queue)
+    queue = store.queues.named(command.queue)
     if queue is None:
         return CommandReply(Verdict.NO_QUEUE)
     store.jobs[command.spec.job_id] = new_record(command.spec, queue)
--- a/src/wigeonreach/scheduling/_placing.py
+++ b/src/wigeonreach/scheduling/_placing.py
@@ -5,18 +5,12 @@
 import dataclasses
 from collections.abc import Iterable, Sequence
 
-from wigeonreach.jobs import JobStore, RunStarted, StepSpec, TaskKey
+from wigeonreach.jobs import JobStore, RunStarted, TaskKey
 from wigeonreach.scheduling._advice import TicketCache
-from wigeonreach.scheduling._ready import ReadyStep, most_together
+from wigeonreach.scheduling._choosing import Ranking, best_room
+from wigeonreach.scheduling._ready import ReadyStep
 from wigeonreach.scheduling._room_left import WorkerRoom
 
-# Weights of what speaks for a worker; each outweighs all behind it.
-_FAILED_HERE = 100.0
-_SLOW = 50.0
-_FAR_FROM_DATA = 10.0
-_BESIDE_SERVING = 4.0
-_CROWDED = 20.0
-
 
 class Plan:
     """Starts that are decided together, on the room of this moment.
@@ -69,9 +63,10 @@
         rooms: Sequence[WorkerRoom],
     ) -> bool:
         is_placed = True
+        ranking = Ranking(step, rooms)
         for index in step.waiting:
             key = _key(step, index)
-            room = _best(step, key, rooms)
+            room = ranking.best(key)
             if room is None:
                 return False
             if _waits_for_another(step, key, room, rooms):
@@ -119,7 +114,7 @@
     chosen: list[tuple[TaskKey, WorkerRoom]] = []
     for index in step.waiting:
         key = _key(step, index)
-        room = _best(step, key, copies)
+        room = best_room(step, key, copies)
         if room is None:
             return None
         room.add(key, step.spec)
@@ -166,58 +161,3 @@
         return False
     is_last = task.failures + 1 >= step.job.queue.max_failures
     return bool(task.failures) and is_last and len(rooms) > 1
-
-
-def _best(
-    step: ReadyStep,
-    key: TaskKey,
-    rooms: Iterable[WorkerRoom],
-) -> WorkerRoom | None:
-    fitting = [room for room in rooms if room.holds(key, step.spec)]
-    return min(
-        fitting,
-        key=lambda room: _cost(step, key, room),
-        default=None,
-    )
-
-
-def _cost(
-    step: ReadyStep,
-    key: TaskKey,
-    room: WorkerRoom,
-) -> tuple[float, float, str]:
-    """Return what speaks against a worker; the lowest is taken."""
-    spec = step.spec
-    report = room.incarnation.report
-    task = step.job.task(key)
-    cost = 0.0
-    if task is not None and task.run and task.worker == report.worker:
-        cost += _FAILED_HERE
-    if spec.data_rack and spec.data_rack != report.rack:
-        cost += _FAR_FROM_DATA
-    if room.is_slow:
-        cost += _SLOW
-    if spec.is_service:
-        cost += _serving_cost(key, spec, room)
-    elif room.serving:
-        cost += _BESIDE_SERVING
-    return cost, _tightness(spec, room), report.worker
-
-
-def _serving_cost(key: TaskKey, spec: StepSpec, room: WorkerRoom) -> float:
-    """Keep a step's tasks on two workers or more, but serving tasks on few.
-
-    The loss of one worker must not cost a step all of its tasks; workers
-    without any serving task run batch work undisturbed, and can be moved.
-    """
-    same_step = room.steps[key.job_id, key.occurrence, key.step]
-    if same_step >= most_together(spec):
-        return _CROWDED + same_step
-    return -min(room.serving, 1)
-
-
-def _tightness(spec: StepSpec, room: WorkerRoom) -> float:
-    """Return the room that would be left; tight fits keep others whole."""
-    if spec.is_service:
-        return -room.left.processors
-    return room.left.processors
--- a/src/wigeonreach/scheduling/_room_left.py
+++ b/src/wigeonreach/scheduling/_room_left.py
@@ -4,10 +4,9 @@
 
 import collections
 import dataclasses
-from collections.abc import Collection
 
 from wigeonreach._room import Room
-from wigeonreach.jobs import JobStore, Run, StepSpec, TaskKey
+from wigeonreach.jobs import JobStore, StepSpec, TaskKey
 from wigeonreach.scheduling._workers import Incarnation
 
 
@@ -57,13 +56,11 @@
 def room_left(
     incarnation: Incarnation,
     store: JobStore,
-    stopping: Collection[Run],
 ) -> WorkerRoom:
     """Return what a worker has left beside all that it has or may have."""
     worker = incarnation.report.worker
     room = WorkerRoom(incarnation, incarnation.room, collections.Counter())
     held = store.held_by(worker)
-    room.is_reserved = any(run in stopping for run in held.items())
     for key in held:
         _add_known(room, key, store)
     for row in incarnation.running:
--- a/src/wigeonreach/scheduling/_scheduler.py
+++ b/src/wigeonreach/scheduling/_scheduler.py
@@ -4,6 +4,7 @@
 
 import collections
 import dataclasses
+from collections.abc import Collection
 
 from wigeonreach.jobs import (
     JobStore,
@@ -27,7 +28,8 @@
 from wigeonreach.scheduling._progress import ProgressWatch
 from wigeonreach.scheduling._quarantine import WorkerQuarantine
 from wigeonreach.scheduling._ready import ReadyStep, ReadySteps
-from wigeonreach.scheduling._room_left import WorkerRoom, room_left
+from wigeonreach.scheduling._room_book import RoomBook
+from wigeonreach.scheduling._room_left import WorkerRoom
 from wigeonreach.scheduling._workers import Incarnation, Workers
 from wigeonreach.wire._worker_messages import WorkerOrders, WorkerReport
 
@@ -88,6 +90,7 @@
         self.pools = PoolPlanner(store, self.workers, move_s, now_s)
         self.stopping: set[Run] = set()
         self.ready = ReadySteps()
+        self._rooms = RoomBook(store)
         self._store = store
         store.changed.update(store.jobs)
         self.ready.refresh(store, now_s)
@@ -103,6 +106,7 @@
         incarnation = self.workers.hear(report, now_s)
         if incarnation is None:
             return None
+        self._rooms.forget(report.worker)
         if report.is_draining and not was_draining:
             left = f'has {report.drain_left_ms} ms left'
             self._note(LogEvent.WORKER_DRAINING, incarnation, left)
@@ -125,6 +129,7 @@
         for worker in over:
             self.pacing.forget(worker)
             self.quarantine.forget(worker)
+            self._rooms.forget(worker)
             self.progress.forget(worker, self._store.held_by(worker))
         self._forget_stopped()
         over.update(
@@ -148,10 +153,14 @@
         steps = self.ready.in_order(now_s, wall_ms)
         if not steps:
             return ()
-        rooms = self.rooms(now_s)
+        needed = {self._store.service_of(step.job) for step in steps}
+        rooms = self.rooms(now_s, needed)
         plan = Plan(self._store, rooms, self.advice, now_s)
         plan.place(steps)
         self._make_room(plan.unplaced, rooms)
+        for start in plan.starts:
+            # Whether it will be recorded is not known yet.
+            self._rooms.forget(start.worker)
         return tuple(plan.starts)
 
     def moves(self, now_s: float) -> list[Move]:
@@ -298,29 +307,44 @@
         if reason:
             self.notes.append(Note(event, incarnation.report.worker, reason))
 
-    def rooms(self, now_s: float) -> dict[str, list[WorkerRoom]]:
-        """Return what each worker that may take something has left."""
+    def rooms(
+        self,
+        now_s: float,
+        services: Collection[str],
+    ) -> dict[str, list[WorkerRoom]]:
+        """Return what is left on each worker of some services.
+
+        Workers that may take nothing now are left out.
+        """
         by_service: dict[str, list[Incarnation]] = collections.defaultdict(list)
         cordoned = self.maintenance.cordoned | self.pools.cordoned
         for incarnation in self.workers.incarnations.values():
-            if (
-                incarnation.may_take(now_s)
-                and incarnation.report.vm not in cordoned
-            ):
-                by_service[incarnation.report.service].append(incarnation)
-        rooms: dict[str, list[WorkerRoom]] = {}
-        for service, incarnations in by_service.items():
-            names = [incarnation.report.worker for incarnation in incarnations]
-            quarantined = self.quarantine.quarantined(names, now_s)
-            rooms[service] = [
-                room_left(incarnation, self._store, self.stopping)
-                for incarnation in incarnations
-                if incarnation.report.worker not in quarantined
-            ]
-            slow = self.progress.slow(names)
-            for room in rooms[service]:
-                worker = room.incarnation.report.worker
-                room.is_slow = worker in slow or self.pacing.is_paced(worker)
+            report = incarnation.report
+            is_asked = report.service in services and report.vm not in cordoned
+            if is_asked and incarnation.may_take(now_s):
+                by_service[report.service].append(incarnation)
+        return {
+            service: self._rooms_of(incarnations, now_s)
+            for service, incarnations in by_service.items()
+        }
+
+    def _rooms_of(
+        self,
+        incarnations: Collection[Incarnation],
+        now_s: float,
+    ) -> list[WorkerRoom]:
+        """Return the room of a pool's workers that are trusted."""
+        names = [incarnation.report.worker for incarnation in incarnations]
+        quarantined = self.quarantine.quarantined(names, now_s)
+        slow = self.progress.slow(names)
+        rooms = [
+            self._rooms.of(incarnation, self.stopping)
+            for incarnation in incarnations
+            if incarnation.report.worker not in quarantined
+        ]
+        for room in rooms:
+            worker = room.incarnation.report.worker
+            room.is_slow = worker in slow or self.pacing.is_paced(worker)
         return rooms
 
     def _make_room(
--- a/src/wigeonreach/scheduling/_workers.py
+++ b/src/wigeonreach/scheduling/_workers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import heapq
 
 from wigeonreach._room import Room
 from wigeonreach.jobs._model import MEBIBYTE, MILLICORES
@@ -85,6 +86,10 @@
 class Workers:
     """All incarnations heard of in this term.
 
+    What is looked at in each cycle does not grow with the fleet: a lease is
+    looked at when it may be over, and a successor is looked for only on VMs
+    with several incarnations.
+
     Parameters
     ----------
     now_s
@@ -96,6 +101,11 @@
         self.incarnations: dict[str, Incarnation] = {}
         self._began_s = now_s
         self._gone_s: dict[str, float] = {}
+        self._by_vm: dict[str, dict[str, Incarnation]] = {}
+        self._shared_vms: set[str] = set()
+        self._leaving: set[str] = set()
+        # When a lease may be over, and whose.
+        self._leases: list[tuple[float, str]] = []
 
     def hear(self, report: WorkerReport, now_s: float) -> Incarnation | None:
         """Take a heartbeat.
@@ -110,10 +120,15 @@
         known = self.incarnations.get(report.worker)
         if known is None:
             known = Incarnation(report, now_s, now_s, room_of(report))
-            self.incarnations[report.worker] = known
+            self._add(known)
             return known
         if report.sequence <= known.report.sequence:
             return None
+        if report.vm != known.report.vm:
+            # The index goes by the VM that it names now.
+            self._remove(report.worker)
+            known.report = report
+            self._add(known)
         known.report = report
         known.heard_s = now_s
         known.room = room_of(report)
@@ -126,6 +141,7 @@
             self._gone_s[worker] = now_s
         elif known.leaves_at_s is None:
             known.leaves_at_s = now_s + _LEAVE_S
+            self._leaving.add(worker)
 
     def note_ordered(self, worker: str, now_s: float) -> None:
         """Take note that an order for its VM was confirmed.
@@ -141,11 +157,11 @@
         """Return which incarnations are over and why; remember them as dead."""
         over = {
             worker: why
-            for worker, incarnation in self.incarnations.items()
-            if (why := self._why_over(incarnation, now_s))
+            for worker in self._suspects(now_s)
+            if (why := self._why_over(self.incarnations[worker], now_s))
         }
         for worker in over:
-            self.incarnations.pop(worker)
+            self._remove(worker)
             self._gone_s[worker] = now_s
         self._forget_gone(now_s)
         return over
@@ -160,15 +176,47 @@
     def of_vm(self, vm: str) -> Incarnation | None:
         """Return the newest incarnation on a VM."""
         return max(
-            (
-                incarnation
-                for incarnation in self.incarnations.values()
-                if incarnation.report.vm == vm
-            ),
+            self._by_vm.get(vm, {}).values(),
             key=lambda incarnation: incarnation.first_heard_s,
             default=None,
         )
 
+    def _add(self, incarnation: Incarnation) -> None:
+        report = incarnation.report
+        self.incarnations[report.worker] = incarnation
+        lease = (incarnation.lease_over_s, report.worker)
+        heapq.heappush(self._leases, lease)
+        if report.vm:
+            on_vm = self._by_vm.setdefault(report.vm, {})
+            on_vm[report.worker] = incarnation
+            if len(on_vm) > 1:
+                self._shared_vms.add(report.vm)
+
+    def _remove(self, worker: str) -> None:
+        vm = self.incarnations.pop(worker).report.vm
+        self._leaving.discard(worker)
+        on_vm = self._by_vm.get(vm, {})
+        on_vm.pop(worker, None)
+        if len(on_vm) < 2:  # noqa: WPS432 - one is alone
+            self._shared_vms.discard(vm)
+        if not on_vm:
+            self._by_vm.pop(vm, None)
+
+    def _suspects(self, now_s: float) -> set[str]:
+        """Return who may be over: by lease, on its word or by a successor."""
+        suspects = set(self._leaving)
+        for vm in self._shared_vms:
+            suspects.update(self._by_vm[vm])
+        while self._leases and self._leases[0][0] <= now_s:
+            _, worker = heapq.heappop(self._leases)
+            known = self.incarnations.get(worker)
+            if known is None:
+                continue
+            suspects.add(worker)
+            if known.lease_over_s > now_s:
+                heapq.heappush(self._leases, (known.lease_over_s, worker))
+        return suspects
+
     def _why_over(self, incarnation: Incarnation, now_s: float) -> str:
         """Return why an incarnation is over, or nothing if it goes on."""
         if now_s >= incarnation.lease_over_s:
@@ -184,15 +232,11 @@
 
     def _has_successor(self, incarnation: Incarnation) -> bool:
         """Whether another incarnation goes on at its VM while it is silent."""
-        vm = incarnation.report.vm
-        if not vm:
-            return False
         return any(
-            other.report.vm == vm
-            and other is not incarnation
+            other is not incarnation
             and other.heard_s - _SUCCESSOR_PROVEN_S
             > max(other.first_heard_s, incarnation.heard_s)
-            for other in self.incarnations.values()
+            for other in self._by_vm.get(incarnation.report.vm, {}).values()
         )
 
     def _forget_gone(self, now_s: float) -> None:
--- a/tests/jobs/test_store.py
+++ b/tests/jobs/test_store.py
@@ -33,6 +33,7 @@
     TaskPhase,
     Verdict,
 )
+from wigeonreach.jobs._queue_index import QueueIndex
 
 _WORKER = 'w0'
 
@@ -112,8 +113,16 @@
         """A path belongs to the queue with the longest prefix."""
         short = queue('short', path_prefix='/a/')
         long = queue('long', path_prefix='/a/b/')
-        found = manifest(short, long).queue_of('club.example', '/a/b/c')
-        self.assertThat(found, matchers.Equals(long))
+        index = QueueIndex(manifest(short, long))
+        for path, expected in (
+            ('/a/b/c', long),
+            ('/a/b/', long),
+            ('/a/bc', short),
+            ('/a', None),
+        ):
+            found = index.at('club.example', path)
+            self.assertThat(found, matchers.Equals(expected), path)
+        self.assertThat(index.at('other', '/a/b/'), matchers.Is(None))
 
 
 class TestRuns(testtools.TestCase):
--- /dev/null
+++ b/tests/scheduling/test_choosing.py
@@ -0,0 +1,84 @@
+"""Test that ranking a step's workers once chooses as asking anew each time."""
+
+from __future__ import annotations
+
+import random
+
+import testtools
+from testtools import matchers
+
+from tests.builders_jobs import (
+    FakeWorker,
+    job,
+    key,
+    step,
+    store_with,
+)
+from wigeonreach.jobs import JobStore, StepSpec
+from wigeonreach.scheduling._choosing import Ranking, best_room
+from wigeonreach.scheduling._ready import ReadyStep, ReadySteps
+from wigeonreach.scheduling._room_left import WorkerRoom, room_left
+from wigeonreach.scheduling._workers import Incarnation, room_of
+
+_DRAWS = 200
+_RACKS = ('near', 'far')
+
+
+def _rooms(rng: random.Random, store: JobStore) -> list[WorkerRoom]:
+    rooms: list[WorkerRoom] = []
+    for number in range(rng.randint(1, 8)):
+        worker = FakeWorker(f'w{number}', f'vm{number}')
+        worker.cpu_millicores = rng.choice((1000, 4000, 16_000))
+        worker.rack = rng.choice(_RACKS)
+        report = worker.report()
+        incarnation = Incarnation(report, 0, 0, room_of(report))
+        room = room_left(incarnation, store)
+        room.is_slow = not rng.randrange(5)
+        room.serving = rng.randint(0, 1)
+        rooms.append(room)
+    return rooms
+
+
+def _step(rng: random.Random) -> StepSpec:
+    return step(
+        rng.randint(1, 12),
+        cpu_millicores=rng.choice((500, 2000)),
+        spread_limit=rng.choice((0, 0, 1, 2)),
+        data_rack=rng.choice(('', 'near')),
+    )
+
+
+def _ready(store: JobStore) -> ReadyStep:
+    ready = ReadySteps()
+    ready.refresh(store, 0)
+    return ready.in_order(0, 0)[0]
+
+
+class TestRanking(testtools.TestCase):
+    """Steps of unlike tasks on workers of unlike room."""
+
+    def test_choice_is_that_of_asking_all_workers_each_time(self) -> None:
+        """For each task the same worker, or none, as a look at all."""
+        for seed in range(_DRAWS):
+            rng = random.Random(seed)
+            store = store_with(job(_step(rng)))
+            ready = _ready(store)
+            state = rng.getstate()
+            ranked = _rooms(rng, store)
+            rng.setstate(state)
+            looked_at = _rooms(rng, store)
+            ranking = Ranking(ready, ranked)
+            for index in ready.waiting:
+                found = _put(ranking.best(key(index)), ready, index)
+                looked = best_room(ready, key(index), looked_at)
+                expected = _put(looked, ready, index)
+                place = f'seed {seed}, task {index}'
+                self.assertThat(found, matchers.Equals(expected), place)
+
+
+def _put(room: WorkerRoom | None, ready: ReadyStep, index: int) -> str:
+    """Put a task on a worker; return its name, or nothing without one."""
+    if room is None:
+        return ''
+    room.add(key(index), ready.spec)
+    return room.incarnation.report.worker
--- a/tests/scheduling/test_scheduler.py
+++ b/tests/scheduling/test_scheduler.py
@@ -8,6 +8,7 @@
 from tests.builders_jobs import (
     JOB,
     OTHER_JOB,
+    SERVICE,
     FakeLead,
     FakeWorker,
     job,
@@ -54,7 +55,7 @@
         worker = lead.workers['w0']
         lead.hear(worker)
         self.assertThat(lead.plan(), matchers.HasLength(0))
-        rooms = lead.scheduler.rooms(lead.now_s)
+        rooms = lead.scheduler.rooms(lead.now_s, {SERVICE})
         left = rooms['desk'][0].left
         self.assertThat(left.processors, matchers.Equals(0))
 
--- /dev/null
+++ b/tests/scheduling/test_workers.py
@@ -0,0 +1,102 @@
+"""Test how incarnations of workers are followed, one by one and in fleets."""
+
+from __future__ import annotations
+
+import testtools
+from testtools import matchers
+
+from tests.builders_jobs import (
+    SERVICE,
+    FakeLead,
+    FakeWorker,
+    job,
+    step,
+    store_with,
+    workers,
+)
+from wigeonreach.jobs import RunEnd
+from wigeonreach.scheduling._workers import LEASE_OVER_S, Workers
+
+_SOON_S = 0.2
+
+
+class TestWorkers(testtools.TestCase):
+    """Which incarnations go on and which are over."""
+
+    def setUp(self) -> None:
+        """Follow nobody yet."""
+        super().setUp()
+        self.followed = Workers(0)
+
+    def test_only_a_silent_worker_is_over(self) -> None:
+        """Each lease is looked at when it is due, and again when it lasts."""
+        heard, silent = workers(2)
+        for worker in (heard, silent):
+            self.followed.hear(worker.report(), 0)
+        now_s = 0.0
+        while now_s < LEASE_OVER_S - _SOON_S:
+            now_s += _SOON_S
+            self.followed.hear(heard.report(), now_s)
+            self.assertThat(self.followed.ended(now_s), matchers.Equals({}))
+        ended = self.followed.ended(LEASE_OVER_S)
+        self.assertThat(set(ended), matchers.Equals({'w1'}))
+        ended = self.followed.ended(now_s + LEASE_OVER_S)
+        self.assertThat(set(ended), matchers.Equals({'w0'}))
+
+    def test_successor_on_a_vm_ends_the_silent_incarnation(self) -> None:
+        """And the VM's newest incarnation is known from its first word on."""
+        old, new = FakeWorker('old', 'vm'), FakeWorker('new', 'vm')
+        self.followed.hear(old.report(), 0)
+        for now_s in (1.0, 1.5, 2.5):
+            self.followed.hear(new.report(), now_s)
+            of_vm = self.followed.of_vm('vm')
+            assert of_vm is not None
+            self.assertThat(of_vm.report.worker, matchers.Equals('new'))
+        self.assertThat(set(self.followed.ended(2.5)), matchers.Equals({'old'}))
+
+    def test_worker_that_names_another_vm_is_found_there(self) -> None:
+        """The index follows the newest heartbeat."""
+        worker = FakeWorker('w', 'first')
+        self.followed.hear(worker.report(), 0)
+        worker.vm = 'second'
+        self.followed.hear(worker.report(), _SOON_S)
+        self.assertThat(self.followed.of_vm('first'), matchers.Is(None))
+        self.assertThat(
+            self.followed.of_vm('second'), matchers.Not(matchers.Is(None))
+        )
+        self.followed.ended(_SOON_S + LEASE_OVER_S)
+        self.assertThat(self.followed.of_vm('second'), matchers.Is(None))
+
+
+class TestRoomOfWorkers(testtools.TestCase):
+    """Room is counted anew whenever something changed on a worker."""
+
+    def test_room_follows_starts_ends_and_reports(self) -> None:
+        """A start takes room, its end gives it back."""
+        store = store_with(job(step(1)))
+        lead = FakeLead(store, workers(1))
+        worker = lead.workers['w0']
+        lead.hear(worker)
+        self.assertThat(self._left(lead), matchers.Equals(16))
+        lead.round()
+        self.assertThat(self._left(lead), matchers.Equals(15))
+        worker.end(next(iter(worker.running)), RunEnd.DONE)
+        lead.hear(worker)
+        self.assertThat(self._left(lead), matchers.Equals(16))
+        worker.cpu_millicores = 8000
+        lead.hear(worker)
+        self.assertThat(self._left(lead), matchers.Equals(8))
+
+    def test_start_that_is_not_recorded_takes_no_room(self) -> None:
+        """A plan whose record failed is made again on the same room."""
+        store = store_with(job(step(1)))
+        lead = FakeLead(store, workers(1))
+        lead.hear(lead.workers['w0'])
+        for _ in range(2):
+            starts = lead.scheduler.plan(lead.now_s, 0)
+            self.assertThat(starts, matchers.HasLength(1))
+            self.assertThat(self._left(lead), matchers.Equals(16))
+
+    def _left(self, lead: FakeLead) -> float:
+        rooms = lead.scheduler.rooms(lead.now_s, {SERVICE})
+        return rooms[SERVICE][0].left.processors
