Disturb real core processes at random and check what they promise

A soak draws from a seed what goes wrong: processes are killed, ended, paused and started again, disks wiped, torn and filled, links cut (also one way), delayed, reset and silenced, workers crash. Callers, operators and stand-in workers use the processes meanwhile through the product's own interface. For that the core gets a command of its own (wigeonreach core), an address that it advertises, and the relay of the benches can be shared by sources. The fake worker of the tests is a stand-in of the product now.

--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,10 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 NAME ?=
+SEEDS ?= 1-50
+MINUTES ?= 0
 
-.PHONY: run test format proofs bench capacity clean
+.PHONY: run test format proofs bench soak capacity clean
 
 $(STAMP): requirements.txt pyproject.toml
 	python3 -m venv $(VENV)
@@ -16,13 +18,13 @@
 	$(BIN)/python -m bench.main_job
 
 test: $(STAMP)
-	$(BIN)/ruff format --check src tests proofs bench
-	$(BIN)/flake8 src tests proofs bench
+	$(BIN)/ruff format --check src tests proofs bench soak
+	$(BIN)/flake8 src tests proofs bench soak
 	$(BIN)/mypy
 	$(BIN)/python -m pytest tests
 
 format: $(STAMP)
-	$(BIN)/ruff format src tests proofs bench
+	$(BIN)/ruff format src tests proofs bench soak
 
 proofs: $(STAMP)
 	$(BIN)/python -m pytest proofs
@@ -30,6 +32,10 @@
 bench: $(STAMP)
 	$(BIN)/python -m bench $(NAME)
 
+# SEEDS=1-50, or MINUTES=5 of fresh seeds, or both left out.
+soak: $(STAMP)
+	$(BIN)/python -m soak --seeds "$(SEEDS)" --minutes $(MINUTES)
+
 clean:
 	rm -rf $(VENV) run
 
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -30,6 +30,19 @@
     backward_cut: bool = False
     delay_s: float = 0
     passed_bytes: int = 0
+    open_ends: list[_End] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(slots=True)
+class _End:
+    """One connection of a link, by both its writers."""
+
+    writers: tuple[asyncio.StreamWriter, asyncio.StreamWriter]
+    is_silent: bool = False
+
+
+# Tells the source of a connection by its first bytes.
+SourceOf = Callable[[bytes], str]
 
 
 class Relay:
@@ -64,12 +77,54 @@
         self._links.append(link)
         return self._call(self._listen(link))
 
+    def share(self, target: str, address: str, source_of: SourceOf) -> str:
+        """Listen for all sources of a target, told by their first bytes.
+
+        Parameters
+        ----------
+        target, address
+            Name of the process and where it really listens.
+        source_of
+            Returns the name of who sent the first bytes of a connection.
+
+        Returns
+        -------
+        str
+            Address of the relay for this target.
+        """
+        return self._call(self._listen_shared(target, address, source_of))
+
+    def link(self, source: str, target: str, address: str) -> Link:
+        """Return the link between two processes, made if there is none."""
+        for known in self._links:
+            if (known.source, known.target) == (source, target):
+                known.address = address
+                return known
+        made = Link(source, target, address)
+        self._links.append(made)
+        return made
+
+    def reset(self, chosen: Callable[[Link], bool]) -> None:
+        """Abort all open connections of the chosen links."""
+        self._loop.call_soon_threadsafe(self._reset, list(self._links), chosen)
+
+    def silence(self, chosen: Callable[[Link], bool]) -> None:
+        """Let nothing pass open connections any more; new ones work."""
+        for link in filter(chosen, self._links):
+            for end in link.open_ends:
+                end.is_silent = True
+
     def cut(self, chosen: Callable[[Link], bool]) -> None:
         """Hold back both directions of the chosen links."""
         for link in filter(chosen, self._links):
             link.forward_cut = True
             link.backward_cut = True
 
+    def cut_forward(self, chosen: Callable[[Link], bool]) -> None:
+        """Hold back what the sources of the chosen links send."""
+        for link in filter(chosen, self._links):
+            link.forward_cut = True
+
     def cut_one_way(self, source: str, target: str) -> None:
         """Hold back what ``source`` sends to ``target``, not the reverse."""
         for link in self._links:
@@ -113,19 +168,45 @@
         return asyncio.run_coroutine_threadsafe(work, self._loop).result()
 
     async def _listen(self, link: Link) -> str:
-        server = await asyncio.start_server(
-            lambda reader, writer: self._accept(link, reader, writer),
-            _HOST,
-            0,
+        return await _listen_at(
+            lambda reader, writer: self._accept(link, reader, writer, b''),
         )
-        port = server.sockets[0].getsockname()[1]
-        return f'{_HOST}:{port}'
+
+    async def _listen_shared(
+        self,
+        target: str,
+        address: str,
+        source_of: SourceOf,
+    ) -> str:
+        async def accept(  # noqa: WPS430 - asyncio wants a callback
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            first = await reader.read(_CHUNK_BYTES)
+            if not first:
+                writer.close()
+                return
+            link = self.link(source_of(first), target, address)
+            await self._accept(link, reader, writer, first)
+
+        return await _listen_at(accept)
+
+    def _reset(
+        self,
+        links: list[Link],
+        chosen: Callable[[Link], bool],
+    ) -> None:
+        for link in filter(chosen, links):
+            for end in link.open_ends:
+                for writer in end.writers:
+                    writer.transport.abort()
 
     async def _accept(
         self,
         link: Link,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        first: bytes,
     ) -> None:
         host, _, port = link.address.rpartition(':')
         try:
@@ -136,12 +217,28 @@
         except OSError:
             writer.close()
             return
+        end = _End((writer, far_writer))
+        link.open_ends.append(end)
+        way = _Way(link, end, lambda: link.forward_cut)
+        way_back = _Way(link, end, lambda: link.backward_cut)
         # The relay may be closed while connections are open.
         with contextlib.suppress(asyncio.CancelledError):
             await asyncio.gather(
-                _pump(reader, far_writer, link, lambda: link.forward_cut),
-                _pump(far_reader, writer, link, lambda: link.backward_cut),
+                _pump(reader, far_writer, way, first),
+                _pump(far_reader, writer, way_back, b''),
             )
+        link.open_ends.remove(end)
+
+
+async def _listen_at(
+    accept: Callable[
+        [asyncio.StreamReader, asyncio.StreamWriter],
+        Coroutine[Any, Any, None],
+    ],
+) -> str:
+    server = await asyncio.start_server(accept, _HOST, 0)
+    port = server.sockets[0].getsockname()[1]
+    return f'{_HOST}:{port}'
 
 
 async def _cancel_others() -> None:
@@ -151,22 +248,36 @@
     await asyncio.gather(*others, return_exceptions=True)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Way:
+    """One direction of one connection."""
+
+    link: Link
+    end: _End
+    is_cut: Callable[[], bool]
+
+    async def held(self) -> None:
+        """Wait as long as nothing passes."""
+        if self.link.delay_s:
+            await asyncio.sleep(self.link.delay_s)
+        while self.end.is_silent or self.is_cut():
+            await asyncio.sleep(_HELD_POLL_S)
+
+
 async def _pump(
     reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
-    link: Link,
-    is_cut: Callable[[], bool],
+    way: _Way,
+    first: bytes,
 ) -> None:
     with contextlib.suppress(OSError):
+        chunk = first or await reader.read(_CHUNK_BYTES)
         while True:
-            chunk = await reader.read(_CHUNK_BYTES)
-            if link.delay_s:
-                await asyncio.sleep(link.delay_s)
-            while is_cut():
-                await asyncio.sleep(_HELD_POLL_S)
+            await way.held()
             if not chunk:
                 break
             writer.write(chunk)
-            link.passed_bytes += len(chunk)
+            way.link.passed_bytes += len(chunk)
             await writer.drain()
+            chunk = await reader.read(_CHUNK_BYTES)
     writer.close()
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Disturb real core processes at random while callers and workers use them."""
--- a/src/wigeonreach/cli/_app.py
+++ b/src/wigeonreach/cli/_app.py
@@ -5,6 +5,7 @@
 import typer
 
 from wigeonreach.cli._config_commands import apply, plan, restore
+from wigeonreach.cli._core_command import core
 from wigeonreach.cli._daemon_commands import entry, replica
 from wigeonreach.cli._explain_command import explain
 from wigeonreach.cli._group import NumberedGroup
@@ -24,6 +25,7 @@
 app.command()(entry)
 app.command()(replica)
 app.command()(manager)
+app.command()(core)
 app.command()(apply)
 app.command()(plan)
 app.command()(restore)
--- a/src/wigeonreach/core/_daemon.py
+++ b/src/wigeonreach/core/_daemon.py
@@ -196,7 +196,8 @@
     def _with_next_core(self, reply: AnyReply) -> AnyReply:
         """Tell a worker who leads, which saves its next heartbeat a hop."""
         leader = self._agreement.leader
-        if not isinstance(reply, Orders) or not leader:
+        has_api = self._settings.api_port > 0
+        if not isinstance(reply, Orders) or not leader or not has_api:
             return reply
         host = parse_address(leader, 'leader').host
         address = f'{host}:{self._settings.api_port}'
--- a/src/wigeonreach/core/_settings.py
+++ b/src/wigeonreach/core/_settings.py
@@ -15,7 +15,7 @@
     Attributes
     ----------
     listen
-        Address for the other processes; as text it is the process's name.
+        Address for the other processes.
     seeds
         Names of some core processes.
     is_first_start
@@ -24,11 +24,14 @@
     tolerated_losses
         Disks that may be lost at once.
     api_port
-        Port on which workers reach any core process.
+        Port on which workers reach any core process; 0 if there is none, as
+        workers find the leader by themselves.
     order_pause_s
         How long two holders' orders for one VM must be apart.
     move_s
         How long a VM is away while it moves to another pool.
+    advertised
+        Address at which the others reach it, where that is not ``listen``.
     """
 
     listen: Address
@@ -40,11 +43,12 @@
     api_port: int
     order_pause_s: float
     move_s: float
+    advertised: Address | None = None
 
     @property
     def name(self) -> str:
-        """Name of the process."""
-        return str(self.listen)
+        """Name of the process: the address at which the others reach it."""
+        return str(self.advertised or self.listen)
 
     @property
     def voter_target(self) -> int:
--- a/src/wigeonreach/standins/__init__.py
+++ b/src/wigeonreach/standins/__init__.py
@@ -1,5 +1,6 @@
-"""Stand in for the systems outside: targets, platform and callers."""
+"""Stand in for the systems outside: targets, workers, platform and callers."""
 
 from wigeonreach.standins._app import app
+from wigeonreach.standins._worker import StandInWorker
 
-__all__ = ('app',)
+__all__ = ('StandInWorker', 'app')
--- /dev/null
+++ b/src/wigeonreach/standins/_worker.py
@@ -0,0 +1,123 @@
+"""Stand in for a worker that runs tasks under a lease."""
+
+from __future__ import annotations
+
+import dataclasses
+import itertools
+from collections.abc import Iterator
+
+from wigeonreach.jobs import Run, RunEnd
+from wigeonreach.wire._worker_messages import (
+    EndedRun,
+    RunningTask,
+    StartOrder,
+    WorkerOrders,
+    WorkerReport,
+)
+
+_MS_PER_S = 1000
+
+
+@dataclasses.dataclass(slots=True)
+class StandInWorker:
+    """One incarnation of a worker; it obeys, and does no work of its own.
+
+    Attributes
+    ----------
+    vm
+        Outlives the worker.
+    fence
+        The highest that it was given; orders under a lower one are ignored.
+    lease_until_s
+        When its lease is over, on the clock that ``obey`` is given.
+    running, ended
+        Its runs; ends are listed until they are acknowledged.
+    """
+
+    name: str
+    vm: str
+    service: str = 'desk'
+    cpu_millicores: int = 16_000
+    sequence: int = 0
+    is_draining: bool = False
+    rack: str = 'rack'
+    fence: int = 0
+    lease_until_s: float = 0.0
+    running: dict[Run, RunningTask] = dataclasses.field(default_factory=dict)
+    ended: list[EndedRun] = dataclasses.field(default_factory=list)
+    _numbers: Iterator[int] = dataclasses.field(
+        default_factory=lambda: itertools.count(1),
+    )
+
+    def report(self) -> WorkerReport:
+        """Return the next heartbeat."""
+        self.sequence += 1
+        return WorkerReport(
+            worker=self.name,
+            vm=self.vm,
+            service=self.service,
+            address='127.0.0.1:1',
+            zone='a',
+            sequence=self.sequence,
+            is_draining=self.is_draining,
+            cpu_millicores=self.cpu_millicores,
+            memory_mb=32 * 1024,
+            labels=('kind', self.rack),
+            rack=self.rack,
+            running=tuple(self.running.values()),
+            ended=tuple(self.ended),
+        )
+
+    def obey(
+        self,
+        orders: WorkerOrders,
+        percent: int = 100,
+        sent_s: float = 0.0,
+    ) -> tuple[StartOrder, ...]:
+        """Stop and start what the orders say.
+
+        Parameters
+        ----------
+        orders
+            Answer to the newest heartbeat.
+        percent
+            How far a run is that starts.
+        sent_s
+            When that heartbeat was sent.
+
+        Returns
+        -------
+        tuple of StartOrder
+            What was started.
+        """
+        if orders.fence < self.fence or not orders.lease_ms:
+            return ()
+        self.fence = orders.fence
+        lease_until_s = sent_s + orders.lease_ms / _MS_PER_S
+        self.lease_until_s = max(self.lease_until_s, lease_until_s)
+        self.ended = [
+            ended for ended in self.ended if ended.number > orders.acknowledged
+        ]
+        for stop in orders.stops:
+            if (stop.task, stop.run) in self.running:
+                self.end((stop.task, stop.run), RunEnd.STOPPED)
+        for start in orders.starts:
+            run = (start.task, start.run)
+            self.running[run] = RunningTask(*run, '', percent)
+        return orders.starts
+
+    def lapse(self, now_s: float) -> None:
+        """End all runs if the lease is over."""
+        if now_s > self.lease_until_s:
+            for run in list(self.running):
+                self.end(run, RunEnd.LAPSED)
+
+    def advance(self, percent: int) -> None:
+        """Let all runs be so far."""
+        for run in self.running:
+            self.running[run] = RunningTask(*run, '', percent)
+
+    def end(self, run: Run, how: RunEnd) -> None:
+        """Let a run end."""
+        self.running.pop(run)
+        self.ended.append(EndedRun(next(self._numbers), *run, how))
--- a/tests/builders_jobs.py
+++ b/tests/builders_jobs.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 import itertools
 from collections.abc import Iterable
 
@@ -17,7 +16,6 @@
     QueueSpec,
     RecordRuns,
     RecordVmStep,
-    RunEnd,
     RunStarted,
     ServiceSpec,
     SetManifest,
@@ -30,12 +28,7 @@
     encode_command,
 )
 from wigeonreach.scheduling import Scheduler
-from wigeonreach.wire._worker_messages import (
-    EndedRun,
-    RunningTask,
-    WorkerOrders,
-    WorkerReport,
-)
+from wigeonreach.standins import StandInWorker
 
 QUEUE = 'bookings'
 SERVICE = 'desk'
@@ -121,69 +114,6 @@
     return store
 
 
-@dataclasses.dataclass(slots=True)
-class FakeWorker:
-    """A worker that does what it is ordered, when it is told to.
-
-    ``vm`` outlives the worker; ``ended`` holds ends until acknowledged.
-    """
-
-    name: str
-    vm: str
-    service: str = SERVICE
-    cpu_millicores: int = 16_000
-    sequence: int = 0
-    is_draining: bool = False
-    rack: str = 'rack'
-    running: dict[tuple[TaskKey, int], RunningTask] = dataclasses.field(
-        default_factory=dict,
-    )
-    ended: list[EndedRun] = dataclasses.field(default_factory=list)
-    _numbers: itertools.count[int] = dataclasses.field(
-        default_factory=lambda: itertools.count(1),
-    )
-
-    def report(self) -> WorkerReport:
-        """Return the next heartbeat."""
-        self.sequence += 1
-        return WorkerReport(
-            worker=self.name,
-            vm=self.vm,
-            service=self.service,
-            address='127.0.0.1:1',
-            zone='a',
-            sequence=self.sequence,
-            is_draining=self.is_draining,
-            cpu_millicores=self.cpu_millicores,
-            memory_mb=32 * 1024,
-            labels=('kind', self.rack),
-            rack=self.rack,
-            running=tuple(self.running.values()),
-            ended=tuple(self.ended),
-        )
-
-    def obey(self, orders: WorkerOrders, percent: int = 100) -> None:
-        """Start and stop what the orders say."""
-        self.ended = [
-            ended for ended in self.ended if ended.number > orders.acknowledged
-        ]
-        for stop in orders.stops:
-            self.end((stop.task, stop.run), RunEnd.STOPPED)
-        for start in orders.starts:
-            run = (start.task, start.run)
-            self.running[run] = RunningTask(*run, '', percent)
-
-    def advance(self, percent: int) -> None:
-        """Let all runs be so far."""
-        for run in self.running:
-            self.running[run] = RunningTask(*run, '', percent)
-
-    def end(self, run: tuple[TaskKey, int], how: RunEnd) -> None:
-        """Let a run end."""
-        self.running.pop(run)
-        self.ended.append(EndedRun(next(self._numbers), *run, how))
-
-
 class FakeLead:
     """A leader's scheduler, whose records are committed at once.
 
@@ -198,7 +128,7 @@
     def __init__(
         self,
         store: JobStore,
-        workers: Iterable[FakeWorker],
+        workers: Iterable[StandInWorker],
         term: int = TERM,
         now_s: float = 0.0,
     ) -> None:
@@ -221,7 +151,7 @@
             if incarnation is not None:
                 told.obey(self.scheduler.orders(incarnation, self.now_s))
 
-    def hear(self, worker: FakeWorker) -> None:
+    def hear(self, worker: StandInWorker) -> None:
         """Take one heartbeat in."""
         heard = self.scheduler.hear(worker.report(), self.now_s)
         if heard is None:
@@ -255,6 +185,8 @@
         commit(self.store, RecordVmStep(self.term, 1, vm, reached, worker))
 
 
-def workers(count: int) -> list[FakeWorker]:
+def workers(count: int) -> list[StandInWorker]:
     """Return workers on VMs of their own."""
-    return [FakeWorker(f'w{number}', f'vm{number}') for number in range(count)]
+    return [
+        StandInWorker(f'w{number}', f'vm{number}') for number in range(count)
+    ]
--- a/tests/cli/test_settings.py
+++ b/tests/cli/test_settings.py
@@ -11,7 +11,7 @@
 
 from wigeonreach.cli import app
 
-_DAEMONS = ('entry', 'replica', 'manager')
+_DAEMONS = ('entry', 'replica', 'manager', 'core')
 _PAGE = pathlib.Path(__file__).parents[2] / 'docs' / 'SETTINGS.md'
 _WHOLE_REPLICA = (
     'replica',
--- a/tests/core/test_daemon.py
+++ b/tests/core/test_daemon.py
@@ -6,8 +6,9 @@
 from testtools import matchers
 
 from tests.builders_core import CoreCluster, run_cluster
-from tests.builders_jobs import JOB, FakeWorker, job, key, manifest, step
+from tests.builders_jobs import JOB, job, key, manifest, step
 from wigeonreach.jobs import JobPhase, RunEnd
+from wigeonreach.standins import StandInWorker
 from wigeonreach.wire._call_messages import (
     CancelJobCall,
     HearWorker,
@@ -32,7 +33,7 @@
 _PLACE = (_HOST, f'/bookings/{JOB}')
 
 
-async def _beat(cluster: CoreCluster, worker: FakeWorker) -> None:
+async def _beat(cluster: CoreCluster, worker: StandInWorker) -> None:
     reply = await cluster.call(HearWorker(worker.report()))
     assert isinstance(reply, Orders), reply
     worker.obey(reply.orders, percent=1)
@@ -45,7 +46,7 @@
         """From its submission over one worker to its end."""
 
         async def body(cluster: CoreCluster) -> None:
-            worker = FakeWorker('w', 'vm')
+            worker = StandInWorker('w', 'vm')
             await cluster.call(SubmitJob(*_PLACE, job(step(1))))
             while not worker.running:
                 await _beat(cluster, worker)
@@ -69,7 +70,7 @@
         """Another process leads, and knows job, run and manifest."""
 
         async def body(cluster: CoreCluster) -> None:
-            worker = FakeWorker('w', 'vm')
+            worker = StandInWorker('w', 'vm')
             await cluster.call(SubmitJob(*_PLACE, job(step(1))))
             while not worker.running:
                 await _beat(cluster, worker)
@@ -148,7 +149,7 @@
         """The order carries the leader's term as its fence."""
 
         async def body(cluster: CoreCluster) -> None:
-            worker = FakeWorker('w', 'vm')
+            worker = StandInWorker('w', 'vm')
             await _beat(cluster, worker)
             await cluster.call(StartWaveCall(1, ('vm',), 20, 1))
             while not cluster.vms.orders:
--- a/tests/scheduling/test_choosing.py
+++ b/tests/scheduling/test_choosing.py
@@ -8,7 +8,6 @@
 from testtools import matchers
 
 from tests.builders_jobs import (
-    FakeWorker,
     job,
     key,
     step,
@@ -19,6 +18,7 @@
 from wigeonreach.scheduling._ready import ReadyStep, ReadySteps
 from wigeonreach.scheduling._room_left import WorkerRoom, room_left
 from wigeonreach.scheduling._workers import Incarnation, room_of
+from wigeonreach.standins import StandInWorker
 
 _DRAWS = 200
 _RACKS = ('near', 'far')
@@ -27,7 +27,7 @@
 def _rooms(rng: random.Random, store: JobStore) -> list[WorkerRoom]:
     rooms: list[WorkerRoom] = []
     for number in range(rng.randint(1, 8)):
-        worker = FakeWorker(f'w{number}', f'vm{number}')
+        worker = StandInWorker(f'w{number}', f'vm{number}')
         worker.cpu_millicores = rng.choice((1000, 4000, 16_000))
         worker.rack = rng.choice(_RACKS)
         report = worker.report()
--- a/tests/scheduling/test_gangs.py
+++ b/tests/scheduling/test_gangs.py
@@ -7,20 +7,20 @@
 
 from tests.builders_jobs import (
     FakeLead,
-    FakeWorker,
     job,
     step,
     store_with,
     workers,
 )
 from wigeonreach.jobs import RunEnd
+from wigeonreach.standins import StandInWorker
 
 _HALF = 8_000
 
 
-def _on_racks(*racks: str) -> list[FakeWorker]:
+def _on_racks(*racks: str) -> list[StandInWorker]:
     return [
-        FakeWorker(f'w{number}', f'vm{number}', rack=rack)
+        StandInWorker(f'w{number}', f'vm{number}', rack=rack)
         for number, rack in enumerate(racks)
     ]
 
--- a/tests/scheduling/test_maintenance.py
+++ b/tests/scheduling/test_maintenance.py
@@ -7,7 +7,6 @@
 
 from tests.builders_jobs import (
     FakeLead,
-    FakeWorker,
     commit,
     job,
     serving_step,
@@ -16,6 +15,7 @@
 )
 from wigeonreach.jobs import StartWave, VmStep
 from wigeonreach.scheduling._vms import VmPhase, VmRecord
+from wigeonreach.standins import StandInWorker
 
 
 def _record(vm: str, phase: VmPhase) -> VmRecord:
@@ -80,7 +80,7 @@
         lead.round()
         lead.start_wave(('vm0',), limit=1)
         lead.record_vm('vm0', VmStep.ORDERED, 'w0')
-        lead.workers['w0'] = FakeWorker('reborn', 'vm0')
+        lead.workers['w0'] = StandInWorker('reborn', 'vm0')
         for _ in range(12):
             lead.round(0.2)
         step = maintenance.step(set(), lead.now_s)
@@ -92,7 +92,7 @@
             maintenance.step(set(), lead.now_s).returned,
             matchers.HasLength(0),
         )
-        lead.workers['w0'] = FakeWorker('maintained', 'vm0')
+        lead.workers['w0'] = StandInWorker('maintained', 'vm0')
         lead.round()
         self.assertThat(
             maintenance.step(set(), lead.now_s).returned,
--- a/tests/scheduling/test_progress.py
+++ b/tests/scheduling/test_progress.py
@@ -11,7 +11,6 @@
 
 from tests.builders_jobs import (
     FakeLead,
-    FakeWorker,
     job,
     key,
     serving_step,
@@ -20,10 +19,11 @@
     workers,
 )
 from wigeonreach.jobs import RunEnd
+from wigeonreach.standins import StandInWorker
 from wigeonreach.wire._worker_messages import RunningTask
 
 
-def _busy(lead: FakeLead) -> list[FakeWorker]:
+def _busy(lead: FakeLead) -> list[StandInWorker]:
     return [worker for worker in lead.workers.values() if worker.running]
 
 
@@ -80,7 +80,7 @@
         for name, lasts_s in (('w0', 6.0), ('w1', 1), ('w2', 1), ('w3', 1)):
             for number in range(3):
                 run = (key(job_id=jobs[0].job_id), number + 1)
-                worker = FakeWorker(name, name)
+                worker = StandInWorker(name, name)
                 worker.running[run] = RunningTask(*run, '', 1)
                 incarnation = lead.scheduler.workers.hear(worker.report(), 0)
                 if incarnation is None:
--- a/tests/scheduling/test_random_days.py
+++ b/tests/scheduling/test_random_days.py
@@ -17,7 +17,6 @@
 from tests.builders_jobs import (
     QUEUE,
     FakeLead,
-    FakeWorker,
     commit,
     job,
     serving_step,
@@ -33,6 +32,7 @@
     TaskKey,
 )
 from wigeonreach.scheduling import _room_left, _workers
+from wigeonreach.standins import StandInWorker
 from wigeonreach.wire._worker_messages import RunningTask, WorkerReport
 
 _DAYS = 25
@@ -53,7 +53,7 @@
     """A VM and the incarnation of its worker."""
 
     vm: str
-    worker: FakeWorker
+    worker: StandInWorker
     lease_until_s: float = 0.0
     cut_until_s: float = 0.0
     down_until_s: float = 0.0
@@ -70,7 +70,7 @@
         self.rng = random.Random(seed)
         self.store: JobStore = store_with()
         self.machines = [
-            _Machine(f'vm{number}', FakeWorker(f'w{number}', f'vm{number}'))
+            _Machine(f'vm{number}', StandInWorker(f'w{number}', f'vm{number}'))
             for number in range(_VMS)
         ]
         self.lead = FakeLead(self.store, ())
@@ -132,7 +132,7 @@
     def _crash(self, machine: _Machine) -> None:
         self.serial += 1
         machine.down_until_s = self.now_s + self.rng.uniform(0.2, 3)
-        machine.worker = FakeWorker(f'incarnation{self.serial}', machine.vm)
+        machine.worker = StandInWorker(f'incarnation{self.serial}', machine.vm)
         machine.work.clear()
         machine.lease_until_s = 0
 
@@ -234,7 +234,7 @@
             if self._used(machine.worker) > machine.worker.cpu_millicores:
                 raise BrokenRuleError(f'{machine.vm}: over its capacity')
 
-    def _used(self, worker: FakeWorker) -> int:
+    def _used(self, worker: StandInWorker) -> int:
         records = [(key, self.store.job_of(key)) for key, _ in worker.running]
         return sum(
             record.step_spec(key).cpu_millicores
--- a/tests/scheduling/test_scheduler.py
+++ b/tests/scheduling/test_scheduler.py
@@ -10,7 +10,6 @@
     OTHER_JOB,
     SERVICE,
     FakeLead,
-    FakeWorker,
     job,
     key,
     serving_step,
@@ -20,6 +19,7 @@
 )
 from wigeonreach.jobs import JobPhase, RunEnd, RunEnded
 from wigeonreach.scheduling._workers import LEASE_OVER_S
+from wigeonreach.standins import StandInWorker
 from wigeonreach.wire._worker_messages import RunningTask, WorkerReport
 
 _FULL = 16_000
@@ -66,7 +66,7 @@
         lead.hear(lead.workers['w0'])
         lead.plan()
         lead.workers['w0'].is_draining = True
-        lead.workers['w1'] = FakeWorker('w1', 'vm1')
+        lead.workers['w1'] = StandInWorker('w1', 'vm1')
         lead.round()
         lead.round()
         self.assertThat(lead.workers['w0'].running, matchers.HasLength(0))
@@ -79,7 +79,7 @@
         """An address that another service took over runs none of it."""
         lead = FakeLead(
             store_with(job()),
-            [FakeWorker('w0', 'vm0', service='other')],
+            [StandInWorker('w0', 'vm0', service='other')],
         )
         lead.round()
         self.assertThat(lead.workers['w0'].running, matchers.HasLength(0))
@@ -101,7 +101,7 @@
         lead = FakeLead(store_with(job(gang)), workers(2))
         lead.round()
         self.assertThat(lead.store.assigned, matchers.HasLength(0))
-        lead.workers['w2'] = FakeWorker('w2', 'vm2')
+        lead.workers['w2'] = StandInWorker('w2', 'vm2')
         lead.round()
         self.assertThat(lead.store.assigned, matchers.HasLength(3))
 
@@ -122,7 +122,7 @@
         """An earlier leader may have answered just before the term began."""
         store = store_with(job())
         FakeLead(store, workers(1)).round()
-        lead = FakeLead(store, [FakeWorker('w1', 'vm1')])
+        lead = FakeLead(store, [StandInWorker('w1', 'vm1')])
         lead.now_s = LEASE_OVER_S - 0.05
         self.assertThat(lead.scheduler.lost(lead.now_s), matchers.HasLength(0))
         lead.now_s = LEASE_OVER_S
@@ -165,9 +165,9 @@
 
     def test_late_heartbeat_of_a_dead_life_ends_no_successor(self) -> None:
         """One heartbeat of an old incarnation does not end the new one."""
-        lead = FakeLead(store_with(job()), [FakeWorker('new', 'vm0')])
+        lead = FakeLead(store_with(job()), [StandInWorker('new', 'vm0')])
         lead.round()
-        lead.hear(FakeWorker('old', 'vm0'))
+        lead.hear(StandInWorker('old', 'vm0'))
         for percent in range(8):
             lead.workers['new'].advance(percent)
             lead.round(0.3)
@@ -178,9 +178,9 @@
 
     def test_successor_ends_an_old_life(self) -> None:
         """A incarnation that goes on at a VM shows that the old one is gone."""
-        lead = FakeLead(store_with(job()), [FakeWorker('old', 'vm0')])
+        lead = FakeLead(store_with(job()), [StandInWorker('old', 'vm0')])
         lead.round()
-        lead.workers = {'new': FakeWorker('new', 'vm0')}
+        lead.workers = {'new': StandInWorker('new', 'vm0')}
         for _ in range(8):
             lead.round(0.3)
         self.assertThat(
--- a/tests/scheduling/test_workers.py
+++ b/tests/scheduling/test_workers.py
@@ -8,7 +8,6 @@
 from tests.builders_jobs import (
     SERVICE,
     FakeLead,
-    FakeWorker,
     job,
     step,
     store_with,
@@ -16,6 +15,7 @@
 )
 from wigeonreach.jobs import RunEnd
 from wigeonreach.scheduling._workers import LEASE_OVER_S, Workers
+from wigeonreach.standins import StandInWorker
 
 _SOON_S = 0.2
 
@@ -45,7 +45,7 @@
 
     def test_successor_on_a_vm_ends_the_silent_incarnation(self) -> None:
         """And the VM's newest incarnation is known from its first word on."""
-        old, new = FakeWorker('old', 'vm'), FakeWorker('new', 'vm')
+        old, new = StandInWorker('old', 'vm'), StandInWorker('new', 'vm')
         self.followed.hear(old.report(), 0)
         for now_s in (1.0, 1.5, 2.5):
             self.followed.hear(new.report(), now_s)
@@ -56,7 +56,7 @@
 
     def test_worker_that_names_another_vm_is_found_there(self) -> None:
         """The index follows the newest heartbeat."""
-        worker = FakeWorker('w', 'first')
+        worker = StandInWorker('w', 'first')
         self.followed.hear(worker.report(), 0)
         worker.vm = 'second'
         self.followed.hear(worker.report(), _SOON_S)
