Take cut-off workers back, give silent replica links up, count late good ends

Cause 1: a link between replicas is answered over another one, so one that went silent was never given up where something on the way took its bytes; two of three voters then heard nothing of each other for good. Links are probed now. Ruled out: the votes themselves (both logs end at 295 of term 2, same voters). Cause 2: a worker that was silent for longer than its lease was ignored for two minutes, also when it was merely cut off. Cause 3: the good end of a run that was taken for lost was thrown away although no other run had begun. What the soak reported for it was no broken promise where the worker's lease had lapsed in between; its check says so now. Leaders also stop sending to replicas without a vote that are gone.

--- a/bench/relay.py
+++ b/bench/relay.py
@@ -182,12 +182,11 @@
             reader: asyncio.StreamReader,
             writer: asyncio.StreamWriter,
         ) -> None:
-            first = await reader.read(_CHUNK_BYTES)
-            if not first:
-                writer.close()
-                return
-            link = self.link(source_of(first), target, address)
-            await self._accept(link, reader, writer, first)
+            # The relay may be closed before anything came.
+            with contextlib.suppress(asyncio.CancelledError, OSError):
+                first = await reader.read(_CHUNK_BYTES)
+                link = self.link(source_of(first), target, address)
+                await self._accept(link, reader, writer, first)
 
         return await _listen_at(accept)
 
--- a/soak/_promises.py
+++ b/soak/_promises.py
@@ -50,6 +50,7 @@
         self._max_failures = max_failures
         self._jobs: dict[str, _Job] = {}
         self._tasks: dict[TaskKey, _Task] = collections.defaultdict(_Task)
+        self._too_late: set[tuple[str, int]] = set()
         self._version = 0
 
     @property
@@ -151,10 +152,19 @@
         self,
         worker: StandInWorker,
         orders: WorkerOrders,
+        now_s: float,
     ) -> None:
-        """Take note of the ends that an answer acknowledges."""
+        """Take note of the ends that an answer acknowledges.
+
+        An end counts only if the worker's lease went on until then: who does
+        not hear of a worker for longer takes its runs for lost.
+        """
+        listed = {(worker.name, ended.number) for ended in worker.ended}
+        if now_s > worker.lease_until_s:
+            self._too_late |= listed
         for ended in worker.ended:
-            if ended.number > orders.acknowledged:
+            is_late = (worker.name, ended.number) in self._too_late
+            if is_late or ended.number > orders.acknowledged:
                 continue
             task = self._tasks[ended.task]
             task.failures += ended.end is RunEnd.FAILED
--- a/soak/_workers.py
+++ b/soak/_workers.py
@@ -110,7 +110,7 @@
         worker = vm.worker
         now_s = time.monotonic()
         worker.lapse(now_s)
-        self._promises.note_acknowledged(worker, reply.orders)
+        self._promises.note_acknowledged(worker, reply.orders, now_s)
         others = [other.worker for other in self._vms]
         for start in worker.obey(reply.orders, percent=1, sent_s=sent_s):
             self._promises.note_started(start, worker, others, now_s)
--- a/src/wigeonreach/core/_server.py
+++ b/src/wigeonreach/core/_server.py
@@ -16,7 +16,11 @@
     CoreNotice,
 )
 from wigeonreach.wire._call_replies import AnyReply
-from wigeonreach.wire._raft_messages import RaftMessage
+from wigeonreach.wire._raft_messages import (
+    LinkEcho,
+    LinkProbe,
+    RaftMessage,
+)
 
 # Several in the time after which a silent channel is given up (1.2 s).
 _NOTICE_S = 0.4
@@ -86,6 +90,8 @@
         match message:
             case RaftMessage():
                 self._on_replica(message)
+            case LinkProbe():
+                channel.post(LinkEcho())
             case CoreHello():
                 self._told.add(channel)
                 channel.post(self._notice())
--- a/src/wigeonreach/jobs/_runs.py
+++ b/src/wigeonreach/jobs/_runs.py
@@ -25,7 +25,8 @@
     """Take the end of a run.
 
     The end of an older run changes nothing: its task was reassigned, and only
-    the newest run counts.
+    the newest run counts.  A run that was given up as lost still counts if it
+    turns out to have ended well before another began.
 
     Returns
     -------
@@ -33,7 +34,7 @@
         The tasks that are assigned no more.
     """
     task = job.task(ended.task)
-    if task is None or not _is_newest(task, ended):
+    if task is None or not _counts(job, task, ended):
         return ()
     if ended.checkpoint:
         _save(job, ended)
@@ -43,9 +44,14 @@
     return (ended.task,)
 
 
-def _is_newest(task: TaskRecord, ended: RunEnded) -> bool:
-    is_same_run = task.run == ended.run and task.worker == ended.worker
-    return task.phase is TaskPhase.ASSIGNED and is_same_run
+def _counts(job: JobRecord, task: TaskRecord, ended: RunEnded) -> bool:
+    if task.run != ended.run or task.worker != ended.worker:
+        return False
+    if task.phase is TaskPhase.WAITING:
+        # A gang ends well together; one that lost a member did not.
+        is_gang = job.step_spec(ended.task).is_gang
+        return ended.end is RunEnd.DONE and not is_gang
+    return task.phase is TaskPhase.ASSIGNED
 
 
 def members(job: JobRecord, key: TaskKey) -> tuple[TaskKey, ...]:
--- a/src/wigeonreach/scheduling/_workers.py
+++ b/src/wigeonreach/scheduling/_workers.py
@@ -46,6 +46,8 @@
         When it surely has ended, once it said that it ends.
     ordered_s
         When an order for its VM was confirmed last.
+    returned_s
+        When it was heard again after its lease was over.
     """
 
     report: WorkerReport
@@ -55,6 +57,7 @@
     noted: int = 0
     leaves_at_s: float | None = None
     ordered_s: float = float('-inf')
+    returned_s: float = float('-inf')
 
     @property
     def running(self) -> tuple[RunningTask, ...]:
@@ -71,7 +74,10 @@
         is_silent = now_s - self.heard_s > _SILENT_S
         is_ending = self.report.is_draining or self.leaves_at_s is not None
         is_ordered = self.heard_s - self.ordered_s < _ORDER_WORKS_S
-        return not is_silent and not is_ending and not is_ordered
+        # One late heartbeat of a worker that has crashed proves nothing.
+        is_proven = self.heard_s - self.returned_s >= _SUCCESSOR_PROVEN_S
+        is_doubtful = is_ending or is_ordered or not is_proven
+        return not is_silent and not is_doubtful
 
 
 def room_of(report: WorkerReport) -> Room:
@@ -101,6 +107,8 @@
         self.incarnations: dict[str, Incarnation] = {}
         self._began_s = now_s
         self._gone_s: dict[str, float] = {}
+        # Those among the gone who were merely silent, and may return.
+        self._lapsed: dict[str, Incarnation] = {}
         self._by_vm: dict[str, dict[str, Incarnation]] = {}
         self._shared_vms: set[str] = set()
         self._leaving: set[str] = set()
@@ -116,7 +124,7 @@
             The incarnation; None if the heartbeat is late, or of a dead one.
         """
         if report.worker in self._gone_s:
-            return None
+            return self._hear_gone(report, now_s)
         known = self.incarnations.get(report.worker)
         if known is None:
             known = Incarnation(report, now_s, now_s, room_of(report))
@@ -161,8 +169,12 @@
             if (why := self._why_over(self.incarnations[worker], now_s))
         }
         for worker in over:
+            incarnation = self.incarnations[worker]
             self._remove(worker)
             self._gone_s[worker] = now_s
+            is_silent = now_s >= incarnation.lease_over_s
+            if is_silent and incarnation.leaves_at_s is None:
+                self._lapsed[worker] = incarnation
         self._forget_gone(now_s)
         return over
 
@@ -181,6 +193,26 @@
             default=None,
         )
 
+    def _hear_gone(
+        self,
+        report: WorkerReport,
+        now_s: float,
+    ) -> Incarnation | None:
+        """Take a worker back that was cut off for longer than its lease."""
+        known = self._lapsed.get(report.worker)
+        if known is None or report.sequence <= known.report.sequence:
+            return None
+        if report.vm and report.vm in self._by_vm:
+            return None
+        self._lapsed.pop(report.worker)
+        self._gone_s.pop(report.worker)
+        known.report = report
+        known.heard_s = now_s
+        known.returned_s = now_s
+        known.room = room_of(report)
+        self._add(known)
+        return known
+
     def _add(self, incarnation: Incarnation) -> None:
         report = incarnation.report
         self.incarnations[report.worker] = incarnation
@@ -246,3 +278,5 @@
             for worker, gone_s in self._gone_s.items()
             if gone_s > oldest_s
         }
+        for worker in self._lapsed.keys() - self._gone_s.keys():
+            self._lapsed.pop(worker)
--- a/src/wigeonreach/state/_links.py
+++ b/src/wigeonreach/state/_links.py
@@ -12,10 +12,15 @@
 from wigeonreach.exceptions import SettingError, WireError
 from wigeonreach.observe import LogEvent, Logger
 from wigeonreach.wire import Channel, Member, connect, parse_address
-from wigeonreach.wire._raft_messages import RaftMessage
+from wigeonreach.wire._raft_messages import LinkProbe, RaftMessage
 
 _RETRY_S = 0.1
 _SEND_TIMEOUT_S = 2.0
+# What goes over a link is answered over another one, so only a probe shows
+# that a connection went silent.  Three of them fit into the time after which
+# it is given up, which is about that of an election.
+_PROBE_S = 0.4
+_SILENCE_S = 1.2
 _WAITING_MESSAGES = 512
 # A link to a replica that is gone for good is closed after this.
 _UNUSED_S = 30.0
@@ -62,16 +67,32 @@
     async def _send_all(self) -> None:
         channel = await connect(self._member.address)
         try:
-            await self._send_over(channel)
-        except (OSError, TimeoutError):
+            await self._use(channel)
+        except (WireError, OSError, TimeoutError):
             self._log.warning(
                 LogEvent.FOLLOWER_LOST,
                 replica=self._member.name,
             )
+            # What still waits to be sent would hold a close up.
+            channel.abort()
             raise
         finally:
             await channel.close()
 
+    async def _use(self, channel: Channel) -> None:
+        """Send over a connection until it fails or goes silent."""
+        work = (self._send_over, self._probe, self._listen)
+        tasks = [asyncio.create_task(one(channel)) for one in work]
+        try:
+            done, _ = await asyncio.wait(
+                tasks,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            for ended in done:
+                ended.result()
+        finally:
+            await _cancel_all(tasks)
+
     async def _send_over(self, channel: Channel) -> None:
         while not self.should_stop:
             await self._has_message.wait()
@@ -80,6 +101,22 @@
                 async with asyncio.timeout(_SEND_TIMEOUT_S):
                     await channel.send(self._waiting.popleft())
 
+    async def _probe(self, channel: Channel) -> None:
+        while not self.should_stop:
+            channel.post(LinkProbe())
+            await asyncio.sleep(_PROBE_S)
+
+    async def _listen(self, channel: Channel) -> None:
+        while not self.should_stop:
+            async with asyncio.timeout(_SILENCE_S):
+                await channel.receive()
+
+
+async def _cancel_all(tasks: Iterable[asyncio.Task[None]]) -> None:
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
 
 class Links(mode.Service):
     """The outgoing connections, opened when they are first needed.
--- a/src/wigeonreach/state/_raft_leading.py
+++ b/src/wigeonreach/state/_raft_leading.py
@@ -68,6 +68,7 @@
         return
     if state.now_s >= lead.heartbeat_due_s:
         send_to_all(state)
+    members.forget_silent_learners(state)
     members.admit_caught_up(state)
 
 
--- a/src/wigeonreach/state/_raft_members.py
+++ b/src/wigeonreach/state/_raft_members.py
@@ -87,6 +87,17 @@
     progress.goal_since_s = state.now_s
 
 
+def forget_silent_learners(state: RaftState) -> None:
+    """Send nothing more to replicas without a vote that are gone."""
+    lead = state.leading
+    if lead is None:
+        return
+    oldest_s = state.now_s - state.settings.forget_learner_s
+    for learner in _learners(state, lead):
+        if lead.progress[learner].heard_s < oldest_s:
+            lead.progress.pop(learner)
+
+
 def admit_caught_up(state: RaftState) -> None:
     """Change the voters by one step towards a caught up learner."""
     lead = state.leading
--- a/src/wigeonreach/state/_raft_types.py
+++ b/src/wigeonreach/state/_raft_types.py
@@ -73,7 +73,9 @@
     With a ``voter_target`` the membership is open: any replica may join, and
     the leader makes voters of those that are caught up until there are so
     many, or in place of a voter that was silent for ``replace_silent_s``.
-    Without one, the configured replicas are the voters.
+    Without one, the configured replicas are the voters.  A replica without a
+    vote that was silent for ``forget_learner_s`` is sent nothing more before
+    it asks to join again.
     """
 
     heartbeat_s: float = 0.15
@@ -85,6 +87,7 @@
     trailing_entries: int = 1024
     voter_target: int = 0
     replace_silent_s: float = 2.5
+    forget_learner_s: float = 8.0
 
 
 class Write(msgspec.Struct, frozen=True):
--- a/src/wigeonreach/state/_replica.py
+++ b/src/wigeonreach/state/_replica.py
@@ -17,7 +17,11 @@
 from wigeonreach.state._settings import ReplicaSettings
 from wigeonreach.state._storage import Storage
 from wigeonreach.wire import Channel, serve
-from wigeonreach.wire._raft_messages import RaftMessage
+from wigeonreach.wire._raft_messages import (
+    LinkEcho,
+    LinkProbe,
+    RaftMessage,
+)
 
 
 class Replica(mode.Service):
@@ -75,6 +79,8 @@
             message = await channel.receive()
             if isinstance(message, RaftMessage):
                 self._agreement.receive(message)
+            elif isinstance(message, LinkProbe):
+                channel.post(LinkEcho())
             else:
                 await self._front.handle(channel, message)
 
--- a/src/wigeonreach/wire/_raft_messages.py
+++ b/src/wigeonreach/wire/_raft_messages.py
@@ -51,6 +51,14 @@
     term: int
 
 
+class LinkProbe(WireMessage, frozen=True):
+    """Ask a replica whether it still hears this connection."""
+
+
+class LinkEcho(WireMessage, frozen=True):
+    """Answer a probe on the connection on which it came."""
+
+
 class VoteRequest(RaftMessage, frozen=True):
     """Ask for a vote, or whether one would be given (``is_trial``)."""
 
@@ -151,6 +159,8 @@
     | AppendReply
     | Join
     | LeadNow
+    | LinkEcho
+    | LinkProbe
     | Proposal
     | ProposalReply
     | ReadIndexReply
--- a/tests/jobs/test_store.py
+++ b/tests/jobs/test_store.py
@@ -155,6 +155,36 @@
             matchers.Equals([TaskPhase.ASSIGNED]),
         )
 
+    def test_late_good_end_of_a_lost_run_counts_until_the_next(self) -> None:
+        """What was done is not done again just because word of it was late."""
+        store = store_with(job())
+        _start(store)
+        _end(store, RunEnd.LOST)
+        _end(store, RunEnd.DONE)
+        self.assertThat(
+            store.jobs[JOB].phase,
+            matchers.Equals(JobPhase.COMPLETED),
+        )
+        self.assertThat(store.assigned, matchers.HasLength(0))
+
+    def test_late_bad_end_of_a_lost_run_is_void(self) -> None:
+        """A lost run is no failure of its task, whatever comes later."""
+        store = store_with(job())
+        _start(store)
+        _end(store, RunEnd.LOST)
+        for _ in range(3):
+            _end(store, RunEnd.FAILED)
+        self.assertThat(store.jobs[JOB].phase, matchers.Equals(JobPhase.ACTIVE))
+
+    def test_late_good_end_of_a_lost_member_is_void(self) -> None:
+        """A gang that lost a member did not end well together."""
+        store = store_with(job(step(2, is_gang=True)))
+        for index in range(2):
+            _start(store, index)
+        _end(store, RunEnd.LOST)
+        _end(store, RunEnd.DONE)
+        self.assertThat(store.jobs[JOB].phase, matchers.Equals(JobPhase.ACTIVE))
+
     def test_only_failed_runs_count_as_failures(self) -> None:
         """A job fails after so many failed runs, not after lost ones."""
         store = store_with(job())
--- a/tests/scheduling/test_workers.py
+++ b/tests/scheduling/test_workers.py
@@ -43,6 +43,51 @@
         ended = self.followed.ended(now_s + LEASE_OVER_S)
         self.assertThat(set(ended), matchers.Equals({'w0'}))
 
+    def test_worker_that_was_cut_off_returns(self) -> None:
+        """It gets work again once it was heard for a while, not at once."""
+        worker = workers(1)[0]
+        self.followed.hear(worker.report(), 0)
+        self.followed.ended(LEASE_OVER_S)
+        back_s = LEASE_OVER_S + 5
+        returned = self.followed.hear(worker.report(), back_s)
+        assert returned is not None
+        self.assertThat(self.followed.is_over('w0', back_s), matchers.Is(False))
+        self.assertThat(returned.may_take(back_s), matchers.Is(False))
+        self.followed.hear(worker.report(), back_s + 1.2)
+        self.assertThat(returned.may_take(back_s + 1.2), matchers.Is(True))
+
+    def test_old_heartbeat_brings_nobody_back(self) -> None:
+        """One that was sent before those that were heard, and came later."""
+        worker = workers(1)[0]
+        old = worker.report()
+        self.followed.hear(worker.report(), 0)
+        self.followed.ended(LEASE_OVER_S)
+        late_s = LEASE_OVER_S + 1
+        self.assertThat(self.followed.hear(old, late_s), matchers.Is(None))
+
+    def test_worker_that_left_or_was_replaced_does_not_return(self) -> None:
+        """Its heartbeats were held up on their way."""
+        left, replaced = workers(2)
+        for worker in (left, replaced):
+            self.followed.hear(worker.report(), 0)
+        self.followed.leave('w0', 0)
+        successor = StandInWorker('new', 'vm1')
+        for now_s in (2.0, 3.0, LEASE_OVER_S):
+            self.followed.hear(successor.report(), now_s)
+            self.followed.ended(now_s)
+        for worker in (left, replaced):
+            late = self.followed.hear(worker.report(), LEASE_OVER_S + 1)
+            self.assertThat(late, matchers.Is(None), worker.name)
+
+    def test_lapsed_worker_does_not_return_beside_a_successor(self) -> None:
+        """A VM has one worker at a time."""
+        old, new = StandInWorker('old', 'vm'), StandInWorker('new', 'vm')
+        self.followed.hear(old.report(), 0)
+        self.followed.ended(LEASE_OVER_S)
+        self.followed.hear(new.report(), LEASE_OVER_S + 1)
+        late = self.followed.hear(old.report(), LEASE_OVER_S + 2)
+        self.assertThat(late, matchers.Is(None))
+
     def test_successor_on_a_vm_ends_the_silent_incarnation(self) -> None:
         """And the VM's newest incarnation is known from its first word on."""
         old, new = StandInWorker('old', 'vm'), StandInWorker('new', 'vm')
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -57,6 +57,13 @@
         self._start(1, key(), run=2)
         self._assert_found('after its end was noted')
 
+    def test_run_after_an_end_that_was_told_too_late_is_none(self) -> None:
+        """The worker's lease was over, so its runs were taken for lost."""
+        self._start(0, key())
+        self._end(0, key(), RunEnd.DONE, now_s=_LEASE_MS)
+        self._start(1, key(), run=2)
+        self.assertThat(self.promises.broken, matchers.Equals([]))
+
     def test_run_before_its_turn_is_found(self) -> None:
         """A step waits for the one before."""
         self._start(0, key(0, 1))
@@ -152,6 +159,7 @@
         task: TaskKey,
         how: RunEnd,
         run: int = 1,
+        now_s: float = 0.0,
     ) -> None:
         worker = self.workers[number]
         worker.end((task, run), how)
@@ -160,7 +168,7 @@
             lease_ms=_LEASE_MS,
             acknowledged=worker.ended[-1].number,
         )
-        self.promises.note_acknowledged(worker, noted)
+        self.promises.note_acknowledged(worker, noted, now_s)
         worker.obey(noted)
 
     def _assert_found(self, what: str) -> None:
--- a/tests/state/test_raft_catch_up.py
+++ b/tests/state/test_raft_catch_up.py
@@ -20,19 +20,21 @@
     Role,
     Tick,
 )
-from wigeonreach.wire._raft_messages import AppendEntries
+from wigeonreach.wire._raft_messages import AppendEntries, Join, MemberId
 
 _SHARED = 760
 _CONFLICTING = 24
 _MISSED = 1500
 _STEP_S = 0.2
 _STEPS = 60
+_SETTINGS = RaftSettings()
+_OPEN = RaftSettings(voter_target=3)
 
 
 class _Pair:
     """Two of three replicas, with a network that takes one step of time."""
 
-    def __init__(self) -> None:
+    def __init__(self, settings: RaftSettings = _SETTINGS) -> None:
         behind = stored_log('a', ((2, _SHARED), (3, _CONFLICTING)))
         ahead = stored_log('b', ((2, _SHARED), (4, _MISSED)))
         self.rafts = {
@@ -40,7 +42,7 @@
                 name,
                 ('a', 'b', 'c'),
                 stored,
-                RaftSettings(),
+                settings,
                 random.Random(1),
             )
             for name, stored in (('a', behind), ('b', ahead))
@@ -119,3 +121,31 @@
             roles,
             matchers.Equals({'a': Role.LEADER, 'b': Role.FOLLOWER}),
         )
+
+
+class TestSilentLearner(testtools.TestCase):
+    """A replica without a vote that is gone, and may come back."""
+
+    def test_leader_stops_sending_to_it(self) -> None:
+        """And takes it up again once it asks again."""
+        pair = _Pair(_OPEN)
+        for number in range(_STEPS):
+            pair.step(number * _STEP_S)
+        now_s = _STEPS * _STEP_S
+        self._join(pair, now_s)
+        self.assertThat(self._is_followed(pair), matchers.Is(True))
+        for _ in range(_STEPS):
+            now_s += _STEP_S
+            pair.step(now_s)
+        self.assertThat(self._is_followed(pair), matchers.Is(False))
+        self._join(pair, now_s)
+        self.assertThat(self._is_followed(pair), matchers.Is(True))
+
+    def _join(self, pair: _Pair, now_s: float) -> None:
+        join = Join(MemberId('d', 1), 0, 0, is_blank=True)
+        pair.tell('b', Received(join), now_s)
+
+    def _is_followed(self, pair: _Pair) -> bool:
+        lead = pair.rafts['b'].state.leading
+        assert lead is not None
+        return any(member.name == 'd' for member in lead.progress)
