--- a/soak/_cores.py
+++ b/soak/_cores.py
@@ -149,19 +149,9 @@
             ),
         )
 
-    def fill_disk(self, core: CoreProcess) -> None:
-        """Let no file of a process grow any more, until it is restarted."""
-        journal = core.folder / 'journal'
-        if core.process is None or not journal.exists():
-            return
-        size = journal.stat().st_size
-        core.may_end = True
-        with contextlib.suppress(ProcessLookupError):
-            resource.prlimit(
-                core.process.pid,
-                resource.RLIMIT_FSIZE,
-                (size, resource.RLIM_INFINITY),
-            )
+    def fill_disk(self, core: CoreProcess, for_s: float) -> None:
+        """Let no file of a process grow for a while."""
+        self._later(self._fill_disk(core, for_s))
 
     async def calm(self) -> None:
         """Wait until what was begun is over, and start what is down."""
@@ -265,6 +255,17 @@
         await asyncio.sleep(for_s)
         core.send(signal.SIGCONT)
 
+    async def _fill_disk(self, core: CoreProcess, for_s: float) -> None:
+        journal = core.folder / 'journal'
+        process = core.process
+        if process is None or not journal.exists():
+            return
+        core.may_end = True
+        _limit_files(process.pid, journal.stat().st_size)
+        await asyncio.sleep(for_s)
+        _limit_files(process.pid, resource.RLIM_INFINITY)
+        core.may_end = False
+
     async def _replace(self, core: CoreProcess) -> None:
         if not core.is_wanted or core.process is None:
             return
@@ -277,6 +278,12 @@
         await self._start(successor)
 
 
+def _limit_files(pid: int, most_bytes: int) -> None:
+    limits = (most_bytes, resource.RLIM_INFINITY)
+    with contextlib.suppress(ProcessLookupError):
+        resource.prlimit(pid, resource.RLIMIT_FSIZE, limits)
+
+
 def _append(journal: pathlib.Path) -> None:
     with journal.open('ab') as torn:
         torn.write(_TORN)
--- a/soak/_play.py
+++ b/soak/_play.py
@@ -139,7 +139,7 @@
             Fault.WIPE: lambda: self._cores.wipe(core),
             Fault.REPLACE: lambda: self._cores.replace(core),
             Fault.TORN_TAIL: lambda: self._cores.tear(core),
-            Fault.DISK_FULL: lambda: self._cores.fill_disk(core),
+            Fault.DISK_FULL: lambda: self._cores.fill_disk(core, step.for_s),
             Fault.WORKER_CRASH: lambda: self._workers.crash(step.subject),
         }
         strike = strikes.get(step.fault)
--- a/src/wigeonreach/observe/_events.py
+++ b/src/wigeonreach/observe/_events.py
@@ -43,6 +43,7 @@
     SNAPSHOT_RESTORED = 310
     VOTERS_CHANGED = 311
     LEADER_MISSING = 312
+    FOLLOWER_HEARD = 313
 
     # 400: managers.
     LEASE_HELD = 401
--- a/src/wigeonreach/state/_links.py
+++ b/src/wigeonreach/state/_links.py
@@ -46,7 +46,7 @@
             maxlen=_WAITING_MESSAGES,
         )
         self._has_message = asyncio.Event()
-
+        self._is_heard = False
         self.used_s = time.monotonic()
 
     def post(self, message: RaftMessage) -> None:
@@ -68,11 +68,8 @@
         channel = await connect(self._member.address)
         try:
             await self._use(channel)
-        except (WireError, OSError, TimeoutError):
-            self._log.warning(
-                LogEvent.FOLLOWER_LOST,
-                replica=self._member.name,
-            )
+        except (WireError, OSError, TimeoutError) as error:
+            self._note_lost(str(error) or 'silent')
             # What still waits to be sent would hold a close up.
             channel.abort()
             raise
@@ -110,6 +107,25 @@
         while not self.should_stop:
             async with asyncio.timeout(_SILENCE_S):
                 await channel.receive()
+            self._note_heard()
+
+    def _note_heard(self) -> None:
+        if not self._is_heard:
+            self._is_heard = True
+            self._log.info(
+                LogEvent.FOLLOWER_HEARD,
+                replica=self._member.name,
+            )
+
+    def _note_lost(self, reason: str) -> None:
+        # A replica that is gone is tried several times a second.
+        if self._is_heard:
+            self._is_heard = False
+            self._log.warning(
+                LogEvent.FOLLOWER_LOST,
+                replica=self._member.name,
+                reason=reason,
+            )
 
 
 async def _cancel_all(tasks: Iterable[asyncio.Task[None]]) -> None:
