--- a/src/wigeonreach/core/_vm_actions.py
+++ b/src/wigeonreach/core/_vm_actions.py
@@ -113,6 +113,8 @@
             vm,
             'maintain',
             lambda: self._api.maintain(vm, wave, self._term.term),
+            wave=wave,
+            worker=worker,
         )
         now_s = steady_s()
         if result is OrderResult.DONE:
@@ -126,6 +128,9 @@
             move.vm,
             'move',
             lambda: self._api.move(move.vm, move.to_pool, self._term.term),
+            from_pool=move.from_pool,
+            to_pool=move.to_pool,
+            reason=move.reason,
         )
         scheduler = self._term.scheduler
         if result is OrderResult.DONE:
--- a/src/wigeonreach/core/_vm_orders.py
+++ b/src/wigeonreach/core/_vm_orders.py
@@ -61,9 +61,24 @@
         self._running[vm] = task
         task.add_done_callback(lambda _: self._running.pop(vm, None))
 
-    async def give(self, vm: str, kind: str, order: Order) -> OrderResult:
+    async def give(
+        self,
+        vm: str,
+        kind: str,
+        order: Order,
+        **why: object,
+    ) -> OrderResult:
         """Send an order, once it is sure that this process still leads.
 
+        Parameters
+        ----------
+        vm, kind
+            What is ordered for which VM.
+        order
+            Sends it.
+        why
+            What decided it, for the log.
+
         Raises
         ------
         StateError
@@ -78,6 +93,7 @@
                 vm=vm,
                 kind=kind,
                 fence=self._term.term,
+                **why,
             )
         else:
             self._note_failure(vm, kind, result.value)
--- a/src/wigeonreach/scheduling/_pools.py
+++ b/src/wigeonreach/scheduling/_pools.py
@@ -37,11 +37,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Move:
-    """A VM that is empty and goes to another pool."""
+    """A VM that is empty and goes to another pool; ``reason`` is for people."""
 
     vm: str
     from_pool: str
     to_pool: str
+    reason: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,6 +51,7 @@
 
     to_pool: str
     since_s: float
+    reason: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -234,12 +236,13 @@
             key=lambda pool: self._have(pool) - pool.wanted,
         )
         for pool in lacking:
-            missing = pool.wanted - self._have(pool)
-            for _ in range(max(missing, 0)):
+            have = self._have(pool)
+            reason = f'wants {pool.wanted}, has {have}'
+            for _ in range(max(pool.wanted - have, 0)):
                 vm = self._donor(pool, pools, taken)
                 if vm is None:
                     return
-                self._emptying[vm] = _Emptying(pool.name, now_s)
+                self._emptying[vm] = _Emptying(pool.name, now_s, reason)
 
     def _have(self, pool: PoolState) -> int:
         coming = sum(name == pool.name for name, _ in self._incoming.values())
@@ -283,8 +286,13 @@
                 continue
             since_s = self._surplus_since_s.setdefault(pool.name, now_s)
             if now_s - since_s >= _IDLE_S:
-                for vm in sorted(self._idle_vms(pool))[:surplus]:
-                    self._emptying[vm] = _Emptying(self.standby_pool, now_s)
+                back = _Emptying(
+                    self.standby_pool,
+                    now_s,
+                    f'{pool.name} wants {pool.wanted}, has {self._have(pool)}',
+                )
+                idle = sorted(self._idle_vms(pool))[:surplus]
+                self._emptying.update(dict.fromkeys(idle, back))
 
     def _due(self, now_s: float) -> list[Move]:
         moves: list[Move] = []
@@ -294,7 +302,8 @@
                 incarnation.report.service if incarnation else self.standby_pool
             )
             if incarnation is None or is_empty(incarnation, self._store):
-                moves.append(Move(vm, pool, emptying.to_pool))
+                move = Move(vm, pool, emptying.to_pool, emptying.reason)
+                moves.append(move)
             elif now_s - emptying.since_s > _EMPTY_S:
                 self._emptying.pop(vm)
         return moves
