--- a/src/wigeonreach/scheduling/_pools.py
+++ b/src/wigeonreach/scheduling/_pools.py
@@ -37,12 +37,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Move:
-    """A VM that is empty and goes to another pool; ``reason`` is for people."""
+    """A VM that is empty and goes to another pool.
+
+    Attributes
+    ----------
+    reason
+        For people; two moves of one VM between the same pools are the same.
+    """
 
     vm: str
     from_pool: str
     to_pool: str
-    reason: str = ''
+    reason: str = dataclasses.field(default='', compare=False)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
