--- a/src/wigeonreach/scheduling/_notes.py
+++ b/src/wigeonreach/scheduling/_notes.py
@@ -1,4 +1,4 @@
-"""Describe why the leader's view of a worker changed."""
+"""Describe why the leader's view of a worker or job changed."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
     Attributes
     ----------
     subject
-        What it is about: a worker or a VM.
+        What it is about: a worker, a VM or a job.
     reason
         What decided it, with its age or figure.
     """
--- a/src/wigeonreach/scheduling/_ready.py
+++ b/src/wigeonreach/scheduling/_ready.py
@@ -14,6 +14,8 @@
 from collections.abc import Collection, Iterable, Mapping
 
 from wigeonreach.jobs import JobRecord, JobStore, StepSpec, TaskPhase
+from wigeonreach.observe import LogEvent
+from wigeonreach.scheduling._notes import Note
 from wigeonreach.scheduling._triage import PendingJob, put_back
 
 # Where a team gave no estimate.
@@ -48,7 +50,13 @@
 
 
 class ReadySteps:
-    """The steps that may start, kept up to date job by job."""
+    """The steps that may start, kept up to date job by job.
+
+    Attributes
+    ----------
+    notes
+        Jobs that were put back for the first time, not logged yet.
+    """
 
     def __init__(self) -> None:
         """Know no job."""
@@ -56,6 +64,8 @@
         self._accepted_s: dict[str, float] = {}
         self._pending: dict[str, dict[str, PendingJob]] = {}
         self._serving: dict[str, tuple[str, int]] = {}
+        self._told: set[str] = set()
+        self.notes: list[Note] = []
 
     def backlog(self) -> dict[str, float]:
         """Return the processor seconds that each service still owes."""
@@ -115,6 +125,7 @@
         job = store.jobs.get(job_id)
         if job is None:
             self._accepted_s.pop(job_id, None)
+            self._told.discard(job_id)
             return
         accepted_s = self._accepted_s.setdefault(job_id, now_s)
         if not job.is_active:
@@ -146,10 +157,7 @@
         processors
             That each service has now.
         """
-        waiting: set[str] = set()
-        for service, jobs in self._pending.items():
-            has = processors.get(service, 0)
-            waiting |= put_back(jobs.values(), has, now_s)
+        waiting = self._put_back(now_s, processors)
         due = [
             step
             for steps in self._by_job.values()
@@ -159,6 +167,35 @@
         due.sort(key=lambda step: _rank(step, now_s, waiting))
         return due
 
+    def _put_back(
+        self,
+        now_s: float,
+        processors: Mapping[str, float],
+    ) -> set[str]:
+        """Return the jobs that wait for others, and take note of new ones."""
+        waiting: set[str] = set()
+        for service, jobs in self._pending.items():
+            has = processors.get(service, 0)
+            found = put_back(jobs.values(), has, now_s)
+            for job_id in found - self._told:
+                reason = _why_put_back(jobs[job_id], has, len(jobs), now_s)
+                self.notes.append(Note(LogEvent.JOB_PUT_BACK, job_id, reason))
+            self._told |= found
+            waiting |= found
+        return waiting
+
+
+def _why_put_back(
+    pending: PendingJob,
+    processors: float,
+    jobs: int,
+    now_s: float,
+) -> str:
+    return (
+        f'needs {pending.work_s:.1f} processor seconds, {jobs} jobs share'
+        f' {processors:.0f} processors, due in {pending.due_s - now_s:.2f} s'
+    )
+
 
 def _pending(job: JobRecord, accepted_s: float) -> PendingJob:
     # Occurrences of a timed job are due each at their own time.
--- a/src/wigeonreach/scheduling/_scheduler.py
+++ b/src/wigeonreach/scheduling/_scheduler.py
@@ -107,6 +107,9 @@
         if incarnation is None:
             return None
         self._rooms.forget(report.worker)
+        if incarnation.returned_s == now_s:
+            gone = 'heard again after its lease was over'
+            self._note(LogEvent.WORKER_RETURNED, incarnation, gone)
         if report.is_draining and not was_draining:
             left = f'has {report.drain_left_ms} ms left'
             self._note(LogEvent.WORKER_DRAINING, incarnation, left)
@@ -152,6 +155,8 @@
             self.pools.note_accepted(service, work_s, now_s)
         processors = self.workers.processors(now_s)
         steps = self.ready.in_order(now_s, wall_ms, processors)
+        self.notes.extend(self.ready.notes)
+        self.ready.notes.clear()
         if not steps:
             return ()
         needed = {self._store.service_of(step.job) for step in steps}
--- a/src/wigeonreach/scheduling/_triage.py
+++ b/src/wigeonreach/scheduling/_triage.py
@@ -26,6 +26,8 @@
 
     Attributes
     ----------
+    job_id
+        Which it is.
     work_s
         Processor seconds that it still needs.
     due_s
