Keep a job's age over a change of leader

Cause: a new leader took all jobs for just accepted, so that those that had waited longest lost their place and log lines told a wrong age. Before: test_new_leader_knows_how_long_jobs_wait could not pass, nothing recorded when a job was accepted. The time of day of the leader is recorded now; it may be off, so an age is never below 0 or over 30 s.

--- a/src/wigeonreach/core/_call_handler.py
+++ b/src/wigeonreach/core/_call_handler.py
@@ -5,6 +5,7 @@
 import functools
 import re
 
+from wigeonreach.core._clock import wall_ms
 from wigeonreach.core._term import LeaderTerm
 from wigeonreach.jobs import (
     AddJob,
@@ -110,7 +111,7 @@
     if not _JOB_ID.fullmatch(job_id):
         return Invalid(f'job id {job_id!r}; allowed: 16 hexadecimal digits')
     verdict = await handler.term.propose(
-        AddJob(call.spec_for(job_id), queue.name)
+        AddJob(call.spec_for(job_id), queue.name, wall_ms())
     )
     if verdict is Verdict.NO_QUEUE:
         return NotFound()
--- a/src/wigeonreach/core/_term.py
+++ b/src/wigeonreach/core/_term.py
@@ -136,6 +136,7 @@
             self.term,
             steady_s(),
             self._move_s,
+            wall_ms(),
         )
         self._log.term_began(self.term)
 
--- a/src/wigeonreach/jobs/_commands.py
+++ b/src/wigeonreach/jobs/_commands.py
@@ -21,10 +21,14 @@
 
 
 class AddJob(Command, frozen=True):
-    """Accept a job for a queue."""
+    """Accept a job for a queue.
+
+    ``accepted_ms`` is the leader's time of day; 0 if it isn't known.
+    """
 
     spec: JobSpec
     queue: str
+    accepted_ms: float = 0
 
 
 class CancelJob(Command, frozen=True):
--- a/src/wigeonreach/jobs/_records.py
+++ b/src/wigeonreach/jobs/_records.py
@@ -47,6 +47,9 @@
         As it was when the job was accepted; it outlives the queue.
     occurrences
         For each occurrence, the tasks of each step.
+    accepted_ms
+        When it was accepted, by the time of day of who led then; it may be
+        off, and is 0 if it isn't known.
     """
 
     spec: JobSpec
@@ -56,6 +59,7 @@
     occurrences: list[Occurrence] = msgspec.field(
         default_factory=list,
     )
+    accepted_ms: float = 0
 
     @property
     def is_active(self) -> bool:
@@ -115,7 +119,11 @@
                     yield key, task
 
 
-def new_record(spec: JobSpec, queue: QueueSpec) -> JobRecord:
+def new_record(
+    spec: JobSpec,
+    queue: QueueSpec,
+    accepted_ms: float,
+) -> JobRecord:
     """Return a job of which nothing has started."""
     return JobRecord(
         spec,
@@ -124,4 +132,5 @@
             [[TaskRecord() for _ in range(step.count)] for step in spec.steps]
             for _ in range(spec.occurrences)
         ],
+        accepted_ms=accepted_ms,
     )
--- a/src/wigeonreach/jobs/_store.py
+++ b/src/wigeonreach/jobs/_store.py
@@ -175,7 +175,8 @@
     queue = store.queues.named(command.queue)
     if queue is None:
         return CommandReply(Verdict.NO_QUEUE)
-    store.jobs[command.spec.job_id] = new_record(command.spec, queue)
+    record = new_record(command.spec, queue, command.accepted_ms)
+    store.jobs[command.spec.job_id] = record
     store.changed.add(command.spec.job_id)
     return CommandReply(Verdict.DONE)
 
--- a/src/wigeonreach/scheduling/_ready.py
+++ b/src/wigeonreach/scheduling/_ready.py
@@ -20,6 +20,9 @@
 
 # Where a team gave no estimate.
 _UNKNOWN_ESTIMATE_MS = 1000
+# The time of day may be off; a job that waits for longer than this is late
+# whatever its age is.
+_OLDEST_S = 30.0
 _MS = 1000.0
 
 
@@ -89,9 +92,19 @@
         self,
         store: JobStore,
         now_s: float,
+        wall_ms: float,
     ) -> list[tuple[str, float]]:
         """Look again at the jobs that changed.
 
+        Parameters
+        ----------
+        store
+            The replicated state.
+        now_s
+            Clock in seconds.
+        wall_ms
+            Time of day.
+
         Returns
         -------
         list of tuple
@@ -102,7 +115,11 @@
         accepted: list[tuple[str, float]] = []
         for job_id in changed:
             is_new = job_id not in self._accepted_s
-            self._refresh_job(store, job_id, now_s)
+            job = store.jobs.get(job_id)
+            if is_new and job is not None:
+                age_s = _age_s(job, wall_ms)
+                self._accepted_s[job_id] = now_s - age_s
+            self._refresh_job(store, job_id)
             if is_new:
                 accepted.extend(self._work_of(job_id))
         return accepted
@@ -120,14 +137,14 @@
         for jobs in self._pending.values():
             jobs.pop(job_id, None)
 
-    def _refresh_job(self, store: JobStore, job_id: str, now_s: float) -> None:
+    def _refresh_job(self, store: JobStore, job_id: str) -> None:
         self._forget(job_id)
         job = store.jobs.get(job_id)
         if job is None:
             self._accepted_s.pop(job_id, None)
             self._told.discard(job_id)
             return
-        accepted_s = self._accepted_s.setdefault(job_id, now_s)
+        accepted_s = self._accepted_s[job_id]
         if not job.is_active:
             return
         steps = _ready_steps(job, accepted_s)
@@ -185,6 +202,13 @@
         return waiting
 
 
+def _age_s(job: JobRecord, wall_ms: float) -> float:
+    """Return for how long a job has waited, as far as is known."""
+    if not job.accepted_ms:
+        return 0
+    return min(max((wall_ms - job.accepted_ms) / _MS, 0), _OLDEST_S)
+
+
 def _why_put_back(
     pending: PendingJob,
     processors: float,
--- a/src/wigeonreach/scheduling/_scheduler.py
+++ b/src/wigeonreach/scheduling/_scheduler.py
@@ -64,6 +64,8 @@
         When the term began, on a clock that also counts suspended time.
     move_s
         How long a VM is away while it moves to another pool.
+    wall_ms
+        The time of day then, by which the age of older jobs is known.
 
     Attributes
     ----------
@@ -77,6 +79,7 @@
         term: int,
         now_s: float,
         move_s: float = _MOVE_S,
+        wall_ms: float = 0,
     ) -> None:
         """Know no worker yet."""
         self.term = term
@@ -93,7 +96,7 @@
         self._rooms = RoomBook(store)
         self._store = store
         store.changed.update(store.jobs)
-        self.ready.refresh(store, now_s)
+        self.ready.refresh(store, now_s, wall_ms)
 
     def hear(
         self,
@@ -151,7 +154,8 @@
 
     def plan(self, now_s: float, wall_ms: float) -> tuple[RunStarted, ...]:
         """Return what is to be started now."""
-        for service, work_s in self.ready.refresh(self._store, now_s):
+        accepted = self.ready.refresh(self._store, now_s, wall_ms)
+        for service, work_s in accepted:
             self.pools.note_accepted(service, work_s, now_s)
         processors = self.workers.processors(now_s)
         steps = self.ready.in_order(now_s, wall_ms, processors)
--- a/tests/scheduling/test_choosing.py
+++ b/tests/scheduling/test_choosing.py
@@ -50,7 +50,7 @@
 
 def _ready(store: JobStore) -> ReadyStep:
     ready = ReadySteps()
-    ready.refresh(store, 0)
+    ready.refresh(store, 0, 0)
     return ready.in_order(0, 0, {})[0]
 
 
--- a/tests/scheduling/test_scheduler.py
+++ b/tests/scheduling/test_scheduler.py
@@ -8,8 +8,11 @@
 from tests.builders_jobs import (
     JOB,
     OTHER_JOB,
+    QUEUE,
     SERVICE,
+    TERM,
     FakeLead,
+    commit,
     job,
     key,
     serving_step,
@@ -17,7 +20,8 @@
     store_with,
     workers,
 )
-from wigeonreach.jobs import JobPhase, RunEnd, RunEnded
+from wigeonreach.jobs import AddJob, JobPhase, RunEnd, RunEnded
+from wigeonreach.scheduling import Scheduler
 from wigeonreach.scheduling._workers import LEASE_OVER_S
 from wigeonreach.standins import StandInWorker
 from wigeonreach.wire._worker_messages import RunningTask, WorkerReport
@@ -259,3 +263,25 @@
             if run[0].job_id == OTHER_JOB
         ]
         self.assertThat(served, matchers.HasLength(2))
+
+
+class TestAgeOfJobs(testtools.TestCase):
+    """Jobs that were accepted before this leader led."""
+
+    def test_new_leader_knows_how_long_jobs_wait(self) -> None:
+        """By the time of day, as far as that can be true."""
+        now_s, wall_ms = 100.0, 1_000_000.0
+        for accepted_ms, age_s in (
+            (wall_ms - 3000, 3.0),
+            # Unknown, or a clock that was ahead or far behind.
+            (0.0, 0.0),
+            (wall_ms + 5000, 0.0),
+            (wall_ms - 3_600_000, 30.0),
+        ):
+            store = store_with()
+            commit(store, AddJob(job(), QUEUE, accepted_ms))
+            scheduler = Scheduler(store, TERM, now_s, wall_ms=wall_ms)
+            self.assertThat(
+                scheduler.ready.accepted_s(JOB),
+                matchers.Equals(now_s - age_s),
+            )
