Take only as many VMs of a wave at once as its time asks for

Cause: a wave took its whole limit at once, a fifth of a fleet in the busiest seconds, though it had 25 s for VMs that take 4 s each. Before: test_wave_with_time_takes_few_vms_at_once took 4. A wave that is short of time, or began under a former leader, goes to its limit as before. test_one_task_of_a_step_leaves_at_once gives its wave little time now, so that both VMs are still emptied together, and checks that they are.

--- a/src/wigeonreach/jobs/_waves.py
+++ b/src/wigeonreach/jobs/_waves.py
@@ -29,6 +29,11 @@
         """Whether each VM was maintained, or is there no more."""
         return all(vm.step in _ENDED for vm in self.vms.values())
 
+    @property
+    def left(self) -> int:
+        """How many VMs are not maintained yet."""
+        return sum(vm.step not in _ENDED for vm in self.vms.values())
+
     @property
     def ordered(self) -> int:
         """How many VMs are, or may be, down for this wave."""
--- a/src/wigeonreach/scheduling/_maintenance.py
+++ b/src/wigeonreach/scheduling/_maintenance.py
@@ -1,13 +1,15 @@
 """Decide which VMs of the waves are emptied and maintained next.
 
-Answers waves that fall into the busiest seconds: as many VMs as the wave
-allows are emptied ahead, batch work ends by itself where it can, serving
-tasks leave one by one, and a VM is taken once nothing is on it.
+Answers waves that fall into the busiest seconds: only so many VMs are emptied
+at once as the time that the wave has asks for, those with nothing on them
+first; batch work ends by itself where it can, serving tasks leave one by one,
+and a VM is taken once nothing is on it.
 """
 
 from __future__ import annotations
 
 import dataclasses
+import math
 from collections.abc import Collection
 
 from wigeonreach.jobs import JobStore, Run, VmStep, WaveRecord
@@ -18,6 +20,11 @@
 # Batch tasks last about a second; what still runs after this is stopped, as
 # it holds one of the few places of the wave.
 _WAIT_FOR_BATCH_S = 3.0
+# From when a VM is chosen until it is seen again: emptying, 2 s of maintenance
+# and up to a second until the list tells.
+_VM_TAKES_S = 4.0
+# Of the time that a wave has; the rest covers faults and changes of leader.
+_PLANNED_RATIO = 0.8
 # Of a pool's workers, so many may be emptied for waves at once.
 _MOST_OF_POOL_RATIO = 0.25
 
@@ -62,6 +69,9 @@
         self._emptied_since_s: dict[str, float] = {}
         self._confirmed_s: dict[tuple[int, str], float] = {}
         self._listed_s = float('-inf')
+        # How much time is left is known only for waves that came in this term.
+        self._inherited = frozenset(store.waves)
+        self._began_s: dict[int, float] = {}
 
     @property
     def cordoned(self) -> set[str]:
@@ -148,10 +158,11 @@
             found.stops.extend(self._batch_runs(incarnation))
 
     def _choose(self, now_s: float) -> None:
-        """Begin to empty as many VMs as the waves allow."""
+        """Begin to empty as many VMs as the waves need, and allow."""
         for wave in self._store.waves.values():
             emptying = self._emptied_since_s.keys() & wave.vms.keys()
-            free = wave.limit - wave.ordered - len(emptying)
+            at_once = min(wave.limit, self._needed_at_once(wave, now_s))
+            free = at_once - wave.ordered - len(emptying)
             for vm in self._candidates(wave):
                 if free <= 0:
                     break
@@ -159,6 +170,16 @@
                     self._emptied_since_s[vm] = now_s
                     free -= 1
 
+    def _needed_at_once(self, wave: WaveRecord, now_s: float) -> int:
+        """Return how many VMs at a time end a wave within its time."""
+        if wave.wave in self._inherited:
+            return wave.limit
+        began_s = self._began_s.setdefault(wave.wave, now_s)
+        left_s = wave.due_after_s * _PLANNED_RATIO - (now_s - began_s)
+        if left_s <= _VM_TAKES_S:
+            return wave.limit
+        return math.ceil(wave.left * _VM_TAKES_S / left_s)
+
     def _candidates(self, wave: WaveRecord) -> list[str]:
         """Return the VMs that wait, those with the least on them in front."""
         waiting = [
--- a/tests/builders_jobs.py
+++ b/tests/builders_jobs.py
@@ -176,9 +176,14 @@
         """Cancel a job."""
         commit(self.store, made.CancelJob(job_id))
 
-    def start_wave(self, vms: Iterable[str], limit: int) -> None:
+    def start_wave(
+        self,
+        vms: Iterable[str],
+        limit: int,
+        due_after_s: float = 20.0,
+    ) -> None:
         """Accept wave 1."""
-        commit(self.store, StartWave(1, tuple(vms), 20.0, limit))
+        commit(self.store, StartWave(1, tuple(vms), due_after_s, limit))
 
     def record_vm(self, vm: str, reached: VmStep, worker: str = '') -> None:
         """Record how far a VM of wave 1 is."""
--- a/tests/scheduling/test_maintenance.py
+++ b/tests/scheduling/test_maintenance.py
@@ -31,8 +31,12 @@
         lead.round()
         lead.round()
         busy = [worker.vm for worker in lead.workers.values() if worker.running]
-        lead.start_wave(busy[:2], limit=2)
+        lead.start_wave(busy[:2], limit=2, due_after_s=2.0)
         step = lead.scheduler.maintenance.step(set(), lead.now_s)
+        self.assertThat(
+            lead.scheduler.maintenance.cordoned,
+            matchers.Equals(set(busy[:2])),
+        )
         self.assertThat(step.stops, matchers.HasLength(1))
 
     def test_no_task_leaves_while_another_is_away(self) -> None:
@@ -151,3 +155,51 @@
         lead.record_vm('vm0', VmStep.ORDERED, 'w0')
         again = lead.scheduler.maintenance.step(set(), lead.now_s + 1)
         self.assertThat(again.orders, matchers.Equals([(1, 'vm0', 'w0')]))
+
+
+class TestPaceOfWaves(testtools.TestCase):
+    """A wave over a quarter of a fleet, all of them idle."""
+
+    def setUp(self) -> None:
+        """Hear twenty workers."""
+        super().setUp()
+        self.lead = FakeLead(store_with(), workers(20))
+        self.lead.round()
+        self.maintenance = self.lead.scheduler.maintenance
+
+    def test_wave_with_time_takes_few_vms_at_once(self) -> None:
+        """Five VMs in 25 s need no more than one or two at a time."""
+        self._start(due_after_s=25.0)
+        self.assertThat(self._taken(), matchers.HasLength(1))
+
+    def test_wave_that_is_short_of_time_goes_to_its_limit(self) -> None:
+        """From the start, or because it came to be late."""
+        self._start(due_after_s=4.0)
+        self.assertThat(self._taken(), matchers.HasLength(4))
+
+    def test_wave_that_falls_behind_takes_more(self) -> None:
+        """Half of its time has passed and nothing is done."""
+        self._start(due_after_s=25.0)
+        self._taken()
+        self.lead.now_s += 18
+        self.assertThat(self._taken(), matchers.HasLength(4))
+
+    def test_wave_of_a_former_leader_goes_to_its_limit(self) -> None:
+        """How much of its time is left is not known."""
+        self._start(due_after_s=25.0)
+        self.lead = FakeLead(
+            self.lead.store,
+            self.lead.workers.values(),
+            self.lead.term + 1,
+            self.lead.now_s,
+        )
+        self.lead.round()
+        self.maintenance = self.lead.scheduler.maintenance
+        self.assertThat(self._taken(), matchers.HasLength(4))
+
+    def _start(self, due_after_s: float) -> None:
+        vms = [f'vm{number}' for number in range(5)]
+        self.lead.start_wave(vms, limit=4, due_after_s=due_after_s)
+
+    def _taken(self) -> list[tuple[int, str, str]]:
+        return self.maintenance.step(set(), self.lead.now_s).orders
