Give the agreement a package of its own, so that processes start on a clean machine

Cause: core processes imported the whole of wigeonreach.state, and with it pydantic, which the build of the platform does not install; the machine at hand has it by chance. Adding it to the build would have cost each process 20 MB more on disk and a quarter of a second at start. Before: test_processes_can_be_imported ended with No module named 'pydantic'.

--- a/bench/bench_commit.py
+++ b/bench/bench_commit.py
@@ -15,11 +15,11 @@
 
 from bench.figures import Figure, at_least, at_most, told
 from wigeonreach.observe import LogFormat, LogLevel, Logger, configure_logs
-from wigeonreach.state._agreement import RaftAgreement
-from wigeonreach.state._disk import FolderDisk
-from wigeonreach.state._raft_types import RaftSettings, Write
-from wigeonreach.state._settings import ReplicaSettings
-from wigeonreach.state._storage import Storage
+from wigeonreach.agreement._agreement import RaftAgreement
+from wigeonreach.agreement._disk import FolderDisk
+from wigeonreach.agreement._raft_types import RaftSettings, Write
+from wigeonreach.agreement._settings import ReplicaSettings
+from wigeonreach.agreement._storage import Storage
 from wigeonreach.wire import Address, Channel, Member, serve
 from wigeonreach.wire._raft_messages import RaftMessage
 
--- a/bench/bench_recovery.py
+++ b/bench/bench_recovery.py
@@ -11,11 +11,11 @@
 import msgspec
 
 from bench.figures import Figure, at_most, told
-from wigeonreach.state._disk import FolderDisk
+from wigeonreach.agreement._disk import FolderDisk
 from wigeonreach.state._machine import Machine
-from wigeonreach.state._raft_log import RaftLog
-from wigeonreach.state._raft_types import JournalBase, Snapshot, Write
-from wigeonreach.state._storage import Storage
+from wigeonreach.agreement._raft_log import RaftLog
+from wigeonreach.agreement._raft_types import JournalBase, Snapshot, Write
+from wigeonreach.agreement._storage import Storage
 from wigeonreach.wire._command_messages import (
     Action,
     ChangeText,
--- /dev/null
+++ b/src/wigeonreach/agreement/__init__.py
@@ -0,0 +1,20 @@
+"""Agree on a log of commands, kept on a quorum of disks."""
+
+from wigeonreach.agreement._agreement import RaftAgreement
+from wigeonreach.agreement._disk import FolderDisk
+from wigeonreach.agreement._opening import open_storage
+from wigeonreach.agreement._raft_types import RaftSettings
+from wigeonreach.agreement._settings import ReplicaSettings
+from wigeonreach.agreement._state_machine import Agreement, StateMachine
+from wigeonreach.agreement._storage import Storage
+
+__all__ = (
+    'Agreement',
+    'FolderDisk',
+    'RaftAgreement',
+    'RaftSettings',
+    'ReplicaSettings',
+    'StateMachine',
+    'Storage',
+    'open_storage',
+)
--- a/src/wigeonreach/state/_agreement.py
+++ b/src/wigeonreach/agreement/_agreement.py
@@ -11,16 +11,13 @@
 
 import mode
 
-from wigeonreach.codes import ResultCode
-from wigeonreach.exceptions import StateError
-from wigeonreach.observe import LogEvent, Logger
-from wigeonreach.state._applier import Applier
-from wigeonreach.state._callers import Callers
-from wigeonreach.state._disk_writer import DiskWriter
-from wigeonreach.state._links import Links
-from wigeonreach.state._raft import Raft
-from wigeonreach.state._raft_state import RaftState
-from wigeonreach.state._raft_types import (
+from wigeonreach.agreement._applier import Applier
+from wigeonreach.agreement._callers import Callers
+from wigeonreach.agreement._disk_writer import DiskWriter
+from wigeonreach.agreement._links import Links
+from wigeonreach.agreement._raft import Raft
+from wigeonreach.agreement._raft_state import RaftState
+from wigeonreach.agreement._raft_types import (
     DiskDone,
     HandOver,
     Output,
@@ -31,10 +28,13 @@
     Role,
     Tick,
 )
-from wigeonreach.state._requests import Done, Readable
-from wigeonreach.state._settings import ReplicaSettings
-from wigeonreach.state._state_machine import StateMachine
-from wigeonreach.state._storage import Storage, Stored
+from wigeonreach.agreement._requests import Done, Readable
+from wigeonreach.agreement._settings import ReplicaSettings
+from wigeonreach.agreement._state_machine import StateMachine
+from wigeonreach.agreement._storage import Storage, Stored
+from wigeonreach.codes import ResultCode
+from wigeonreach.exceptions import StateError
+from wigeonreach.observe import LogEvent, Logger
 from wigeonreach.wire._raft_messages import MemberId, RaftMessage
 
 _DEFAULT_TIMES = RaftSettings()
--- a/src/wigeonreach/state/_applier.py
+++ b/src/wigeonreach/agreement/_applier.py
@@ -4,9 +4,9 @@
 
 import asyncio
 
+from wigeonreach.agreement._raft_types import Snapshot, SnapshotTaken
+from wigeonreach.agreement._state_machine import StateMachine
 from wigeonreach.observe import LogEvent, Logger
-from wigeonreach.state._raft_types import Snapshot, SnapshotTaken
-from wigeonreach.state._state_machine import StateMachine
 from wigeonreach.wire._raft_messages import EntryKind, LogEntry
 
 _SNAPSHOT_ENTRIES = 4096
--- a/src/wigeonreach/state/_callers.py
+++ b/src/wigeonreach/agreement/_callers.py
@@ -5,16 +5,16 @@
 import asyncio
 from collections.abc import Callable
 
-from wigeonreach.state._outcomes import read_outcome, write_outcome
-from wigeonreach.state._raft_state import RaftState
-from wigeonreach.state._raft_types import (
+from wigeonreach.agreement._outcomes import read_outcome, write_outcome
+from wigeonreach.agreement._raft_state import RaftState
+from wigeonreach.agreement._raft_types import (
     Origin,
     Output,
     Propose,
     RaftEvent,
     Read,
 )
-from wigeonreach.state._requests import (
+from wigeonreach.agreement._requests import (
     Done,
     NotStored,
     Readable,
--- a/src/wigeonreach/state/_disk_writer.py
+++ b/src/wigeonreach/agreement/_disk_writer.py
@@ -8,10 +8,10 @@
 
 import mode
 
+from wigeonreach.agreement._raft_types import Write
+from wigeonreach.agreement._storage import Storage
 from wigeonreach.exceptions import StateError
 from wigeonreach.observe import LogEvent, Logger
-from wigeonreach.state._raft_types import Write
-from wigeonreach.state._storage import Storage
 
 _RETRY_S = 1.0
 
--- a/src/wigeonreach/state/_journal.py
+++ b/src/wigeonreach/agreement/_journal.py
@@ -7,16 +7,16 @@
 
 import msgspec
 
-from wigeonreach.codes import ResultCode
-from wigeonreach.exceptions import StateError
-from wigeonreach.state._raft_log import RaftLog
-from wigeonreach.state._raft_types import JournalBase
-from wigeonreach.state._records import (
+from wigeonreach.agreement._raft_log import RaftLog
+from wigeonreach.agreement._raft_types import JournalBase
+from wigeonreach.agreement._records import (
     Record,
     RecordKind,
     frame,
     read_records,
 )
+from wigeonreach.codes import ResultCode
+from wigeonreach.exceptions import StateError
 from wigeonreach.wire._raft_messages import LogEntry
 
 _ENTRY = msgspec.msgpack.Decoder(LogEntry)
--- a/src/wigeonreach/state/_opening.py
+++ b/src/wigeonreach/agreement/_opening.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
+from wigeonreach.agreement._storage import Storage, Stored
 from wigeonreach.codes import ResultCode
 from wigeonreach.exceptions import StateError
 from wigeonreach.observe import LogEvent, Logger
-from wigeonreach.state._storage import Storage, Stored
 
 
 def open_storage(
--- a/src/wigeonreach/state/_outcomes.py
+++ b/src/wigeonreach/agreement/_outcomes.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-from wigeonreach.codes import ResultCode
-from wigeonreach.state._requests import (
+from wigeonreach.agreement._requests import (
     Done,
     NotStored,
     Readable,
     RequestOutcome,
     Unknown,
 )
+from wigeonreach.codes import ResultCode
 from wigeonreach.wire._raft_messages import (
     MemberId,
     ProposalReply,
--- a/src/wigeonreach/state/_raft.py
+++ b/src/wigeonreach/agreement/_raft.py
@@ -6,14 +6,14 @@
 import random
 from collections.abc import Iterable, Sequence
 
-from wigeonreach.state import _raft_election as election
-from wigeonreach.state import _raft_following as following
-from wigeonreach.state import _raft_leading as leading
-from wigeonreach.state import _raft_members as members
-from wigeonreach.state import _raft_reads as reads
-from wigeonreach.state import _raft_transfer as transfer
-from wigeonreach.state._raft_state import RaftState
-from wigeonreach.state._raft_types import (
+from wigeonreach.agreement import _raft_election as election
+from wigeonreach.agreement import _raft_following as following
+from wigeonreach.agreement import _raft_leading as leading
+from wigeonreach.agreement import _raft_members as members
+from wigeonreach.agreement import _raft_reads as reads
+from wigeonreach.agreement import _raft_transfer as transfer
+from wigeonreach.agreement._raft_state import RaftState
+from wigeonreach.agreement._raft_types import (
     DiskDone,
     HandOver,
     Output,
@@ -27,7 +27,7 @@
     SnapshotTaken,
     Tick,
 )
-from wigeonreach.state._storage import Stored
+from wigeonreach.agreement._storage import Stored
 from wigeonreach.wire._raft_messages import (
     AppendEntries,
     AppendReply,
--- a/src/wigeonreach/state/_raft_election.py
+++ b/src/wigeonreach/agreement/_raft_election.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from wigeonreach.state import _raft_leading as leading
-from wigeonreach.state._raft_state import RaftState
-from wigeonreach.state._raft_types import Role, RoleEvent
+from wigeonreach.agreement import _raft_leading as leading
+from wigeonreach.agreement._raft_state import RaftState
+from wigeonreach.agreement._raft_types import Role, RoleEvent
 from wigeonreach.wire._raft_messages import LeadNow, VoteReply, VoteRequest
 
 
--- a/src/wigeonreach/state/_raft_following.py
+++ b/src/wigeonreach/agreement/_raft_following.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from wigeonreach.state._raft_state import RaftState
-from wigeonreach.state._raft_types import RoleEvent
+from wigeonreach.agreement._raft_state import RaftState
+from wigeonreach.agreement._raft_types import RoleEvent
 from wigeonreach.wire._raft_messages import (
     AppendEntries,
     AppendReply,
--- a/src/wigeonreach/state/_raft_leading.py
+++ b/src/wigeonreach/agreement/_raft_leading.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from wigeonreach.state import _raft_members as members
-from wigeonreach.state import _raft_reads as reads
-from wigeonreach.state import _raft_transfer as transfer
-from wigeonreach.state._raft_state import LeaderState, Progress, RaftState
-from wigeonreach.state._raft_types import (
+from wigeonreach.agreement import _raft_members as members
+from wigeonreach.agreement import _raft_reads as reads
+from wigeonreach.agreement import _raft_transfer as transfer
+from wigeonreach.agreement._raft_state import LeaderState, Progress, RaftState
+from wigeonreach.agreement._raft_types import (
     Accepted,
     Propose,
     RoleEvent,
--- a/src/wigeonreach/state/_raft_members.py
+++ b/src/wigeonreach/agreement/_raft_members.py
@@ -9,9 +9,9 @@
 
 from __future__ import annotations
 
-from wigeonreach.state._raft_log import encode_voters
-from wigeonreach.state._raft_state import LeaderState, Progress, RaftState
-from wigeonreach.state._raft_types import RoleEvent
+from wigeonreach.agreement._raft_log import encode_voters
+from wigeonreach.agreement._raft_state import LeaderState, Progress, RaftState
+from wigeonreach.agreement._raft_types import RoleEvent
 from wigeonreach.wire._raft_messages import EntryKind, Join, MemberId
 
 _FIRST_TERM = 1
--- a/src/wigeonreach/state/_raft_reads.py
+++ b/src/wigeonreach/agreement/_raft_reads.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from wigeonreach.state._raft_state import PendingRead, RaftState
-from wigeonreach.state._raft_types import Origin, Read, ReadReady
+from wigeonreach.agreement._raft_state import PendingRead, RaftState
+from wigeonreach.agreement._raft_types import Origin, Read, ReadReady
 
 
 def on_read(state: RaftState, event: Read) -> None:
--- a/src/wigeonreach/state/_raft_state.py
+++ b/src/wigeonreach/agreement/_raft_state.py
@@ -7,9 +7,8 @@
 
 import msgspec
 
-from wigeonreach.charts import load_chart
-from wigeonreach.state._raft_log import RaftLog
-from wigeonreach.state._raft_types import (
+from wigeonreach.agreement._raft_log import RaftLog
+from wigeonreach.agreement._raft_types import (
     HardState,
     JournalBase,
     Origin,
@@ -21,6 +20,7 @@
     Snapshot,
     Write,
 )
+from wigeonreach.charts import load_chart
 from wigeonreach.wire._raft_messages import (
     EntryKind,
     LogEntry,
--- a/src/wigeonreach/state/_raft_transfer.py
+++ b/src/wigeonreach/agreement/_raft_transfer.py
@@ -5,10 +5,10 @@
 import msgspec
 import xxhash
 
-from wigeonreach.state._raft_following import hear_leader, reply
-from wigeonreach.state._raft_log import RaftLog
-from wigeonreach.state._raft_state import Incoming, Progress, RaftState
-from wigeonreach.state._raft_types import Snapshot
+from wigeonreach.agreement._raft_following import hear_leader, reply
+from wigeonreach.agreement._raft_log import RaftLog
+from wigeonreach.agreement._raft_state import Incoming, Progress, RaftState
+from wigeonreach.agreement._raft_types import Snapshot
 from wigeonreach.wire._raft_messages import (
     MemberId,
     SnapshotChunk,
--- a/src/wigeonreach/state/_requests.py
+++ b/src/wigeonreach/agreement/_requests.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from wigeonreach.state._raft_types import Accepted, Origin
+from wigeonreach.agreement._raft_types import Accepted, Origin
 
 _BITS = 60
 
--- a/src/wigeonreach/state/_storage.py
+++ b/src/wigeonreach/agreement/_storage.py
@@ -9,19 +9,19 @@
 
 import msgspec
 
-from wigeonreach.codes import ResultCode
-from wigeonreach.exceptions import StateError
-from wigeonreach.state._disk import Disk
-from wigeonreach.state._journal import (
+from wigeonreach.agreement._disk import Disk
+from wigeonreach.agreement._journal import (
     JournalContent,
     encode_commit,
     encode_entries,
     encode_journal,
     read_journal,
 )
-from wigeonreach.state._raft_log import RaftLog
-from wigeonreach.state._raft_types import HardState, Snapshot, Write
-from wigeonreach.state._records import RecordKind, frame, read_records
+from wigeonreach.agreement._raft_log import RaftLog
+from wigeonreach.agreement._raft_types import HardState, Snapshot, Write
+from wigeonreach.agreement._records import RecordKind, frame, read_records
+from wigeonreach.codes import ResultCode
+from wigeonreach.exceptions import StateError
 
 _HARD_STATE = 'hard-state'
 _SNAPSHOT = 'snapshot'
--- a/src/wigeonreach/core/_barrier.py
+++ b/src/wigeonreach/core/_barrier.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from wigeonreach.state._state_machine import Agreement
+from wigeonreach.agreement import Agreement
 
 
 class SharedBarrier:
--- a/src/wigeonreach/core/_daemon.py
+++ b/src/wigeonreach/core/_daemon.py
@@ -7,6 +7,7 @@
 
 import mode
 
+from wigeonreach.agreement import FolderDisk
 from wigeonreach.codes import ExitCode
 from wigeonreach.core._advising import Advising, AdvisorApi
 from wigeonreach.core._call_handler import CallHandler
@@ -22,7 +23,6 @@
 from wigeonreach.jobs import JobStore
 from wigeonreach.observe import LogEvent, Logger, Metrics
 from wigeonreach.scheduling._vms import VmApi
-from wigeonreach.state._disk import FolderDisk
 from wigeonreach.wire import parse_address
 from wigeonreach.wire._call_messages import (
     AnyCall,
--- a/src/wigeonreach/core/_opening.py
+++ b/src/wigeonreach/core/_opening.py
@@ -4,15 +4,17 @@
 
 from collections.abc import Callable
 
+from wigeonreach.agreement import (
+    FolderDisk,
+    RaftAgreement,
+    RaftSettings,
+    ReplicaSettings,
+    Storage,
+    open_storage,
+)
 from wigeonreach.core._settings import CoreSettings
 from wigeonreach.jobs import JobStore
 from wigeonreach.observe import Logger
-from wigeonreach.state._agreement import RaftAgreement
-from wigeonreach.state._disk import FolderDisk
-from wigeonreach.state._opening import open_storage
-from wigeonreach.state._raft_types import RaftSettings
-from wigeonreach.state._settings import ReplicaSettings
-from wigeonreach.state._storage import Storage
 from wigeonreach.wire import Member, parse_address
 
 
--- a/src/wigeonreach/core/_term.py
+++ b/src/wigeonreach/core/_term.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from wigeonreach.agreement import Agreement
 from wigeonreach.core._barrier import SharedBarrier
 from wigeonreach.core._clock import steady_s, wall_ms
 from wigeonreach.core._term_log import TermLog
@@ -27,7 +28,6 @@
 from wigeonreach.observe import Logger, Metrics
 from wigeonreach.scheduling import Incarnation, Scheduler
 from wigeonreach.scheduling._orders import BUSY_NEXT_MS, HELD_NEXT_MS
-from wigeonreach.state._state_machine import Agreement
 from wigeonreach.wire._worker_messages import WorkerOrders, WorkerReport
 
 _TICK_S = 0.05
--- a/src/wigeonreach/state/_front.py
+++ b/src/wigeonreach/state/_front.py
@@ -10,6 +10,7 @@
 import mode
 import msgspec
 
+from wigeonreach.agreement import Agreement, ReplicaSettings
 from wigeonreach.codes import ResultCode
 from wigeonreach.exceptions import FleetTextError, StateError
 from wigeonreach.observe import LogEvent, Logger
@@ -18,8 +19,6 @@
 from wigeonreach.state._machine import Machine
 from wigeonreach.state._machine_state import AcceptedState
 from wigeonreach.state._machine_texts import as_edits
-from wigeonreach.state._settings import ReplicaSettings
-from wigeonreach.state._state_machine import Agreement
 from wigeonreach.state._subscription import Subscription
 from wigeonreach.text import TextReader
 from wigeonreach.wire import Channel, Message
--- a/src/wigeonreach/state/_replica.py
+++ b/src/wigeonreach/state/_replica.py
@@ -7,15 +7,17 @@
 
 import mode
 
+from wigeonreach.agreement import (
+    FolderDisk,
+    RaftAgreement,
+    ReplicaSettings,
+    Storage,
+    open_storage,
+)
 from wigeonreach.codes import ExitCode
 from wigeonreach.observe import LogEvent, Logger
-from wigeonreach.state._agreement import RaftAgreement
-from wigeonreach.state._disk import FolderDisk
 from wigeonreach.state._front import Front
 from wigeonreach.state._machine import Machine
-from wigeonreach.state._opening import open_storage
-from wigeonreach.state._settings import ReplicaSettings
-from wigeonreach.state._storage import Storage
 from wigeonreach.wire import Channel, serve
 from wigeonreach.wire._raft_messages import (
     LinkEcho,
--- /dev/null
+++ b/tests/agreement/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the agreement package."""
--- a/tests/state/test_disk_writer.py
+++ b/tests/agreement/test_disk_writer.py
@@ -9,11 +9,11 @@
 import testtools
 
 from tests.builders_disk import FakeDisk
+from wigeonreach.agreement import _disk_writer
+from wigeonreach.agreement._disk_writer import DiskWriter
+from wigeonreach.agreement._raft_types import Write
+from wigeonreach.agreement._storage import Storage, SyncFailedError
 from wigeonreach.observe import Logger
-from wigeonreach.state import _disk_writer
-from wigeonreach.state._disk_writer import DiskWriter
-from wigeonreach.state._raft_types import Write
-from wigeonreach.state._storage import Storage, SyncFailedError
 from wigeonreach.wire._raft_messages import EntryKind, LogEntry
 
 _RETRY_S = 0.001
--- a/tests/state/test_links.py
+++ b/tests/agreement/test_links.py
@@ -9,9 +9,9 @@
 from testtools import matchers
 
 from tests.builders_core import free_addresses
+from wigeonreach.agreement._links import Links
 from wigeonreach.exceptions import WireError
 from wigeonreach.observe import Logger
-from wigeonreach.state._links import Links
 from wigeonreach.wire import Channel, parse_address, serve
 from wigeonreach.wire._raft_messages import (
     LinkEcho,
--- a/tests/state/test_raft_catch_up.py
+++ b/tests/agreement/test_raft_catch_up.py
@@ -9,8 +9,8 @@
 from testtools import matchers
 
 from tests.builders_raft import stored_log
-from wigeonreach.state._raft import Raft
-from wigeonreach.state._raft_types import (
+from wigeonreach.agreement._raft import Raft
+from wigeonreach.agreement._raft_types import (
     DiskDone,
     HandOver,
     Outgoing,
--- a/tests/state/test_raft_model.py
+++ b/tests/agreement/test_raft_model.py
@@ -19,10 +19,10 @@
     Node,
     Simulation,
 )
-from wigeonreach.state import _raft_members
-from wigeonreach.state._raft_state import LeaderState, RaftState
-from wigeonreach.state._raft_types import DiskDone, RaftEvent
-from wigeonreach.state._storage import Stored
+from wigeonreach.agreement import _raft_members
+from wigeonreach.agreement._raft_state import LeaderState, RaftState
+from wigeonreach.agreement._raft_types import DiskDone, RaftEvent
+from wigeonreach.agreement._storage import Stored
 from wigeonreach.wire._raft_messages import MemberId
 
 _RUNS = 12
--- a/tests/state/test_requests.py
+++ b/tests/agreement/test_requests.py
@@ -6,7 +6,7 @@
 
 import testtools
 
-from wigeonreach.state._requests import Done, Requests
+from wigeonreach.agreement._requests import Done, Requests
 
 
 class TestRequests(testtools.TestCase):
--- a/tests/state/test_storage.py
+++ b/tests/agreement/test_storage.py
@@ -11,11 +11,11 @@
 from testtools import matchers
 
 from tests.builders_disk import CrashedError, FakeDisk
+from wigeonreach.agreement._disk import FolderDisk
+from wigeonreach.agreement._raft_types import Write
+from wigeonreach.agreement._storage import Storage, SyncFailedError
 from wigeonreach.codes import ResultCode
 from wigeonreach.exceptions import StateError
-from wigeonreach.state._disk import FolderDisk
-from wigeonreach.state._raft_types import Write
-from wigeonreach.state._storage import Storage, SyncFailedError
 from wigeonreach.wire._raft_messages import EntryKind, LogEntry
 
 
--- a/tests/builders_raft.py
+++ b/tests/builders_raft.py
@@ -9,9 +9,9 @@
 import msgspec
 
 from tests.builders_disk import CrashedError, FakeDisk
-from wigeonreach.state._raft import Raft
-from wigeonreach.state._raft_log import RaftLog, encode_voters
-from wigeonreach.state._raft_types import (
+from wigeonreach.agreement._raft import Raft
+from wigeonreach.agreement._raft_log import RaftLog, encode_voters
+from wigeonreach.agreement._raft_types import (
     DiskDone,
     HardState,
     Origin,
@@ -27,7 +27,7 @@
     Tick,
     Write,
 )
-from wigeonreach.state._storage import Storage, Stored
+from wigeonreach.agreement._storage import Storage, Stored
 from wigeonreach.wire._raft_messages import EntryKind, LogEntry, MemberId
 
 NAMES = ('a', 'b', 'c')
