--- a/src/wigeonreach/scheduling/_pools.py
+++ b/src/wigeonreach/scheduling/_pools.py
@@ -60,6 +60,22 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServingNeed:
+    """What the serving tasks of the services need, by service.
+
+    Attributes
+    ----------
+    workers
+        On how many workers they are to be spread.
+    homeless
+        Processors of those that found no room on the workers of now.
+    """
+
+    workers: Mapping[str, int]
+    homeless: Mapping[str, float]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PoolState:
     """One pool now.
@@ -161,7 +177,7 @@
     def step(
         self,
         backlog: Mapping[str, float],
-        serving: Mapping[str, int],
+        serving: ServingNeed,
         taken: set[str],
         now_s: float,
     ) -> list[Move]:
@@ -172,7 +188,7 @@
         backlog
             Processor seconds that the accepted jobs of each service need.
         serving
-            Workers that the serving tasks of each service need.
+            What the serving tasks of each service need.
         taken
             VMs that waves have in hand.
         now_s
@@ -188,7 +204,7 @@
     def _pools(
         self,
         backlog: Mapping[str, float],
-        serving: Mapping[str, int],
+        serving: ServingNeed,
         taken: set[str],
         now_s: float,
     ) -> dict[str, PoolState]:
@@ -206,7 +222,11 @@
                 tuple(incarnations[service.name]),
                 max(
                     self._wanted_by_work(service.name, backlog, now_s),
-                    serving.get(service.name, 0),
+                    serving.workers.get(service.name, 0),
+                    self._wanted_by_homeless(
+                        serving.homeless.get(service.name, 0),
+                        len(incarnations[service.name]),
+                    ),
                 ),
             )
             for service in self._store.manifest.services
@@ -230,6 +250,12 @@
         usable = self._processors * _USABLE_RATIO
         return math.ceil(work_s / (usable * _FINISH_S)) if usable else 0
 
+    def _wanted_by_homeless(self, homeless: float, workers: int) -> int:
+        """Return how many workers give room to tasks that found none."""
+        if not homeless or not self._processors:
+            return 0
+        return workers + math.ceil(homeless / self._processors)
+
     def _fill(
         self,
         pools: Mapping[str, PoolState],
--- a/src/wigeonreach/scheduling/_scheduler.py
+++ b/src/wigeonreach/scheduling/_scheduler.py
@@ -23,7 +23,7 @@
 from wigeonreach.scheduling._orders import Tickets, not_begun, orders_for
 from wigeonreach.scheduling._pacing import Pacing
 from wigeonreach.scheduling._placing import Plan
-from wigeonreach.scheduling._pools import Move, PoolPlanner
+from wigeonreach.scheduling._pools import Move, PoolPlanner, ServingNeed
 from wigeonreach.scheduling._preempting import victims_for
 from wigeonreach.scheduling._progress import ProgressWatch
 from wigeonreach.scheduling._quarantine import WorkerQuarantine
@@ -94,6 +94,8 @@
         self.stopping: set[Run] = set()
         self.ready = ReadySteps()
         self._rooms = RoomBook(store)
+        # Processors of serving tasks that found no room, by service.
+        self._homeless: dict[str, float] = {}
         self._store = store
         store.changed.update(store.jobs)
         self.ready.refresh(store, now_s, wall_ms)
@@ -159,6 +161,7 @@
             self.pools.note_accepted(service, work_s, now_s)
         processors = self.workers.processors(now_s)
         steps = self.ready.in_order(now_s, wall_ms, processors)
+        self._homeless = {}
         self.notes.extend(self.ready.notes)
         self.ready.notes.clear()
         if not steps:
@@ -178,7 +181,7 @@
         taken = self.maintenance.cordoned
         return self.pools.step(
             self.ready.backlog(),
-            self.ready.serving(),
+            ServingNeed(self.ready.serving(), self._homeless),
             taken,
             now_s,
         )
@@ -372,10 +375,13 @@
                 self._store,
                 self.stopping,
             )
-            if found is not None:
-                room, runs = found
-                self.stopping.update(runs)
-                rooms[service].remove(room)
+            if found is None:
+                need = step.spec.room.processors * len(step.waiting)
+                self._homeless[service] = self._homeless.get(service, 0) + need
+                continue
+            room, runs = found
+            self.stopping.update(runs)
+            rooms[service].remove(room)
 
 
 def _is_repeat(
--- a/tests/scheduling/test_pools.py
+++ b/tests/scheduling/test_pools.py
@@ -75,6 +75,29 @@
             matchers.Equals([SERVICE, SERVICE, SERVICE]),
         )
 
+    def test_serving_task_without_room_gets_a_vm(self) -> None:
+        """Its pool has as many workers as its spread asks for, all full."""
+        serving = job(
+            serving_step(4, cpu_millicores=16_000, spread_limit=0),
+        )
+        lead = FakeLead(_with_standby(store_with(serving)), workers(4))
+        lead.scheduler.pools.note_vms(_off('off1', 'off2', 'off3'))
+        lead.round()
+        lead.workers.pop('w0')
+        for _ in range(60):
+            lead.round()
+        moves: list[Move] = []
+        for _ in range(5):
+            lead.round()
+            found = lead.scheduler.moves(lead.now_s)
+            for move in found:
+                lead.scheduler.pools.note_moved(move, lead.now_s)
+            moves.extend(found)
+        self.assertThat(
+            moves,
+            matchers.Equals([Move('off1', _STANDBY, SERVICE)]),
+        )
+
     def test_idle_vms_go_back(self) -> None:
         """Only the workers with serving tasks stay, once demand is known."""
         store = _with_standby(store_with(job(serving_step(2))))
