--- a/soak/_cores.py
+++ b/soak/_cores.py
@@ -5,13 +5,16 @@
 import asyncio
 import contextlib
 import dataclasses
+import functools
+import io
+import itertools
 import pathlib
 import resource
-import itertools
 import shutil
 import signal
 import socket
 import sys
+import time
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -28,8 +31,10 @@
 # As a supervisor would: soon, but not at once.
 _RESTART_S = 0.3
 _END_S = 8.0
-# What a torn write may leave behind the last synced record.
-_TORN = b'\x93\x07torn'
+# A write that was torn leaves the beginning of a record; so short a one.
+_TORN_BYTES = 20
+# A process that was just started has written nothing yet.
+_WRITES_AFTER_S = 2.0
 
 
 def source_of(first: bytes) -> str:
@@ -64,8 +69,8 @@
     folder: pathlib.Path
     zone: str
     is_wanted: bool = False
-    has_run: bool = False
     own_ends: int = 0
+    started_s: float = 0.0
     may_end: bool = False
     process: asyncio.subprocess.Process | None = None
 
@@ -139,14 +144,12 @@
         self._later(self._replace(core))
 
     def tear(self, core: CoreProcess) -> None:
-        """Kill one in the middle of a write."""
+        """Kill one in the middle of a write, if it has begun to write."""
+        up_s = time.monotonic() - core.started_s
+        tear = functools.partial(_tear, core.folder / 'journal')
+        meanwhile = tear if up_s > _WRITES_AFTER_S else None
         self._later(
-            self._restart(
-                core,
-                signal.SIGKILL,
-                _RESTART_S,
-                lambda: _append(core.folder / 'journal'),
-            ),
+            self._restart(core, signal.SIGKILL, _RESTART_S, meanwhile),
         )
 
     def fill_disk(self, core: CoreProcess, for_s: float) -> None:
@@ -203,7 +206,7 @@
             stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.STDOUT,
         )
-        core.has_run = True
+        core.started_s = time.monotonic()
         watch = asyncio.create_task(self._watch(core, core.process))
         watch.add_done_callback(_raise_failure)
 
@@ -284,9 +287,11 @@
         resource.prlimit(pid, resource.RLIMIT_FSIZE, limits)
 
 
-def _append(journal: pathlib.Path) -> None:
-    with journal.open('ab') as torn:
-        torn.write(_TORN)
+def _tear(journal: pathlib.Path) -> None:
+    with journal.open('rb+') as torn:
+        beginning = torn.read(_TORN_BYTES)
+        torn.seek(0, io.SEEK_END)
+        torn.write(beginning)
 
 
 def _free_port() -> int:
