--- a/bench/bench_deciding.py
+++ b/bench/bench_deciding.py
@@ -11,7 +11,7 @@
 import itertools
 import random
 import time
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 
 import msgspec
 
@@ -25,6 +25,7 @@
     Manifest,
     QueueSpec,
     RecordRuns,
+    Run,
     RunEnd,
     ServiceSpec,
     SetManifest,
@@ -32,11 +33,8 @@
     encode_command,
 )
 from wigeonreach.scheduling import Scheduler
-from wigeonreach.wire._worker_messages import (
-    EndedRun,
-    RunningTask,
-    WorkerReport,
-)
+from wigeonreach.standins import StandInWorker
+from wigeonreach.wire._worker_messages import WorkerReport
 
 _BENCH = 'deciding'
 _SIZES = (30, 180, 1000)
@@ -56,37 +54,19 @@
 
 @dataclasses.dataclass(slots=True)
 class _Worker:
-    name: str
-    service: str
-    sequence: int = 0
-    left: dict[RunningTask, int] = dataclasses.field(default_factory=dict)
-    ended: list[EndedRun] = dataclasses.field(default_factory=list)
-    numbers: Iterator[int] = dataclasses.field(
-        default_factory=lambda: itertools.count(1),
-    )
+    """A stand-in, and for how many heartbeats each of its runs goes on."""
+
+    stand_in: StandInWorker
+    left: dict[Run, int] = dataclasses.field(default_factory=dict)
 
     def report(self) -> WorkerReport:
         """Let all runs go on, and return the next heartbeat."""
-        self.sequence += 1
         for run, left in list(self.left.items()):
             self.left[run] = left - 1
             if left <= 1:
                 self.left.pop(run)
-                number = next(self.numbers)
-                ended = EndedRun(number, run.task, run.run, RunEnd.DONE)
-                self.ended.append(ended)
-        return WorkerReport(
-            worker=self.name,
-            vm=f'vm-{self.name}',
-            service=self.service,
-            address='127.0.0.1:1',
-            zone='a',
-            sequence=self.sequence,
-            cpu_millicores=16_000,
-            memory_mb=32_768,
-            running=tuple(self.left),
-            ended=tuple(self.ended),
-        )
+                self.stand_in.end(run, RunEnd.DONE)
+        return self.stand_in.report()
 
 
 class _Fleet:
@@ -106,7 +86,13 @@
         self.commit(BeginTerm(1))
         self.scheduler = Scheduler(self.store, 1, 0)
         self.workers = [
-            _Worker(f'w{number}', pools[number % _POOLS])
+            _Worker(
+                StandInWorker(
+                    f'w{number}',
+                    f'vm{number}',
+                    pools[number % _POOLS],
+                ),
+            )
             for number in range(size)
         ]
 
@@ -151,12 +137,12 @@
         heard.incarnation.noted = noted
 
     def _answer(self, worker: _Worker) -> None:
-        incarnation = self.scheduler.workers.incarnations[worker.name]
+        name = worker.stand_in.name
+        incarnation = self.scheduler.workers.incarnations[name]
         with self._timed():
             orders = self.scheduler.orders(incarnation, self.now_s)
-        worker.ended.clear()
-        for start in orders.starts:
-            run = RunningTask(start.task, start.run, '', 1)
+        for start in worker.stand_in.obey(orders, percent=1):
+            run = (start.task, start.run)
             worker.left[run] = self.rng.randint(2, 5)
 
     def _timed(self) -> _Timed:
