Refuse heartbeats that are not understood in full, and read list entries one by one

Cause: rows of other types in a heartbeat raised AttributeError or TypeError past the border (an answer of 500), a state that nobody named counted as ready, one bad entry voided the platform's whole list, and a readable heartbeat of an unnamed service could stand for a VM that has a worker. Ruled out: reading what can be read of a broken heartbeat; an end that is skipped would be lost, or acknowledged unseen. Numbers that no message between processes can hold are refused as well.

--- a/src/wigeonreach/core/_advising.py
+++ b/src/wigeonreach/core/_advising.py
@@ -68,6 +68,8 @@
         self._metrics.observe_s('advice', steady_s() - began_s)
         outcome = 'none' if advice is None else 'answered'
         self._metrics.count('advice_calls', outcome)
+        if advice is not None and advice.unreadable:
+            self._metrics.count('advice_rows_skipped', amount=advice.unreadable)
         # Tickets count from when they were made out, so from the question.
         self._term.scheduler.advice.note(question, advice, began_s)
         self._term.wake.set()
--- a/src/wigeonreach/core/_call_handler.py
+++ b/src/wigeonreach/core/_call_handler.py
@@ -123,6 +123,7 @@
             job=job_id,
             queue=queue.name,
             version=handler.store.manifest.version,
+            occurrences=call.spec.occurrences,
             steps=[_shape(step) for step in call.spec.steps],
         )
     return Done()
@@ -135,6 +136,9 @@
         f'{step.count} {kind} {step.cpu_millicores}m {step.memory_mb}MB'
         f' {step.estimate_ms}ms spread={step.spread_limit}'
         f' miss={step.may_miss} tail={step.latency_target_ms}'
+        f' gang={step.is_gang} rack-local={step.is_rack_local}'
+        f' label={step.label} rack={step.data_rack}'
+        f' copies={step.has_copies} filler={step.is_filler}'
     )
 
 
--- a/src/wigeonreach/core/_term.py
+++ b/src/wigeonreach/core/_term.py
@@ -208,7 +208,7 @@
             )
             heard = self.scheduler.hear(heartbeat.report, heartbeat.came_s)
             if heard is None:
-                self._log.late(heartbeat.report)
+                self._note_ignored(heartbeat.report)
                 heartbeat.settle(WorkerOrders())
                 continue
             heartbeat.incarnation = heard.incarnation
@@ -220,6 +220,12 @@
         self._metrics.count('heartbeats', amount=len(arrived))
         return tuple(ends)
 
+    def _note_ignored(self, report: WorkerReport) -> None:
+        if self.scheduler.is_foreign(report):
+            self._log.foreign(report)
+        else:
+            self._log.late(report)
+
     async def _record_ends(self, ends: tuple[RunEnded, ...]) -> None:
         if not ends:
             return
--- a/src/wigeonreach/core/_term_log.py
+++ b/src/wigeonreach/core/_term_log.py
@@ -62,6 +62,7 @@
             address=report.address,
             zone=report.zone,
             rack=report.rack,
+            labels=report.labels,
             sequence=report.sequence,
             running=len(report.running),
         )
@@ -76,6 +77,16 @@
             sequence=report.sequence,
         )
 
+    def foreign(self, report: WorkerReport) -> None:
+        """Tell of a heartbeat that no worker of the manifest sent."""
+        self._metrics.count('heartbeats_foreign')
+        self._log.info(
+            LogEvent.HEARTBEAT_FOREIGN,
+            worker=report.worker,
+            vm=report.vm,
+            service=report.service,
+        )
+
     def stopped_stalled(self, heard: Heard) -> None:
         """Tell of runs that are stopped as they make no progress."""
         self._log.info(
--- a/src/wigeonreach/jobs/_store.py
+++ b/src/wigeonreach/jobs/_store.py
@@ -115,6 +115,11 @@
         queue = self.queues.named(job.queue.name)
         return queue.service if queue else job.queue.service
 
+    def names_service(self, service: str) -> bool:
+        """Whether the manifest names a service, or there is none yet."""
+        named = {spec.name for spec in self.manifest.services}
+        return not self.manifest.version or service in named
+
     def job_of(self, key: TaskKey) -> JobRecord | None:
         """Return the job of a task."""
         return self.jobs.get(key.job_id)
--- a/src/wigeonreach/platform/_advisor.py
+++ b/src/wigeonreach/platform/_advisor.py
@@ -5,6 +5,11 @@
 import msgspec
 
 from wigeonreach.observe import Logger
+from wigeonreach.platform._bodies import (
+    Amount,
+    decode_body,
+    decode_entries,
+)
 from wigeonreach.platform._session import PlatformSession, expect_ok
 from wigeonreach.scheduling._advice import Advice, Question
 
@@ -12,12 +17,18 @@
 
 
 class _Answer(msgspec.Struct, frozen=True, rename='camel'):
-    # Rows of worker and ticket, of those that may run the step.
-    allowed_workers: tuple[tuple[str, str], ...] = ()
-    validity_ms: int = 0
+    # Those that may run the step.
+    allowed_workers: tuple[msgspec.Raw, ...] = ()
+    validity_ms: Amount = 0
+
+
+class _Row(msgspec.Struct, frozen=True, array_like=True):
+    worker: str
+    ticket: str
 
 
 _ANSWERS = msgspec.json.Decoder(_Answer)
+_ROWS = msgspec.json.Decoder(_Row)
 
 
 class RecommendationApi:
@@ -45,14 +56,25 @@
             'step': f'{job_id}.{occurrence}.{step}',
             'workers': question.workers,
         }
-        return await self._session.post('/advise', _decode_advice, body)
+        return await self._session.post('/advise', decode_advice, body)
 
     async def close(self) -> None:
         """Close the connections."""
         await self._session.close()
 
 
-def _decode_advice(status: int, body: bytes) -> Advice:
+def decode_advice(status: int, body: bytes) -> Advice:
+    """Return the tickets that can be read.
+
+    Raises
+    ------
+    PlatformError
+        If the advisor refused to answer.
+    UnreadableBodyError
+        If its answer can't be read.
+    """
     expect_ok(status)
-    answer = _ANSWERS.decode(body)
-    return Advice(dict(answer.allowed_workers), answer.validity_ms / 1000)
+    answer = decode_body(_ANSWERS, body)
+    rows = decode_entries(_ROWS, answer.allowed_workers)
+    tickets = {row.worker: row.ticket for row in rows.sound}
+    return Advice(tickets, answer.validity_ms / 1000, rows.unreadable)
--- a/src/wigeonreach/platform/_callers.py
+++ b/src/wigeonreach/platform/_callers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import time
 
 from wigeonreach.exceptions import RequestRefusedError
@@ -21,6 +22,7 @@
 # How long a client waits for its answer.
 _DEADLINE_HEADER = 'X-Deadline-Ms'
 _DEFAULT_DEADLINE_S = 3.0
+_DEADLINE = re.compile('[0-9]{1,9}')
 # Of the client's time, for the way back.
 _RETURN_S = 0.1
 _LEAST_S = 0.1
@@ -100,5 +102,6 @@
 
 def _timeout_s(request: HttpRequest) -> float:
     text = request.headers.get(_DEADLINE_HEADER, '')
-    wait_s = int(text) / 1000 if text.isdecimal() else _DEFAULT_DEADLINE_S
+    is_read = _DEADLINE.fullmatch(text) is not None
+    wait_s = int(text) / 1000 if is_read else _DEFAULT_DEADLINE_S
     return max(min(wait_s, _DEFAULT_DEADLINE_S) - _RETURN_S, _LEAST_S)
--- a/src/wigeonreach/platform/_control.py
+++ b/src/wigeonreach/platform/_control.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import re
+
 from wigeonreach.core import Core
 from wigeonreach.exceptions import FleetTextError, RequestRefusedError
+from wigeonreach.observe import LogEvent, Logger, Metrics
 from wigeonreach.platform._http import HttpReply, HttpRequest, error_reply
 from wigeonreach.platform._manifest import decode_manifest, decode_wave
 from wigeonreach.platform._replies import http_reply
@@ -25,6 +28,7 @@
 _HEARTBEAT = '/Instances.Heartbeat/'
 _LEAVE = '/Instances.Deregister/'
 _READ_WAVE = '/wave-get/'
+_WAVE = re.compile('[0-9]{1,15}')
 _UNAVAILABLE = 503
 
 
@@ -35,17 +39,25 @@
     ----------
     core
         Who answers them.
+    logger, metrics
+        Where refusals are logged and counted.
     """
 
-    def __init__(self, core: Core) -> None:
+    def __init__(self, core: Core, logger: Logger, metrics: Metrics) -> None:
         """Keep the core process."""
         self._core = core
+        self._log = logger
+        self._metrics = metrics
 
     async def handle(self, request: HttpRequest) -> HttpReply:
         """Answer one request."""
         try:
             call = _decode(request)
-        except (FleetTextError, RequestRefusedError) as error:
+        except RequestRefusedError as refused:
+            self._metrics.count('heartbeats_refused')
+            self._log.warning(LogEvent.HEARTBEAT_REFUSED, reason=refused.detail)
+            return error_reply(400, refused)
+        except FleetTextError as error:
             return error_reply(400, error)
         if call is None:
             return HttpReply(404, b'{}')
@@ -76,6 +88,6 @@
     if request.path == '/Config.Read':
         return ReadManifest()
     wave = request.path.removeprefix(_READ_WAVE)
-    if wave != request.path and wave.isdecimal():
+    if wave != request.path and _WAVE.fullmatch(wave):
         return ReadWave(int(wave))
     return None
--- a/src/wigeonreach/platform/_http.py
+++ b/src/wigeonreach/platform/_http.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import json
 from collections.abc import Awaitable, Callable
 
 import mode
@@ -149,9 +150,8 @@
 
 def error_reply(status: int, error: WigeonreachError) -> HttpReply:
     """Return an answer that tells a numbered error."""
-    code = f'{{"code":{int(error.code)},"error":'
-    text = error.detail.replace('\\', ' ').replace('"', "'")
-    return HttpReply(status, f'{code}"{text}"}}'.encode())
+    told = {'code': int(error.code), 'error': error.detail}
+    return HttpReply(status, json.dumps(told).encode())
 
 
 def _too_large(allowed_bytes: int) -> RequestRefusedError:
--- a/src/wigeonreach/platform/_jobs.py
+++ b/src/wigeonreach/platform/_jobs.py
@@ -9,10 +9,12 @@
 from wigeonreach.codes import ResultCode
 from wigeonreach.exceptions import RequestRefusedError
 from wigeonreach.jobs import JobPhase, JobSpec, StepSpec
-from wigeonreach.wire._call_replies import (
-    JobState,
-    WaitingJobs,
+from wigeonreach.platform._bodies import (
+    Amount,
+    UnreadableBodyError,
+    decode_body,
 )
+from wigeonreach.wire._call_replies import JobState, WaitingJobs
 
 _MAX_PAYLOAD_BYTES = 4000
 # Far above what any caller sends; a job's tasks are kept one by one.
@@ -29,14 +31,14 @@
 class _Phase(msgspec.Struct, frozen=True, rename='camel'):
     """One step; the platform calls it a phase."""
 
-    count: int
+    count: Amount
     # In thousandths of a processor.
-    cpu: int = 0
-    mem_mb: int = 0
+    cpu: Amount = 0
+    mem_mb: Amount = 0
     # A number of accelerators.
-    gpu: int = 0
-    estimated_ms: int = 0
-    depends_on: tuple[int, ...] = ()
+    gpu: Amount = 0
+    estimated_ms: Amount = 0
+    depends_on: tuple[Amount, ...] = ()
     gang: bool = False
     rack_local: bool = False
     # One label, in spite of the plural.
@@ -44,18 +46,18 @@
     # The rack where the data lies.
     affinity: str = ''
     # Most tasks of one occurrence on one worker.
-    anti_affinity: int = 0
+    anti_affinity: Amount = 0
     # Whether progress is saved.
     checkpointing: bool = False
     speculative: bool = False
     long_running: bool = False
     image: str = ''
     # The tail of a serving task's response times has to stay below this.
-    target_ms: int = 0
+    target_ms: Amount = 0
     # Not a figure: the tasks live on what others leave unused.
     utilisation: bool = False
     # Tasks that this system's own actions may take away at once.
-    miss_allowed: int = 0
+    miss_allowed: Amount = 0
 
     def to_step(self) -> StepSpec:
         """Return it in the product's words."""
@@ -87,10 +89,10 @@
     # Not a specification: text that each task is given.
     spec: str
     phases: tuple[_Phase, ...]
-    start_at_ms: int = 0
-    interval_ms: int = 0
+    start_at_ms: Amount = 0
+    interval_ms: Amount = 0
     # 0 for a job that runs once, at once.
-    repetitions: int = 0
+    repetitions: Amount = 0
 
 
 _JOBS = msgspec.json.Decoder(_Job)
@@ -105,8 +107,8 @@
         If the body is not a job that could run.
     """
     try:
-        job = _JOBS.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        job = decode_body(_JOBS, body)
+    except UnreadableBodyError as error:
         raise _refused(str(error)) from error
     _check(job)
     return JobSpec(
@@ -133,7 +135,7 @@
 
 
 def _check(job: _Job) -> None:
-    if len(job.spec.encode()) > _MAX_PAYLOAD_BYTES:
+    if len(job.spec.encode(errors='replace')) > _MAX_PAYLOAD_BYTES:
         raise _refused(f'spec: longer than {_MAX_PAYLOAD_BYTES} bytes')
     if not job.phases:
         raise _refused('phases: at least one')
@@ -147,8 +149,6 @@
 def _check_phase(number: int, phase: _Phase) -> None:
     if phase.count < 1:
         raise _refused(f'phases[{number}].count: {phase.count}; allowed: 1 up')
-    if min(phase.cpu, phase.mem_mb, phase.gpu, phase.estimated_ms) < 0:
-        raise _refused(f'phases[{number}]: sizes and times are 0 or more')
     if any(not 0 <= earlier < number for earlier in phase.depends_on):
         raise _refused(f'phases[{number}].dependsOn: earlier phases only')
 
--- a/src/wigeonreach/platform/_machines.py
+++ b/src/wigeonreach/platform/_machines.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 from types import MappingProxyType
 
 import msgspec
 
-from wigeonreach.observe import Logger
+from wigeonreach.observe import LogEvent, Logger
+from wigeonreach.platform._bodies import decode_body, decode_entries
 from wigeonreach.platform._session import PlatformSession, expect_ok
 from wigeonreach.platform._workers import rack_of
 from wigeonreach.scheduling._vms import OrderResult, VmPhase, VmRecord
@@ -49,15 +52,33 @@
 
 
 class _Page(msgspec.Struct, frozen=True, rename='camel'):
-    machines: tuple[_Machine, ...]
+    machines: tuple[msgspec.Raw, ...]
     next_token: str | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class VmPage:
+    """One page of the platform's list of VMs.
+
+    Attributes
+    ----------
+    unreadable
+        How many entries were left out.
+    next_token
+        Where the next page begins, or nothing.
+    """
+
+    vms: tuple[VmRecord, ...]
+    unreadable: int
+    next_token: str
+
+
 class _Refusal(msgspec.Struct, frozen=True):
     reason: str = ''
 
 
 _PAGES = msgspec.json.Decoder(_Page)
+_MACHINES = msgspec.json.Decoder(_Machine)
 _REFUSALS = msgspec.json.Decoder(_Refusal)
 
 
@@ -77,18 +98,22 @@
     def __init__(self, address: str, holder: str, logger: Logger) -> None:
         """Connect at the first call."""
         self._holder = holder
+        self._log = logger
         self._session = PlatformSession(address, _TIMEOUT_S, logger)
 
     async def list_vms(self) -> tuple[VmRecord, ...] | None:
         """Return all VMs, or None if the platform did not answer."""
         found: list[VmRecord] = []
-        token: str | None = ''
-        while token is not None:
-            page = await self._page(token)
-            if page is None:
+        unreadable = 0
+        tokens = ['']
+        while tokens[-1] or len(tokens) == 1:
+            page = await self._page(tokens[-1])
+            if page is None or page.next_token in tokens[1:]:
                 return None
-            found.extend(_record(machine) for machine in page.machines)
-            token = page.next_token or None
+            found.extend(page.vms)
+            unreadable += page.unreadable
+            tokens.append(page.next_token)
+        self._note_unreadable(unreadable, len(found))
         return tuple(found)
 
     async def maintain(self, vm: str, wave: int, fence: int) -> OrderResult:
@@ -105,9 +130,18 @@
         """Close the connections."""
         await self._session.close()
 
-    async def _page(self, token: str) -> _Page | None:
+    def _note_unreadable(self, unreadable: int, sound: int) -> None:
+        if unreadable:
+            self._log.warning(
+                LogEvent.ENTRIES_SKIPPED,
+                call='/machines',
+                unreadable=unreadable,
+                sound=sound,
+            )
+
+    async def _page(self, token: str) -> VmPage | None:
         query = f'?pageToken={token}' if token else ''
-        return await self._session.get(f'/machines{query}', _decode_page)
+        return await self._session.get(f'/machines{query}', decode_page)
 
     async def _order(
         self,
@@ -120,9 +154,24 @@
         return result or OrderResult.UNKNOWN
 
 
-def _decode_page(status: int, body: bytes) -> _Page:
+def decode_page(status: int, body: bytes) -> VmPage:
+    """Return the VMs of a page that can be read.
+
+    Raises
+    ------
+    PlatformError
+        If the platform refused to answer.
+    UnreadableBodyError
+        If its answer can't be read.
+    """
     expect_ok(status)
-    return _PAGES.decode(body)
+    page = decode_body(_PAGES, body)
+    machines = decode_entries(_MACHINES, page.machines)
+    return VmPage(
+        tuple(map(_record, machines.sound)),
+        machines.unreadable,
+        page.next_token or '',
+    )
 
 
 def _result(status: int, body: bytes) -> OrderResult:
@@ -131,7 +180,7 @@
     if status == 400:
         return OrderResult.IMPOSSIBLE
     if status == 409:
-        reason = _REFUSALS.decode(body).reason
+        reason = decode_body(_REFUSALS, body).reason
         return _REASONS.get(reason, OrderResult.BUSY)
     return OrderResult.UNKNOWN
 
@@ -143,5 +192,6 @@
         phase=_PHASES.get(machine.state, VmPhase.DOWN),
         zone=machine.zone,
         rack=rack_of(machine.labels),
+        labels=machine.labels,
         worker=machine.id or '',
     )
--- a/src/wigeonreach/platform/_manifest.py
+++ b/src/wigeonreach/platform/_manifest.py
@@ -10,16 +10,19 @@
 from wigeonreach.codes import ResultCode
 from wigeonreach.exceptions import FleetTextError
 from wigeonreach.jobs import AdvicePolicy, Manifest, QueueSpec, ServiceSpec
-from wigeonreach.wire._call_messages import (
-    StartWaveCall,
+from wigeonreach.platform._bodies import (
+    Amount,
+    UnreadableBodyError,
+    decode_body,
 )
+from wigeonreach.wire._call_messages import StartWaveCall
 
 
 class _Advice(msgspec.Struct, frozen=True, rename='camel'):
-    decision_ms: int = 0
+    decision_ms: Amount = 0
     # For each worker that is asked about.
-    period_ms: int = 0
-    validity_ms: int = 0
+    period_ms: Amount = 0
+    validity_ms: Amount = 0
 
 
 class _Route(msgspec.Struct, frozen=True, rename='camel'):
@@ -29,12 +32,12 @@
     host: str
     path_prefix: str
     service: str
-    timeout_ms: int
+    timeout_ms: Amount
     # Part of a job's objective; the platform names it after a latency.
-    target_latency_ms: int = 0
-    priority: int = 0
+    target_latency_ms: Amount = 0
+    priority: Amount = 0
     # How many failed runs of a task end its job.
-    max_attempts: int = 1
+    max_attempts: Amount = 1
     # The other part of the objective: times the longest chain of work.
     slack_factor: float = 1.0
     # Whether and how the advisor has to be asked about each step.
@@ -50,22 +53,22 @@
 
 
 class _Limits(msgspec.Struct, frozen=True, rename='camel'):
-    max_body_bytes: int = 0
+    max_body_bytes: Amount = 0
 
 
 class _Manifest(msgspec.Struct, frozen=True):
-    version: int
+    version: Amount
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...]
     limits: _Limits = _Limits()
 
 
 class _Wave(msgspec.Struct, frozen=True):
-    wave: int
+    wave: Amount
     machines: tuple[str, ...]
     deadline_s: float = msgspec.field(name='deadlineS')
     # Most of its VMs that are down at once.
-    cap: int = 1
+    cap: Amount = 1
 
 
 _MANIFESTS = msgspec.json.Decoder(_Manifest)
@@ -81,8 +84,8 @@
         If it can't be read in full or contradicts itself.
     """
     try:
-        read = _MANIFESTS.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        read = decode_body(_MANIFESTS, body)
+    except UnreadableBodyError as error:
         raise FleetTextError(ResultCode.TEXT_SYNTAX, str(error)) from error
     _check(read)
     return Manifest(
@@ -110,8 +113,8 @@
         If it can't be read.
     """
     try:
-        read = _WAVES.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        read = decode_body(_WAVES, body)
+    except UnreadableBodyError as error:
         raise FleetTextError(ResultCode.TEXT_SYNTAX, str(error)) from error
     return StartWaveCall(read.wave, read.machines, read.deadline_s, read.cap)
 
--- a/src/wigeonreach/platform/_processes.py
+++ b/src/wigeonreach/platform/_processes.py
@@ -233,7 +233,7 @@
         control = settings.listen_addrs.control_addr
         self._control = HttpListener(
             parse_address(control, 'controlAddr'),
-            ControlApi(self._core).handle,
+            ControlApi(self._core, logger, metrics).handle,
             _MAX_MANIFEST_BYTES,
         )
         self._metrics = MetricsPage(settings, metrics)
--- a/src/wigeonreach/platform/_workers.py
+++ b/src/wigeonreach/platform/_workers.py
@@ -2,18 +2,25 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Mapping, Sequence
 from types import MappingProxyType
-from typing import Any
+from typing import Annotated, Literal
 
 import msgspec
 
 from wigeonreach.codes import ResultCode
 from wigeonreach.exceptions import RequestRefusedError
+from wigeonreach.platform._bodies import (
+    Amount,
+    UnreadableBodyError,
+    decode_body,
+)
 from wigeonreach.jobs import RunEnd, TaskKey
 from wigeonreach.wire._worker_messages import (
     EndedRun,
     RunningTask,
+    StartOrder,
     WorkerOrders,
     WorkerReport,
 )
@@ -31,14 +38,37 @@
         'refused': RunEnd.REFUSED,
     },
 )
-_TASK_PARTS = 4
+# ID.OCCURRENCE.STEP.INDEX, in plain digits.
+_TASK = re.compile(r'([^.]+)\.([0-9]{1,9})\.([0-9]{1,9})\.([0-9]{1,9})')
+# Figures may be sent with a fraction.
+_Figure = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
 
 
 class _Capacity(msgspec.Struct, frozen=True, rename='camel'):
     # In thousandths of a processor.
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: Amount = 0
+    mem_mb: Amount = 0
+    gpu: Amount = 0
+
+
+class _RunningRow(msgspec.Struct, frozen=True, array_like=True):
+    task: str
+    run: Amount
+    # A checkpoint.
+    saved: str
+    percent: _Figure
+    # See ``RunningTask.load``.
+    load: _Figure = 0
+
+
+class _EndedRow(msgspec.Struct, frozen=True, array_like=True):
+    # Counts the ends of one incarnation.
+    number: Amount
+    task: str
+    run: Amount
+    how: str
+    # A checkpoint.
+    saved: str = ''
 
 
 class _Beat(msgspec.Struct, frozen=True, rename='camel'):
@@ -49,21 +79,18 @@
     address: str
     zone: str
     # Counts the heartbeats of one incarnation.
-    sequence: int
-    # "ready" or "draining".
-    state: str = 'ready'
-    cold_remaining_ms: int = 0
-    capacity: _Capacity = _Capacity()
+    sequence: Amount
+    state: Literal['ready', 'draining']
+    capacity: _Capacity
     # The kind of the worker, then its rack.
-    labels: tuple[str, ...] = ()
+    labels: tuple[str, ...]
+    cold_remaining_ms: _Figure = 0
     # The VM under the worker.
     machine: str = ''
     # Least time that a draining worker still has.
-    remaining_ms: int = 0
-    # Rows of task, run, checkpoint, percent and load.
-    running: tuple[tuple[Any, ...], ...] = ()
-    # Rows of number, task, run, how and checkpoint.
-    finished: tuple[tuple[Any, ...], ...] = ()
+    remaining_ms: _Figure = 0
+    running: tuple[_RunningRow, ...] = ()
+    finished: tuple[_EndedRow, ...] = ()
 
 
 _BEATS = msgspec.json.Decoder(_Beat)
@@ -75,15 +102,15 @@
     Raises
     ------
     RequestRefusedError
-        If the body is not a heartbeat.
+        If any part of the body is not understood: what another writer made
+        up in part is not to be trusted in the rest.
     """
     try:
-        beat = _BEATS.decode(body)
-        return _report(worker, beat)
-    except (msgspec.MsgspecError, ValueError, KeyError) as error:
+        return _report(worker, decode_body(_BEATS, body))
+    except UnreadableBodyError as error:
         raise RequestRefusedError(
             ResultCode.ANNOUNCE_INVALID,
-            f'heartbeat of {worker}: {error!r}',
+            f'heartbeat of {worker}: {error}',
         ) from error
 
 
@@ -118,7 +145,7 @@
     return rows
 
 
-def _start_row(start: Any) -> tuple[object, ...]:
+def _start_row(start: StartOrder) -> tuple[object, ...]:
     row = (_task_name(start.task), start.run, start.payload, start.checkpoint)
     return (*row, start.ticket) if start.ticket else row
 
@@ -132,8 +159,8 @@
         zone=beat.zone,
         sequence=beat.sequence,
         is_draining=beat.state == 'draining',
-        drain_left_ms=beat.remaining_ms,
-        cold_ms=beat.cold_remaining_ms,
+        drain_left_ms=int(beat.remaining_ms),
+        cold_ms=int(beat.cold_remaining_ms),
         cpu_millicores=beat.capacity.cpu,
         memory_mb=beat.capacity.mem_mb,
         accelerators=beat.capacity.gpu,
@@ -149,34 +176,28 @@
     return labels[1] if len(labels) > 1 else ''
 
 
-def _running(row: Sequence[Any]) -> RunningTask:
-    task, run, checkpoint, percent, *load = row
+def _running(row: _RunningRow) -> RunningTask:
     return RunningTask(
-        _parse_task(task),
-        int(run),
-        str(checkpoint),
-        int(percent),
-        int(load[0]) if load else 0,
+        _parse_task(row.task),
+        row.run,
+        row.saved,
+        int(row.percent),
+        int(row.load),
     )
 
 
-def _ended(row: Sequence[Any]) -> EndedRun:
-    number, task, run, how, checkpoint = row
-    return EndedRun(
-        int(number),
-        _parse_task(task),
-        int(run),
-        _ENDS[how],
-        str(checkpoint),
-    )
+def _ended(row: _EndedRow) -> EndedRun:
+    end = _ENDS.get(row.how)
+    if end is None:
+        raise UnreadableBodyError(f'unknown end {row.how!r}')
+    return EndedRun(row.number, _parse_task(row.task), row.run, end, row.saved)
 
 
 def _parse_task(name: str) -> TaskKey:
-    """Read ID.OCCURRENCE.STEP.INDEX."""
-    parts = name.split('.')
-    if len(parts) != _TASK_PARTS or not all(map(str.isdecimal, parts[1:])):
-        raise ValueError(name)
-    job_id, occurrence, step, index = parts
+    parts = _TASK.fullmatch(name)
+    if parts is None:
+        raise UnreadableBodyError(f'no task {name!r}')
+    job_id, occurrence, step, index = parts.groups()
     return TaskKey(job_id, int(occurrence), int(step), int(index))
 
 
--- a/src/wigeonreach/scheduling/_advice.py
+++ b/src/wigeonreach/scheduling/_advice.py
@@ -37,10 +37,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Advice:
-    """The advisor's answer: tickets by worker, for so long."""
+    """The advisor's answer: tickets by worker, for so long.
+
+    Attributes
+    ----------
+    unreadable
+        How many others there were that can't be read.
+    """
 
     tickets: Mapping[str, str]
     valid_s: float
+    unreadable: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/wigeonreach/scheduling/_scheduler.py
+++ b/src/wigeonreach/scheduling/_scheduler.py
@@ -106,6 +106,8 @@
         now_s: float,
     ) -> Heard | None:
         """Take a heartbeat; return None if it counts no more."""
+        if self.is_foreign(report):
+            return None
         known = self.workers.incarnations.get(report.worker)
         was_draining = known is not None and known.report.is_draining
         incarnation = self.workers.hear(report, now_s)
@@ -128,6 +130,19 @@
             self._move_out(incarnation)
         return Heard(incarnation, ends, stalled)
 
+    def is_foreign(self, report: WorkerReport) -> bool:
+        """Whether a heartbeat can't be of a worker that is known here.
+
+        It names a service that the manifest does not, though nothing runs
+        under its name, or another service than before: an incarnation stays
+        with its service.
+        """
+        known = self.workers.incarnations.get(report.worker)
+        if known is not None:
+            return report.service != known.report.service
+        is_named = self._store.names_service(report.service)
+        return not is_named and not self._store.held_by(report.worker)
+
     def lost(self, now_s: float) -> tuple[RunEnded, ...]:
         """Return the runs of workers that are over, to be reassigned."""
         ended = self.workers.ended(now_s)
--- a/src/wigeonreach/scheduling/_vms.py
+++ b/src/wigeonreach/scheduling/_vms.py
@@ -26,6 +26,8 @@
         The service whose worker it runs.
     worker
         The incarnation of its worker, or nothing.
+    labels
+        What its worker carries, the rack among it.
     """
 
     vm: str
@@ -34,6 +36,7 @@
     zone: str
     rack: str
     worker: str
+    labels: tuple[str, ...] = ()
 
 
 class OrderResult(enum.StrEnum):
--- /dev/null
+++ b/tests/scheduling/test_foreign.py
@@ -0,0 +1,67 @@
+"""Test that heartbeats of nobody that is known change nothing.
+
+Answers entries that another writer made: they can be read, but name a service
+that the manifest does not, or another one than their worker had.
+"""
+
+from __future__ import annotations
+
+import testtools
+from testtools import matchers
+
+from tests.builders_jobs import FakeLead, job, serving_step, store_with, workers
+from wigeonreach.jobs import JobStore
+from wigeonreach.scheduling import Scheduler
+from wigeonreach.standins import StandInWorker
+
+
+class TestForeignHeartbeats(testtools.TestCase):
+    """A pool of two workers, one of which serves."""
+
+    def setUp(self) -> None:
+        """Let a task serve."""
+        super().setUp()
+        self.lead = FakeLead(store_with(job(serving_step(1))), workers(2))
+        self.lead.round()
+        self.lead.round()
+
+    def test_unnamed_service_is_no_worker(self) -> None:
+        """Its VM stays with the worker that is known there."""
+        for _ in range(3):
+            self.lead.hear(StandInWorker('other', 'vm0', service='unnamed'))
+        known = self.lead.scheduler.workers
+        newest = known.of_vm('vm0')
+        self.assertThat('other' in known.incarnations, matchers.Is(False))
+        assert newest is not None
+        self.assertThat(newest.report.worker, matchers.Equals('w0'))
+
+    def test_incarnation_keeps_its_service(self) -> None:
+        """Another service under its name neither ends nor renews it."""
+        twin = StandInWorker('w0', 'vm0', service='unnamed', sequence=900)
+        self.lead.hear(twin)
+        self.lead.round()
+        known = self.lead.scheduler.workers.incarnations['w0']
+        self.assertThat(known.report.service, matchers.Equals('desk'))
+        self.assertThat(known.heard_s, matchers.Equals(self.lead.now_s))
+
+    def test_worker_of_a_dropped_service_is_followed(self) -> None:
+        """What runs on it is still to be ended and acknowledged."""
+        worker = next(
+            known for known in self.lead.workers.values() if known.running
+        )
+        worker.service = 'dropped'
+        later = Scheduler(self.lead.store, self.lead.term, self.lead.now_s)
+        self.assertThat(
+            later.hear(worker.report(), self.lead.now_s),
+            matchers.Not(matchers.Is(None)),
+        )
+
+    def test_first_manifest_may_come_later(self) -> None:
+        """Workers are there before anything names their services."""
+        store = JobStore()
+        lead = FakeLead(store, workers(1))
+        lead.round()
+        self.assertThat(
+            lead.scheduler.workers.incarnations, matchers.HasLength(1)
+        )
+        self.assertThat(store.manifest.version, matchers.Equals(0))
