Judge whether a gang moves by all its members, not by each

Ruled out: a lost member (all were listed) and a sick worker (none was). Before: three new tests fail. After: they pass; a member that stands still while others wait is still stopped, and only its own worker is suspected.

--- a/src/wigeonreach/scheduling/_progress.py
+++ b/src/wigeonreach/scheduling/_progress.py
@@ -2,7 +2,9 @@
 
 Answers workers that look healthy while what runs on them stands still or
 takes several times as long: their tasks decide when a step ends, so they are
-stopped early and done elsewhere, and the worker is chosen last.
+stopped early and done elsewhere, and the worker is chosen last.  A gang ends
+together, so a member that is done stands still until the slowest is: a gang
+moves as long as one member does.
 """
 
 from __future__ import annotations
@@ -11,6 +13,8 @@
 import statistics
 from collections.abc import Mapping
 
+import msgspec
+
 from wigeonreach.jobs import JobStore, Run, StepSpec, TaskKey
 from wigeonreach.scheduling._pacing import FULL_PACE
 from wigeonreach.scheduling._workers import Incarnation
@@ -29,14 +33,14 @@
 # Sizes and estimates differ by half, so only much slower is told from chance.
 _SLOW_RATIO = 2.5
 _LEAST_RUNS = 3
+_WHOLE_PERCENT = 100
 
 
 @dataclasses.dataclass(slots=True)
 class _Seen:
-    """A run since its last progress."""
+    """A run, and how far it was when its worker last told."""
 
     percent: int
-    moved_s: float
     began_s: float
 
 
@@ -54,6 +58,8 @@
     def __init__(self) -> None:
         """Have seen nothing."""
         self._seen: dict[Run, _Seen] = {}
+        # When a run, or a gang under the run of its first member, last moved.
+        self._moved_s: dict[Run, float] = {}
         self._speeds: dict[str, _Speed] = {}
 
     def note(
@@ -79,18 +85,29 @@
         stalled: list[Run] = []
         is_paced = pace_percent is not None and pace_percent < FULL_PACE
         for row in incarnation.running:
-            seen = self._look(row, is_paced, now_s)
             spec = store.spec_of(row.task)
-            if spec is not None and _is_stalled(spec, seen, now_s):
+            if spec is None:
+                continue
+            moving = _moving_part(row, spec)
+            seen = self._look(row, moving, is_paced, now_s)
+            still_s = now_s - self._moved_s[moving]
+            if _is_stalled(spec, seen, still_s, now_s):
                 stalled.append((row.task, row.run))
         return stalled
 
-    def _look(self, row: RunningTask, is_paced: bool, now_s: float) -> _Seen:
+    def _look(
+        self,
+        row: RunningTask,
+        moving: Run,
+        is_paced: bool,
+        now_s: float,
+    ) -> _Seen:
         run = (row.task, row.run)
-        seen = self._seen.setdefault(run, _Seen(row.percent, now_s, now_s))
+        seen = self._seen.setdefault(run, _Seen(row.percent, now_s))
+        self._moved_s.setdefault(moving, now_s)
         if row.percent != seen.percent or is_paced:
             seen.percent = row.percent
-            seen.moved_s = now_s
+            self._moved_s[moving] = now_s
         return seen
 
     def note_done(
@@ -110,11 +127,12 @@
         """Drop what is known of a dead worker and its runs."""
         self._speeds.pop(worker, None)
         for run in runs.items():
-            self._seen.pop(run, None)
+            self.forget_run(run)
 
     def forget_run(self, run: Run) -> None:
         """Drop a run that ended."""
         self._seen.pop(run, None)
+        self._moved_s.pop(run, None)
 
     def slow(self, workers: list[str]) -> set[str]:
         """Return who of a service's workers is much slower than the others."""
@@ -134,9 +152,26 @@
         }
 
 
-def _is_stalled(spec: StepSpec, seen: _Seen, now_s: float) -> bool:
+def _moving_part(row: RunningTask, spec: StepSpec) -> Run:
+    """Return what moves or stands still as one: a run, or its whole gang."""
+    if not spec.is_gang:
+        return row.task, row.run
+    return msgspec.structs.replace(row.task, index=0), row.run
+
+
+def _is_stalled(
+    spec: StepSpec,
+    seen: _Seen,
+    still_s: float,
+    now_s: float,
+) -> bool:
+    is_whole = seen.percent >= _WHOLE_PERCENT
     if spec.is_service:
-        is_at_work = seen.percent >= FULL_PACE
-        return not is_at_work and now_s - seen.began_s > _NO_START_S
+        return not is_whole and now_s - seen.began_s > _NO_START_S
+    if spec.is_gang and is_whole:
+        return False
     allowed_s = max(_STALLED_S, spec.estimate_ms / 1000 * _STALLED_RATIO)
-    return now_s - seen.moved_s > allowed_s
+    if spec.is_gang and not seen.percent:
+        # It waits for members that are still to come.
+        allowed_s = max(allowed_s, _NO_START_S)
+    return still_s > allowed_s
--- a/src/wigeonreach/scheduling/_quarantine.py
+++ b/src/wigeonreach/scheduling/_quarantine.py
@@ -33,6 +33,11 @@
         """Trust everybody."""
         self._scores: dict[str, _Score] = {}
 
+    @property
+    def suspects(self) -> set[str]:
+        """Workers whose last runs failed or stood still."""
+        return set(self._scores)
+
     def note_done(self, worker: str) -> None:
         """Take note that a run ended well."""
         self._scores.pop(worker, None)
--- a/tests/scheduling/test_progress.py
+++ b/tests/scheduling/test_progress.py
@@ -69,6 +69,47 @@
         self.assertThat(list(worker.running), matchers.Equals([(key(), 1)]))
 
 
+def _far(lead: FakeLead, *percents: int) -> None:
+    """Let the workers' runs be so far, worker by worker."""
+    for worker, percent in zip(_busy(lead), percents, strict=True):
+        worker.advance(percent)
+
+
+class TestGangs(testtools.TestCase):
+    """Members that end together, on workers of unlike speed."""
+
+    def setUp(self) -> None:
+        """Let two members work on two workers."""
+        super().setUp()
+        gang = step(2, cpu_millicores=16_000, is_gang=True)
+        self.lead = FakeLead(store_with(job(gang)), workers(3))
+        self.lead.round()
+        self.first = _busy(self.lead)
+
+    def test_member_that_waits_for_a_slower_one_stays(self) -> None:
+        """It has done its part long before, far from standing still."""
+        for percent in range(10, 90, 5):
+            _far(self.lead, 100, percent)
+            self.lead.round(0.25)
+        self.assertThat(_busy(self.lead), matchers.Equals(self.first))
+
+    def test_gang_that_has_not_begun_is_left_to_its_workers(self) -> None:
+        """They end it themselves if a member does not come."""
+        for _ in range(10):
+            _far(self.lead, 0, 0)
+            self.lead.round(0.25)
+        self.assertThat(_busy(self.lead), matchers.Equals(self.first))
+
+    def test_member_that_stands_still_is_stopped(self) -> None:
+        """Its worker is trusted less, that of the one that waits is not."""
+        _far(self.lead, 100, 40)
+        for _ in range(9):
+            self.lead.round(0.25)
+        self.assertThat(self.first[1].running, matchers.HasLength(0))
+        scores = self.lead.scheduler.quarantine
+        self.assertThat(scores.suspects, matchers.Equals({'w1'}))
+
+
 class TestSlowWorkers(testtools.TestCase):
     """Workers that take several times as long as the others."""
 
