--- a/src/wigeonreach/_room.py
+++ b/src/wigeonreach/_room.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 
 # Wide enough for sums of fractions, far below one byte or thread.
 _ROUNDING = 1e-6
+# More tasks than any worker is given.
+_MANY = 1_000_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -40,6 +43,17 @@
             and self.accelerators >= need.accelerators
         )
 
+    def count(self, need: Room) -> int:
+        """Return how often a need fits in; what needs nothing fits always."""
+        counts = [_MANY]
+        if need.processors:
+            counts.append(_whole(self.processors / need.processors))
+        if need.memory_bytes:
+            counts.append(_whole(self.memory_bytes / need.memory_bytes))
+        if need.accelerators:
+            counts.append(self.accelerators // need.accelerators)
+        return max(min(counts), 0)
+
     def scaled(self, processors: float, memory: float) -> Room:
         """Return it with each ratio applied; accelerators are whole."""
         return Room(
@@ -49,4 +63,8 @@
         )
 
 
+def _whole(ratio: float) -> int:
+    return math.floor(ratio + _ROUNDING)
+
+
 NO_ROOM = Room(0.0, 0.0)  # noqa: WPS432 - zero in each unit
--- a/src/wigeonreach/cli/_core_command.py
+++ b/src/wigeonreach/cli/_core_command.py
@@ -12,6 +12,7 @@
 from wigeonreach.cli._errors import errors_as_exits
 from wigeonreach.core import Core, CoreSettings, NoAdvisor, UnmanagedVms
 from wigeonreach.observe import Logger, LogFormat, LogLevel, Metrics
+from wigeonreach.scheduling import SchedulingSettings
 from wigeonreach.wire import parse_address
 
 
@@ -66,7 +67,7 @@
             tolerated_losses=losses,
             api_port=0,
             order_pause_s=0,
-            move_s=0,
+            scheduling=SchedulingSettings(move_s=0),
             advertised=advertised,
         )
         start_daemon(
--- a/src/wigeonreach/core/_daemon.py
+++ b/src/wigeonreach/core/_daemon.py
@@ -237,7 +237,7 @@
             self._agreement,
             self._store,
             self._agreement.term,
-            self._settings.move_s,
+            self._settings.scheduling,
             self._log,
             self._metrics,
         )
--- a/src/wigeonreach/core/_settings.py
+++ b/src/wigeonreach/core/_settings.py
@@ -5,6 +5,7 @@
 import dataclasses
 import pathlib
 
+from wigeonreach.scheduling import SchedulingSettings
 from wigeonreach.wire import Address
 
 
@@ -28,8 +29,8 @@
         workers find the leader by themselves.
     order_pause_s
         How long two holders' orders for one VM must be apart.
-    move_s
-        How long a VM is away while it moves to another pool.
+    scheduling
+        What decisions about workers and VMs go by.
     advertised
         Address at which the others reach it, where that is not ``listen``.
     """
@@ -42,7 +43,7 @@
     tolerated_losses: int
     api_port: int
     order_pause_s: float
-    move_s: float
+    scheduling: SchedulingSettings
     advertised: Address | None = None
 
     @property
--- a/src/wigeonreach/core/_term.py
+++ b/src/wigeonreach/core/_term.py
@@ -26,7 +26,11 @@
     encode_command,
 )
 from wigeonreach.observe import Logger, Metrics
-from wigeonreach.scheduling import Incarnation, Scheduler
+from wigeonreach.scheduling import (
+    Incarnation,
+    Scheduler,
+    SchedulingSettings,
+)
 from wigeonreach.scheduling._orders import BUSY_NEXT_MS, HELD_NEXT_MS
 from wigeonreach.wire._worker_messages import WorkerOrders, WorkerReport
 
@@ -61,8 +65,8 @@
         The replicated state and how it is changed.
     term
         Which this is.
-    move_s
-        How long a VM is away while it moves to another pool.
+    settings
+        What decisions go by.
     logger, metrics
         Where decisions are logged and counted.
 
@@ -77,7 +81,7 @@
         agreement: Agreement,
         store: JobStore,
         term: int,
-        move_s: float,
+        settings: SchedulingSettings,
         logger: Logger,
         metrics: Metrics,
     ) -> None:
@@ -88,7 +92,7 @@
         self.is_first = False
         self._agreement = agreement
         self._store = store
-        self._move_s = move_s
+        self._settings = settings
         self._log = TermLog(store, logger, metrics)
         self._metrics = metrics
         self._scheduler: Scheduler | None = None
@@ -135,7 +139,7 @@
             self._store,
             self.term,
             steady_s(),
-            self._move_s,
+            self._settings,
             wall_ms(),
         )
         self._log.term_began(self.term)
--- a/src/wigeonreach/core/_term_log.py
+++ b/src/wigeonreach/core/_term_log.py
@@ -8,7 +8,7 @@
 from wigeonreach.observe import LogEvent, Logger, Metrics
 from wigeonreach.scheduling import Heard
 from wigeonreach.scheduling._notes import Note
-from wigeonreach.scheduling._ready import objective_of
+from wigeonreach.scheduling._objectives import objective_of
 from wigeonreach.wire._worker_messages import WorkerReport
 
 
--- a/src/wigeonreach/core/_vm_actions.py
+++ b/src/wigeonreach/core/_vm_actions.py
@@ -11,7 +11,7 @@
 from wigeonreach.exceptions import StateError
 from wigeonreach.jobs import JobStore, RecordVmStep, VmStep
 from wigeonreach.observe import LogEvent, Logger, Metrics
-from wigeonreach.scheduling._pools import Move
+from wigeonreach.scheduling._pool_vms import Move
 from wigeonreach.scheduling._vms import OrderResult, VmApi
 
 _ROUND_S = 0.1
@@ -71,7 +71,7 @@
         needs_wave = scheduler.maintenance.needs_list
         pause_s = _LIST_S if needs_wave else _STANDBY_LIST_S
         asked_s = steady_s()
-        is_needed = needs_wave or bool(scheduler.pools.standby_pool)
+        is_needed = needs_wave or bool(scheduler.pools.vms.standby_pool)
         if not is_needed or asked_s - self._listed_s < pause_s:
             return
         self._listed_s = asked_s
--- a/src/wigeonreach/platform/_settings.py
+++ b/src/wigeonreach/platform/_settings.py
@@ -10,6 +10,7 @@
 from wigeonreach.codes import ResultCode
 from wigeonreach.core import CoreSettings
 from wigeonreach.exceptions import SettingError
+from wigeonreach.scheduling import SchedulingSettings
 from wigeonreach.wire import Address, parse_address
 
 # The platform names the file in this variable of the environment.
@@ -35,6 +36,8 @@
     lease_ms: int = _DEFAULT_ORDER_PAUSE_MS
     # The platform's word for moving a VM to another pool.
     migration_s: float = 1.5
+    # Of the time that work takes away from its data.
+    remote_factor: float = 1.0
 
 
 class _Cloud(msgspec.Struct, frozen=True, rename='camel'):
@@ -97,7 +100,10 @@
             tolerated_losses=self.fault_tolerance.machines,
             api_port=control.port,
             order_pause_s=self.bounds.lease_ms / 1000,  # noqa: WPS432
-            move_s=self.bounds.migration_s,
+            scheduling=SchedulingSettings(
+                move_s=self.bounds.migration_s,
+                far_factor=self.bounds.remote_factor,
+            ),
         )
 
 
--- a/src/wigeonreach/scheduling/__init__.py
+++ b/src/wigeonreach/scheduling/__init__.py
@@ -1,10 +1,12 @@
 """Decide which task runs on which worker, and when, without any I/O."""
 
 from wigeonreach.scheduling._scheduler import Heard, Scheduler
+from wigeonreach.scheduling._settings import SchedulingSettings
 from wigeonreach.scheduling._workers import Incarnation
 
 __all__ = (
     'Heard',
     'Incarnation',
     'Scheduler',
+    'SchedulingSettings',
 )
--- a/src/wigeonreach/scheduling/_choosing.py
+++ b/src/wigeonreach/scheduling/_choosing.py
@@ -15,6 +15,8 @@
 _FAR_FROM_DATA = 10.0
 _BESIDE_SERVING = 4.0
 _CROWDED = 20.0
+# Work that could go anywhere leaves a rack to what has its data there.
+_WANTED_NEAR = 2.0
 
 # What speaks against a worker; the lowest is taken.
 _Cost = tuple[float, float, str]
@@ -98,6 +100,8 @@
         cost += _FAILED_HERE
     if spec.data_rack and spec.data_rack != report.rack:
         cost += _FAR_FROM_DATA
+    elif not spec.data_rack and room.is_wanted_near:
+        cost += _WANTED_NEAR
     if room.is_slow:
         cost += _SLOW
     if spec.is_service:
--- a/src/wigeonreach/scheduling/_demand.py
+++ b/src/wigeonreach/scheduling/_demand.py
@@ -29,7 +29,7 @@
     jobs_per_s
         Jobs that arrive, as of the newest one.
     work_s
-        Processor seconds of one job, as a mean.
+        Work of one job, as a mean; in seconds of a VM.
     """
 
     jobs_per_s: float = 0.0
@@ -38,14 +38,14 @@
     _updated_s: float = 0.0
 
     def note(self, work_s: float, now_s: float) -> None:
-        """Take a job that was just accepted, in processor seconds."""
+        """Take a job that was just accepted, with its work."""
         self._decay(now_s)
         self.jobs_per_s += 1 / _LEARN_S
         self._seen = min(self._seen + 1, _JOBS_IN_MEAN)
         self.work_s += (work_s - self.work_s) / self._seen
 
     def rate_at(self, now_s: float) -> float:
-        """Return the processor seconds that arrive a second, as of now."""
+        """Return the work that arrives a second, as of now."""
         self._decay(now_s)
         return self.jobs_per_s * self.work_s
 
--- a/src/wigeonreach/scheduling/_placing.py
+++ b/src/wigeonreach/scheduling/_placing.py
@@ -8,6 +8,7 @@
 from wigeonreach.jobs import JobStore, RunStarted, TaskKey
 from wigeonreach.scheduling._advice import TicketCache
 from wigeonreach.scheduling._choosing import Ranking, best_room
+from wigeonreach.scheduling._near import NearRooms, fits_whole
 from wigeonreach.scheduling._ready import ReadyStep
 from wigeonreach.scheduling._room_left import WorkerRoom
 
@@ -23,6 +24,8 @@
         The workers that may take something, by service.
     advice
         Tickets of the queues that need them.
+    far_factor
+        How much longer work takes away from its data.
     now_s
         Clock in seconds.
     """
@@ -32,9 +35,11 @@
         store: JobStore,
         rooms: dict[str, list[WorkerRoom]],
         advice: TicketCache,
+        far_factor: float,
         now_s: float,
     ) -> None:
         """Start nothing yet."""
+        self._near = NearRooms(far_factor, now_s)
         self._store = store
         self._rooms = rooms
         self._advice = advice
@@ -42,14 +47,11 @@
         self.starts: list[RunStarted] = []
         self.unplaced: list[ReadyStep] = []
 
-    def place(self, steps: Iterable[ReadyStep]) -> None:
+    def place(self, steps: Sequence[ReadyStep]) -> None:
         """Place the tasks of steps, in their order."""
+        self._mark_wanted(steps)
         for step in steps:
-            rooms = self._rooms.get(self._store.service_of(step.job), [])
-            if step.job.queue.advice is not None:
-                rooms = self._advice.allowed(step, rooms, self._now_s)
-            if step.spec.is_rack_local:
-                rooms = _one_rack(step, rooms) or rooms
+            rooms = self._rooms_for(step)
             if step.spec.is_gang:
                 is_placed = self._place_gang(step, rooms)
             else:
@@ -57,6 +59,28 @@
             if not is_placed:
                 self.unplaced.append(step)
 
+    def _mark_wanted(self, steps: Iterable[ReadyStep]) -> None:
+        """Take note near which workers the data of some step lies."""
+        wanted = {
+            (self._store.service_of(step.job), step.spec.data_rack)
+            for step in steps
+        }
+        for service, rooms in self._rooms.items():
+            for room in rooms:
+                rack = room.incarnation.report.rack
+                room.is_wanted_near = (service, rack) in wanted
+
+    def _rooms_for(self, step: ReadyStep) -> Sequence[WorkerRoom]:
+        """Return the workers that may take a step now."""
+        rooms: Sequence[WorkerRoom]
+        rooms = self._rooms.get(self._store.service_of(step.job), ())
+        rooms = self._near.near(step, rooms)
+        if step.job.queue.advice is not None:
+            rooms = self._advice.allowed(step, rooms, self._now_s)
+        if step.spec.is_rack_local:
+            rooms = self._near.one_rack(step, rooms)
+        return rooms
+
     def _place_each(
         self,
         step: ReadyStep,
@@ -68,6 +92,8 @@
             key = _key(step, index)
             room = ranking.best(key)
             if room is None:
+                left = step.waiting[step.waiting.index(index) :]
+                self._near.note_waiting(step, len(left))
                 return False
             if _waits_for_another(step, key, room, rooms):
                 is_placed = False
@@ -85,6 +111,7 @@
             return False
         chosen = _fit_all(step, rooms)
         if chosen is None:
+            self._near.note_waiting(step, len(step.waiting))
             return False
         run = max(_next_run(step, index) for index in step.waiting)
         for member, taken in chosen:
@@ -107,6 +134,9 @@
     rooms: Sequence[WorkerRoom],
 ) -> list[tuple[TaskKey, WorkerRoom]] | None:
     """Return where all waiting tasks of a step fit together, if they do."""
+    if not fits_whole(step, rooms):
+        # Most that wait are told so without trying it out.
+        return None
     copies = [
         dataclasses.replace(room, steps=room.steps.copy()) for room in rooms
     ]
@@ -122,21 +152,6 @@
     return chosen
 
 
-def _one_rack(
-    step: ReadyStep,
-    rooms: Sequence[WorkerRoom],
-) -> list[WorkerRoom]:
-    """Return the workers of a rack that holds a whole step, or nothing."""
-    racks = sorted({room.incarnation.report.rack for room in rooms})
-    for rack in racks:
-        on_rack = [
-            room for room in rooms if room.incarnation.report.rack == rack
-        ]
-        if _fit_all(step, on_rack) is not None:
-            return on_rack
-    return []
-
-
 def _key(step: ReadyStep, index: int) -> TaskKey:
     return TaskKey(step.job.spec.job_id, step.occurrence, step.step, index)
 
--- a/src/wigeonreach/scheduling/_pools.py
+++ b/src/wigeonreach/scheduling/_pools.py
@@ -1,56 +1,52 @@
 """Decide which VMs move between pools, for some seconds at a time.
 
 Answers turns of demand: the queue of one pool asks for more than its workers
-hold while others are nearly idle.  VMs come from pools that need them least,
-or from the standby pool, where they cost nothing, and go back there once they
-idle.  A VM is emptied first; one with serving tasks on it stays.
+hold while others are nearly idle, or asks for what none of its workers
+carries.  VMs come from pools that need them least, or from the standby pool,
+where they cost nothing, and go back there once they idle.  A VM is emptied
+first; one with serving tasks on it stays.
 """
 
 from __future__ import annotations
 
 import collections
 import dataclasses
+import itertools
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 
 from wigeonreach.jobs import JobStore
+from wigeonreach.scheduling._backlog import (
+    ANYWHERE,
+    NOTHING,
+    Backlog,
+    StepWork,
+    backlogs,
+)
 from wigeonreach.scheduling._demand import ServiceDemand
 from wigeonreach.scheduling._moving_out import is_empty
-from wigeonreach.scheduling._vms import VmPhase, VmRecord
+from wigeonreach.scheduling._pool_vms import Move, PoolVms
+from wigeonreach.scheduling._pool_wants import (
+    PoolSize,
+    ServingNeed,
+    Wanted,
+    wanted_by,
+)
+from wigeonreach.scheduling._ready import AcceptedWork
+from wigeonreach.scheduling._settings import SchedulingSettings
+from wigeonreach.scheduling._vms import VmRecord
 from wigeonreach.scheduling._workers import Incarnation, Workers
 
-# Work is of full use for some 5 s; a VM that is ordered now works in 2 s, so
-# what is to be had within this is worth a move.
-_FINISH_S = 4.0
+# What arrives before a VM that is ordered now works.
 _LOOKAHEAD_S = 1.5
-# Part of a pool's processors that packing leaves unused.
-_USABLE_RATIO = 0.85
 # A VM that is not needed stays for this, as the next turn may need it.
 _IDLE_S = 1.5
-# A move that is not confirmed by a heartbeat within this is forgotten.
-_MOVE_LASTS_S = 6.0
 # What a term knows of demand at its start is too little to send VMs away.
 _SETTLE_S = 8.0
 # A VM that can't be emptied in this time stays where it is.
 _EMPTY_S = 1.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Move:
-    """A VM that is empty and goes to another pool.
-
-    Attributes
-    ----------
-    reason
-        For people; two moves of one VM between the same pools are the same.
-    """
-
-    vm: str
-    from_pool: str
-    to_pool: str
-    reason: str = dataclasses.field(default='', compare=False)
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Emptying:
     """A VM that is about to move."""
@@ -60,22 +56,6 @@
     reason: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ServingNeed:
-    """What the serving tasks of the services need, by service.
-
-    Attributes
-    ----------
-    workers
-        On how many workers they are to be spread.
-    homeless
-        Processors of those that found no room on the workers of now.
-    """
-
-    workers: Mapping[str, int]
-    homeless: Mapping[str, float]
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class PoolState:
     """One pool now.
@@ -85,12 +65,17 @@
     incarnations
         Workers that may take work.
     wanted
-        Workers that its work needs.
+        VMs that its work needs.
     """
 
     name: str
     incarnations: tuple[Incarnation, ...]
-    wanted: int
+    wanted: Wanted
+
+    @property
+    def vms(self) -> list[str]:
+        """VMs of its workers."""
+        return [worker.report.vm for worker in self.incarnations]
 
 
 class PoolPlanner:
@@ -102,8 +87,8 @@
         The replicated state; it is only read.
     workers
         The incarnations of the workers.
-    move_s
-        How long a VM is away while it moves.
+    settings
+        What is known of the platform.
     now_s
         When the term began.
     """
@@ -112,72 +97,50 @@
         self,
         store: JobStore,
         workers: Workers,
-        move_s: float,
+        settings: SchedulingSettings,
         now_s: float,
     ) -> None:
         """Move nothing yet."""
+        self.vms = PoolVms(store, workers, settings.move_s)
         self._store = store
         self._workers = workers
-        self._move_s = move_s
+        self._far_cost_vm_s = _far_cost_vm_s(settings)
         self._settled_s = now_s + _SETTLE_S
-        self._returning_s: dict[str, float] = {}
         self._demand: dict[str, ServiceDemand] = collections.defaultdict(
             ServiceDemand,
         )
-        self._standby: set[str] = set()
         self._emptying: dict[str, _Emptying] = {}
-        self._incoming: dict[str, tuple[str, float]] = {}
         self._surplus_since_s: dict[str, float] = {}
-        self._processors = 0.0
 
     @property
     def cordoned(self) -> set[str]:
         """VMs that get nothing new."""
         return set(self._emptying)
 
-    @property
-    def standby_pool(self) -> str:
-        """The pool whose VMs cost nothing, or nothing."""
-        return next(
-            (
-                service.name
-                for service in self._store.manifest.services
-                if service.is_standby
-            ),
-            '',
-        )
-
-    def note_accepted(self, service: str, work_s: float, now_s: float) -> None:
-        """Take work that was just accepted, in processor seconds."""
-        self._demand[service].note(work_s, now_s)
+    def note_accepted(self, work: AcceptedWork, now_s: float) -> None:
+        """Take work that was just accepted."""
+        vm_s = sum(step.vm_s(self.vms.room) for step in work.steps)
+        self._demand[work.service].note(vm_s, now_s)
 
     def note_vms(self, vms: Iterable[VmRecord]) -> None:
         """Take the platform's list of VMs."""
-        standby = self.standby_pool
-        self._standby = {
-            record.vm
-            for record in vms
-            if record.pool == standby and record.phase is VmPhase.UP
-        }
+        self.vms.note_listed(vms)
 
     def note_moved(self, move: Move, now_s: float) -> None:
         """Take note that the platform carries a move out."""
         self._emptying.pop(move.vm, None)
-        self._standby.discard(move.vm)
-        if move.to_pool == self.standby_pool:
-            self._returning_s[move.vm] = now_s + self._move_s
-        else:
-            self._incoming[move.vm] = (move.to_pool, now_s)
+        self.vms.note_moved(move, now_s)
 
     def note_failed(self, move: Move) -> None:
         """Take note that a move was refused."""
         self._emptying.pop(move.vm, None)
-        self._standby.discard(move.vm)
+        self.vms.note_failed(move)
 
     def step(
         self,
-        backlog: Mapping[str, float],
-        serving: ServingNeed,
+        work: Mapping[str, Iterable[StepWork]],
+        serving: Mapping[str, int],
+        homeless: Mapping[str, Mapping[str, float]],
         taken: set[str],
         now_s: float,
     ) -> list[Move]:
@@ -185,76 +148,65 @@
 
         Parameters
         ----------
-        backlog
-            Processor seconds that the accepted jobs of each service need.
+        work
+            What is left of the accepted jobs of each service.
         serving
-            What the serving tasks of each service need.
+            On how many workers the serving tasks of each are to be spread.
+        homeless
+            VMs that those fill which found no room, by service and label.
         taken
             VMs that waves have in hand.
         now_s
             Clock in seconds.
         """
-        self._forget_arrived(now_s)
-        self._note_sizes()
-        pools = self._pools(backlog, serving, taken, now_s)
+        self.vms.refresh(now_s)
+        backlog = backlogs(work, self.vms.room)
+        need = ServingNeed(serving, homeless)
+        pools = self._pools(backlog, need, taken, now_s)
         self._fill(pools, taken, now_s)
         self._give_back(pools, now_s)
         return self._due(now_s)
 
     def _pools(
         self,
-        backlog: Mapping[str, float],
+        backlog: Mapping[str, Backlog],
         serving: ServingNeed,
         taken: set[str],
         now_s: float,
     ) -> dict[str, PoolState]:
-        incarnations: dict[str, list[Incarnation]] = collections.defaultdict(
-            list
-        )
-        for incarnation in self._workers.incarnations.values():
-            vm = incarnation.report.vm
-            is_free = vm not in taken and vm not in self._emptying
-            if is_free and incarnation.may_take(now_s):
-                incarnations[incarnation.report.service].append(incarnation)
-        return {
-            service.name: PoolState(
-                service.name,
-                tuple(incarnations[service.name]),
-                max(
-                    self._wanted_by_work(service.name, backlog, now_s),
-                    serving.workers.get(service.name, 0),
-                    self._wanted_by_homeless(
-                        serving.homeless.get(service.name, 0),
-                        len(incarnations[service.name]),
-                    ),
-                ),
-            )
-            for service in self._store.manifest.services
-            if not service.is_standby
-        }
-
-    def _note_sizes(self) -> None:
-        for incarnation in self._workers.incarnations.values():
-            self._processors = max(
-                self._processors, incarnation.room.processors
+        incarnations = self._takers(taken, now_s)
+        pools: dict[str, PoolState] = {}
+        for service in self._store.manifest.services:
+            if service.is_standby:
+                continue
+            name = service.name
+            there = tuple(incarnations[name])
+            vms = [incarnation.report.vm for incarnation in there]
+            arriving_vm_s = self._demand[name].rate_at(now_s) * _LOOKAHEAD_S
+            wanted = wanted_by(
+                name,
+                backlog.get(name, NOTHING),
+                arriving_vm_s,
+                serving,
+                PoolSize(len(vms), self.vms.count_labels(vms)),
+                self._far_cost_vm_s,
             )
+            pools[name] = PoolState(name, there, wanted)
+        return pools
 
-    def _wanted_by_work(
+    def _takers(
         self,
-        service: str,
-        backlog: Mapping[str, float],
+        taken: set[str],
         now_s: float,
-    ) -> int:
-        arriving_s = self._demand[service].rate_at(now_s) * _LOOKAHEAD_S
-        work_s = backlog.get(service, 0) + arriving_s
-        usable = self._processors * _USABLE_RATIO
-        return math.ceil(work_s / (usable * _FINISH_S)) if usable else 0
-
-    def _wanted_by_homeless(self, homeless: float, workers: int) -> int:
-        """Return how many workers give room to tasks that found none."""
-        if not homeless or not self._processors:
-            return 0
-        return workers + math.ceil(homeless / self._processors)
+    ) -> dict[str, list[Incarnation]]:
+        """Return the workers of each service that may take work."""
+        found: dict[str, list[Incarnation]] = collections.defaultdict(list)
+        for incarnation in self._workers.incarnations.values():
+            vm = incarnation.report.vm
+            is_free = vm not in taken and vm not in self._emptying
+            if is_free and incarnation.may_take(now_s):
+                found[incarnation.report.service].append(incarnation)
+        return found
 
     def _fill(
         self,
@@ -265,43 +217,76 @@
         """Find VMs for the pools that lack most."""
         lacking = sorted(
             pools.values(),
-            key=lambda pool: self._have(pool) - pool.wanted,
+            key=lambda pool: self._have(pool) - pool.wanted.total,
         )
         for pool in lacking:
-            have = self._have(pool)
-            reason = f'wants {pool.wanted}, has {have}'
-            for _ in range(max(pool.wanted - have, 0)):
-                vm = self._donor(pool, pools, taken)
-                if vm is None:
-                    return
-                self._emptying[vm] = _Emptying(pool.name, now_s, reason)
+            for label in self._lacks(pool):
+                vm = self._donor(pool, pools, taken, label)
+                if vm is not None:
+                    reason = _why(pool, self._have(pool), label)
+                    self._emptying[vm] = _Emptying(pool.name, now_s, reason)
+
+    def _lacks(self, pool: PoolState) -> Iterator[str]:
+        """Yield the label that each VM has to carry that a pool lacks."""
+        has = self.vms.count_labels(self._vms_of(pool))
+        asked = 0
+        for label, wanted in pool.wanted.by_label.items():
+            missing = max(wanted - has[label], 0)
+            asked += missing
+            yield from itertools.repeat(label, missing)
+        missing = max(pool.wanted.total - self._have(pool) - asked, 0)
+        yield from itertools.repeat(ANYWHERE, missing)
+
+    def _vms_of(self, pool: PoolState) -> list[str]:
+        """Return the VMs that a pool has, or that are promised to it."""
+        promised = [
+            vm
+            for vm, emptying in self._emptying.items()
+            if emptying.to_pool == pool.name
+        ]
+        return [*pool.vms, *self.vms.coming_to(pool.name), *promised]
 
     def _have(self, pool: PoolState) -> int:
-        coming = sum(name == pool.name for name, _ in self._incoming.values())
-        promised = sum(
-            emptying.to_pool == pool.name
-            for emptying in self._emptying.values()
-        )
-        return len(pool.incarnations) + coming + promised
+        return len(self._vms_of(pool))
 
     def _donor(
         self,
         wanting: PoolState,
         pools: Mapping[str, PoolState],
         taken: set[str],
+        label: str,
     ) -> str | None:
+        """Return a VM with a label for a pool, if there is one to spare."""
         spare = [
             vm
             for pool in pools.values()
-            if pool.name != wanting.name and self._have(pool) > pool.wanted
+            if pool.name != wanting.name
+            and self._have(pool) > pool.wanted.total
             for vm in self._idle_vms(pool)
         ]
-        standby = [
-            vm
-            for vm in self._standby
-            if vm not in taken and vm not in self._emptying
+        standby = self.vms.standby - taken - self._emptying.keys()
+        return self._most_useful(spare, wanting, label) or self._most_useful(
+            standby, wanting, label
+        )
+
+    def _most_useful(
+        self,
+        vms: Iterable[str],
+        pool: PoolState,
+        label: str,
+    ) -> str | None:
+        """Return the VM with a label that carries most of what is needed."""
+        fitting = [
+            vm for vm in vms if not label or label in self.vms.labels(vm)
         ]
-        return min(spare, default=None) or min(standby, default=None)
+        fitting.sort(key=lambda vm: (-self._use(vm, pool), vm))
+        return next(iter(fitting), None)
+
+    def _use(self, vm: str, pool: PoolState) -> int:
+        """Return how many of the labels that a pool's work needs a VM has."""
+        return sum(
+            label in pool.wanted.by_label for label in self.vms.labels(vm)
+        )
 
     def _give_back(
         self,
@@ -309,20 +294,18 @@
         now_s: float,
     ) -> None:
         """Send VMs that idle to the standby pool."""
-        if not self.standby_pool or now_s < self._settled_s:
+        standby_pool = self.vms.standby_pool
+        if not standby_pool or now_s < self._settled_s:
             return
         for pool in pools.values():
-            surplus = self._have(pool) - pool.wanted
+            surplus = self._have(pool) - pool.wanted.total
             if surplus <= 0:
                 self._surplus_since_s.pop(pool.name, None)
                 continue
             since_s = self._surplus_since_s.setdefault(pool.name, now_s)
             if now_s - since_s >= _IDLE_S:
-                back = _Emptying(
-                    self.standby_pool,
-                    now_s,
-                    f'{pool.name} wants {pool.wanted}, has {self._have(pool)}',
-                )
+                reason = _why(pool, self._have(pool), ANYWHERE)
+                back = _Emptying(standby_pool, now_s, reason)
                 idle = sorted(self._idle_vms(pool))[:surplus]
                 self._emptying.update(dict.fromkeys(idle, back))
 
@@ -331,7 +314,9 @@
         for vm, emptying in list(self._emptying.items()):
             incarnation = self._workers.of_vm(vm)
             pool = (
-                incarnation.report.service if incarnation else self.standby_pool
+                incarnation.report.service
+                if incarnation
+                else self.vms.standby_pool
             )
             if incarnation is None or is_empty(incarnation, self._store):
                 move = Move(vm, pool, emptying.to_pool, emptying.reason)
@@ -340,24 +325,35 @@
                 self._emptying.pop(vm)
         return moves
 
-    def _forget_arrived(self, now_s: float) -> None:
-        for vm, (pool, since_s) in list(self._incoming.items()):
-            incarnation = self._workers.of_vm(vm)
-            is_here = (
-                incarnation is not None and incarnation.report.service == pool
-            )
-            if is_here or now_s - since_s > _MOVE_LASTS_S:
-                self._incoming.pop(vm)
-        back = [vm for vm, at_s in self._returning_s.items() if at_s <= now_s]
-        for vm in back:
-            self._returning_s.pop(vm)
-            self._standby.add(vm)
-
     def _idle_vms(self, pool: PoolState) -> list[str]:
-        return [
-            incarnation.report.vm
-            for incarnation in pool.incarnations
-            if incarnation.report.vm
-            and incarnation.report.vm not in self._emptying
-            and is_empty(incarnation, self._store)
-        ]
+        """Return a pool's VMs with nothing on them that it does not need."""
+        spare = self.vms.count_labels(self._vms_of(pool))
+        spare.subtract(pool.wanted.by_label)
+        idle: list[str] = []
+        for incarnation in pool.incarnations:
+            vm = incarnation.report.vm
+            needed = [
+                label
+                for label in self.vms.labels(vm)
+                if label in pool.wanted.by_label and spare[label] <= 0
+            ]
+            is_idle = vm and vm not in self._emptying and not needed
+            if is_idle and is_empty(incarnation, self._store):
+                idle.append(vm)
+                spare.subtract(self.vms.labels(vm))
+        return idle
+
+
+def _far_cost_vm_s(settings: SchedulingSettings) -> float:
+    """Return how much work near a rack is worth bringing a VM from there.
+
+    Away from its data it would hold VMs for longer than a move takes.
+    """
+    if settings.far_factor <= 1:
+        return math.inf
+    return settings.move_s / (settings.far_factor - 1)
+
+
+def _why(pool: PoolState, have: int, label: str) -> str:
+    carrying = f' with {label}' if label else ''
+    return f'{pool.name} wants {pool.wanted.total}{carrying}, has {have}'
--- a/src/wigeonreach/scheduling/_preempting.py
+++ b/src/wigeonreach/scheduling/_preempting.py
@@ -6,14 +6,80 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+import dataclasses
+from collections.abc import Iterable, Mapping
 
 from wigeonreach._room import Room
 from wigeonreach.jobs import JobStore, Run, TaskKey
+from wigeonreach.scheduling._backlog import part_of
 from wigeonreach.scheduling._ready import ReadyStep
 from wigeonreach.scheduling._room_left import WorkerRoom
 
 
+@dataclasses.dataclass(slots=True)
+class RoomMade:
+    """What is done for the serving tasks that found no room.
+
+    Attributes
+    ----------
+    stops
+        Batch runs that leave.
+    homeless
+        VMs that the tasks fill for which it would not help, by service and
+        label.
+    """
+
+    stops: set[Run] = dataclasses.field(default_factory=set)
+    homeless: dict[str, dict[str, float]] = dataclasses.field(
+        default_factory=dict,
+    )
+
+    def note_homeless(self, service: str, label: str, vms: float) -> None:
+        """Count tasks in that fill so many VMs."""
+        by_label = self.homeless.setdefault(service, {})
+        by_label[label] = by_label.get(label, 0) + vms
+
+
+def make_room(
+    unplaced: Iterable[ReadyStep],
+    rooms: Mapping[str, list[WorkerRoom]],
+    store: JobStore,
+    stopping: set[Run],
+    vm_room: Room,
+) -> RoomMade:
+    """Find room for the serving tasks among steps that found none.
+
+    Parameters
+    ----------
+    unplaced
+        Steps with tasks that found no room.
+    rooms
+        The workers that may take something, by service.
+    store
+        What runs where.
+    stopping
+        What is being stopped already; its room is waited for.
+    vm_room
+        What a VM holds.
+    """
+    made = RoomMade()
+    free = {service: list(found) for service, found in rooms.items()}
+    for step in unplaced:
+        if not step.spec.is_service:
+            continue
+        service = store.service_of(step.job)
+        leaving = stopping | made.stops
+        found = victims_for(step, free.get(service, ()), store, leaving)
+        if found is None:
+            filled = part_of(step.spec.room, vm_room) * len(step.waiting)
+            made.note_homeless(service, step.spec.label, filled)
+            continue
+        room, runs = found
+        made.stops.update(runs)
+        free[service].remove(room)
+    return made
+
+
 def victims_for(
     step: ReadyStep,
     rooms: Iterable[WorkerRoom],
--- a/src/wigeonreach/scheduling/_ready.py
+++ b/src/wigeonreach/scheduling/_ready.py
@@ -11,21 +11,47 @@
 
 import dataclasses
 import math
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Collection, Iterator, Mapping
 
 from wigeonreach.jobs import JobRecord, JobStore, StepSpec, TaskPhase
 from wigeonreach.observe import LogEvent
+from wigeonreach.scheduling._backlog import StepWork
 from wigeonreach.scheduling._notes import Note
-from wigeonreach.scheduling._triage import PendingJob, put_back
-
-# Where a team gave no estimate.
-_UNKNOWN_ESTIMATE_MS = 1000
+from wigeonreach.scheduling._objectives import (
+    chain_s,
+    estimate_s,
+    objective_of,
+    tasks_left,
+    work_s,
+)
+from wigeonreach.scheduling._triage import (
+    OccurrenceName,
+    PendingJob,
+    put_back,
+)
+
+# An occurrence counts as work to come from so long before it is due: a VM
+# that is ordered then is there in time.
+_AHEAD_S = 2.0
 # The time of day may be off; a job that waits for longer than this is late
 # whatever its age is.
 _OLDEST_S = 30.0
 _MS = 1000.0
 
 
+# By occurrence and number of the step.
+_ReadySince = dict[tuple[int, int], float]
+_Occurrences = tuple[PendingJob, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AcceptedWork:
+    """What a new job asks of a service."""
+
+    service: str
+    steps: tuple[StepWork, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReadyStep:
     """A step of one occurrence with tasks that may start.
@@ -33,9 +59,11 @@
     Attributes
     ----------
     latest_start_s
-        When it has to start for its job to end within its objective.
+        When it has to start for its occurrence to end within its objective.
     work_s
-        Processor seconds that its job still needs.
+        Processor seconds that its occurrence still needs.
+    ready_s
+        Since when it may start.
     """
 
     job: JobRecord
@@ -45,6 +73,7 @@
     due_ms: int
     latest_start_s: float
     work_s: float
+    ready_s: float = 0.0
 
     @property
     def spec(self) -> StepSpec:
@@ -65,16 +94,23 @@
         """Know no job."""
         self._by_job: dict[str, tuple[ReadyStep, ...]] = {}
         self._accepted_s: dict[str, float] = {}
-        self._pending: dict[str, dict[str, PendingJob]] = {}
+        # What is not done of each service's jobs, one entry an occurrence.
+        self._pending: dict[str, dict[str, _Occurrences]] = {}
         self._serving: dict[str, tuple[str, int]] = {}
-        self._told: set[str] = set()
+        # Since when each step of a job may start, by occurrence and number.
+        self._since_s: dict[str, _ReadySince] = {}
+        self._told: set[OccurrenceName] = set()
         self.notes: list[Note] = []
 
-    def backlog(self) -> dict[str, float]:
-        """Return the processor seconds that each service still owes."""
+    def work(self, now_s: float) -> dict[str, list[StepWork]]:
+        """Return what each service still owes, but for what is due later."""
         return {
-            service: sum(pending.work_s for pending in jobs.values())
-            for service, jobs in self._pending.items()
+            service: [
+                step
+                for pending in self._begun(service, now_s + _AHEAD_S)
+                for step in pending.steps
+            ]
+            for service in self._pending
         }
 
     def serving(self) -> dict[str, int]:
@@ -93,7 +129,7 @@
         store: JobStore,
         now_s: float,
         wall_ms: float,
-    ) -> list[tuple[str, float]]:
+    ) -> list[AcceptedWork]:
         """Look again at the jobs that changed.
 
         Parameters
@@ -107,55 +143,81 @@
 
         Returns
         -------
-        list of tuple
-            For each job that is new, its service and its processor seconds.
+        list of AcceptedWork
+            For each job that is new, its first occurrence.
         """
         changed = store.changed
         store.changed = set()
-        accepted: list[tuple[str, float]] = []
+        accepted: list[AcceptedWork] = []
         for job_id in changed:
             is_new = job_id not in self._accepted_s
             job = store.jobs.get(job_id)
             if is_new and job is not None:
                 age_s = _age_s(job, wall_ms)
                 self._accepted_s[job_id] = now_s - age_s
-            self._refresh_job(store, job_id)
+            self._refresh_job(store, job_id, _Clocks(now_s, wall_ms))
             if is_new:
                 accepted.extend(self._work_of(job_id))
         return accepted
 
-    def _work_of(self, job_id: str) -> list[tuple[str, float]]:
+    def _work_of(self, job_id: str) -> list[AcceptedWork]:
         return [
-            (service, jobs[job_id].work_s)
+            AcceptedWork(service, pending.steps)
             for service, jobs in self._pending.items()
-            if job_id in jobs
+            for pending in jobs.get(job_id, ())[:1]
         ]
 
+    def _begun(self, service: str, until_s: float) -> Iterator[PendingJob]:
+        """Yield what may begin until then and is not done."""
+        for occurrences in self._pending.get(service, {}).values():
+            for pending in occurrences:
+                if pending.begin_s <= until_s:
+                    yield pending
+
     def _forget(self, job_id: str) -> None:
         self._by_job.pop(job_id, None)
         self._serving.pop(job_id, None)
         for jobs in self._pending.values():
             jobs.pop(job_id, None)
 
-    def _refresh_job(self, store: JobStore, job_id: str) -> None:
+    def _refresh_job(
+        self,
+        store: JobStore,
+        job_id: str,
+        clocks: _Clocks,
+    ) -> None:
         self._forget(job_id)
         job = store.jobs.get(job_id)
         if job is None:
             self._accepted_s.pop(job_id, None)
-            self._told.discard(job_id)
+            self._since_s.pop(job_id, None)
+            self._told = {told for told in self._told if told[0] != job_id}
             return
-        accepted_s = self._accepted_s[job_id]
         if not job.is_active:
             return
-        steps = _ready_steps(job, accepted_s)
+        begins_s = [
+            clocks.begin_s(job, occurrence, self._accepted_s[job_id])
+            for occurrence, _ in enumerate(job.occurrences)
+        ]
+        since_s = self._since_s.setdefault(job_id, {})
+        steps = tuple(
+            _since(step, since_s, max(begin_s, clocks.now_s))
+            for occurrence, begin_s in enumerate(begins_s)
+            for step in _ready_steps(job, occurrence, begin_s)
+        )
         if steps:
             self._by_job[job_id] = steps
         service = store.service_of(job)
         if any(step.is_service for step in job.spec.steps):
             self._serving[job_id] = (service, _workers_for(job))
-        else:
-            pending = _pending(job, accepted_s)
-            self._pending.setdefault(service, {})[job_id] = pending
+            return
+        pending = (
+            _pending(job, occurrence, begin_s)
+            for occurrence, begin_s in enumerate(begins_s)
+        )
+        self._pending.setdefault(service, {})[job_id] = tuple(
+            occurrence for occurrence in pending if occurrence.steps
+        )
 
     def in_order(
         self,
@@ -188,20 +250,53 @@
         self,
         now_s: float,
         processors: Mapping[str, float],
-    ) -> set[str]:
-        """Return the jobs that wait for others, and take note of new ones."""
-        waiting: set[str] = set()
-        for service, jobs in self._pending.items():
+    ) -> set[OccurrenceName]:
+        """Return what waits for others, and take note of what is new."""
+        waiting: set[OccurrenceName] = set()
+        for service in self._pending:
             has = processors.get(service, 0)
-            found = put_back(jobs.values(), has, now_s)
-            for job_id in found - self._told:
-                reason = _why_put_back(jobs[job_id], has, len(jobs), now_s)
-                self.notes.append(Note(LogEvent.JOB_PUT_BACK, job_id, reason))
+            begun = list(self._begun(service, now_s))
+            found = put_back(begun, has, now_s)
+            for pending in begun:
+                if pending.name in found - self._told:
+                    reason = _why_put_back(pending, has, len(begun), now_s)
+                    note = Note(LogEvent.JOB_PUT_BACK, pending.job_id, reason)
+                    self.notes.append(note)
             self._told |= found
             waiting |= found
         return waiting
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Clocks:
+    """The steady clock and the time of day at one moment."""
+
+    now_s: float
+    wall_ms: float
+
+    def begin_s(
+        self,
+        job: JobRecord,
+        occurrence: int,
+        accepted_s: float,
+    ) -> float:
+        """Return from when an occurrence may run, on the steady clock."""
+        if not job.spec.is_timed:
+            return accepted_s
+        due_in_ms = job.spec.due_ms(occurrence) - self.wall_ms
+        return max(accepted_s, self.now_s + due_in_ms / _MS)
+
+
+def _since(
+    step: ReadyStep,
+    since_s: _ReadySince,
+    now_s: float,
+) -> ReadyStep:
+    """Return a step with the time at which it was first ready."""
+    ready_s = since_s.setdefault((step.occurrence, step.step), now_s)
+    return dataclasses.replace(step, ready_s=ready_s)
+
+
 def _age_s(job: JobRecord, wall_ms: float) -> float:
     """Return for how long a job has waited, as far as is known."""
     if not job.accepted_ms:
@@ -221,14 +316,24 @@
     )
 
 
-def _pending(job: JobRecord, accepted_s: float) -> PendingJob:
-    # Occurrences of a timed job are due each at their own time.
-    due_s = accepted_s + objective_of(job)
+def _pending(
+    job: JobRecord,
+    occurrence: int,
+    begin_s: float,
+) -> PendingJob:
+    steps = tuple(
+        StepWork(step, left, estimate_s(step))
+        for number, step in enumerate(job.spec.steps)
+        if (left := tasks_left(job, occurrence, number))
+    )
     return PendingJob(
-        job.spec.job_id,
-        _work_s(job),
-        math.inf if job.spec.is_timed else due_s,
-        chain_s(job),
+        job_id=job.spec.job_id,
+        work_s=work_s(job, occurrence),
+        due_s=begin_s + objective_of(job),
+        chain_s=chain_s(job, occurrence),
+        occurrence=occurrence,
+        begin_s=begin_s,
+        steps=steps,
     )
 
 
@@ -251,9 +356,9 @@
 def _rank(
     step: ReadyStep,
     now_s: float,
-    waiting: Collection[str],
+    waiting: Collection[OccurrenceName],
 ) -> tuple[float, ...]:
-    is_waiting = step.job.spec.job_id in waiting
+    is_waiting = (step.job.spec.job_id, step.occurrence) in waiting
     is_late = is_waiting or now_s > step.latest_start_s
     urgency = step.work_s if is_late else step.latest_start_s
     return (
@@ -264,78 +369,27 @@
     )
 
 
-def _ready_steps(job: JobRecord, accepted_s: float) -> tuple[ReadyStep, ...]:
-    remaining_s = chain_s(job)
-    objective_s = objective_of(job)
-    work_s = _work_s(job)
-    found: list[ReadyStep] = []
-    for occurrence, steps in enumerate(job.occurrences):
-        for number, tasks in enumerate(steps):
-            waiting = tuple(
-                index
-                for index, task in enumerate(tasks)
-                if task.phase is TaskPhase.WAITING
+def _ready_steps(
+    job: JobRecord,
+    occurrence: int,
+    begin_s: float,
+) -> Iterator[ReadyStep]:
+    """Yield the steps of an occurrence whose turn has come."""
+    latest_start_s = begin_s + objective_of(job) - chain_s(job, occurrence)
+    left_s = work_s(job, occurrence)
+    for number, tasks in enumerate(job.occurrences[occurrence]):
+        waiting = tuple(
+            index
+            for index, task in enumerate(tasks)
+            if task.phase is TaskPhase.WAITING
+        )
+        if waiting and job.may_start(occurrence, number):
+            yield ReadyStep(
+                job=job,
+                occurrence=occurrence,
+                step=number,
+                waiting=waiting,
+                due_ms=job.spec.due_ms(occurrence),
+                latest_start_s=latest_start_s,
+                work_s=left_s,
             )
-            if waiting and job.may_start(occurrence, number):
-                found.append(
-                    ReadyStep(
-                        job=job,
-                        occurrence=occurrence,
-                        step=number,
-                        waiting=waiting,
-                        due_ms=job.spec.due_ms(occurrence),
-                        latest_start_s=accepted_s + objective_s - remaining_s,
-                        work_s=work_s,
-                    ),
-                )
-    return tuple(found)
-
-
-def objective_of(job: JobRecord) -> float:
-    """Return within how many seconds a job is of full use."""
-    whole_s = _longest_s(job.spec.steps, _estimates_s(job, whole=True))
-    queue = job.queue
-    return queue.slack_factor * whole_s + queue.target_latency_ms / _MS
-
-
-def chain_s(job: JobRecord) -> float:
-    """Return the longest chain of work that is left, in seconds."""
-    return _longest_s(job.spec.steps, _estimates_s(job, whole=False))
-
-
-def _estimates_s(job: JobRecord, whole: bool) -> list[float]:
-    return [
-        (step.estimate_ms or _UNKNOWN_ESTIMATE_MS) / _MS
-        if whole or not _is_done_everywhere(job, number)
-        else 0
-        for number, step in enumerate(job.spec.steps)
-    ]
-
-
-def _is_done_everywhere(job: JobRecord, step: int) -> bool:
-    return all(
-        job.is_step_done(occurrence, step)
-        for occurrence in range(len(job.occurrences))
-    )
-
-
-def _longest_s(
-    steps: Iterable[StepSpec],
-    durations_s: list[float],
-) -> float:
-    ends_s: list[float] = []
-    for step, duration_s in zip(steps, durations_s, strict=True):
-        begin_s = max((ends_s[earlier] for earlier in step.after), default=0)
-        ends_s.append(begin_s + duration_s)
-    return max(ends_s, default=0)
-
-
-def _work_s(job: JobRecord) -> float:
-    return sum(
-        step.room.processors
-        * (step.estimate_ms or _UNKNOWN_ESTIMATE_MS)
-        / _MS
-        * sum(task.phase is not TaskPhase.DONE for task in steps[number])
-        for steps in job.occurrences
-        for number, step in enumerate(job.spec.steps)
-    )
--- a/src/wigeonreach/scheduling/_room_left.py
+++ b/src/wigeonreach/scheduling/_room_left.py
@@ -24,6 +24,8 @@
         Room is being made on it for a serving task.
     is_slow
         Its runs take much longer than on other workers, or are slowed down.
+    is_wanted_near
+        Some task that waits has its data on its rack.
     """
 
     incarnation: Incarnation
@@ -32,6 +34,7 @@
     serving: int = 0
     is_reserved: bool = False
     is_slow: bool = False
+    is_wanted_near: bool = False
 
     def add(self, key: TaskKey, spec: StepSpec) -> None:
         """Put a task on it."""
@@ -45,6 +48,16 @@
             return False
         return self.left.holds(spec.room) and self.allows(key, spec)
 
+    def count(self, key: TaskKey, spec: StepSpec) -> int:
+        """Return how many tasks of a step may be put on it."""
+        if not self.holds(key, spec):
+            return 0
+        fitting = self.left.count(spec.room)
+        if not spec.spread_limit:
+            return fitting
+        same = self.steps[key.job_id, key.occurrence, key.step]
+        return min(fitting, spec.spread_limit - same)
+
     def allows(self, key: TaskKey, spec: StepSpec) -> bool:
         """Whether a task may be put on it once there is room."""
         if spec.label and spec.label not in self.incarnation.report.labels:
--- a/src/wigeonreach/scheduling/_scheduler.py
+++ b/src/wigeonreach/scheduling/_scheduler.py
@@ -23,19 +23,19 @@
 from wigeonreach.scheduling._orders import Tickets, not_begun, orders_for
 from wigeonreach.scheduling._pacing import Pacing
 from wigeonreach.scheduling._placing import Plan
-from wigeonreach.scheduling._pools import Move, PoolPlanner, ServingNeed
-from wigeonreach.scheduling._preempting import victims_for
+from wigeonreach.scheduling._pool_vms import Move
+from wigeonreach.scheduling._pools import PoolPlanner
+from wigeonreach.scheduling._preempting import make_room
 from wigeonreach.scheduling._progress import ProgressWatch
 from wigeonreach.scheduling._quarantine import WorkerQuarantine
-from wigeonreach.scheduling._ready import ReadyStep, ReadySteps
+from wigeonreach.scheduling._ready import ReadySteps
 from wigeonreach.scheduling._room_book import RoomBook
 from wigeonreach.scheduling._room_left import WorkerRoom
+from wigeonreach.scheduling._settings import SchedulingSettings
 from wigeonreach.scheduling._workers import Incarnation, Workers
 from wigeonreach.wire._worker_messages import WorkerOrders, WorkerReport
 
-# Where a platform does not tell: a VM that only changes its pool is not
-# rebooted.
-_MOVE_S = 1.5
+_DEFAULTS = SchedulingSettings()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -62,8 +62,8 @@
         Of this leader.
     now_s
         When the term began, on a clock that also counts suspended time.
-    move_s
-        How long a VM is away while it moves to another pool.
+    settings
+        What is known of the platform.
     wall_ms
         The time of day then, by which the age of older jobs is known.
 
@@ -78,7 +78,7 @@
         store: JobStore,
         term: int,
         now_s: float,
-        move_s: float = _MOVE_S,
+        settings: SchedulingSettings = _DEFAULTS,
         wall_ms: float = 0,
     ) -> None:
         """Know no worker yet."""
@@ -90,12 +90,13 @@
         self.advice = TicketCache()
         self.notes: list[Note] = []
         self.maintenance = Maintenance(store, self.workers)
-        self.pools = PoolPlanner(store, self.workers, move_s, now_s)
+        self.pools = PoolPlanner(store, self.workers, settings, now_s)
+        self._far_factor = settings.far_factor
         self.stopping: set[Run] = set()
         self.ready = ReadySteps()
         self._rooms = RoomBook(store)
-        # Processors of serving tasks that found no room, by service.
-        self._homeless: dict[str, float] = {}
+        # VMs that serving tasks without room fill, by service and label.
+        self._homeless: dict[str, dict[str, float]] = {}
         self._store = store
         store.changed.update(store.jobs)
         self.ready.refresh(store, now_s, wall_ms)
@@ -172,8 +173,8 @@
     def plan(self, now_s: float, wall_ms: float) -> tuple[RunStarted, ...]:
         """Return what is to be started now."""
         accepted = self.ready.refresh(self._store, now_s, wall_ms)
-        for service, work_s in accepted:
-            self.pools.note_accepted(service, work_s, now_s)
+        for work in accepted:
+            self.pools.note_accepted(work, now_s)
         processors = self.workers.processors(now_s)
         steps = self.ready.in_order(now_s, wall_ms, processors)
         self._homeless = {}
@@ -183,9 +184,17 @@
             return ()
         needed = {self._store.service_of(step.job) for step in steps}
         rooms = self.rooms(now_s, needed)
-        plan = Plan(self._store, rooms, self.advice, now_s)
+        plan = Plan(self._store, rooms, self.advice, self._far_factor, now_s)
         plan.place(steps)
-        self._make_room(plan.unplaced, rooms)
+        made = make_room(
+            plan.unplaced,
+            rooms,
+            self._store,
+            self.stopping,
+            self.pools.vms.room,
+        )
+        self.stopping.update(made.stops)
+        self._homeless = made.homeless
         for start in plan.starts:
             # Whether it will be recorded is not known yet.
             self._rooms.forget(start.worker)
@@ -195,8 +204,9 @@
         """Return the VMs that are to go to another pool now."""
         taken = self.maintenance.cordoned
         return self.pools.step(
-            self.ready.backlog(),
-            ServingNeed(self.ready.serving(), self._homeless),
+            self.ready.work(now_s),
+            self.ready.serving(),
+            self._homeless,
             taken,
             now_s,
         )
@@ -375,29 +385,6 @@
             room.is_slow = worker in slow or self.pacing.is_paced(worker)
         return rooms
 
-    def _make_room(
-        self,
-        unplaced: list[ReadyStep],
-        rooms: dict[str, list[WorkerRoom]],
-    ) -> None:
-        for step in unplaced:
-            if not step.spec.is_service:
-                continue
-            service = self._store.service_of(step.job)
-            found = victims_for(
-                step,
-                rooms.get(service, []),
-                self._store,
-                self.stopping,
-            )
-            if found is None:
-                need = step.spec.room.processors * len(step.waiting)
-                self._homeless[service] = self._homeless.get(service, 0) + need
-                continue
-            room, runs = found
-            self.stopping.update(runs)
-            rooms[service].remove(room)
-
 
 def _is_repeat(
     end: RunEnd,
--- /dev/null
+++ b/src/wigeonreach/scheduling/_settings.py
@@ -0,0 +1,22 @@
+"""Settings of what decides."""
+
+from __future__ import annotations
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SchedulingSettings:
+    """What is known of the platform beforehand.
+
+    Attributes
+    ----------
+    move_s
+        How long a VM is away while it moves to another pool; a VM that only
+        changes its pool is not rebooted.
+    far_factor
+        How much longer work takes away from its data, or on several racks.
+    """
+
+    move_s: float = 1.5
+    far_factor: float = 1.0
--- a/src/wigeonreach/scheduling/_triage.py
+++ b/src/wigeonreach/scheduling/_triage.py
@@ -15,18 +15,24 @@
 import heapq
 from collections.abc import Iterable
 
+from wigeonreach.scheduling._backlog import StepWork
+
 # Part of a pool's processors that packing and the gaps between an end and the
 # next start leave unused.
 _USABLE_RATIO = 0.85
 
 
+# Id and occurrence.
+OccurrenceName = tuple[str, int]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PendingJob:
-    """A job that is not finished.
+    """An occurrence of a job that is not finished.
 
     Attributes
     ----------
-    job_id
+    job_id, occurrence
         Which it is.
     work_s
         Processor seconds that it still needs.
@@ -34,19 +40,31 @@
         Until when it is of full use.
     chain_s
         Longest chain of work that it still needs.
+    begin_s
+        From when it may run.
+    steps
+        What is left of its steps.
     """
 
     job_id: str
     work_s: float
     due_s: float
     chain_s: float
+    occurrence: int = 0
+    begin_s: float = 0.0
+    steps: tuple[StepWork, ...] = ()
+
+    @property
+    def name(self) -> OccurrenceName:
+        """Its id and its occurrence."""
+        return self.job_id, self.occurrence
 
 
 def put_back(
     jobs: Iterable[PendingJob],
     processors: float,
     now_s: float,
-) -> set[str]:
+) -> set[OccurrenceName]:
     """Return the jobs that are to wait for the others.
 
     Parameters
@@ -59,14 +77,14 @@
         Clock in seconds.
     """
     usable = processors * _USABLE_RATIO
-    kept: list[tuple[float, str]] = []
-    waiting: set[str] = set()
+    kept: list[tuple[float, OccurrenceName]] = []
+    waiting: set[OccurrenceName] = set()
     needed_s = 0.0
     for job in sorted(jobs, key=lambda pending: pending.due_s):
         if now_s + job.chain_s > job.due_s:
-            waiting.add(job.job_id)
+            waiting.add(job.name)
             continue
-        heapq.heappush(kept, (-job.work_s, job.job_id))
+        heapq.heappush(kept, (-job.work_s, job.name))
         needed_s += job.work_s
         if needed_s > usable * (job.due_s - now_s):
             negative_work_s, largest = heapq.heappop(kept)
--- a/src/wigeonreach/standins/_worker.py
+++ b/src/wigeonreach/standins/_worker.py
@@ -41,6 +41,7 @@
     sequence: int = 0
     is_draining: bool = False
     rack: str = 'rack'
+    kind: str = 'kind'
     fence: int = 0
     lease_until_s: float = 0.0
     running: dict[Run, RunningTask] = dataclasses.field(default_factory=dict)
@@ -62,7 +63,7 @@
             is_draining=self.is_draining,
             cpu_millicores=self.cpu_millicores,
             memory_mb=32 * 1024,
-            labels=('kind', self.rack),
+            labels=(self.kind, self.rack),
             rack=self.rack,
             running=tuple(self.running.values()),
             ended=tuple(self.ended),
--- a/tests/builders_core.py
+++ b/tests/builders_core.py
@@ -12,6 +12,7 @@
 from wigeonreach.core import Core, CoreSettings
 from wigeonreach.gateway import Gateway
 from wigeonreach.observe import Logger, Metrics
+from wigeonreach.scheduling import SchedulingSettings
 from wigeonreach.scheduling._advice import Advice, Question
 from wigeonreach.scheduling._vms import OrderResult, VmRecord
 from wigeonreach.wire import parse_address
@@ -93,7 +94,7 @@
             tolerated_losses=1,
             api_port=1,
             order_pause_s=0,
-            move_s=0,
+            scheduling=SchedulingSettings(move_s=0),
         )
         core = Core(settings, self.vms, self.vms, Logger(name), Metrics())
         self.cores[name] = core
--- a/tests/scheduling/test_pools.py
+++ b/tests/scheduling/test_pools.py
@@ -20,7 +20,7 @@
     workers,
 )
 from wigeonreach.jobs import JobStore, Manifest, ServiceSpec, SetManifest
-from wigeonreach.scheduling._pools import Move
+from wigeonreach.scheduling._pool_vms import Move
 from wigeonreach.scheduling._vms import VmPhase, VmRecord
 
 _STANDBY = 'standby'
--- a/tests/scheduling/test_triage.py
+++ b/tests/scheduling/test_triage.py
@@ -24,7 +24,7 @@
 )
 from wigeonreach.jobs import AddJob, JobPhase, JobSpec, Run, RunEnd
 from wigeonreach.scheduling import _ready
-from wigeonreach.scheduling._ready import objective_of
+from wigeonreach.scheduling._objectives import objective_of
 from wigeonreach.scheduling._triage import PendingJob, put_back
 from wigeonreach.standins import StandInWorker
 
@@ -35,9 +35,10 @@
 _JOBS_PER_STEP = 8
 _POOL = 4
 _SEEDS = range(3)
+_NOBODY = matchers.HasLength(0)
 
 
-def _put_nothing_back(*_: object) -> set[str]:
+def _put_nothing_back(*_: object) -> set[tuple[str, int]]:
     return set()
 
 
@@ -49,7 +50,9 @@
     """One pool of ten usable processors, at second 0."""
 
     def _put_back(self, *jobs: PendingJob) -> set[str]:
-        return put_back(jobs, 10 / 0.85, 0)
+        waiting = put_back(jobs, 10 / 0.85, 0)
+        self.assertThat({number for _, number in waiting} - {0}, _NOBODY)
+        return {job_id for job_id, _ in waiting}
 
     def test_nothing_waits_while_all_fit(self) -> None:
         """Forty processor seconds until second 4."""
