Replicate what VMs a leader is about to order, and hold only those

Ruled out: going by the time of day of orders; clocks jump. Now the VMs are recorded before they are ordered, and each process knows since when it has had the record: VMs without a recent one are free at once.

--- a/src/wigeonreach/core/_daemon.py
+++ b/src/wigeonreach/core/_daemon.py
@@ -17,6 +17,7 @@
 from wigeonreach.core._settings import CoreSettings
 from wigeonreach.core._term import LeaderTerm
 from wigeonreach.core._vm_actions import VmActions
+from wigeonreach.core._vm_holds import VmHolds
 from wigeonreach.core._vm_orders import VmOrders
 from wigeonreach.exceptions import StateError
 from wigeonreach.gateway import Gateway
@@ -104,6 +105,7 @@
             self._agreement.receive,
             self.handle,
         )
+        self._holds = VmHolds(self._store, settings.order_pause_s)
         self._term: LeaderTerm | None = None
         self._handler: CallHandler | None = None
         self._leading: asyncio.Task[None] | None = None
@@ -167,6 +169,7 @@
         if self._leading is None:
             # Only a leader looks at what changed.
             self._store.changed.clear()
+        self._holds.refresh(steady_s())
         cores = self._gateway.cores
         if cores != self._told_peers:
             self._told_peers = cores
@@ -276,7 +279,7 @@
             self._api,
             VmOrders(
                 term,
-                self._settings.order_pause_s,
+                self._holds,
                 self._log,
                 self._metrics,
             ),
--- a/src/wigeonreach/core/_term.py
+++ b/src/wigeonreach/core/_term.py
@@ -69,11 +69,6 @@
         What decisions go by.
     logger, metrics
         Where decisions are logged and counted.
-
-    Attributes
-    ----------
-    is_first
-        Whether nobody ever led before.
     """
 
     def __init__(
@@ -89,7 +84,6 @@
         self.term = term
         self.barrier = SharedBarrier(agreement)
         self.wake = asyncio.Event()
-        self.is_first = False
         self._agreement = agreement
         self._store = store
         self._settings = settings
@@ -133,7 +127,6 @@
         StateError
             If a quorum did not confirm.
         """
-        self.is_first = self._store.term == 0
         await self.propose(BeginTerm(self.term))
         self._scheduler = Scheduler(
             self._store,
--- a/src/wigeonreach/core/_vm_actions.py
+++ b/src/wigeonreach/core/_vm_actions.py
@@ -9,7 +9,13 @@
 from wigeonreach.core._term import LeaderTerm
 from wigeonreach.core._vm_orders import VmOrders
 from wigeonreach.exceptions import StateError
-from wigeonreach.jobs import JobStore, RecordVmStep, VmStep
+from wigeonreach.jobs import (
+    JobStore,
+    RecordVmOrders,
+    RecordVmStep,
+    Verdict,
+    VmStep,
+)
 from wigeonreach.observe import LogEvent, Logger, Metrics
 from wigeonreach.scheduling._pool_vms import Move
 from wigeonreach.scheduling._vms import OrderResult, VmApi
@@ -62,7 +68,7 @@
                 await asyncio.sleep(_ROUND_S)
                 await self._list_if_due()
                 await self._maintain()
-                self._move()
+                await self._move_safely()
         finally:
             self._orders.stop()
 
@@ -98,13 +104,29 @@
                     functools.partial(self._maintain_vm, wave, vm, worker),
                 )
 
-    def _move(self) -> None:
-        for move in self._term.scheduler.moves(steady_s()):
-            if self._orders.is_free(move.vm):
-                self._orders.start(
-                    move.vm,
-                    functools.partial(self._move_vm, move),
-                )
+    async def _move_safely(self) -> None:
+        try:
+            await self._move()
+        except StateError as error:
+            # What was not recorded is not ordered, but found again.
+            self._log.warning(LogEvent.CALL_FAILED, reason=str(error))
+
+    async def _move(self) -> None:
+        held = self._orders.held()
+        moves = [
+            move
+            for move in self._term.scheduler.moves(steady_s(), held)
+            if self._orders.is_free(move.vm)
+        ]
+        if not moves:
+            return
+        # First recorded, so that a next leader knows of them.
+        vms = tuple(move.vm for move in moves)
+        record = RecordVmOrders(self._term.term, vms)
+        if await self._term.propose(record) is not Verdict.DONE:
+            return
+        for move in moves:
+            self._orders.start(move.vm, functools.partial(self._move_vm, move))
 
     async def _maintain_vm(self, wave: int, vm: str, worker: str) -> None:
         # First recorded, so that a next leader knows it may be down.
--- /dev/null
+++ b/src/wigeonreach/core/_vm_holds.py
@@ -0,0 +1,62 @@
+"""Tell which VMs a new leader may not order yet.
+
+Two leaders' orders for one VM have to be apart by the platform's time.  What a
+leader is about to order is replicated first, so that each process knows which
+VMs may have been ordered lately, and only those wait after a change of leader.
+"""
+
+from __future__ import annotations
+
+from wigeonreach.jobs import JobStore
+
+# Clocks and answers are late by less.
+_MARGIN_S = 0.5
+# From when an order is recorded until the platform has carried it out or not:
+# its leader is confirmed, and the call is given up after 2 s.
+_ORDER_LASTS_S = 3.0
+
+
+class VmHolds:
+    """When each VM may be ordered by another leader than before.
+
+    Parameters
+    ----------
+    store
+        Which VMs were ordered; its news is taken from it.
+    pause_s
+        How long two leaders' orders for one VM must be apart.
+    """
+
+    def __init__(self, store: JobStore, pause_s: float) -> None:
+        """Know of no order."""
+        self._store = store
+        self._pause_s = pause_s
+        self._recorded_s: dict[str, float] = {}
+
+    def refresh(self, now_s: float) -> None:
+        """Take note of the orders that were recorded since the last call.
+
+        They are older than that, which holds VMs for longer, not shorter.
+        """
+        for vm in self._store.newly_ordered:
+            self._recorded_s[vm] = now_s
+        self._store.newly_ordered.clear()
+
+    def held(self, began_s: float, now_s: float) -> set[str]:
+        """Return the VMs that the leader of a term may not order yet.
+
+        Parameters
+        ----------
+        began_s
+            When its term began: no earlier leader gives an order after that.
+        now_s
+            Clock in seconds.
+        """
+        if now_s >= began_s + self._pause_s + _MARGIN_S:
+            return set()
+        lasts_s = _ORDER_LASTS_S + self._pause_s + _MARGIN_S
+        return {
+            vm
+            for vm, recorded_s in self._recorded_s.items()
+            if recorded_s <= began_s and now_s < recorded_s + lasts_s
+        }
--- a/src/wigeonreach/core/_vm_orders.py
+++ b/src/wigeonreach/core/_vm_orders.py
@@ -7,14 +7,12 @@
 
 from wigeonreach.core._clock import steady_s
 from wigeonreach.core._term import LeaderTerm
+from wigeonreach.core._vm_holds import VmHolds
 from wigeonreach.exceptions import StateError
 from wigeonreach.observe import LogEvent, Logger, Metrics
 from wigeonreach.scheduling._vms import OrderResult
 
 _RETRY_S = 0.5
-# Two holders' orders have to be apart by the platform's time; this covers
-# that clocks and answers are late.
-_PAUSE_MARGIN_S = 0.5
 
 Order = Callable[[], Awaitable[OrderResult]]
 
@@ -26,8 +24,8 @@
     ----------
     term
         Under which orders are given.
-    order_pause_s
-        How long after an earlier leader's order this one may give its first.
+    holds
+        Which VMs an earlier leader may have ordered lately.
     logger, metrics
         Where orders are logged and counted.
     """
@@ -35,25 +33,29 @@
     def __init__(
         self,
         term: LeaderTerm,
-        order_pause_s: float,
+        holds: VmHolds,
         logger: Logger,
         metrics: Metrics,
     ) -> None:
         """Order nothing yet."""
         self._term = term
-        pause_s = 0 if term.is_first else order_pause_s + _PAUSE_MARGIN_S
-        self._first_order_s = steady_s() + pause_s
+        self._holds = holds
+        self._began_s = steady_s()
+        holds.refresh(self._began_s)
         self._log = logger
         self._metrics = metrics
         self._running: dict[str, asyncio.Task[None]] = {}
         self._retry_s: dict[str, float] = {}
 
+    def held(self) -> set[str]:
+        """Return the VMs that an earlier leader may have ordered lately."""
+        return self._holds.held(self._began_s, steady_s())
+
     def is_free(self, vm: str) -> bool:
         """Whether an order for a VM may be given now."""
-        now_s = steady_s()
-        if now_s < self._first_order_s or vm in self._running:
+        if vm in self._running or vm in self.held():
             return False
-        return now_s >= self._retry_s.get(vm, 0)
+        return steady_s() >= self._retry_s.get(vm, 0)
 
     def start(self, vm: str, order: Callable[[], Awaitable[None]]) -> None:
         """Carry an order out beside all others."""
--- a/src/wigeonreach/jobs/_commands.py
+++ b/src/wigeonreach/jobs/_commands.py
@@ -112,12 +112,20 @@
     worker: str = ''
 
 
+class RecordVmOrders(Command, frozen=True):
+    """Note that VMs are about to be ordered, as the leader of a term."""
+
+    term: int
+    vms: tuple[str, ...]
+
+
 AnyCommand: TypeAlias = (
     AddJob
     | BeginTerm
     | CancelJob
     | ForgetJobs
     | RecordRuns
+    | RecordVmOrders
     | RecordVmStep
     | SetManifest
     | StartWave
--- a/src/wigeonreach/jobs/_store.py
+++ b/src/wigeonreach/jobs/_store.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import functools
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from types import MappingProxyType
 
 import msgspec
@@ -18,12 +18,14 @@
     CommandReply,
     ForgetJobs,
     RecordRuns,
+    RecordVmOrders,
     RecordVmStep,
     RunEnded,
     RunStarted,
     SetManifest,
     StartWave,
     Verdict,
+    VmStep,
 )
 from wigeonreach.jobs._model import JobPhase, Manifest, StepSpec, TaskKey
 from wigeonreach.jobs._queue_index import QueueIndex
@@ -41,6 +43,7 @@
     manifest: Manifest
     jobs: list[JobRecord]
     waves: list[WaveRecord]
+    ordered_vms: list[str] = msgspec.field(default_factory=list)
 
 
 _SNAPSHOTS = msgspec.msgpack.Decoder(_Stored)
@@ -61,6 +64,10 @@
         Jobs that changed since a reader last cleared this.
     reassigned
         Workers whose runs changed since a reader last cleared this.
+    ordered_vms
+        VMs that some leader has ordered, or was about to.
+    newly_ordered
+        Those among them since a reader last cleared this.
     queues
         Finds the queues of the manifest.
     """
@@ -74,6 +81,8 @@
         self.assigned: dict[str, dict[TaskKey, int]] = {}
         self.changed: set[str] = set()
         self.reassigned: set[str] = set()
+        self.ordered_vms: set[str] = set()
+        self.newly_ordered: set[str] = set()
         self.term = 0
 
     def apply(self, index: int, command: bytes) -> bytes:
@@ -88,6 +97,7 @@
             self.manifest,
             list(self.jobs.values()),
             list(self.waves.values()),
+            sorted(self.ordered_vms),
         )
         return msgspec.msgpack.encode(stored)
 
@@ -104,12 +114,18 @@
             for key, task in job.assigned():
                 self.assign(task.worker, key, task.run)
         self.changed = set(self.jobs)
+        self.note_ordered(stored.ordered_vms)
 
     def put_manifest(self, manifest: Manifest) -> None:
         """Put a manifest in force."""
         self.manifest = manifest
         self.queues = QueueIndex(manifest)
 
+    def note_ordered(self, vms: Iterable[str]) -> None:
+        """Note that VMs have been ordered, or are about to be."""
+        self.newly_ordered.update(vms)
+        self.ordered_vms.update(self.newly_ordered)
+
     def service_of(self, job: JobRecord) -> str:
         """Return the service whose workers may run a job now."""
         queue = self.queues.named(job.queue.name)
@@ -260,4 +276,14 @@
     if wave is None:
         return CommandReply(Verdict.UNKNOWN)
     waves.note_step(wave, command)
+    if command.step is VmStep.ORDERED:
+        store.note_ordered((command.vm,))
+    return CommandReply(Verdict.DONE)
+
+
+@_on.register
+def _on_vm_orders(command: RecordVmOrders, store: JobStore) -> CommandReply:
+    if command.term != store.term:
+        return CommandReply(Verdict.OUTDATED)
+    store.note_ordered(command.vms)
     return CommandReply(Verdict.DONE)
--- a/src/wigeonreach/scheduling/_scheduler.py
+++ b/src/wigeonreach/scheduling/_scheduler.py
@@ -200,9 +200,21 @@
             self._rooms.forget(start.worker)
         return tuple(plan.starts)
 
-    def moves(self, now_s: float) -> list[Move]:
-        """Return the VMs that are to go to another pool now."""
-        taken = self.maintenance.cordoned
+    def moves(
+        self,
+        now_s: float,
+        held: Collection[str] = (),
+    ) -> list[Move]:
+        """Return the VMs that are to go to another pool now.
+
+        Parameters
+        ----------
+        now_s
+            Clock in seconds.
+        held
+            VMs that may not be ordered yet.
+        """
+        taken = self.maintenance.cordoned.union(held)
         return self.pools.step(
             self.ready.work(now_s),
             self.ready.serving(),
