--- a/src/wigeonreach/platform/_session.py
+++ b/src/wigeonreach/platform/_session.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import socket
+import struct
 from collections.abc import Callable, Mapping
 from types import MappingProxyType
 from typing import TypeVar
@@ -13,6 +15,8 @@
 from wigeonreach.observe import LogEvent, Logger
 
 _Answer = TypeVar('_Answer')
+# Linger for no time: what is not delivered yet is dropped.
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 _NO_HEADERS: Mapping[str, str] = MappingProxyType({})
 
 
@@ -103,6 +107,7 @@
     def _open(self) -> aiohttp.ClientSession:
         if self._session is None:
             self._session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(socket_factory=_socket),
                 timeout=aiohttp.ClientTimeout(total=self._timeout_s),
             )
         return self._session
@@ -111,6 +116,18 @@
         self._log.warning(LogEvent.PLATFORM_FAULT, call=call, reason=reason)
 
 
+def _socket(info: aiohttp.AddrInfoType) -> socket.socket:
+    """Return a socket that resets its connection when it is closed.
+
+    A cut holds bytes up and delivers them when it heals.  An order that was
+    given up would then arrive after a later leader's.
+    """
+    family, kind, protocol, *_ = info
+    opened = socket.socket(family, kind, protocol)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+    return opened
+
+
 def expect_ok(status: int) -> None:
     """Check that an answer tells what was asked for.
 
