--- /dev/null
+++ b/src/wigeonreach/lab/__init__.py
@@ -0,0 +1,28 @@
+"""Play the scheduler against an emulated fleet, in virtual time.
+
+Policies are compared on generated days of seconds, many in a minute, where the
+real system takes a minute each.  Daemons do not import this package.
+"""
+
+from wigeonreach.lab._checks import BrokenRuleError
+from wigeonreach.lab._day import Day, DayPlan
+from wigeonreach.lab._demand import DemandPlan, KindShares
+from wigeonreach.lab._lead import VirtualLead, commit
+from wigeonreach.lab._fleet import FleetPlan
+from wigeonreach.lab._outcome import Outcome
+from wigeonreach.lab._variants import VARIANTS, Variant, applied
+
+__all__ = (
+    'VARIANTS',
+    'BrokenRuleError',
+    'Day',
+    'DayPlan',
+    'DemandPlan',
+    'FleetPlan',
+    'KindShares',
+    'Outcome',
+    'Variant',
+    'VirtualLead',
+    'applied',
+    'commit',
+)
--- /dev/null
+++ b/src/wigeonreach/lab/_day.py
@@ -0,0 +1,292 @@
+"""Play one day: callers, workers and the leader, in steps of virtual time."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+from collections.abc import Iterator
+
+from wigeonreach.jobs import (
+    AddJob,
+    JobPhase,
+    JobStore,
+    Manifest,
+    SetManifest,
+    TaskKey,
+)
+from wigeonreach.lab._checks import check_start, check_workers
+from wigeonreach.lab._demand import (
+    STANDBY,
+    Arrival,
+    Demand,
+    DemandPlan,
+    queues,
+    service_name,
+    services,
+)
+from wigeonreach.lab._fleet import Fleet, FleetPlan, Vm
+from wigeonreach.lab._lead import VirtualLead, commit
+from wigeonreach.lab._outcome import Outcome
+from wigeonreach.scheduling import Incarnation, SchedulingSettings
+from wigeonreach.scheduling._objectives import objective_of
+from wigeonreach.scheduling._orders import BUSY_NEXT_MS, HELD_NEXT_MS
+from wigeonreach.scheduling._vms import VmPhase, VmRecord
+from wigeonreach.wire._worker_messages import WorkerOrders
+
+_STEP_S = 0.05
+# As the core process does.
+_HOLD_S = 0.7
+_MOVES_S = 0.1
+_LIST_S = 4.0
+_CHECK_S = 0.25
+# Until a leader knows its fleet, and after the last job came.
+_LEAD_IN_S = 9.0
+_FINISH_S = 14.0
+# Each task takes so much more or less than the others of its step.
+_UNEVEN = 0.3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DayPlan:
+    """One day.
+
+    Attributes
+    ----------
+    faults_per_s
+        Workers that crash, are cut off or turn slow.
+    terms
+        Changes of leader, at even distances.
+    """
+
+    demand: DemandPlan = DemandPlan()
+    fleet: FleetPlan = FleetPlan()
+    faults_per_s: float = 0.0
+    terms: int = 0
+
+
+class Day:
+    """One day, drawn from a seed.
+
+    Parameters
+    ----------
+    plan
+        What it is like.
+    seed
+        The same seed gives the same arrivals, times and faults.
+    """
+
+    def __init__(self, plan: DayPlan, seed: int) -> None:
+        """Have a fleet and no job."""
+        self.outcome = Outcome()
+        self.store = JobStore()
+        self._plan = plan
+        self._seed = seed
+        self._faults = random.Random(seed + 1)
+        self._now_s = 0.0
+        manifest = Manifest(1, queues(plan.demand), services(plan.demand))
+        commit(self.store, SetManifest(manifest))
+        names = tuple(map(service_name, range(plan.demand.services)))
+        self.fleet = Fleet(plan.fleet, names, self.store, self._lasts_s, seed)
+        drawn = Demand(
+            plan.demand, self.fleet.racks, plan.fleet.labels, seed
+        ).arrivals()
+        self._arrivals = {
+            arrival.spec.job_id: dataclasses.replace(
+                arrival, at_s=arrival.at_s + _LEAD_IN_S
+            )
+            for arrival in drawn
+        }
+        self._coming = list(reversed(self._arrivals.values()))
+        self._declared = dict(self._arrivals)
+        self._drawn_s: dict[TaskKey, float] = {}
+        self._started_s: dict[str, float] = {}
+        self._lead = self._next_lead()
+
+    def play(self) -> Outcome:
+        """Play the whole day.
+
+        Raises
+        ------
+        BrokenRuleError
+            If something happens that must never happen.
+        """
+        length_s = _LEAD_IN_S + self._plan.demand.length_s + _FINISH_S
+        for number in range(round(length_s / _STEP_S)):
+            self._now_s = number * _STEP_S
+            self._step(number)
+        self._sum_up()
+        return self.outcome
+
+    def _step(self, number: int) -> None:
+        self._lead.now_s = self._now_s
+        self._submit()
+        self._disturb()
+        self.fleet.live(self._now_s, _STEP_S)
+        self._hear()
+        self._note_starts()
+        self._answer()
+        if not number % round(_MOVES_S / _STEP_S):
+            self._move()
+        if not number % round(_LIST_S / _STEP_S):
+            self._list()
+        if not number % round(_CHECK_S / _STEP_S):
+            workers = (worker for _, worker in self.fleet.up())
+            check_workers(workers, self.store)
+        self._count()
+
+    def _submit(self) -> None:
+        while self._coming and self._coming[-1].at_s <= self._now_s:
+            arrival = self._coming.pop()
+            command = AddJob(arrival.spec, arrival.queue, self._now_s * 1000)
+            commit(self.store, command)
+
+    def _disturb(self) -> None:
+        if self._faults.random() < self._plan.faults_per_s * _STEP_S:
+            self._strike(self._faults.choice(list(self.fleet.vms.values())))
+        terms = self._plan.terms
+        if terms and self._lead.term <= terms:
+            length_s = self._plan.demand.length_s
+            due_s = _LEAD_IN_S + length_s / (terms + 1) * self._lead.term
+            if self._now_s >= due_s:
+                self._lead = self._next_lead(self._lead.term + 1)
+
+    def _strike(self, vm: Vm) -> None:
+        kind = self._faults.randrange(3)
+        lasts_s = self._faults.uniform(2, 7)
+        if kind == 0:
+            self.fleet.crash(vm, self._now_s, lasts_s)
+        elif kind == 1:
+            vm.cut_until_s = self._now_s + lasts_s
+        else:
+            vm.slow_factor = self._faults.choice((1, 4))
+
+    def _next_lead(self, term: int = 1) -> VirtualLead:
+        fleet = self._plan.fleet
+        settings = SchedulingSettings(fleet.move_s, fleet.far_factor)
+        return VirtualLead(self.store, term, self._now_s, settings)
+
+    def _hear(self) -> None:
+        for vm, worker in self.fleet.up():
+            is_due = vm.asked_s is None and self._now_s >= vm.next_s
+            if is_due and not vm.is_cut(self._now_s):
+                vm.asked_s = self._now_s
+                self._lead.take(worker.report())
+
+    def _note_starts(self) -> None:
+        for start in self._lead.plan():
+            self._started_s.setdefault(start.task.job_id, self._now_s)
+
+    def _answer(self) -> None:
+        known = self._lead.scheduler.workers.incarnations
+        for vm, worker in self.fleet.up():
+            incarnation = known.get(worker.name)
+            if vm.asked_s is None or incarnation is None:
+                vm.asked_s = None
+                continue
+            orders = self._orders_due(incarnation, vm.asked_s)
+            if orders is not None and not vm.is_cut(self._now_s):
+                self._check_orders(vm, orders)
+                self.fleet.obey(vm, orders, self._now_s)
+
+    def _orders_due(
+        self,
+        incarnation: Incarnation,
+        asked_s: float,
+    ) -> WorkerOrders | None:
+        scheduler = self._lead.scheduler
+        orders = scheduler.orders(incarnation, self._now_s)
+        has_orders = bool(orders.starts or orders.stops)
+        is_busy = has_orders or scheduler.has_batch(incarnation)
+        if not is_busy and self._now_s - asked_s < _HOLD_S:
+            return None
+        pause_ms = BUSY_NEXT_MS if is_busy else HELD_NEXT_MS
+        return WorkerOrders(
+            orders.lease_ms,
+            orders.fence,
+            orders.acknowledged,
+            pause_ms,
+            orders.starts,
+            orders.stops,
+        )
+
+    def _check_orders(self, vm: Vm, orders: WorkerOrders) -> None:
+        for start in orders.starts:
+            check_start(start, self.store)
+            self.outcome.starts += 1
+            self.outcome.far_starts += self.fleet.is_far(start, vm)
+            self.outcome.wasted_starts += start.run > 1
+
+    def _move(self) -> None:
+        scheduler = self._lead.scheduler
+        for move in scheduler.moves(self._now_s):
+            left = self.fleet.vms[move.vm].worker
+            if left is not None:
+                scheduler.workers.note_ordered(left.name, self._now_s)
+            self.fleet.move(move.vm, move.to_pool, self._now_s)
+            scheduler.pools.note_moved(move, self._now_s)
+            self.outcome.moves += 1
+
+    def _list(self) -> None:
+        records = (self._record(vm) for vm in self.fleet.vms.values())
+        self._lead.scheduler.pools.note_vms(records)
+
+    def _record(self, vm: Vm) -> VmRecord:
+        is_up = vm.worker is not None or (
+            vm.pool == STANDBY and self._now_s >= vm.up_s
+        )
+        phase = VmPhase.UP if is_up else VmPhase.MOVING
+        worker = vm.worker.name if vm.worker else ''
+        labels = (vm.label, vm.rack)
+        return VmRecord(vm.name, vm.pool, phase, 'a', vm.rack, worker, labels)
+
+    def _count(self) -> None:
+        if self._now_s < _LEAD_IN_S:
+            return
+        self.outcome.vm_s += self.fleet.paid() * _STEP_S
+        demand = self._plan.demand
+        self.outcome.owed_s += demand.serving * demand.services * _STEP_S
+        serving = sum(
+            self.store.is_serving(key)
+            for _, worker in self.fleet.up()
+            for key, _ in worker.running
+        )
+        self.outcome.served_s += serving * _STEP_S
+        for arrival in self._ended_now():
+            objective_s = objective_of(self.store.jobs[arrival.spec.job_id])
+            took_s = self._now_s - arrival.at_s
+            ratios = self.outcome.ratios[arrival.kind]
+            ratios.append(took_s / objective_s)
+
+    def _ended_now(self) -> Iterator[Arrival]:
+        """Yield the jobs that were completed since the last look."""
+        for job_id, arrival in list(self._arrivals.items()):
+            job = self.store.jobs.get(job_id)
+            if job is not None and job.phase is JobPhase.COMPLETED:
+                self._arrivals.pop(job_id)
+                self._note_needs(arrival)
+                yield arrival
+
+    def _note_needs(self, arrival: Arrival) -> None:
+        started_s = self._started_s[arrival.spec.job_id]
+        self.outcome.first_starts_s.append(started_s - arrival.at_s)
+        millicores = self._plan.fleet.millicores
+        for step, lasts_s in zip(
+            arrival.spec.steps, arrival.lasts_s, strict=True
+        ):
+            part = step.cpu_millicores / millicores
+            self.outcome.needed_vm_s += part * step.count * lasts_s
+
+    def _sum_up(self) -> None:
+        for arrival in self._arrivals.values():
+            if arrival.kind != 'serving':
+                self.outcome.ratios[arrival.kind].append(float('inf'))
+
+    def _lasts_s(self, key: TaskKey) -> float:
+        """Return how long a task takes, the same in each of its runs."""
+        lasts_s = self._drawn_s.get(key)
+        if lasts_s is None:
+            drawn = random.Random(f'{self._seed}{key}')
+            uneven = drawn.uniform(1 - _UNEVEN, 1 + _UNEVEN)
+            lasts_s = self._declared[key.job_id].lasts_s[key.step] * uneven
+            self._drawn_s[key] = lasts_s
+        return lasts_s
--- /dev/null
+++ b/src/wigeonreach/lab/_fleet.py
@@ -0,0 +1,288 @@
+"""Emulate VMs and the workers on them, in virtual time."""
+
+from __future__ import annotations
+
+import dataclasses
+import itertools
+import math
+import random
+from collections.abc import Callable, Iterator
+
+from wigeonreach.jobs import JobStore, Run, RunEnd, TaskKey
+from wigeonreach.lab._demand import STANDBY
+from wigeonreach.standins import StandInWorker
+from wigeonreach.wire._worker_messages import (
+    RunningTask,
+    StartOrder,
+    WorkerOrders,
+)
+
+_WHOLE_PERCENT = 100
+# A worker's clock may be slow by this, which makes its lease longer.
+_SLOW_CLOCK = 1.02
+# After this an answer is given up, and the heartbeat is sent again.
+_GIVE_UP_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FleetPlan:
+    """The VMs of a day, all of one size.
+
+    Attributes
+    ----------
+    pool_vms
+        In the pool of each service at first.
+    standby_vms
+        In the standby pool.
+    rack_vms
+        VMs that share a rack.
+    move_s
+        How long a VM is away while it moves.
+    far_factor
+        How much longer work takes away from its data.
+    """
+
+    pool_vms: int = 6
+    standby_vms: int = 6
+    rack_vms: int = 4
+    millicores: int = 64_000
+    memory_mb: int = 131_072
+    move_s: float = 1.5
+    far_factor: float = 3.0
+    labels: tuple[str, ...] = ('kind-a', 'kind-b')
+
+
+@dataclasses.dataclass(slots=True)
+class Vm:
+    """One VM, and the incarnation of the worker on it.
+
+    Attributes
+    ----------
+    up_s
+        From when its worker runs.
+    cut_until_s
+        Until when nothing reaches it and it reaches nobody.
+    slow_factor
+        How much longer everything takes on it.
+    asked_s
+        When it sent the heartbeat that is not answered, if there is one.
+    next_s
+        When it sends the next one.
+    """
+
+    name: str
+    rack: str
+    label: str
+    pool: str
+    worker: StandInWorker | None = None
+    up_s: float = 0.0
+    cut_until_s: float = 0.0
+    slow_factor: float = 1.0
+    asked_s: float | None = None
+    next_s: float = 0.0
+    worked_s: dict[Run, float] = dataclasses.field(default_factory=dict)
+
+    def is_cut(self, now_s: float) -> bool:
+        """Whether nothing reaches it."""
+        return now_s < self.cut_until_s
+
+
+# The true time of a task on a sound worker near its data, in seconds.
+Lasting = Callable[[TaskKey], float]
+
+
+class Fleet:
+    """All VMs of a day.
+
+    Parameters
+    ----------
+    plan
+        Which there are.
+    services
+        Whose pools they are in at first.
+    store
+        What the tasks ask for; it is only read.
+    lasting
+        How long each task takes.
+    seed
+        Of the day.
+    """
+
+    def __init__(
+        self,
+        plan: FleetPlan,
+        services: tuple[str, ...],
+        store: JobStore,
+        lasting: Lasting,
+        seed: int,
+    ) -> None:
+        """Start a worker on each VM that does not stand by."""
+        self.plan = plan
+        self._store = store
+        self._lasting = lasting
+        self._rng = random.Random(seed)
+        self._serials = itertools.count(1)
+        pools = itertools.chain(
+            *itertools.repeat(services, plan.pool_vms),
+            itertools.repeat(STANDBY, plan.standby_vms),
+        )
+        self.vms = {
+            f'vm{number:03}': self._new_vm(number, pool)
+            for number, pool in enumerate(pools)
+        }
+
+    @property
+    def racks(self) -> tuple[str, ...]:
+        """All racks."""
+        return tuple(sorted({vm.rack for vm in self.vms.values()}))
+
+    def paid(self) -> int:
+        """Return how many VMs cost something now."""
+        return sum(vm.worker is not None for vm in self.vms.values())
+
+    def up(self) -> Iterator[tuple[Vm, StandInWorker]]:
+        """Yield the VMs whose worker runs."""
+        for vm in self.vms.values():
+            if vm.worker is not None:
+                yield vm, vm.worker
+
+    def move(self, name: str, pool: str, now_s: float) -> None:
+        """End what runs on a VM, and give it to a pool."""
+        vm = self.vms[name]
+        vm.worker = None
+        vm.pool = pool
+        vm.up_s = now_s + self.plan.move_s
+        vm.worked_s.clear()
+
+    def crash(self, vm: Vm, now_s: float, for_s: float) -> None:
+        """End a worker without a word; another begins there later."""
+        vm.worker = None
+        vm.up_s = now_s + for_s
+        vm.worked_s.clear()
+
+    def live(self, now_s: float, step_s: float) -> None:
+        """Let workers begin, work and lapse for a short time."""
+        for vm in self.vms.values():
+            if vm.worker is None and vm.pool != STANDBY and now_s >= vm.up_s:
+                self._begin(vm, now_s)
+        for up, worker in self.up():
+            self._work(up, worker, now_s, step_s)
+
+    def obey(self, vm: Vm, orders: WorkerOrders, now_s: float) -> None:
+        """Let a worker take the answer to its heartbeat."""
+        worker = vm.worker
+        if worker is None or vm.asked_s is None:
+            return
+        sent_s = vm.asked_s
+        vm.asked_s = None
+        vm.next_s = now_s + orders.next_after_ms / 1000
+        if now_s - sent_s > _GIVE_UP_S:
+            return
+        worker.obey(orders, percent=0, sent_s=sent_s)
+        worker.lease_until_s = max(
+            worker.lease_until_s, sent_s + orders.lease_ms / 1000 * _SLOW_CLOCK
+        )
+
+    def is_far(self, order: StartOrder, vm: Vm) -> bool:
+        """Whether a run starts away from its data."""
+        spec = self._store.spec_of(order.task)
+        return bool(spec and spec.data_rack and spec.data_rack != vm.rack)
+
+    def _new_vm(self, number: int, pool: str) -> Vm:
+        plan = self.plan
+        vm = Vm(
+            name=f'vm{number:03}',
+            rack=f'rack{number // plan.rack_vms:02}',
+            label=plan.labels[number % len(plan.labels)],
+            pool=pool,
+        )
+        if pool != STANDBY:
+            self._begin(vm, 0)
+        return vm
+
+    def _begin(self, vm: Vm, now_s: float) -> None:
+        vm.worker = StandInWorker(
+            f'worker{next(self._serials):04}',
+            vm.name,
+            service=vm.pool,
+            cpu_millicores=self.plan.millicores,
+            memory_mb=self.plan.memory_mb,
+            rack=vm.rack,
+            kind=vm.label,
+        )
+        vm.asked_s = None
+        vm.next_s = now_s + self._rng.uniform(0, 0.2)
+
+    def _work(
+        self,
+        vm: Vm,
+        worker: StandInWorker,
+        now_s: float,
+        step_s: float,
+    ) -> None:
+        worker.lapse(now_s)
+        ended = len(worker.ended)
+        for run in list(worker.running):
+            if self._is_whole(run):
+                self._advance(vm, worker, run, step_s)
+        vm.worked_s = {
+            run: worked_s
+            for run, worked_s in vm.worked_s.items()
+            if run in worker.running
+        }
+        if len(worker.ended) > ended:
+            vm.next_s = min(vm.next_s, now_s + step_s)
+
+    def _is_whole(self, run: Run) -> bool:
+        """Whether a run may work: alone, or with all of its gang."""
+        spec = self._store.spec_of(run[0])
+        if spec is None or not spec.is_gang:
+            return True
+        return len(list(self._members(run))) == spec.count
+
+    def _members(self, run: Run) -> Iterator[tuple[StandInWorker, Run]]:
+        """Yield the members of a run's gang that are there."""
+        key, number = run
+        step = (key.job_id, key.occurrence, key.step, number)
+        for _, worker in self.up():
+            for other, attempt in worker.running:
+                name = (other.job_id, other.occurrence, other.step, attempt)
+                if name == step:
+                    yield worker, (other, attempt)
+
+    def _advance(
+        self,
+        vm: Vm,
+        worker: StandInWorker,
+        run: Run,
+        step_s: float,
+    ) -> None:
+        spec = self._store.spec_of(run[0])
+        if spec is None:
+            return
+        lasts_s = self._lasting(run[0]) * vm.slow_factor
+        if spec.data_rack and spec.data_rack != vm.rack:
+            lasts_s *= self.plan.far_factor
+        vm.worked_s[run] = vm.worked_s.get(run, 0) + step_s
+        if math.isinf(lasts_s):
+            percent = _WHOLE_PERCENT
+        else:
+            done = vm.worked_s[run] / lasts_s
+            percent = min(int(done * _WHOLE_PERCENT), _WHOLE_PERCENT)
+        worker.running[run] = RunningTask(*run, '', percent)
+        if percent >= _WHOLE_PERCENT and not spec.is_service:
+            self._end(worker, run)
+
+    def _end(self, worker: StandInWorker, run: Run) -> None:
+        """End a run well, or its whole gang once the slowest is done."""
+        spec = self._store.spec_of(run[0])
+        if spec is None or not spec.is_gang:
+            worker.end(run, RunEnd.DONE)
+            return
+        members = list(self._members(run))
+        if all(
+            member.running[other].percent >= _WHOLE_PERCENT
+            for member, other in members
+        ):
+            for member, other in members:
+                member.end(other, RunEnd.DONE)
--- /dev/null
+++ b/src/wigeonreach/lab/_lead.py
@@ -0,0 +1,82 @@
+"""Lead without a network: what is proposed is committed at once."""
+
+from __future__ import annotations
+
+import itertools
+
+from wigeonreach.jobs import (
+    BeginTerm,
+    Command,
+    JobStore,
+    RecordRuns,
+    RunStarted,
+    Verdict,
+    decode_reply,
+    encode_command,
+)
+from wigeonreach.scheduling import Heard, Scheduler, SchedulingSettings
+from wigeonreach.wire._worker_messages import WorkerReport
+
+_INDEXES = itertools.count(1)
+_DEFAULTS = SchedulingSettings()
+
+
+def commit(store: JobStore, command: Command) -> Verdict:
+    """Replicate a command to a store."""
+    reply = store.apply(next(_INDEXES), encode_command(command))
+    return decode_reply(reply).verdict
+
+
+class VirtualLead:
+    """The decisions of one term, on a clock that is given.
+
+    Parameters
+    ----------
+    store
+        The replicated state.
+    term
+        Of this leader.
+    now_s
+        When the term begins.
+    settings
+        What is known of the platform.
+    """
+
+    def __init__(
+        self,
+        store: JobStore,
+        term: int,
+        now_s: float = 0.0,
+        settings: SchedulingSettings = _DEFAULTS,
+    ) -> None:
+        """Begin the term."""
+        self.store = store
+        self.term = term
+        self.now_s = now_s
+        commit(store, BeginTerm(term))
+        self.scheduler = Scheduler(store, term, now_s, settings)
+
+    def take(self, report: WorkerReport) -> Heard | None:
+        """Take one heartbeat in, and record the ends that it tells."""
+        heard = self.scheduler.hear(report, self.now_s)
+        if heard is None:
+            return None
+        if heard.ends:
+            commit(self.store, RecordRuns(self.term, ends=heard.ends))
+        heard.incarnation.noted = max(
+            (
+                heard.incarnation.noted,
+                *(ended.number for ended in report.ended),
+            ),
+        )
+        return heard
+
+    def plan(self) -> tuple[RunStarted, ...]:
+        """Record what is lost, then what is to start."""
+        lost = self.scheduler.lost(self.now_s)
+        if lost:
+            commit(self.store, RecordRuns(self.term, ends=lost))
+        starts = self.scheduler.plan(self.now_s, self.now_s * 1000)
+        if starts:
+            commit(self.store, RecordRuns(self.term, starts=starts))
+        return starts
--- /dev/null
+++ b/src/wigeonreach/lab/_table.py
@@ -0,0 +1,53 @@
+"""Play variants on the same days, and compare them."""
+
+from __future__ import annotations
+
+import statistics
+from collections.abc import Iterable, Mapping, Sequence
+
+from wigeonreach.lab._day import Day, DayPlan
+from wigeonreach.lab._outcome import Outcome
+from wigeonreach.lab._variants import Variant, applied
+
+_HEADER = (
+    f'{"variant":28}{"worth":>7}{"+-":>7}{"worst":>7}{"served":>8}'
+    f'{"VM s":>7}{"needed":>7}{"moves":>7}{"far":>6}{"again":>7}'
+)
+
+
+def play(
+    variants: Iterable[Variant],
+    plan: DayPlan,
+    seeds: Sequence[int],
+) -> dict[str, list[Outcome]]:
+    """Return the outcome of each variant on each day."""
+    outcomes: dict[str, list[Outcome]] = {}
+    for variant in variants:
+        with applied(variant):
+            outcomes[variant.name] = [Day(plan, seed).play() for seed in seeds]
+    return outcomes
+
+
+def table(outcomes: Mapping[str, list[Outcome]]) -> str:
+    """Return one line for each variant; the first is compared with."""
+    base = next(iter(outcomes.values()))
+    lines = [_row(name, days, base) for name, days in outcomes.items()]
+    return '\n'.join((_HEADER, *lines))
+
+
+def _row(name: str, days: list[Outcome], base: list[Outcome]) -> str:
+    gains = [
+        day.worth - before.worth for day, before in zip(days, base, strict=True)
+    ]
+    spread = statistics.stdev(gains) if len(gains) > 1 else 0.0
+    mean = statistics.fmean
+    return (
+        f'{name:28}{mean(day.worth for day in days):7.3f}{spread:7.3f}'
+        f'{mean(day.worst for day in days):7.3f}'
+        f'{mean(day.served for day in days):8.3f}'
+        f'{mean(day.vm_s for day in days):7.0f}'
+        f'{mean(day.needed_vm_s for day in days):7.0f}'
+        f'{mean(day.moves for day in days):7.0f}'
+        f'{mean(day.far for day in days):6.3f}'
+        f'{mean(day.wasted_starts for day in days):7.1f}'
+    )
--- /dev/null
+++ b/src/wigeonreach/lab/_variants.py
@@ -0,0 +1,111 @@
+"""Switch mechanisms off, or change what they go by, for a comparison."""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import importlib
+import math
+from collections.abc import Iterator
+from types import MappingProxyType
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Override:
+    """Another value of something in a module of the scheduler.
+
+    Attributes
+    ----------
+    place
+        MODULE:NAME or MODULE:CLASS.NAME, within ``wigeonreach.scheduling``.
+    """
+
+    place: str
+    value: object
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Variant:
+    """The scheduler with some values overridden."""
+
+    name: str
+    overrides: tuple[Override, ...] = ()
+
+
+def parse_override(text: str) -> Override:
+    """Read PLACE=NUMBER.
+
+    Raises
+    ------
+    ValueError
+        If it has another form.
+    """
+    place, _, number = text.partition('=')
+    if ':' not in place:
+        raise ValueError(f'{text!r}; allowed: MODULE:NAME=NUMBER')
+    return Override(place, float(number))
+
+
+@contextlib.contextmanager
+def applied(variant: Variant) -> Iterator[None]:
+    """Override the values while a day is played, then put them back."""
+    with contextlib.ExitStack() as undo:
+        for override in variant.overrides:
+            owner, name = _find(override.place)
+            undo.callback(setattr, owner, name, getattr(owner, name))
+            setattr(owner, name, override.value)
+        yield
+
+
+def _find(place: str) -> tuple[object, str]:
+    module, _, path = place.partition(':')
+    owner: object = importlib.import_module(f'wigeonreach.scheduling.{module}')
+    *classes, name = path.split('.')
+    for inner in classes:
+        owner = getattr(owner, inner)
+    if not hasattr(owner, name):
+        raise ValueError(f'{place!r}: no such name')
+    return owner, name
+
+
+def _without(name: str, place: str, value: object) -> Variant:
+    return Variant(f'without {name}', (Override(place, value),))
+
+
+def _no_set(*_: object) -> set[object]:
+    return set()
+
+
+def _nothing(*_: object) -> list[object]:
+    return []
+
+
+def _all_rooms(*asked: object) -> object:
+    """Return the rooms that ``NearRooms.near`` is given last."""
+    return asked[-1]
+
+
+# One mechanism switched off in each.
+VARIANTS = MappingProxyType(
+    {
+        variant.name: variant
+        for variant in (
+            Variant('as it is'),
+            _without('triage', '_ready:put_back', _no_set),
+            _without('near waiting', '_near:NearRooms.near', _all_rooms),
+            _without('lookahead', '_pools:_LOOKAHEAD_S', 0.0),
+            _without('give-back', '_pools:_SETTLE_S', math.inf),
+            _without('slow order', '_progress:ProgressWatch.slow', _no_set),
+            _without(
+                'progress watch', '_progress:ProgressWatch.note', _nothing
+            ),
+            _without(
+                'quarantine',
+                '_quarantine:WorkerQuarantine.quarantined',
+                _no_set,
+            ),
+            _without('rack courtesy', '_choosing:_WANTED_NEAR', 0.0),
+            _without('apart from serving', '_choosing:_BESIDE_SERVING', 0.0),
+        )
+    }
+)
--- a/src/wigeonreach/standins/_worker.py
+++ b/src/wigeonreach/standins/_worker.py
@@ -38,6 +38,7 @@
     vm: str
     service: str = 'desk'
     cpu_millicores: int = 16_000
+    memory_mb: int = 32 * 1024
     sequence: int = 0
     is_draining: bool = False
     rack: str = 'rack'
@@ -50,9 +51,9 @@
         default_factory=lambda: itertools.count(1),
     )
 
-    def report(self) -> WorkerReport:
-        """Return the next heartbeat."""
-        self.sequence += 1
+    @property
+    def last_report(self) -> WorkerReport:
+        """Its newest heartbeat."""
         return WorkerReport(
             worker=self.name,
             vm=self.vm,
@@ -62,13 +63,18 @@
             sequence=self.sequence,
             is_draining=self.is_draining,
             cpu_millicores=self.cpu_millicores,
-            memory_mb=32 * 1024,
+            memory_mb=self.memory_mb,
             labels=(self.kind, self.rack),
             rack=self.rack,
             running=tuple(self.running.values()),
             ended=tuple(self.ended),
         )
 
+    def report(self) -> WorkerReport:
+        """Return the next heartbeat."""
+        self.sequence += 1
+        return self.last_report
+
     def obey(
         self,
         orders: WorkerOrders,
--- a/tests/builders_jobs.py
+++ b/tests/builders_jobs.py
@@ -2,32 +2,26 @@
 
 from __future__ import annotations
 
-import itertools
 from collections.abc import Iterable
 
 from wigeonreach import jobs as made
 from wigeonreach.jobs import (
     AddJob,
     BeginTerm,
-    Command,
     JobSpec,
     JobStore,
     Manifest,
     QueueSpec,
-    RecordRuns,
     RecordVmStep,
-    RunStarted,
     ServiceSpec,
     SetManifest,
     StartWave,
     StepSpec,
     TaskKey,
-    Verdict,
     VmStep,
-    decode_reply,
-    encode_command,
 )
-from wigeonreach.scheduling import Scheduler
+from wigeonreach.lab import VirtualLead, commit
+from wigeonreach.scheduling import SchedulingSettings
 from wigeonreach.standins import StandInWorker
 
 QUEUE = 'bookings'
@@ -35,7 +29,7 @@
 TERM = 3
 JOB = '00000000000000a1'
 OTHER_JOB = '00000000000000b2'
-_INDEXES = itertools.count(1)
+_DEFAULTS = SchedulingSettings()
 
 
 def queue(name: str = QUEUE, **changes: object) -> QueueSpec:
@@ -98,12 +92,6 @@
     return TaskKey(job_id, 0, step_number, index)
 
 
-def commit(store: JobStore, command: Command) -> Verdict:
-    """Replicate a command to a store."""
-    reply = store.apply(next(_INDEXES), encode_command(command))
-    return decode_reply(reply).verdict
-
-
 def store_with(*jobs: JobSpec) -> JobStore:
     """Return a store with a manifest, a term and jobs of one queue."""
     store = JobStore()
@@ -114,8 +102,8 @@
     return store
 
 
-class FakeLead:
-    """A leader's scheduler, whose records are committed at once.
+class FakeLead(VirtualLead):
+    """A leader that hears stand-in workers.
 
     Parameters
     ----------
@@ -131,14 +119,11 @@
         workers: Iterable[StandInWorker],
         term: int = TERM,
         now_s: float = 0.0,
+        settings: SchedulingSettings = _DEFAULTS,
     ) -> None:
         """Begin the term."""
-        self.store = store
-        self.term = term
+        super().__init__(store, term, now_s, settings)
         self.workers = {worker.name: worker for worker in workers}
-        commit(store, BeginTerm(term))
-        self.scheduler = Scheduler(store, term, now_s)
-        self.now_s = now_s
 
     def round(self, passed_s: float = 0.1) -> None:
         """Hear all workers, plan, and let them obey."""
@@ -153,24 +138,7 @@
 
     def hear(self, worker: StandInWorker) -> None:
         """Take one heartbeat in."""
-        heard = self.scheduler.hear(worker.report(), self.now_s)
-        if heard is None:
-            return
-        commit(self.store, RecordRuns(self.term, ends=heard.ends))
-        heard.incarnation.noted = max(
-            (
-                heard.incarnation.noted,
-                *(ended.number for ended in worker.ended),
-            ),
-        )
-
-    def plan(self) -> tuple[RunStarted, ...]:
-        """Record what is lost, then what is to start."""
-        lost = self.scheduler.lost(self.now_s)
-        commit(self.store, RecordRuns(self.term, ends=lost))
-        starts = self.scheduler.plan(self.now_s, self.now_s * 1000)
-        commit(self.store, RecordRuns(self.term, starts=starts))
-        return starts
+        self.take(worker.report())
 
     def cancel(self, job_id: str = JOB) -> None:
         """Cancel a job."""
--- a/tests/core/test_vm_holds.py
+++ b/tests/core/test_vm_holds.py
@@ -9,7 +9,7 @@
 import testtools
 from testtools import matchers
 
-from tests.builders_jobs import TERM, FakeLead, commit, store_with, workers
+from tests.builders_jobs import TERM, FakeLead, store_with, workers
 from wigeonreach.core._vm_holds import VmHolds
 from wigeonreach.jobs import (
     BeginTerm,
@@ -18,6 +18,7 @@
     Verdict,
     VmStep,
 )
+from wigeonreach.lab import commit
 
 _PAUSE_S = 3.0
 _HELD_S = 3.5
--- a/tests/jobs/test_store.py
+++ b/tests/jobs/test_store.py
@@ -9,7 +9,6 @@
     JOB,
     QUEUE,
     TERM,
-    commit,
     job,
     key,
     manifest,
@@ -34,6 +33,7 @@
     Verdict,
 )
 from wigeonreach.jobs._queue_index import QueueIndex
+from wigeonreach.lab import commit
 
 _WORKER = 'w0'
 
--- a/tests/scheduling/test_advice.py
+++ b/tests/scheduling/test_advice.py
@@ -7,7 +7,6 @@
 
 from tests.builders_jobs import (
     FakeLead,
-    commit,
     job,
     key,
     manifest,
@@ -22,6 +21,7 @@
     JobStore,
     SetManifest,
 )
+from wigeonreach.lab import commit
 from wigeonreach.scheduling._advice import Advice
 
 _POLICY = AdvicePolicy(decision_ms=20, per_worker_ms=5, validity_ms=3000)
--- a/tests/scheduling/test_maintenance.py
+++ b/tests/scheduling/test_maintenance.py
@@ -7,7 +7,6 @@
 
 from tests.builders_jobs import (
     FakeLead,
-    commit,
     job,
     serving_step,
     step,
@@ -15,6 +14,7 @@
     workers,
 )
 from wigeonreach.jobs import StartWave, VmStep
+from wigeonreach.lab import commit
 from wigeonreach.scheduling._vms import VmPhase, VmRecord
 from wigeonreach.standins import StandInWorker
 
--- a/tests/scheduling/test_near.py
+++ b/tests/scheduling/test_near.py
@@ -13,13 +13,13 @@
     OTHER_JOB,
     QUEUE,
     FakeLead,
-    commit,
     job,
     step,
     store_with,
 )
 from wigeonreach.jobs import AddJob, JobSpec, RunEnd
-from wigeonreach.scheduling import Scheduler, SchedulingSettings
+from wigeonreach.lab import commit
+from wigeonreach.scheduling import SchedulingSettings
 from wigeonreach.standins import StandInWorker
 
 _WHOLE = 16_000
@@ -31,11 +31,8 @@
         StandInWorker('w-near', 'vm-near', rack='near'),
         StandInWorker('w-away', 'vm-away', rack='away'),
     ]
-    lead = FakeLead(store_with(*jobs), pool)
-    lead.scheduler = Scheduler(
-        lead.store, lead.term, 0, SchedulingSettings(far_factor=3.0)
-    )
-    return lead
+    settings = SchedulingSettings(far_factor=3.0)
+    return FakeLead(store_with(*jobs), pool, settings=settings)
 
 
 def _tasks(lead: FakeLead, worker: str) -> int:
--- a/tests/scheduling/test_pool_places.py
+++ b/tests/scheduling/test_pool_places.py
@@ -14,7 +14,6 @@
     JOB,
     SERVICE,
     FakeLead,
-    commit,
     job,
     serving_step,
     step,
@@ -29,7 +28,8 @@
     SetManifest,
     StepSpec,
 )
-from wigeonreach.scheduling import Scheduler, SchedulingSettings
+from wigeonreach.lab import commit
+from wigeonreach.scheduling import SchedulingSettings
 from wigeonreach.scheduling._pool_vms import Move
 from wigeonreach.scheduling._vms import VmPhase, VmRecord
 
@@ -54,13 +54,8 @@
     """One busy pool, and VMs of two kinds on two racks that stand by."""
 
     def _lead(self, *steps: StepSpec, pool: int = 2) -> FakeLead:
-        lead = FakeLead(_store(job(*steps)), workers(pool))
-        lead.scheduler = Scheduler(
-            lead.store,
-            lead.term,
-            0,
-            SchedulingSettings(far_factor=_FAR_FACTOR),
-        )
+        settings = SchedulingSettings(far_factor=_FAR_FACTOR)
+        lead = FakeLead(_store(job(*steps)), workers(pool), settings=settings)
         lead.scheduler.pools.note_vms(
             (
                 _off('off1', 'kind', 'rack'),
--- a/tests/scheduling/test_pools.py
+++ b/tests/scheduling/test_pools.py
@@ -12,7 +12,6 @@
 from tests.builders_jobs import (
     SERVICE,
     FakeLead,
-    commit,
     job,
     serving_step,
     step,
@@ -20,6 +19,7 @@
     workers,
 )
 from wigeonreach.jobs import JobStore, Manifest, ServiceSpec, SetManifest
+from wigeonreach.lab import commit
 from wigeonreach.scheduling._pool_vms import Move
 from wigeonreach.scheduling._vms import VmPhase, VmRecord
 
--- a/tests/scheduling/test_random_days.py
+++ b/tests/scheduling/test_random_days.py
@@ -17,7 +17,6 @@
 from tests.builders_jobs import (
     QUEUE,
     FakeLead,
-    commit,
     job,
     serving_step,
     step,
@@ -31,6 +30,7 @@
     RunEnd,
     TaskKey,
 )
+from wigeonreach.lab import commit
 from wigeonreach.scheduling import _room_left, _workers
 from wigeonreach.standins import StandInWorker
 from wigeonreach.wire._worker_messages import RunningTask, WorkerReport
--- a/tests/scheduling/test_scheduler.py
+++ b/tests/scheduling/test_scheduler.py
@@ -12,7 +12,6 @@
     SERVICE,
     TERM,
     FakeLead,
-    commit,
     job,
     key,
     serving_step,
@@ -21,6 +20,7 @@
     workers,
 )
 from wigeonreach.jobs import AddJob, JobPhase, RunEnd, RunEnded
+from wigeonreach.lab import commit
 from wigeonreach.scheduling import Scheduler
 from wigeonreach.scheduling._workers import LEASE_OVER_S
 from wigeonreach.standins import StandInWorker
--- a/tests/scheduling/test_triage.py
+++ b/tests/scheduling/test_triage.py
@@ -16,13 +16,13 @@
 from tests.builders_jobs import (
     QUEUE,
     FakeLead,
-    commit,
     job,
     step,
     store_with,
     workers,
 )
 from wigeonreach.jobs import AddJob, JobPhase, JobSpec, Run, RunEnd
+from wigeonreach.lab import commit
 from wigeonreach.scheduling import _ready
 from wigeonreach.scheduling._objectives import objective_of
 from wigeonreach.scheduling._triage import PendingJob, put_back
