--- a/src/wigeonreach/lab/__main__.py
+++ b/src/wigeonreach/lab/__main__.py
@@ -10,7 +10,7 @@
 from wigeonreach.lab._day import DayPlan
 from wigeonreach.lab._demand import DemandPlan, KindShares
 from wigeonreach.lab._table import play, table
-from wigeonreach.lab._variants import VARIANTS, Variant, parse_override
+from wigeonreach.lab._variants import VARIANTS, Variant, parse_overrides
 
 _BASE = 'as it is'
 
@@ -23,7 +23,10 @@
         list[str], typer.Option(help='Name of a variant; "all" for all.')
     ] = [],  # noqa: B006, WPS404 - read by typer once
     override: Annotated[
-        list[str], typer.Option(help='MODULE:NAME=NUMBER, one variant each.')
+        list[str],
+        typer.Option(
+            help='MODULE:NAME=NUMBER, several of a variant with commas.'
+        ),
     ] = [],  # noqa: B006, WPS404
     days: Annotated[int, typer.Option(help='Days of each variant.')] = 5,
     first_seed: Annotated[int, typer.Option(help='Of the first day.')] = 1,
@@ -38,7 +41,7 @@
     names = list(VARIANTS) if 'all' in variant else [_BASE, *variant]
     chosen = [VARIANTS[name] for name in dict.fromkeys(names)]
     for text in override:
-        chosen.append(Variant(text, (parse_override(text),)))
+        chosen.append(Variant(text, parse_overrides(text)))
     shares = KindShares(kinds, kinds, kinds, kinds, kinds / 4)
     usual = DemandPlan(kinds=shares)
     demand = dataclasses.replace(usual, jobs_per_s=usual.jobs_per_s * load)
--- a/src/wigeonreach/lab/_variants.py
+++ b/src/wigeonreach/lab/_variants.py
@@ -32,14 +32,18 @@
     overrides: tuple[Override, ...] = ()
 
 
-def parse_override(text: str) -> Override:
-    """Read PLACE=NUMBER.
+def parse_overrides(text: str) -> tuple[Override, ...]:
+    """Read PLACE=NUMBER,PLACE=NUMBER.
 
     Raises
     ------
     ValueError
         If it has another form.
     """
+    return tuple(map(_parse_override, text.split(',')))
+
+
+def _parse_override(text: str) -> Override:
     place, _, number = text.partition('=')
     if ':' not in place:
         raise ValueError(f'{text!r}; allowed: MODULE:NAME=NUMBER')
