Record which orders of VMs are over, so that a restart holds only recent ones

Ruled out: going by the time of day (clocks jump); shorter pauses (a rule). Now the leader records an order as over once it was answered and the pause has passed, at most every 0.4 s.

--- a/src/wigeonreach/core/_vm_actions.py
+++ b/src/wigeonreach/core/_vm_actions.py
@@ -24,6 +24,9 @@
 _LIST_S = 1.0
 # Without a wave, the list only tells which VMs stand by.
 _STANDBY_LIST_S = 4.0
+# How often is recorded which orders are over; a small part of the time for
+# which they hold a VM.
+_SETTLED_S = 0.4
 
 
 class VmActions:
@@ -60,6 +63,7 @@
         self._log = logger
         self._metrics = metrics
         self._listed_s = float('-inf')
+        self._settled_s = float('-inf')
 
     async def run(self) -> None:
         """Follow waves and pools until cancelled."""
@@ -118,16 +122,24 @@
             for move in self._term.scheduler.moves(steady_s(), held)
             if self._orders.is_free(move.vm)
         ]
-        if not moves:
+        settled = self._settled_if_due()
+        if not moves and not settled:
             return
         # First recorded, so that a next leader knows of them.
         vms = tuple(move.vm for move in moves)
-        record = RecordVmOrders(self._term.term, vms)
+        record = RecordVmOrders(self._term.term, vms, settled)
         if await self._term.propose(record) is not Verdict.DONE:
             return
         for move in moves:
             self._orders.start(move.vm, functools.partial(self._move_vm, move))
 
+    def _settled_if_due(self) -> tuple[str, ...]:
+        now_s = steady_s()
+        if now_s - self._settled_s < _SETTLED_S:
+            return ()
+        self._settled_s = now_s
+        return self._orders.settled()
+
     async def _maintain_vm(self, wave: int, vm: str, worker: str) -> None:
         # First recorded, so that a next leader knows it may be down.
         await self._record(wave, vm, VmStep.ORDERED, worker)
--- a/src/wigeonreach/core/_vm_holds.py
+++ b/src/wigeonreach/core/_vm_holds.py
@@ -2,7 +2,9 @@
 
 Two leaders' orders for one VM have to be apart by the platform's time.  What a
 leader is about to order is replicated first, so that each process knows which
-VMs may have been ordered lately, and only those wait after a change of leader.
+VMs may have been ordered lately, and only those wait after a change of leader.  An order that was answered
+is known to be over: once that is long enough ago, it is replicated too, as the
+age of an order is not known any more after a restart.
 """
 
 from __future__ import annotations
@@ -32,6 +34,24 @@
         self._store = store
         self._pause_s = pause_s
         self._recorded_s: dict[str, float] = {}
+        self._answered_s: dict[str, float] = {}
+
+    def note_begun(self, vm: str) -> None:
+        """Take note that this process begins to order a VM."""
+        self._answered_s.pop(vm, None)
+
+    def note_answered(self, vm: str, now_s: float) -> None:
+        """Take note that what was ordered is done, or refused for good."""
+        self._answered_s[vm] = now_s
+
+    def settled(self, now_s: float) -> tuple[str, ...]:
+        """Return the VMs that any leader may order again, by own orders."""
+        apart_s = self._pause_s + _MARGIN_S
+        return tuple(
+            vm
+            for vm, answered_s in self._answered_s.items()
+            if now_s >= answered_s + apart_s and vm in self._store.ordered_vms
+        )
 
     def refresh(self, now_s: float) -> None:
         """Take note of the orders that were recorded since the last call.
@@ -41,6 +61,9 @@
         for vm in self._store.newly_ordered:
             self._recorded_s[vm] = now_s
         self._store.newly_ordered.clear()
+        for settled in self._recorded_s.keys() - self._store.ordered_vms:
+            self._recorded_s.pop(settled)
+            self._answered_s.pop(settled, None)
 
     def held(self, began_s: float, now_s: float) -> set[str]:
         """Return the VMs that the leader of a term may not order yet.
--- a/src/wigeonreach/core/_vm_orders.py
+++ b/src/wigeonreach/core/_vm_orders.py
@@ -51,6 +51,11 @@
         """Return the VMs that an earlier leader may have ordered lately."""
         return self._holds.held(self._began_s, steady_s())
 
+    def settled(self) -> tuple[str, ...]:
+        """Return the VMs whose last order is over for long."""
+        settled = self._holds.settled(steady_s())
+        return tuple(vm for vm in settled if vm not in self._running)
+
     def is_free(self, vm: str) -> bool:
         """Whether an order for a VM may be given now."""
         if vm in self._running or vm in self.held():
@@ -59,6 +64,7 @@
 
     def start(self, vm: str, order: Callable[[], Awaitable[None]]) -> None:
         """Carry an order out beside all others."""
+        self._holds.note_begun(vm)
         task = asyncio.create_task(self._run(vm, order))
         self._running[vm] = task
         task.add_done_callback(lambda _: self._running.pop(vm, None))
@@ -89,6 +95,8 @@
         await self._term.barrier.wait()
         result = await order()
         self._metrics.count('vm_orders', f'{kind}-{result.value}')
+        if result is not OrderResult.UNKNOWN:
+            self._holds.note_answered(vm, steady_s())
         if result is OrderResult.DONE:
             self._log.info(
                 LogEvent.VM_ORDERED,
--- a/src/wigeonreach/jobs/_commands.py
+++ b/src/wigeonreach/jobs/_commands.py
@@ -113,10 +113,15 @@
 
 
 class RecordVmOrders(Command, frozen=True):
-    """Note that VMs are about to be ordered, as the leader of a term."""
+    """Note that VMs are about to be ordered, as the leader of a term.
+
+    Of ``settled`` VMs the last order was carried out so long ago that any
+    leader may give them another.
+    """
 
     term: int
     vms: tuple[str, ...]
+    settled: tuple[str, ...] = ()
 
 
 AnyCommand: TypeAlias = (
--- a/src/wigeonreach/jobs/_store.py
+++ b/src/wigeonreach/jobs/_store.py
@@ -65,7 +65,7 @@
     reassigned
         Workers whose runs changed since a reader last cleared this.
     ordered_vms
-        VMs that some leader has ordered, or was about to.
+        VMs that some leader has ordered lately, or was about to.
     newly_ordered
         Those among them since a reader last cleared this.
     queues
@@ -285,5 +285,7 @@
 def _on_vm_orders(command: RecordVmOrders, store: JobStore) -> CommandReply:
     if command.term != store.term:
         return CommandReply(Verdict.OUTDATED)
+    store.ordered_vms.difference_update(command.settled)
+    store.newly_ordered.difference_update(command.settled)
     store.note_ordered(command.vms)
     return CommandReply(Verdict.DONE)
--- a/tests/core/test_vm_holds.py
+++ b/tests/core/test_vm_holds.py
@@ -66,6 +66,25 @@
         holds.refresh(50)
         self.assertThat(holds.held(51, 51), matchers.Equals({'vm1'}))
 
+    def test_answered_order_settles(self) -> None:
+        """After its time a restart holds the VM no more."""
+        self.holds.note_answered('vm1', 10)
+        self.assertThat(self.holds.settled(13.4), matchers.Equals(()))
+        settled = self.holds.settled(10 + _HELD_S)
+        self.assertThat(settled, matchers.Equals(('vm1',)))
+        commit(self.store, RecordVmOrders(TERM, (), settled))
+        restored = JobStore()
+        restored.restore(self.store.snapshot())
+        holds = VmHolds(restored, _PAUSE_S)
+        holds.refresh(50)
+        self.assertThat(holds.held(51, 51), matchers.Equals(set()))
+
+    def test_vm_that_is_ordered_again_does_not_settle(self) -> None:
+        """Its earlier order is over, the newest is not."""
+        self.holds.note_answered('vm1', 10)
+        self.holds.note_begun('vm1')
+        self.assertThat(self.holds.settled(20), matchers.Equals(()))
+
     def test_order_of_a_wave_counts(self) -> None:
         """It ends what runs on a VM like a move."""
         lead = FakeLead(self.store, workers(1))
