Tell slow workers by the progress of their runs, not by those that ended

Cause: a worker counted as slow after three of its runs had ended, each five times as long as usual; the trouble was nearly over by then. Tests of the pattern; the one of the former way went with it, its claim (chosen last) is tested by behaviour now.

--- a/src/wigeonreach/lab/_day.py
+++ b/src/wigeonreach/lab/_day.py
@@ -158,7 +158,7 @@
         elif kind == 1:
             vm.cut_until_s = self._now_s + lasts_s
         else:
-            vm.slow_factor = self._faults.choice((1, 4))
+            vm.slow_until_s = self._now_s + lasts_s
 
     def _next_lead(self, term: int = 1) -> VirtualLead:
         fleet = self._plan.fleet
--- a/src/wigeonreach/lab/_fleet.py
+++ b/src/wigeonreach/lab/_fleet.py
@@ -22,6 +22,8 @@
 _SLOW_CLOCK = 1.02
 # After this an answer is given up, and the heartbeat is sent again.
 _GIVE_UP_S = 1.0
+# Of a slow worker: everything takes so many times as long.
+_SLOW_FACTOR = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -62,8 +64,8 @@
         From when its worker runs.
     cut_until_s
         Until when nothing reaches it and it reaches nobody.
-    slow_factor
-        How much longer everything takes on it.
+    slow_until_s
+        Until when everything takes several times as long on it.
     asked_s
         When it sent the heartbeat that is not answered, if there is one.
     next_s
@@ -77,7 +79,7 @@
     worker: StandInWorker | None = None
     up_s: float = 0.0
     cut_until_s: float = 0.0
-    slow_factor: float = 1.0
+    slow_until_s: float = 0.0
     asked_s: float | None = None
     next_s: float = 0.0
     worked_s: dict[Run, float] = dataclasses.field(default_factory=dict)
@@ -222,9 +224,11 @@
     ) -> None:
         worker.lapse(now_s)
         ended = len(worker.ended)
+        is_slow = now_s < vm.slow_until_s
+        worked_s = step_s / _SLOW_FACTOR if is_slow else step_s
         for run in list(worker.running):
             if self._is_whole(run):
-                self._advance(vm, worker, run, step_s)
+                self._advance(vm, worker, run, worked_s)
         vm.worked_s = {
             run: worked_s
             for run, worked_s in vm.worked_s.items()
@@ -260,7 +264,7 @@
         spec = self._store.spec_of(run[0])
         if spec is None:
             return
-        lasts_s = self._lasting(run[0]) * vm.slow_factor
+        lasts_s = self._lasting(run[0])
         if spec.data_rack and spec.data_rack != vm.rack:
             lasts_s *= self.plan.far_factor
         vm.worked_s[run] = vm.worked_s.get(run, 0) + step_s
--- a/src/wigeonreach/scheduling/_progress.py
+++ b/src/wigeonreach/scheduling/_progress.py
@@ -1,4 +1,4 @@
-"""Find runs that stand still and workers that are slow.
+"""Find runs that stand still, and how fast the others go.
 
 Answers workers that look healthy while what runs on them stands still or
 takes several times as long: their tasks decide when a step ends, so they are
@@ -10,13 +10,14 @@
 from __future__ import annotations
 
 import dataclasses
-import statistics
-from collections.abc import Mapping
+from collections.abc import Iterable, Iterator, Mapping
 
 import msgspec
 
 from wigeonreach.jobs import JobStore, Run, StepSpec, TaskKey
+from wigeonreach.scheduling._objectives import estimate_s
 from wigeonreach.scheduling._pacing import FULL_PACE
+from wigeonreach.scheduling._speeds import Stretch, WorkerSpeeds
 from wigeonreach.scheduling._workers import Incarnation
 from wigeonreach.wire._worker_messages import RunningTask
 
@@ -28,11 +29,6 @@
 # A new worker may be cold for as long as it says; a serving task that does not
 # come to work in this time does not come at all.
 _NO_START_S = 4.0
-# Of the newest run in a worker's mean.
-_NEWEST_RATIO = 0.3
-# Sizes and estimates differ by half, so only much slower is told from chance.
-_SLOW_RATIO = 2.5
-_LEAST_RUNS = 3
 _WHOLE_PERCENT = 100
 
 
@@ -42,14 +38,7 @@
 
     percent: int
     began_s: float
-
-
-@dataclasses.dataclass(slots=True)
-class _Speed:
-    """How much longer than estimated runs take on a worker."""
-
-    ratio: float = 1.0
-    runs: int = 0
+    heard_s: float
 
 
 class ProgressWatch:
@@ -60,7 +49,7 @@
         self._seen: dict[Run, _Seen] = {}
         # When a run, or a gang under the run of its first member, last moved.
         self._moved_s: dict[Run, float] = {}
-        self._speeds: dict[str, _Speed] = {}
+        self._speeds = WorkerSpeeds()
 
     def note(
         self,
@@ -83,18 +72,39 @@
             Clock in seconds.
         """
         stalled: list[Run] = []
+        stretches: list[Stretch] = []
         is_paced = pace_percent is not None and pace_percent < FULL_PACE
         for row in incarnation.running:
             spec = store.spec_of(row.task)
             if spec is None:
                 continue
+            if not is_paced:
+                stretches.extend(self._stretch(row, spec, now_s))
             moving = _moving_part(row, spec)
             seen = self._look(row, moving, is_paced, now_s)
             still_s = now_s - self._moved_s[moving]
             if _is_stalled(spec, seen, still_s, now_s):
                 stalled.append((row.task, row.run))
+        self._speeds.note(incarnation.report.worker, stretches, now_s)
         return stalled
 
+    def slow(self, workers: Iterable[str], now_s: float) -> set[str]:
+        """Return who of a service's workers is much slower than the others."""
+        return self._speeds.slow(workers, now_s)
+
+    def _stretch(
+        self,
+        row: RunningTask,
+        spec: StepSpec,
+        now_s: float,
+    ) -> Iterator[Stretch]:
+        """Yield what a run got done since it was last told of, if it works."""
+        seen = self._seen.get((row.task, row.run))
+        if seen is None or spec.is_service or spec.is_gang:
+            return
+        done = (row.percent - seen.percent) / _WHOLE_PERCENT
+        yield Stretch(done * estimate_s(spec), now_s - seen.heard_s)
+
     def _look(
         self,
         row: RunningTask,
@@ -103,29 +113,17 @@
         now_s: float,
     ) -> _Seen:
         run = (row.task, row.run)
-        seen = self._seen.setdefault(run, _Seen(row.percent, now_s))
+        seen = self._seen.setdefault(run, _Seen(row.percent, now_s, now_s))
+        seen.heard_s = now_s
         self._moved_s.setdefault(moving, now_s)
         if row.percent != seen.percent or is_paced:
             seen.percent = row.percent
             self._moved_s[moving] = now_s
         return seen
 
-    def note_done(
-        self, worker: str, run: Run, store: JobStore, now_s: float
-    ) -> None:
-        """Take note that a run ended well, and how long it took."""
-        seen = self._seen.get(run)
-        spec = store.spec_of(run[0])
-        if seen is None or spec is None or not spec.estimate_ms:
-            return
-        ratio = (now_s - seen.began_s) * 1000 / spec.estimate_ms
-        speed = self._speeds.setdefault(worker, _Speed(ratio))
-        speed.ratio += _NEWEST_RATIO * (ratio - speed.ratio)
-        speed.runs += 1
-
     def forget(self, worker: str, runs: Mapping[TaskKey, int]) -> None:
         """Drop what is known of a dead worker and its runs."""
-        self._speeds.pop(worker, None)
+        self._speeds.forget(worker)
         for run in runs.items():
             self.forget_run(run)
 
@@ -134,23 +132,6 @@
         self._seen.pop(run, None)
         self._moved_s.pop(run, None)
 
-    def slow(self, workers: list[str]) -> set[str]:
-        """Return who of a service's workers is much slower than the others."""
-        known = {
-            worker: self._speeds[worker].ratio
-            for worker in workers
-            if worker in self._speeds
-            and self._speeds[worker].runs >= _LEAST_RUNS
-        }
-        if len(known) < _LEAST_RUNS:
-            return set()
-        usual = statistics.median(known.values())
-        return {
-            worker
-            for worker, ratio in known.items()
-            if ratio > usual * _SLOW_RATIO
-        }
-
 
 def _moving_part(row: RunningTask, spec: StepSpec) -> Run:
     """Return what moves or stands still as one: a run, or its whole gang."""
--- a/src/wigeonreach/scheduling/_scheduler.py
+++ b/src/wigeonreach/scheduling/_scheduler.py
@@ -326,7 +326,6 @@
         self.stopping.discard(run)
         if ended.end is RunEnd.DONE:
             self.quarantine.note_done(ended.worker)
-            self.progress.note_done(ended.worker, run, self._store, now_s)
         elif ended.end is RunEnd.FAILED:
             self._distrust(ended.worker, ended.task.job_id, now_s)
         self.progress.forget_run(run)
@@ -386,7 +385,7 @@
         """Return the room of a pool's workers that are trusted."""
         names = [incarnation.report.worker for incarnation in incarnations]
         quarantined = self.quarantine.quarantined(names, now_s)
-        slow = self.progress.slow(names)
+        slow = self.progress.slow(names, now_s)
         rooms = [
             self._rooms.of(incarnation, self.stopping)
             for incarnation in incarnations
--- a/src/wigeonreach/standins/_worker.py
+++ b/src/wigeonreach/standins/_worker.py
@@ -122,7 +122,11 @@
     def advance(self, percent: int) -> None:
         """Let all runs be so far."""
         for run in self.running:
-            self.running[run] = RunningTask(*run, '', percent)
+            self.advance_one(run, percent)
+
+    def advance_one(self, run: Run, percent: int) -> None:
+        """Let one run be so far."""
+        self.running[run] = RunningTask(*run, '', percent)
 
     def end(self, run: Run, how: RunEnd) -> None:
         """Let a run end."""
--- a/tests/scheduling/test_progress.py
+++ b/tests/scheduling/test_progress.py
@@ -20,7 +20,6 @@
 )
 from wigeonreach.jobs import RunEnd
 from wigeonreach.standins import StandInWorker
-from wigeonreach.wire._worker_messages import RunningTask
 
 
 def _busy(lead: FakeLead) -> list[StandInWorker]:
@@ -110,31 +109,6 @@
         self.assertThat(scores.suspects, matchers.Equals({'w1'}))
 
 
-class TestSlowWorkers(testtools.TestCase):
-    """Workers that take several times as long as the others."""
-
-    def test_slow_worker_is_chosen_last(self) -> None:
-        """New work goes to the others while they have room."""
-        jobs = [job(step(1), job_id=f'{number:016x}') for number in range(40)]
-        lead = FakeLead(store_with(*jobs[:1]), workers(4))
-        watch = lead.scheduler.progress
-        for name, lasts_s in (('w0', 6.0), ('w1', 1), ('w2', 1), ('w3', 1)):
-            for number in range(3):
-                run = (key(job_id=jobs[0].job_id), number + 1)
-                worker = StandInWorker(name, name)
-                worker.running[run] = RunningTask(*run, '', 1)
-                incarnation = lead.scheduler.workers.hear(worker.report(), 0)
-                if incarnation is None:
-                    incarnation = lead.scheduler.workers.incarnations[name]
-                    incarnation.report = worker.report()
-                watch.note(incarnation, lead.store, None, 0)
-                watch.note_done(name, run, lead.store, lasts_s)
-        self.assertThat(
-            watch.slow(['w0', 'w1', 'w2', 'w3']),
-            matchers.Equals({'w0'}),
-        )
-
-
 class TestHealth(testtools.TestCase):
     """Workers that fail all that they start."""
 
--- /dev/null
+++ b/tests/scheduling/test_slow_workers.py
@@ -0,0 +1,82 @@
+"""Test that slow workers are told from their runs before these end.
+
+Pattern: some workers of a pool take several times as long for seconds; a task
+there decides when its step ends, and would end after its job is due.
+"""
+
+from __future__ import annotations
+
+import testtools
+from testtools import matchers
+
+from tests.builders_jobs import (
+    JOB,
+    OTHER_JOB,
+    QUEUE,
+    FakeLead,
+    job,
+    step,
+    store_with,
+    workers,
+)
+from wigeonreach.jobs import AddJob
+from wigeonreach.lab import commit
+from wigeonreach.standins import StandInWorker
+
+_POOL = 4
+_TASKS_EACH = 4
+_BEAT_S = 0.25
+
+
+class TestSlowWorkers(testtools.TestCase):
+    """Four full workers, of which one does a fifth of what the others do."""
+
+    def setUp(self) -> None:
+        """Fill the workers with tasks of two seconds."""
+        super().setUp()
+        full = step(_POOL * _TASKS_EACH, cpu_millicores=3000, estimate_ms=2000)
+        self.lead = FakeLead(store_with(job(full)), workers(_POOL))
+        self.lead.round()
+        self.slow = self.lead.workers['w0']
+
+    def _work(self, beats: int, slow_percent: int, percent: int) -> None:
+        """Let runs go on by so many percent with each heartbeat."""
+        for _ in range(beats):
+            for worker in self.lead.workers.values():
+                is_slow = worker is self.slow
+                _advance(worker, slow_percent if is_slow else percent)
+            self.lead.round(_BEAT_S)
+
+    def _slow(self) -> set[str]:
+        watch = self.lead.scheduler.progress
+        return watch.slow(self.lead.workers, self.lead.now_s)
+
+    def test_slow_worker_is_known_before_its_runs_end(self) -> None:
+        """A second of its work is enough."""
+        self._work(4, slow_percent=2, percent=12)
+        self.assertThat(self._slow(), matchers.Equals({'w0'}))
+
+    def test_worker_as_fast_as_the_others_is_not(self) -> None:
+        """Tasks of a step differ by half."""
+        self._work(4, slow_percent=8, percent=12)
+        self.assertThat(self._slow(), matchers.Equals(set()))
+
+    def test_worker_that_recovers_is_trusted_again(self) -> None:
+        """What counts is how fast its runs go now."""
+        self._work(4, slow_percent=2, percent=12)
+        self._work(3, slow_percent=12, percent=12)
+        self.assertThat(self._slow(), matchers.Equals(set()))
+
+    def test_slow_worker_is_chosen_last(self) -> None:
+        """New work goes to the others while they have room."""
+        self._work(4, slow_percent=2, percent=12)
+        commit(self.lead.store, AddJob(job(job_id=OTHER_JOB), QUEUE))
+        self.lead.round(_BEAT_S)
+        on_slow = {run.job_id for run, _ in self.slow.running}
+        self.assertThat(on_slow, matchers.Equals({JOB}))
+
+
+def _advance(worker: StandInWorker, percent: int) -> None:
+    rows = list(worker.running.values())
+    for row in rows:
+        worker.advance_one((row.task, row.run), row.percent + percent)
