--- a/src/wigeonreach/lab/_variants.py
+++ b/src/wigeonreach/lab/_variants.py
@@ -80,6 +80,10 @@
     return set()
 
 
+def _no_map(*_: object) -> dict[str, float]:
+    return {}
+
+
 def _nothing(*_: object) -> list[object]:
     return []
 
@@ -99,7 +103,12 @@
             _without('near waiting', '_near:NearRooms.near', _all_rooms),
             _without('lookahead', '_pools:_LOOKAHEAD_S', 0.0),
             _without('give-back', '_pools:_SETTLE_S', math.inf),
-            _without('slow order', '_progress:ProgressWatch.slow', _no_set),
+            _without('slow order', '_progress:ProgressWatch.slow', _no_map),
+            _without(
+                'moves off slow workers',
+                '_progress:ProgressWatch.laggards',
+                _nothing,
+            ),
             _without(
                 'progress watch', '_progress:ProgressWatch.note', _nothing
             ),
--- a/src/wigeonreach/scheduling/_progress.py
+++ b/src/wigeonreach/scheduling/_progress.py
@@ -30,6 +30,13 @@
 # come to work in this time does not come at all.
 _NO_START_S = 4.0
 _WHOLE_PERCENT = 100
+# A stop is ordered with the next heartbeat, takes up to 0.4 s and is told with
+# another one.
+_RESTART_S = 0.8
+# How long a run takes elsewhere is an estimate, so it has to be much less.
+_GAIN_RATIO = 1.3
+# What was moved once stays: the worker may not have been the cause.
+_FIRST_RUN = 1
 
 
 @dataclasses.dataclass(slots=True)
@@ -88,10 +95,34 @@
         self._speeds.note(incarnation.report.worker, stretches, now_s)
         return stalled
 
-    def slow(self, workers: Iterable[str], now_s: float) -> set[str]:
-        """Return who of a service's workers is much slower than the others."""
+    def slow(self, workers: Iterable[str], now_s: float) -> dict[str, float]:
+        """Return the workers of a service that are slow, and how much."""
         return self._speeds.slow(workers, now_s)
 
+    def laggards(
+        self,
+        incarnation: Incarnation,
+        store: JobStore,
+        slower_times: float,
+    ) -> list[Run]:
+        """Return the runs of a slow worker that end sooner if begun elsewhere.
+
+        Parameters
+        ----------
+        incarnation
+            The worker.
+        store
+            What runs.
+        slower_times
+            How many times as long as on others a run takes there.
+        """
+        return [
+            (row.task, row.run)
+            for row in incarnation.running
+            if row.run == _FIRST_RUN
+            and _lags(row, store.spec_of(row.task), slower_times)
+        ]
+
     def _stretch(
         self,
         row: RunningTask,
@@ -133,6 +164,18 @@
         self._moved_s.pop(run, None)
 
 
+def _lags(
+    row: RunningTask,
+    spec: StepSpec | None,
+    slower_times: float,
+) -> bool:
+    if spec is None or spec.is_service or spec.is_gang:
+        return False
+    whole_s = estimate_s(spec)
+    left_s = whole_s * (1 - row.percent / _WHOLE_PERCENT) * slower_times
+    return left_s > _GAIN_RATIO * (whole_s + _RESTART_S)
+
+
 def _moving_part(row: RunningTask, spec: StepSpec) -> Run:
     """Return what moves or stands still as one: a run, or its whole gang."""
     if not spec.is_gang:
--- a/src/wigeonreach/scheduling/_scheduler.py
+++ b/src/wigeonreach/scheduling/_scheduler.py
@@ -36,6 +36,8 @@
 from wigeonreach.wire._worker_messages import WorkerOrders, WorkerReport
 
 _DEFAULTS = SchedulingSettings()
+# Busy workers send a heartbeat as often.
+_LOOK_S = 0.25
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -96,6 +98,7 @@
         self._rooms = RoomBook(store)
         # VMs that serving tasks without room fill, by service and label.
         self._homeless: dict[str, dict[str, float]] = {}
+        self._next_look_s = now_s
         self._store = store
         store.changed.update(store.jobs)
         self.ready.refresh(store, now_s, wall_ms)
@@ -174,6 +177,7 @@
         accepted = self.ready.refresh(self._store, now_s, wall_ms)
         for work in accepted:
             self.pools.note_accepted(work, now_s)
+        self._move_laggards(now_s)
         processors = self.workers.processors(now_s)
         steps = self.ready.in_order(now_s, wall_ms, processors)
         self._homeless = {}
@@ -295,6 +299,30 @@
         task = job.task(key) if job else None
         return task.checkpoint if task else ''
 
+    def _move_laggards(self, now_s: float) -> None:
+        """Stop what slow workers would end later than others would."""
+        if now_s < self._next_look_s:
+            return
+        self._next_look_s = now_s + _LOOK_S
+        by_service: dict[str, list[str]] = collections.defaultdict(list)
+        for worker, known in self.workers.incarnations.items():
+            by_service[known.report.service].append(worker)
+        for workers in by_service.values():
+            slow = self.progress.slow(workers, now_s)
+            for slow_worker, slower_times in slow.items():
+                self._move_off(slow_worker, slower_times)
+
+    def _move_off(self, worker: str, slower_times: float) -> None:
+        incarnation = self.workers.incarnations[worker]
+        found = self.progress.laggards(incarnation, self._store, slower_times)
+        runs = set(found) - self.stopping
+        if runs:
+            self.stopping.update(runs)
+            why = (
+                f'{len(runs)} runs, which take {slower_times:.1f} times as long'
+            )
+            self.notes.append(Note(LogEvent.RUNS_MOVED, worker, why))
+
     def _stop_stalled(
         self, incarnation: Incarnation, now_s: float
     ) -> tuple[Run, ...]:
--- a/src/wigeonreach/scheduling/_speeds.py
+++ b/src/wigeonreach/scheduling/_speeds.py
@@ -17,6 +17,8 @@
 # Sizes differ by half and estimates by more, so only much slower is told from
 # chance.
 _SLOW_RATIO = 2.5
+# Whoever gets less than this done stands still.
+_LEAST_RATIO = 0.01
 # Runs that went on, before a worker's speed counts.
 _LEAST_RUNS = 3
 # What is older tells nothing of a worker's speed now.
@@ -74,8 +76,14 @@
         """Drop what is known of a dead worker."""
         self._speeds.pop(worker, None)
 
-    def slow(self, workers: Iterable[str], now_s: float) -> set[str]:
-        """Return who of a service's workers is much slower than the others."""
+    def slow(self, workers: Iterable[str], now_s: float) -> dict[str, float]:
+        """Return who of a service's workers is much slower than the others.
+
+        Returns
+        -------
+        dict of str to float
+            How many times as long as on the others runs take on each.
+        """
         known = {
             worker: speed.ratio
             for worker in workers
@@ -84,10 +92,10 @@
             and now_s - speed.heard_s <= _FRESH_S
         }
         if len(known) < _LEAST_RUNS:
-            return set()
+            return {}
         usual = statistics.median(known.values())
         return {
-            worker
+            worker: usual / max(ratio, _LEAST_RATIO)
             for worker, ratio in known.items()
             if ratio * _SLOW_RATIO < usual
         }
--- a/tests/scheduling/test_slow_workers.py
+++ b/tests/scheduling/test_slow_workers.py
@@ -38,6 +38,8 @@
         self.lead = FakeLead(store_with(job(full)), workers(_POOL))
         self.lead.round()
         self.slow = self.lead.workers['w0']
+        for worker in self.lead.workers.values():
+            worker.advance(1)
 
     def _work(self, beats: int, slow_percent: int, percent: int) -> None:
         """Let runs go on by so many percent with each heartbeat."""
@@ -49,13 +51,30 @@
 
     def _slow(self) -> set[str]:
         watch = self.lead.scheduler.progress
-        return watch.slow(self.lead.workers, self.lead.now_s)
+        return set(watch.slow(self.lead.workers, self.lead.now_s))
 
     def test_slow_worker_is_known_before_its_runs_end(self) -> None:
         """A second of its work is enough."""
         self._work(4, slow_percent=2, percent=12)
         self.assertThat(self._slow(), matchers.Equals({'w0'}))
 
+    def test_runs_move_off_a_slow_worker(self) -> None:
+        """They end sooner elsewhere, though they begin anew."""
+        before = set(self.slow.running)
+        self._work(4, slow_percent=2, percent=12)
+        self.lead.round(_BEAT_S)
+        left = before & self.slow.running.keys()
+        self.assertThat(left, matchers.Equals(set()))
+
+    def test_run_that_is_nearly_done_stays(self) -> None:
+        """It ends before another would."""
+        before = set(self.slow.running)
+        self.slow.advance(80)
+        self._work(4, slow_percent=2, percent=12)
+        self.lead.round(_BEAT_S)
+        self.assertThat(self._slow(), matchers.Equals({'w0'}))
+        self.assertThat(set(self.slow.running), matchers.Equals(before))
+
     def test_worker_as_fast_as_the_others_is_not(self) -> None:
         """Tasks of a step differ by half."""
         self._work(4, slow_percent=8, percent=12)
