--- a/src/wigeonreach/scheduling/_progress.py
+++ b/src/wigeonreach/scheduling/_progress.py
@@ -85,7 +85,7 @@
             spec = store.spec_of(row.task)
             if spec is None:
                 continue
-            if not is_paced:
+            if not is_paced and _tells_speed(spec, incarnation):
                 stretches.extend(self._stretch(row, spec, now_s))
             moving = _moving_part(row, spec)
             seen = self._look(row, moving, is_paced, now_s)
@@ -120,7 +120,9 @@
             (row.task, row.run)
             for row in incarnation.running
             if row.run == _FIRST_RUN
-            and _lags(row, store.spec_of(row.task), slower_times)
+            and (spec := store.spec_of(row.task)) is not None
+            and _tells_speed(spec, incarnation)
+            and _lags(row, spec, slower_times)
         ]
 
     def _stretch(
@@ -131,7 +133,7 @@
     ) -> Iterator[Stretch]:
         """Yield what a run got done since it was last told of, if it works."""
         seen = self._seen.get((row.task, row.run))
-        if seen is None or spec.is_service or spec.is_gang:
+        if seen is None:
             return
         done = (row.percent - seen.percent) / _WHOLE_PERCENT
         yield Stretch(done * estimate_s(spec), now_s - seen.heard_s)
@@ -164,13 +166,16 @@
         self._moved_s.pop(run, None)
 
 
-def _lags(
-    row: RunningTask,
-    spec: StepSpec | None,
-    slower_times: float,
-) -> bool:
-    if spec is None or spec.is_service or spec.is_gang:
-        return False
+def _tells_speed(spec: StepSpec, incarnation: Incarnation) -> bool:
+    """Whether a run's progress depends on its own worker alone.
+
+    Away from its data a run is slow on the soundest worker.
+    """
+    is_far = spec.data_rack and spec.data_rack != incarnation.report.rack
+    return not (is_far or spec.is_service or spec.is_gang)
+
+
+def _lags(row: RunningTask, spec: StepSpec, slower_times: float) -> bool:
     whole_s = estimate_s(spec)
     left_s = whole_s * (1 - row.percent / _WHOLE_PERCENT) * slower_times
     return left_s > _GAIN_RATIO * (whole_s + _RESTART_S)
--- a/tests/scheduling/test_slow_workers.py
+++ b/tests/scheduling/test_slow_workers.py
@@ -25,6 +25,7 @@
 
 _POOL = 4
 _TASKS_EACH = 4
+_FAR_TASKS = 24
 _BEAT_S = 0.25
 
 
@@ -86,6 +87,20 @@
         self._work(3, slow_percent=12, percent=12)
         self.assertThat(self._slow(), matchers.Equals(set()))
 
+    def test_far_runs_make_no_worker_slow(self) -> None:
+        """Their data is elsewhere; the worker is as fast as the others."""
+        far = step(_FAR_TASKS, cpu_millicores=1, data_rack='elsewhere')
+        commit(self.lead.store, AddJob(job(far, job_id=OTHER_JOB), QUEUE))
+        self.lead.round(_BEAT_S)
+        for worker in self.lead.workers.values():
+            worker.advance(1)
+        for _ in range(4):
+            for told in self.lead.workers.values():
+                _advance(told, 12, 'a1')
+                _advance(told, 1, 'b2')
+            self.lead.round(_BEAT_S)
+        self.assertThat(self._slow(), matchers.Equals(set()))
+
     def test_slow_worker_is_chosen_last(self) -> None:
         """New work goes to the others while they have room."""
         self._work(4, slow_percent=2, percent=12)
@@ -95,7 +110,10 @@
         self.assertThat(on_slow, matchers.Equals({JOB}))
 
 
-def _advance(worker: StandInWorker, percent: int) -> None:
+def _advance(worker: StandInWorker, percent: int, ending: str = '') -> None:
+    """Let the runs go on whose job has an id with some ending."""
     rows = list(worker.running.values())
     for row in rows:
+        if not row.task.job_id.endswith(ending):
+            continue
         worker.advance_one((row.task, row.run), row.percent + percent)
