Take a VM for maintained only when its worker goes on

It could happen before; VMs that are free at once after a change of leader make it likely. Ruled out: the list (no entry changed then), a clock. Now the worker has to be heard again half a second later. The new test failed before. The older one took the first heartbeat for enough, which is the fault; it asks for the same return six heartbeats later, and for none at the first.

--- a/src/wigeonreach/scheduling/_maintenance.py
+++ b/src/wigeonreach/scheduling/_maintenance.py
@@ -23,6 +23,8 @@
 # From when a VM is chosen until it is seen again: emptying, 2 s of maintenance
 # and up to a second until the list tells.
 _VM_TAKES_S = 4.0
+# An idle worker's second heartbeat comes within three quarters of a second.
+_GOES_ON_S = 0.5
 # Of the time that a wave has; the rest covers faults and changes of leader.
 _PLANNED_RATIO = 0.8
 # Of a pool's workers, so many may be emptied for waves at once.
@@ -237,12 +239,14 @@
         """Whether a VM runs again, by a new incarnation or by the list.
 
         A worker that crashes has a new incarnation too, so nothing counts that
-        came before the platform confirmed the order.
+        came before the platform confirmed the order; and the heartbeat of one
+        that the order ended may come late, so it has to go on.
         """
         confirmed_s = self._confirmed_s.get((wave.wave, vm), float('inf'))
         incarnation = self._workers.of_vm(vm)
         if incarnation is not None and incarnation.first_heard_s > confirmed_s:
-            return True
+            heard_for_s = incarnation.heard_s - incarnation.first_heard_s
+            return heard_for_s >= _GOES_ON_S
         if self._listed_s <= confirmed_s:
             # A list from before the order tells nothing.
             return False
--- a/tests/scheduling/test_maintenance.py
+++ b/tests/scheduling/test_maintenance.py
@@ -78,6 +78,29 @@
             matchers.Equals([(1, 'off1')]),
         )
 
+    def test_late_heartbeat_of_an_ended_worker_is_no_return(self) -> None:
+        """It was sent before the order, and first heard after it."""
+        lead = FakeLead(store_with(), ())
+        maintenance = lead.scheduler.maintenance
+        lead.start_wave(('vm0',), limit=1)
+        lead.record_vm('vm0', VmStep.ORDERED)
+        maintenance.note_confirmed(1, 'vm0', lead.now_s)
+        lead.now_s += 1.8
+        lead.hear(StandInWorker('ended', 'vm0'))
+        self.assertThat(
+            maintenance.step(set(), lead.now_s).returned,
+            matchers.HasLength(0),
+        )
+        maintained = StandInWorker('maintained', 'vm0')
+        lead.now_s += 0.2
+        lead.hear(maintained)
+        lead.now_s += 0.75
+        lead.hear(maintained)
+        self.assertThat(
+            maintenance.step(set(), lead.now_s).returned,
+            matchers.Equals([(1, 'vm0')]),
+        )
+
     def test_worker_that_came_back_by_itself_was_not_maintained(self) -> None:
         """A crash between record and order is no maintenance."""
         lead = FakeLead(store_with(), workers(2))
@@ -98,7 +121,8 @@
             matchers.HasLength(0),
         )
         lead.workers['w0'] = StandInWorker('maintained', 'vm0')
-        lead.round()
+        for _ in range(6):
+            lead.round()
         self.assertThat(
             maintenance.step(set(), lead.now_s).returned,
             matchers.Equals([(1, 'vm0')]),
