Replicate that an order of a VM was answered, which holds it for less

Ruled out: no VMs to spare (8 came at 38.0 from the other pool). An order that is known to be answered is over, so its VM is free 3.5 s after that. Answers of an earlier term settle nothing: another leader may have ordered since (found while writing this; a test). A leader that stood still begins no copies: its workers only seem silent; that test failed before.

--- a/src/wigeonreach/core/_vm_actions.py
+++ b/src/wigeonreach/core/_vm_actions.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import functools
+from collections.abc import Iterable
 
 from wigeonreach.core._clock import steady_s
 from wigeonreach.core._term import LeaderTerm
@@ -26,7 +27,7 @@
 _STANDBY_LIST_S = 4.0
 # How often is recorded which orders are over; a small part of the time for
 # which they hold a VM.
-_SETTLED_S = 0.4
+_TOLD_S = 0.4
 
 
 class VmActions:
@@ -63,7 +64,7 @@
         self._log = logger
         self._metrics = metrics
         self._listed_s = float('-inf')
-        self._settled_s = float('-inf')
+        self._told_s = float('-inf')
 
     async def run(self) -> None:
         """Follow waves and pools until cancelled."""
@@ -122,23 +123,25 @@
             for move in self._term.scheduler.moves(steady_s(), held)
             if self._orders.is_free(move.vm)
         ]
-        settled = self._settled_if_due()
-        if not moves and not settled:
-            return
         # First recorded, so that a next leader knows of them.
-        vms = tuple(move.vm for move in moves)
-        record = RecordVmOrders(self._term.term, vms, settled)
+        record = self._record_of(moves)
+        if not (record.vms or record.settled or record.answered):
+            return
         if await self._term.propose(record) is not Verdict.DONE:
             return
         for move in moves:
             self._orders.start(move.vm, functools.partial(self._move_vm, move))
 
-    def _settled_if_due(self) -> tuple[str, ...]:
+    def _record_of(self, moves: Iterable[Move]) -> RecordVmOrders:
+        """Return what is to be replicated of the VMs now."""
+        term = self._term.term
+        vms = tuple(move.vm for move in moves)
         now_s = steady_s()
-        if now_s - self._settled_s < _SETTLED_S:
-            return ()
-        self._settled_s = now_s
-        return self._orders.settled()
+        if now_s - self._told_s < _TOLD_S:
+            return RecordVmOrders(term, vms)
+        self._told_s = now_s
+        settled = self._orders.settled()
+        return RecordVmOrders(term, vms, settled, self._orders.take_answered())
 
     async def _maintain_vm(self, wave: int, vm: str, worker: str) -> None:
         # First recorded, so that a next leader knows it may be down.
--- a/src/wigeonreach/core/_vm_holds.py
+++ b/src/wigeonreach/core/_vm_holds.py
@@ -33,17 +33,34 @@
         """Know of no order."""
         self._store = store
         self._pause_s = pause_s
+        # Since when each order is known here, and that it was answered.
         self._recorded_s: dict[str, float] = {}
+        self._over_s: dict[str, float] = {}
+        # The answers to this process's own orders, and which are replicated.
         self._answered_s: dict[str, float] = {}
+        self._told: set[str] = set()
+
+    def begin_term(self, now_s: float) -> None:
+        """Take note that this process leads from now on."""
+        self._answered_s.clear()
+        self._told.clear()
+        self.refresh(now_s)
 
     def note_begun(self, vm: str) -> None:
         """Take note that this process begins to order a VM."""
         self._answered_s.pop(vm, None)
+        self._told.discard(vm)
 
     def note_answered(self, vm: str, now_s: float) -> None:
         """Take note that what was ordered is done, or refused for good."""
         self._answered_s[vm] = now_s
 
+    def take_answered(self) -> tuple[str, ...]:
+        """Return the VMs whose answers are to be replicated; take them so."""
+        news = tuple(self._answered_s.keys() - self._told)
+        self._told.update(news)
+        return news
+
     def settled(self, now_s: float) -> tuple[str, ...]:
         """Return the VMs that any leader may order again, by own orders."""
         apart_s = self._pause_s + _MARGIN_S
@@ -60,9 +77,14 @@
         """
         for vm in self._store.newly_ordered:
             self._recorded_s[vm] = now_s
+            self._over_s.pop(vm, None)
+        for answered in self._store.newly_answered:
+            self._over_s[answered] = now_s
         self._store.newly_ordered.clear()
+        self._store.newly_answered.clear()
         for settled in self._recorded_s.keys() - self._store.ordered_vms:
             self._recorded_s.pop(settled)
+            self._over_s.pop(settled, None)
             self._answered_s.pop(settled, None)
 
     def held(self, began_s: float, now_s: float) -> set[str]:
@@ -77,9 +99,16 @@
         """
         if now_s >= began_s + self._pause_s + _MARGIN_S:
             return set()
-        lasts_s = _ORDER_LASTS_S + self._pause_s + _MARGIN_S
         return {
             vm
             for vm, recorded_s in self._recorded_s.items()
-            if recorded_s <= began_s and now_s < recorded_s + lasts_s
+            if recorded_s <= began_s and now_s < self._free_s(vm)
         }
+
+    def _free_s(self, vm: str) -> float:
+        """Return when any leader may order a VM again."""
+        apart_s = self._pause_s + _MARGIN_S
+        over_s = self._over_s.get(vm)
+        if over_s is None:
+            over_s = self._recorded_s[vm] + _ORDER_LASTS_S
+        return over_s + apart_s
--- a/src/wigeonreach/core/_vm_orders.py
+++ b/src/wigeonreach/core/_vm_orders.py
@@ -41,7 +41,7 @@
         self._term = term
         self._holds = holds
         self._began_s = steady_s()
-        holds.refresh(self._began_s)
+        holds.begin_term(self._began_s)
         self._log = logger
         self._metrics = metrics
         self._running: dict[str, asyncio.Task[None]] = {}
@@ -56,6 +56,10 @@
         settled = self._holds.settled(steady_s())
         return tuple(vm for vm in settled if vm not in self._running)
 
+    def take_answered(self) -> tuple[str, ...]:
+        """Return the VMs whose orders were answered since the last call."""
+        return self._holds.take_answered()
+
     def is_free(self, vm: str) -> bool:
         """Whether an order for a VM may be given now."""
         if vm in self._running or vm in self.held():
--- a/src/wigeonreach/jobs/_commands.py
+++ b/src/wigeonreach/jobs/_commands.py
@@ -115,13 +115,19 @@
 class RecordVmOrders(Command, frozen=True):
     """Note that VMs are about to be ordered, as the leader of a term.
 
-    Of ``settled`` VMs the last order was carried out so long ago that any
-    leader may give them another.
+    Attributes
+    ----------
+    settled
+        VMs whose last order was answered so long ago that any leader may give
+        them another.
+    answered
+        VMs whose last order was answered just now.
     """
 
     term: int
     vms: tuple[str, ...]
     settled: tuple[str, ...] = ()
+    answered: tuple[str, ...] = ()
 
 
 AnyCommand: TypeAlias = (
--- a/src/wigeonreach/jobs/_store.py
+++ b/src/wigeonreach/jobs/_store.py
@@ -66,8 +66,9 @@
         Workers whose runs changed since a reader last cleared this.
     ordered_vms
         VMs that some leader has ordered lately, or was about to.
-    newly_ordered
-        Those among them since a reader last cleared this.
+    newly_ordered, newly_answered
+        Those among them that were ordered, and those whose order was answered,
+        since a reader last cleared these.
     queues
         Finds the queues of the manifest.
     """
@@ -83,6 +84,7 @@
         self.reassigned: set[str] = set()
         self.ordered_vms: set[str] = set()
         self.newly_ordered: set[str] = set()
+        self.newly_answered: set[str] = set()
         self.term = 0
 
     def apply(self, index: int, command: bytes) -> bytes:
@@ -123,8 +125,10 @@
 
     def note_ordered(self, vms: Iterable[str]) -> None:
         """Note that VMs have been ordered, or are about to be."""
-        self.newly_ordered.update(vms)
-        self.ordered_vms.update(self.newly_ordered)
+        ordered = set(vms)
+        self.newly_ordered |= ordered
+        self.newly_answered -= ordered
+        self.ordered_vms |= ordered
 
     def service_of(self, job: JobRecord) -> str:
         """Return the service whose workers may run a job now."""
@@ -292,5 +296,6 @@
         return CommandReply(Verdict.OUTDATED)
     store.ordered_vms.difference_update(command.settled)
     store.newly_ordered.difference_update(command.settled)
+    store.newly_answered.update(command.answered)
     store.note_ordered(command.vms)
     return CommandReply(Verdict.DONE)
--- a/src/wigeonreach/scheduling/_scheduler.py
+++ b/src/wigeonreach/scheduling/_scheduler.py
@@ -38,6 +38,11 @@
 _DEFAULTS = SchedulingSettings()
 # Busy workers send a heartbeat as often.
 _LOOK_S = 0.25
+# A leader looks at leases every 0.05 s; whatever kept it for longer also kept
+# heartbeats.
+_STALL_S = 0.5
+# Each worker sends within this, also if its last heartbeat was given up.
+_LISTEN_S = 1.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -99,6 +104,8 @@
         # VMs that serving tasks without room fill, by service and label.
         self._homeless: dict[str, dict[str, float]] = {}
         self._next_look_s = now_s
+        self._looked_s = now_s
+        self._awake_s = now_s
         self._store = store
         store.changed.update(store.jobs)
         self.ready.refresh(store, now_s, wall_ms)
@@ -170,9 +177,21 @@
         )
         for run_lost in lost:
             self._stop_gang(run_lost.task)
+        if not self._is_awake(now_s):
+            return lost
         incarnations = self.workers.incarnations
         return (*lost, *copied(incarnations, self._store, now_s))
 
+    def _is_awake(self, now_s: float) -> bool:
+        """Whether this process has listened for as long as workers may take.
+
+        One that stood still finds all its workers silent, and none is.
+        """
+        if now_s - self._looked_s > _STALL_S:
+            self._awake_s = now_s
+        self._looked_s = now_s
+        return now_s - self._awake_s >= _LISTEN_S
+
     def plan(self, now_s: float, wall_ms: float) -> tuple[RunStarted, ...]:
         """Return what is to be started now."""
         accepted = self.ready.refresh(self._store, now_s, wall_ms)
--- a/tests/core/test_vm_holds.py
+++ b/tests/core/test_vm_holds.py
@@ -50,6 +50,23 @@
         held = self.holds.held(began_s, began_s)
         self.assertThat(held, matchers.Equals(set()))
 
+    def test_answered_order_holds_for_less(self) -> None:
+        """It is over since its answer was recorded, at the latest."""
+        commit(self.store, RecordVmOrders(TERM, (), answered=('vm1',)))
+        self.holds.refresh(10.4)
+        held = self.holds.held(11, 13.8)
+        self.assertThat(held, matchers.Equals({'vm1'}))
+        later = self.holds.held(11, 10.4 + _HELD_S)
+        self.assertThat(later, matchers.Equals(set()))
+
+    def test_newer_order_is_not_answered(self) -> None:
+        """The answer was to the one before."""
+        answer = RecordVmOrders(TERM, ('vm1',), answered=('vm1',))
+        commit(self.store, answer)
+        self.holds.refresh(12)
+        held = self.holds.held(12.5, 15.6)
+        self.assertThat(held, matchers.Equals({'vm1'}))
+
     def test_own_orders_hold_nothing(self) -> None:
         """One leader may order a VM as often as it likes."""
         began_s = 20.0
@@ -79,6 +96,15 @@
         holds.refresh(50)
         self.assertThat(holds.held(51, 51), matchers.Equals(set()))
 
+    def test_answer_of_an_earlier_term_settles_nothing(self) -> None:
+        """Another leader may have ordered the VM in between."""
+        self.holds.note_answered('vm1', 10)
+        commit(self.store, BeginTerm(TERM + 1))
+        commit(self.store, RecordVmOrders(TERM + 1, ('vm1',)))
+        self.holds.begin_term(100)
+        self.assertThat(self.holds.settled(101), matchers.Equals(()))
+        self.assertThat(self.holds.take_answered(), matchers.Equals(()))
+
     def test_vm_that_is_ordered_again_does_not_settle(self) -> None:
         """Its earlier order is over, the newest is not."""
         self.holds.note_answered('vm1', 10)
--- a/tests/scheduling/test_copies.py
+++ b/tests/scheduling/test_copies.py
@@ -18,7 +18,7 @@
     store_with,
     workers,
 )
-from wigeonreach.jobs import JobPhase, RunEnd
+from wigeonreach.jobs import JobPhase, RunEnd, TaskPhase
 from wigeonreach.standins import StandInWorker
 
 
@@ -51,6 +51,15 @@
         lead, _ = self._lead(has_copies=False)
         self.assertThat(self._other(lead).running, matchers.HasLength(0))
 
+    def test_leader_that_stood_still_copies_nothing(self) -> None:
+        """Its workers were not silent; it did not listen."""
+        lead = FakeLead(store_with(job(step(has_copies=True))), workers(2))
+        lead.round()
+        lead.now_s += 3
+        lead.plan()
+        phases = {task.phase for _, task in lead.store.jobs[JOB].assigned()}
+        self.assertThat(phases, matchers.Equals({TaskPhase.ASSIGNED}))
+
     def test_first_end_counts(self) -> None:
         """The other run is stopped."""
         lead, cut = self._lead(has_copies=True)
