--- a/src/wigeonreach/core/_vm_holds.py
+++ b/src/wigeonreach/core/_vm_holds.py
@@ -2,9 +2,9 @@
 
 Two leaders' orders for one VM have to be apart by the platform's time.  What a
 leader is about to order is replicated first, so that each process knows which
-VMs may have been ordered lately, and only those wait after a change of leader.  An order that was answered
-is known to be over: once that is long enough ago, it is replicated too, as the
-age of an order is not known any more after a restart.
+VMs may have been ordered lately, and only those wait after a change of leader.
+That an order was answered is replicated too, which holds its VM for less; and
+that this is long enough ago, as a restart does not know the age of an order.
 """
 
 from __future__ import annotations
--- a/src/wigeonreach/scheduling/_pools.py
+++ b/src/wigeonreach/scheduling/_pools.py
@@ -11,8 +11,7 @@
 
 import collections
 import dataclasses
-import itertools
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterable, Mapping
 
 from wigeonreach.jobs import JobStore
 from wigeonreach.scheduling._backlog import (
@@ -224,22 +223,33 @@
             key=lambda pool: self._have(pool) - pool.wanted.total,
         )
         for pool in lacking:
-            for label in self._lacks(pool):
-                vm = self._donor(pool, pools, taken, label)
-                if vm is not None:
-                    reason = _why(pool, self._have(pool), label)
-                    self._emptying[vm] = _Emptying(pool.name, now_s, reason)
-
-    def _lacks(self, pool: PoolState) -> Iterator[str]:
-        """Yield the label that each VM has to carry that a pool lacks."""
+            # What carries something goes first, and counts for the rest too.
+            for label in pool.wanted.by_label:
+                self._promise(pool, pools, taken, label, now_s)
+            self._promise(pool, pools, taken, ANYWHERE, now_s)
+
+    def _promise(
+        self,
+        pool: PoolState,
+        pools: Mapping[str, PoolState],
+        taken: set[str],
+        label: str,
+        now_s: float,
+    ) -> None:
+        """Promise a pool the VMs with a label that it lacks, if there are."""
+        for _ in range(self._missing(pool, label)):
+            vm = self._donor(pool, pools, taken, label)
+            if vm is None:
+                return
+            reason = _why(pool, self._have(pool), label)
+            self._emptying[vm] = _Emptying(pool.name, now_s, reason)
+
+    def _missing(self, pool: PoolState, label: str) -> int:
+        """Return how many VMs with a label, or at all, a pool lacks."""
+        if not label:
+            return max(pool.wanted.total - self._have(pool), 0)
         has = self.vms.count_labels(self._vms_of(pool))
-        asked = 0
-        for label, wanted in pool.wanted.by_label.items():
-            missing = max(wanted - has[label], 0)
-            asked += missing
-            yield from itertools.repeat(label, missing)
-        missing = max(pool.wanted.total - self._have(pool) - asked, 0)
-        yield from itertools.repeat(ANYWHERE, missing)
+        return max(pool.wanted.by_label[label] - has[label], 0)
 
     def _vms_of(self, pool: PoolState) -> list[str]:
         """Return the VMs that a pool has, or that are promised to it."""
--- a/src/wigeonreach/scheduling/_scheduler.py
+++ b/src/wigeonreach/scheduling/_scheduler.py
@@ -179,8 +179,10 @@
             self._stop_gang(run_lost.task)
         if not self._is_awake(now_s):
             return lost
-        incarnations = self.workers.incarnations
-        return (*lost, *copied(incarnations, self._store, now_s))
+        doubled = tuple(copied(self.workers.incarnations, self._store, now_s))
+        for run_doubled in doubled:
+            self.progress.forget_run((run_doubled.task, run_doubled.run))
+        return (*lost, *doubled)
 
     def _is_awake(self, now_s: float) -> bool:
         """Whether this process has listened for as long as workers may take.
--- a/tests/scheduling/test_pool_places.py
+++ b/tests/scheduling/test_pool_places.py
@@ -104,6 +104,15 @@
         lead = self._lead(step(1, data_rack='nowhere'))
         self.assertThat(self._moves(lead), matchers.Equals([]))
 
+    def test_label_that_is_not_to_be_had_takes_no_room(self) -> None:
+        """The pool gets the VMs that its other work needs."""
+        rare = step(1, label='nowhere')
+        lead = self._lead(rare, step(120, estimate_ms=1500))
+        self.assertThat(
+            {move.vm for move in self._moves(lead)},
+            matchers.Equals({'off1', 'off2'}),
+        )
+
     def test_gang_wider_than_its_pool_gets_room(self) -> None:
         """All its members have to fit at once."""
         lead = self._lead(step(3, cpu_millicores=16_000, is_gang=True))
