--- a/src/wigeonreach/scheduling/_pool_vms.py
+++ b/src/wigeonreach/scheduling/_pool_vms.py
@@ -160,12 +160,12 @@
 
 
 def _mean_room(incarnations: Iterable[Incarnation]) -> Room:
+    # Sums of plain numbers: this is done for the whole fleet ten times a second.
     rooms = [incarnation.room for incarnation in incarnations]
     if not rooms:
         return NO_ROOM
-    total = sum(rooms, start=NO_ROOM)
     return Room(
-        total.processors / len(rooms),
-        total.memory_bytes / len(rooms),
-        total.accelerators // len(rooms),
+        sum([room.processors for room in rooms]) / len(rooms),
+        sum([room.memory_bytes for room in rooms]) / len(rooms),
+        sum([room.accelerators for room in rooms]) // len(rooms),
     )
--- a/src/wigeonreach/scheduling/_ready.py
+++ b/src/wigeonreach/scheduling/_ready.py
@@ -201,9 +201,11 @@
         ]
         since_s = self._since_s.setdefault(job_id, {})
         steps = tuple(
-            _since(step, since_s, max(begin_s, clocks.now_s))
+            step
             for occurrence, begin_s in enumerate(begins_s)
-            for step in _ready_steps(job, occurrence, begin_s)
+            for step in _ready_steps(
+                job, occurrence, begin_s, since_s, clocks.now_s
+            )
         )
         if steps:
             self._by_job[job_id] = steps
@@ -287,16 +289,6 @@
         return max(accepted_s, self.now_s + due_in_ms / _MS)
 
 
-def _since(
-    step: ReadyStep,
-    since_s: _ReadySince,
-    now_s: float,
-) -> ReadyStep:
-    """Return a step with the time at which it was first ready."""
-    ready_s = since_s.setdefault((step.occurrence, step.step), now_s)
-    return dataclasses.replace(step, ready_s=ready_s)
-
-
 def _age_s(job: JobRecord, wall_ms: float) -> float:
     """Return for how long a job has waited, as far as is known."""
     if not job.accepted_ms:
@@ -375,8 +367,14 @@
     job: JobRecord,
     occurrence: int,
     begin_s: float,
+    since_s: _ReadySince,
+    now_s: float,
 ) -> Iterator[ReadyStep]:
-    """Yield the steps of an occurrence whose turn has come."""
+    """Yield the steps of an occurrence whose turn has come.
+
+    Since when each of them may start is kept in ``since_s``.
+    """
+    ready_s = max(begin_s, now_s)
     latest_start_s = begin_s + objective_of(job) - chain_s(job, occurrence)
     left_s = work_s(job, occurrence)
     for number, tasks in enumerate(job.occurrences[occurrence]):
@@ -394,4 +392,5 @@
                 due_ms=job.spec.due_ms(occurrence),
                 latest_start_s=latest_start_s,
                 work_s=left_s,
+                ready_s=since_s.setdefault((occurrence, number), ready_s),
             )
