--- a/src/wigeonreach/core/_term.py
+++ b/src/wigeonreach/core/_term.py
@@ -6,8 +6,6 @@
 import dataclasses
 from collections.abc import Sequence
 
-import msgspec
-
 from wigeonreach.agreement import Agreement
 from wigeonreach.core._barrier import SharedBarrier
 from wigeonreach.core._clock import steady_s, wall_ms
@@ -31,12 +29,10 @@
     Scheduler,
     SchedulingSettings,
 )
-from wigeonreach.scheduling._orders import BUSY_NEXT_MS, HELD_NEXT_MS
+from wigeonreach.scheduling._orders import answer_due
 from wigeonreach.wire._worker_messages import WorkerOrders, WorkerReport
 
 _TICK_S = 0.05
-# A sender gives an answer up after 1 s; this leaves it the way back.
-_LONGEST_HOLD_S = 0.7
 # Longer than the status of a job that ended may be asked for (120 s).
 _KEEP_ENDED_S = 150.0
 
@@ -277,12 +273,8 @@
         if incarnation is None:
             return WorkerOrders()
         orders = self.scheduler.orders(incarnation, now_s)
-        has_orders = bool(orders.starts or orders.stops or orders.paces)
-        if has_orders or self.scheduler.has_batch(incarnation):
-            return msgspec.structs.replace(orders, next_after_ms=BUSY_NEXT_MS)
-        if now_s - heartbeat.came_s < _LONGEST_HOLD_S:
-            return None
-        return msgspec.structs.replace(orders, next_after_ms=HELD_NEXT_MS)
+        has_batch = self.scheduler.has_batch(incarnation)
+        return answer_due(orders, has_batch, now_s - heartbeat.came_s)
 
     async def forget_ended(self) -> None:
         """Forget jobs that ended so long ago that nobody may ask."""
--- a/src/wigeonreach/core/_vm_holds.py
+++ b/src/wigeonreach/core/_vm_holds.py
@@ -32,7 +32,7 @@
     def __init__(self, store: JobStore, pause_s: float) -> None:
         """Know of no order."""
         self._store = store
-        self._pause_s = pause_s
+        self._apart_s = pause_s + _MARGIN_S
         # Since when each order is known here, and that it was answered.
         self._recorded_s: dict[str, float] = {}
         self._over_s: dict[str, float] = {}
@@ -63,11 +63,11 @@
 
     def settled(self, now_s: float) -> tuple[str, ...]:
         """Return the VMs that any leader may order again, by own orders."""
-        apart_s = self._pause_s + _MARGIN_S
         return tuple(
             vm
             for vm, answered_s in self._answered_s.items()
-            if now_s >= answered_s + apart_s and vm in self._store.ordered_vms
+            if now_s >= answered_s + self._apart_s
+            and vm in self._store.ordered_vms
         )
 
     def refresh(self, now_s: float) -> None:
@@ -97,18 +97,22 @@
         now_s
             Clock in seconds.
         """
-        if now_s >= began_s + self._pause_s + _MARGIN_S:
-            return set()
         return {
-            vm
-            for vm, recorded_s in self._recorded_s.items()
-            if recorded_s <= began_s and now_s < self._free_s(vm)
+            vm for vm in self._recorded_s if self.is_held(vm, began_s, now_s)
         }
 
+    def is_held(self, vm: str, began_s: float, now_s: float) -> bool:
+        """Whether one VM is among those ``held``."""
+        if now_s >= began_s + self._apart_s:
+            return False
+        recorded_s = self._recorded_s.get(vm)
+        if recorded_s is None or recorded_s > began_s:
+            return False
+        return now_s < self._free_s(vm)
+
     def _free_s(self, vm: str) -> float:
         """Return when any leader may order a VM again."""
-        apart_s = self._pause_s + _MARGIN_S
         over_s = self._over_s.get(vm)
         if over_s is None:
             over_s = self._recorded_s[vm] + _ORDER_LASTS_S
-        return over_s + apart_s
+        return over_s + self._apart_s
--- a/src/wigeonreach/core/_vm_orders.py
+++ b/src/wigeonreach/core/_vm_orders.py
@@ -62,9 +62,12 @@
 
     def is_free(self, vm: str) -> bool:
         """Whether an order for a VM may be given now."""
-        if vm in self._running or vm in self.held():
+        now_s = steady_s()
+        if vm in self._running:
             return False
-        return steady_s() >= self._retry_s.get(vm, 0)
+        if self._holds.is_held(vm, self._began_s, now_s):
+            return False
+        return now_s >= self._retry_s.get(vm, 0)
 
     def start(self, vm: str, order: Callable[[], Awaitable[None]]) -> None:
         """Carry an order out beside all others."""
--- a/src/wigeonreach/jobs/_model.py
+++ b/src/wigeonreach/jobs/_model.py
@@ -66,6 +66,11 @@
     is_filler: bool = False
     may_miss: int | None = None
 
+    @property
+    def may_run_twice(self) -> bool:
+        """Whether two runs of a task may go on at a time."""
+        return self.has_copies and not self.is_gang
+
     @property
     def room(self) -> Room:
         """What one task takes of a worker."""
--- a/src/wigeonreach/jobs/_runs.py
+++ b/src/wigeonreach/jobs/_runs.py
@@ -63,8 +63,7 @@
     ended: RunEnded,
 ) -> bool:
     """Whether a run ended well before the newer copy of it did."""
-    step = job.step_spec(ended.task)
-    may_run_twice = step.has_copies and not step.is_gang
+    may_run_twice = job.step_spec(ended.task).may_run_twice
     is_older = ended.run < task.run and task.phase is not TaskPhase.DONE
     return may_run_twice and is_older and ended.end is RunEnd.DONE
 
--- a/src/wigeonreach/jobs/_store.py
+++ b/src/wigeonreach/jobs/_store.py
@@ -165,10 +165,10 @@
         spec = self.spec_of(key)
         return spec is not None and not spec.is_service
 
-    def has_copies(self, key: TaskKey) -> bool:
+    def may_run_twice(self, key: TaskKey) -> bool:
         """Whether two runs of a task may go on at a time."""
         spec = self.spec_of(key)
-        return spec is not None and spec.has_copies and not spec.is_gang
+        return spec is not None and spec.may_run_twice
 
     def assign(self, worker: str, key: TaskKey, run: int) -> None:
         """Note that a worker has, or may have, a run."""
--- a/src/wigeonreach/lab/__init__.py
+++ b/src/wigeonreach/lab/__init__.py
@@ -4,7 +4,11 @@
 real system takes a minute each.  Daemons do not import this package.
 """
 
-from wigeonreach.lab._checks import BrokenRuleError
+from wigeonreach.lab._checks import (
+    BrokenRuleError,
+    check_start,
+    check_workers,
+)
 from wigeonreach.lab._day import Day, DayPlan
 from wigeonreach.lab._demand import DemandPlan, KindShares
 from wigeonreach.lab._lead import VirtualLead, commit
@@ -24,5 +28,7 @@
     'Variant',
     'VirtualLead',
     'applied',
+    'check_start',
+    'check_workers',
     'commit',
 )
--- a/src/wigeonreach/lab/_checks.py
+++ b/src/wigeonreach/lab/_checks.py
@@ -59,9 +59,7 @@
         runs.update(key for key, _ in worker.running)
         _check_room(worker, store)
     for key, count in runs.items():
-        spec = store.spec_of(key)
-        has_copies = spec is not None and spec.has_copies
-        if count > 1 and not has_copies:
+        if count > 1 and not store.may_run_twice(key):
             raise BrokenRuleError(f'{key}: {count} runs at once')
 
 
--- a/src/wigeonreach/lab/_day.py
+++ b/src/wigeonreach/lab/_day.py
@@ -29,13 +29,12 @@
 from wigeonreach.lab._outcome import Outcome
 from wigeonreach.scheduling import Incarnation, SchedulingSettings
 from wigeonreach.scheduling._objectives import objective_of
-from wigeonreach.scheduling._orders import BUSY_NEXT_MS, HELD_NEXT_MS
+from wigeonreach.scheduling._orders import answer_due
 from wigeonreach.scheduling._vms import VmPhase, VmRecord
 from wigeonreach.wire._worker_messages import WorkerOrders
 
 _STEP_S = 0.05
 # As the core process does.
-_HOLD_S = 0.7
 _MOVES_S = 0.1
 _LIST_S = 4.0
 _CHECK_S = 0.25
@@ -99,7 +98,6 @@
         self._coming = list(reversed(self._arrivals.values()))
         self._declared = dict(self._arrivals)
         self._drawn_s: dict[TaskKey, float] = {}
-        self._started_s: dict[str, float] = {}
         self._lead = self._next_lead()
 
     def play(self) -> Outcome:
@@ -123,7 +121,7 @@
         self._disturb()
         self.fleet.live(self._now_s, _STEP_S)
         self._hear()
-        self._note_starts()
+        self._lead.plan()
         self._answer()
         if not number % round(_MOVES_S / _STEP_S):
             self._move()
@@ -172,10 +170,6 @@
                 vm.asked_s = self._now_s
                 self._lead.take(worker.report())
 
-    def _note_starts(self) -> None:
-        for start in self._lead.plan():
-            self._started_s.setdefault(start.task.job_id, self._now_s)
-
     def _answer(self) -> None:
         known = self._lead.scheduler.workers.incarnations
         for vm, worker in self.fleet.up():
@@ -195,19 +189,8 @@
     ) -> WorkerOrders | None:
         scheduler = self._lead.scheduler
         orders = scheduler.orders(incarnation, self._now_s)
-        has_orders = bool(orders.starts or orders.stops)
-        is_busy = has_orders or scheduler.has_batch(incarnation)
-        if not is_busy and self._now_s - asked_s < _HOLD_S:
-            return None
-        pause_ms = BUSY_NEXT_MS if is_busy else HELD_NEXT_MS
-        return WorkerOrders(
-            orders.lease_ms,
-            orders.fence,
-            orders.acknowledged,
-            pause_ms,
-            orders.starts,
-            orders.stops,
-        )
+        has_batch = scheduler.has_batch(incarnation)
+        return answer_due(orders, has_batch, self._now_s - asked_s)
 
     def _check_orders(self, vm: Vm, orders: WorkerOrders) -> None:
         for start in orders.starts:
@@ -267,8 +250,6 @@
                 yield arrival
 
     def _note_needs(self, arrival: Arrival) -> None:
-        started_s = self._started_s[arrival.spec.job_id]
-        self.outcome.first_starts_s.append(started_s - arrival.at_s)
         millicores = self._plan.fleet.millicores
         for step, lasts_s in zip(
             arrival.spec.steps, arrival.lasts_s, strict=True
--- a/src/wigeonreach/lab/_outcome.py
+++ b/src/wigeonreach/lab/_outcome.py
@@ -21,8 +21,6 @@
     ratios
         For each kind, the time of its jobs over their objectives; infinite if
         they did not end.
-    first_starts_s
-        From a job's arrival to its first start.
     vm_s
         Seconds of VMs in pools.
     needed_vm_s
@@ -33,7 +31,6 @@
     ratios: dict[str, list[float]] = dataclasses.field(
         default_factory=lambda: collections.defaultdict(list),
     )
-    first_starts_s: list[float] = dataclasses.field(default_factory=list)
     vm_s: float = 0.0
     needed_vm_s: float = 0.0
     moves: int = 0
--- a/src/wigeonreach/scheduling/_orders.py
+++ b/src/wigeonreach/scheduling/_orders.py
@@ -5,6 +5,8 @@
 import dataclasses
 from collections.abc import Collection, Iterator, Mapping
 
+import msgspec
+
 from wigeonreach.jobs import JobRecord, JobStore, Run, TaskKey
 from wigeonreach.scheduling._advice import TicketCache
 from wigeonreach.scheduling._pacing import FULL_PACE, Pacing
@@ -22,6 +24,8 @@
 BUSY_NEXT_MS = 250
 # Where the answer was held back until there was something to order.
 HELD_NEXT_MS = 20
+# A sender gives an answer up after 1 s; this leaves it the way back.
+_LONGEST_HOLD_S = 0.7
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -62,6 +66,30 @@
     )
 
 
+def answer_due(
+    orders: WorkerOrders,
+    has_batch: bool,
+    waited_s: float,
+) -> WorkerOrders | None:
+    """Return the answer to a heartbeat, or None to hold it until there is more.
+
+    Parameters
+    ----------
+    orders
+        What the worker is owed now.
+    has_batch
+        Whether work that ends by itself is on it.
+    waited_s
+        For how long its heartbeat has waited.
+    """
+    has_orders = bool(orders.starts or orders.stops or orders.paces)
+    if has_orders or has_batch:
+        return msgspec.structs.replace(orders, next_after_ms=BUSY_NEXT_MS)
+    if waited_s < _LONGEST_HOLD_S:
+        return None
+    return msgspec.structs.replace(orders, next_after_ms=HELD_NEXT_MS)
+
+
 def not_begun(incarnation: Incarnation, store: JobStore) -> Iterator[Run]:
     """Yield the runs that a worker was given and does not list."""
     listed = {(row.task, row.run) for row in incarnation.running}
--- a/src/wigeonreach/scheduling/_placing.py
+++ b/src/wigeonreach/scheduling/_placing.py
@@ -88,12 +88,11 @@
     ) -> bool:
         is_placed = True
         ranking = Ranking(step, rooms)
-        for index in step.waiting:
+        for placed, index in enumerate(step.waiting):
             key = _key(step, index)
             room = ranking.best(key)
             if room is None:
-                left = step.waiting[step.waiting.index(index) :]
-                self._near.note_waiting(step, len(left))
+                self._near.note_waiting(step, len(step.waiting) - placed)
                 return False
             if _waits_for_another(step, key, room, rooms):
                 is_placed = False
--- a/src/wigeonreach/scheduling/_ready.py
+++ b/src/wigeonreach/scheduling/_ready.py
@@ -200,12 +200,14 @@
             for occurrence, _ in enumerate(job.occurrences)
         ]
         since_s = self._since_s.setdefault(job_id, {})
+        left = [
+            _pending(job, occurrence, begin_s)
+            for occurrence, begin_s in enumerate(begins_s)
+        ]
         steps = tuple(
             step
-            for occurrence, begin_s in enumerate(begins_s)
-            for step in _ready_steps(
-                job, occurrence, begin_s, since_s, clocks.now_s
-            )
+            for pending in left
+            for step in _ready_steps(job, pending, since_s, clocks.now_s)
         )
         if steps:
             self._by_job[job_id] = steps
@@ -213,12 +215,8 @@
         if any(step.is_service for step in job.spec.steps):
             self._serving[job_id] = (service, _workers_for(job))
             return
-        pending = (
-            _pending(job, occurrence, begin_s)
-            for occurrence, begin_s in enumerate(begins_s)
-        )
         self._pending.setdefault(service, {})[job_id] = tuple(
-            occurrence for occurrence in pending if occurrence.steps
+            pending for pending in left if pending.steps
         )
 
     def in_order(
@@ -365,8 +363,7 @@
 
 def _ready_steps(
     job: JobRecord,
-    occurrence: int,
-    begin_s: float,
+    pending: PendingJob,
     since_s: _ReadySince,
     now_s: float,
 ) -> Iterator[ReadyStep]:
@@ -374,9 +371,8 @@
 
     Since when each of them may start is kept in ``since_s``.
     """
-    ready_s = max(begin_s, now_s)
-    latest_start_s = begin_s + objective_of(job) - chain_s(job, occurrence)
-    left_s = work_s(job, occurrence)
+    occurrence = pending.occurrence
+    ready_s = max(pending.begin_s, now_s)
     for number, tasks in enumerate(job.occurrences[occurrence]):
         waiting = tuple(
             index
@@ -390,7 +386,7 @@
                 step=number,
                 waiting=waiting,
                 due_ms=job.spec.due_ms(occurrence),
-                latest_start_s=latest_start_s,
-                work_s=left_s,
+                latest_start_s=pending.due_s - pending.chain_s,
+                work_s=pending.work_s,
                 ready_s=since_s.setdefault((occurrence, number), ready_s),
             )
--- a/src/wigeonreach/scheduling/_second_runs.py
+++ b/src/wigeonreach/scheduling/_second_runs.py
@@ -68,7 +68,7 @@
         if not incarnation.is_silent(now_s):
             continue
         for key, run in store.held_by(worker).items():
-            if store.has_copies(key):
+            if store.may_run_twice(key):
                 yield lost_run(store, worker, key, run)
 
 
--- a/tests/scheduling/test_random_days.py
+++ b/tests/scheduling/test_random_days.py
@@ -30,7 +30,7 @@
     RunEnd,
     TaskKey,
 )
-from wigeonreach.lab import commit
+from wigeonreach.lab import BrokenRuleError, check_start, check_workers, commit
 from wigeonreach.scheduling import _room_left, _workers
 from wigeonreach.standins import StandInWorker
 from wigeonreach.wire._worker_messages import RunningTask, WorkerReport
@@ -44,10 +44,6 @@
 _SLOW_CLOCK = 1.02
 
 
-class BrokenRuleError(AssertionError):
-    """Something happened that must never happen."""
-
-
 @dataclasses.dataclass(slots=True)
 class _Machine:
     """A VM and the incarnation of its worker."""
@@ -192,7 +188,7 @@
             return
         orders = self.lead.scheduler.orders(incarnation, self.now_s)
         for start in orders.starts:
-            self._check_start(start.task)
+            check_start(start, self.store)
             machine.work[start.task, start.run] = self.rng.randint(1, 30)
         worker.obey(orders, percent=1)
         machine.work = {
@@ -206,41 +202,13 @@
             self.now_s + hold_s,
         )
 
-    def _check_start(self, key: TaskKey) -> None:
-        record = self.store.job_of(key)
-        if record is None or not record.is_active:
-            raise BrokenRuleError(f'{key}: started after its job ended')
-        if not record.may_start(key.occurrence, key.step):
-            raise BrokenRuleError(f'{key}: started before its turn')
-        task = record.task(key)
-        limit = record.queue.max_failures
-        is_service = record.step_spec(key).is_service
-        if task is None or (task.failures >= limit and not is_service):
-            raise BrokenRuleError(f'{key}: started too often')
-
     def _check(self) -> None:
-        up = [
-            machine
+        up = (
+            machine.worker
             for machine in self.machines
             if self.now_s >= machine.down_until_s
-        ]
-        runs: collections.Counter[TaskKey] = collections.Counter(
-            key for machine in up for key, _ in machine.worker.running
-        )
-        for key, count in runs.items():
-            if count > 1:
-                raise BrokenRuleError(f'{key}: {count} runs at once')
-        for machine in up:
-            if self._used(machine.worker) > machine.worker.cpu_millicores:
-                raise BrokenRuleError(f'{machine.vm}: over its capacity')
-
-    def _used(self, worker: StandInWorker) -> int:
-        records = [(key, self.store.job_of(key)) for key, _ in worker.running]
-        return sum(
-            record.step_spec(key).cpu_millicores
-            for key, record in records
-            if record is not None
         )
+        check_workers(up, self.store)
 
 
 def _play(seed: int) -> _Day:
