Count tasks that may be away as away, and keep VMs free from order to record

Cause, by reading: a leader took a serving task for at work by a heartbeat that could be seconds old, by another run of the task, or by one that its predecessor had just told to stop. A heartbeat passed on twice was ignored as late, and its worker got an answer without a lease.

After: tests of scheduling and core pass.

--- a/src/wigeonreach/core/_term.py
+++ b/src/wigeonreach/core/_term.py
@@ -300,8 +300,9 @@
 
 
 def _note_ends(heartbeat: _Heartbeat) -> None:
-    """Take note that a heartbeat's ends are recorded."""
+    """Take note that the ends a worker told of are recorded."""
     incarnation = heartbeat.incarnation
     if incarnation is not None:
-        for ended in heartbeat.report.ended:
+        # Of what it told: a repeated heartbeat may be of another writer.
+        for ended in incarnation.report.ended:
             incarnation.noted = max(incarnation.noted, ended.number)
--- a/src/wigeonreach/scheduling/_maintenance.py
+++ b/src/wigeonreach/scheduling/_maintenance.py
@@ -13,7 +13,7 @@
 from collections.abc import Collection
 
 from wigeonreach.jobs import JobStore, Run, VmStep, WaveRecord
-from wigeonreach.scheduling._moving_out import is_empty, movable_now
+from wigeonreach.scheduling._moving_out import MovingOut, is_empty
 from wigeonreach.scheduling._vms import VmPhase, VmRecord
 from wigeonreach.scheduling._workers import Incarnation, Workers
 
@@ -62,14 +62,23 @@
         The replicated state; it is only read.
     workers
         The incarnations of the workers.
+    moving_out
+        Which serving tasks may leave.
     """
 
-    def __init__(self, store: JobStore, workers: Workers) -> None:
+    def __init__(
+        self,
+        store: JobStore,
+        workers: Workers,
+        moving_out: MovingOut,
+    ) -> None:
         """Empty nothing yet."""
         self._store = store
         self._workers = workers
+        self._moving_out = moving_out
         self._vms: dict[str, VmRecord] = {}
-        self._emptied_since_s: dict[str, float] = {}
+        # Since when, by wave and VM; until the order is recorded.
+        self._emptied_since_s: dict[tuple[int, str], float] = {}
         self._confirmed_s: dict[tuple[int, str], float] = {}
         self._listed_s = float('-inf')
         # How much time is left is known only for waves that came in this term.
@@ -85,7 +94,11 @@
             for vm, progress in wave.vms.items()
             if progress.step is VmStep.ORDERED
         }
-        return ordered | self._emptied_since_s.keys()
+        return ordered | self._emptying
+
+    @property
+    def _emptying(self) -> set[str]:
+        return {vm for _, vm in self._emptied_since_s}
 
     @property
     def is_active(self) -> bool:
@@ -117,10 +130,13 @@
         found = MaintenanceStep()
         for wave in self._store.waves.values():
             for vm, progress in wave.vms.items():
+                if progress.step is VmStep.WAITING:
+                    self._empty(wave, vm, stopping, now_s, found)
+                    continue
+                # Nothing was to be started there until this was recorded.
+                self._emptied_since_s.pop((wave.wave, vm), None)
                 if progress.step is VmStep.ORDERED:
                     self._follow(wave, vm, found)
-                elif progress.step is VmStep.WAITING:
-                    self._empty(wave, vm, stopping, now_s, found)
         return found
 
     def _follow(
@@ -142,7 +158,8 @@
         now_s: float,
         found: MaintenanceStep,
     ) -> None:
-        if vm not in self._emptied_since_s:
+        since_s = self._emptied_since_s.get((wave.wave, vm))
+        if since_s is None:
             return
         incarnation = self._workers.of_vm(vm)
         if incarnation is None and self._has_unheard_work(vm):
@@ -150,14 +167,12 @@
         if incarnation is None or is_empty(incarnation, self._store):
             worker = incarnation.report.worker if incarnation else ''
             found.orders.append((wave.wave, vm, worker))
-            self._emptied_since_s.pop(vm)
             return
         leaving = {*stopping, *found.stops}
-        incarnations = self._workers.incarnations
         found.stops.extend(
-            movable_now(incarnation, incarnations, self._store, leaving)
+            self._moving_out.movable_now(incarnation, leaving, now_s),
         )
-        if now_s - self._emptied_since_s[vm] > _WAIT_FOR_BATCH_S:
+        if now_s - since_s > _WAIT_FOR_BATCH_S:
             found.stops.extend(self._batch_runs(incarnation))
 
     def _choose(self, now_s: float) -> None:
@@ -167,10 +182,10 @@
                 if not self._has_turn(wave, vm, now_s):
                     break
                 if self._may_empty(vm):
-                    self._emptied_since_s[vm] = now_s
+                    self._emptied_since_s[wave.wave, vm] = now_s
 
     def _has_turn(self, wave: WaveRecord, vm: str, now_s: float) -> bool:
-        emptying = self._emptied_since_s.keys() & wave.vms.keys()
+        emptying = [key for key in self._emptied_since_s if key[0] == wave.wave]
         at_once = wave.limit
         if self._load(vm):
             at_once = min(at_once, self._needed_at_once(wave, now_s))
@@ -188,11 +203,12 @@
 
     def _candidates(self, wave: WaveRecord) -> list[str]:
         """Return the VMs that wait, those with the least on them in front."""
+        in_hand = self.cordoned
         waiting = [
             vm
             for vm, progress in wave.vms.items()
             if progress.step is VmStep.WAITING
-            and vm not in self._emptied_since_s
+            and vm not in in_hand
             and self._is_known(vm)
         ]
         waiting.sort(key=lambda vm: (self._load(vm), vm))
@@ -224,7 +240,8 @@
             for other in self._workers.incarnations.values()
             if other.report.service == incarnation.report.service
         ]
-        away = sum(other in self._emptied_since_s for other in pool)
+        emptying = self._emptying
+        away = sum(other in emptying for other in pool)
         return away < max(1, round(len(pool) * _MOST_OF_POOL_RATIO))
 
     def _has_unheard_work(self, vm: str) -> bool:
--- a/src/wigeonreach/scheduling/_moving_out.py
+++ b/src/wigeonreach/scheduling/_moving_out.py
@@ -1,8 +1,13 @@
-"""Empty a worker without taking more of a serving step than it may miss."""
+"""Empty a worker without taking more of a serving step than it may miss.
+
+Answers waves, drains and changes of leader that come together: all that ends
+serving runs asks here, so that no two of them count the same task as at work.
+A task that may be away already, for all that is known, is taken for away.
+"""
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Container, Iterable, Mapping
 
 from wigeonreach.jobs import (
     JobRecord,
@@ -17,72 +22,124 @@
 # A serving task whose step says nothing is moved with one away at a time.
 _DEFAULT_MAY_MISS = 1
 _AT_WORK_PERCENT = 100
+# A stop takes up to 0.4 s, in which the run is still listed; an earlier leader
+# may have ordered it with the answer before the first heartbeat heard here.
+_STOP_LASTS_S = 0.5
 
 
 def is_empty(incarnation: Incarnation, store: JobStore) -> bool:
-    """Whether nothing is on a worker, or may be."""
+    """Whether nothing is on a worker, may be, or is about to be started."""
     held = store.held_by(incarnation.report.worker)
-    return not held and not incarnation.running
+    return not (held or incarnation.running or incarnation.awaits_start)
 
 
-def movable_now(
-    incarnation: Incarnation,
-    incarnations: Mapping[str, Incarnation],
-    store: JobStore,
-    stopping: Iterable[Run],
-) -> list[Run]:
-    """Return the serving runs that may be stopped on a worker now.
+class MovingOut:
+    """Which serving runs may be stopped, for the leader of one term.
 
-    Of each step one at most is returned, so that what is away is counted
-    anew before the next.
+    Parameters
+    ----------
+    store
+        The replicated state; it is only read.
+    incarnations
+        The workers of now, by name.
     """
-    leaving = set(stopping)
-    steps: set[tuple[str, int, int]] = set()
-    chosen: list[Run] = []
-    for run in store.held_by(incarnation.report.worker).items():
-        key, _ = run
-        step = (key.job_id, key.occurrence, key.step)
-        job = store.job_of(key)
-        if job is None or run in leaving or step in steps:
-            continue
-        spec = job.step_spec(key)
-        if spec.is_service and _may_go(key, job, spec, incarnations, leaving):
-            steps.add(step)
-            chosen.append(run)
-    return chosen
-
-
-def _may_go(
-    key: TaskKey,
-    job: JobRecord,
-    spec: StepSpec,
-    incarnations: Mapping[str, Incarnation],
-    leaving: set[Run],
-) -> bool:
-    may_miss = _DEFAULT_MAY_MISS if spec.may_miss is None else spec.may_miss
-    away = sum(
-        not _is_at_work(other, job, incarnations, leaving)
-        for other in job.step_keys(key)
-        if other != key
-    )
-    return away < may_miss
-
-
-def _is_at_work(
-    key: TaskKey,
-    job: JobRecord,
-    incarnations: Mapping[str, Incarnation],
-    leaving: set[Run],
-) -> bool:
-    task = job.task(key)
-    if task is None or task.phase is not TaskPhase.ASSIGNED:
-        return False
-    if (key, task.run) in leaving:
-        return False
-    incarnation = incarnations.get(task.worker)
-    if incarnation is None:
-        return False
+
+    def __init__(
+        self,
+        store: JobStore,
+        incarnations: Mapping[str, Incarnation],
+    ) -> None:
+        """Take over what earlier leaders started, and may have stopped."""
+        self._store = store
+        self._incarnations = incarnations
+        self._inherited: frozenset[Run] = frozenset(
+            run
+            for assigned in store.assigned.values()
+            for run in assigned.items()
+            if store.is_serving(run[0])
+        )
+
+    def movable_now(
+        self,
+        incarnation: Incarnation,
+        stopping: Iterable[Run],
+        now_s: float,
+    ) -> list[Run]:
+        """Return the serving runs that may be stopped on a worker now.
+
+        Of each step one at most is returned, so that what is away is counted
+        anew before the next.
+
+        Parameters
+        ----------
+        incarnation
+            The worker.
+        stopping
+            What is being stopped already.
+        now_s
+            Clock in seconds.
+        """
+        leaving = frozenset(stopping)
+        steps: set[tuple[str, int, int]] = set()
+        chosen: list[Run] = []
+        for run in self._store.held_by(incarnation.report.worker).items():
+            key, _ = run
+            step = (key.job_id, key.occurrence, key.step)
+            job = self._store.job_of(key)
+            if job is None or run in leaving or step in steps:
+                continue
+            spec = job.step_spec(key)
+            if spec.is_service and self._may_go(key, job, spec, leaving, now_s):
+                steps.add(step)
+                chosen.append(run)
+        return chosen
+
+    def _may_go(
+        self,
+        key: TaskKey,
+        job: JobRecord,
+        spec: StepSpec,
+        leaving: Container[Run],
+        now_s: float,
+    ) -> bool:
+        may_miss = _DEFAULT_MAY_MISS if spec.may_miss is None else spec.may_miss
+        away = sum(
+            not self._is_at_work(other, job, leaving, now_s)
+            for other in job.step_keys(key)
+            if other != key
+        )
+        return away < may_miss
+
+    def _is_at_work(
+        self,
+        key: TaskKey,
+        job: JobRecord,
+        leaving: Container[Run],
+        now_s: float,
+    ) -> bool:
+        task = job.task(key)
+        if task is None or task.phase is not TaskPhase.ASSIGNED:
+            return False
+        run = (key, task.run)
+        incarnation = self._incarnations.get(task.worker)
+        if incarnation is None or run in leaving:
+            return False
+        # What a silent worker told last may be over: its lease, by a stop that
+        # was ordered, or all that ran there.
+        is_doubtful = incarnation.is_silent(now_s) or (
+            run in self._inherited and not _is_proven(incarnation)
+        )
+        return not is_doubtful and _lists_at_work(incarnation, run)
+
+
+def _is_proven(incarnation: Incarnation) -> bool:
+    """Whether a stop by an earlier leader would have been told by now."""
+    heard_for_s = incarnation.heard_s - incarnation.first_heard_s
+    return heard_for_s >= _STOP_LASTS_S
+
+
+def _lists_at_work(incarnation: Incarnation, run: Run) -> bool:
     return any(
-        row.task == key and row.percent >= _AT_WORK_PERCENT
+        (row.task, row.run) == run and row.percent >= _AT_WORK_PERCENT
         for row in incarnation.running
     )
--- a/src/wigeonreach/scheduling/_scheduler.py
+++ b/src/wigeonreach/scheduling/_scheduler.py
@@ -17,7 +17,7 @@
 from wigeonreach.observe import LogEvent
 from wigeonreach.scheduling._advice import TicketCache
 from wigeonreach.scheduling._maintenance import Maintenance
-from wigeonreach.scheduling._moving_out import movable_now
+from wigeonreach.scheduling._moving_out import MovingOut
 from wigeonreach.scheduling._notes import Note
 from wigeonreach.scheduling._orders import Tickets, not_begun, orders_for
 from wigeonreach.scheduling._pacing import Pacing
@@ -96,7 +96,8 @@
         self.progress = ProgressWatch()
         self.advice = TicketCache()
         self.notes: list[Note] = []
-        self.maintenance = Maintenance(store, self.workers)
+        self.moving_out = MovingOut(store, self.workers.incarnations)
+        self.maintenance = Maintenance(store, self.workers, self.moving_out)
         self.pools = PoolPlanner(store, self.workers, settings, now_s)
         self.stopping: set[Run] = set()
         self.ready = ReadySteps()
@@ -120,9 +121,15 @@
             return None
         known = self.workers.incarnations.get(report.worker)
         was_draining = known is not None and known.report.is_draining
+        is_repeated = (
+            known is not None and report.sequence == known.report.sequence
+        )
         incarnation = self.workers.hear(report, now_s)
         if incarnation is None:
             return None
+        if is_repeated:
+            # What it tells is taken in, but may not be recorded yet.
+            return Heard(incarnation, tuple(self._new_ends(incarnation)))
         self._rooms.forget(report.worker)
         if incarnation.returned_s == now_s:
             gone = 'heard again after its lease was over'
@@ -137,7 +144,7 @@
             self._note_end(ended, now_s)
         stalled = self._stop_stalled(incarnation, now_s)
         if report.is_draining:
-            self._move_out(incarnation)
+            self._move_out(incarnation, now_s)
         return Heard(incarnation, ends, stalled)
 
     def is_foreign(self, report: WorkerReport) -> bool:
@@ -196,6 +203,8 @@
 
     def plan(self, now_s: float, wall_ms: float) -> tuple[RunStarted, ...]:
         """Return what is to be started now."""
+        # What was decided before is recorded by now, or never will be.
+        self.workers.note_starting(())
         accepted = self.ready.refresh(self._store, now_s, wall_ms)
         for work in accepted:
             self.pools.note_accepted(work, now_s)
@@ -224,6 +233,7 @@
         for start in plan.starts:
             # Whether it will be recorded is not known yet.
             self._rooms.forget(start.worker)
+        self.workers.note_starting({start.worker for start in plan.starts})
         return tuple(plan.starts)
 
     def moves(
@@ -347,15 +357,11 @@
             self._distrust(worker, run[0].job_id, now_s)
         return tuple(stalled)
 
-    def _move_out(self, incarnation: Incarnation) -> None:
+    def _move_out(self, incarnation: Incarnation, now_s: float) -> None:
         """Let serving tasks leave a worker that leaves."""
-        runs = movable_now(
-            incarnation,
-            self.workers.incarnations,
-            self._store,
-            self.stopping,
+        self.stopping.update(
+            self.moving_out.movable_now(incarnation, self.stopping, now_s),
         )
-        self.stopping.update(runs)
 
     def _note_end(self, ended: RunEnded, now_s: float) -> None:
         run = (ended.task, ended.run)
--- a/src/wigeonreach/scheduling/_workers.py
+++ b/src/wigeonreach/scheduling/_workers.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import heapq
+from collections.abc import Collection
 
 from wigeonreach._room import Room
 from wigeonreach.jobs._model import MEBIBYTE, MILLICORES
@@ -48,6 +49,8 @@
         When an order for its VM was confirmed last.
     returned_s
         When it was heard again after its lease was over.
+    awaits_start
+        Whether a start on it was decided last, and may not be recorded yet.
     """
 
     report: WorkerReport
@@ -58,6 +61,7 @@
     leaves_at_s: float | None = None
     ordered_s: float = float('-inf')
     returned_s: float = float('-inf')
+    awaits_start: bool = False
 
     @property
     def running(self) -> tuple[RunningTask, ...]:
@@ -115,6 +119,7 @@
         self._by_vm: dict[str, dict[str, Incarnation]] = {}
         self._shared_vms: set[str] = set()
         self._leaving: set[str] = set()
+        self._starting: frozenset[str] = frozenset()
         # When a lease may be over, and whose.
         self._leases: list[tuple[float, str]] = []
 
@@ -125,6 +130,8 @@
         -------
         Incarnation or None
             The incarnation; None if the heartbeat is late, or of a dead one.
+            Its newest heartbeat once more changes nothing: whoever passed it on
+            lost the answer, for which the worker still waits.
         """
         if report.worker in self._gone_s:
             return self._hear_gone(report, now_s)
@@ -133,8 +140,10 @@
             known = Incarnation(report, now_s, now_s, room_of(report))
             self._add(known)
             return known
-        if report.sequence <= known.report.sequence:
+        if report.sequence < known.report.sequence:
             return None
+        if report.sequence == known.report.sequence:
+            return known
         if report.vm != known.report.vm:
             # The index goes by the VM that it names now.
             self._remove(report.worker)
@@ -154,6 +163,18 @@
             known.leaves_at_s = now_s + _LEAVE_S
             self._leaving.add(worker)
 
+    def note_starting(self, workers: Collection[str]) -> None:
+        """Take note on whom starts were decided that are not recorded yet.
+
+        Until they are, the replicated state shows nothing of them, and a VM
+        that looks empty would be ordered away under them.
+        """
+        for before in self._starting & self.incarnations.keys():
+            self.incarnations[before].awaits_start = False
+        self._starting = frozenset(workers)
+        for worker in self._starting:
+            self.incarnations[worker].awaits_start = True
+
     def note_ordered(self, worker: str, now_s: float) -> None:
         """Take note that an order for its VM was confirmed.
 
--- a/tests/scheduling/test_foreign.py
+++ b/tests/scheduling/test_foreign.py
@@ -6,13 +6,15 @@
 
 from __future__ import annotations
 
+import msgspec
 import testtools
 from testtools import matchers
 
 from tests.builders_jobs import FakeLead, job, serving_step, store_with, workers
-from wigeonreach.jobs import JobStore
+from wigeonreach.jobs import JobStore, RunEnd
 from wigeonreach.scheduling import Scheduler
 from wigeonreach.standins import StandInWorker
+from wigeonreach.wire._worker_messages import EndedRun
 
 
 class TestForeignHeartbeats(testtools.TestCase):
@@ -44,6 +46,21 @@
         self.assertThat(known.report.service, matchers.Equals('desk'))
         self.assertThat(known.heard_s, matchers.Equals(self.lead.now_s))
 
+    def test_copy_of_a_heartbeat_tells_nothing_new(self) -> None:
+        """Whatever it says beside its number, ends are taken from the first."""
+        worker = next(
+            known for known in self.lead.workers.values() if known.running
+        )
+        run = next(iter(worker.running))
+        sent = worker.report()
+        ended = EndedRun(7, *run, RunEnd.FAILED)
+        forged = msgspec.structs.replace(sent, ended=(ended,))
+        self.lead.take(sent)
+        heard = self.lead.scheduler.hear(forged, self.lead.now_s)
+        assert heard is not None
+        self.assertThat(heard.ends, matchers.Equals(()))
+        self.assertThat(heard.incarnation.report, matchers.Equals(sent))
+
     def test_worker_of_a_dropped_service_is_followed(self) -> None:
         """What runs on it is still to be ended and acknowledged."""
         worker = next(
--- /dev/null
+++ b/tests/scheduling/test_moving_out.py
@@ -0,0 +1,175 @@
+"""Test that no more of a serving step is away than it may miss.
+
+Pattern: hundreds of VMs are maintained and moved within half a minute while
+workers are cut off and leaders change.  What a leader knows of a task is then a
+heartbeat old, or told by its predecessor, and an order for a VM is on its way
+while starts are being recorded.
+"""
+
+from __future__ import annotations
+
+import testtools
+from testtools import matchers
+
+from tests.builders_jobs import (
+    OTHER_JOB,
+    QUEUE,
+    FakeLead,
+    job,
+    key,
+    serving_step,
+    step,
+    store_with,
+    workers,
+)
+from wigeonreach.jobs import AddJob, VmStep
+from wigeonreach.lab import commit
+from wigeonreach.scheduling._maintenance import MaintenanceStep
+from wigeonreach.scheduling._moving_out import is_empty
+
+# More than a silent worker may take, less than its lease.
+_SILENT_S = 1.5
+
+
+def _serving_lead(tasks: int = 3, spare: int = 5) -> FakeLead:
+    """Return a leader of a serving step at work, one task a worker."""
+    lead = FakeLead(
+        store_with(job(serving_step(tasks))),
+        workers(tasks + spare),
+    )
+    lead.round()
+    lead.round()
+    return lead
+
+
+def _busy_vms(lead: FakeLead) -> list[str]:
+    return [worker.vm for worker in lead.workers.values() if worker.running]
+
+
+def _next_term(lead: FakeLead) -> FakeLead:
+    """Return the leader after one, which has heard nobody yet."""
+    return FakeLead(
+        lead.store,
+        lead.workers.values(),
+        lead.term + 1,
+        lead.now_s,
+    )
+
+
+def _hear_all(lead: FakeLead) -> None:
+    for worker in lead.workers.values():
+        lead.hear(worker)
+
+
+class TestMovingOut(testtools.TestCase):
+    """Which serving runs may be stopped."""
+
+    def _wave_step(self, lead: FakeLead) -> MaintenanceStep:
+        return lead.scheduler.maintenance.step(
+            lead.scheduler.stopping,
+            lead.now_s,
+        )
+
+    def test_task_of_a_silent_worker_may_be_away(self) -> None:
+        """Its lease may be over although its heartbeat told otherwise."""
+        lead = _serving_lead()
+        busy = [name for name, told in lead.workers.items() if told.running]
+        silent = lead.workers.pop(busy[0])
+        lead.now_s += _SILENT_S
+        _hear_all(lead)
+        lead.start_wave([lead.workers[busy[1]].vm], limit=1, due_after_s=2)
+        self.assertThat(self._wave_step(lead).stops, matchers.HasLength(0))
+        lead.hear(silent)
+        self.assertThat(self._wave_step(lead).stops, matchers.HasLength(1))
+
+    def test_stop_by_an_earlier_leader_is_waited_for(self) -> None:
+        """The run is still listed while its worker ends it."""
+        lead = _serving_lead()
+        busy = _busy_vms(lead)
+        successor = _next_term(lead)
+        _hear_all(successor)
+        successor.start_wave(busy[:1], limit=1, due_after_s=2)
+        first = self._wave_step(successor)
+        self.assertThat(first.stops, matchers.HasLength(0))
+        successor.now_s += 0.6
+        _hear_all(successor)
+        self.assertThat(
+            self._wave_step(successor).stops,
+            matchers.HasLength(1),
+        )
+
+    def test_other_run_of_a_task_is_not_at_work(self) -> None:
+        """A worker lists one that it stops; the task's newest is not there."""
+        lead = _serving_lead()
+        first = next(
+            told
+            for told in lead.workers.values()
+            if (key(0), 1) in told.running
+        )
+        row = first.running.pop((key(0), 1))
+        first.advance_one((key(0), 9), row.percent)
+        lead.hear(first)
+        others = [vm for vm in _busy_vms(lead) if vm != first.vm]
+        lead.start_wave(others[:1], limit=1, due_after_s=2)
+        self.assertThat(self._wave_step(lead).stops, matchers.HasLength(0))
+
+
+class TestStartsOnTheirWay(testtools.TestCase):
+    """VMs that look empty while a start on them is being recorded."""
+
+    def _start_is_decided(self, lead: FakeLead) -> str:
+        """Decide a start, as a leader whose commit takes its time."""
+        commit(
+            lead.store,
+            AddJob(job(step(1), job_id=OTHER_JOB), QUEUE),
+        )
+        starts = lead.scheduler.plan(lead.now_s, lead.now_s * 1000)
+        self.assertThat(starts, matchers.HasLength(1))
+        return starts[0].worker
+
+    def test_vm_is_not_maintained_under_a_start(self) -> None:
+        """The order would end what begins there a moment later."""
+        lead = FakeLead(store_with(), workers(1))
+        _hear_all(lead)
+        self._start_is_decided(lead)
+        lead.start_wave(['vm0'], limit=1)
+        found = lead.scheduler.maintenance.step(set(), lead.now_s)
+        self.assertThat(found.orders, matchers.HasLength(0))
+
+    def test_vm_is_not_moved_under_a_start(self) -> None:
+        """A pool that wants it gets it only when nothing is to begin there."""
+        lead = FakeLead(store_with(), workers(1))
+        _hear_all(lead)
+        worker = self._start_is_decided(lead)
+        incarnation = lead.scheduler.workers.incarnations[worker]
+        self.assertThat(
+            is_empty(incarnation, lead.store),
+            matchers.Is(False),
+        )
+
+    def test_start_that_was_never_recorded_holds_nothing(self) -> None:
+        """With the next plan it is over, one way or the other."""
+        lead = FakeLead(store_with(), workers(1))
+        _hear_all(lead)
+        worker = self._start_is_decided(lead)
+        lead.cancel(OTHER_JOB)
+        lead.scheduler.plan(lead.now_s, 0)
+        incarnation = lead.scheduler.workers.incarnations[worker]
+        self.assertThat(is_empty(incarnation, lead.store), matchers.Is(True))
+
+    def test_nothing_starts_until_an_order_is_recorded(self) -> None:
+        """A VM is kept free from when it is found empty."""
+        lead = FakeLead(store_with(), workers(1))
+        _hear_all(lead)
+        lead.start_wave(['vm0'], limit=1)
+        maintenance = lead.scheduler.maintenance
+        found = maintenance.step(set(), lead.now_s)
+        self.assertThat(found.orders, matchers.HasLength(1))
+        commit(lead.store, AddJob(job(step(1)), QUEUE))
+        self.assertThat(
+            lead.scheduler.plan(lead.now_s, 0),
+            matchers.HasLength(0),
+        )
+        lead.record_vm('vm0', VmStep.ORDERED, 'w0')
+        maintenance.step(set(), lead.now_s)
+        self.assertThat(maintenance.cordoned, matchers.Equals({'vm0'}))
--- a/tests/scheduling/test_workers.py
+++ b/tests/scheduling/test_workers.py
@@ -56,6 +56,23 @@
         self.followed.hear(worker.report(), back_s + 1.2)
         self.assertThat(returned.may_take(back_s + 1.2), matchers.Is(True))
 
+    def test_repeated_heartbeat_is_no_older_one(self) -> None:
+        """Who passed it on lost the answer; the worker waits for one."""
+        worker = workers(1)[0]
+        report = worker.report()
+        first = self.followed.hear(report, 0)
+        again = self.followed.hear(report, _SOON_S)
+        assert first is not None
+        self.assertThat(again, matchers.Is(first))
+        # Its lease counts from when it was sent.
+        self.assertThat(first.heard_s, matchers.Equals(0))
+        worker.report()
+        self.followed.hear(worker.report(), _SOON_S)
+        self.assertThat(
+            self.followed.hear(report, _SOON_S),
+            matchers.Is(None),
+        )
+
     def test_old_heartbeat_brings_nobody_back(self) -> None:
         """One that was sent before those that were heard, and came later."""
         worker = workers(1)[0]
