Watch the space of disks, and show that full ones hold nothing up

The leader stays where it is when its disk refuses: what a quorum of the other disks has synced counts, so handing over would cost a change of leader and win nothing. Three tests with real processes in one loop hold that: the leader's disk full, a follower's that later has to lead, and two of three.

Found by the second: a core process that was stopped inside a living process kept the channels that replicas had opened to it, so after its restart their votes went to the one that had stopped, and no leader was elected. Processes that end close them anyhow. Before: it failed, also with no disk full. After: it passes, with all tests of core and agreement.

--- a/src/wigeonreach/agreement/__init__.py
+++ b/src/wigeonreach/agreement/__init__.py
@@ -2,6 +2,7 @@
 
 from wigeonreach.agreement._agreement import RaftAgreement
 from wigeonreach.agreement._disk import FolderDisk
+from wigeonreach.agreement._disk_space import DiskSpace, SpaceWatch
 from wigeonreach.agreement._opening import open_storage
 from wigeonreach.agreement._raft_types import RaftSettings
 from wigeonreach.agreement._settings import ReplicaSettings
@@ -10,10 +11,12 @@
 
 __all__ = (
     'Agreement',
+    'DiskSpace',
     'FolderDisk',
     'RaftAgreement',
     'RaftSettings',
     'ReplicaSettings',
+    'SpaceWatch',
     'StateMachine',
     'Storage',
     'open_storage',
--- a/src/wigeonreach/agreement/_disk.py
+++ b/src/wigeonreach/agreement/_disk.py
@@ -7,6 +7,7 @@
 import pathlib
 from typing import Protocol
 
+from wigeonreach.agreement._disk_space import DiskSpace
 from wigeonreach.codes import ResultCode
 from wigeonreach.exceptions import StateError
 
@@ -122,6 +123,16 @@
         """Make created, renamed and removed names last."""
         _sync_path(self._folder)
 
+    def space(self) -> DiskSpace:
+        """Return what is used, and what the disk has left."""
+        disk = os.statvfs(self._folder)
+        used_bytes = sum(
+            entry.stat().st_size
+            for entry in os.scandir(self._folder)
+            if entry.is_file()
+        )
+        return DiskSpace(used_bytes, disk.f_bavail * disk.f_frsize)
+
     def close(self) -> None:
         """Close all files and give the folder up."""
         for name in list(self._descriptors):
--- a/src/wigeonreach/core/_daemon.py
+++ b/src/wigeonreach/core/_daemon.py
@@ -7,7 +7,7 @@
 
 import mode
 
-from wigeonreach.agreement import FolderDisk
+from wigeonreach.agreement import FolderDisk, SpaceWatch
 from wigeonreach.codes import ExitCode
 from wigeonreach.core._advising import Advising, AdvisorApi
 from wigeonreach.core._call_handler import CallHandler
@@ -42,6 +42,7 @@
 )
 
 _FORGET_S = 5.0
+_SPACE_S = 1.0
 # A caller is told within the time that its shortest wait allows (1 s).
 _RELAY_TIMEOUT_S = 0.9
 # An election that nobody contests takes a few syncs and messages.
@@ -85,6 +86,7 @@
         self._metrics = metrics
         self._store = JobStore()
         self._disk = FolderDisk(settings.data_folder)
+        self._space = SpaceWatch()
         self._agreement = open_agreement(
             settings,
             self._store,
@@ -164,6 +166,24 @@
             except StateError as error:
                 self._log.warning(LogEvent.CALL_FAILED, reason=str(error))
 
+    @mode.Service.timer(_SPACE_S)
+    async def _watch_space(self) -> None:
+        try:
+            space = self._disk.space()
+        except OSError as error:
+            # Files come and go; it is looked at again soon.
+            self._log.warning(LogEvent.DISK_REFUSED, reason=str(error))
+            return
+        self._metrics.gauge('disk_used_bytes', space.used_bytes)
+        self._metrics.gauge('disk_free_bytes', space.free_bytes)
+        if self._space.note(space):
+            low, back = LogEvent.DISK_LOW, LogEvent.DISK_SPACE_BACK
+            self._log.warning(
+                low if space.is_low else back,
+                used_bytes=space.used_bytes,
+                free_bytes=space.free_bytes,
+            )
+
     @mode.Service.timer(0.2)
     async def _tend(self) -> None:
         if self._leading is None:
--- a/src/wigeonreach/core/_server.py
+++ b/src/wigeonreach/core/_server.py
@@ -55,6 +55,7 @@
         self._on_replica = on_replica
         self._on_call = on_call
         self._server: asyncio.Server | None = None
+        self._open: set[Channel] = set()
         self._told: set[Channel] = set()
         self._calls: set[asyncio.Task[None]] = set()
 
@@ -66,7 +67,8 @@
         """Stop listening and drop all channels."""
         if self._server is not None:
             self._server.close()
-        for channel in self._told:
+        # Those of replicas too, which would go on sending to who is gone.
+        for channel in self._open:
             channel.abort()
 
     def tell(self) -> None:
@@ -80,10 +82,12 @@
         self.tell()
 
     async def _on_channel(self, channel: Channel) -> None:
+        self._open.add(channel)
         try:
             while True:
                 await self._on_message(channel, await channel.receive())
         finally:
+            self._open.discard(channel)
             self._told.discard(channel)
 
     async def _on_message(self, channel: Channel, message: object) -> None:
--- a/src/wigeonreach/observe/_events.py
+++ b/src/wigeonreach/observe/_events.py
@@ -44,6 +44,8 @@
     VOTERS_CHANGED = 311
     LEADER_MISSING = 312
     FOLLOWER_HEARD = 313
+    DISK_LOW = 314
+    DISK_SPACE_BACK = 315
 
     # 400: managers.
     LEASE_HELD = 401
--- a/tests/builders_core.py
+++ b/tests/builders_core.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import errno
+import os
 import pathlib
 import socket
 import tempfile
 from collections.abc import Awaitable, Callable
+from unittest import mock
 
 from tests.builders_jobs import manifest
 from wigeonreach.core import Core, CoreSettings
@@ -113,6 +116,12 @@
         for name in list(self.cores):
             await self.stop(name)
 
+    def fill_disk(self, name: str) -> mock._patch[mock.Mock]:
+        """Return what makes one process's disk refuse writes."""
+        refusal = OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+        disk = self.cores[name]._disk  # noqa: SLF001 - it has no other face
+        return mock.patch.object(disk, 'append', side_effect=refusal)
+
     async def leader(self) -> str:
         """Wait for a leader and return its name."""
         while True:
