Tell every ten seconds how long a leader's cycles take, and count them

For the load of a leader with all workers of a large deployment: until now only its commits were measured. A line (504) and a histogram (cycle).

--- a/src/wigeonreach/core/_term.py
+++ b/src/wigeonreach/core/_term.py
@@ -9,6 +9,7 @@
 from wigeonreach.agreement import Agreement
 from wigeonreach.core._barrier import SharedBarrier
 from wigeonreach.core._clock import steady_s, wall_ms
+from wigeonreach.core._term_load import TermLoad
 from wigeonreach.core._term_log import TermLog
 from wigeonreach.exceptions import StateError
 from wigeonreach.jobs import (
@@ -89,6 +90,7 @@
         self._arrived: list[_Heartbeat] = []
         self._held: list[_Heartbeat] = []
         self._ended_s: dict[str, float] = {}
+        self._load = TermLoad(steady_s())
 
     @property
     def scheduler(self) -> Scheduler:
@@ -174,7 +176,20 @@
         arrived = self._arrived
         self._arrived = []
         self._held.extend(arrived)
-        now_s = steady_s()
+        began_s = steady_s()
+        await self._decide(arrived, began_s)
+        took_s = steady_s() - began_s
+        self._metrics.observe_s('cycle', took_s)
+        self._load.note(took_s, len(arrived))
+        figures = self._load.take_due(steady_s())
+        if figures is not None:
+            self._log.load(self.term, figures)
+
+    async def _decide(
+        self,
+        arrived: Sequence[_Heartbeat],
+        now_s: float,
+    ) -> None:
         ends = self._hear_all(arrived, now_s)
         lost = self.scheduler.lost(now_s)
         self._log.reassigned(lost)
--- a/src/wigeonreach/core/_term_log.py
+++ b/src/wigeonreach/core/_term_log.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable
 
+from wigeonreach.core._term_load import LoadFigures
 from wigeonreach.jobs import JobRecord, JobStore, RunEnd, RunEnded, RunStarted
 from wigeonreach.observe import LogEvent, Logger, Metrics
 from wigeonreach.scheduling import Heard
@@ -43,6 +44,18 @@
             version=self._store.manifest.version,
         )
 
+    def load(self, term: int, figures: LoadFigures) -> None:
+        """Tell how long the cycles of some seconds took."""
+        self._log.info(
+            LogEvent.TERM_LOAD,
+            term=term,
+            cycles=figures.cycles,
+            heartbeats=figures.heartbeats,
+            half_ms=figures.half_ms,
+            p99_ms=figures.p99_ms,
+            most_ms=figures.most_ms,
+        )
+
     def cycle_failed(self, term: int, reason: str, heartbeats: int) -> None:
         """Tell that a quorum did not confirm what a cycle decided."""
         self._log.warning(
--- a/src/wigeonreach/observe/_events.py
+++ b/src/wigeonreach/observe/_events.py
@@ -59,6 +59,7 @@
     TERM_BEGAN = 501
     TERM_ENDED = 502
     MANIFEST_ACCEPTED = 503
+    TERM_LOAD = 504
     JOB_ACCEPTED = 511
     JOB_REFUSED = 512
     JOB_ENDED = 513
