Take a stop of a serving task back until it is told, if others have gone meanwhile

Cause, by reading: a stop is decided when its worker is next heard or sooner, and told with the answer after that, up to a second later, or whenever a cut heals. Others of its step may be away by then. A silent worker is not told to empty at all now.

Before: test_stop_is_taken_back_until_it_is_told failed. After: it passes.

--- a/src/wigeonreach/scheduling/_moving_out.py
+++ b/src/wigeonreach/scheduling/_moving_out.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Container, Iterable, Mapping
+from collections.abc import Collection, Container, Iterable, Mapping
 
 from wigeonreach.jobs import (
     JobRecord,
@@ -52,6 +52,8 @@
         """Take over what earlier leaders started, and may have stopped."""
         self._store = store
         self._incarnations = incarnations
+        # Stops that were put into an answer, which may have arrived.
+        self._told: set[Run] = set()
         self._inherited: frozenset[Run] = frozenset(
             run
             for assigned in store.assigned.values()
@@ -79,6 +81,9 @@
         now_s
             Clock in seconds.
         """
+        if incarnation.is_silent(now_s):
+            # Until it is heard and told, others may have gone.
+            return []
         leaving = frozenset(stopping)
         steps: set[tuple[str, int, int]] = set()
         chosen: list[Run] = []
@@ -94,6 +99,60 @@
                 chosen.append(run)
         return chosen
 
+    def retracted(
+        self,
+        incarnation: Incarnation,
+        stopping: Collection[Run],
+        now_s: float,
+    ) -> list[Run]:
+        """Return the stops that a worker is not to be told any more.
+
+        They were right when they were decided; its answer is due only now, and
+        others of their steps have gone meanwhile.  What was told stays told.
+
+        Parameters
+        ----------
+        incarnation
+            The worker, whose answer is about to be sent.
+        stopping
+            What is being stopped.
+        now_s
+            Clock in seconds.
+        """
+        held = self._store.held_by(incarnation.report.worker)
+        found = [
+            run
+            for run in held.items()
+            if run in stopping
+            and run not in self._told
+            and not self._may_still_go(run, incarnation, stopping, now_s)
+        ]
+        self._told.update(
+            run for run in held.items() if run in stopping and run not in found
+        )
+        return found
+
+    def keep_only(self, held: Collection[Run]) -> None:
+        """Drop the runs that are over."""
+        self._told.intersection_update(held)
+
+    def _may_still_go(
+        self,
+        run: Run,
+        incarnation: Incarnation,
+        stopping: Collection[Run],
+        now_s: float,
+    ) -> bool:
+        key, _ = run
+        job = self._store.job_of(key)
+        spec = self._store.spec_of(key)
+        if job is None or spec is None or not spec.is_service:
+            return True
+        if not _lists_at_work(incarnation, run):
+            # It serves nobody yet.
+            return True
+        return self._may_go(key, job, spec, stopping, now_s)
+
     def _may_go(
         self,
         key: TaskKey,
--- a/src/wigeonreach/scheduling/_scheduler.py
+++ b/src/wigeonreach/scheduling/_scheduler.py
@@ -261,6 +261,10 @@
 
     def orders(self, incarnation: Incarnation, now_s: float) -> WorkerOrders:
         """Return what a worker is to be told."""
+        if self.stopping:
+            self.stopping.difference_update(
+                self.moving_out.retracted(incarnation, self.stopping, now_s),
+            )
         return orders_for(
             incarnation,
             self._store,
@@ -325,6 +329,7 @@
             for run in assigned.items()
         }
         self.stopping &= held
+        self.moving_out.keep_only(held)
 
     def _move_laggards(self, now_s: float) -> None:
         """Stop what slow workers would end later than others would."""
--- a/tests/scheduling/test_moving_out.py
+++ b/tests/scheduling/test_moving_out.py
@@ -22,7 +22,7 @@
     store_with,
     workers,
 )
-from wigeonreach.jobs import AddJob, VmStep
+from wigeonreach.jobs import AddJob, RunEnd, VmStep
 from wigeonreach.lab import commit
 from wigeonreach.scheduling._maintenance import MaintenanceStep
 from wigeonreach.scheduling._moving_out import is_empty
@@ -98,6 +98,39 @@
             matchers.HasLength(1),
         )
 
+    def test_stop_is_taken_back_until_it_is_told(self) -> None:
+        """Another task fails while the worker's answer is on its way."""
+        lead = _serving_lead()
+        first, second, _ = [
+            told for told in lead.workers.values() if told.running
+        ]
+        lead.start_wave([first.vm], limit=1, due_after_s=2)
+        found = self._wave_step(lead)
+        self.assertThat(found.stops, matchers.HasLength(1))
+        lead.scheduler.stopping.update(found.stops)
+        second.end(next(iter(second.running)), RunEnd.FAILED)
+        lead.hear(second)
+        lead.hear(first)
+        incarnation = lead.scheduler.workers.incarnations[first.name]
+        orders = lead.scheduler.orders(incarnation, lead.now_s)
+        self.assertThat(orders.stops, matchers.HasLength(0))
+        self.assertThat(lead.scheduler.stopping, matchers.Equals(set()))
+
+    def test_stop_that_was_told_stays_told(self) -> None:
+        """Its worker may have carried it out before the other task failed."""
+        lead = _serving_lead()
+        first, second, _ = [
+            told for told in lead.workers.values() if told.running
+        ]
+        lead.start_wave([first.vm], limit=1, due_after_s=2)
+        lead.scheduler.stopping.update(self._wave_step(lead).stops)
+        incarnation = lead.scheduler.workers.incarnations[first.name]
+        lead.scheduler.orders(incarnation, lead.now_s)
+        second.end(next(iter(second.running)), RunEnd.FAILED)
+        lead.hear(second)
+        orders = lead.scheduler.orders(incarnation, lead.now_s)
+        self.assertThat(orders.stops, matchers.HasLength(1))
+
     def test_other_run_of_a_task_is_not_at_work(self) -> None:
         """A worker lists one that it stops; the task's newest is not there."""
         lead = _serving_lead()
--- a/tests/scheduling/test_random_moving.py
+++ b/tests/scheduling/test_random_moving.py
@@ -53,6 +53,7 @@
 _MAINTENANCE_STEPS = 20
 # After this a worker sends its next heartbeat, answered or not.
 _GIVEN_UP_STEPS = 10
+_HOLD_STEPS = 8
 _WHOLE = 100
 
 
@@ -121,7 +122,8 @@
             spec = job(batch, job_id=f'{next(self.serial):016x}')
             commit(self.store, AddJob(spec, QUEUE))
         if self._happens(15):
-            vm.cut_until = self.now + self.rng.randint(3, 60)
+            for cut in self.rng.sample(self.vms, self.rng.randint(1, 4)):
+                cut.cut_until = self.now + self.rng.randint(3, 60)
         if self._happens(8):
             self._crash(vm, self.rng.randint(2, 60))
         if self._happens(8) and not vm.worker.is_draining:
@@ -257,7 +259,9 @@
         sent, _ = vm.orders
         known = self.lead.scheduler.workers.incarnations.get(vm.worker.name)
         is_lost = self.now < vm.cut_until or self._happens(30)
-        is_lost = is_lost or self.now < vm.down_until
+        # A heartbeat is held until there is something to order, or for a while.
+        is_held = sent > self.now - _HOLD_STEPS and self._happens(600)
+        is_lost = is_lost or is_held or self.now < vm.down_until
         sequence = known.report.sequence if known else 0
         if known is not None and sequence == vm.worker.sequence and not is_lost:
             vm.orders = None
