Bring a replica up to date that lost its vote while it stood still

Any deployment with more core processes than voters loses one for good by each freeze or cut of more than 2.5 s.

Now the leader takes whoever campaigns for a learner. The pair of replicas in the tests follows all writes of a step now, not the first.

--- a/src/wigeonreach/agreement/_raft_election.py
+++ b/src/wigeonreach/agreement/_raft_election.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from wigeonreach.agreement import _raft_leading as leading
+from wigeonreach.agreement import _raft_members as members
 from wigeonreach.agreement._raft_state import RaftState
 from wigeonreach.agreement._raft_types import Role, RoleEvent
 from wigeonreach.wire._raft_messages import LeadNow, VoteReply, VoteRequest
@@ -40,6 +41,7 @@
 def on_vote_request(state: RaftState, request: VoteRequest) -> None:
     """Give a vote to a candidate that has all that is stored here."""
     if request.is_trial:
+        members.note_campaign(state, request.sender)
         _answer_trial(state, request)
         return
     state.see_term(request.term)
--- a/src/wigeonreach/agreement/_raft_members.py
+++ b/src/wigeonreach/agreement/_raft_members.py
@@ -52,6 +52,17 @@
     found_if_all_blank(state)
 
 
+def note_campaign(state: RaftState, candidate: MemberId) -> None:
+    """Bring a replica up to date that lost its vote while it was silent.
+
+    It does not know that it has none, so it asks for votes instead of asking to
+    join, for ever: a frozen or cut off voter in whose place another one was put
+    would be lost for good.
+    """
+    if state.leading is not None and state.settings.voter_target:
+        _add_learner(state, state.leading, candidate)
+
+
 def found_if_all_blank(state: RaftState) -> None:
     """Make all replicas voters if none of them ever took part in anything.
 
--- a/tests/agreement/test_raft_catch_up.py
+++ b/tests/agreement/test_raft_catch_up.py
@@ -10,6 +10,7 @@
 
 from tests.builders_raft import stored_log
 from wigeonreach.agreement._raft import Raft
+from wigeonreach.agreement._raft_log import encode_voters
 from wigeonreach.agreement._raft_types import (
     DiskDone,
     HandOver,
@@ -20,7 +21,14 @@
     Role,
     Tick,
 )
-from wigeonreach.wire._raft_messages import AppendEntries, Join, MemberId
+from wigeonreach.agreement._storage import Stored
+from wigeonreach.wire._raft_messages import (
+    AppendEntries,
+    EntryKind,
+    Join,
+    LogEntry,
+    MemberId,
+)
 
 _SHARED = 760
 _CONFLICTING = 24
@@ -34,9 +42,15 @@
 class _Pair:
     """Two of three replicas, with a network that takes one step of time."""
 
-    def __init__(self, settings: RaftSettings = _SETTINGS) -> None:
+    def __init__(
+        self,
+        settings: RaftSettings = _SETTINGS,
+        lasting_voters: Sequence[str] = (),
+    ) -> None:
         behind = stored_log('a', ((2, _SHARED), (3, _CONFLICTING)))
         ahead = stored_log('b', ((2, _SHARED), (4, _MISSED)))
+        if lasting_voters:
+            _change_voters(ahead, lasting_voters)
         self.rafts = {
             name: Raft(
                 name,
@@ -75,9 +89,10 @@
         for batch in ((Tick(),), events):
             output = raft.step(batch, now_s)
             self.in_flight.extend(output.messages)
-            if output.writes:
-                done = raft.step((DiskDone(output.writes[-1].number),), now_s)
-                self.in_flight.extend(done.messages)
+            while output.writes:
+                done = DiskDone(output.writes[-1].number)
+                output = raft.step((done,), now_s)
+                self.in_flight.extend(output.messages)
         self.sent_entries = sum(
             len(outgoing.message.entries)
             for outgoing in self.in_flight
@@ -85,6 +100,19 @@
         )
 
 
+def _change_voters(stored: Stored, names: Sequence[str]) -> None:
+    """Let a log end with an entry that changes the voters."""
+    last_index = stored.log.last_index
+    voters = tuple(MemberId(name, 1) for name in names)
+    entry = LogEntry(
+        last_index + 1,
+        stored.log.last_term,
+        EntryKind.VOTERS,
+        encode_voters(voters),
+    )
+    stored.log.store((entry,))
+
+
 class TestCatchUp(testtools.TestCase):
     """A leader and a replica that led before, while it was cut off."""
 
@@ -149,3 +177,23 @@
         lead = pair.rafts['b'].state.leading
         assert lead is not None
         return any(member.name == 'd' for member in lead.progress)
+
+
+class TestReplacedVoter(testtools.TestCase):
+    """A voter in whose place another was put while it stood still."""
+
+    def test_it_is_brought_up_to_date(self) -> None:
+        """It asks for votes, as its log says that it has one."""
+        pair = _Pair(_OPEN, lasting_voters=('b',))
+        for number in range(_STEPS):
+            pair.step(number * _STEP_S)
+        leader = pair.rafts['b'].state
+        behind = pair.rafts['a'].state
+        self.assertThat(leader.role, matchers.Equals(Role.LEADER))
+        self.assertThat(behind.leader, matchers.Equals(leader.me))
+        self.assertThat(
+            behind.log.last_index,
+            matchers.Equals(leader.log.last_index),
+        )
+        # Its place is free, so it counts again.
+        self.assertThat(behind.is_voter, matchers.Is(True))
