Let a pool that gives several VMs at once keep those that it needs

Cause: what a pool has was counted once a round, so that VMs promised to another pool within it still counted as its own; it gave all idle ones and asked for some back.

Before: test_pool_gives_no_more_than_it_can_spare failed (five moves instead of three). After: it passes.

--- a/src/wigeonreach/scheduling/_pools.py
+++ b/src/wigeonreach/scheduling/_pools.py
@@ -258,7 +258,9 @@
             for vm, emptying in self._emptying.items()
             if emptying.to_pool == pool.name
         ]
-        return [*pool.vms, *self.vms.coming_to(pool.name), *promised]
+        # What was promised to others since they were counted is theirs.
+        staying = [vm for vm in pool.vms if vm not in self._emptying]
+        return [*staying, *self.vms.coming_to(pool.name), *promised]
 
     def _have(self, pool: PoolState) -> int:
         return len(self._vms_of(pool))
--- a/tests/scheduling/test_pools.py
+++ b/tests/scheduling/test_pools.py
@@ -6,24 +6,35 @@
 
 from __future__ import annotations
 
+import msgspec
 import testtools
 from testtools import matchers
 
 from tests.builders_jobs import (
+    OTHER_JOB,
+    QUEUE,
     SERVICE,
     FakeLead,
     job,
+    queue,
     serving_step,
     step,
     store_with,
     workers,
 )
-from wigeonreach.jobs import JobStore, Manifest, ServiceSpec, SetManifest
+from wigeonreach.jobs import (
+    AddJob,
+    JobStore,
+    Manifest,
+    ServiceSpec,
+    SetManifest,
+)
 from wigeonreach.lab import commit
 from wigeonreach.scheduling._pool_vms import Move
 from wigeonreach.scheduling._vms import VmPhase, VmRecord
 
 _STANDBY = 'standby'
+_OTHER = 'other'
 
 
 def _with_standby(store: JobStore) -> JobStore:
@@ -117,6 +128,26 @@
             matchers.Equals(['off1', 'off2', 'behind0']),
         )
 
+    def test_pool_gives_no_more_than_it_can_spare(self) -> None:
+        """Several VMs at once, too: it would ask for the rest of them back."""
+        whole_vm = step(8, cpu_millicores=16_000, estimate_ms=1000)
+        # It waits for a label, so that its pool needs three VMs and uses none.
+        waiting = msgspec.structs.replace(whole_vm, label='nowhere')
+        store = store_with()
+        services = (ServiceSpec(SERVICE), ServiceSpec(_OTHER))
+        queues = (queue(), queue(_OTHER, service=_OTHER))
+        commit(store, SetManifest(Manifest(2, queues, services)))
+        commit(store, AddJob(job(waiting), QUEUE))
+        peak = msgspec.structs.replace(whole_vm, count=64)
+        commit(store, AddJob(job(peak, job_id=OTHER_JOB), _OTHER))
+        lead = FakeLead(store, workers(6))
+        lead.round()
+        moves = lead.scheduler.moves(lead.now_s)
+        self.assertThat(
+            [move.to_pool for move in moves],
+            matchers.Equals([_OTHER, _OTHER, _OTHER]),
+        )
+
     def test_idle_vms_go_back(self) -> None:
         """Only the workers with serving tasks stay, once demand is known."""
         store = _with_standby(store_with(job(serving_step(2))))
