--- a/bench/bench_deciding.py
+++ b/bench/bench_deciding.py
@@ -140,7 +140,7 @@
         name = worker.stand_in.name
         incarnation = self.scheduler.workers.incarnations[name]
         with self._timed():
-            orders = self.scheduler.orders(incarnation, self.now_s)
+            orders = self.scheduler.answers.orders(incarnation, self.now_s)
         for start in worker.stand_in.obey(orders, percent=1):
             run = (start.task, start.run)
             worker.left[run] = self.rng.randint(2, 5)
--- a/src/wigeonreach/core/_term.py
+++ b/src/wigeonreach/core/_term.py
@@ -286,7 +286,7 @@
         incarnation = heartbeat.incarnation
         if incarnation is None:
             return WorkerOrders()
-        return self.scheduler.answer(incarnation, heartbeat.came_s, now_s)
+        return self.scheduler.answers.due(incarnation, heartbeat.came_s, now_s)
 
     async def forget_ended(self) -> None:
         """Forget jobs that ended so long ago that nobody may ask."""
--- a/src/wigeonreach/lab/_day.py
+++ b/src/wigeonreach/lab/_day.py
@@ -176,7 +176,7 @@
             if vm.asked_s is None or incarnation is None:
                 vm.asked_s = None
                 continue
-            orders = self._lead.scheduler.answer(
+            orders = self._lead.scheduler.answers.due(
                 incarnation,
                 vm.asked_s,
                 self._now_s,
--- /dev/null
+++ b/src/wigeonreach/scheduling/_answers.py
@@ -0,0 +1,95 @@
+"""Answer the heartbeats of workers: what each is told, and when."""
+
+from __future__ import annotations
+
+from wigeonreach.jobs import JobStore, Run
+from wigeonreach.scheduling._advice import TicketCache
+from wigeonreach.scheduling._moving_out import MovingOut
+from wigeonreach.scheduling._orders import Tickets, answer_due, orders_for
+from wigeonreach.scheduling._pacing import Pacing
+from wigeonreach.scheduling._workers import Incarnation
+from wigeonreach.wire._worker_messages import WorkerOrders
+
+
+class Answers:
+    """What the leader of one term tells workers.
+
+    Parameters
+    ----------
+    store
+        The replicated state; it is only read.
+    term
+        Of this leader.
+    pacing, advice, moving_out
+        What is known of paces, of tickets, and of serving tasks that leave.
+    stopping
+        Runs that are being stopped; what is taken back is removed from it.
+    """
+
+    def __init__(
+        self,
+        store: JobStore,
+        term: int,
+        pacing: Pacing,
+        advice: TicketCache,
+        moving_out: MovingOut,
+        stopping: set[Run],
+    ) -> None:
+        """Tell nobody anything yet."""
+        self._store = store
+        self._term = term
+        self._pacing = pacing
+        self._advice = advice
+        self._moving_out = moving_out
+        self._stopping = stopping
+
+    def orders(self, incarnation: Incarnation, now_s: float) -> WorkerOrders:
+        """Return what a worker is to be told."""
+        if self._stopping:
+            retracted = self._moving_out.retracted(
+                incarnation,
+                self._stopping,
+                now_s,
+            )
+            self._stopping.difference_update(retracted)
+        return orders_for(
+            incarnation,
+            self._store,
+            self._pacing,
+            self._stopping,
+            Tickets(self._advice, now_s),
+            self._term,
+        )
+
+    def due(
+        self,
+        incarnation: Incarnation,
+        came_s: float,
+        now_s: float,
+    ) -> WorkerOrders | None:
+        """Return the answer to a heartbeat, or None to hold it.
+
+        Parameters
+        ----------
+        incarnation
+            Whose newest heartbeat it is.
+        came_s, now_s
+            When it came, and the clock now.
+        """
+        due = answer_due(
+            self.orders(incarnation, now_s),
+            self._has_batch(incarnation),
+            incarnation.needs_lease,
+            now_s - came_s,
+        )
+        if due is not None:
+            incarnation.leased_s = came_s
+        return due
+
+    def _has_batch(self, incarnation: Incarnation) -> bool:
+        """Whether work that ends by itself is on a worker."""
+        keys = (
+            *self._store.held_by(incarnation.report.worker),
+            *(row.task for row in incarnation.running),
+        )
+        return any(not self._store.is_serving(key) for key in keys)
--- a/src/wigeonreach/scheduling/_scheduler.py
+++ b/src/wigeonreach/scheduling/_scheduler.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 from collections.abc import Collection
 
 from wigeonreach.jobs import (
@@ -16,15 +15,11 @@
 )
 from wigeonreach.observe import LogEvent
 from wigeonreach.scheduling._advice import TicketCache
+from wigeonreach.scheduling._answers import Answers
 from wigeonreach.scheduling._maintenance import Maintenance
 from wigeonreach.scheduling._moving_out import MovingOut
 from wigeonreach.scheduling._notes import Note
-from wigeonreach.scheduling._orders import (
-    Tickets,
-    answer_due,
-    not_begun,
-    orders_for,
-)
+from wigeonreach.scheduling._orders import not_begun
 from wigeonreach.scheduling._pacing import Pacing
 from wigeonreach.scheduling._placing import Plan
 from wigeonreach.scheduling._pool_vms import Move
@@ -37,8 +32,8 @@
 from wigeonreach.scheduling._room_left import WorkerRoom
 from wigeonreach.scheduling._second_runs import copied, laggards, lost_run
 from wigeonreach.scheduling._settings import SchedulingSettings
-from wigeonreach.scheduling._workers import Incarnation, Workers
-from wigeonreach.wire._worker_messages import WorkerOrders, WorkerReport
+from wigeonreach.scheduling._workers import Heard, Incarnation, Workers
+from wigeonreach.wire._worker_messages import WorkerReport
 
 _DEFAULTS = SchedulingSettings()
 # Busy workers send a heartbeat as often.
@@ -50,19 +45,6 @@
 _LISTEN_S = 1.5
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Heard:
-    """What a heartbeat brought.
-
-    ``ends`` have to be recorded before they are acknowledged.  ``stalled`` are
-    runs without progress, which are being stopped.
-    """
-
-    incarnation: Incarnation
-    ends: tuple[RunEnded, ...]
-    stalled: tuple[Run, ...] = ()
-
-
 class Scheduler:
     """What the leader of a term knows beside the replicated state.
 
@@ -81,6 +63,8 @@
 
     Attributes
     ----------
+    answers
+        What workers are told.
     notes
         Changes of belief that nobody logged yet.
     """
@@ -105,6 +89,14 @@
         self.maintenance = Maintenance(store, self.workers, self.moving_out)
         self.pools = PoolPlanner(store, self.workers, settings, now_s)
         self.stopping: set[Run] = set()
+        self.answers = Answers(
+            store,
+            term,
+            self.pacing,
+            self.advice,
+            self.moving_out,
+            self.stopping,
+        )
         self.ready = ReadySteps()
         self._rooms = RoomBook(store)
         # VMs that serving tasks without room fill, by service and label.
@@ -264,54 +256,6 @@
             now_s,
         )
 
-    def orders(self, incarnation: Incarnation, now_s: float) -> WorkerOrders:
-        """Return what a worker is to be told."""
-        if self.stopping:
-            self.stopping.difference_update(
-                self.moving_out.retracted(incarnation, self.stopping, now_s),
-            )
-        return orders_for(
-            incarnation,
-            self._store,
-            self.pacing,
-            self.stopping,
-            Tickets(self.advice, now_s),
-            self.term,
-        )
-
-    def answer(
-        self,
-        incarnation: Incarnation,
-        came_s: float,
-        now_s: float,
-    ) -> WorkerOrders | None:
-        """Return the answer to a heartbeat, or None to hold it.
-
-        Parameters
-        ----------
-        incarnation
-            Whose newest heartbeat it is.
-        came_s, now_s
-            When it came, and the clock now.
-        """
-        due = answer_due(
-            self.orders(incarnation, now_s),
-            self._has_batch(incarnation),
-            incarnation.needs_lease,
-            now_s - came_s,
-        )
-        if due is not None:
-            incarnation.leased_s = came_s
-        return due
-
-    def _has_batch(self, incarnation: Incarnation) -> bool:
-        """Whether work that ends by itself is on a worker."""
-        keys = (
-            *self._store.held_by(incarnation.report.worker),
-            *(row.task for row in incarnation.running),
-        )
-        return any(not self._store.is_serving(key) for key in keys)
-
     def _new_ends(self, incarnation: Incarnation) -> list[RunEnded]:
         listed = {(row.task, row.run) for row in incarnation.running}
         return [
--- a/src/wigeonreach/scheduling/_workers.py
+++ b/src/wigeonreach/scheduling/_workers.py
@@ -7,6 +7,7 @@
 from collections.abc import Collection
 
 from wigeonreach._room import Room
+from wigeonreach.jobs import Run, RunEnded
 from wigeonreach.jobs._model import MEBIBYTE, MILLICORES
 from wigeonreach.wire._worker_messages import RunningTask, WorkerReport
 
@@ -102,6 +103,19 @@
         return now_s - self.heard_s > _SILENT_S
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Heard:
+    """What a heartbeat brought.
+
+    ``ends`` have to be recorded before they are acknowledged.  ``stalled`` are
+    runs without progress, which are being stopped.
+    """
+
+    incarnation: Incarnation
+    ends: tuple[RunEnded, ...]
+    stalled: tuple[Run, ...] = ()
+
+
 def room_of(report: WorkerReport) -> Room:
     """Return the whole room of a worker."""
     return Room(
--- a/tests/builders_jobs.py
+++ b/tests/builders_jobs.py
@@ -134,7 +134,9 @@
         for told in self.workers.values():
             incarnation = self.scheduler.workers.incarnations.get(told.name)
             if incarnation is not None:
-                told.obey(self.scheduler.orders(incarnation, self.now_s))
+                told.obey(
+                    self.scheduler.answers.orders(incarnation, self.now_s)
+                )
 
     def hear(self, worker: StandInWorker) -> None:
         """Take one heartbeat in."""
--- a/tests/scheduling/test_advice.py
+++ b/tests/scheduling/test_advice.py
@@ -58,7 +58,7 @@
         lead.hear(lead.workers[worker])
         lead.plan()
         incarnation = lead.scheduler.workers.incarnations[worker]
-        orders = lead.scheduler.orders(incarnation, lead.now_s)
+        orders = lead.scheduler.answers.orders(incarnation, lead.now_s)
         self.assertThat(
             [(start.task, start.ticket) for start in orders.starts],
             matchers.Equals([(key(), 'paper')]),
--- a/tests/scheduling/test_cancelled.py
+++ b/tests/scheduling/test_cancelled.py
@@ -37,7 +37,7 @@
         self.lead.hear(self.worker)
         self.lead.plan()
         known = self.lead.scheduler.workers.incarnations['w0']
-        self.late = self.lead.scheduler.orders(known, self.lead.now_s)
+        self.late = self.lead.scheduler.answers.orders(known, self.lead.now_s)
         self.lead.cancel()
 
     def _stops(self, lead: FakeLead) -> tuple[StopOrder, ...]:
@@ -46,7 +46,7 @@
         lead.hear(self.worker)
         lead.plan()
         known = lead.scheduler.workers.incarnations['w0']
-        return lead.scheduler.orders(known, lead.now_s).stops
+        return lead.scheduler.answers.orders(known, lead.now_s).stops
 
     def test_run_that_starts_late_is_stopped(self) -> None:
         """The answer arrives after the cancel was acknowledged."""
--- a/tests/scheduling/test_moving_out.py
+++ b/tests/scheduling/test_moving_out.py
@@ -112,7 +112,7 @@
         lead.hear(second)
         lead.hear(first)
         incarnation = lead.scheduler.workers.incarnations[first.name]
-        orders = lead.scheduler.orders(incarnation, lead.now_s)
+        orders = lead.scheduler.answers.orders(incarnation, lead.now_s)
         self.assertThat(orders.stops, matchers.HasLength(0))
         self.assertThat(lead.scheduler.stopping, matchers.Equals(set()))
 
@@ -125,10 +125,10 @@
         lead.start_wave([first.vm], limit=1, due_after_s=2)
         lead.scheduler.stopping.update(self._wave_step(lead).stops)
         incarnation = lead.scheduler.workers.incarnations[first.name]
-        lead.scheduler.orders(incarnation, lead.now_s)
+        lead.scheduler.answers.orders(incarnation, lead.now_s)
         second.end(next(iter(second.running)), RunEnd.FAILED)
         lead.hear(second)
-        orders = lead.scheduler.orders(incarnation, lead.now_s)
+        orders = lead.scheduler.answers.orders(incarnation, lead.now_s)
         self.assertThat(orders.stops, matchers.HasLength(1))
 
     def test_other_run_of_a_task_is_not_at_work(self) -> None:
--- a/tests/scheduling/test_random_days.py
+++ b/tests/scheduling/test_random_days.py
@@ -186,7 +186,7 @@
             return
         if self._happens(10):
             return
-        orders = self.lead.scheduler.orders(incarnation, self.now_s)
+        orders = self.lead.scheduler.answers.orders(incarnation, self.now_s)
         for start in orders.starts:
             check_start(start, self.store)
             machine.work[start.task, start.run] = self.rng.randint(1, 30)
--- a/tests/scheduling/test_random_moving.py
+++ b/tests/scheduling/test_random_moving.py
@@ -265,7 +265,7 @@
         sequence = known.report.sequence if known else 0
         if known is not None and sequence == vm.worker.sequence and not is_lost:
             vm.orders = None
-            orders = self.lead.scheduler.orders(known, self.lead.now_s)
+            orders = self.lead.scheduler.answers.orders(known, self.lead.now_s)
             self._obey(vm, orders, sent)
         elif self.now - sent >= _GIVEN_UP_STEPS:
             vm.orders = None
--- a/tests/scheduling/test_workers.py
+++ b/tests/scheduling/test_workers.py
@@ -193,7 +193,7 @@
         came_s = self.lead.now_s
         heard = self.lead.take(self.worker.report())
         assert heard is not None
-        answer = self.lead.scheduler.answer(
+        answer = self.lead.scheduler.answers.due(
             heard.incarnation,
             came_s,
             came_s + waited_s,
