Refuse reads whose reply was lost, instead of leaving their outcome unknown

Callers can't try again after a 504.

Before: test_lost_reply_to_a_read_is_a_refusal failed. After: it passes.

--- a/src/wigeonreach/core/_daemon.py
+++ b/src/wigeonreach/core/_daemon.py
@@ -25,13 +25,7 @@
 from wigeonreach.observe import LogEvent, Logger, Metrics
 from wigeonreach.scheduling._vms import VmApi
 from wigeonreach.wire import parse_address
-from wigeonreach.wire._call_messages import (
-    AnyCall,
-    CoreNotice,
-    HearWorker,
-    ReadJob,
-    ReadManifest,
-)
+from wigeonreach.wire._call_messages import READS, AnyCall, CoreNotice
 from wigeonreach.wire._call_replies import (
     AnyReply,
     NotDone,
@@ -51,7 +45,6 @@
 # Workers and entries that have not heard of the next leader still call here.
 _PASS_ON_S = 1.0
 _NO_LEADER = NotDone(WhyNot.NO_LEADER)
-_READS = (HearWorker, ReadJob, ReadManifest)
 
 
 class Core(mode.Service):
@@ -200,7 +193,7 @@
             async with asyncio.timeout(timeout_s):
                 return await self._answer(call)
         except TimeoutError:
-            return Unknown()
+            return _outcome_lost(call)
 
     async def _answer(self, call: AnyCall) -> AnyReply:
         assert self._handler is not None
@@ -213,8 +206,7 @@
                 call=type(call).__name__,
                 reason=str(error),
             )
-            # A call that only reads had no effect that anybody could miss.
-            return _NO_LEADER if isinstance(call, _READS) else Unknown()
+            return _outcome_lost(call)
 
     def _with_next_core(self, reply: AnyReply) -> AnyReply:
         """Tell a worker who leads, which saves its next heartbeat a hop."""
@@ -316,3 +308,8 @@
         # After a failed sync nothing in memory may be told to anybody.
         self._log.warning(LogEvent.REPLICA_FAILED, reason=repr(error))
         os._exit(ExitCode.FAILED)  # noqa: SLF001, WPS437
+
+
+def _outcome_lost(call: AnyCall) -> AnyReply:
+    """Return what is told of a call that no quorum confirmed in time."""
+    return _NO_LEADER if isinstance(call, READS) else Unknown()
--- a/src/wigeonreach/gateway/_gateway.py
+++ b/src/wigeonreach/gateway/_gateway.py
@@ -11,7 +11,7 @@
 
 from wigeonreach.gateway._link import CoreLink
 from wigeonreach.observe import LogEvent, Logger, Metrics
-from wigeonreach.wire._call_messages import AnyCall
+from wigeonreach.wire._call_messages import READS, AnyCall
 from wigeonreach.wire._call_replies import (
     AnyReply,
     NotDone,
@@ -123,7 +123,8 @@
             link = await self._reach_leader(due_s)
             left_s = due_s - time.monotonic()
             if link is None or left_s <= 0:
-                return self._give_up(is_sent)
+                has_effect = not isinstance(call, READS)
+                return self._give_up(is_sent and has_effect)
             reply = await link.call(call, _HOPS, left_s)
             if reply is None:
                 is_sent = True
@@ -144,8 +145,8 @@
             await self._open_links()
             self._note_leader()
 
-    def _give_up(self, is_sent: bool) -> AnyReply:
-        if is_sent:
+    def _give_up(self, may_have_run: bool) -> AnyReply:
+        if may_have_run:
             self._metrics.count('calls_failed', 'outcome-unknown')
             return Unknown()
         self._metrics.count('calls_failed', 'no-leader')
--- a/src/wigeonreach/wire/_call_messages.py
+++ b/src/wigeonreach/wire/_call_messages.py
@@ -91,6 +91,11 @@
 )
 
 
+# Calls without an effect that anybody could miss: one whose reply is lost may
+# truly be said not to have run.
+READS = (HearWorker, ReadJob, ReadManifest, ReadWave)
+
+
 class CallRequest(WireMessage, frozen=True):
     """A call on a channel to a core process.
 
