Order VMs of a wave that nobody lists, so that the platform tells they are gone

That a VM is gone is told only in answer to an order.

Before: test_vm_that_is_gone_is_asked_for failed. After: it passes. The other side is held too: who may still be heard, or is missing in the list while leases of the last term may go on, is not ordered.

--- a/src/wigeonreach/scheduling/_maintenance.py
+++ b/src/wigeonreach/scheduling/_maintenance.py
@@ -178,7 +178,7 @@
     def _choose(self, now_s: float) -> None:
         """Begin to empty idle VMs as allowed, others as they have to be."""
         for wave in self._store.waves.values():
-            for vm in self._candidates(wave):
+            for vm in self._candidates(wave, now_s):
                 if not self._has_turn(wave, vm, now_s):
                     break
                 if self._may_empty(vm):
@@ -201,7 +201,7 @@
             return wave.limit
         return math.ceil(wave.left * _VM_TAKES_S / left_s)
 
-    def _candidates(self, wave: WaveRecord) -> list[str]:
+    def _candidates(self, wave: WaveRecord, now_s: float) -> list[str]:
         """Return the VMs that wait, those with the least on them in front."""
         in_hand = self.cordoned
         waiting = [
@@ -209,17 +209,22 @@
             for vm, progress in wave.vms.items()
             if progress.step is VmStep.WAITING
             and vm not in in_hand
-            and self._is_known(vm)
+            and self._may_be_ordered(vm, now_s)
         ]
         waiting.sort(key=lambda vm: (self._load(vm), vm))
         return waiting
 
-    def _is_known(self, vm: str) -> bool:
+    def _may_be_ordered(self, vm: str, now_s: float) -> bool:
         incarnation = self._workers.of_vm(vm)
         if incarnation is not None:
             return not incarnation.report.is_draining
         record = self._vms.get(vm)
-        return record is not None and record.phase is VmPhase.UP
+        if record is not None:
+            return record.phase is VmPhase.UP
+        # Who is neither heard nor listed may be gone for good, which only the
+        # platform's answer to an order tells; a wave would wait for it for ever.
+        is_listed = self._listed_s > float('-inf')
+        return is_listed and self._workers.knows_all(now_s)
 
     def _is_up(self, vm: str) -> bool:
         record = self._vms.get(vm)
--- a/src/wigeonreach/scheduling/_workers.py
+++ b/src/wigeonreach/scheduling/_workers.py
@@ -235,8 +235,11 @@
         """Whether nothing runs any more on a worker that isn't followed."""
         if worker in self.incarnations:
             return False
-        is_gone = worker in self._gone_s
-        return is_gone or now_s >= self._began_s + LEASE_OVER_S
+        return worker in self._gone_s or self.knows_all(now_s)
+
+    def knows_all(self, now_s: float) -> bool:
+        """Whether nothing runs on any worker that was not heard in this term."""
+        return now_s >= self._began_s + LEASE_OVER_S
 
     def processors(self, now_s: float) -> dict[str, float]:
         """Return the processors of each service that may take something."""
--- a/tests/scheduling/test_maintenance.py
+++ b/tests/scheduling/test_maintenance.py
@@ -16,6 +16,7 @@
 from wigeonreach.jobs import StartWave, VmStep
 from wigeonreach.lab import commit
 from wigeonreach.scheduling._vms import VmPhase, VmRecord
+from wigeonreach.scheduling._workers import LEASE_OVER_S
 from wigeonreach.standins import StandInWorker
 
 
@@ -128,6 +129,29 @@
             matchers.Equals([(1, 'vm0')]),
         )
 
+    def test_vm_that_is_gone_is_asked_for(self) -> None:
+        """The platform lists it no more, and says so when it is ordered."""
+        lead = FakeLead(store_with(), workers(1))
+        maintenance = lead.scheduler.maintenance
+        lead.start_wave(('gone1',), limit=1)
+        lead.now_s = LEASE_OVER_S + 1
+        found = maintenance.step(set(), lead.now_s)
+        self.assertThat(found.orders, matchers.HasLength(0))
+        maintenance.note_vms((_record('off1', VmPhase.UP),), lead.now_s)
+        found = maintenance.step(set(), lead.now_s)
+        self.assertThat(found.orders, matchers.Equals([(1, 'gone1', '')]))
+        lead.record_vm('gone1', VmStep.GONE)
+        self.assertThat(lead.store.waves[1].is_done, matchers.Is(True))
+
+    def test_vm_that_may_still_be_heard_is_waited_for(self) -> None:
+        """A list may lack an entry, and a new leader has not heard all."""
+        lead = FakeLead(store_with(), workers(1))
+        maintenance = lead.scheduler.maintenance
+        lead.start_wave(('vm0',), limit=1)
+        maintenance.note_vms((_record('off1', VmPhase.UP),), 0.5)
+        found = maintenance.step(set(), LEASE_OVER_S - 0.5)
+        self.assertThat(found.orders, matchers.HasLength(0))
+
     def test_vm_that_is_down_is_not_asked_again(self) -> None:
         """A refused order waits until the list shows the VM up."""
         lead = FakeLead(store_with(), workers(1))
