Look again at a stop that was told and not carried out

A worker that lists a run 1.5 s after its answer did not get it; whether the step can spare the task is asked anew then. Before: the new part of test_stop_that_was_told_stays_told failed. After: it passes.

--- a/src/wigeonreach/scheduling/_moving_out.py
+++ b/src/wigeonreach/scheduling/_moving_out.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Container, Iterable, Mapping
+from collections.abc import Collection, Container, Iterable, Mapping, Set
 
 from wigeonreach.jobs import (
     JobRecord,
@@ -25,6 +25,8 @@
 # A stop takes up to 0.4 s, in which the run is still listed; an earlier leader
 # may have ordered it with the answer before the first heartbeat heard here.
 _STOP_LASTS_S = 0.5
+# An answer that arrives does so within 1 s of its heartbeat.
+_TOLD_FOR_S = 1.0 + _STOP_LASTS_S
 
 
 def is_empty(incarnation: Incarnation, store: JobStore) -> bool:
@@ -52,8 +54,8 @@
         """Take over what earlier leaders started, and may have stopped."""
         self._store = store
         self._incarnations = incarnations
-        # Stops that were put into an answer, which may have arrived.
-        self._told: set[Run] = set()
+        # Stops that were put into an answer, which may have arrived, and when.
+        self._told_s: dict[Run, float] = {}
         self._inherited: frozenset[Run] = frozenset(
             run
             for assigned in store.assigned.values()
@@ -120,21 +122,28 @@
             Clock in seconds.
         """
         held = self._store.held_by(incarnation.report.worker)
-        found = [
-            run
-            for run in held.items()
-            if run in stopping
-            and run not in self._told
-            and not self._may_still_go(run, incarnation, stopping, now_s)
-        ]
-        self._told.update(
-            run for run in held.items() if run in stopping and run not in found
-        )
+        found: list[Run] = []
+        for run in held.items():
+            if run not in stopping or self._was_told(run, incarnation):
+                continue
+            if self._may_still_go(run, incarnation, stopping, now_s):
+                self._told_s[run] = now_s
+            else:
+                found.append(run)
         return found
 
-    def keep_only(self, held: Collection[Run]) -> None:
+    def keep_only(self, held: Set[Run]) -> None:
         """Drop the runs that are over."""
-        self._told.intersection_update(held)
+        for run in self._told_s.keys() - held:
+            self._told_s.pop(run)
+
+    def _was_told(self, run: Run, incarnation: Incarnation) -> bool:
+        """Whether a worker may have carried a stop out.
+
+        One that lists the run long after was not reached by the answer.
+        """
+        told_s = self._told_s.get(run, float('-inf'))
+        return incarnation.heard_s - told_s < _TOLD_FOR_S
 
     def _may_still_go(
         self,
--- a/tests/scheduling/test_moving_out.py
+++ b/tests/scheduling/test_moving_out.py
@@ -130,6 +130,11 @@
         lead.hear(second)
         orders = lead.scheduler.answers.orders(incarnation, lead.now_s)
         self.assertThat(orders.stops, matchers.HasLength(1))
+        # Its answer was lost, as it still works: then it may stay.
+        lead.now_s += 1.6
+        _hear_all(lead)
+        orders = lead.scheduler.answers.orders(incarnation, lead.now_s)
+        self.assertThat(orders.stops, matchers.HasLength(0))
 
     def test_other_run_of_a_task_is_not_at_work(self) -> None:
         """A worker lists one that it stops; the task's newest is not there."""
