Let VMs of a wave that may not be ordered yet keep no place in it

Since a VM stays chosen until its order is recorded, those that an earlier leader had ordered lately would have taken the places of a wave for up to 6.5 s, with nothing done. Before: test_vm_that_may_not_be_ordered_yet_keeps_no_place can't pass (no such rule). After: it passes, with all tests of scheduling and core.

--- a/src/wigeonreach/core/_vm_actions.py
+++ b/src/wigeonreach/core/_vm_actions.py
@@ -107,7 +107,11 @@
         scheduler = self._term.scheduler
         if not scheduler.maintenance.is_active:
             return
-        step = scheduler.maintenance.step(scheduler.stopping, steady_s())
+        step = scheduler.maintenance.step(
+            scheduler.stopping,
+            steady_s(),
+            self._orders.held(),
+        )
         if step.stops:
             scheduler.stopping.update(step.stops)
             self._term.wake.set()
--- a/src/wigeonreach/scheduling/_maintenance.py
+++ b/src/wigeonreach/scheduling/_maintenance.py
@@ -124,9 +124,24 @@
         """Take note that the platform carried an order out."""
         self._confirmed_s[wave, vm] = now_s
 
-    def step(self, stopping: Collection[Run], now_s: float) -> MaintenanceStep:
-        """Return what is to be done now."""
-        self._choose(now_s)
+    def step(
+        self,
+        stopping: Collection[Run],
+        now_s: float,
+        held: Collection[str] = (),
+    ) -> MaintenanceStep:
+        """Return what is to be done now.
+
+        Parameters
+        ----------
+        stopping
+            What is being stopped already.
+        now_s
+            Clock in seconds.
+        held
+            VMs that may not be ordered yet; others of their wave go first.
+        """
+        self._choose(held, now_s)
         found = MaintenanceStep()
         for wave in self._store.waves.values():
             for vm, progress in wave.vms.items():
@@ -175,10 +190,10 @@
         if now_s - since_s > _WAIT_FOR_BATCH_S:
             found.stops.extend(self._batch_runs(incarnation))
 
-    def _choose(self, now_s: float) -> None:
+    def _choose(self, held: Collection[str], now_s: float) -> None:
         """Begin to empty idle VMs as allowed, others as they have to be."""
         for wave in self._store.waves.values():
-            for vm in self._candidates(wave, now_s):
+            for vm in self._candidates(wave, held, now_s):
                 if not self._has_turn(wave, vm, now_s):
                     break
                 if self._may_empty(vm):
@@ -201,9 +216,14 @@
             return wave.limit
         return math.ceil(wave.left * _VM_TAKES_S / left_s)
 
-    def _candidates(self, wave: WaveRecord, now_s: float) -> list[str]:
+    def _candidates(
+        self,
+        wave: WaveRecord,
+        held: Collection[str],
+        now_s: float,
+    ) -> list[str]:
         """Return the VMs that wait, those with the least on them in front."""
-        in_hand = self.cordoned
+        in_hand = self.cordoned.union(held)
         waiting = [
             vm
             for vm, progress in wave.vms.items()
--- a/tests/scheduling/test_maintenance.py
+++ b/tests/scheduling/test_maintenance.py
@@ -129,6 +129,19 @@
             matchers.Equals([(1, 'vm0')]),
         )
 
+    def test_vm_that_may_not_be_ordered_yet_keeps_no_place(self) -> None:
+        """A new leader maintains others while it waits for those."""
+        lead = FakeLead(store_with(), workers(3))
+        lead.round()
+        lead.start_wave(('vm0', 'vm1', 'vm2'), limit=1)
+        maintenance = lead.scheduler.maintenance
+        found = maintenance.step(set(), lead.now_s, held={'vm0', 'vm1'})
+        self.assertThat(
+            [vm for _, vm, _ in found.orders],
+            matchers.Equals(['vm2']),
+        )
+        self.assertThat(maintenance.cordoned, matchers.Equals({'vm2'}))
+
     def test_vm_that_is_gone_is_asked_for(self) -> None:
         """The platform lists it no more, and says so when it is ordered."""
         lead = FakeLead(store_with(), workers(1))
