Give a read up that took too long at the leader, instead of passing it on

Cause, found on the last read: since reads whose outcome is lost are refused, one that timed out at the leader looked as if it lacked one, and was passed on to other core processes for as long again, after its caller had gone.

--- a/src/wigeonreach/core/_daemon.py
+++ b/src/wigeonreach/core/_daemon.py
@@ -193,7 +193,8 @@
             async with asyncio.timeout(timeout_s):
                 return await self._answer(call)
         except TimeoutError:
-            return _outcome_lost(call)
+            # Whoever asked has gone: not to be passed on as lacking a leader.
+            return Unknown()
 
     async def _answer(self, call: AnyCall) -> AnyReply:
         assert self._handler is not None
@@ -206,7 +207,8 @@
                 call=type(call).__name__,
                 reason=str(error),
             )
-            return _outcome_lost(call)
+            # A call that only reads had no effect that anybody could miss.
+            return _NO_LEADER if isinstance(call, READS) else Unknown()
 
     def _with_next_core(self, reply: AnyReply) -> AnyReply:
         """Tell a worker who leads, which saves its next heartbeat a hop."""
@@ -308,8 +310,3 @@
         # After a failed sync nothing in memory may be told to anybody.
         self._log.warning(LogEvent.REPLICA_FAILED, reason=repr(error))
         os._exit(ExitCode.FAILED)  # noqa: SLF001, WPS437
-
-
-def _outcome_lost(call: AnyCall) -> AnyReply:
-    """Return what is told of a call that no quorum confirmed in time."""
-    return _NO_LEADER if isinstance(call, READS) else Unknown()
