--- a/tests/core/test_daemon.py
+++ b/tests/core/test_daemon.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
+from unittest import mock
+
 import testtools
 from testtools import matchers
 
@@ -10,6 +13,7 @@
 from wigeonreach.jobs import JobPhase, RunEnd
 from wigeonreach.standins import StandInWorker
 from wigeonreach.wire._call_messages import (
+    AnyCall,
     CancelJobCall,
     HearWorker,
     PutManifest,
@@ -19,6 +23,7 @@
     SubmitJob,
 )
 from wigeonreach.wire._call_replies import (
+    AnyReply,
     Done,
     Invalid,
     JobState,
@@ -26,6 +31,7 @@
     NoSuchJob,
     NotFound,
     Orders,
+    Unknown,
     WaitingJobs,
 )
 
@@ -174,3 +180,24 @@
             self.assertThat(ordered, matchers.Equals(['vm']))
 
         run_cluster(body)
+
+    def test_read_that_takes_too_long_is_given_up(self) -> None:
+        """It is not passed on to others for as long again."""
+
+        async def body(cluster: CoreCluster) -> None:
+            core = cluster.cores[await cluster.leader()]
+
+            async def never(call: AnyCall) -> AnyReply:
+                await asyncio.Event().wait()
+                raise AssertionError(call)
+
+            gateway = core._gateway
+            with (
+                mock.patch.object(core, '_answer', never),
+                mock.patch.object(gateway, 'call') as passed_on,
+            ):
+                reply = await core.call(ReadManifest(), 0.05)
+            self.assertThat(reply, matchers.Equals(Unknown()))
+            self.assertThat(passed_on.call_count, matchers.Equals(0))
+
+        run_cluster(body)
