--- /dev/null
+++ b/tests/builders_crashes.py
@@ -0,0 +1,138 @@
+"""Build fleets whose workers go down under what they run."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+from collections.abc import Callable, Iterable
+
+from tests.builders_jobs import FakeLead
+from wigeonreach.jobs import JobStore, Run, RunEnd, TaskKey
+from wigeonreach.standins import StandInWorker
+
+# As long as workers were seen to be away after such a crash.
+BACK_AFTER_S = 3.2
+_ROUND_S = 0.1
+
+
+@dataclasses.dataclass(slots=True)
+class _Down:
+    """A worker that is away, and when its VM has another."""
+
+    worker: StandInWorker
+    back_s: float
+
+
+class CrashingFleet:
+    """Stand-in workers that crash with the tasks that are given to them.
+
+    Parameters
+    ----------
+    store
+        The replicated state.
+    workers
+        Who is there at the beginning.
+    crashes
+        Tells of a task whether it brings each worker down that starts it.
+    work_s
+        How long each other task that ends takes.
+    back_after_s
+        How long a worker is away.
+
+    Attributes
+    ----------
+    lead
+        Who decides.
+    starts
+        On which workers each task was started.
+    crashed
+        Under which workers that crashed each task was.
+    """
+
+    def __init__(
+        self,
+        store: JobStore,
+        workers: Iterable[StandInWorker],
+        crashes: Callable[[TaskKey], bool],
+        work_s: float = 0.5,
+        back_after_s: float = BACK_AFTER_S,
+    ) -> None:
+        """Begin with all workers up."""
+        self.lead = FakeLead(store, workers)
+        self.starts: dict[TaskKey, list[str]] = collections.defaultdict(list)
+        self.crashed: dict[TaskKey, list[str]] = collections.defaultdict(list)
+        self._store = store
+        self._crashes = crashes
+        self._work_s = work_s
+        self._back_after_s = back_after_s
+        self._down: list[_Down] = []
+        self._lives = collections.Counter[str]()
+        self._begun: dict[tuple[Run, str], float] = {}
+
+    @property
+    def up(self) -> list[StandInWorker]:
+        """Return the workers that are there."""
+        return list(self.lead.workers.values())
+
+    def run(self, for_s: float) -> None:
+        """Let time pass."""
+        until_s = self.lead.now_s + for_s
+        while self.lead.now_s < until_s:
+            self.round()
+
+    def round(self) -> None:
+        """Let a tenth of a second pass."""
+        self._bring_back()
+        self.lead.round(_ROUND_S)
+        for worker in self.up:
+            self._work(worker)
+
+    def take_down(
+        self,
+        workers: Iterable[StandInWorker],
+        back_after_s: float | None = None,
+    ) -> None:
+        """Let workers crash for a cause of their own."""
+        for worker in list(workers):
+            self.lead.workers.pop(worker.name)
+            after_s = back_after_s or self._back_after_s
+            self._down.append(_Down(worker, self.lead.now_s + after_s))
+            for key, _ in worker.running:
+                self.crashed[key].append(worker.name)
+
+    def change_leader(self) -> None:
+        """Let another process lead, which has heard nobody."""
+        term = self.lead.term + 1
+        self.lead = FakeLead(self._store, self.up, term, self.lead.now_s)
+
+    def _bring_back(self) -> None:
+        now_s = self.lead.now_s
+        due = [down for down in self._down if down.back_s <= now_s]
+        for down in due:
+            self._down.remove(down)
+            vm = down.worker.vm
+            self._lives[vm] += 1
+            successor = dataclasses.replace(
+                down.worker,
+                name=f'{vm}-life{self._lives[vm]}',
+                sequence=0,
+                fence=0,
+                running={},
+                ended=[],
+            )
+            self.lead.workers[successor.name] = successor
+
+    def _work(self, worker: StandInWorker) -> None:
+        now_s = self.lead.now_s
+        for run in list(worker.running):
+            name = (run, worker.name)
+            if name not in self._begun:
+                self._begun[name] = now_s
+                self.starts[run[0]].append(worker.name)
+        if any(self._crashes(key) for key, _ in worker.running):
+            self.take_down((worker,))
+            return
+        for ending in list(worker.running):
+            is_over = now_s - self._begun[ending, worker.name] >= self._work_s
+            if is_over and not self._store.is_serving(ending[0]):
+                worker.end(ending, RunEnd.DONE)
