--- a/src/wigeonreach/core/_term.py
+++ b/src/wigeonreach/core/_term.py
@@ -18,6 +18,7 @@
     ForgetJobs,
     JobStore,
     RecordRuns,
+    RunCrashed,
     RunEnded,
     RunStarted,
     Verdict,
@@ -191,10 +192,11 @@
     ) -> None:
         ends = self._hear_all(arrived, now_s)
         lost = self.scheduler.lost(now_s)
+        crashes = self.scheduler.crashed(now_s)
         self._log.reassigned(lost)
         self._log.notes(self.scheduler.notes)
         self.scheduler.notes.clear()
-        await self._record_ends((*ends, *lost))
+        await self._record_ends((*ends, *lost), crashes)
         for heartbeat in arrived:
             _note_ends(heartbeat)
         starts = self.scheduler.plan(steady_s(), wall_ms())
@@ -233,17 +235,27 @@
         else:
             self._log.late(report)
 
-    async def _record_ends(self, ends: tuple[RunEnded, ...]) -> None:
-        if not ends:
+    async def _record_ends(
+        self,
+        ends: tuple[RunEnded, ...],
+        crashes: tuple[RunCrashed, ...],
+    ) -> None:
+        if not ends and not crashes:
             return
+        tasks = [ended.task for ended in ends]
+        tasks.extend(crashed.task for crashed in crashes)
         before = {
-            ended.task.job_id: self._store.jobs[ended.task.job_id].phase
-            for ended in ends
-            if ended.task.job_id in self._store.jobs
+            task.job_id: self._store.jobs[task.job_id].phase
+            for task in tasks
+            if task.job_id in self._store.jobs
         }
-        await self._record(RecordRuns(self.term, ends=ends))
+        record = RecordRuns(self.term, ends=ends, crashes=crashes)
+        await self._record(record)
         for ended in ends:
             self._log.run_ended(ended)
+        for crashed in crashes:
+            self._log.run_crashed(crashed)
+        self.scheduler.crashes.note_recorded(crashes)
         for job_id, phase in before.items():
             job = self._store.jobs.get(job_id)
             if job is not None and job.phase is not phase:
--- a/src/wigeonreach/core/_term_log.py
+++ b/src/wigeonreach/core/_term_log.py
@@ -5,7 +5,15 @@
 from collections.abc import Iterable
 
 from wigeonreach.core._term_load import LoadFigures
-from wigeonreach.jobs import JobRecord, JobStore, RunEnd, RunEnded, RunStarted
+from wigeonreach.jobs import (
+    JobRecord,
+    JobStore,
+    RunCrashed,
+    RunEnd,
+    RunEnded,
+    RunStarted,
+    TaskKey,
+)
 from wigeonreach.observe import LogEvent, Logger, Metrics
 from wigeonreach.scheduling import Heard
 from wigeonreach.scheduling._notes import Note
@@ -143,6 +151,18 @@
             is_saved=bool(ended.checkpoint),
         )
 
+    def run_crashed(self, crashed: RunCrashed) -> None:
+        """Count a run whose worker crashed, and tell what that proves."""
+        evidence = crashed.evidence.name.lower()
+        self._metrics.count('runs_crashed', evidence)
+        task = self._store.task_of(crashed.task)
+        self._log.info(
+            LogEvent.RUN_CRASHED,
+            run=f'{_task_name(crashed.task)}/{crashed.run}',
+            evidence=evidence,
+            crashes=len(task.crashed_runs) if task else 0,
+        )
+
     def job_ended(self, job: JobRecord, took_s: float) -> None:
         """Tell how a job ended, and by when it should have."""
         self._metrics.observe_s('accepted_to_end', took_s)
@@ -166,6 +186,8 @@
 
 def _run_name(run: RunStarted | RunEnded) -> str:
     """Return TASK/RUN@WORKER."""
-    key = run.task
-    task = f'{key.job_id}.{key.occurrence}.{key.step}.{key.index}'
-    return f'{task}/{run.run}@{run.worker}'
+    return f'{_task_name(run.task)}/{run.run}@{run.worker}'
+
+
+def _task_name(key: TaskKey) -> str:
+    return f'{key.job_id}.{key.occurrence}.{key.step}.{key.index}'
--- a/src/wigeonreach/core/_vm_actions.py
+++ b/src/wigeonreach/core/_vm_actions.py
@@ -119,6 +119,7 @@
             await self._record_safely(wave, vm, VmStep.DONE)
         for wave, vm, worker in step.orders:
             if self._orders.is_free(vm):
+                scheduler.crashes.note_vm_ordered(vm, steady_s())
                 self._orders.start(
                     vm,
                     functools.partial(self._maintain_vm, wave, vm, worker),
@@ -145,6 +146,7 @@
         if await self._term.propose(record) is not Verdict.DONE:
             return
         for move in moves:
+            self._term.scheduler.crashes.note_vm_ordered(move.vm, steady_s())
             self._orders.start(move.vm, functools.partial(self._move_vm, move))
 
     def _record_of(self, moves: Iterable[Move]) -> RecordVmOrders:
--- a/src/wigeonreach/jobs/_commands.py
+++ b/src/wigeonreach/jobs/_commands.py
@@ -38,11 +38,12 @@
 
 
 class RunStarted(msgspec.Struct, frozen=True, array_like=True):
-    """A run that is about to be ordered from a worker."""
+    """A run that is about to be ordered from a worker, on the VM under it."""
 
     task: TaskKey
     run: int
     worker: str
+    vm: str = ''
 
 
 class RunEnded(msgspec.Struct, frozen=True, array_like=True):
@@ -55,6 +56,28 @@
     checkpoint: str = ''
 
 
+class CrashEvidence(enum.IntEnum):
+    """What speaks for it that a run brought its worker down.
+
+    ``SOUND`` speaks against it: the run had worked for long.  The others speak
+    for it, each more than the one before: other work was there that may be the
+    cause as well; the run had just begun; nothing of other jobs was there.
+    """
+
+    SOUND = 0
+    BESIDE_OTHERS = 1
+    JUST_BEGUN = 2
+    ALONE = 3
+
+
+class RunCrashed(msgspec.Struct, frozen=True, array_like=True):
+    """A run was on a worker that went down for no cause but what it ran."""
+
+    task: TaskKey
+    run: int
+    evidence: CrashEvidence
+
+
 class BeginTerm(Command, frozen=True):
     """Let only the records of this term's leader count from now on."""
 
@@ -62,11 +85,12 @@
 
 
 class RecordRuns(Command, frozen=True):
-    """Note ends, then starts, as the leader of a term saw them."""
+    """Note ends, crashes, then starts, as the leader of a term saw them."""
 
     term: int
     ends: tuple[RunEnded, ...] = ()
     starts: tuple[RunStarted, ...] = ()
+    crashes: tuple[RunCrashed, ...] = ()
 
 
 class ForgetJobs(Command, frozen=True):
--- a/src/wigeonreach/jobs/_records.py
+++ b/src/wigeonreach/jobs/_records.py
@@ -24,8 +24,12 @@
     ----------
     run
         Number of the newest run; 0 before the first.
-    worker
-        Which incarnation of a worker the newest run was given to.
+    worker, vm
+        Which incarnation of a worker the newest run was given to, and the VM
+        under it, by which a next leader knows whether that worker crashed.
+    crashed_runs
+        Numbers of the runs whose workers crashed under them, since one of them
+        worked for long.
     """
 
     phase: TaskPhase = TaskPhase.WAITING
@@ -33,6 +37,8 @@
     worker: str = ''
     failures: int = 0
     checkpoint: str = ''
+    vm: str = ''
+    crashed_runs: tuple[int, ...] = ()
 
 
 Occurrence = list[list[TaskRecord]]
--- a/src/wigeonreach/jobs/_runs.py
+++ b/src/wigeonreach/jobs/_runs.py
@@ -2,10 +2,30 @@
 
 from __future__ import annotations
 
-from wigeonreach.jobs._commands import RunEnded, RunStarted
+from types import MappingProxyType
+
+from wigeonreach.jobs._commands import (
+    CrashEvidence,
+    RunCrashed,
+    RunEnded,
+    RunStarted,
+)
 from wigeonreach.jobs._model import JobPhase, RunEnd, TaskKey, TaskPhase
 from wigeonreach.jobs._records import JobRecord, TaskRecord
 
+# After how many crashes a task is given up, by what the last one proves.  A task
+# that crashes its workers costs each time a VM for some seconds and all that runs
+# beside it, without end; a task that is given up wrongly costs its team a job.
+# So one alone on its worker is given up at the second crash, and one beside
+# others only if the same befell it more often than chance explains.
+_CRASHES_ALLOWED = MappingProxyType(
+    {
+        CrashEvidence.ALONE: 2,
+        CrashEvidence.JUST_BEGUN: 3,
+        CrashEvidence.BESIDE_OTHERS: 4,
+    },
+)
+
 
 def note_start(job: JobRecord, start: RunStarted) -> bool:
     """Assign a task to a worker; tell whether it was free for it."""
@@ -17,6 +37,7 @@
     task.phase = TaskPhase.ASSIGNED
     task.run = start.run
     task.worker = start.worker
+    task.vm = start.vm
     job.has_started = True
     return True
 
@@ -45,6 +66,27 @@
     return (ended.task,)
 
 
+def note_crash(job: JobRecord, crashed: RunCrashed) -> bool:
+    """Take note that a run's worker crashed; tell whether anything changed.
+
+    Each run counts once.  It does not matter which run is the newest by now: a
+    crash is known for sure only once the VM has another worker, and the task may
+    have been started again before that.
+    """
+    task = job.task(crashed.task)
+    if task is None or not job.is_active or task.phase is TaskPhase.DONE:
+        return False
+    if crashed.evidence is CrashEvidence.SOUND:
+        task.crashed_runs = ()
+        return True
+    if crashed.run in task.crashed_runs:
+        return False
+    task.crashed_runs = (*task.crashed_runs, crashed.run)
+    if len(task.crashed_runs) >= _CRASHES_ALLOWED[crashed.evidence]:
+        job.phase = JobPhase.FAILED
+    return True
+
+
 def _counts(job: JobRecord, task: TaskRecord, ended: RunEnded) -> bool:
     if _is_first_copy(job, task, ended):
         return True
--- a/src/wigeonreach/jobs/_store.py
+++ b/src/wigeonreach/jobs/_store.py
@@ -20,6 +20,7 @@
     RecordRuns,
     RecordVmOrders,
     RecordVmStep,
+    RunCrashed,
     RunEnded,
     RunStarted,
     SetManifest,
@@ -29,7 +30,7 @@
 )
 from wigeonreach.jobs._model import JobPhase, Manifest, StepSpec, TaskKey
 from wigeonreach.jobs._queue_index import QueueIndex
-from wigeonreach.jobs._records import JobRecord, new_record
+from wigeonreach.jobs._records import JobRecord, TaskRecord, new_record
 from wigeonreach.jobs._waves import WaveRecord
 
 _NOTHING: Mapping[TaskKey, int] = MappingProxyType({})
@@ -144,6 +145,11 @@
         """Return the job of a task."""
         return self.jobs.get(key.job_id)
 
+    def task_of(self, key: TaskKey) -> TaskRecord | None:
+        """Return a task, if a job has it."""
+        job = self.jobs.get(key.job_id)
+        return job.task(key) if job else None
+
     def held_by(self, worker: str) -> Mapping[TaskKey, int]:
         """Return the runs that a worker has or may have."""
         return self.assigned.get(worker, _NOTHING)
@@ -235,6 +241,8 @@
         return CommandReply(Verdict.OUTDATED)
     for ended in command.ends:
         _note_end(store, ended)
+    for crashed in command.crashes:
+        _note_crash(store, crashed)
     for start in command.starts:
         _note_start(store, start)
     return CommandReply(Verdict.DONE)
@@ -252,6 +260,12 @@
         store.changed.add(key.job_id)
 
 
+def _note_crash(store: JobStore, crashed: RunCrashed) -> None:
+    job = store.job_of(crashed.task)
+    if job is not None and runs.note_crash(job, crashed):
+        store.changed.add(crashed.task.job_id)
+
+
 def _note_start(store: JobStore, start: RunStarted) -> None:
     job = store.job_of(start.task)
     if job is not None and runs.note_start(job, start):
--- a/src/wigeonreach/lab/_lead.py
+++ b/src/wigeonreach/lab/_lead.py
@@ -74,8 +74,11 @@
     def plan(self) -> tuple[RunStarted, ...]:
         """Record what is lost, then what is to start."""
         lost = self.scheduler.lost(self.now_s)
-        if lost:
-            commit(self.store, RecordRuns(self.term, ends=lost))
+        crashed = self.scheduler.crashed(self.now_s)
+        if lost or crashed:
+            record = RecordRuns(self.term, ends=lost, crashes=crashed)
+            commit(self.store, record)
+            self.scheduler.crashes.note_recorded(crashed)
         starts = self.scheduler.plan(self.now_s, self.now_s * 1000)
         if starts:
             commit(self.store, RecordRuns(self.term, starts=starts))
--- a/src/wigeonreach/scheduling/_answers.py
+++ b/src/wigeonreach/scheduling/_answers.py
@@ -52,7 +52,7 @@
                 now_s,
             )
             self._stopping.difference_update(retracted)
-        return orders_for(
+        orders = orders_for(
             incarnation,
             self._store,
             self._pacing,
@@ -60,6 +60,10 @@
             Tickets(self._advice, now_s),
             self._term,
         )
+        incarnation.told = frozenset(
+            (start.task, start.run) for start in orders.starts
+        )
+        return orders
 
     def due(
         self,
--- a/src/wigeonreach/scheduling/_choosing.py
+++ b/src/wigeonreach/scheduling/_choosing.py
@@ -6,8 +6,9 @@
 from collections.abc import Iterable
 
 from wigeonreach.jobs import StepSpec, TaskKey
+from wigeonreach.scheduling._crashes import Suspects
 from wigeonreach.scheduling._ready import ReadyStep, most_together
-from wigeonreach.scheduling._room_left import WorkerRoom
+from wigeonreach.scheduling._room_left import CRASHES_BEFORE_TRIAL, WorkerRoom
 
 # Weights of what speaks for a worker; each outweighs all behind it.
 _FAILED_HERE = 100.0
@@ -17,6 +18,14 @@
 # what fits there keeps a VM less (in the lab 5 % of all VM seconds).
 _BESIDE_SERVING = 4.0
 _CROWDED = 20.0
+# Two tasks that may crash their worker would each stand for the other's crash.
+_SUSPECTS_TOGETHER = 30.0
+# Beside others the next crash tells nothing, and takes them along.
+_NOT_ALONE = 25.0
+_CRASHED_LATELY = 8.0
+# What runs beside such a task may be lost with it; that costs less than a run
+# away from its data, as few of these tasks are the cause.
+_BESIDE_SUSPECT = 6.0
 # Work that could go anywhere leaves a rack to what has its data there.
 _WANTED_NEAR = 2.0
 
@@ -37,12 +46,20 @@
         Whose tasks are to be placed.
     rooms
         The workers that may take something.
+    suspects
+        Which tasks may bring their workers down.
     """
 
-    def __init__(self, step: ReadyStep, rooms: Iterable[WorkerRoom]) -> None:
+    def __init__(
+        self,
+        step: ReadyStep,
+        rooms: Iterable[WorkerRoom],
+        suspects: Suspects,
+    ) -> None:
         """Rank the workers with room for a task."""
         need = step.spec.room
         self._step = step
+        self._suspects = suspects
         self._rooms = [room for room in rooms if room.left.holds(need)]
         self._heap: list[tuple[_Cost, WorkerRoom]] | None = None
 
@@ -52,7 +69,8 @@
         has_run = task is not None and bool(task.run)
         if has_run or self._step.spec.is_service:
             # Where it ran, and where its siblings are, counts too.
-            return best_room(self._step, key, self._rooms)
+            crashes = self._suspects.crashes(key, task) if task else 0
+            return best_room(self._step, key, self._rooms, crashes)
         return self._first(key)
 
     def _first(self, key: TaskKey) -> WorkerRoom | None:
@@ -78,12 +96,16 @@
     step: ReadyStep,
     key: TaskKey,
     rooms: Iterable[WorkerRoom],
+    crashes: int = 0,
 ) -> WorkerRoom | None:
-    """Return the worker for one task, or None if it fits nowhere."""
+    """Return the worker for one task, or None if it fits nowhere.
+
+    ``crashes`` is how many workers may have gone down by it.
+    """
     fitting = [room for room in rooms if room.holds(key, step.spec)]
     return min(
         fitting,
-        key=lambda room: _cost(step, key, room),
+        key=lambda room: _cost(step, key, room, crashes),
         default=None,
     )
 
@@ -92,12 +114,13 @@
     step: ReadyStep,
     key: TaskKey,
     room: WorkerRoom,
+    crashes: int = 0,
 ) -> _Cost:
     """Return what speaks against a worker."""
     spec = step.spec
     report = room.incarnation.report
     task = step.job.task(key)
-    cost = 0.0
+    cost = _crash_cost(key.job_id, room, crashes)
     if task is not None and task.run and task.worker == report.worker:
         cost += _FAILED_HERE
     if spec.data_rack and spec.data_rack != report.rack:
@@ -113,6 +136,19 @@
     return cost, _tightness(spec, room), report.worker
 
 
+def _crash_cost(job_id: str, room: WorkerRoom, crashes: int) -> float:
+    """Keep tasks that may crash their workers apart from all others."""
+    cost = _NOT_ALONE if room.is_closed and room.trial_job != job_id else 0.0
+    others = len(room.suspects - {job_id})
+    beside = _SUSPECTS_TOGETHER if crashes else _BESIDE_SUSPECT
+    cost += others * beside
+    if crashes >= CRASHES_BEFORE_TRIAL and room.has_others(job_id):
+        cost += _NOT_ALONE
+    if crashes and room.has_crashed_lately:
+        cost += _CRASHED_LATELY
+    return cost
+
+
 def _serving_cost(key: TaskKey, spec: StepSpec, room: WorkerRoom) -> float:
     """Keep a step's tasks on two workers or more, but serving tasks on few.
 
--- /dev/null
+++ b/src/wigeonreach/scheduling/_crashes.py
@@ -0,0 +1,342 @@
+"""Find out which runs bring their workers down.
+
+Answers tasks that crash each worker that starts them: such a worker just falls
+silent, like one that is cut off or loses its power, so a task that is merely
+begun again elsewhere takes down one worker after another, and all that runs
+beside it.  A loss is held against the runs of a worker only if its VM has
+another worker afterwards (what is cut off comes back as it was), if no order
+for the VM explains it, and if its rack or zone did not go with it.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+from collections.abc import Collection, Iterable, Iterator, Mapping
+
+from wigeonreach.jobs import (
+    CrashEvidence,
+    JobStore,
+    Run,
+    RunCrashed,
+    TaskKey,
+    TaskRecord,
+)
+from wigeonreach.observe import LogEvent
+from wigeonreach.scheduling._losses import WorkerLoss, domain_loss
+from wigeonreach.scheduling._notes import Note
+from wigeonreach.scheduling._progress import ProgressWatch
+from wigeonreach.scheduling._workers import Incarnation, Workers
+
+# A task that crashes its worker does so when it starts.  What had worked for so
+# long was not the cause: several times what heartbeats need to tell of a start.
+SOUND_S = 10.0
+# So long after it was first listed a run counts as just begun: four heartbeats
+# of a busy worker.
+_JUST_BEGUN_S = 1.0
+# A VM was seen to have another worker 3.2 s after a crash; longer than outages
+# of racks last.
+_BACK_WITHIN_S = 30.0
+# For so long a loss that is not explained yet counts in what a task may risk: one
+# whose workers come back late would be begun too often meanwhile.
+_DOUBT_S = 15.0
+# What a VM was ordered to do is carried out within this, or not at all.
+_ORDER_LASTS_S = 3.0
+# All workers that go on are heard so soon in a term.
+_ALL_HEARD_S = 1.5
+# A VM that lost its worker so short a time ago may itself be the cause.
+_LATELY_S = 20.0
+# A task that has to run alone waits for a worker for so long, while others of
+# its kind have them all: those that are sound are done by then.
+_PATIENCE_S = 2.0
+# With so many crashes and doubts a task waits until the doubts are settled, as
+# its next start may be one too many.
+_MOST_DOUBTS = 3
+
+
+class CrashWatch:
+    """What the leader of a term knows of workers that fell silent.
+
+    Parameters
+    ----------
+    store
+        What runs where; it is only read.
+    workers
+        Those that are heard.
+    progress
+        Since when runs are at work.
+    now_s
+        When the term began.
+
+    Attributes
+    ----------
+    notes
+        What came out of losses, not logged yet.
+    """
+
+    def __init__(
+        self,
+        store: JobStore,
+        workers: Workers,
+        progress: ProgressWatch,
+        now_s: float,
+    ) -> None:
+        """Know of no loss."""
+        self.notes: list[Note] = []
+        self._store = store
+        self._workers = workers
+        self._progress = progress
+        # Losses that are not explained yet, by worker; and all late ones.
+        self._open: dict[str, WorkerLoss] = {}
+        self._losses: dict[str, WorkerLoss] = {}
+        self._found: dict[Run, RunCrashed] = {}
+        self._crashed_s: dict[str, float] = {}
+        # When the newest worker of each VM was heard first, and which it is.
+        self._joined: dict[str, tuple[float, str]] = {}
+        # When each VM was ordered last, by a former leader before all else.
+        self._inherited = frozenset(store.ordered_vms)
+        self._ordered_s = dict.fromkeys(self._inherited, now_s + _ALL_HEARD_S)
+
+    def note_heard(self, incarnation: Incarnation) -> None:
+        """Take note of a heartbeat: its worker goes on, if it was given up."""
+        report = incarnation.report
+        self._open.pop(report.worker, None)
+        self._losses.pop(report.worker, None)
+        joined = (incarnation.first_heard_s, report.worker)
+        if report.vm and joined > self._joined.get(report.vm, (0.0, '')):
+            self._joined[report.vm] = joined
+
+    def note_vm_ordered(self, vm: str, now_s: float) -> None:
+        """Take note that an order is about to end a VM's worker."""
+        self._ordered_s[vm] = now_s
+
+    def note_lost(
+        self,
+        incarnation: Incarnation,
+        runs: Iterable[Run],
+        now_s: float,
+    ) -> None:
+        """Take note that runs are given up, as their worker fell silent.
+
+        Parameters
+        ----------
+        incarnation
+            The worker, as it was heard last.
+        runs
+            That are given up.
+        now_s
+            Clock in seconds.
+        """
+        if incarnation.is_ending or self._was_ordered(incarnation):
+            return
+        worker = incarnation.report.worker
+        loss = self._open.get(worker) or _loss_of(incarnation, now_s)
+        self._charge(loss, incarnation, runs)
+        self._open[worker] = loss
+        self._losses[worker] = loss
+
+    def note_unheard(self, worker: str, now_s: float) -> None:
+        """Take note that a worker of an earlier term is not heard in this."""
+        held = self._store.held_by(worker)
+        tasks = [self._store.task_of(key) for key in held]
+        vm = next((task.vm for task in tasks if task is not None), '')
+        if vm in self._inherited or worker in self._open:
+            return
+        loss = WorkerLoss(worker, vm, float('-inf'), now_s)
+        loss.runs.update(
+            dict.fromkeys(held.items(), CrashEvidence.BESIDE_OTHERS),
+        )
+        self._open[worker] = loss
+
+    def found(self, now_s: float) -> tuple[RunCrashed, ...]:
+        """Return the crashes to be recorded; the same until they are."""
+        for loss in tuple(self._open.values()):
+            if self._has_successor(loss):
+                self._open.pop(loss.worker)
+                self._settle(loss, now_s)
+            elif now_s - loss.noted_s > _BACK_WITHIN_S:
+                self._open.pop(loss.worker)
+        if self._losses:
+            self._losses = {
+                worker: late
+                for worker, late in self._losses.items()
+                if now_s - late.noted_s <= _BACK_WITHIN_S
+            }
+        return tuple(self._found.values())
+
+    def note_recorded(self, crashes: Iterable[RunCrashed]) -> None:
+        """Take note that crashes are recorded for good."""
+        for crashed in crashes:
+            self._found.pop((crashed.task, crashed.run), None)
+
+    def has_crashed_lately(self, vm: str, now_s: float) -> bool:
+        """Whether a VM lost a worker for no cause but itself or its runs."""
+        return now_s - self._crashed_s.get(vm, float('-inf')) < _LATELY_S
+
+    def suspects(self, now_s: float) -> Suspects:
+        """Return the tasks that may bring their workers down."""
+        doubtful = collections.Counter[TaskKey]()
+        for loss in self._open.values():
+            if now_s - loss.noted_s < _DOUBT_S:
+                doubtful.update(key for key, _ in loss.runs)
+        newly_lost = {
+            key
+            for loss in self._losses.values()
+            if now_s - loss.noted_s < _PATIENCE_S
+            for key, _ in loss.runs
+        }
+        return Suspects(doubtful, newly_lost)
+
+    def _charge(
+        self,
+        loss: WorkerLoss,
+        incarnation: Incarnation,
+        runs: Iterable[Run],
+    ) -> None:
+        """Note what a worker had, and what its crash would prove."""
+        listed = {(row.task, row.run) for row in incarnation.running}
+        begun = listed | incarnation.told
+        held = {*self._store.held_by(loss.worker).items(), *listed} & begun
+        suspected = self._suspected(held)
+        # What it was never told of can't have brought it down.
+        for run in begun.intersection(runs):
+            worked_s = self._progress.worked_s(run, loss.heard_s)
+            loss.is_provoked |= worked_s < _JUST_BEGUN_S
+            most = _most_evidence(run[0].job_id, suspected)
+            is_alone = len(suspected) == 1
+            loss.runs[run] = min(_evidence(worked_s, is_alone), most)
+
+    def _suspected(self, runs: Iterable[Run]) -> dict[str, int]:
+        """Return of each job how many crashes speak against a task of it."""
+        suspected: dict[str, int] = {}
+        for key, _ in runs:
+            task = self._store.task_of(key)
+            crashes = len(task.crashed_runs) if task else 0
+            known = suspected.get(key.job_id, 0)
+            suspected[key.job_id] = max(known, crashes)
+        return suspected
+
+    def _was_ordered(self, incarnation: Incarnation) -> bool:
+        """Whether an order for its VM may have ended a worker."""
+        ordered_s = self._ordered_s.get(incarnation.report.vm, float('-inf'))
+        is_of_it = incarnation.first_heard_s <= ordered_s
+        return is_of_it and incarnation.heard_s < ordered_s + _ORDER_LASTS_S
+
+    def _has_successor(self, loss: WorkerLoss) -> bool:
+        joined_s, worker = self._joined.get(loss.vm, (0.0, loss.worker))
+        return worker != loss.worker and joined_s > loss.heard_s
+
+    def _settle(self, loss: WorkerLoss, now_s: float) -> None:
+        """Hold a loss against the runs of a worker, unless it is explained."""
+        domain = domain_loss(
+            loss,
+            (*self._losses.values(), *self._silent(now_s)),
+            self._workers.incarnations.values(),
+        )
+        if domain is not None and domain.is_proved:
+            self._note(loss, f'{domain.name} went down with it')
+            return
+        most = CrashEvidence.ALONE
+        if domain is not None:
+            most = CrashEvidence.BESIDE_OTHERS
+        elif self.has_crashed_lately(loss.vm, now_s):
+            # What runs there may be as sound as what ran before.
+            most = CrashEvidence.JUST_BEGUN
+        self._crashed_s[loss.vm] = now_s
+        for (key, run), evidence in loss.runs.items():
+            proved = min(evidence, most)
+            self._found[key, run] = RunCrashed(key, run, proved)
+        self._note(loss, f'{len(loss.runs)} runs may be the cause')
+
+    def _silent(self, now_s: float) -> Iterator[WorkerLoss]:
+        """Yield the workers that are about to be given up."""
+        for incarnation in self._workers.incarnations.values():
+            if not incarnation.is_silent(now_s) or incarnation.is_ending:
+                continue
+            if not self._was_ordered(incarnation):
+                loss = _loss_of(incarnation, now_s)
+                held = self._store.held_by(loss.worker)
+                self._charge(loss, incarnation, held.items())
+                yield loss
+
+    def _note(self, loss: WorkerLoss, reason: str) -> None:
+        self.notes.append(Note(LogEvent.WORKER_CRASHED, loss.worker, reason))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Suspects:
+    """Which tasks may bring their workers down, at one moment.
+
+    Attributes
+    ----------
+    doubtful
+        In how many losses that are not explained yet each task was.
+    newly_lost
+        Tasks that were lost so short a time ago that they may still wait for
+        a worker without others of them.
+    """
+
+    doubtful: collections.Counter[TaskKey]
+    newly_lost: Collection[TaskKey] = frozenset()
+
+    def crashes(self, key: TaskKey, task: TaskRecord) -> int:
+        """Return how many crashes speak against a task, with doubtful ones.
+
+        One loss without an explanation is most often a worker that is cut off,
+        and speaks against nothing.
+        """
+        counted = len(task.crashed_runs)
+        doubtful = self.doubtful[key]
+        return counted + doubtful if counted or doubtful > 1 else 0
+
+    def may_be_copied(self, key: TaskKey, task: TaskRecord) -> bool:
+        """Whether a copy of a task's run may begin before the run is over."""
+        return not task.crashed_runs and not self.doubtful[key]
+
+    def must_wait(self, key: TaskKey, task: TaskRecord) -> bool:
+        """Whether a task may not start before its losses are explained."""
+        is_settled = not self.doubtful[key]
+        return not is_settled and self.crashes(key, task) >= _MOST_DOUBTS
+
+
+def _loss_of(incarnation: Incarnation, now_s: float) -> WorkerLoss:
+    report = incarnation.report
+    return WorkerLoss(
+        report.worker,
+        report.vm,
+        incarnation.heard_s,
+        now_s,
+        report.service,
+        report.zone,
+        report.rack,
+    )
+
+
+def _evidence(worked_s: float, is_alone: bool) -> CrashEvidence:
+    """Return what the time that a run had worked says."""
+    if worked_s >= SOUND_S:
+        return CrashEvidence.SOUND
+    if worked_s < _JUST_BEGUN_S:
+        return CrashEvidence.ALONE
+    return CrashEvidence.JUST_BEGUN if is_alone else CrashEvidence.BESIDE_OTHERS
+
+
+def _most_evidence(job_id: str, suspected: Mapping[str, int]) -> CrashEvidence:
+    """Return how much a crash may prove beside what else was there.
+
+    Parameters
+    ----------
+    job_id
+        Whose run it is.
+    suspected
+        Of each job on the worker, how many crashes speak against it.
+    """
+    others = [
+        crashes for other, crashes in suspected.items() if other != job_id
+    ]
+    if not others:
+        return CrashEvidence.ALONE
+    if max(others) and max(others) >= suspected.get(job_id, 0):
+        # One that others were more often lost with may be the cause instead.
+        return CrashEvidence.BESIDE_OTHERS
+    return CrashEvidence.JUST_BEGUN
--- /dev/null
+++ b/src/wigeonreach/scheduling/_open_rooms.py
@@ -0,0 +1,115 @@
+"""Tell which workers may take something now, and what each has left."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from typing import TypeAlias
+
+from wigeonreach.jobs import JobStore, Run
+from wigeonreach.scheduling._crashes import CrashWatch
+from wigeonreach.scheduling._pacing import Pacing
+from wigeonreach.scheduling._placing import close_trials
+from wigeonreach.scheduling._progress import ProgressWatch
+from wigeonreach.scheduling._quarantine import WorkerQuarantine
+from wigeonreach.scheduling._room_book import RoomBook
+from wigeonreach.scheduling._room_left import WorkerRoom
+from wigeonreach.scheduling._workers import Incarnation, Workers
+
+# The room of each worker of a service, by its name.
+PoolRooms: TypeAlias = dict[str, list[WorkerRoom]]
+
+
+class OpenRooms:
+    """The room of the workers that are trusted.
+
+    Parameters
+    ----------
+    store
+        What runs where; it is only read.
+    workers
+        Those that are heard.
+    progress, pacing, quarantine, crashes
+        What is known of slow, slowed, failing and crashing workers.
+    """
+
+    def __init__(
+        self,
+        store: JobStore,
+        workers: Workers,
+        progress: ProgressWatch,
+        pacing: Pacing,
+        quarantine: WorkerQuarantine,
+        crashes: CrashWatch,
+    ) -> None:
+        """Know no worker's room."""
+        self._workers = workers
+        self._progress = progress
+        self._pacing = pacing
+        self._quarantine = quarantine
+        self._crashes = crashes
+        self._book = RoomBook(store, progress)
+
+    def forget(self, worker: str) -> None:
+        """Count a worker's room anew when it is next asked for."""
+        self._book.forget(worker)
+
+    def of(
+        self,
+        services: Collection[str],
+        cordoned: Collection[str],
+        stopping: Collection[Run],
+        now_s: float,
+    ) -> PoolRooms:
+        """Return what is left on each worker of some services.
+
+        Parameters
+        ----------
+        services
+            Whose workers are asked for.
+        cordoned
+            VMs whose workers get nothing new.
+        stopping
+            What is being stopped.
+        now_s
+            Clock in seconds.
+
+        Returns
+        -------
+        PoolRooms
+            Workers that may take nothing now are left out.
+        """
+        by_service: dict[str, list[Incarnation]] = {}
+        for incarnation in self._workers.incarnations.values():
+            report = incarnation.report
+            is_asked = report.service in services and report.vm not in cordoned
+            if is_asked and incarnation.may_take(now_s):
+                by_service.setdefault(report.service, []).append(incarnation)
+        return {
+            service: self._of_pool(incarnations, stopping, now_s)
+            for service, incarnations in by_service.items()
+        }
+
+    def _of_pool(
+        self,
+        incarnations: Collection[Incarnation],
+        stopping: Collection[Run],
+        now_s: float,
+    ) -> list[WorkerRoom]:
+        names = [incarnation.report.worker for incarnation in incarnations]
+        quarantined = self._quarantine.quarantined(names, now_s)
+        slow = self._progress.slow(names, now_s)
+        rooms = [
+            self._book.of(incarnation, stopping)
+            for incarnation in incarnations
+            if incarnation.report.worker not in quarantined
+        ]
+        for room in rooms:
+            report = room.incarnation.report
+            is_paced = self._pacing.is_paced(report.worker)
+            room.is_slow = report.worker in slow or is_paced
+            room.has_crashed_lately = self._crashes.has_crashed_lately(
+                report.vm,
+                now_s,
+            )
+        close_trials(rooms)
+        return rooms
--- a/src/wigeonreach/scheduling/_placing.py
+++ b/src/wigeonreach/scheduling/_placing.py
@@ -8,9 +8,13 @@
 from wigeonreach.jobs import JobStore, RunStarted, TaskKey
 from wigeonreach.scheduling._advice import TicketCache
 from wigeonreach.scheduling._choosing import Ranking, best_room
+from wigeonreach.scheduling._crashes import Suspects
 from wigeonreach.scheduling._near import NearRooms, fits_whole
 from wigeonreach.scheduling._ready import ReadyStep
-from wigeonreach.scheduling._room_left import WorkerRoom
+from wigeonreach.scheduling._room_left import CRASHES_BEFORE_TRIAL, WorkerRoom
+
+# Of a pool's workers, so many may have one task alone.
+_MOST_CLOSED_RATIO = 0.34
 
 
 class Plan:
@@ -26,6 +30,8 @@
         Tickets of the queues that need them.
     near
         Who waits for room near its data.
+    suspects
+        Which tasks may bring their workers down.
     now_s
         Clock in seconds.
     """
@@ -36,10 +42,12 @@
         rooms: dict[str, list[WorkerRoom]],
         advice: TicketCache,
         near: NearRooms,
+        suspects: Suspects,
         now_s: float,
     ) -> None:
         """Start nothing yet."""
         self._near = near
+        self._suspects = suspects
         self._store = store
         self._rooms = rooms
         self._advice = advice
@@ -87,14 +95,20 @@
         rooms: Sequence[WorkerRoom],
     ) -> bool:
         is_placed = True
-        ranking = Ranking(step, rooms)
-        for placed, index in enumerate(step.waiting):
+        ranking = Ranking(step, rooms, self._suspects)
+        waiting = [
+            index
+            for index in step.waiting
+            if not self._must_wait(step, _key(step, index))
+        ]
+        for placed, index in enumerate(waiting):
             key = _key(step, index)
             room = ranking.best(key)
             if room is None:
-                self._near.note_waiting(step, len(step.waiting) - placed)
+                self._near.note_waiting(step, len(waiting) - placed)
                 return False
-            if _waits_for_another(step, key, room, rooms):
+            waits = self._waits_to_be_alone(step, key, room)
+            if waits or _waits_for_another(step, key, room, rooms):
                 is_placed = False
                 continue
             self._start(step, key, room, _next_run(step, index))
@@ -108,7 +122,9 @@
         # Only whole: members that wait for others hold room for nothing.
         if len(step.waiting) < step.spec.count:
             return False
-        chosen = _fit_all(step, rooms)
+        if any(self._must_wait(step, _key(step, at)) for at in step.waiting):
+            return True
+        chosen = _fit_all(step, rooms, self._suspects)
         if chosen is None:
             self._near.note_waiting(step, len(step.waiting))
             return False
@@ -125,12 +141,56 @@
         run: int,
     ) -> None:
         room.add(key, step.spec)
-        self.starts.append(RunStarted(key, run, room.incarnation.report.worker))
+        task = step.job.task(key)
+        if task is not None and self._suspects.crashes(key, task):
+            self._note_suspect(step, room, self._suspects.crashes(key, task))
+        report = room.incarnation.report
+        self.starts.append(RunStarted(key, run, report.worker, report.vm))
+
+    def _must_wait(self, step: ReadyStep, key: TaskKey) -> bool:
+        task = step.job.task(key)
+        return task is not None and self._suspects.must_wait(key, task)
+
+    def _waits_to_be_alone(
+        self,
+        step: ReadyStep,
+        key: TaskKey,
+        room: WorkerRoom,
+    ) -> bool:
+        """Whether the best worker for a task has another that may crash it."""
+        if step.spec.is_service or key not in self._suspects.newly_lost:
+            return False
+        task = step.job.task(key)
+        crashes = self._suspects.crashes(key, task) if task else 0
+        others = room.suspects - {key.job_id}
+        return crashes >= CRASHES_BEFORE_TRIAL and bool(others)
+
+    def _note_suspect(
+        self,
+        step: ReadyStep,
+        room: WorkerRoom,
+        crashes: int,
+    ) -> None:
+        room.note_suspect(step.job.spec.job_id, crashes)
+        close_trials(self._rooms[self._store.service_of(step.job)])
+
+
+def close_trials(rooms: Sequence[WorkerRoom]) -> None:
+    """Keep others away from tasks that have to run alone.
+
+    Most of a pool stays open: with many such tasks at once those that find no
+    worker for themselves run beside others.
+    """
+    trials = [room for room in rooms if room.trial_job]
+    allowed = int(len(rooms) * _MOST_CLOSED_RATIO)
+    for number, room in enumerate(trials):
+        room.is_closed = number < allowed
 
 
 def _fit_all(
     step: ReadyStep,
     rooms: Sequence[WorkerRoom],
+    suspects: Suspects,
 ) -> list[tuple[TaskKey, WorkerRoom]] | None:
     """Return where all waiting tasks of a step fit together, if they do."""
     if not fits_whole(step, rooms):
@@ -143,7 +203,9 @@
     chosen: list[tuple[TaskKey, WorkerRoom]] = []
     for index in step.waiting:
         key = _key(step, index)
-        room = best_room(step, key, copies)
+        task = step.job.task(key)
+        crashes = suspects.crashes(key, task) if task else 0
+        room = best_room(step, key, copies, crashes)
         if room is None:
             return None
         room.add(key, step.spec)
--- a/src/wigeonreach/scheduling/_progress.py
+++ b/src/wigeonreach/scheduling/_progress.py
@@ -95,6 +95,11 @@
         self._speeds.note(incarnation.report.worker, stretches, now_s)
         return stalled
 
+    def worked_s(self, run: Run, until_s: float) -> float:
+        """Return for how long a run was listed in this term, 0 if never."""
+        seen = self._seen.get(run)
+        return until_s - seen.began_s if seen else 0.0
+
     def slow(self, workers: Iterable[str], now_s: float) -> dict[str, float]:
         """Return the workers of a service that are slow, and how much."""
         return self._speeds.slow(workers, now_s)
--- a/src/wigeonreach/scheduling/_room_book.py
+++ b/src/wigeonreach/scheduling/_room_book.py
@@ -10,6 +10,7 @@
 from collections.abc import Collection
 
 from wigeonreach.jobs import JobStore, Run
+from wigeonreach.scheduling._progress import ProgressWatch
 from wigeonreach.scheduling._room_left import WorkerRoom, room_left
 from wigeonreach.scheduling._workers import Incarnation
 
@@ -21,11 +22,14 @@
     ----------
     store
         What runs where.
+    progress
+        For how long it has run.
     """
 
-    def __init__(self, store: JobStore) -> None:
+    def __init__(self, store: JobStore, progress: ProgressWatch) -> None:
         """Know no worker's room."""
         self._store = store
+        self._progress = progress
         self._rooms: dict[str, WorkerRoom] = {}
 
     def forget(self, worker: str) -> None:
@@ -46,7 +50,7 @@
         worker = incarnation.report.worker
         room = self._rooms.get(worker)
         if room is None:
-            room = room_left(incarnation, self._store)
+            room = room_left(incarnation, self._store, self._progress)
             self._rooms[worker] = room
         held = self._store.held_by(worker)
         room.is_reserved = bool(stopping) and any(
--- a/src/wigeonreach/scheduling/_room_left.py
+++ b/src/wigeonreach/scheduling/_room_left.py
@@ -7,8 +7,14 @@
 
 from wigeonreach._room import Room
 from wigeonreach.jobs import JobStore, StepSpec, TaskKey
+from wigeonreach.scheduling._crashes import SOUND_S
+from wigeonreach.scheduling._progress import ProgressWatch
 from wigeonreach.scheduling._workers import Incarnation
 
+# Of two crashes one may be chance; after them a task runs alone, so that the
+# next one tells, and takes nothing else with it.
+CRASHES_BEFORE_TRIAL = 2
+
 
 @dataclasses.dataclass(slots=True)
 class WorkerRoom:
@@ -29,6 +35,14 @@
         Its runs take much longer than on other workers, or are slowed down.
     is_wanted_near
         Some task that waits has its data on its rack.
+    suspects
+        Jobs of tasks on it whose workers crashed before.
+    trial_job
+        Job of a task that has to run alone, as two workers crashed under it.
+    is_closed
+        Nothing of other jobs may be put beside that task.
+    has_crashed_lately
+        An earlier worker of its VM went down a short time ago.
     """
 
     incarnation: Incarnation
@@ -39,6 +53,10 @@
     is_reserved: bool = False
     is_slow: bool = False
     is_wanted_near: bool = False
+    suspects: set[str] = dataclasses.field(default_factory=set)
+    trial_job: str = ''
+    is_closed: bool = False
+    has_crashed_lately: bool = False
 
     def add(self, key: TaskKey, spec: StepSpec) -> None:
         """Put a task on it."""
@@ -51,6 +69,23 @@
         """Whether a task may be put on it."""
         if self.is_reserved and not spec.is_service:
             return False
+        if self.is_closed and key.job_id != self.trial_job:
+            # Serving tasks have users that wait: for them it only costs more.
+            return spec.is_service and self._has_room(key, spec)
+        return self._has_room(key, spec)
+
+    def note_suspect(self, job_id: str, crashes: int) -> None:
+        """Take note that a task on it may bring it down."""
+        if crashes:
+            self.suspects.add(job_id)
+        if crashes >= CRASHES_BEFORE_TRIAL:
+            self.trial_job = job_id
+
+    def has_others(self, job_id: str) -> bool:
+        """Whether tasks of other jobs are on it."""
+        return any(on_it[0] != job_id for on_it in self.steps)
+
+    def _has_room(self, key: TaskKey, spec: StepSpec) -> bool:
         return self.left.holds(spec.room) and self.allows(key, spec)
 
     def count(self, key: TaskKey, spec: StepSpec) -> int:
@@ -74,13 +109,18 @@
 def room_left(
     incarnation: Incarnation,
     store: JobStore,
+    progress: ProgressWatch,
 ) -> WorkerRoom:
     """Return what a worker has left beside all that it has or may have."""
     worker = incarnation.report.worker
     room = WorkerRoom(incarnation, incarnation.room, collections.Counter())
     held = store.held_by(worker)
-    for key in held:
+    for key, run in held.items():
         _add_known(room, key, store)
+        task = store.task_of(key)
+        worked_s = progress.worked_s((key, run), incarnation.heard_s)
+        if task is not None and worked_s < SOUND_S:
+            room.note_suspect(key.job_id, len(task.crashed_runs))
     for row in incarnation.running:
         # What is being stopped takes room until its end is listed.
         if row.task not in held:
--- a/src/wigeonreach/scheduling/_scheduler.py
+++ b/src/wigeonreach/scheduling/_scheduler.py
@@ -7,6 +7,7 @@
 from wigeonreach.jobs import (
     JobStore,
     Run,
+    RunCrashed,
     RunEnd,
     RunEnded,
     RunStarted,
@@ -16,9 +17,11 @@
 from wigeonreach.observe import LogEvent
 from wigeonreach.scheduling._advice import TicketCache
 from wigeonreach.scheduling._answers import Answers
+from wigeonreach.scheduling._lost_runs import LostRuns
 from wigeonreach.scheduling._maintenance import Maintenance
 from wigeonreach.scheduling._moving_out import MovingOut
 from wigeonreach.scheduling._notes import Note
+from wigeonreach.scheduling._open_rooms import OpenRooms, PoolRooms
 from wigeonreach.scheduling._orders import not_begun
 from wigeonreach.scheduling._pacing import Pacing
 from wigeonreach.scheduling._placing import Plan
@@ -28,9 +31,7 @@
 from wigeonreach.scheduling._progress import ProgressWatch
 from wigeonreach.scheduling._quarantine import WorkerQuarantine
 from wigeonreach.scheduling._ready import ReadySteps
-from wigeonreach.scheduling._room_book import RoomBook
-from wigeonreach.scheduling._room_left import WorkerRoom
-from wigeonreach.scheduling._second_runs import copied, laggards, lost_run
+from wigeonreach.scheduling._second_runs import laggards
 from wigeonreach.scheduling._settings import SchedulingSettings
 from wigeonreach.scheduling._workers import Heard, Incarnation, Workers
 from wigeonreach.wire._worker_messages import WorkerReport
@@ -38,11 +39,6 @@
 _DEFAULTS = SchedulingSettings()
 # Busy workers send a heartbeat as often.
 _LOOK_S = 0.25
-# A leader looks at leases every 0.05 s; whatever kept it for longer also kept
-# heartbeats.
-_STALL_S = 0.5
-# Each worker sends within this, also if its last heartbeat was given up.
-_LISTEN_S = 1.5
 
 
 class Scheduler:
@@ -98,12 +94,19 @@
             self.stopping,
         )
         self.ready = ReadySteps()
-        self._rooms = RoomBook(store)
+        self._lost_runs = LostRuns(store, self.workers, self.progress, now_s)
+        self.crashes = self._lost_runs.crashes
+        self._rooms = OpenRooms(
+            store,
+            self.workers,
+            self.progress,
+            self.pacing,
+            self.quarantine,
+            self.crashes,
+        )
         # VMs that serving tasks without room fill, by service and label.
         self._homeless: dict[str, dict[str, float]] = {}
         self._next_look_s = now_s
-        self._looked_s = now_s
-        self._awake_s = now_s
         self._store = store
         store.changed.update(store.jobs)
         self.ready.refresh(store, now_s, wall_ms)
@@ -128,6 +131,7 @@
             # What it tells is taken in, but may not be recorded yet.
             return Heard(incarnation, tuple(self._new_ends(incarnation)))
         self._rooms.forget(report.worker)
+        self.crashes.note_heard(incarnation)
         if incarnation.returned_s == now_s:
             gone = 'heard again after its lease was over'
             self._note(LogEvent.WORKER_RETURNED, incarnation, gone)
@@ -160,43 +164,28 @@
     def lost(self, now_s: float) -> tuple[RunEnded, ...]:
         """Return the runs of workers that are over, to be reassigned."""
         ended = self.workers.ended(now_s)
-        for gone, why in ended.items():
-            self.notes.append(Note(LogEvent.WORKER_ENDED, gone, why))
-        over = set(ended)
-        for worker in over:
+        lost = self._lost_runs.of_ended(ended, now_s)
+        for worker, ending in ended.items():
+            note = Note(LogEvent.WORKER_ENDED, worker, ending.reason)
+            self.notes.append(note)
             self.pacing.forget(worker)
             self.quarantine.forget(worker)
             self._rooms.forget(worker)
             self.progress.forget(worker, self._store.held_by(worker))
         self._forget_stopped()
-        over.update(
-            worker
-            for worker in self._store.assigned
-            if self.workers.is_over(worker, now_s)
-        )
-        lost = tuple(
-            lost_run(self._store, worker, key, run)
-            for worker in sorted(over)
-            for key, run in self._store.held_by(worker).items()
-        )
         for run_lost in lost:
             self._stop_gang(run_lost.task)
-        if not self._is_awake(now_s):
-            return lost
-        doubled = tuple(copied(self.workers.incarnations, self._store, now_s))
+        doubled = self._lost_runs.doubled(now_s)
         for run_doubled in doubled:
             self.progress.forget_run((run_doubled.task, run_doubled.run))
         return (*lost, *doubled)
 
-    def _is_awake(self, now_s: float) -> bool:
-        """Whether this process has listened for as long as workers may take.
-
-        One that stood still finds all its workers silent, and none is.
-        """
-        if now_s - self._looked_s > _STALL_S:
-            self._awake_s = now_s
-        self._looked_s = now_s
-        return now_s - self._awake_s >= _LISTEN_S
+    def crashed(self, now_s: float) -> tuple[RunCrashed, ...]:
+        """Return the crashes to be recorded; the same until they are."""
+        found = self.crashes.found(now_s)
+        self.notes.extend(self.crashes.notes)
+        self.crashes.notes.clear()
+        return found
 
     def plan(self, now_s: float, wall_ms: float) -> tuple[RunStarted, ...]:
         """Return what is to be started now."""
@@ -216,7 +205,8 @@
         needed = {self._store.service_of(step.job) for step in steps}
         rooms = self.rooms(now_s, needed)
         near = self.pools.near_rooms(now_s)
-        plan = Plan(self._store, rooms, self.advice, near, now_s)
+        suspects = self.crashes.suspects(now_s)
+        plan = Plan(self._store, rooms, self.advice, near, suspects, now_s)
         plan.place(steps)
         made = make_room(
             plan.unplaced,
@@ -381,41 +371,13 @@
         self,
         now_s: float,
         services: Collection[str],
-    ) -> dict[str, list[WorkerRoom]]:
+    ) -> PoolRooms:
         """Return what is left on each worker of some services.
 
         Workers that may take nothing now are left out.
         """
-        by_service: dict[str, list[Incarnation]] = {}
         cordoned = self.maintenance.cordoned | self.pools.cordoned
-        for incarnation in self.workers.incarnations.values():
-            report = incarnation.report
-            is_asked = report.service in services and report.vm not in cordoned
-            if is_asked and incarnation.may_take(now_s):
-                by_service.setdefault(report.service, []).append(incarnation)
-        return {
-            service: self._rooms_of(incarnations, now_s)
-            for service, incarnations in by_service.items()
-        }
-
-    def _rooms_of(
-        self,
-        incarnations: Collection[Incarnation],
-        now_s: float,
-    ) -> list[WorkerRoom]:
-        """Return the room of a pool's workers that are trusted."""
-        names = [incarnation.report.worker for incarnation in incarnations]
-        quarantined = self.quarantine.quarantined(names, now_s)
-        slow = self.progress.slow(names, now_s)
-        rooms = [
-            self._rooms.of(incarnation, self.stopping)
-            for incarnation in incarnations
-            if incarnation.report.worker not in quarantined
-        ]
-        for room in rooms:
-            worker = room.incarnation.report.worker
-            room.is_slow = worker in slow or self.pacing.is_paced(worker)
-        return rooms
+        return self._rooms.of(services, cordoned, self.stopping, now_s)
 
 
 def _is_repeat(
--- a/src/wigeonreach/scheduling/_second_runs.py
+++ b/src/wigeonreach/scheduling/_second_runs.py
@@ -12,7 +12,8 @@
 import dataclasses
 from collections.abc import Iterator, Mapping
 
-from wigeonreach.jobs import JobStore, Run, RunEnd, RunEnded, TaskKey
+from wigeonreach.jobs import JobStore, Run, TaskKey
+from wigeonreach.scheduling._crashes import Suspects
 from wigeonreach.scheduling._progress import ProgressWatch
 from wigeonreach.scheduling._workers import Incarnation
 
@@ -57,24 +58,25 @@
 def copied(
     incarnations: Mapping[str, Incarnation],
     store: JobStore,
+    suspects: Suspects,
     now_s: float,
-) -> Iterator[RunEnded]:
+) -> Iterator[tuple[Incarnation, Run]]:
     """Yield the runs of silent workers beside which a copy may run.
 
     In the lab, with racks cut off for 6 s and copies of three jobs in ten, this
-    brings 0.913 of the worth of all jobs instead of 0.908.
+    brings 0.913 of the worth of all jobs instead of 0.908.  What may have brought
+    a worker down has no copy: it would take down three in the time of one.
     """
     for worker, incarnation in incarnations.items():
         if not incarnation.is_silent(now_s):
             continue
-        for key, run in store.held_by(worker).items():
-            if store.may_run_twice(key):
-                yield lost_run(store, worker, key, run)
+        for run in store.held_by(worker).items():
+            if _may_be_copied(run[0], store, suspects):
+                yield incarnation, run
 
 
-def lost_run(store: JobStore, worker: str, key: TaskKey, run: int) -> RunEnded:
-    """Return the end of a run that its worker can't tell."""
-    job = store.job_of(key)
-    task = job.task(key) if job else None
-    saved = task.checkpoint if task else ''
-    return RunEnded(key, run, worker, RunEnd.LOST, saved)
+def _may_be_copied(key: TaskKey, store: JobStore, suspects: Suspects) -> bool:
+    task = store.task_of(key)
+    if task is None or not store.may_run_twice(key):
+        return False
+    return suspects.may_be_copied(key, task)
--- a/src/wigeonreach/scheduling/_workers.py
+++ b/src/wigeonreach/scheduling/_workers.py
@@ -57,6 +57,8 @@
         Whether a start on it was decided last, and may not be recorded yet.
     leased_s
         When the last heartbeat came that was answered in this term.
+    told
+        What the newest answer told it to start.
     """
 
     report: WorkerReport
@@ -69,6 +71,7 @@
     returned_s: float = float('-inf')
     awaits_start: bool = False
     leased_s: float = float('-inf')
+    told: frozenset[Run] = frozenset()
 
     @property
     def running(self) -> tuple[RunningTask, ...]:
@@ -80,13 +83,17 @@
         """When everything on it has surely been ended by its lease."""
         return self.heard_s + LEASE_OVER_S
 
+    @property
+    def is_ending(self) -> bool:
+        """Whether it said that it ends."""
+        return self.report.is_draining or self.leaves_at_s is not None
+
     def may_take(self, now_s: float) -> bool:
         """Whether new work may be given to it."""
-        is_ending = self.report.is_draining or self.leaves_at_s is not None
         is_ordered = self.heard_s - self.ordered_s < _ORDER_WORKS_S
         # One late heartbeat of a worker that has crashed proves nothing.
         is_proven = self.heard_s - self.returned_s >= _SUCCESSOR_PROVEN_S
-        is_doubtful = is_ending or is_ordered or not is_proven
+        is_doubtful = self.is_ending or is_ordered or not is_proven
         return not self.is_silent(now_s) and not is_doubtful
 
     @property
@@ -103,6 +110,14 @@
         return now_s - self.heard_s > _SILENT_S
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndedIncarnation:
+    """An incarnation that is over, and what proves it."""
+
+    incarnation: Incarnation
+    reason: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Heard:
     """What a heartbeat brought.
@@ -214,15 +229,16 @@
         if known is not None:
             known.ordered_s = now_s
 
-    def ended(self, now_s: float) -> dict[str, str]:
-        """Return which incarnations are over and why; remember them as dead."""
+    def ended(self, now_s: float) -> dict[str, EndedIncarnation]:
+        """Return which incarnations are over; remember them as dead."""
         over = {
-            worker: why
+            worker: EndedIncarnation(incarnation, reason)
             for worker in self._suspects(now_s)
-            if (why := self._why_over(self.incarnations[worker], now_s))
+            if (incarnation := self.incarnations[worker])
+            and (reason := self._why_over(incarnation, now_s))
         }
-        for worker in over:
-            incarnation = self.incarnations[worker]
+        for worker, ending in over.items():
+            incarnation = ending.incarnation
             self._remove(worker)
             self._gone_s[worker] = now_s
             is_silent = now_s >= incarnation.lease_over_s
@@ -237,6 +253,10 @@
             return False
         return worker in self._gone_s or self.knows_all(now_s)
 
+    def was_heard(self, worker: str) -> bool:
+        """Whether a worker was heard, or ended, in this term."""
+        return worker in self.incarnations or worker in self._gone_s
+
     def knows_all(self, now_s: float) -> bool:
         """Whether nothing runs on any worker that was not heard in this term."""
         return now_s >= self._began_s + LEASE_OVER_S
--- a/tests/builders_crashes.py
+++ b/tests/builders_crashes.py
@@ -13,6 +13,7 @@
 # As long as workers were seen to be away after such a crash.
 BACK_AFTER_S = 3.2
 _ROUND_S = 0.1
+_WHOLE_PERCENT = 100
 
 
 @dataclasses.dataclass(slots=True)
@@ -124,15 +125,30 @@
 
     def _work(self, worker: StandInWorker) -> None:
         now_s = self.lead.now_s
-        for run in list(worker.running):
-            name = (run, worker.name)
-            if name not in self._begun:
-                self._begun[name] = now_s
-                self.starts[run[0]].append(worker.name)
+        self._note_begun(worker)
         if any(self._crashes(key) for key, _ in worker.running):
             self.take_down((worker,))
             return
         for ending in list(worker.running):
-            is_over = now_s - self._begun[ending, worker.name] >= self._work_s
-            if is_over and not self._store.is_serving(ending[0]):
+            if self._store.is_serving(ending[0]):
+                continue
+            worked_s = now_s - self._begun[ending, worker.name]
+            done = min(worked_s / self._work_s, 1.0)
+            worker.advance_one(ending, int(done * _WHOLE_PERCENT))
+            if done >= 1 and self._is_whole(ending):
                 worker.end(ending, RunEnd.DONE)
+
+    def _note_begun(self, worker: StandInWorker) -> None:
+        for run in worker.running:
+            name = (run, worker.name)
+            if name not in self._begun:
+                self._begun[name] = self.lead.now_s
+                self.starts[run[0]].append(worker.name)
+
+    def _is_whole(self, run: Run) -> bool:
+        """Whether all that has to end together is there."""
+        key, number = run
+        job = self._store.jobs[key.job_id]
+        running = {there for worker in self.up for there in worker.running}
+        members = {(member, number) for member in job.step_keys(key)}
+        return not job.step_spec(key).is_gang or members <= running
--- a/tests/scheduling/test_choosing.py
+++ b/tests/scheduling/test_choosing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import random
 
 import testtools
@@ -18,6 +19,8 @@
 )
 from wigeonreach.jobs import JobStore, StepSpec
 from wigeonreach.scheduling._choosing import Ranking, best_room
+from wigeonreach.scheduling._crashes import Suspects
+from wigeonreach.scheduling._progress import ProgressWatch
 from wigeonreach.scheduling._ready import ReadyStep, ReadySteps
 from wigeonreach.scheduling._room_left import WorkerRoom, room_left
 from wigeonreach.scheduling._workers import Incarnation, room_of
@@ -25,6 +28,7 @@
 
 _DRAWS = 200
 _RACKS = ('near', 'far')
+_NO_SUSPECTS = Suspects(collections.Counter())
 
 
 def _rooms(rng: random.Random, store: JobStore) -> list[WorkerRoom]:
@@ -35,7 +39,7 @@
         worker.rack = rng.choice(_RACKS)
         report = worker.report()
         incarnation = Incarnation(report, 0, 0, room_of(report))
-        room = room_left(incarnation, store)
+        room = room_left(incarnation, store, ProgressWatch())
         room.is_slow = not rng.randrange(5)
         room.serving = rng.randint(0, 1)
         room.has_target = bool(room.serving)
@@ -71,7 +75,7 @@
             ranked = _rooms(rng, store)
             rng.setstate(state)
             looked_at = _rooms(rng, store)
-            ranking = Ranking(ready, ranked)
+            ranking = Ranking(ready, ranked, _NO_SUSPECTS)
             for index in ready.waiting:
                 found = _put(ranking.best(key(index)), ready, index)
                 looked = best_room(ready, key(index), looked_at)
