Take a start back that does not fit any more

Cause: a worker may say that it has less room than before; what was recorded for it and not begun was ordered all the same, over the room that it has. A pool that guards its room rejects it at a price; one that doesn't is overloaded. Mend: what a heartbeat does not list and its room does not hold is withdrawn before the answer. Ruled out as causes of the same: plans (they count the newest heartbeat, what runs, what is stopped and what was given), copies, changes of leader.

--- a/src/wigeonreach/scheduling/_choosing.py
+++ b/src/wigeonreach/scheduling/_choosing.py
@@ -138,6 +138,8 @@
 
 def _crash_cost(job_id: str, room: WorkerRoom, crashes: int) -> float:
     """Keep tasks that may crash their workers apart from all others."""
+    if not crashes and not room.suspects:
+        return 0.0
     cost = _NOT_ALONE if room.is_closed and room.trial_job != job_id else 0.0
     others = len(room.suspects - {job_id})
     beside = _SUSPECTS_TOGETHER if crashes else _BESIDE_SUSPECT
--- a/src/wigeonreach/scheduling/_orders.py
+++ b/src/wigeonreach/scheduling/_orders.py
@@ -102,6 +102,27 @@
             yield run
 
 
+def over_room(incarnation: Incarnation, store: JobStore) -> Iterator[Run]:
+    """Yield the runs that were given to a worker and don't fit any more.
+
+    A worker may say of itself that it has less than before.  One that doesn't
+    guard its room would begin them all the same, and spoil what runs there.
+    """
+    left = incarnation.room
+    for row in incarnation.running:
+        spec = store.spec_of(row.task)
+        if spec is not None:
+            left -= spec.room
+    for run in not_begun(incarnation, store):
+        asked = store.spec_of(run[0])
+        if asked is None:
+            continue
+        if left.holds(asked.room):
+            left -= asked.room
+        else:
+            yield run
+
+
 def _starts(
     incarnation: Incarnation,
     store: JobStore,
--- a/src/wigeonreach/scheduling/_room_left.py
+++ b/src/wigeonreach/scheduling/_room_left.py
@@ -118,8 +118,9 @@
     for key, run in held.items():
         _add_known(room, key, store)
         task = store.task_of(key)
-        worked_s = progress.worked_s((key, run), incarnation.heard_s)
-        if task is not None and worked_s < SOUND_S:
+        if task is None or not task.crashed_runs:
+            continue
+        if progress.worked_s((key, run), incarnation.heard_s) < SOUND_S:
             room.note_suspect(key.job_id, len(task.crashed_runs))
     for row in incarnation.running:
         # What is being stopped takes room until its end is listed.
--- a/src/wigeonreach/scheduling/_scheduler.py
+++ b/src/wigeonreach/scheduling/_scheduler.py
@@ -22,7 +22,7 @@
 from wigeonreach.scheduling._moving_out import MovingOut
 from wigeonreach.scheduling._notes import Note
 from wigeonreach.scheduling._open_rooms import OpenRooms, PoolRooms
-from wigeonreach.scheduling._orders import not_begun
+from wigeonreach.scheduling._orders import not_begun, over_room
 from wigeonreach.scheduling._pacing import Pacing
 from wigeonreach.scheduling._placing import Plan
 from wigeonreach.scheduling._pool_vms import Move
@@ -33,7 +33,7 @@
 from wigeonreach.scheduling._ready import ReadySteps
 from wigeonreach.scheduling._second_runs import laggards
 from wigeonreach.scheduling._settings import SchedulingSettings
-from wigeonreach.scheduling._workers import Heard, Incarnation, Workers
+from wigeonreach.scheduling._workers import Heard, Incarnation, Workers, room_of
 from wigeonreach.wire._worker_messages import WorkerReport
 
 _DEFAULTS = SchedulingSettings()
@@ -120,24 +120,16 @@
         if self.is_foreign(report):
             return None
         known = self.workers.incarnations.get(report.worker)
-        was_draining = known is not None and known.report.is_draining
-        is_repeated = (
-            known is not None and report.sequence == known.report.sequence
-        )
+        before = known.report if known else None
         incarnation = self.workers.hear(report, now_s)
         if incarnation is None:
             return None
-        if is_repeated:
+        if before is not None and before.sequence == report.sequence:
             # What it tells is taken in, but may not be recorded yet.
             return Heard(incarnation, tuple(self._new_ends(incarnation)))
         self._rooms.forget(report.worker)
         self.crashes.note_heard(incarnation)
-        if incarnation.returned_s == now_s:
-            gone = 'heard again after its lease was over'
-            self._note(LogEvent.WORKER_RETURNED, incarnation, gone)
-        if report.is_draining and not was_draining:
-            left = f'has {report.drain_left_ms} ms left'
-            self._note(LogEvent.WORKER_DRAINING, incarnation, left)
+        self._note_changes(incarnation, before, now_s)
         paced = self.pacing.note(incarnation, self._store)
         self._note(LogEvent.WORKER_PACED, incarnation, paced)
         ends = (*self._new_ends(incarnation), *self._withdrawn(incarnation))
@@ -148,6 +140,24 @@
             self._move_out(incarnation, now_s)
         return Heard(incarnation, ends, stalled)
 
+    def _note_changes(
+        self,
+        incarnation: Incarnation,
+        before: WorkerReport | None,
+        now_s: float,
+    ) -> None:
+        """Tell what a worker says of itself that it did not say before."""
+        report = incarnation.report
+        if incarnation.returned_s == now_s:
+            gone = 'heard again after its lease was over'
+            self._note(LogEvent.WORKER_RETURNED, incarnation, gone)
+        if report.is_draining and not (before and before.is_draining):
+            left = f'has {report.drain_left_ms} ms left'
+            self._note(LogEvent.WORKER_DRAINING, incarnation, left)
+        if before is not None and room_of(before) != incarnation.room:
+            has = f'has {incarnation.room}, had {room_of(before)}'
+            self._note(LogEvent.WORKER_RESIZED, incarnation, has)
+
     def is_foreign(self, report: WorkerReport) -> bool:
         """Whether a heartbeat can't be of a worker that is known here.
 
@@ -264,10 +274,11 @@
 
     def _withdrawn(self, incarnation: Incarnation) -> list[RunEnded]:
         """Reassign what a worker did not begin and shall not begin."""
+        unfit = set(over_room(incarnation, self._store))
         return [
             RunEnded(key, run, incarnation.report.worker, RunEnd.REFUSED)
             for key, run in not_begun(incarnation, self._store)
-            if self._is_unwanted(incarnation, key, run)
+            if (key, run) in unfit or self._is_unwanted(incarnation, key, run)
         ]
 
     def _is_unwanted(
