Show in a test that the manager too loses one worker after the other

The same cause elsewhere: a job of the product's own interface whose workers are lost soon after they start it is placed on the next one without end.

--- a/src/wigeonreach/fleet/_placement_model.py
+++ b/src/wigeonreach/fleet/_placement_model.py
@@ -57,6 +57,7 @@
     GAVE_WAY = 'gave-way'
     NEVER_FITS = 'never-fits'
     FAILS_EVERYWHERE = 'fails-everywhere'
+    LOSES_WORKERS = 'loses-workers'
     MAY_HAVE_RUN = 'may-have-run'
     WORKER_LOST = 'worker-lost'
     DRAINED = 'drained'
--- /dev/null
+++ b/tests/fleet/test_placement_losses.py
@@ -0,0 +1,113 @@
+"""Test what becomes of jobs whose workers are lost one after the other.
+
+Answers jobs that bring down each worker that starts them: the worker falls
+silent, its lease ends, and the job would start on the next one, for ever.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import testtools
+from testtools.matchers import Equals, IsInstance
+
+from tests.builders_placement import (
+    build_job,
+    build_placement,
+    build_worker,
+    submit,
+    tell,
+)
+from wigeonreach.fleet._placement import LEASE_S, Placement
+from wigeonreach.fleet._placement_jobs import JobState
+from wigeonreach.fleet._placement_model import (
+    Reason,
+    SetAside,
+    StartTask,
+    TaskEnd,
+    Tick,
+    WorkerHeard,
+    WorkerJoined,
+    WorkerLost,
+)
+
+_WORKERS = 8
+# From the start of a job until its worker's lease is surely over.
+_LOSS_S = 2 * LEASE_S + 10
+
+
+class TestLosses(testtools.TestCase):
+    """Workers that are lost with what they run."""
+
+    def setUp(self) -> None:
+        """Begin with eight workers, each in a rack of its own."""
+        super().setUp()
+        self.placement = build_placement(_WORKERS)
+        for number in range(_WORKERS):
+            worker = build_worker(number, rack=f'rack-{number}')
+            self.placement.handle(WorkerJoined(worker), 0)
+        self.now_s = 0.0
+
+    def lose(self, *, ran_s: float = 0, with_rack: bool = False) -> list[Any]:
+        """Lose the job's worker; return what follows once its lease is over."""
+        tell(self.placement, 'job', TaskEnd.STARTED, self.now_s)
+        lost = _worker_of(self.placement)
+        self.now_s += ran_s
+        others = {f'vm-{number}' for number in range(_WORKERS)} - {lost}
+        beside = min(others)
+        for other in others:
+            self.placement.handle(WorkerHeard(other), self.now_s + 10)
+        self.placement.handle(WorkerHeard(lost), self.now_s)
+        if with_rack:
+            number = int(beside.removeprefix('vm-'))
+            rack = f'rack-{lost.removeprefix("vm-")}'
+            peer = build_worker(number, rack=rack)
+            self.placement.handle(WorkerJoined(peer), self.now_s)
+            self.placement.handle(WorkerLost(beside), self.now_s + 10)
+        self.placement.handle(WorkerLost(lost), self.now_s + 10)
+        self.now_s += _LOSS_S
+        effects = self.placement.handle(Tick(), self.now_s)
+        for name in (lost, beside):
+            number = int(name.removeprefix('vm-'))
+            back = build_worker(number, rack=f'rack-{number}')
+            self.placement.handle(WorkerJoined(back), self.now_s)
+        return effects
+
+    def test_job_that_loses_its_workers_is_set_aside(self) -> None:
+        """Three workers went down soon after they had started it."""
+        submit(self.placement, build_job('job'))
+        for _ in range(2):
+            self.assertThat(self.lose()[0], IsInstance(StartTask))
+        aside = SetAside('job', Reason.LOSES_WORKERS)
+        self.assertThat(self.lose(), Equals([aside]))
+
+    def test_job_that_ran_for_long_is_not_held_to_be_the_cause(self) -> None:
+        """Over months a job outlives many workers."""
+        submit(self.placement, build_job('job'))
+        for _ in range(6):
+            effects = self.lose(ran_s=600)
+            self.assertThat(effects[0], IsInstance(StartTask))
+
+    def test_rack_that_is_lost_counts_against_no_job(self) -> None:
+        """Other workers of the rack were lost at the same time."""
+        submit(self.placement, build_job('job'))
+        for _ in range(6):
+            effects = self.lose(with_rack=True)
+            self.assertThat(effects[0], IsInstance(StartTask))
+
+    def test_job_that_is_done_is_forgotten(self) -> None:
+        """A later job of the same id begins without a record."""
+        submit(self.placement, build_job('job'))
+        self.lose()
+        self.lose()
+        tell(self.placement, 'job', TaskEnd.STARTED, self.now_s)
+        tell(self.placement, 'job', TaskEnd.FINISHED, self.now_s)
+        record = self.placement.job('job')
+        assert record is not None
+        self.assertThat(record.state, Equals(JobState.FINISHED))
+
+
+def _worker_of(placement: Placement) -> str:
+    record = placement.job('job')
+    assert record is not None
+    return record.worker
