Set a job aside under which workers are lost one after the other

Cause: in the manager too, a job whose worker was lost was queued again and nothing counted. Mend: a loss within a minute of the start counts against the job, unless others of the worker's rack were lost about then; at the third it is set aside, as one that fails on three workers is. Ruled out: counting distinct workers, since a job may be placed on the same one again once that is back. After: set aside; jobs that ran for long, and racks that go, count against nothing.

--- a/src/wigeonreach/fleet/_placement.py
+++ b/src/wigeonreach/fleet/_placement.py
@@ -147,7 +147,7 @@
         self._pools.assign(worker.name, worker.pool)
         self._quarantine.forget_worker(worker.pool, worker.name)
         pool.rooms.join(worker)
-        pool.rooms.state(worker.name).heard_until_s = now_s + LEASE_S
+        pool.rooms.state(worker.name).heard_s = now_s
         for task in event.found:
             if task.job.job_id not in self._jobs:
                 record = JobRecord(task.job)
@@ -161,7 +161,7 @@
         if pool is None:
             return ()
         state = pool.rooms.state(event.name)
-        state.heard_until_s = now_s + LEASE_S
+        state.heard_s = now_s
         if Closed.LOST not in state.closed:
             return ()
         pool.rooms.open(event.name, Closed.LOST)
@@ -190,7 +190,7 @@
         pool = self._pools.of_worker(event.name)
         if pool is None:
             return ()
-        pool.rooms.close(event.name, Closed.LOST)
+        pool.rooms.lose(event.name, now_s)
         for job_id in tuple(pool.rooms.state(event.name).tenants):
             self._lose(pool, self._jobs[job_id])
         return ()
@@ -294,7 +294,7 @@
 
     def _lease_end_s(self, record: JobRecord) -> float:
         rooms = self.pool(record.job.pool).rooms
-        heard_until_s = rooms.state(record.worker).heard_until_s
+        heard_until_s = rooms.state(record.worker).heard_s + LEASE_S
         return max(heard_until_s, record.lease_ends_s) + _CLOCK_MARGIN_S
 
     def _watch(self, record: JobRecord, ends_s: float) -> None:
@@ -318,5 +318,6 @@
         worker = record.worker
         record.step(JobEvent.LEASE_ENDED)
         pool = self.pool(record.job.pool)
+        self._ends.judge_loss(pool, record)
         pool.release(record)
         return self._ends.settle(pool, record, worker)
--- a/src/wigeonreach/fleet/_placement_ends.py
+++ b/src/wigeonreach/fleet/_placement_ends.py
@@ -24,6 +24,9 @@
 
 # Submissions are resent within minutes; so many jobs end in far longer.
 _REMEMBERED_JOBS = 100_000
+# What had run for longer when its worker was last heard did not bring it down
+# by starting: several times the ten seconds after which silence is noticed.
+_BEGUN_S = 60.0
 
 
 class TaskEnds:
@@ -74,6 +77,17 @@
         ):
             pool.rooms.close(worker, Closed.QUARANTINE)
 
+    def judge_loss(self, pool: PoolQueue, record: JobRecord) -> None:
+        """Let the loss of a worker count against a job that it had just begun.
+
+        Without this, a job that brings its workers down takes one after the
+        other; with it, three, as for a job that fails everywhere.
+        """
+        state = pool.rooms.state(record.worker)
+        ran_s = state.heard_s - record.started_at_s
+        if ran_s < _BEGUN_S and not pool.rooms.lost_with_rack(record.worker):
+            self._quarantine.lost(record.job.job_id)
+
     def settle(
         self,
         pool: PoolQueue,
@@ -89,6 +103,8 @@
             return []
         if self._quarantine.is_bad_job(record.job.job_id):
             return self.set_aside(record, Reason.FAILS_EVERYWHERE)
+        if self._quarantine.loses_workers(record.job.job_id):
+            return self.set_aside(record, Reason.LOSES_WORKERS)
         pool.enqueue(record, is_first=True)
         return []
 
--- a/src/wigeonreach/fleet/_placement_pool.py
+++ b/src/wigeonreach/fleet/_placement_pool.py
@@ -21,6 +21,9 @@
 
 # A throttled job keeps this part of its processors.
 THROTTLE_RATIO = 0.25
+# Workers that go down together are found lost within the ten seconds after which
+# silence is noticed.
+_TOGETHER_S = 10.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -56,7 +59,8 @@
     """A worker, its jobs and what is free on it."""
 
     worker: Worker
-    heard_until_s: float = 0.0
+    heard_s: float = 0.0
+    lost_s: float = float('-inf')
     used: Room = NO_ROOM
     throttleable: Room = NO_ROOM
     stoppable: Room = NO_ROOM
@@ -134,6 +138,21 @@
         """Yield the state of each worker."""
         yield from self._workers.values()
 
+    def lose(self, name: str, now_s: float) -> None:
+        """Give a worker that fell silent nothing new."""
+        self._workers[name].lost_s = now_s
+        self.close(name, Closed.LOST)
+
+    def lost_with_rack(self, name: str) -> bool:
+        """Whether others of a lost worker's rack were lost about when it was."""
+        lost = self._workers[name]
+        return any(
+            other.worker.rack == lost.worker.rack
+            and abs(other.lost_s - lost.lost_s) <= _TOGETHER_S
+            for other in self._workers.values()
+            if other is not lost
+        )
+
     def join(self, worker: Worker) -> None:
         """Add a worker, or open it again; its jobs stay counted."""
         state = self._workers.setdefault(worker.name, WorkerState(worker))
--- a/src/wigeonreach/fleet/_quarantine.py
+++ b/src/wigeonreach/fleet/_quarantine.py
@@ -53,6 +53,7 @@
         self._workers: dict[str, _WorkerRecord] = {}
         self._resting: collections.Counter[str] = collections.Counter()
         self._failed_on: dict[str, set[str]] = {}
+        self._losses: collections.Counter[str] = collections.Counter()
 
     def is_resting(self, worker: str) -> bool:
         """Whether a worker gets no ordinary work."""
@@ -63,6 +64,17 @@
         """Whether a job failed on so many workers that it is to blame."""
         return len(self._failed_on.get(job_id, ())) >= _BAD_JOB_WORKERS
 
+    def loses_workers(self, job_id: str) -> bool:
+        """Whether so many workers were lost with a job that it is to blame."""
+        return self._losses[job_id] >= _BAD_JOB_WORKERS
+
+    def lost(self, job_id: str) -> None:
+        """Take in that a worker was lost soon after it had started a job.
+
+        It may be the same worker each time, as that comes back.
+        """
+        self._losses[job_id] += 1
+
     def failed_on(self, job_id: str) -> frozenset[str]:
         """Return the workers on which a job failed."""
         return frozenset(self._failed_on.get(job_id, ()))
@@ -70,6 +82,7 @@
     def forget_job(self, job_id: str) -> None:
         """Drop what is known of a job that is done."""
         self._failed_on.pop(job_id, None)
+        self._losses.pop(job_id, None)
 
     def finished(self, pool: str, worker: str, family: str) -> bool:
         """Take a success in; return whether the worker left quarantine."""
