Hold a crash against a task only as far as it is certain

Cause, found on reading the mend: a worker that is cut off and crashes behind the cut has ended its runs by its lease before, and one whose VM is ordered while it is silent is ended by the order; both counted as if the run had brought the worker down, so that one real crash could have given a job up. Mend: a crash whose VM is back only after the lease was over counts to the four only; an order during the silence explains the loss; two services in a rack of two prove no loss of the rack.

--- a/src/wigeonreach/core/_term_log.py
+++ b/src/wigeonreach/core/_term_log.py
@@ -160,7 +160,7 @@
             LogEvent.RUN_CRASHED,
             run=f'{_task_name(crashed.task)}/{crashed.run}',
             evidence=evidence,
-            crashes=len(task.crashed_runs) if task else 0,
+            crashes=len(task.crashes) if task else 0,
         )
 
     def job_ended(self, job: JobRecord, took_s: float) -> None:
--- a/src/wigeonreach/jobs/_commands.py
+++ b/src/wigeonreach/jobs/_commands.py
@@ -60,14 +60,16 @@
     """What speaks for it that a run brought its worker down.
 
     ``SOUND`` speaks against it: the run had worked for long.  The others speak
-    for it, each more than the one before: other work was there that may be the
-    cause as well; the run had just begun; nothing of other jobs was there.
+    for it, each more than the one before: the worker went down, but perhaps
+    after the run's lease; other work was there that may be the cause as well;
+    the run had just begun; nothing of other jobs was there.
     """
 
     SOUND = 0
-    BESIDE_OTHERS = 1
-    JUST_BEGUN = 2
-    ALONE = 3
+    UNCERTAIN = 1
+    BESIDE_OTHERS = 2
+    JUST_BEGUN = 3
+    ALONE = 4
 
 
 class RunCrashed(msgspec.Struct, frozen=True, array_like=True):
--- a/src/wigeonreach/jobs/_records.py
+++ b/src/wigeonreach/jobs/_records.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from wigeonreach.jobs._commands import CrashEvidence
 from wigeonreach.jobs._model import (
     JobPhase,
     JobSpec,
@@ -17,6 +18,13 @@
 )
 
 
+class TaskCrash(msgspec.Struct, frozen=True, array_like=True):
+    """A run of a task whose worker went down, and what that proves."""
+
+    run: int
+    evidence: CrashEvidence
+
+
 class TaskRecord(msgspec.Struct, array_like=True):
     """One task: where its newest run is and how earlier ones ended.
 
@@ -27,9 +35,9 @@
     worker, vm
         Which incarnation of a worker the newest run was given to, and the VM
         under it, by which a next leader knows whether that worker crashed.
-    crashed_runs
-        Numbers of the runs whose workers crashed under them, since one of them
-        worked for long.
+    crashes
+        Of the runs whose workers crashed under them, since one of them worked
+        for long.
     """
 
     phase: TaskPhase = TaskPhase.WAITING
@@ -38,7 +46,7 @@
     failures: int = 0
     checkpoint: str = ''
     vm: str = ''
-    crashed_runs: tuple[int, ...] = ()
+    crashes: tuple[TaskCrash, ...] = ()
 
 
 Occurrence = list[list[TaskRecord]]
--- a/src/wigeonreach/jobs/_runs.py
+++ b/src/wigeonreach/jobs/_runs.py
@@ -11,7 +11,7 @@
     RunStarted,
 )
 from wigeonreach.jobs._model import JobPhase, RunEnd, TaskKey, TaskPhase
-from wigeonreach.jobs._records import JobRecord, TaskRecord
+from wigeonreach.jobs._records import JobRecord, TaskCrash, TaskRecord
 
 # After how many crashes a task is given up, by what the last one proves.  A task
 # that crashes its workers costs each time a VM for some seconds and all that runs
@@ -22,9 +22,10 @@
     {
         CrashEvidence.ALONE: 2,
         CrashEvidence.JUST_BEGUN: 3,
-        CrashEvidence.BESIDE_OTHERS: 4,
     },
 )
+# Whatever they prove, and also those that may have come after its lease.
+_MOST_CRASHES = 4
 
 
 def note_start(job: JobRecord, start: RunStarted) -> bool:
@@ -77,16 +78,28 @@
     if task is None or not job.is_active or task.phase is TaskPhase.DONE:
         return False
     if crashed.evidence is CrashEvidence.SOUND:
-        task.crashed_runs = ()
+        task.crashes = ()
         return True
-    if crashed.run in task.crashed_runs:
+    if any(known.run == crashed.run for known in task.crashes):
         return False
-    task.crashed_runs = (*task.crashed_runs, crashed.run)
-    if len(task.crashed_runs) >= _CRASHES_ALLOWED[crashed.evidence]:
+    crash = TaskCrash(crashed.run, crashed.evidence)
+    task.crashes = (*task.crashes, crash)
+    if _is_proved(task.crashes):
         job.phase = JobPhase.FAILED
     return True
 
 
+def _is_proved(crashes: tuple[TaskCrash, ...]) -> bool:
+    """Whether it is a task that brings its workers down."""
+    certain = [
+        crash
+        for crash in crashes
+        if crash.evidence is not CrashEvidence.UNCERTAIN
+    ]
+    allowed = _CRASHES_ALLOWED.get(crashes[-1].evidence, _MOST_CRASHES)
+    return len(certain) >= allowed or len(crashes) >= _MOST_CRASHES
+
+
 def _counts(job: JobRecord, task: TaskRecord, ended: RunEnded) -> bool:
     if _is_first_copy(job, task, ended):
         return True
--- a/src/wigeonreach/scheduling/_crashes.py
+++ b/src/wigeonreach/scheduling/_crashes.py
@@ -23,11 +23,16 @@
     TaskRecord,
 )
 from wigeonreach.observe import LogEvent
-from wigeonreach.scheduling._losses import WorkerLoss, domain_loss
+from wigeonreach.scheduling._losses import (
+    DomainLoss,
+    WorkerLoss,
+    domain_loss,
+)
 from wigeonreach.scheduling._notes import Note
 from wigeonreach.scheduling._progress import ProgressWatch
-from wigeonreach.scheduling._workers import Incarnation, Workers
+from wigeonreach.scheduling._workers import LEASE_MS, Incarnation, Workers
 
+_MS_PER_S = 1000
 # A task that crashes its worker does so when it starts.  What had worked for so
 # long was not the cause: several times what heartbeats need to tell of a start.
 SOUND_S = 10.0
@@ -144,7 +149,7 @@
             return
         loss = WorkerLoss(worker, vm, float('-inf'), now_s)
         loss.runs.update(
-            dict.fromkeys(held.items(), CrashEvidence.BESIDE_OTHERS),
+            dict.fromkeys(held.items(), CrashEvidence.UNCERTAIN),
         )
         self._open[worker] = loss
 
@@ -211,7 +216,7 @@
         suspected: dict[str, int] = {}
         for key, _ in runs:
             task = self._store.task_of(key)
-            crashes = len(task.crashed_runs) if task else 0
+            crashes = len(task.crashes) if task else 0
             known = suspected.get(key.job_id, 0)
             suspected[key.job_id] = max(known, crashes)
         return suspected
@@ -226,6 +231,24 @@
         joined_s, worker = self._joined.get(loss.vm, (0.0, loss.worker))
         return worker != loss.worker and joined_s > loss.heard_s
 
+    def _most_proved(
+        self,
+        loss: WorkerLoss,
+        domain: DomainLoss | None,
+        now_s: float,
+    ) -> CrashEvidence:
+        """Return what the crash of a worker proves of its runs at the most."""
+        joined_s, _ = self._joined[loss.vm]
+        if joined_s - loss.heard_s >= LEASE_MS / _MS_PER_S:
+            # It may have been cut off, and have ended its runs before.
+            return CrashEvidence.UNCERTAIN
+        if domain is not None:
+            return CrashEvidence.BESIDE_OTHERS
+        if self.has_crashed_lately(loss.vm, now_s):
+            # What runs there may be as sound as what ran before.
+            return CrashEvidence.JUST_BEGUN
+        return CrashEvidence.ALONE
+
     def _settle(self, loss: WorkerLoss, now_s: float) -> None:
         """Hold a loss against the runs of a worker, unless it is explained."""
         domain = domain_loss(
@@ -236,12 +259,11 @@
         if domain is not None and domain.is_proved:
             self._note(loss, f'{domain.name} went down with it')
             return
-        most = CrashEvidence.ALONE
-        if domain is not None:
-            most = CrashEvidence.BESIDE_OTHERS
-        elif self.has_crashed_lately(loss.vm, now_s):
-            # What runs there may be as sound as what ran before.
-            most = CrashEvidence.JUST_BEGUN
+        joined_s, _ = self._joined[loss.vm]
+        if loss.heard_s < self._ordered_s.get(loss.vm, joined_s) < joined_s:
+            self._note(loss, 'its VM was ordered while it was silent')
+            return
+        most = self._most_proved(loss, domain, now_s)
         self._crashed_s[loss.vm] = now_s
         for (key, run), evidence in loss.runs.items():
             proved = min(evidence, most)
@@ -285,13 +307,13 @@
         One loss without an explanation is most often a worker that is cut off,
         and speaks against nothing.
         """
-        counted = len(task.crashed_runs)
+        counted = len(task.crashes)
         doubtful = self.doubtful[key]
         return counted + doubtful if counted or doubtful > 1 else 0
 
     def may_be_copied(self, key: TaskKey, task: TaskRecord) -> bool:
         """Whether a copy of a task's run may begin before the run is over."""
-        return not task.crashed_runs and not self.doubtful[key]
+        return not task.crashes and not self.doubtful[key]
 
     def must_wait(self, key: TaskKey, task: TaskRecord) -> bool:
         """Whether a task may not start before its losses are explained."""
--- a/src/wigeonreach/scheduling/_losses.py
+++ b/src/wigeonreach/scheduling/_losses.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from wigeonreach.jobs import CrashEvidence, Run
 from wigeonreach.scheduling._workers import Incarnation
@@ -49,9 +49,9 @@
     Attributes
     ----------
     is_proved
-        It went with one that had nothing to bring it down, or with one of
-        another service: tasks of one queue that crash their workers one by one
-        leave none like that.  Otherwise they may be the cause all the same.
+        It went with one that had nothing to bring it down, or with several of
+        more than one service: tasks of a queue that crash their workers one by
+        one leave none like that.  Otherwise they may be the cause all the same.
     """
 
     name: str
@@ -97,8 +97,8 @@
     return None
 
 
-def _is_proved(loss: WorkerLoss, others: Iterable[WorkerLoss]) -> bool:
-    return any(
-        not other.is_provoked or other.service != loss.service
-        for other in others
-    )
+def _is_proved(loss: WorkerLoss, others: Collection[WorkerLoss]) -> bool:
+    if any(not other.is_provoked for other in others):
+        return True
+    services = {loss.service, *(other.service for other in others)}
+    return len(services) > 1 and len(others) > 1
--- /dev/null
+++ b/tests/jobs/test_crashes.py
@@ -0,0 +1,166 @@
+"""Test when the crashes of its workers end a job, and what is kept of them."""
+
+from __future__ import annotations
+
+import msgspec
+import testtools
+from testtools import matchers
+
+from tests.builders_jobs import (
+    JOB,
+    TERM,
+    job,
+    key,
+    serving_step,
+    step,
+    store_with,
+)
+from wigeonreach.jobs import (
+    CancelJob,
+    CrashEvidence,
+    JobPhase,
+    JobStore,
+    RecordRuns,
+    RunCrashed,
+    RunEnd,
+    RunEnded,
+    RunStarted,
+    TaskPhase,
+    TaskRecord,
+)
+from wigeonreach.lab import commit
+
+_ALONE = CrashEvidence.ALONE
+_BEGUN = CrashEvidence.JUST_BEGUN
+_BESIDE = CrashEvidence.BESIDE_OTHERS
+_UNCERTAIN = CrashEvidence.UNCERTAIN
+_SOUND = CrashEvidence.SOUND
+# Series of crashes, and whether the last of them ends the job.
+_SERIES = (
+    ((_ALONE,), False),
+    ((_ALONE, _ALONE), True),
+    ((_BESIDE, _ALONE), True),
+    ((_UNCERTAIN, _ALONE), False),
+    ((_UNCERTAIN, _ALONE, _ALONE), True),
+    ((_BEGUN, _BEGUN), False),
+    ((_BEGUN, _BEGUN, _BEGUN), True),
+    ((_UNCERTAIN, _BEGUN, _BEGUN), False),
+    ((_BESIDE, _BESIDE, _BESIDE), False),
+    ((_BESIDE, _BESIDE, _BESIDE, _BESIDE), True),
+    ((_UNCERTAIN, _UNCERTAIN, _UNCERTAIN), False),
+    ((_UNCERTAIN, _UNCERTAIN, _UNCERTAIN, _UNCERTAIN), True),
+    ((_ALONE, _SOUND, _ALONE), False),
+    ((_BEGUN, _BEGUN, _SOUND, _BEGUN, _BEGUN), False),
+)
+
+
+def _crash(store: JobStore, run: int, evidence: CrashEvidence) -> None:
+    crashed = RunCrashed(key(), run, evidence)
+    commit(store, RecordRuns(TERM, crashes=(crashed,)))
+
+
+def _start(store: JobStore, run: int, vm: str = '') -> None:
+    start = RunStarted(key(), run, f'w{run}', vm)
+    commit(store, RecordRuns(TERM, starts=(start,)))
+
+
+def _lose(store: JobStore, run: int) -> None:
+    ended = RunEnded(key(), run, f'w{run}', RunEnd.LOST)
+    commit(store, RecordRuns(TERM, ends=(ended,)))
+
+
+def _record(store: JobStore) -> TaskRecord:
+    record = store.task_of(key())
+    assert record is not None
+    return record
+
+
+class TestGivenUp(testtools.TestCase):
+    """After how many crashes a task ends its job."""
+
+    def test_job_ends_by_what_its_crashes_prove(self) -> None:
+        """Steps that serve, and steps that end by themselves."""
+        for spec in (step(), serving_step()):
+            for series, is_given_up in _SERIES:
+                store = store_with(job(spec))
+                for run, evidence in enumerate(series, start=1):
+                    _crash(store, run, evidence)
+                phase = store.jobs[JOB].phase
+                expected = JobPhase.FAILED if is_given_up else JobPhase.ACTIVE
+                self.assertThat(phase, matchers.Equals(expected), str(series))
+
+    def test_run_counts_once(self) -> None:
+        """A leader that got no answer records the same again."""
+        store = store_with(job(step()))
+        for _ in range(5):
+            _crash(store, 1, _ALONE)
+        self.assertThat(_record(store).crashes, matchers.HasLength(1))
+        self.assertThat(store.jobs[JOB].phase, matchers.Equals(JobPhase.ACTIVE))
+
+    def test_tasks_of_a_step_count_apart(self) -> None:
+        """Two tasks that lost one worker each are no task that lost two."""
+        store = store_with(job(step(2)))
+        both = tuple(RunCrashed(key(index), 1, _ALONE) for index in range(2))
+        commit(store, RecordRuns(TERM, crashes=both))
+        self.assertThat(store.jobs[JOB].phase, matchers.Equals(JobPhase.ACTIVE))
+
+    def test_task_that_is_done_is_not_given_up(self) -> None:
+        """A copy of it, or its end before the crash, was told meanwhile."""
+        store = store_with(job(step(2)))
+        _start(store, 1)
+        ended = RunEnded(key(), 1, 'w1', RunEnd.DONE)
+        commit(store, RecordRuns(TERM, ends=(ended,)))
+        for run in (1, 2, 3, 4):
+            _crash(store, run, _ALONE)
+        self.assertThat(_record(store).phase, matchers.Equals(TaskPhase.DONE))
+        self.assertThat(store.jobs[JOB].phase, matchers.Equals(JobPhase.ACTIVE))
+
+    def test_cancelled_job_stays_cancelled(self) -> None:
+        """What is known of its tasks later changes nothing."""
+        store = store_with(job(step()))
+        commit(store, CancelJob(JOB))
+        for run in (1, 2, 3, 4):
+            _crash(store, run, _ALONE)
+        phase = store.jobs[JOB].phase
+        self.assertThat(phase, matchers.Equals(JobPhase.CANCELLED))
+
+    def test_former_leader_records_no_crash(self) -> None:
+        """Its view of workers counts no more."""
+        store = store_with(job(step()))
+        crashed = RunCrashed(key(), 1, _ALONE)
+        commit(store, RecordRuns(TERM - 1, crashes=(crashed,)))
+        self.assertThat(_record(store).crashes, matchers.HasLength(0))
+
+    def test_crash_counts_though_another_run_has_begun(self) -> None:
+        """A VM may be back only after its task was started elsewhere."""
+        store = store_with(job(step()))
+        _start(store, 1)
+        _lose(store, 1)
+        _start(store, 2)
+        _crash(store, 1, _ALONE)
+        _crash(store, 2, _ALONE)
+        self.assertThat(store.jobs[JOB].phase, matchers.Equals(JobPhase.FAILED))
+
+
+class TestSnapshots(testtools.TestCase):
+    """What a process that restarts knows of crashes."""
+
+    def test_snapshot_keeps_crashes_and_vms(self) -> None:
+        """It counts on from there."""
+        store = store_with(job(step()))
+        _start(store, 1, vm='vm7')
+        _crash(store, 1, _BESIDE)
+        restored = JobStore()
+        restored.restore(store.snapshot())
+        self.assertThat(_record(restored), matchers.Equals(_record(store)))
+        self.assertThat(_record(restored).vm, matchers.Equals('vm7'))
+        _crash(restored, 2, _ALONE)
+        phase = restored.jobs[JOB].phase
+        self.assertThat(phase, matchers.Equals(JobPhase.FAILED))
+
+    def test_record_of_before_has_no_crash(self) -> None:
+        """Snapshots and logs that tell of none are read as they were."""
+        before = msgspec.msgpack.encode((1, 2, 'w2', 1, 'saved'))
+        record = msgspec.msgpack.decode(before, type=TaskRecord)
+        self.assertThat(record.crashes, matchers.Equals(()))
+        self.assertThat(record.vm, matchers.Equals(''))
--- /dev/null
+++ b/tests/scheduling/test_losses.py
@@ -0,0 +1,102 @@
+"""Test which losses a rack or a zone explains."""
+
+from __future__ import annotations
+
+import testtools
+from testtools import matchers
+
+from wigeonreach.scheduling._losses import (
+    DomainLoss,
+    WorkerLoss,
+    domain_loss,
+)
+from wigeonreach.scheduling._workers import Incarnation, room_of
+from wigeonreach.standins import StandInWorker
+
+
+def _loss(
+    number: int,
+    heard_s: float = 10.0,
+    *,
+    rack: str = 'r0',
+    service: str = 'desk',
+    is_provoked: bool = True,
+) -> WorkerLoss:
+    return WorkerLoss(
+        f'w{number}',
+        f'vm{number}',
+        heard_s,
+        heard_s + 4,
+        service,
+        'z0',
+        rack,
+        is_provoked=is_provoked,
+    )
+
+
+def _alive(
+    rack: str = 'r0', zone: str = 'z0', heard_s: float = 20
+) -> Incarnation:
+    worker = StandInWorker('alive', 'vm-alive', rack=rack, zone=zone)
+    report = worker.report()
+    return Incarnation(report, 0, heard_s, room_of(report))
+
+
+class TestDomainLoss(testtools.TestCase):
+    """A worker that went down, and what went with it."""
+
+    def test_worker_alone_is_no_domain(self) -> None:
+        """Nothing else fell silent."""
+        self.assertThat(domain_loss(_loss(0), (), ()), matchers.Is(None))
+
+    def test_rack_with_an_idle_worker_went(self) -> None:
+        """What had nothing to bring it down proves that the rack did."""
+        losses = (_loss(0), _loss(1, 10.9, is_provoked=False))
+        found = domain_loss(losses[0], losses, (_alive('r1', 'z1'),))
+        expected = DomainLoss('rack r0', is_proved=True)
+        self.assertThat(found, matchers.Equals(expected))
+
+    def test_rack_of_one_queue_may_be_brought_down_by_its_tasks(self) -> None:
+        """Each of its workers had just begun something."""
+        losses = (_loss(0), _loss(1), _loss(2))
+        found = domain_loss(losses[0], losses, (_alive('r1', 'z1'),))
+        expected = DomainLoss('rack r0', is_proved=False)
+        self.assertThat(found, matchers.Equals(expected))
+
+    def test_several_services_went_with_their_rack(self) -> None:
+        """Two that happen to crash at once are no rack yet."""
+        pair = (_loss(0), _loss(1, service='other'))
+        found = domain_loss(pair[0], pair, (_alive('r1', 'z1'),))
+        unproved = DomainLoss('rack r0', is_proved=False)
+        self.assertThat(found, matchers.Equals(unproved))
+        three = (*pair, _loss(2))
+        found = domain_loss(three[0], three, (_alive('r1', 'z1'),))
+        proved = DomainLoss('rack r0', is_proved=True)
+        self.assertThat(found, matchers.Equals(proved))
+
+    def test_rack_with_a_survivor_did_not_go(self) -> None:
+        """Nor did the zone that it is in."""
+        losses = (_loss(0), _loss(1, is_provoked=False))
+        found = domain_loss(losses[0], losses, (_alive(),))
+        self.assertThat(found, matchers.Is(None))
+
+    def test_zone_went_with_its_racks(self) -> None:
+        """One worker of each of its racks was left."""
+        losses = (_loss(0), _loss(1, rack='r1', is_provoked=False))
+        found = domain_loss(losses[0], losses, (_alive('r2', 'z1'),))
+        expected = DomainLoss('zone z0', is_proved=True)
+        self.assertThat(found, matchers.Equals(expected))
+
+    def test_losses_at_other_times_are_no_domain(self) -> None:
+        """Three seconds apart they did not go together."""
+        losses = (_loss(0), _loss(1, 13, is_provoked=False))
+        self.assertThat(domain_loss(losses[0], losses, ()), matchers.Is(None))
+
+    def test_workers_that_came_later_are_no_survivors(self) -> None:
+        """Another worker of the rack joined after it had gone."""
+        losses = (_loss(0), _loss(1, is_provoked=False))
+        late = _alive()
+        late.first_heard_s = 14
+        found = domain_loss(losses[0], losses, (late,))
+        expected = DomainLoss('rack r0', is_proved=True)
+        self.assertThat(found, matchers.Equals(expected))
