Compare workers that fell silent with those of their own rack and zone only

Cause, found on reading: each loss was compared with all workers of the fleet and with all silent ones, so that a zone of thousands that comes back at once would have kept the leader for seconds. Now they are sorted by rack and zone once for all losses of a cycle. A worker whose VM is not told is known by its address instead. What is decided stays.

--- a/src/wigeonreach/scheduling/_crashes.py
+++ b/src/wigeonreach/scheduling/_crashes.py
@@ -25,14 +25,15 @@
 from wigeonreach.observe import LogEvent
 from wigeonreach.scheduling._losses import (
     DomainLoss,
+    FallenWorkers,
     WorkerLoss,
-    domain_loss,
 )
 from wigeonreach.scheduling._notes import Note
 from wigeonreach.scheduling._progress import ProgressWatch
 from wigeonreach.scheduling._workers import LEASE_MS, Incarnation, Workers
 
 _MS_PER_S = 1000
+_NEVER_S = float('-inf')
 # A task that crashes its worker does so when it starts.  What had worked for so
 # long was not the cause: several times what heartbeats need to tell of a start.
 SOUND_S = 10.0
@@ -108,8 +109,9 @@
         self._open.pop(report.worker, None)
         self._losses.pop(report.worker, None)
         joined = (incarnation.first_heard_s, report.worker)
-        if report.vm and joined > self._joined.get(report.vm, (0.0, '')):
-            self._joined[report.vm] = joined
+        vm = report.vm_or_address
+        if joined > self._joined.get(vm, (0.0, '')):
+            self._joined[vm] = joined
 
     def note_vm_ordered(self, vm: str, now_s: float) -> None:
         """Take note that an order is about to end a VM's worker."""
@@ -145,9 +147,9 @@
         held = self._store.held_by(worker)
         tasks = [self._store.task_of(key) for key in held]
         vm = next((task.vm for task in tasks if task is not None), '')
-        if vm in self._inherited or worker in self._open:
+        if not vm or vm in self._inherited or worker in self._open:
             return
-        loss = WorkerLoss(worker, vm, float('-inf'), now_s)
+        loss = WorkerLoss(worker, vm, _NEVER_S, now_s)
         loss.runs.update(
             dict.fromkeys(held.items(), CrashEvidence.UNCERTAIN),
         )
@@ -155,12 +157,18 @@
 
     def found(self, now_s: float) -> tuple[RunCrashed, ...]:
         """Return the crashes to be recorded; the same until they are."""
-        for loss in tuple(self._open.values()):
-            if self._has_successor(loss):
-                self._open.pop(loss.worker)
-                self._settle(loss, now_s)
-            elif now_s - loss.noted_s > _BACK_WITHIN_S:
-                self._open.pop(loss.worker)
+        over = [loss for loss in self._open.values() if self._is_over(loss)]
+        if over:
+            fallen = FallenWorkers(
+                (*self._losses.values(), *self._silent(now_s)),
+                self._workers.incarnations.values(),
+            )
+            for settled in over:
+                self._open.pop(settled.worker)
+                self._settle(settled, fallen, now_s)
+        for waiting in tuple(self._open.values()):
+            if now_s - waiting.noted_s > _BACK_WITHIN_S:
+                self._open.pop(waiting.worker)
         if self._losses:
             self._losses = {
                 worker: late
@@ -176,7 +184,7 @@
 
     def has_crashed_lately(self, vm: str, now_s: float) -> bool:
         """Whether a VM lost a worker for no cause but itself or its runs."""
-        return now_s - self._crashed_s.get(vm, float('-inf')) < _LATELY_S
+        return now_s - self._crashed_s.get(vm, _NEVER_S) < _LATELY_S
 
     def suspects(self, now_s: float) -> Suspects:
         """Return the tasks that may bring their workers down."""
@@ -223,11 +231,12 @@
 
     def _was_ordered(self, incarnation: Incarnation) -> bool:
         """Whether an order for its VM may have ended a worker."""
-        ordered_s = self._ordered_s.get(incarnation.report.vm, float('-inf'))
+        ordered_s = self._ordered_s.get(incarnation.report.vm, _NEVER_S)
         is_of_it = incarnation.first_heard_s <= ordered_s
         return is_of_it and incarnation.heard_s < ordered_s + _ORDER_LASTS_S
 
-    def _has_successor(self, loss: WorkerLoss) -> bool:
+    def _is_over(self, loss: WorkerLoss) -> bool:
+        """Whether another worker joined on the VM of a lost one."""
         joined_s, worker = self._joined.get(loss.vm, (0.0, loss.worker))
         return worker != loss.worker and joined_s > loss.heard_s
 
@@ -249,13 +258,14 @@
             return CrashEvidence.JUST_BEGUN
         return CrashEvidence.ALONE
 
-    def _settle(self, loss: WorkerLoss, now_s: float) -> None:
+    def _settle(
+        self,
+        loss: WorkerLoss,
+        fallen: FallenWorkers,
+        now_s: float,
+    ) -> None:
         """Hold a loss against the runs of a worker, unless it is explained."""
-        domain = domain_loss(
-            loss,
-            (*self._losses.values(), *self._silent(now_s)),
-            self._workers.incarnations.values(),
-        )
+        domain = fallen.domain_of(loss)
         if domain is not None and domain.is_proved:
             self._note(loss, f'{domain.name} went down with it')
             return
@@ -325,7 +335,7 @@
     report = incarnation.report
     return WorkerLoss(
         report.worker,
-        report.vm,
+        report.vm_or_address,
         incarnation.heard_s,
         now_s,
         report.service,
--- a/src/wigeonreach/scheduling/_losses.py
+++ b/src/wigeonreach/scheduling/_losses.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Iterator
 
 from wigeonreach.jobs import CrashEvidence, Run
 from wigeonreach.scheduling._workers import Incarnation
@@ -58,43 +59,64 @@
     is_proved: bool
 
 
-def domain_loss(
-    loss: WorkerLoss,
-    losses: Iterable[WorkerLoss],
-    incarnations: Iterable[Incarnation],
-) -> DomainLoss | None:
-    """Return the rack or zone that went down with a worker, if one did.
+class FallenWorkers:
+    """The workers that fell silent lately, beside those that go on.
+
+    Made once for all losses that are judged together: when a zone of thousands
+    of workers is back, each of them is compared with those of its own rack and
+    zone only.
 
     Parameters
     ----------
-    loss
-        The worker.
     losses
         All workers that fell silent lately.
     incarnations
         The workers that are not given up.
     """
-    others = [
-        other
-        for other in losses
-        if other.worker != loss.worker
-        and abs(other.heard_s - loss.heard_s) <= _TOGETHER_S
-    ]
-    survivors = [
-        known.report
-        for known in incarnations
-        if known.first_heard_s <= loss.heard_s
-        and known.heard_s > loss.heard_s + _TOGETHER_S
-    ]
-    in_rack = [other for other in others if other.rack == loss.rack]
-    if not any(report.rack == loss.rack for report in survivors):
-        if loss.rack and in_rack:
-            return DomainLoss(f'rack {loss.rack}', _is_proved(loss, in_rack))
-    in_zone = [other for other in others if other.zone == loss.zone]
-    if not any(report.zone == loss.zone for report in survivors):
-        if loss.zone and in_zone:
-            return DomainLoss(f'zone {loss.zone}', _is_proved(loss, in_zone))
-    return None
+
+    def __init__(
+        self,
+        losses: Iterable[WorkerLoss],
+        incarnations: Iterable[Incarnation],
+    ) -> None:
+        """Sort them by rack and zone."""
+        self._lost = collections.defaultdict[str, list[WorkerLoss]](list)
+        self._heard = collections.defaultdict[str, list[Incarnation]](list)
+        for loss in losses:
+            for domain in _domains(loss.rack, loss.zone):
+                self._lost[domain].append(loss)
+        for known in incarnations:
+            for heard_in in _domains(known.report.rack, known.report.zone):
+                self._heard[heard_in].append(known)
+
+    def domain_of(self, loss: WorkerLoss) -> DomainLoss | None:
+        """Return the rack or zone that went down with a worker, if one did."""
+        for domain in _domains(loss.rack, loss.zone):
+            others = [
+                other
+                for other in self._lost[domain]
+                if other.worker != loss.worker
+                and abs(other.heard_s - loss.heard_s) <= _TOGETHER_S
+            ]
+            if others and not self._has_survivor(domain, loss.heard_s):
+                return DomainLoss(domain, _is_proved(loss, others))
+        return None
+
+    def _has_survivor(self, domain: str, heard_s: float) -> bool:
+        """Whether a worker that was there then was heard well after."""
+        return any(
+            known.first_heard_s <= heard_s
+            and known.heard_s > heard_s + _TOGETHER_S
+            for known in self._heard[domain]
+        )
+
+
+def _domains(rack: str, zone: str) -> Iterator[str]:
+    """Yield the names of a worker's rack and zone, the smaller one first."""
+    if rack:
+        yield f'rack {rack}'
+    if zone:
+        yield f'zone {zone}'
 
 
 def _is_proved(loss: WorkerLoss, others: Collection[WorkerLoss]) -> bool:
--- a/src/wigeonreach/scheduling/_open_rooms.py
+++ b/src/wigeonreach/scheduling/_open_rooms.py
@@ -108,7 +108,7 @@
             is_paced = self._pacing.is_paced(report.worker)
             room.is_slow = report.worker in slow or is_paced
             room.has_crashed_lately = self._crashes.has_crashed_lately(
-                report.vm,
+                report.vm_or_address,
                 now_s,
             )
         close_trials(rooms)
--- a/src/wigeonreach/scheduling/_placing.py
+++ b/src/wigeonreach/scheduling/_placing.py
@@ -145,7 +145,8 @@
         if task is not None and self._suspects.crashes(key, task):
             self._note_suspect(step, room, self._suspects.crashes(key, task))
         report = room.incarnation.report
-        self.starts.append(RunStarted(key, run, report.worker, report.vm))
+        vm = report.vm_or_address
+        self.starts.append(RunStarted(key, run, report.worker, vm))
 
     def _must_wait(self, step: ReadyStep, key: TaskKey) -> bool:
         task = step.job.task(key)
--- a/src/wigeonreach/wire/_worker_messages.py
+++ b/src/wigeonreach/wire/_worker_messages.py
@@ -73,6 +73,11 @@
     running: tuple[RunningTask, ...] = ()
     ended: tuple[EndedRun, ...] = ()
 
+    @property
+    def vm_or_address(self) -> str:
+        """What outlives the worker: its VM, or its address where none is told."""
+        return self.vm or self.address
+
 
 class StartOrder(msgspec.Struct, frozen=True, array_like=True):
     """Begin a run, from a checkpoint if there is one."""
--- a/tests/scheduling/test_losses.py
+++ b/tests/scheduling/test_losses.py
@@ -7,8 +7,8 @@
 
 from wigeonreach.scheduling._losses import (
     DomainLoss,
+    FallenWorkers,
     WorkerLoss,
-    domain_loss,
 )
 from wigeonreach.scheduling._workers import Incarnation, room_of
 from wigeonreach.standins import StandInWorker
@@ -47,56 +47,66 @@
 
     def test_worker_alone_is_no_domain(self) -> None:
         """Nothing else fell silent."""
-        self.assertThat(domain_loss(_loss(0), (), ()), matchers.Is(None))
+        self.assertThat(
+            FallenWorkers((), ()).domain_of(_loss(0)), matchers.Is(None)
+        )
 
     def test_rack_with_an_idle_worker_went(self) -> None:
         """What had nothing to bring it down proves that the rack did."""
         losses = (_loss(0), _loss(1, 10.9, is_provoked=False))
-        found = domain_loss(losses[0], losses, (_alive('r1', 'z1'),))
+        found = FallenWorkers(losses, (_alive('r1', 'z1'),)).domain_of(
+            losses[0]
+        )
         expected = DomainLoss('rack r0', is_proved=True)
         self.assertThat(found, matchers.Equals(expected))
 
     def test_rack_of_one_queue_may_be_brought_down_by_its_tasks(self) -> None:
         """Each of its workers had just begun something."""
         losses = (_loss(0), _loss(1), _loss(2))
-        found = domain_loss(losses[0], losses, (_alive('r1', 'z1'),))
+        found = FallenWorkers(losses, (_alive('r1', 'z1'),)).domain_of(
+            losses[0]
+        )
         expected = DomainLoss('rack r0', is_proved=False)
         self.assertThat(found, matchers.Equals(expected))
 
     def test_several_services_went_with_their_rack(self) -> None:
         """Two that happen to crash at once are no rack yet."""
         pair = (_loss(0), _loss(1, service='other'))
-        found = domain_loss(pair[0], pair, (_alive('r1', 'z1'),))
+        found = FallenWorkers(pair, (_alive('r1', 'z1'),)).domain_of(pair[0])
         unproved = DomainLoss('rack r0', is_proved=False)
         self.assertThat(found, matchers.Equals(unproved))
         three = (*pair, _loss(2))
-        found = domain_loss(three[0], three, (_alive('r1', 'z1'),))
+        found = FallenWorkers(three, (_alive('r1', 'z1'),)).domain_of(three[0])
         proved = DomainLoss('rack r0', is_proved=True)
         self.assertThat(found, matchers.Equals(proved))
 
     def test_rack_with_a_survivor_did_not_go(self) -> None:
         """Nor did the zone that it is in."""
         losses = (_loss(0), _loss(1, is_provoked=False))
-        found = domain_loss(losses[0], losses, (_alive(),))
+        found = FallenWorkers(losses, (_alive(),)).domain_of(losses[0])
         self.assertThat(found, matchers.Is(None))
 
     def test_zone_went_with_its_racks(self) -> None:
         """One worker of each of its racks was left."""
         losses = (_loss(0), _loss(1, rack='r1', is_provoked=False))
-        found = domain_loss(losses[0], losses, (_alive('r2', 'z1'),))
+        found = FallenWorkers(losses, (_alive('r2', 'z1'),)).domain_of(
+            losses[0]
+        )
         expected = DomainLoss('zone z0', is_proved=True)
         self.assertThat(found, matchers.Equals(expected))
 
     def test_losses_at_other_times_are_no_domain(self) -> None:
         """Three seconds apart they did not go together."""
         losses = (_loss(0), _loss(1, 13, is_provoked=False))
-        self.assertThat(domain_loss(losses[0], losses, ()), matchers.Is(None))
+        self.assertThat(
+            FallenWorkers(losses, ()).domain_of(losses[0]), matchers.Is(None)
+        )
 
     def test_workers_that_came_later_are_no_survivors(self) -> None:
         """Another worker of the rack joined after it had gone."""
         losses = (_loss(0), _loss(1, is_provoked=False))
         late = _alive()
         late.first_heard_s = 14
-        found = domain_loss(losses[0], losses, (late,))
+        found = FallenWorkers(losses, (late,)).domain_of(losses[0])
         expected = DomainLoss('rack r0', is_proved=True)
         self.assertThat(found, matchers.Equals(expected))
