--- a/src/wigeonreach/scheduling/_choosing.py
+++ b/src/wigeonreach/scheduling/_choosing.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable
 
 from wigeonreach.jobs import StepSpec, TaskKey
-from wigeonreach.scheduling._crashes import Suspects
+from wigeonreach.scheduling._suspects import Suspects
 from wigeonreach.scheduling._ready import ReadyStep, most_together
 from wigeonreach.scheduling._room_left import CRASHES_BEFORE_TRIAL, WorkerRoom
 
--- a/src/wigeonreach/scheduling/_crashes.py
+++ b/src/wigeonreach/scheduling/_crashes.py
@@ -11,8 +11,7 @@
 from __future__ import annotations
 
 import collections
-import dataclasses
-from collections.abc import Collection, Iterable, Iterator, Mapping
+from collections.abc import Iterable, Iterator
 
 from wigeonreach.jobs import (
     CrashEvidence,
@@ -20,9 +19,9 @@
     Run,
     RunCrashed,
     TaskKey,
-    TaskRecord,
 )
 from wigeonreach.observe import LogEvent
+from wigeonreach.scheduling._evidence import JUST_BEGUN_S, evidence_of
 from wigeonreach.scheduling._losses import (
     DomainLoss,
     FallenWorkers,
@@ -30,16 +29,11 @@
 )
 from wigeonreach.scheduling._notes import Note
 from wigeonreach.scheduling._progress import ProgressWatch
+from wigeonreach.scheduling._suspects import Suspects
 from wigeonreach.scheduling._workers import LEASE_MS, Incarnation, Workers
 
 _MS_PER_S = 1000
 _NEVER_S = float('-inf')
-# A task that crashes its worker does so when it starts.  What had worked for so
-# long was not the cause: several times what heartbeats need to tell of a start.
-SOUND_S = 10.0
-# So long after it was first listed a run counts as just begun: four heartbeats
-# of a busy worker.
-_JUST_BEGUN_S = 1.0
 # A VM was seen to have another worker 3.2 s after a crash; longer than outages
 # of racks last.
 _BACK_WITHIN_S = 30.0
@@ -55,9 +49,6 @@
 # A task that has to run alone waits for a worker for so long, while others of
 # its kind have them all: those that are sound are done by then.
 _PATIENCE_S = 2.0
-# With so many crashes and doubts a task waits until the doubts are settled, as
-# its next start may be one too many.
-_MOST_DOUBTS = 3
 
 
 class CrashWatch:
@@ -214,10 +205,8 @@
         # What it was never told of can't have brought it down.
         for run in begun.intersection(runs):
             worked_s = self._progress.worked_s(run, loss.heard_s)
-            loss.is_provoked |= worked_s < _JUST_BEGUN_S
-            most = _most_evidence(run[0].job_id, suspected)
-            is_alone = len(suspected) == 1
-            loss.runs[run] = min(_evidence(worked_s, is_alone), most)
+            loss.is_provoked |= worked_s < JUST_BEGUN_S
+            loss.runs[run] = evidence_of(run[0].job_id, worked_s, suspected)
 
     def _suspected(self, runs: Iterable[Run]) -> dict[str, int]:
         """Return of each job how many crashes speak against a task of it."""
@@ -295,42 +284,6 @@
         self.notes.append(Note(LogEvent.WORKER_CRASHED, loss.worker, reason))
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Suspects:
-    """Which tasks may bring their workers down, at one moment.
-
-    Attributes
-    ----------
-    doubtful
-        In how many losses that are not explained yet each task was.
-    newly_lost
-        Tasks that were lost so short a time ago that they may still wait for
-        a worker without others of them.
-    """
-
-    doubtful: collections.Counter[TaskKey]
-    newly_lost: Collection[TaskKey] = frozenset()
-
-    def crashes(self, key: TaskKey, task: TaskRecord) -> int:
-        """Return how many crashes speak against a task, with doubtful ones.
-
-        One loss without an explanation is most often a worker that is cut off,
-        and speaks against nothing.
-        """
-        counted = len(task.crashes)
-        doubtful = self.doubtful[key]
-        return counted + doubtful if counted or doubtful > 1 else 0
-
-    def may_be_copied(self, key: TaskKey, task: TaskRecord) -> bool:
-        """Whether a copy of a task's run may begin before the run is over."""
-        return not task.crashes and not self.doubtful[key]
-
-    def must_wait(self, key: TaskKey, task: TaskRecord) -> bool:
-        """Whether a task may not start before its losses are explained."""
-        is_settled = not self.doubtful[key]
-        return not is_settled and self.crashes(key, task) >= _MOST_DOUBTS
-
-
 def _loss_of(incarnation: Incarnation, now_s: float) -> WorkerLoss:
     report = incarnation.report
     return WorkerLoss(
@@ -342,33 +295,3 @@
         report.zone,
         report.rack,
     )
-
-
-def _evidence(worked_s: float, is_alone: bool) -> CrashEvidence:
-    """Return what the time that a run had worked says."""
-    if worked_s >= SOUND_S:
-        return CrashEvidence.SOUND
-    if worked_s < _JUST_BEGUN_S:
-        return CrashEvidence.ALONE
-    return CrashEvidence.JUST_BEGUN if is_alone else CrashEvidence.BESIDE_OTHERS
-
-
-def _most_evidence(job_id: str, suspected: Mapping[str, int]) -> CrashEvidence:
-    """Return how much a crash may prove beside what else was there.
-
-    Parameters
-    ----------
-    job_id
-        Whose run it is.
-    suspected
-        Of each job on the worker, how many crashes speak against it.
-    """
-    others = [
-        crashes for other, crashes in suspected.items() if other != job_id
-    ]
-    if not others:
-        return CrashEvidence.ALONE
-    if max(others) and max(others) >= suspected.get(job_id, 0):
-        # One that others were more often lost with may be the cause instead.
-        return CrashEvidence.BESIDE_OTHERS
-    return CrashEvidence.JUST_BEGUN
--- a/src/wigeonreach/scheduling/_placing.py
+++ b/src/wigeonreach/scheduling/_placing.py
@@ -8,7 +8,7 @@
 from wigeonreach.jobs import JobStore, RunStarted, TaskKey
 from wigeonreach.scheduling._advice import TicketCache
 from wigeonreach.scheduling._choosing import Ranking, best_room
-from wigeonreach.scheduling._crashes import Suspects
+from wigeonreach.scheduling._suspects import Suspects
 from wigeonreach.scheduling._near import NearRooms, fits_whole
 from wigeonreach.scheduling._ready import ReadyStep
 from wigeonreach.scheduling._room_left import CRASHES_BEFORE_TRIAL, WorkerRoom
--- a/src/wigeonreach/scheduling/_room_left.py
+++ b/src/wigeonreach/scheduling/_room_left.py
@@ -7,7 +7,7 @@
 
 from wigeonreach._room import Room
 from wigeonreach.jobs import JobStore, StepSpec, TaskKey
-from wigeonreach.scheduling._crashes import SOUND_S
+from wigeonreach.scheduling._evidence import SOUND_S
 from wigeonreach.scheduling._progress import ProgressWatch
 from wigeonreach.scheduling._workers import Incarnation
 
--- a/src/wigeonreach/scheduling/_second_runs.py
+++ b/src/wigeonreach/scheduling/_second_runs.py
@@ -13,7 +13,7 @@
 from collections.abc import Iterator, Mapping
 
 from wigeonreach.jobs import JobStore, Run, TaskKey
-from wigeonreach.scheduling._crashes import Suspects
+from wigeonreach.scheduling._suspects import Suspects
 from wigeonreach.scheduling._progress import ProgressWatch
 from wigeonreach.scheduling._workers import Incarnation
 
