Take back only what a worker surely did not begin

Cause: what a heartbeat does not list counted as not begun. The first heartbeats of a worker in a term may be ones that the former leader answered with starts (a core process passed one on after the leader had gone), so runs were taken back for want of room or of a ticket, and begun elsewhere beside or after the first. Ruled out: clocks, cuts, the lease (the run had ended well 1 s before); repeated heartbeats of one term (they change nothing); drains and ended jobs (a worker that drains is given nothing, and runs of an ended job begin nowhere). Mend: what this leader gave may be taken back at once, the rest only once the worker has been heard for 2 s in the term. Before: both tests of stale heartbeats fail. After: they pass, with those of rooms that shrink as they were.

--- a/src/wigeonreach/scheduling/_scheduler.py
+++ b/src/wigeonreach/scheduling/_scheduler.py
@@ -230,6 +230,9 @@
         for start in plan.starts:
             # Whether it will be recorded is not known yet.
             self._rooms.forget(start.worker)
+            self.workers.incarnations[start.worker].given.add(
+                (start.task, start.run),
+            )
         self.workers.note_starting({start.worker for start in plan.starts})
         return tuple(plan.starts)
 
@@ -274,26 +277,39 @@
 
     def _withdrawn(self, incarnation: Incarnation) -> list[RunEnded]:
         """Reassign what a worker did not begin and shall not begin."""
-        unfit = set(over_room(incarnation, self._store))
+        unlisted = tuple(not_begun(incarnation, self._store))
+        incarnation.given.intersection_update(unlisted)
+        unfit = self.stopping.union(over_room(incarnation, self._store))
         return [
             RunEnded(key, run, incarnation.report.worker, RunEnd.REFUSED)
-            for key, run in not_begun(incarnation, self._store)
-            if (key, run) in unfit or self._is_unwanted(incarnation, key, run)
+            for key, run in unlisted
+            if self._is_over(incarnation, key)
+            or self._is_taken_back(incarnation, (key, run), unfit)
         ]
 
-    def _is_unwanted(
-        self, incarnation: Incarnation, key: TaskKey, run: int
-    ) -> bool:
+    def _is_over(self, incarnation: Incarnation, key: TaskKey) -> bool:
+        """Whether a task's job or worker takes nothing more."""
         job = self._store.job_of(key)
         is_active = job is not None and job.is_active
-        if incarnation.report.is_draining or not is_active:
-            return True
+        return incarnation.report.is_draining or not is_active
+
+    def _is_taken_back(
+        self,
+        incarnation: Incarnation,
+        run: Run,
+        unfit: Collection[Run],
+    ) -> bool:
+        if not incarnation.surely_lacks(run):
+            return False
+        return run in unfit or self._lacks_ticket(incarnation, run)
+
+    def _lacks_ticket(self, incarnation: Incarnation, run: Run) -> bool:
         # A worker that waits for a ticket holds room for nothing.
-        needs = job is not None and job.queue.advice is not None
-        ticket = self.advice.ticket(
-            key, incarnation.report.worker, incarnation.heard_s
-        )
-        return (key, run) in self.stopping or (needs and not ticket)
+        job = self._store.job_of(run[0])
+        if job is None or job.queue.advice is None:
+            return False
+        worker = incarnation.report.worker
+        return not self.advice.ticket(run[0], worker, incarnation.heard_s)
 
     def _forget_stopped(self) -> None:
         if not self.stopping:
--- a/src/wigeonreach/scheduling/_workers.py
+++ b/src/wigeonreach/scheduling/_workers.py
@@ -32,6 +32,10 @@
 # A worker is heard again within 0.8 s of a heartbeat that was answered, also
 # where the answer was held, and after 1 s of one that was not.
 _UNANSWERED_S = 0.9
+# A heartbeat that a former leader answered may be passed on for so long after the
+# worker's first one in a term: its sender gives it up after 1 s, and whoever
+# passes it on after 0.9 s.
+_ANSWERED_BEFORE_S = 2.0
 # An order for a VM ends what runs on it at once; who is heard well after it was
 # confirmed goes on.
 _ORDER_WORKS_S = 1.0
@@ -57,6 +61,8 @@
         Whether a start on it was decided last, and may not be recorded yet.
     leased_s
         When the last heartbeat came that was answered in this term.
+    given
+        Runs that this leader gave it and that it has not listed yet.
     told
         What the newest answer told it to start.
     """
@@ -71,6 +77,7 @@
     returned_s: float = float('-inf')
     awaits_start: bool = False
     leased_s: float = float('-inf')
+    given: set[Run] = dataclasses.field(default_factory=set)
     told: frozenset[Run] = frozenset()
 
     @property
@@ -96,6 +103,15 @@
         is_doubtful = self.is_ending or is_ordered or not is_proven
         return not self.is_silent(now_s) and not is_doubtful
 
+    def surely_lacks(self, run: Run) -> bool:
+        """Whether a run that its newest heartbeat does not list was not begun.
+
+        A heartbeat may reach this leader after a former one has answered it with
+        starts.  Taking back what it does not list would then begin runs twice.
+        """
+        heard_for_s = self.heard_s - self.first_heard_s
+        return run in self.given or heard_for_s >= _ANSWERED_BEFORE_S
+
     @property
     def needs_lease(self) -> bool:
         """Whether its newest heartbeat has to be answered at once.
