Let stand-in workers refuse what ended on them

The platform's workers refuse a run that is not higher than one that ended there; a stand-in began it again, so no test saw what a leader makes of such a refusal.

--- a/src/wigeonreach/standins/_worker.py
+++ b/src/wigeonreach/standins/_worker.py
@@ -6,7 +6,7 @@
 import itertools
 from collections.abc import Iterator
 
-from wigeonreach.jobs import Run, RunEnd
+from wigeonreach.jobs import Run, RunEnd, TaskKey
 from wigeonreach.wire._worker_messages import (
     EndedRun,
     RunningTask,
@@ -32,6 +32,8 @@
         When its lease is over, on the clock that ``obey`` is given.
     running, ended
         Its runs; ends are listed until they are acknowledged.
+    over
+        The highest run of each task that ended here: none up to it begins.
     """
 
     name: str
@@ -48,6 +50,7 @@
     lease_until_s: float = 0.0
     running: dict[Run, RunningTask] = dataclasses.field(default_factory=dict)
     ended: list[EndedRun] = dataclasses.field(default_factory=list)
+    over: dict[TaskKey, int] = dataclasses.field(default_factory=dict)
     _numbers: Iterator[int] = dataclasses.field(
         default_factory=lambda: itertools.count(1),
     )
@@ -109,10 +112,13 @@
         for stop in orders.stops:
             if (stop.task, stop.run) in self.running:
                 self.end((stop.task, stop.run), RunEnd.STOPPED)
-        for start in orders.starts:
+        begun = tuple(
+            start for start in orders.starts if self._may_begin(start)
+        )
+        for start in begun:
             run = (start.task, start.run)
             self.running[run] = RunningTask(*run, '', percent)
-        return orders.starts
+        return begun
 
     def lapse(self, now_s: float) -> None:
         """End all runs if the lease is over."""
@@ -132,4 +138,15 @@
     def end(self, run: Run, how: RunEnd) -> None:
         """Let a run end."""
         self.running.pop(run)
+        self._tell_end(run, how)
+
+    def _may_begin(self, start: StartOrder) -> bool:
+        """Refuse a run that is not higher than one that ended here."""
+        if start.run > self.over.get(start.task, 0):
+            return True
+        self._tell_end((start.task, start.run), RunEnd.REFUSED)
+        return False
+
+    def _tell_end(self, run: Run, how: RunEnd) -> None:
+        self.over[run[0]] = max(run[1], self.over.get(run[0], 0))
         self.ended.append(EndedRun(next(self._numbers), *run, how))
--- a/tests/builders_crashes.py
+++ b/tests/builders_crashes.py
@@ -120,6 +120,7 @@
                 fence=0,
                 running={},
                 ended=[],
+                over={},
             )
             self.lead.workers[successor.name] = successor
 
--- a/tests/standins/test_worker.py
+++ b/tests/standins/test_worker.py
@@ -62,3 +62,13 @@
         self.assertThat(self.worker.report().ended, matchers.HasLength(1))
         self.worker.obey(_orders(acknowledged=1))
         self.assertThat(self.worker.report().ended, matchers.HasLength(0))
+
+    def test_run_that_ended_here_is_refused(self) -> None:
+        """A higher run of the same task begins."""
+        self.worker.end((key(), 1), RunEnd.DONE)
+        for run, expected in ((1, 0), (2, 1)):
+            order = StartOrder(key(), run, 'payload')
+            started = self.worker.obey(_orders(starts=(order,)))
+            self.assertThat(started, matchers.HasLength(expected))
+        ends = [ended.end for ended in self.worker.ended]
+        self.assertThat(ends, matchers.Equals([RunEnd.DONE, RunEnd.REFUSED]))
