--- a/tests/builders_crashes.py
+++ b/tests/builders_crashes.py
@@ -39,6 +39,8 @@
         How long each other task that ends takes.
     back_after_s
         How long a worker is away.
+    successor
+        Returns the next worker on the VM of one that was away.
 
     Attributes
     ----------
@@ -57,6 +59,7 @@
         crashes: Callable[[TaskKey], bool],
         work_s: float = 0.5,
         back_after_s: float = BACK_AFTER_S,
+        successor: Callable[[StandInWorker], StandInWorker] | None = None,
     ) -> None:
         """Begin with all workers up."""
         self.lead = FakeLead(store, workers)
@@ -66,6 +69,7 @@
         self._crashes = crashes
         self._work_s = work_s
         self._back_after_s = back_after_s
+        self._successor = successor or self._with_another_id
         self._down: list[_Down] = []
         self._lives = collections.Counter[str]()
         self._begun: dict[tuple[Run, str], float] = {}
@@ -96,6 +100,7 @@
         """Let workers crash for a cause of their own."""
         for worker in list(workers):
             self.lead.workers.pop(worker.name)
+            self._forget_begun(worker)
             after_s = back_after_s or self._back_after_s
             self._down.append(_Down(worker, self.lead.now_s + after_s))
             for key, _ in worker.running:
@@ -111,19 +116,21 @@
         due = [down for down in self._down if down.back_s <= now_s]
         for down in due:
             self._down.remove(down)
-            vm = down.worker.vm
-            self._lives[vm] += 1
-            successor = dataclasses.replace(
-                down.worker,
-                name=f'{vm}-life{self._lives[vm]}',
-                sequence=0,
-                fence=0,
-                running={},
-                ended=[],
-                over={},
-            )
+            successor = self._successor(down.worker)
             self.lead.workers[successor.name] = successor
 
+    def _with_another_id(self, worker: StandInWorker) -> StandInWorker:
+        self._lives[worker.vm] += 1
+        return dataclasses.replace(
+            worker,
+            name=f'{worker.vm}-life{self._lives[worker.vm]}',
+            sequence=0,
+            fence=0,
+            running={},
+            ended=[],
+            over={},
+        )
+
     def _work(self, worker: StandInWorker) -> None:
         now_s = self.lead.now_s
         self._note_begun(worker)
@@ -139,6 +146,11 @@
             if done >= 1 and self._is_whole(ending):
                 worker.end(ending, RunEnd.DONE)
 
+    def _forget_begun(self, worker: StandInWorker) -> None:
+        """Count what begins on the next worker of that name anew."""
+        for run in worker.running:
+            self._begun.pop((run, worker.name), None)
+
     def _note_begun(self, worker: StandInWorker) -> None:
         for run in worker.running:
             name = (run, worker.name)
--- a/tests/builders_jobs.py
+++ b/tests/builders_jobs.py
@@ -132,7 +132,8 @@
             self.hear(worker)
         self.plan()
         for told in self.workers.values():
-            incarnation = self.scheduler.workers.incarnations.get(told.name)
+            name = told.last_report.worker
+            incarnation = self.scheduler.workers.incarnations.get(name)
             if incarnation is not None:
                 told.obey(
                     self.scheduler.answers.orders(incarnation, self.now_s)
--- /dev/null
+++ b/tests/builders_restarts.py
@@ -0,0 +1,104 @@
+"""Build workers that restart under their id, as the platform tells of them."""
+
+from __future__ import annotations
+
+import dataclasses
+import itertools
+import json
+from types import MappingProxyType
+
+from wigeonreach.jobs import RunEnd, TaskKey
+from wigeonreach.platform._workers import decode_heartbeat
+from wigeonreach.standins import StandInWorker
+from wigeonreach.wire._worker_messages import EndedRun, WorkerReport
+
+# The time of day of a worker's first start, in milliseconds since 1970.
+BORN_MS = 1_764_740_000_000
+_MS_PER_S = 1000
+_ENDS = MappingProxyType(
+    {
+        RunEnd.DONE: 'done',
+        RunEnd.FAILED: 'failed',
+        RunEnd.STOPPED: 'stopped',
+        RunEnd.LAPSED: 'lapsed',
+        RunEnd.REFUSED: 'refused',
+    },
+)
+
+
+@dataclasses.dataclass(slots=True)
+class PlatformWorker(StandInWorker):
+    """A worker that keeps its id, and says when it started.
+
+    Attributes
+    ----------
+    born_ms
+        When it started, since 1970; None if it does not say.
+    """
+
+    born_ms: int | None = BORN_MS
+
+    @property
+    def last_report(self) -> WorkerReport:
+        """Its newest heartbeat, as it is read from the platform's body."""
+        return decode_heartbeat(self.name, json.dumps(self._body()).encode())
+
+    def restart(self, after_s: float = 1.0) -> None:
+        """Start again under the id: hold, count and know nothing of before."""
+        if self.born_ms is not None:
+            self.born_ms += int(after_s * _MS_PER_S)
+        self.sequence = 0
+        self.fence = 0
+        self.lease_until_s = 0.0
+        self.is_draining = False
+        self.running = {}
+        self.ended = []
+        self.over = {}
+        self._numbers = itertools.count(1)
+
+    def finish_all(self) -> None:
+        """Let all runs end well."""
+        for run in list(self.running):
+            self.end(run, RunEnd.DONE)
+
+    def _body(self) -> dict[str, object]:
+        told: dict[str, object] = {
+            'service': self.service,
+            'address': '10.0.0.9:8080',
+            'zone': self.zone,
+            'sequence': self.sequence,
+            'state': 'draining' if self.is_draining else 'ready',
+            'machine': self.vm,
+            'labels': [self.kind, self.rack],
+            'capacity': {'cpu': self.cpu_millicores, 'memMb': self.memory_mb},
+            'running': [
+                [_name(row.task), row.run, row.checkpoint, row.percent]
+                for row in self.running.values()
+            ],
+            'finished': [_end_row(ended) for ended in self.ended],
+        }
+        if self.born_ms is not None:
+            told['born'] = self.born_ms
+        return told
+
+
+def platform_workers(count: int) -> list[PlatformWorker]:
+    """Return workers on VMs of their own."""
+    return [
+        PlatformWorker(f'i-{number}', f'vm{number}') for number in range(count)
+    ]
+
+
+def next_life(worker: StandInWorker) -> StandInWorker:
+    """Return a worker of the platform after it has started again."""
+    assert isinstance(worker, PlatformWorker)
+    worker.restart()
+    return worker
+
+
+def _end_row(ended: EndedRun) -> list[object]:
+    return [ended.number, _name(ended.task), ended.run, _ENDS[ended.end], '']
+
+
+def _name(key: TaskKey) -> str:
+    return f'{key.job_id}.{key.occurrence}.{key.step}.{key.index}'
