Know a worker's incarnation by its id and its start

Callers saw tasks that had ended well begin again, and jobs that never went on past a first step that had ended well, with room to spare. Cause: a worker's incarnation was its id alone, and nothing read its start. A worker that started again under its id inherited what the leader knew of the life before. Ends with numbers up to the last one of that life counted as recorded and were acknowledged, so the worker forgot them; their runs were ordered again and refused. Refusals with low numbers were overlooked too (LOST), others counted as never begun (TWICE): one fault. Class: state of one incarnation applied to another. Ruled out: heartbeats that count as late explain the idle workers, not the jobs that stay; copies and leases (run 1 had ended 1.7 s before); suspects (what waits was never begun).

A farewell tells no start, so it goes to the incarnation that drains. A heartbeat without a start, where others of its id tell one, is foreign.

--- a/src/wigeonreach/platform/_advisor.py
+++ b/src/wigeonreach/platform/_advisor.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import dataclasses
+from collections.abc import Mapping
+
 import msgspec
 
 from wigeonreach.observe import Logger
@@ -12,6 +15,7 @@
 )
 from wigeonreach.platform._session import PlatformSession, expect_ok
 from wigeonreach.scheduling._advice import Advice, Question
+from wigeonreach.wire._worker_messages import worker_id_of
 
 _TIMEOUT_S = 3.0
 
@@ -52,17 +56,38 @@
         if not self._address:
             return None
         job_id, occurrence, step = question.step
+        names = {worker_id_of(name): name for name in question.workers}
         body: dict[str, object] = {
             'step': f'{job_id}.{occurrence}.{step}',
-            'workers': question.workers,
+            'workers': tuple(names),
         }
-        return await self._session.post('/advise', decode_advice, body)
+        advice = await self._session.post('/advise', decode_advice, body)
+        return advice and name_incarnations(advice, names)
 
     async def close(self) -> None:
         """Close the connections."""
         await self._session.close()
 
 
+def name_incarnations(advice: Advice, names: Mapping[str, str]) -> Advice:
+    """Return an answer by incarnation, as the advisor knows ids alone.
+
+    Parameters
+    ----------
+    advice
+        By id.
+    names
+        The incarnation of each id that was asked for; rows of others are
+        dropped.
+    """
+    tickets = {
+        names[worker_id]: ticket
+        for worker_id, ticket in advice.tickets.items()
+        if worker_id in names
+    }
+    return dataclasses.replace(advice, tickets=tickets)
+
+
 def decode_advice(status: int, body: bytes) -> Advice:
     """Return the tickets that can be read.
 
--- a/src/wigeonreach/platform/_control.py
+++ b/src/wigeonreach/platform/_control.py
@@ -10,7 +10,7 @@
 from wigeonreach.platform._http import HttpReply, HttpRequest, error_reply
 from wigeonreach.platform._manifest import decode_manifest, decode_wave
 from wigeonreach.platform._replies import http_reply
-from wigeonreach.platform._workers import decode_heartbeat
+from wigeonreach.platform._workers import decode_farewell, decode_heartbeat
 from wigeonreach.wire._call_messages import (
     AnyCall,
     DropWorker,
@@ -73,10 +73,11 @@
         return _decode_read(request)
     path = request.path
     if path.startswith(_HEARTBEAT):
-        worker = path.removeprefix(_HEARTBEAT)
-        return HearWorker(decode_heartbeat(worker, request.body))
+        worker_id = path.removeprefix(_HEARTBEAT)
+        return HearWorker(decode_heartbeat(worker_id, request.body))
     if path.startswith(_LEAVE):
-        return DropWorker(path.removeprefix(_LEAVE))
+        leaving_id = path.removeprefix(_LEAVE)
+        return DropWorker(decode_farewell(leaving_id, request.body))
     if path == '/Config.Replace':
         return PutManifest(decode_manifest(request.body))
     if path == '/wave-start':
--- a/src/wigeonreach/platform/_workers.py
+++ b/src/wigeonreach/platform/_workers.py
@@ -18,11 +18,13 @@
 )
 from wigeonreach.jobs import RunEnd, TaskKey
 from wigeonreach.wire._worker_messages import (
+    START_MARK,
     EndedRun,
     RunningTask,
     StartOrder,
     WorkerOrders,
     WorkerReport,
+    incarnation_name,
 )
 
 _ENDS: Mapping[str, RunEnd] = MappingProxyType(
@@ -84,6 +86,8 @@
     capacity: _Capacity
     # The kind of the worker, then its rack.
     labels: tuple[str, ...]
+    # When it started, in milliseconds since 1970.
+    born: Amount | None = None
     cold_remaining_ms: _Figure = 0
     # The VM under the worker.
     machine: str = ''
@@ -93,10 +97,18 @@
     finished: tuple[_EndedRow, ...] = ()
 
 
+class _Farewell(msgspec.Struct, frozen=True):
+    """What a worker says when it ends."""
+
+    # See ``_Beat.born``.
+    born: Amount | None = None
+
+
 _BEATS = msgspec.json.Decoder(_Beat)
+_FAREWELLS = msgspec.json.Decoder(_Farewell)
 
 
-def decode_heartbeat(worker: str, body: bytes) -> WorkerReport:
+def decode_heartbeat(worker_id: str, body: bytes) -> WorkerReport:
     """Return what a worker says of itself.
 
     Raises
@@ -106,11 +118,29 @@
         up in part is not to be trusted in the rest.
     """
     try:
-        return _report(worker, decode_body(_BEATS, body))
+        return _report(worker_id, decode_body(_BEATS, body))
     except UnreadableBodyError as error:
         raise RequestRefusedError(
             ResultCode.ANNOUNCE_INVALID,
-            f'heartbeat of {worker}: {error}',
+            f'heartbeat of {worker_id}: {error}',
+        ) from error
+
+
+def decode_farewell(worker_id: str, body: bytes) -> str:
+    """Return the name of the incarnation that says that it ends.
+
+    Raises
+    ------
+    RequestRefusedError
+        If there is a body that is not understood.
+    """
+    try:
+        said = decode_body(_FAREWELLS, body) if body else _Farewell()
+        return _name(worker_id, said.born)
+    except UnreadableBodyError as error:
+        raise RequestRefusedError(
+            ResultCode.ANNOUNCE_INVALID,
+            f'end of {worker_id}: {error}',
         ) from error
 
 
@@ -150,9 +180,15 @@
     return (*row, start.ticket) if start.ticket else row
 
 
-def _report(worker: str, beat: _Beat) -> WorkerReport:
+def _name(worker_id: str, born_ms: int | None) -> str:
+    if START_MARK in worker_id:
+        raise UnreadableBodyError(f'no worker id {worker_id!r}')
+    return incarnation_name(worker_id, born_ms)
+
+
+def _report(worker_id: str, beat: _Beat) -> WorkerReport:
     return WorkerReport(
-        worker=worker,
+        worker=_name(worker_id, beat.born),
         vm=beat.machine,
         service=beat.service,
         address=beat.address,
--- a/src/wigeonreach/scheduling/_scheduler.py
+++ b/src/wigeonreach/scheduling/_scheduler.py
@@ -163,11 +163,13 @@
 
         It names a service that the manifest does not, though nothing runs
         under its name, or another service than before: an incarnation stays
-        with its service.
+        with its service.  Or it does not tell its start, as others of its id do.
         """
         known = self.workers.incarnations.get(report.worker)
         if known is not None:
             return report.service != known.report.service
+        if self.workers.is_nameless(report):
+            return True
         is_named = self._store.names_service(report.service)
         return not is_named and not self._store.held_by(report.worker)
 
--- a/src/wigeonreach/scheduling/_workers.py
+++ b/src/wigeonreach/scheduling/_workers.py
@@ -9,7 +9,12 @@
 from wigeonreach._room import Room
 from wigeonreach.jobs import Run, RunEnded
 from wigeonreach.jobs._model import MEBIBYTE, MILLICORES
-from wigeonreach.wire._worker_messages import RunningTask, WorkerReport
+from wigeonreach.wire._worker_messages import (
+    RunningTask,
+    WorkerReport,
+    tells_start,
+    worker_id_of,
+)
 
 # How long a worker may go on after a heartbeat that was answered.  Longer
 # than an election with a lost heartbeat before and after it (about 3 s); short
@@ -215,13 +220,23 @@
         return known
 
     def leave(self, worker: str, now_s: float) -> None:
-        """Take note that a worker ends now."""
-        known = self.incarnations.get(worker)
+        """Take note that a worker ends now.
+
+        Parameters
+        ----------
+        worker
+            The incarnation, or an id: who ends says before that it drains, so
+            an id may stand for the incarnation of it that does.  One that does
+            not has started again since, and the word of the former came late.
+        now_s
+            Clock in seconds.
+        """
+        known = self.incarnations.get(worker) or self._draining(worker)
         if known is None:
             self._gone_s[worker] = now_s
         elif known.leaves_at_s is None:
             known.leaves_at_s = now_s + _LEAVE_S
-            self._leaving.add(worker)
+            self._leaving.add(known.report.worker)
 
     def note_starting(self, workers: Collection[str]) -> None:
         """Take note on whom starts were decided that are not recorded yet.
@@ -287,6 +302,16 @@
                 total[service] = has + incarnation.room.processors
         return total
 
+    def is_nameless(self, report: WorkerReport) -> bool:
+        """Whether it lacks the start that others of its worker's id told.
+
+        Nothing tells which of its worker's lives such a heartbeat is of.
+        """
+        return not tells_start(report.worker) and any(
+            tells_start(name) and worker_id_of(name) == report.worker
+            for name in self._by_vm.get(report.vm, ())
+        )
+
     def of_vm(self, vm: str) -> Incarnation | None:
         """Return the newest incarnation on a VM."""
         return max(
@@ -295,6 +320,18 @@
             default=None,
         )
 
+    def _draining(self, worker_id: str) -> Incarnation | None:
+        """Return the incarnation of a worker that drains, if one does."""
+        return next(
+            (
+                incarnation
+                for incarnation in self.incarnations.values()
+                if incarnation.report.is_draining
+                and worker_id_of(incarnation.report.worker) == worker_id
+            ),
+            None,
+        )
+
     def _hear_gone(
         self,
         report: WorkerReport,
--- a/src/wigeonreach/standins/_worker.py
+++ b/src/wigeonreach/standins/_worker.py
@@ -13,6 +13,7 @@
     StartOrder,
     WorkerOrders,
     WorkerReport,
+    incarnation_name,
 )
 
 _MS_PER_S = 1000
@@ -20,12 +21,16 @@
 
 @dataclasses.dataclass(slots=True)
 class StandInWorker:
-    """One incarnation of a worker; it obeys, and does no work of its own.
+    """A worker; it obeys, and does no work of its own.
 
     Attributes
     ----------
+    name
+        Its id, which it keeps when it starts again.
     vm
         Outlives the worker.
+    born_ms
+        When it started, since 1970; None if it does not say.
     fence
         The highest that it was given; orders under a lower one are ignored.
     lease_until_s
@@ -51,15 +56,21 @@
     running: dict[Run, RunningTask] = dataclasses.field(default_factory=dict)
     ended: list[EndedRun] = dataclasses.field(default_factory=list)
     over: dict[TaskKey, int] = dataclasses.field(default_factory=dict)
+    born_ms: int | None = None
     _numbers: Iterator[int] = dataclasses.field(
         default_factory=lambda: itertools.count(1),
     )
 
+    @property
+    def incarnation(self) -> str:
+        """The name of the life that it leads now."""
+        return incarnation_name(self.name, self.born_ms)
+
     @property
     def last_report(self) -> WorkerReport:
         """Its newest heartbeat."""
         return WorkerReport(
-            worker=self.name,
+            worker=self.incarnation,
             vm=self.vm,
             service=self.service,
             address='127.0.0.1:1',
@@ -79,6 +90,18 @@
         self.sequence += 1
         return self.last_report
 
+    def restart(self, born_ms: int) -> None:
+        """Start again under its id: hold, count and know nothing of before."""
+        self.born_ms = born_ms
+        self.sequence = 0
+        self.fence = 0
+        self.lease_until_s = 0.0
+        self.is_draining = False
+        self.running = {}
+        self.ended = []
+        self.over = {}
+        self._numbers = itertools.count(1)
+
     def obey(
         self,
         orders: WorkerOrders,
--- a/src/wigeonreach/wire/_call_messages.py
+++ b/src/wigeonreach/wire/_call_messages.py
@@ -73,7 +73,11 @@
 
 
 class DropWorker(Call, frozen=True):
-    """Take note that a worker ends now."""
+    """Take note that a worker ends now.
+
+    ``worker`` is the name of the incarnation, or an id where the start is not
+    told.
+    """
 
     worker: str
 
--- a/src/wigeonreach/wire/_worker_messages.py
+++ b/src/wigeonreach/wire/_worker_messages.py
@@ -6,6 +6,39 @@
 
 from wigeonreach.jobs._model import RunEnd, TaskKey
 
+# Between a worker's id and its start; no id holds it.
+START_MARK = '#'
+
+
+def incarnation_name(worker_id: str, born_ms: int | None) -> str:
+    """Return the name of one incarnation of a worker.
+
+    A worker may start again under its id, and then counts its heartbeats and
+    ends anew and has nothing of before: all that is known of it, or is told to
+    it, goes by this name.
+
+    Parameters
+    ----------
+    worker_id
+        Of the worker.
+    born_ms
+        When it started, since 1970 by its own clock, which may step: a higher
+        one need not be later.  None if it does not say; its id is its name then.
+    """
+    if born_ms is None:
+        return worker_id
+    return f'{worker_id}{START_MARK}{born_ms}'
+
+
+def worker_id_of(incarnation: str) -> str:
+    """Return the id of an incarnation's worker."""
+    return incarnation.partition(START_MARK)[0]
+
+
+def tells_start(incarnation: str) -> bool:
+    """Whether an incarnation said when it started."""
+    return START_MARK in incarnation
+
 
 class RunningTask(msgspec.Struct, frozen=True, array_like=True):
     """A run on a worker, as the worker last saw it.
@@ -45,7 +78,7 @@
     Attributes
     ----------
     worker
-        Of one incarnation of a worker; a restart has another.
+        Name of one incarnation of a worker; a restart has another.
     vm
         The VM under it, which outlives it; nothing if it isn't told.
     sequence
--- a/tests/builders_restarts.py
+++ b/tests/builders_restarts.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import dataclasses
-import itertools
 import json
 from types import MappingProxyType
 
@@ -28,13 +27,7 @@
 
 @dataclasses.dataclass(slots=True)
 class PlatformWorker(StandInWorker):
-    """A worker that keeps its id, and says when it started.
-
-    Attributes
-    ----------
-    born_ms
-        When it started, since 1970; None if it does not say.
-    """
+    """A worker that keeps its id, and says when it started."""
 
     born_ms: int | None = BORN_MS
 
@@ -43,18 +36,10 @@
         """Its newest heartbeat, as it is read from the platform's body."""
         return decode_heartbeat(self.name, json.dumps(self._body()).encode())
 
-    def restart(self, after_s: float = 1.0) -> None:
-        """Start again under the id: hold, count and know nothing of before."""
-        if self.born_ms is not None:
-            self.born_ms += int(after_s * _MS_PER_S)
-        self.sequence = 0
-        self.fence = 0
-        self.lease_until_s = 0.0
-        self.is_draining = False
-        self.running = {}
-        self.ended = []
-        self.over = {}
-        self._numbers = itertools.count(1)
+    def start_again(self, after_s: float = 1.0) -> None:
+        """Start again under the id, a while after the last start."""
+        assert self.born_ms is not None
+        self.restart(self.born_ms + int(after_s * _MS_PER_S))
 
     def finish_all(self) -> None:
         """Let all runs end well."""
@@ -92,7 +77,7 @@
 def next_life(worker: StandInWorker) -> StandInWorker:
     """Return a worker of the platform after it has started again."""
     assert isinstance(worker, PlatformWorker)
-    worker.restart()
+    worker.start_again()
     return worker
 
 
--- a/tests/platform/test_restarted_workers.py
+++ b/tests/platform/test_restarted_workers.py
@@ -82,7 +82,7 @@
     def restart(self) -> None:
         """Let all workers start again."""
         for worker in self.workers:
-            worker.restart()
+            worker.start_again()
 
 
 class TestEndsOfTheNextLife(testtools.TestCase):
