Compare the platform's list of VMs with workers by their ids

Operators would see a VM maintained under serving tasks of a worker that a new leader had not heard yet, and a VM counted as back 1 s after its order, so that one more than the limit of its wave could be down. Cause: the list names a worker's id, and what is recorded names one life of it; they never compared equal since lives have names of their own. Mend: ids are compared; where the id is the same after maintenance, a VM that is listed as up counts as back once the time for its maintenance is over (bounds.maintenanceS).

--- a/src/wigeonreach/platform/_settings.py
+++ b/src/wigeonreach/platform/_settings.py
@@ -36,6 +36,8 @@
     lease_ms: int = _DEFAULT_ORDER_PAUSE_MS
     # The platform's word for moving a VM to another pool.
     migration_s: float = 1.5
+    # The platform's word for maintaining a VM.
+    maintenance_s: float = 2.0
     # Of the time that work takes away from its data.
     remote_factor: float = 1.0
 
@@ -103,6 +105,7 @@
             scheduling=SchedulingSettings(
                 move_s=self.bounds.migration_s,
                 far_factor=self.bounds.remote_factor,
+                maintained_s=self.bounds.maintenance_s,
             ),
         )
 
--- a/src/wigeonreach/scheduling/_maintenance.py
+++ b/src/wigeonreach/scheduling/_maintenance.py
@@ -16,6 +16,7 @@
 from wigeonreach.scheduling._moving_out import MovingOut, is_empty
 from wigeonreach.scheduling._vms import VmPhase, VmRecord
 from wigeonreach.scheduling._workers import Incarnation, Workers
+from wigeonreach.wire._worker_messages import worker_id_of
 
 # Batch tasks last about a second; what still runs after this is stopped, as
 # it holds one of the few places of the wave.
@@ -64,6 +65,8 @@
         The incarnations of the workers.
     moving_out
         Which serving tasks may leave.
+    maintained_s
+        How long a VM is away for its maintenance.
     """
 
     def __init__(
@@ -71,8 +74,10 @@
         store: JobStore,
         workers: Workers,
         moving_out: MovingOut,
+        maintained_s: float,
     ) -> None:
         """Empty nothing yet."""
+        self._maintained_s = maintained_s
         self._store = store
         self._workers = workers
         self._moving_out = moving_out
@@ -272,7 +277,12 @@
     def _has_unheard_work(self, vm: str) -> bool:
         """Whether a worker that was not heard in this term has tasks."""
         record = self._vms.get(vm)
-        return record is not None and record.worker in self._store.assigned
+        if record is None:
+            return False
+        # The list names an id, and runs are recorded for one life of it.
+        return any(
+            worker_id_of(name) == record.worker for name in self._store.assigned
+        )
 
     def _batch_runs(self, incarnation: Incarnation) -> list[Run]:
         held = self._store.held_by(incarnation.report.worker)
@@ -296,4 +306,8 @@
         record = self._vms.get(vm)
         if record is None or record.phase is not VmPhase.UP:
             return False
-        return record.worker != wave.vms[vm].worker or not record.worker
+        if record.worker != worker_id_of(wave.vms[vm].worker):
+            return True
+        # No worker at all, or one that may have started again under its id.
+        is_over = self._listed_s - confirmed_s >= self._maintained_s
+        return is_over or not record.worker
--- a/src/wigeonreach/scheduling/_scheduler.py
+++ b/src/wigeonreach/scheduling/_scheduler.py
@@ -82,7 +82,12 @@
         self.advice = TicketCache()
         self.notes: list[Note] = []
         self.moving_out = MovingOut(store, self.workers.incarnations)
-        self.maintenance = Maintenance(store, self.workers, self.moving_out)
+        self.maintenance = Maintenance(
+            store,
+            self.workers,
+            self.moving_out,
+            settings.maintained_s,
+        )
         self.pools = PoolPlanner(store, self.workers, settings, now_s)
         self.stopping: set[Run] = set()
         self.answers = Answers(
--- a/src/wigeonreach/scheduling/_settings.py
+++ b/src/wigeonreach/scheduling/_settings.py
@@ -16,7 +16,10 @@
         changes its pool is not rebooted.
     far_factor
         How much longer work takes away from its data, or on several racks.
+    maintained_s
+        How long a VM is away for its maintenance.
     """
 
     move_s: float = 1.5
     far_factor: float = 1.0
+    maintained_s: float = 2.0
