Let lives of a worker prove which of them goes on

Callers would see jobs wait for a lease: a new leader that heard a late heartbeat of a life that is over after the first one of the next gave tasks to the dead one, and took the VM for empty while the other worked. Cause: whoever was first heard last on a VM counted as its worker at once. Ruled out: comparing the starts, as clocks step between lives. Mend: when a second incarnation is heard on a VM whose other one is not silent, neither gets new work, and the VM is not empty, until one was heard for 1 s more; by then the other is over. Before: the test fails.

--- a/src/wigeonreach/scheduling/_moving_out.py
+++ b/src/wigeonreach/scheduling/_moving_out.py
@@ -30,9 +30,14 @@
 
 
 def is_empty(incarnation: Incarnation, store: JobStore) -> bool:
-    """Whether nothing is on a worker, may be, or is about to be started."""
+    """Whether nothing is on a worker, may be, or is about to be started.
+
+    Where it is not sure which incarnation goes on at a VM, another one may have
+    what this one lacks.
+    """
     held = store.held_by(incarnation.report.worker)
-    return not (held or incarnation.running or incarnation.awaits_start)
+    has_work = held or incarnation.running or incarnation.awaits_start
+    return incarnation.is_proven and not has_work
 
 
 class MovingOut:
--- a/src/wigeonreach/scheduling/_scheduler.py
+++ b/src/wigeonreach/scheduling/_scheduler.py
@@ -153,7 +153,7 @@
     ) -> None:
         """Tell what a worker says of itself that it did not say before."""
         report = incarnation.report
-        if incarnation.returned_s == now_s:
+        if before is None and incarnation.first_heard_s < now_s:
             gone = 'heard again after its lease was over'
             self._note(LogEvent.WORKER_RETURNED, incarnation, gone)
         if report.is_draining and not (before and before.is_draining):
--- a/src/wigeonreach/scheduling/_workers.py
+++ b/src/wigeonreach/scheduling/_workers.py
@@ -60,8 +60,8 @@
         When it surely has ended, once it said that it ends.
     ordered_s
         When an order for its VM was confirmed last.
-    returned_s
-        When it was heard again after its lease was over.
+    doubted_s
+        Since when it has to prove that it goes on.
     awaits_start
         Whether a start on it was decided last, and may not be recorded yet.
     leased_s
@@ -79,7 +79,7 @@
     noted: int = 0
     leaves_at_s: float | None = None
     ordered_s: float = float('-inf')
-    returned_s: float = float('-inf')
+    doubted_s: float = float('-inf')
     awaits_start: bool = False
     leased_s: float = float('-inf')
     given: set[Run] = dataclasses.field(default_factory=set)
@@ -103,11 +103,17 @@
     def may_take(self, now_s: float) -> bool:
         """Whether new work may be given to it."""
         is_ordered = self.heard_s - self.ordered_s < _ORDER_WORKS_S
-        # One late heartbeat of a worker that has crashed proves nothing.
-        is_proven = self.heard_s - self.returned_s >= _SUCCESSOR_PROVEN_S
-        is_doubtful = self.is_ending or is_ordered or not is_proven
+        is_doubtful = self.is_ending or is_ordered or not self.is_proven
         return not self.is_silent(now_s) and not is_doubtful
 
+    @property
+    def is_proven(self) -> bool:
+        """Whether it surely goes on, as far as it was doubted.
+
+        One late heartbeat of a worker that has ended proves nothing.
+        """
+        return self.heard_s - self.doubted_s >= _SUCCESSOR_PROVEN_S
+
     def surely_lacks(self, run: Run) -> bool:
         """Whether a run that its newest heartbeat does not list was not begun.
 
@@ -203,6 +209,7 @@
         known = self.incarnations.get(report.worker)
         if known is None:
             known = Incarnation(report, now_s, now_s, room_of(report))
+            self._doubt_rivals(known, now_s)
             self._add(known)
             return known
         if report.sequence < known.report.sequence:
@@ -347,11 +354,24 @@
         self._gone_s.pop(report.worker)
         known.report = report
         known.heard_s = now_s
-        known.returned_s = now_s
+        known.doubted_s = now_s
         known.room = room_of(report)
         self._add(known)
         return known
 
+    def _doubt_rivals(self, newcomer: Incarnation, now_s: float) -> None:
+        """Let incarnations that are heard on one VM prove which of them goes on.
+
+        One of them is over, and the newcomer may be it: to a new leader a late
+        heartbeat of a life that has ended looks like the first one of the next.
+        """
+        on_vm = self._by_vm.get(newcomer.report.vm, {})
+        rivals = [
+            rival for rival in on_vm.values() if not rival.is_silent(now_s)
+        ]
+        for doubted in (*rivals, *([newcomer] if rivals else [])):
+            doubted.doubted_s = now_s
+
     def _add(self, incarnation: Incarnation) -> None:
         report = incarnation.report
         self.incarnations[report.worker] = incarnation
