--- a/soak/_promises.py
+++ b/soak/_promises.py
@@ -137,7 +137,9 @@
         beside = [other for other in others if other is not worker]
         for other in beside:
             if _runs(other, key, now_s):
-                self._break(f'{key}: on {worker.name} beside {other.name}')
+                self._break(
+                    f'{key}: on {worker.incarnation} beside {other.incarnation}'
+                )
         self._check_turn(job.spec, key)
         self._check_room(worker)
 
@@ -159,11 +161,11 @@
         An end counts only if the worker's lease went on until then: who does
         not hear of a worker for longer takes its runs for lost.
         """
-        listed = {(worker.name, ended.number) for ended in worker.ended}
+        listed = {(worker.incarnation, ended.number) for ended in worker.ended}
         if now_s > worker.lease_until_s:
             self._too_late |= listed
         for ended in worker.ended:
-            is_late = (worker.name, ended.number) in self._too_late
+            is_late = (worker.incarnation, ended.number) in self._too_late
             if is_late or ended.number > orders.acknowledged:
                 continue
             task = self._tasks[ended.task]
--- a/soak/_workers.py
+++ b/soak/_workers.py
@@ -20,6 +20,7 @@
 _FAILED_PERCENT = 3
 _SHORTEST_RUN_S = 0.1
 _LONGEST_RUN_S = 1.5
+_NS_PER_MS = 1_000_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -28,7 +29,6 @@
 
     name: str
     worker: StandInWorker
-    incarnations: int = 1
     due_s: dict[Run, float] = dataclasses.field(default_factory=dict)
 
 
@@ -59,7 +59,7 @@
         self._promises = promises
         self._rng = rng
         self._vms = [
-            _Vm(f'vm-{number}', StandInWorker(f'vm-{number}.1', f'vm-{number}'))
+            _Vm(f'vm-{number}', _new_worker(f'vm-{number}'))
             for number in range(count)
         ]
 
@@ -70,11 +70,10 @@
                 group.create_task(self._live(vm))
 
     def crash(self, subject: int) -> None:
-        """End a worker with all that runs on it; another comes at its VM."""
+        """End a worker with all that runs on it; it starts again under its id."""
         vm = self._vms[subject % len(self._vms)]
-        vm.incarnations += 1
         vm.due_s.clear()
-        vm.worker = StandInWorker(f'{vm.name}.{vm.incarnations}', vm.name)
+        vm.worker = _new_worker(vm.name)
 
     def running(self) -> dict[TaskKey, str]:
         """Return what runs, and where."""
@@ -82,7 +81,7 @@
         for vm in self._vms:
             vm.worker.lapse(now_s)
         return {
-            key: vm.worker.name
+            key: vm.worker.incarnation
             for vm in self._vms
             for key, _ in vm.worker.running
         }
@@ -128,11 +127,16 @@
                 has_failed = self._rng.randrange(100) < _FAILED_PERCENT
                 how = RunEnd.FAILED if has_failed else RunEnd.DONE
                 worker.end(run, how)
-                self._promises.note_ended(run[0], worker.name, how)
+                self._promises.note_ended(run[0], worker.incarnation, how)
                 vm.due_s.pop(run)
         worker.advance(_percent(now_s))
 
 
+def _new_worker(vm: str) -> StandInWorker:
+    born_ms = time.time_ns() // _NS_PER_MS
+    return StandInWorker(f'worker-of-{vm}', vm, born_ms=born_ms)
+
+
 def _percent(now_s: float) -> int:
     """Return some progress that is seen to move."""
     return int(now_s * 10) % 99 + 1
--- a/src/wigeonreach/lab/_day.py
+++ b/src/wigeonreach/lab/_day.py
@@ -172,7 +172,7 @@
     def _answer(self) -> None:
         known = self._lead.scheduler.workers.incarnations
         for vm, worker in self.fleet.up():
-            incarnation = known.get(worker.name)
+            incarnation = known.get(worker.incarnation)
             if vm.asked_s is None or incarnation is None:
                 vm.asked_s = None
                 continue
@@ -197,7 +197,7 @@
         for move in scheduler.moves(self._now_s):
             left = self.fleet.vms[move.vm].worker
             if left is not None:
-                scheduler.workers.note_ordered(left.name, self._now_s)
+                scheduler.workers.note_ordered(left.incarnation, self._now_s)
             self.fleet.move(move.vm, move.to_pool, self._now_s)
             scheduler.pools.note_moved(move, self._now_s)
             self.outcome.moves += 1
--- a/src/wigeonreach/lab/_fleet.py
+++ b/src/wigeonreach/lab/_fleet.py
@@ -123,7 +123,7 @@
         self._store = store
         self._lasting = lasting
         self._rng = random.Random(seed)
-        self._serials = itertools.count(1)
+        self._starts = itertools.count(1)
         pools = itertools.chain(
             *itertools.repeat(services, plan.pool_vms),
             itertools.repeat(STANDBY, plan.standby_vms),
@@ -203,9 +203,11 @@
         return vm
 
     def _begin(self, vm: Vm, now_s: float) -> None:
+        # A worker keeps its id, and is another incarnation at each start.
         vm.worker = StandInWorker(
-            f'worker{next(self._serials):04}',
+            f'worker-of-{vm.name}',
             vm.name,
+            born_ms=next(self._starts),
             service=vm.pool,
             cpu_millicores=self.plan.millicores,
             memory_mb=self.plan.memory_mb,
