Tell why a heartbeat counts as late; test names of incarnations at the border

Logs and counters could not tell a heartbeat that was overtaken from one of a life that is over, which is what a worker that works on unheard sends. Starts that are missing, negative, fractions, texts or too large are tested, as are ids that hold the mark of a start, farewells and tickets.

--- a/src/wigeonreach/core/_term.py
+++ b/src/wigeonreach/core/_term.py
@@ -232,8 +232,9 @@
     def _note_ignored(self, report: WorkerReport) -> None:
         if self.scheduler.is_foreign(report):
             self._log.foreign(report)
-        else:
-            self._log.late(report)
+            return
+        is_over = self.scheduler.workers.is_gone(report.worker)
+        self._log.late(report, is_over)
 
     async def _record_ends(
         self,
--- a/src/wigeonreach/core/_term_log.py
+++ b/src/wigeonreach/core/_term_log.py
@@ -88,14 +88,16 @@
             running=len(report.running),
         )
 
-    def late(self, report: WorkerReport) -> None:
+    def late(self, report: WorkerReport, is_over: bool) -> None:
         """Tell of a heartbeat that was overtaken, or of a dead incarnation."""
-        self._metrics.count('heartbeats_late')
+        reason = 'incarnation-over' if is_over else 'overtaken'
+        self._metrics.count('heartbeats_late', reason)
         self._log.info(
             LogEvent.HEARTBEAT_LATE,
             worker=report.worker,
             vm=report.vm,
             sequence=report.sequence,
+            reason=reason,
         )
 
     def foreign(self, report: WorkerReport) -> None:
--- a/src/wigeonreach/scheduling/_workers.py
+++ b/src/wigeonreach/scheduling/_workers.py
@@ -204,7 +204,7 @@
             Its newest heartbeat once more changes nothing: whoever passed it on
             lost the answer, for which the worker still waits.
         """
-        if report.worker in self._gone_s:
+        if self.is_gone(report.worker):
             return self._hear_gone(report, now_s)
         known = self.incarnations.get(report.worker)
         if known is None:
@@ -289,11 +289,15 @@
         """Whether nothing runs any more on a worker that isn't followed."""
         if worker in self.incarnations:
             return False
-        return worker in self._gone_s or self.knows_all(now_s)
+        return self.is_gone(worker) or self.knows_all(now_s)
+
+    def is_gone(self, worker: str) -> bool:
+        """Whether an incarnation was given up, or said that it ends."""
+        return worker in self._gone_s
 
     def was_heard(self, worker: str) -> bool:
         """Whether a worker was heard, or ended, in this term."""
-        return worker in self.incarnations or worker in self._gone_s
+        return worker in self.incarnations or self.is_gone(worker)
 
     def knows_all(self, now_s: float) -> bool:
         """Whether nothing runs on any worker that was not heard in this term."""
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import json
 import pathlib
 import tempfile
@@ -9,6 +10,7 @@
 import testtools
 from testtools import matchers
 
+from tests.builders_platform import heartbeat
 from wigeonreach.codes import ResultCode
 from wigeonreach.exceptions import (
     FleetTextError,
@@ -16,10 +18,16 @@
     SettingError,
 )
 from wigeonreach.jobs import JobPhase, RunEnd, TaskKey
+from wigeonreach.platform._advisor import name_incarnations
 from wigeonreach.platform._jobs import decode_job, encode_state
 from wigeonreach.platform._manifest import decode_manifest, decode_wave
 from wigeonreach.platform._settings import read_platform_file
-from wigeonreach.platform._workers import decode_heartbeat, encode_orders
+from wigeonreach.platform._workers import (
+    decode_farewell,
+    decode_heartbeat,
+    encode_orders,
+)
+from wigeonreach.scheduling._advice import Advice
 from wigeonreach.wire._call_replies import JobState
 from wigeonreach.wire._worker_messages import (
     PaceOrder,
@@ -220,6 +228,58 @@
     ).encode()
 
 
+class TestIncarnations(testtools.TestCase):
+    """Ids and starts, by which a worker's lives are told apart."""
+
+    def _name(self, **told: object) -> str:
+        body = {**heartbeat(), **told}
+        return decode_heartbeat('i-1', json.dumps(body).encode()).worker
+
+    def test_start_is_part_of_the_name(self) -> None:
+        """The same id with another start is another incarnation."""
+        first = self._name(born=1_764_740_000_000)
+        self.assertThat(first, matchers.Equals('i-1#1764740000000'))
+        self.assertThat(self._name(born=0), matchers.Equals('i-1#0'))
+
+    def test_worker_that_tells_no_start_has_its_id(self) -> None:
+        """As those that have a new id at each start."""
+        self.assertThat(self._name(), matchers.Equals('i-1'))
+        self.assertThat(self._name(born=None), matchers.Equals('i-1'))
+
+    def test_start_of_another_kind_is_refused(self) -> None:
+        """What it is can't be told, so the heartbeat is nobody's."""
+        wrong: tuple[object, ...] = (-1, 1.5, '17', True, [], 10**30)
+        for born in wrong:
+            naming = functools.partial(self._name, born=born)
+            refused = matchers.raises(RequestRefusedError)
+            self.assertThat(naming, refused)
+
+    def test_id_with_the_mark_of_a_start_is_refused(self) -> None:
+        """It would stand for a life of another worker."""
+        body = json.dumps(heartbeat()).encode()
+        self.assertThat(
+            lambda: decode_heartbeat('i-1#5', body),
+            matchers.raises(RequestRefusedError),
+        )
+
+    def test_farewell_may_tell_a_start(self) -> None:
+        """It has no body, or one that says what heartbeats say."""
+        self.assertThat(decode_farewell('i-1', b''), matchers.Equals('i-1'))
+        self.assertThat(decode_farewell('i-1', b'{}'), matchers.Equals('i-1'))
+        told = decode_farewell('i-1', b'{"born":5}')
+        self.assertThat(told, matchers.Equals('i-1#5'))
+        self.assertThat(
+            lambda: decode_farewell('i-1', b'{"born":"x"}'),
+            matchers.raises(RequestRefusedError),
+        )
+
+    def test_tickets_are_of_the_lives_that_were_asked_for(self) -> None:
+        """The advisor knows ids alone; rows of others are dropped."""
+        answer = Advice({'i-1': 'one', 'i-9': 'nine'}, valid_s=3)
+        named = name_incarnations(answer, {'i-1': 'i-1#5', 'i-2': 'i-2#7'})
+        self.assertThat(named.tickets, matchers.Equals({'i-1#5': 'one'}))
+
+
 class TestManifests(testtools.TestCase):
     """The operator's manifests and waves."""
 
