Split what follows workers and what ends and stops runs into rooms of their own

Decisions are unchanged. The planted fault of a lease that is too short is planted in both modules that use it now.

--- a/src/wigeonreach/lab/_checks.py
+++ b/src/wigeonreach/lab/_checks.py
@@ -7,7 +7,7 @@
 
 from wigeonreach._room import NO_ROOM
 from wigeonreach.jobs import JobStore, TaskKey
-from wigeonreach.scheduling._workers import room_of
+from wigeonreach.scheduling._incarnation import room_of
 from wigeonreach.standins import StandInWorker
 from wigeonreach.wire._worker_messages import StartOrder
 
--- a/src/wigeonreach/scheduling/__init__.py
+++ b/src/wigeonreach/scheduling/__init__.py
@@ -1,8 +1,8 @@
 """Decide which task runs on which worker, and when, without any I/O."""
 
+from wigeonreach.scheduling._incarnation import Heard, Incarnation
 from wigeonreach.scheduling._scheduler import Scheduler
 from wigeonreach.scheduling._settings import SchedulingSettings
-from wigeonreach.scheduling._workers import Heard, Incarnation
 
 __all__ = (
     'Heard',
--- a/src/wigeonreach/scheduling/_answers.py
+++ b/src/wigeonreach/scheduling/_answers.py
@@ -4,10 +4,10 @@
 
 from wigeonreach.jobs import JobStore, Run
 from wigeonreach.scheduling._advice import TicketCache
+from wigeonreach.scheduling._incarnation import Incarnation
 from wigeonreach.scheduling._moving_out import MovingOut
 from wigeonreach.scheduling._orders import Tickets, answer_due, orders_for
 from wigeonreach.scheduling._pacing import Pacing
-from wigeonreach.scheduling._workers import Incarnation
 from wigeonreach.wire._worker_messages import WorkerOrders
 
 
--- a/src/wigeonreach/scheduling/_crashes.py
+++ b/src/wigeonreach/scheduling/_crashes.py
@@ -22,6 +22,7 @@
 )
 from wigeonreach.observe import LogEvent
 from wigeonreach.scheduling._evidence import JUST_BEGUN_S, evidence_of
+from wigeonreach.scheduling._incarnation import LEASE_MS, Incarnation
 from wigeonreach.scheduling._losses import (
     DomainLoss,
     FallenWorkers,
@@ -30,7 +31,7 @@
 from wigeonreach.scheduling._notes import Note
 from wigeonreach.scheduling._progress import ProgressWatch
 from wigeonreach.scheduling._suspects import Suspects
-from wigeonreach.scheduling._workers import LEASE_MS, Incarnation, Workers
+from wigeonreach.scheduling._workers import Workers
 
 _MS_PER_S = 1000
 _NEVER_S = float('-inf')
--- a/src/wigeonreach/scheduling/_losses.py
+++ b/src/wigeonreach/scheduling/_losses.py
@@ -7,7 +7,7 @@
 from collections.abc import Collection, Iterable, Iterator
 
 from wigeonreach.jobs import CrashEvidence, Run
-from wigeonreach.scheduling._workers import Incarnation
+from wigeonreach.scheduling._incarnation import Incarnation
 
 # Workers that go down together are heard last within the pause between two
 # heartbeats of an idle one (0.7 s) and one that was given up (0.8 s).
--- a/src/wigeonreach/scheduling/_lost_runs.py
+++ b/src/wigeonreach/scheduling/_lost_runs.py
@@ -6,9 +6,10 @@
 
 from wigeonreach.jobs import JobStore, Run, RunEnd, RunEnded
 from wigeonreach.scheduling._crashes import CrashWatch
+from wigeonreach.scheduling._incarnation import EndedIncarnation
 from wigeonreach.scheduling._progress import ProgressWatch
 from wigeonreach.scheduling._second_runs import copied
-from wigeonreach.scheduling._workers import EndedIncarnation, Workers
+from wigeonreach.scheduling._workers import Workers
 
 # A leader looks at leases every 0.05 s; whatever kept it for longer also kept
 # heartbeats.
--- a/src/wigeonreach/scheduling/_maintenance.py
+++ b/src/wigeonreach/scheduling/_maintenance.py
@@ -13,9 +13,10 @@
 from collections.abc import Collection
 
 from wigeonreach.jobs import JobStore, Run, VmStep, WaveRecord
+from wigeonreach.scheduling._incarnation import Incarnation
 from wigeonreach.scheduling._moving_out import MovingOut, is_empty
 from wigeonreach.scheduling._vms import VmPhase, VmRecord
-from wigeonreach.scheduling._workers import Incarnation, Workers
+from wigeonreach.scheduling._workers import Workers
 from wigeonreach.wire._worker_messages import worker_id_of
 
 # Batch tasks last about a second; what still runs after this is stopped, as
--- a/src/wigeonreach/scheduling/_moving_out.py
+++ b/src/wigeonreach/scheduling/_moving_out.py
@@ -17,7 +17,7 @@
     TaskKey,
     TaskPhase,
 )
-from wigeonreach.scheduling._workers import Incarnation
+from wigeonreach.scheduling._incarnation import Incarnation
 
 # A serving task whose step says nothing is moved with one away at a time.
 _DEFAULT_MAY_MISS = 1
--- a/src/wigeonreach/scheduling/_open_rooms.py
+++ b/src/wigeonreach/scheduling/_open_rooms.py
@@ -7,13 +7,14 @@
 
 from wigeonreach.jobs import JobStore, Run
 from wigeonreach.scheduling._crashes import CrashWatch
+from wigeonreach.scheduling._incarnation import Incarnation
 from wigeonreach.scheduling._pacing import Pacing
 from wigeonreach.scheduling._placing import close_trials
 from wigeonreach.scheduling._progress import ProgressWatch
 from wigeonreach.scheduling._quarantine import WorkerQuarantine
 from wigeonreach.scheduling._room_book import RoomBook
 from wigeonreach.scheduling._room_left import WorkerRoom
-from wigeonreach.scheduling._workers import Incarnation, Workers
+from wigeonreach.scheduling._workers import Workers
 
 # The room of each worker of a service, by its name.
 PoolRooms: TypeAlias = dict[str, list[WorkerRoom]]
--- a/src/wigeonreach/scheduling/_orders.py
+++ b/src/wigeonreach/scheduling/_orders.py
@@ -9,8 +9,8 @@
 
 from wigeonreach.jobs import JobRecord, JobStore, Run, TaskKey
 from wigeonreach.scheduling._advice import TicketCache
+from wigeonreach.scheduling._incarnation import LEASE_MS, Incarnation
 from wigeonreach.scheduling._pacing import FULL_PACE, Pacing
-from wigeonreach.scheduling._workers import LEASE_MS, Incarnation
 from wigeonreach.wire._worker_messages import (
     PaceOrder,
     StartOrder,
--- a/src/wigeonreach/scheduling/_pacing.py
+++ b/src/wigeonreach/scheduling/_pacing.py
@@ -10,7 +10,7 @@
 from collections.abc import Mapping
 
 from wigeonreach.jobs import JobStore, StepSpec
-from wigeonreach.scheduling._workers import Incarnation
+from wigeonreach.scheduling._incarnation import Incarnation
 
 FULL_PACE = 100
 # Tails are figures of the last half second, so pace has to go down before
--- a/src/wigeonreach/scheduling/_pool_vms.py
+++ b/src/wigeonreach/scheduling/_pool_vms.py
@@ -8,8 +8,9 @@
 
 from wigeonreach._room import NO_ROOM, Room
 from wigeonreach.jobs import JobStore
+from wigeonreach.scheduling._incarnation import Incarnation
 from wigeonreach.scheduling._vms import VmPhase, VmRecord
-from wigeonreach.scheduling._workers import Incarnation, Workers
+from wigeonreach.scheduling._workers import Workers
 
 # A VM whose worker is not heard so long after its move is not waited for.
 _JOIN_S = 2.0
--- a/src/wigeonreach/scheduling/_pools.py
+++ b/src/wigeonreach/scheduling/_pools.py
@@ -22,6 +22,7 @@
     backlogs,
 )
 from wigeonreach.scheduling._demand import ServiceDemand
+from wigeonreach.scheduling._incarnation import Incarnation
 from wigeonreach.scheduling._moving_out import is_empty
 from wigeonreach.scheduling._near import NearRooms
 from wigeonreach.scheduling._pool_vms import Move, PoolVms
@@ -34,7 +35,7 @@
 from wigeonreach.scheduling._ready import AcceptedWork
 from wigeonreach.scheduling._settings import SchedulingSettings
 from wigeonreach.scheduling._vms import VmRecord
-from wigeonreach.scheduling._workers import Incarnation, Workers
+from wigeonreach.scheduling._workers import Workers
 
 # What arrives before a VM that is ordered now works.
 _LOOKAHEAD_S = 1.5
--- a/src/wigeonreach/scheduling/_progress.py
+++ b/src/wigeonreach/scheduling/_progress.py
@@ -15,10 +15,10 @@
 import msgspec
 
 from wigeonreach.jobs import JobStore, Run, StepSpec, TaskKey
+from wigeonreach.scheduling._incarnation import Incarnation
 from wigeonreach.scheduling._objectives import estimate_s
 from wigeonreach.scheduling._pacing import FULL_PACE
 from wigeonreach.scheduling._speeds import Stretch, WorkerSpeeds
-from wigeonreach.scheduling._workers import Incarnation
 from wigeonreach.wire._worker_messages import RunningTask
 
 # Heartbeats come every quarter of a second, and a task that works moves by a
--- a/src/wigeonreach/scheduling/_room_book.py
+++ b/src/wigeonreach/scheduling/_room_book.py
@@ -10,9 +10,9 @@
 from collections.abc import Collection
 
 from wigeonreach.jobs import JobStore, Run
+from wigeonreach.scheduling._incarnation import Incarnation
 from wigeonreach.scheduling._progress import ProgressWatch
 from wigeonreach.scheduling._room_left import WorkerRoom, room_left
-from wigeonreach.scheduling._workers import Incarnation
 
 
 class RoomBook:
--- a/src/wigeonreach/scheduling/_room_left.py
+++ b/src/wigeonreach/scheduling/_room_left.py
@@ -8,8 +8,8 @@
 from wigeonreach._room import Room
 from wigeonreach.jobs import JobStore, StepSpec, TaskKey
 from wigeonreach.scheduling._evidence import SOUND_S
+from wigeonreach.scheduling._incarnation import Incarnation
 from wigeonreach.scheduling._progress import ProgressWatch
-from wigeonreach.scheduling._workers import Incarnation
 
 # Of two crashes one may be chance; after them a task runs alone, so that the
 # next one tells, and takes nothing else with it.
--- a/src/wigeonreach/scheduling/_scheduler.py
+++ b/src/wigeonreach/scheduling/_scheduler.py
@@ -8,37 +8,32 @@
     JobStore,
     Run,
     RunCrashed,
-    RunEnd,
     RunEnded,
     RunStarted,
-    TaskKey,
-    TaskPhase,
 )
 from wigeonreach.observe import LogEvent
 from wigeonreach.scheduling._advice import TicketCache
 from wigeonreach.scheduling._answers import Answers
+from wigeonreach.scheduling._ends import EndsOfRuns
+from wigeonreach.scheduling._incarnation import Heard, Incarnation, room_of
 from wigeonreach.scheduling._lost_runs import LostRuns
 from wigeonreach.scheduling._maintenance import Maintenance
 from wigeonreach.scheduling._moving_out import MovingOut
 from wigeonreach.scheduling._notes import Note
 from wigeonreach.scheduling._open_rooms import OpenRooms, PoolRooms
-from wigeonreach.scheduling._orders import not_begun, over_room
 from wigeonreach.scheduling._pacing import Pacing
 from wigeonreach.scheduling._placing import Plan
 from wigeonreach.scheduling._pool_vms import Move
 from wigeonreach.scheduling._pools import PoolPlanner
 from wigeonreach.scheduling._preempting import make_room
 from wigeonreach.scheduling._progress import ProgressWatch
-from wigeonreach.scheduling._quarantine import WorkerQuarantine
 from wigeonreach.scheduling._ready import ReadySteps
-from wigeonreach.scheduling._second_runs import laggards
 from wigeonreach.scheduling._settings import SchedulingSettings
-from wigeonreach.scheduling._workers import Heard, Incarnation, Workers, room_of
+from wigeonreach.scheduling._stops import RunStops
+from wigeonreach.scheduling._workers import Workers
 from wigeonreach.wire._worker_messages import WorkerReport
 
 _DEFAULTS = SchedulingSettings()
-# Busy workers send a heartbeat as often.
-_LOOK_S = 0.25
 
 
 class Scheduler:
@@ -77,7 +72,6 @@
         self.term = term
         self.workers = Workers(now_s)
         self.pacing = Pacing()
-        self.quarantine = WorkerQuarantine()
         self.progress = ProgressWatch()
         self.advice = TicketCache()
         self.notes: list[Note] = []
@@ -90,6 +84,15 @@
         )
         self.pools = PoolPlanner(store, self.workers, settings, now_s)
         self.stopping: set[Run] = set()
+        self._stops = RunStops(
+            store,
+            self.pacing,
+            self.progress,
+            self.stopping,
+            self.notes,
+        )
+        self.quarantine = self._stops.quarantine
+        self._ends = EndsOfRuns(store, self.advice, self.stopping)
         self.answers = Answers(
             store,
             term,
@@ -111,7 +114,6 @@
         )
         # VMs that serving tasks without room fill, by service and label.
         self._homeless: dict[str, dict[str, float]] = {}
-        self._next_look_s = now_s
         self._store = store
         store.changed.update(store.jobs)
         self.ready.refresh(store, now_s, wall_ms)
@@ -131,16 +133,19 @@
             return None
         if before is not None and before.sequence == report.sequence:
             # What it tells is taken in, but may not be recorded yet.
-            return Heard(incarnation, tuple(self._new_ends(incarnation)))
+            return Heard(incarnation, tuple(self._ends.told(incarnation)))
         self._rooms.forget(report.worker)
         self.crashes.note_heard(incarnation)
         self._note_changes(incarnation, before, now_s)
         paced = self.pacing.note(incarnation, self._store)
         self._note(LogEvent.WORKER_PACED, incarnation, paced)
-        ends = (*self._new_ends(incarnation), *self._withdrawn(incarnation))
+        ends = (
+            *self._ends.told(incarnation),
+            *self._ends.withdrawn(incarnation),
+        )
         for ended in ends:
-            self._note_end(ended, now_s)
-        stalled = self._stop_stalled(incarnation, now_s)
+            self._stops.note_end(ended, now_s)
+        stalled = self._stops.stop_stalled(incarnation, now_s)
         if report.is_draining:
             self._move_out(incarnation, now_s)
         return Heard(incarnation, ends, stalled)
@@ -173,7 +178,7 @@
         known = self.workers.incarnations.get(report.worker)
         if known is not None:
             return report.service != known.report.service
-        if self.workers.is_nameless(report):
+        if self.workers.lives.is_nameless(report):
             return True
         is_named = self._store.names_service(report.service)
         return not is_named and not self._store.held_by(report.worker)
@@ -191,7 +196,7 @@
             self.progress.forget(worker, self._store.held_by(worker))
         self._forget_stopped()
         for run_lost in lost:
-            self._stop_gang(run_lost.task)
+            self._stops.stop_gang(run_lost.task)
         doubled = self._lost_runs.doubled(now_s)
         for run_doubled in doubled:
             self.progress.forget_run((run_doubled.task, run_doubled.run))
@@ -211,7 +216,7 @@
         accepted = self.ready.refresh(self._store, now_s, wall_ms)
         for work in accepted:
             self.pools.note_accepted(work, now_s)
-        self._move_laggards(now_s)
+        self._stops.move_laggards(self.workers.incarnations, now_s)
         processors = self.workers.processors(now_s)
         steps = self.ready.in_order(now_s, wall_ms, processors)
         self._homeless = {}
@@ -266,58 +271,6 @@
             now_s,
         )
 
-    def _new_ends(self, incarnation: Incarnation) -> list[RunEnded]:
-        listed = {(row.task, row.run) for row in incarnation.running}
-        return [
-            RunEnded(
-                ended.task,
-                ended.run,
-                incarnation.report.worker,
-                ended.end,
-                ended.checkpoint,
-            )
-            for ended in incarnation.report.ended
-            if ended.number > incarnation.noted
-            # A second order for what runs already is refused.
-            and not _is_repeat(ended.end, (ended.task, ended.run), listed)
-        ]
-
-    def _withdrawn(self, incarnation: Incarnation) -> list[RunEnded]:
-        """Reassign what a worker did not begin and shall not begin."""
-        unlisted = tuple(not_begun(incarnation, self._store))
-        incarnation.given.intersection_update(unlisted)
-        unfit = self.stopping.union(over_room(incarnation, self._store))
-        return [
-            RunEnded(key, run, incarnation.report.worker, RunEnd.REFUSED)
-            for key, run in unlisted
-            if self._is_over(incarnation, key)
-            or self._is_taken_back(incarnation, (key, run), unfit)
-        ]
-
-    def _is_over(self, incarnation: Incarnation, key: TaskKey) -> bool:
-        """Whether a task's job or worker takes nothing more."""
-        job = self._store.job_of(key)
-        is_active = job is not None and job.is_active
-        return incarnation.report.is_draining or not is_active
-
-    def _is_taken_back(
-        self,
-        incarnation: Incarnation,
-        run: Run,
-        unfit: Collection[Run],
-    ) -> bool:
-        if not incarnation.surely_lacks(run):
-            return False
-        return run in unfit or self._lacks_ticket(incarnation, run)
-
-    def _lacks_ticket(self, incarnation: Incarnation, run: Run) -> bool:
-        # A worker that waits for a ticket holds room for nothing.
-        job = self._store.job_of(run[0])
-        if job is None or job.queue.advice is None:
-            return False
-        worker = incarnation.report.worker
-        return not self.advice.ticket(run[0], worker, incarnation.heard_s)
-
     def _forget_stopped(self) -> None:
         if not self.stopping:
             return
@@ -329,72 +282,12 @@
         self.stopping &= held
         self.moving_out.keep_only(held)
 
-    def _move_laggards(self, now_s: float) -> None:
-        """Stop what slow workers would end later than others would."""
-        if now_s < self._next_look_s:
-            return
-        self._next_look_s = now_s + _LOOK_S
-        incarnations = self.workers.incarnations
-        for found in laggards(incarnations, self.progress, self._store, now_s):
-            runs = set(found.runs) - self.stopping
-            if runs:
-                self.stopping.update(runs)
-                why = (
-                    f'{len(runs)} runs, {found.slower_times:.1f} times as long'
-                )
-                self.notes.append(Note(LogEvent.RUNS_MOVED, found.worker, why))
-
-    def _stop_stalled(
-        self, incarnation: Incarnation, now_s: float
-    ) -> tuple[Run, ...]:
-        """Stop runs without progress, and trust their worker less."""
-        worker = incarnation.report.worker
-        pace = self.pacing.pace(worker)
-        stalled = [
-            run
-            for run in self.progress.note(incarnation, self._store, pace, now_s)
-            if run not in self.stopping
-        ]
-        for run in stalled:
-            self.stopping.add(run)
-            self._distrust(worker, run[0].job_id, now_s)
-        return tuple(stalled)
-
     def _move_out(self, incarnation: Incarnation, now_s: float) -> None:
         """Let serving tasks leave a worker that leaves."""
         self.stopping.update(
             self.moving_out.movable_now(incarnation, self.stopping, now_s),
         )
 
-    def _note_end(self, ended: RunEnded, now_s: float) -> None:
-        run = (ended.task, ended.run)
-        self.stopping.discard(run)
-        if ended.end is RunEnd.DONE:
-            self.quarantine.note_done(ended.worker)
-        elif ended.end is RunEnd.FAILED:
-            self._distrust(ended.worker, ended.task.job_id, now_s)
-        self.progress.forget_run(run)
-        if ended.end is not RunEnd.DONE:
-            self._stop_gang(ended.task)
-
-    def _stop_gang(self, key: TaskKey) -> None:
-        """Stop the members of a gang that would wait for one in vain."""
-        job = self._store.job_of(key)
-        spec = self._store.spec_of(key)
-        if job is None or spec is None or not spec.is_gang:
-            return
-        members = zip(job.step_keys(key), job.step_tasks(key), strict=True)
-        self.stopping.update(
-            (other, member.run)
-            for other, member in members
-            if other != key and member.phase is TaskPhase.ASSIGNED
-        )
-
-    def _distrust(self, worker: str, job_id: str, now_s: float) -> None:
-        if self.quarantine.note_failed(worker, job_id, now_s):
-            reason = 'failed or held up runs of several jobs in a row'
-            self.notes.append(Note(LogEvent.WORKER_QUARANTINED, worker, reason))
-
     def _note(
         self, event: LogEvent, incarnation: Incarnation, reason: str
     ) -> None:
@@ -412,11 +305,3 @@
         """
         cordoned = self.maintenance.cordoned | self.pools.cordoned
         return self._rooms.of(services, cordoned, self.stopping, now_s)
-
-
-def _is_repeat(
-    end: RunEnd,
-    run: Run,
-    listed: set[Run],
-) -> bool:
-    return end is RunEnd.REFUSED and run in listed
--- a/src/wigeonreach/scheduling/_second_runs.py
+++ b/src/wigeonreach/scheduling/_second_runs.py
@@ -13,9 +13,9 @@
 from collections.abc import Iterator, Mapping
 
 from wigeonreach.jobs import JobStore, Run, TaskKey
-from wigeonreach.scheduling._suspects import Suspects
+from wigeonreach.scheduling._incarnation import Incarnation
 from wigeonreach.scheduling._progress import ProgressWatch
-from wigeonreach.scheduling._workers import Incarnation
+from wigeonreach.scheduling._suspects import Suspects
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/lab/test_day.py
+++ b/tests/lab/test_day.py
@@ -19,7 +19,7 @@
     Outcome,
     applied,
 )
-from wigeonreach.scheduling import _pools, _room_left, _workers
+from wigeonreach.scheduling import _incarnation, _pools, _room_left, _workers
 
 _FLEET = FleetPlan(
     pool_vms=2, standby_vms=3, rack_vms=2, millicores=16_000, memory_mb=32_768
@@ -89,8 +89,11 @@
 
     def test_lease_that_is_taken_for_shorter_is_found(self) -> None:
         """Work is reassigned while its worker still runs it."""
-        with mock.patch.object(_workers, 'LEASE_OVER_S', 1.0):
-            self.assertRaises(BrokenRuleError, self._play_all)
+        for module in (_incarnation, _workers):
+            patch = mock.patch.object(module, 'LEASE_OVER_S', 1.0)
+            patch.start()
+            self.addCleanup(patch.stop)
+        self.assertRaises(BrokenRuleError, self._play_all)
 
     def test_room_that_is_not_counted_is_found(self) -> None:
         """More is started on a worker than it holds."""
--- a/tests/scheduling/test_choosing.py
+++ b/tests/scheduling/test_choosing.py
@@ -19,11 +19,11 @@
 )
 from wigeonreach.jobs import JobStore, StepSpec
 from wigeonreach.scheduling._choosing import Ranking, best_room
-from wigeonreach.scheduling._suspects import Suspects
+from wigeonreach.scheduling._incarnation import Incarnation, room_of
 from wigeonreach.scheduling._progress import ProgressWatch
 from wigeonreach.scheduling._ready import ReadyStep, ReadySteps
 from wigeonreach.scheduling._room_left import WorkerRoom, room_left
-from wigeonreach.scheduling._workers import Incarnation, room_of
+from wigeonreach.scheduling._suspects import Suspects
 from wigeonreach.standins import StandInWorker
 
 _DRAWS = 200
--- a/tests/scheduling/test_losses.py
+++ b/tests/scheduling/test_losses.py
@@ -5,12 +5,12 @@
 import testtools
 from testtools import matchers
 
+from wigeonreach.scheduling._incarnation import Incarnation, room_of
 from wigeonreach.scheduling._losses import (
     DomainLoss,
     FallenWorkers,
     WorkerLoss,
 )
-from wigeonreach.scheduling._workers import Incarnation, room_of
 from wigeonreach.standins import StandInWorker
 
 
--- a/tests/scheduling/test_maintenance.py
+++ b/tests/scheduling/test_maintenance.py
@@ -15,8 +15,8 @@
 )
 from wigeonreach.jobs import StartWave, VmStep
 from wigeonreach.lab import commit
+from wigeonreach.scheduling._incarnation import LEASE_OVER_S
 from wigeonreach.scheduling._vms import VmPhase, VmRecord
-from wigeonreach.scheduling._workers import LEASE_OVER_S
 from wigeonreach.standins import StandInWorker
 
 
--- a/tests/scheduling/test_random_days.py
+++ b/tests/scheduling/test_random_days.py
@@ -31,7 +31,7 @@
     TaskKey,
 )
 from wigeonreach.lab import BrokenRuleError, check_start, check_workers, commit
-from wigeonreach.scheduling import _room_left, _workers
+from wigeonreach.scheduling import _incarnation, _room_left, _workers
 from wigeonreach.standins import StandInWorker
 from wigeonreach.wire._worker_messages import RunningTask, WorkerReport
 
@@ -225,8 +225,11 @@
 
     def test_lease_that_is_taken_for_shorter_is_found(self) -> None:
         """Work is reassigned while its worker still runs it."""
-        with mock.patch.object(_workers, 'LEASE_OVER_S', 2.5):
-            self.assertRaises(BrokenRuleError, self._play_all)
+        for module in (_incarnation, _workers):
+            patch = mock.patch.object(module, 'LEASE_OVER_S', 2.5)
+            patch.start()
+            self.addCleanup(patch.stop)
+        self.assertRaises(BrokenRuleError, self._play_all)
 
     def test_room_of_stopping_runs_that_is_forgotten_is_found(self) -> None:
         """Only what is assigned is counted, not what still runs."""
--- a/tests/scheduling/test_restarts.py
+++ b/tests/scheduling/test_restarts.py
@@ -42,8 +42,8 @@
 )
 from wigeonreach.lab import commit
 from wigeonreach.scheduling._advice import Advice
+from wigeonreach.scheduling._incarnation import LEASE_OVER_S
 from wigeonreach.scheduling._vms import VmPhase, VmRecord
-from wigeonreach.scheduling._workers import LEASE_OVER_S
 from wigeonreach.standins import StandInWorker
 from wigeonreach.wire._worker_messages import WorkerOrders
 
--- a/tests/scheduling/test_scheduler.py
+++ b/tests/scheduling/test_scheduler.py
@@ -22,7 +22,7 @@
 from wigeonreach.jobs import AddJob, JobPhase, RunEnd, RunEnded
 from wigeonreach.lab import commit
 from wigeonreach.scheduling import Scheduler
-from wigeonreach.scheduling._workers import LEASE_OVER_S
+from wigeonreach.scheduling._incarnation import LEASE_OVER_S
 from wigeonreach.standins import StandInWorker
 from wigeonreach.wire._worker_messages import RunningTask, WorkerReport
 
--- a/tests/scheduling/test_workers.py
+++ b/tests/scheduling/test_workers.py
@@ -15,7 +15,8 @@
     workers,
 )
 from wigeonreach.jobs import RunEnd
-from wigeonreach.scheduling._workers import LEASE_OVER_S, Workers
+from wigeonreach.scheduling._incarnation import LEASE_OVER_S
+from wigeonreach.scheduling._workers import Workers
 from wigeonreach.standins import StandInWorker
 
 _SOON_S = 0.2
