--- a/tests/scheduling/test_random_days.py
+++ b/tests/scheduling/test_random_days.py
@@ -1,7 +1,8 @@
 """Play short days in virtual time, with faults at random, and check rules.
 
-Workers are cut off, crash and come back as other incarnations, leave, lose answers
-and send heartbeats late; leaders change; jobs are cancelled and tasks fail.
+Workers are cut off, crash and come back under their ids or other ones, leave, lose
+answers and send heartbeats late, also after they have started again; leaders change;
+jobs are cancelled and tasks fail.
 """
 
 from __future__ import annotations
@@ -32,7 +33,7 @@
 )
 from wigeonreach.lab import BrokenRuleError, check_start, check_workers, commit
 from wigeonreach.scheduling import _incarnation, _room_left, _workers
-from wigeonreach.standins import StandInWorker
+from wigeonreach.standins import StandInWorker, _worker
 from wigeonreach.wire._worker_messages import RunningTask, WorkerReport
 
 _DAYS = 25
@@ -42,6 +43,7 @@
 _CALM_STEPS = 400
 _VMS = 6
 _SLOW_CLOCK = 1.02
+_FIRST_START_MS = 1_000_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -66,7 +68,7 @@
         self.rng = random.Random(seed)
         self.store: JobStore = store_with()
         self.machines = [
-            _Machine(f'vm{number}', StandInWorker(f'w{number}', f'vm{number}'))
+            _Machine(f'vm{number}', _new_worker(f'w{number}', f'vm{number}', 1))
             for number in range(_VMS)
         ]
         self.lead = FakeLead(self.store, ())
@@ -74,6 +76,7 @@
         self.serial = 0
         self.failures: collections.Counter[TaskKey] = collections.Counter()
         self.noted_done: set[TaskKey] = set()
+        self.lapsed: set[tuple[str, int]] = set()
 
     def step(self, is_calm: bool) -> None:
         """Let a tenth of a second pass."""
@@ -128,7 +131,11 @@
     def _crash(self, machine: _Machine) -> None:
         self.serial += 1
         machine.down_until_s = self.now_s + self.rng.uniform(0.2, 3)
-        machine.worker = StandInWorker(f'incarnation{self.serial}', machine.vm)
+        keeps_id = self._happens(70)
+        name = machine.worker.name if keeps_id else f'w{self.serial}'
+        # Clocks step, so a later start may have a lower number.
+        born_ms = _FIRST_START_MS + self.serial * self.rng.choice((1, -1))
+        machine.worker = _new_worker(name, machine.vm, born_ms)
         machine.work.clear()
         machine.lease_until_s = 0
 
@@ -175,7 +182,9 @@
 
     def _answer(self, machine: _Machine) -> None:
         worker = machine.worker
-        incarnation = self.lead.scheduler.workers.incarnations.get(worker.name)
+        incarnation = self.lead.scheduler.workers.incarnations.get(
+            worker.incarnation,
+        )
         is_reached = self.now_s >= machine.cut_until_s
         is_up = self.now_s >= machine.down_until_s
         is_fresh = (
@@ -187,8 +196,10 @@
         if self._happens(10):
             return
         orders = self.lead.scheduler.answers.orders(incarnation, self.now_s)
+        self._note_done(machine, orders.acknowledged)
         for start in orders.starts:
             check_start(start, self.store)
+            self._check_not_done(start.task)
             machine.work[start.task, start.run] = self.rng.randint(1, 30)
         worker.obey(orders, percent=1)
         machine.work = {
@@ -202,6 +213,26 @@
             self.now_s + hold_s,
         )
 
+    def _note_done(self, machine: _Machine, acknowledged: int) -> None:
+        """Take note of the good ends that an answer acknowledges.
+
+        An end counts only if the lease went on until then.
+        """
+        listed = {ended.number: ended for ended in machine.worker.ended}
+        if self.now_s > machine.lease_until_s:
+            name = machine.worker.incarnation
+            self.lapsed.update((name, number) for number in listed)
+        for number, ended in listed.items():
+            is_lapsed = (machine.worker.incarnation, number) in self.lapsed
+            is_noted = number <= acknowledged and not is_lapsed
+            if is_noted and ended.end is RunEnd.DONE:
+                self.noted_done.add(ended.task)
+
+    def _check_not_done(self, key: TaskKey) -> None:
+        is_single = not self.store.may_run_twice(key)
+        if key in self.noted_done and is_single:
+            raise BrokenRuleError(f'{key}: begun again after it was done')
+
     def _check(self) -> None:
         up = (
             machine.worker
@@ -211,6 +242,14 @@
         check_workers(up, self.store)
 
 
+def _new_worker(name: str, vm: str, born_ms: int) -> StandInWorker:
+    return StandInWorker(name, vm, born_ms=born_ms)
+
+
+def _id_alone(worker_id: str, born_ms: int | None) -> str:
+    return worker_id
+
+
 def _play(seed: int) -> _Day:
     day = _Day(seed)
     for _ in range(_STEPS):
@@ -223,6 +262,13 @@
 class TestPlantedFaults(testtools.TestCase):
     """Variants that such days have to find out."""
 
+    def test_start_that_is_not_read_is_found(self) -> None:
+        """All lives of a worker are taken for one."""
+        patch = mock.patch.object(_worker, 'incarnation_name', _id_alone)
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.assertRaises(BrokenRuleError, self._play_all)
+
     def test_lease_that_is_taken_for_shorter_is_found(self) -> None:
         """Work is reassigned while its worker still runs it."""
         for module in (_incarnation, _workers):
