--- a/tests/builders_restarts.py
+++ b/tests/builders_restarts.py
@@ -2,11 +2,21 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import json
 from types import MappingProxyType
 
-from wigeonreach.jobs import RunEnd, TaskKey
+from tests.builders_jobs import JOB, QUEUE, FakeLead
+from wigeonreach.jobs import (
+    AddJob,
+    JobPhase,
+    JobSpec,
+    JobStore,
+    RunEnd,
+    TaskKey,
+)
+from wigeonreach.lab import commit
 from wigeonreach.platform._workers import decode_heartbeat
 from wigeonreach.standins import StandInWorker
 from wigeonreach.wire._worker_messages import EndedRun, WorkerReport
@@ -41,11 +51,6 @@
         assert self.born_ms is not None
         self.restart(self.born_ms + int(after_s * _MS_PER_S))
 
-    def finish_all(self) -> None:
-        """Let all runs end well."""
-        for run in list(self.running):
-            self.end(run, RunEnd.DONE)
-
     def _body(self) -> dict[str, object]:
         told: dict[str, object] = {
             'service': self.service,
@@ -67,6 +72,56 @@
         return told
 
 
+class WorkingFleet:
+    """A lead whose workers end well, a round later, all that they begin.
+
+    Parameters
+    ----------
+    store
+        The replicated state.
+    workers
+        Who is there.
+
+    Attributes
+    ----------
+    begun
+        How often each task was begun.
+    """
+
+    def __init__(self, store: JobStore, *workers: StandInWorker) -> None:
+        """Begin nothing yet."""
+        self.store = store
+        self.workers = workers
+        self.lead = FakeLead(store, workers)
+        self.begun = collections.Counter[TaskKey]()
+
+    def run(self, rounds: int) -> None:
+        """Let tasks begin and end well."""
+        for _ in range(rounds):
+            self.lead.round()
+            for worker in self.workers:
+                self.begun.update(task for task, _ in worker.running)
+                for run in list(worker.running):
+                    worker.end(run, RunEnd.DONE)
+
+    def lead_anew(self) -> None:
+        """Let another process lead, which has heard nobody."""
+        self.lead = FakeLead(
+            self.store,
+            self.workers,
+            self.lead.term + 1,
+            self.lead.now_s,
+        )
+
+    def accept(self, spec: JobSpec) -> None:
+        """Accept another job."""
+        commit(self.store, AddJob(spec, QUEUE))
+
+    def phase(self, job_id: str = JOB) -> JobPhase:
+        """Return how far a job is."""
+        return self.store.jobs[job_id].phase
+
+
 def platform_workers(count: int) -> list[PlatformWorker]:
     """Return workers on VMs of their own."""
     return [
--- a/tests/platform/test_restarted_workers.py
+++ b/tests/platform/test_restarted_workers.py
@@ -19,25 +19,18 @@
 
 from __future__ import annotations
 
-import collections
-
 import testtools
 from testtools import matchers
 
 from tests.builders_crashes import CrashingFleet
-from tests.builders_jobs import (
-    JOB,
-    OTHER_JOB,
-    QUEUE,
-    FakeLead,
-    job,
-    key,
-    step,
-    store_with,
+from tests.builders_jobs import JOB, OTHER_JOB, job, key, step, store_with
+from tests.builders_restarts import (
+    PlatformWorker,
+    WorkingFleet,
+    next_life,
+    platform_workers,
 )
-from tests.builders_restarts import next_life, platform_workers
-from wigeonreach.jobs import AddJob, JobPhase, JobStore, TaskKey
-from wigeonreach.lab import commit
+from wigeonreach.jobs import JobPhase, StepSpec
 
 _COMPLETED = matchers.Equals(JobPhase.COMPLETED)
 _FAILED = matchers.Equals(JobPhase.FAILED)
@@ -48,64 +41,37 @@
 _MOST_STARTS = 5
 
 
-def _phase(store: JobStore, job_id: str = JOB) -> JobPhase:
-    return store.jobs[job_id].phase
-
-
-class _Pool:
-    """Some workers whose tasks take a tenth of a second."""
-
-    def __init__(self, count: int, *first_steps: int) -> None:
-        """Begin with one job."""
-        steps = [step(tasks, cpu_millicores=100) for tasks in first_steps]
-        self.store = store_with(*([job(*steps)] if steps else []))
-        self.workers = platform_workers(count)
-        self.lead = FakeLead(self.store, self.workers)
-        self.begun = collections.Counter[TaskKey]()
-
-    def run(self, rounds: int) -> None:
-        """Let tasks begin and end well."""
-        for _ in range(rounds):
-            self.lead.round()
-            for worker in self.workers:
-                self.begun.update(task for task, _ in worker.running)
-                worker.finish_all()
-
-    def accept(self, job_id: str, *steps: int) -> None:
-        """Accept another job."""
-        spec = job(
-            *(step(tasks, cpu_millicores=100) for tasks in steps),
-            job_id=job_id,
-        )
-        commit(self.store, AddJob(spec, QUEUE))
-
-    def restart(self) -> None:
-        """Let all workers start again."""
-        for worker in self.workers:
-            worker.start_again()
+def _small_step(count: int) -> StepSpec:
+    return step(count, cpu_millicores=100)
 
 
 class TestEndsOfTheNextLife(testtools.TestCase):
     """What a worker does after it has started again."""
 
+    def setUp(self) -> None:
+        """Have one worker."""
+        super().setUp()
+        self.worker = PlatformWorker('i-0', 'vm0')
+
     def test_task_that_ended_well_is_not_begun_again(self) -> None:
         """The next life counts its ends from 1, as the one before did."""
-        pool = _Pool(1, 2)
-        pool.run(5)
-        pool.restart()
-        pool.accept(OTHER_JOB, 4)
-        pool.run(_LONG_ROUNDS)
-        self.assertThat(_phase(pool.store, OTHER_JOB), _COMPLETED)
-        self.assertThat(set(pool.begun.values()), matchers.Equals({1}))
+        fleet = WorkingFleet(store_with(job(_small_step(2))), self.worker)
+        fleet.run(5)
+        self.worker.start_again()
+        fleet.accept(job(_small_step(4), job_id=OTHER_JOB))
+        fleet.run(_LONG_ROUNDS)
+        self.assertThat(fleet.phase(OTHER_JOB), _COMPLETED)
+        self.assertThat(set(fleet.begun.values()), matchers.Equals({1}))
 
     def test_job_goes_on_after_steps_that_ended_well(self) -> None:
         """However many ends the life before had."""
-        pool = _Pool(1, _MANY)
-        pool.run(5)
-        pool.restart()
-        pool.accept(OTHER_JOB, 1, 1)
-        pool.run(_LONG_ROUNDS)
-        self.assertThat(_phase(pool.store, OTHER_JOB), _COMPLETED)
+        fleet = WorkingFleet(store_with(job(_small_step(_MANY))), self.worker)
+        fleet.run(5)
+        self.worker.start_again()
+        two_steps = (_small_step(1), _small_step(1))
+        fleet.accept(job(*two_steps, job_id=OTHER_JOB))
+        fleet.run(_LONG_ROUNDS)
+        self.assertThat(fleet.phase(OTHER_JOB), _COMPLETED)
 
 
 class TestCrashes(testtools.TestCase):
@@ -121,6 +87,6 @@
             successor=next_life,
         )
         fleet.run(_LONG_ROUNDS)
-        self.assertThat(_phase(store), _FAILED)
+        self.assertThat(store.jobs[JOB].phase, _FAILED)
         started = len(fleet.starts[key(0)])
         self.assertThat(started, matchers.LessThan(_MOST_STARTS + 1))
--- a/tests/scheduling/test_restarts.py
+++ b/tests/scheduling/test_restarts.py
@@ -6,8 +6,6 @@
 
 from __future__ import annotations
 
-import collections
-
 import testtools
 from testtools import matchers
 
@@ -26,6 +24,7 @@
     step,
     store_with,
 )
+from tests.builders_restarts import WorkingFleet
 from wigeonreach.jobs import (
     AddJob,
     AdvicePolicy,
@@ -37,7 +36,6 @@
     RunEnd,
     ServiceSpec,
     SetManifest,
-    TaskKey,
     VmStep,
 )
 from wigeonreach.lab import commit
@@ -45,7 +43,7 @@
 from wigeonreach.scheduling._incarnation import LEASE_OVER_S
 from wigeonreach.scheduling._vms import VmPhase, VmRecord
 from wigeonreach.standins import StandInWorker
-from wigeonreach.wire._worker_messages import WorkerOrders
+from wigeonreach.wire._worker_messages import EndedRun, WorkerOrders
 
 _BORN_MS = 1_764_740_000_000
 _LATER_MS = _BORN_MS + 3000
@@ -63,47 +61,13 @@
     commit(store, AddJob(spec, QUEUE))
 
 
-class _Worked:
-    """A lead whose workers end all that they begin a round later."""
-
-    def __init__(self, store: JobStore, *workers: StandInWorker) -> None:
-        """Begin nothing yet."""
-        self.store = store
-        self.workers = workers
-        self.lead = FakeLead(store, workers)
-        self.begun = collections.Counter[TaskKey]()
-
-    def run(self, rounds: int) -> None:
-        """Let tasks begin and end well."""
-        for _ in range(rounds):
-            self.lead.round()
-            for worker in self.workers:
-                self.begun.update(task for task, _ in worker.running)
-                for run in list(worker.running):
-                    worker.end(run, RunEnd.DONE)
-
-    def lead_anew(self) -> None:
-        """Let another process lead, which has heard nobody."""
-        now_s = self.lead.now_s
-        self.lead = FakeLead(
-            self.store,
-            self.workers,
-            self.lead.term + 1,
-            now_s,
-        )
-
-    def phase(self, job_id: str = JOB) -> JobPhase:
-        """Return how far a job is."""
-        return self.store.jobs[job_id].phase
-
-
 class TestNextLife(testtools.TestCase):
     """What a worker is given after it has started again."""
 
     def test_work_does_not_wait_for_its_sequence(self) -> None:
         """The life before had sent hundreds of heartbeats."""
         worker = _worker()
-        played = _Worked(store_with(), worker)
+        played = WorkingFleet(store_with(), worker)
         played.run(300)
         worker.restart(_LATER_MS)
         _accept(played.store, job(step(2)))
@@ -113,7 +77,7 @@
     def test_clock_may_step_back_between_lives(self) -> None:
         """The next life then has the lower start."""
         worker = _worker()
-        played = _Worked(store_with(job(step(4))), worker)
+        played = WorkingFleet(store_with(job(step(4))), worker)
         played.run(50)
         worker.restart(_BORN_MS - 5000)
         _accept(played.store, job(step(4), job_id=OTHER_JOB))
@@ -124,7 +88,7 @@
     def test_each_of_several_lives_is_its_own(self) -> None:
         """Some are over before they could be told from a late heartbeat."""
         worker = _worker()
-        played = _Worked(store_with(), worker)
+        played = WorkingFleet(store_with(), worker)
         for life in range(1, 6):
             worker.restart(_BORN_MS + life)
             job_id = f'{life:016x}'
@@ -138,7 +102,7 @@
     def test_drain_of_the_life_before_is_over(self) -> None:
         """A worker that drained, went down and is back takes work."""
         worker = _worker()
-        played = _Worked(store_with(), worker)
+        played = WorkingFleet(store_with(), worker)
         worker.is_draining = True
         played.run(5)
         worker.restart(_LATER_MS)
@@ -149,7 +113,7 @@
     def test_vm_may_be_in_another_pool(self) -> None:
         """A VM that was moved has its worker's id, and another service."""
         worker = _worker()
-        played = _Worked(store_with(), worker)
+        played = WorkingFleet(store_with(), worker)
         services = (ServiceSpec(SERVICE), ServiceSpec('other'))
         both = Manifest(2, (queue(),), services, document=b'2')
         commit(played.store, SetManifest(both))
@@ -168,9 +132,7 @@
         lead.round()
         run = next(iter(worker.running))
         worker.end(run, RunEnd.STOPPED)
-        worker.ended[0] = worker.ended[0].__class__(
-            1, *run, RunEnd.STOPPED, 'saved'
-        )
+        worker.ended = [EndedRun(1, *run, RunEnd.STOPPED, 'saved')]
         lead.hear(worker)
         worker.restart(_LATER_MS)
         for _ in range(_PROVED_ROUNDS):
@@ -215,7 +177,9 @@
     def test_copies_count_once(self) -> None:
         """The first copy was on a worker that has started again."""
         workers = [_worker(0), _worker(1)]
-        played = _Worked(store_with(job(step(4, has_copies=True))), *workers)
+        played = WorkingFleet(
+            store_with(job(step(4, has_copies=True))), *workers
+        )
         played.lead.round()
         for worker in workers:
             worker.restart(_LATER_MS)
@@ -225,7 +189,7 @@
     def test_change_of_leader_between_lives(self) -> None:
         """The next leader heard nothing of the life before."""
         worker = _worker()
-        played = _Worked(store_with(job(step(3))), worker)
+        played = WorkingFleet(store_with(job(step(3))), worker)
         played.lead.round()
         worker.restart(_LATER_MS)
         played.lead_anew()
@@ -254,7 +218,7 @@
         """Hold a heartbeat up until its sender has started again."""
         super().setUp()
         self.worker = _worker()
-        self.played = _Worked(store_with(), self.worker)
+        self.played = WorkingFleet(store_with(), self.worker)
         self.played.run(20)
         self.late = self.worker.report()
         self.worker.restart(_LATER_MS)
@@ -363,17 +327,12 @@
     def test_vm_is_back_once_its_next_life_goes_on(self) -> None:
         """Its worker is called as before."""
         worker = _worker()
-        lead = FakeLead(store_with(), [worker])
-        maintenance = lead.scheduler.maintenance
-        lead.round()
-        lead.start_wave(('vm0',), limit=1)
-        lead.record_vm('vm0', VmStep.ORDERED, worker.incarnation)
-        maintenance.note_confirmed(1, 'vm0', lead.now_s)
+        lead = _lead_with_order(worker)
         worker.restart(_LATER_MS)
         lead.now_s += 2
         for _ in range(6):
             lead.round()
-        step_now = maintenance.step(set(), lead.now_s)
+        step_now = lead.scheduler.maintenance.step(set(), lead.now_s)
         self.assertThat(step_now.returned, matchers.Equals([(1, 'vm0')]))
 
     def test_vm_of_an_unheard_worker_with_tasks_waits(self) -> None:
@@ -391,12 +350,8 @@
     def test_vm_that_is_listed_long_after_its_order_is_back(self) -> None:
         """Its worker is not heard, and has the id that it had."""
         worker = _worker()
-        lead = FakeLead(store_with(), [worker])
+        lead = _lead_with_order(worker)
         maintenance = lead.scheduler.maintenance
-        lead.round()
-        lead.start_wave(('vm0',), limit=1)
-        lead.record_vm('vm0', VmStep.ORDERED, worker.incarnation)
-        maintenance.note_confirmed(1, 'vm0', lead.now_s)
         maintenance.note_vms((_listed(worker),), lead.now_s + 1)
         step_now = maintenance.step(set(), lead.now_s + 1.1)
         self.assertThat(step_now.returned, matchers.HasLength(0))
@@ -405,5 +360,15 @@
         self.assertThat(step_now.returned, matchers.Equals([(1, 'vm0')]))
 
 
+def _lead_with_order(worker: StandInWorker) -> FakeLead:
+    """Return a lead whose order to maintain a worker's VM was confirmed."""
+    lead = FakeLead(store_with(), [worker])
+    lead.round()
+    lead.start_wave(('vm0',), limit=1)
+    lead.record_vm('vm0', VmStep.ORDERED, worker.incarnation)
+    lead.scheduler.maintenance.note_confirmed(1, 'vm0', lead.now_s)
+    return lead
+
+
 def _listed(worker: StandInWorker) -> VmRecord:
     return VmRecord('vm0', 'desk', VmPhase.UP, 'a', 'rack', worker.name)
