Refuse requests that come after a process was found idle

Callers saw a connection close without an answer, 2.8 s after the order to end and 0.6 s after the request; the rule is that all that was read is answered. Cause, as far as it is known: the entry ends its connections to the core before its listener, and nothing refused what came between. Mend: from the moment a listener is found idle it answers 503 at once: not passed on, so true.

--- a/src/wigeonreach/platform/_http.py
+++ b/src/wigeonreach/platform/_http.py
@@ -76,6 +76,7 @@
         self._site: web.TCPSite | None = None
         self._in_flight = 0
         self._is_closing = False
+        self._is_refusing = False
 
     async def on_start(self) -> None:
         """Listen."""
@@ -102,11 +103,15 @@
         self._is_closing = True
 
     async def wait_idle(self, timeout_s: float) -> None:
-        """Wait until no request is in flight."""
+        """Wait until no request is in flight; refuse those that come then.
+
+        What answers requests ends next, and would leave them without an answer.
+        """
         loop = asyncio.get_running_loop()
         due_s = loop.time() + timeout_s
         while self._in_flight and loop.time() < due_s:
             await asyncio.sleep(0.02)  # noqa: WPS432 - far below any timeout
+        self._is_refusing = True
 
     async def on_stop(self) -> None:
         """Close the address and all connections."""
@@ -131,6 +136,8 @@
         return response
 
     async def _reply_to(self, request: web.BaseRequest) -> HttpReply:
+        if self._is_refusing:
+            return _SHUTTING_DOWN
         length_bytes = request.content_length or 0
         if length_bytes > self._max_body_bytes:
             return error_reply(413, _too_large(self._max_body_bytes))
@@ -159,3 +166,16 @@
         ResultCode.REQUEST_TOO_LARGE,
         f'allowed: {allowed_bytes} bytes',
     )
+
+
+# Other processes of the zone go on.
+_SHUTTING_DOWN = dataclasses.replace(
+    error_reply(
+        503,
+        RequestRefusedError(
+            ResultCode.REQUEST_SHUTTING_DOWN,
+            'this process ends; ask another one',
+        ),
+    ),
+    retry_after_s=1,
+)
