Find the ids of busy workers once for a step of the waves

With a zone away and a hundred VMs in hand a leader would have done nothing else. The set is made once a step, and only if a VM asks for it; what is decided is the same.

--- a/src/wigeonreach/scheduling/_maintenance.py
+++ b/src/wigeonreach/scheduling/_maintenance.py
@@ -79,6 +79,7 @@
     ) -> None:
         """Empty nothing yet."""
         self._maintained_s = maintained_s
+        self._busy: frozenset[str] | None = None
         self._store = store
         self._workers = workers
         self._moving_out = moving_out
@@ -147,6 +148,7 @@
         held
             VMs that may not be ordered yet; others of their wave go first.
         """
+        self._busy = None
         self._choose(held, now_s)
         found = MaintenanceStep()
         for wave in self._store.waves.values():
@@ -278,12 +280,16 @@
     def _has_unheard_work(self, vm: str) -> bool:
         """Whether a worker that was not heard in this term has tasks."""
         record = self._vms.get(vm)
-        if record is None:
-            return False
-        # The list names an id, and runs are recorded for one life of it.
-        return any(
-            worker_id_of(name) == record.worker for name in self._store.assigned
-        )
+        return record is not None and record.worker in self._busy_ids()
+
+    def _busy_ids(self) -> frozenset[str]:
+        """Return the ids of workers with tasks, found once for a whole step.
+
+        The list names an id, and runs are recorded for one life of it.
+        """
+        if self._busy is None:
+            self._busy = frozenset(map(worker_id_of, self._store.assigned))
+        return self._busy
 
     def _batch_runs(self, incarnation: Incarnation) -> list[Run]:
         held = self._store.held_by(incarnation.report.worker)
