Build the refusal at the end like other refusals

error_reply takes when to come back, in place of a copy of its reply that is changed; a test's wrapper around the stand-in worker goes. Behaviour is the same.

--- a/src/wigeonreach/platform/_http.py
+++ b/src/wigeonreach/platform/_http.py
@@ -17,6 +17,8 @@
 _JSON = 'application/json'
 _KEEP_ALIVE_S = 75.0
 _CLOSE_TIMEOUT_S = 0.5
+# Other processes of the zone go on.
+_ANOTHER_AFTER_S = 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -137,7 +139,7 @@
 
     async def _reply_to(self, request: web.BaseRequest) -> HttpReply:
         if self._is_refusing:
-            return _SHUTTING_DOWN
+            return error_reply(503, _shutting_down(), _ANOTHER_AFTER_S)
         length_bytes = request.content_length or 0
         if length_bytes > self._max_body_bytes:
             return error_reply(413, _too_large(self._max_body_bytes))
@@ -155,10 +157,21 @@
         )
 
 
-def error_reply(status: int, error: WigeonreachError) -> HttpReply:
+def error_reply(
+    status: int,
+    error: WigeonreachError,
+    retry_after_s: int | None = None,
+) -> HttpReply:
     """Return an answer that tells a numbered error."""
     told = {'code': int(error.code), 'error': error.detail}
-    return HttpReply(status, json.dumps(told).encode())
+    return HttpReply(status, json.dumps(told).encode(), retry_after_s)
+
+
+def _shutting_down() -> RequestRefusedError:
+    return RequestRefusedError(
+        ResultCode.REQUEST_SHUTTING_DOWN,
+        'this process ends; ask another one',
+    )
 
 
 def _too_large(allowed_bytes: int) -> RequestRefusedError:
@@ -166,16 +179,3 @@
         ResultCode.REQUEST_TOO_LARGE,
         f'allowed: {allowed_bytes} bytes',
     )
-
-
-# Other processes of the zone go on.
-_SHUTTING_DOWN = dataclasses.replace(
-    error_reply(
-        503,
-        RequestRefusedError(
-            ResultCode.REQUEST_SHUTTING_DOWN,
-            'this process ends; ask another one',
-        ),
-    ),
-    retry_after_s=1,
-)
--- a/tests/scheduling/test_random_days.py
+++ b/tests/scheduling/test_random_days.py
@@ -68,7 +68,10 @@
         self.rng = random.Random(seed)
         self.store: JobStore = store_with()
         self.machines = [
-            _Machine(f'vm{number}', _new_worker(f'w{number}', f'vm{number}', 1))
+            _Machine(
+                f'vm{number}',
+                StandInWorker(f'w{number}', f'vm{number}', born_ms=1),
+            )
             for number in range(_VMS)
         ]
         self.lead = FakeLead(self.store, ())
@@ -135,7 +138,7 @@
         name = machine.worker.name if keeps_id else f'w{self.serial}'
         # Clocks step, so a later start may have a lower number.
         born_ms = _FIRST_START_MS + self.serial * self.rng.choice((1, -1))
-        machine.worker = _new_worker(name, machine.vm, born_ms)
+        machine.worker = StandInWorker(name, machine.vm, born_ms=born_ms)
         machine.work.clear()
         machine.lease_until_s = 0
 
@@ -242,10 +245,6 @@
         check_workers(up, self.store)
 
 
-def _new_worker(name: str, vm: str, born_ms: int) -> StandInWorker:
-    return StandInWorker(name, vm, born_ms=born_ms)
-
-
 def _id_alone(worker_id: str, born_ms: int | None) -> str:
     return worker_id
 
