Tell of each serving run that is stopped, and why

run_ended how=stopped said the same of a wave, a drain, a run without progress and a job that is over.

--- a/src/wigeonreach/core/_term_log.py
+++ b/src/wigeonreach/core/_term_log.py
@@ -12,7 +12,7 @@
     RunEnd,
     RunEnded,
     RunStarted,
-    TaskKey,
+    run_name,
 )
 from wigeonreach.observe import LogEvent, Logger, Metrics
 from wigeonreach.scheduling import Heard
@@ -160,7 +160,7 @@
         task = self._store.task_of(crashed.task)
         self._log.info(
             LogEvent.RUN_CRASHED,
-            run=f'{_task_name(crashed.task)}/{crashed.run}',
+            run=run_name((crashed.task, crashed.run)),
             evidence=evidence,
             crashes=len(task.crashes) if task else 0,
         )
@@ -188,8 +188,4 @@
 
 def _run_name(run: RunStarted | RunEnded) -> str:
     """Return TASK/RUN@WORKER."""
-    return f'{_task_name(run.task)}/{run.run}@{run.worker}'
-
-
-def _task_name(key: TaskKey) -> str:
-    return f'{key.job_id}.{key.occurrence}.{key.step}.{key.index}'
+    return f'{run_name((run.task, run.run))}@{run.worker}'
--- a/src/wigeonreach/jobs/__init__.py
+++ b/src/wigeonreach/jobs/__init__.py
@@ -33,6 +33,7 @@
     StepSpec,
     TaskKey,
     TaskPhase,
+    run_name,
 )
 from wigeonreach.jobs._records import JobRecord, TaskRecord
 from wigeonreach.jobs._store import JobStore
@@ -73,4 +74,5 @@
     'WaveRecord',
     'decode_reply',
     'encode_command',
+    'run_name',
 )
--- a/src/wigeonreach/jobs/_model.py
+++ b/src/wigeonreach/jobs/_model.py
@@ -129,6 +129,17 @@
 Run = tuple[TaskKey, int]
 
 
+def task_name(key: TaskKey) -> str:
+    """Return JOB.OCCURRENCE.STEP.INDEX, for people."""
+    return f'{key.job_id}.{key.occurrence}.{key.step}.{key.index}'
+
+
+def run_name(run: Run) -> str:
+    """Return TASK/RUN, for people."""
+    key, number = run
+    return f'{task_name(key)}/{number}'
+
+
 class AdvicePolicy(msgspec.Struct, frozen=True, array_like=True):
     """How the advisor answers for a queue."""
 
--- a/src/wigeonreach/scheduling/_answers.py
+++ b/src/wigeonreach/scheduling/_answers.py
@@ -2,11 +2,18 @@
 
 from __future__ import annotations
 
-from wigeonreach.jobs import JobStore, Run
+from wigeonreach.jobs import JobStore, Run, run_name
+from wigeonreach.observe import LogEvent
 from wigeonreach.scheduling._advice import TicketCache
 from wigeonreach.scheduling._incarnation import Incarnation
 from wigeonreach.scheduling._moving_out import MovingOut
-from wigeonreach.scheduling._orders import Tickets, answer_due, orders_for
+from wigeonreach.scheduling._notes import Note
+from wigeonreach.scheduling._orders import (
+    Tickets,
+    answer_due,
+    orders_for,
+    why_stopped,
+)
 from wigeonreach.scheduling._pacing import Pacing
 from wigeonreach.wire._worker_messages import WorkerOrders
 
@@ -24,6 +31,8 @@
         What is known of paces, of tickets, and of serving tasks that leave.
     stopping
         Runs that are being stopped; what is taken back is removed from it.
+    notes
+        Where it is told which serving runs are stopped, and why.
     """
 
     def __init__(
@@ -34,8 +43,12 @@
         advice: TicketCache,
         moving_out: MovingOut,
         stopping: set[Run],
+        notes: list[Note],
     ) -> None:
         """Tell nobody anything yet."""
+        self._notes = notes
+        # Serving runs whose stop was logged.
+        self._noted: set[Run] = set()
         self._store = store
         self._term = term
         self._pacing = pacing
@@ -88,8 +101,29 @@
         )
         if due is not None:
             incarnation.leased_s = came_s
+            self._note_stops(incarnation, due)
         return due
 
+    def forget_run(self, run: Run) -> None:
+        """Drop a run that is over."""
+        self._noted.discard(run)
+
+    def _note_stops(
+        self,
+        incarnation: Incarnation,
+        orders: WorkerOrders,
+    ) -> None:
+        """Tell of the serving runs that a worker is told to stop, once each."""
+        for stop in orders.stops:
+            run = (stop.task, stop.run)
+            if run in self._noted or not self._store.is_serving(stop.task):
+                continue
+            self._noted.add(run)
+            why = why_stopped(run, incarnation, self._store)
+            reason = f'{run_name(run)}: {why}'
+            worker = incarnation.report.worker
+            self._notes.append(Note(LogEvent.RUNS_STOPPED, worker, reason))
+
     def _has_batch(self, incarnation: Incarnation) -> bool:
         """Whether work that ends by itself is on a worker."""
         keys = (
--- a/src/wigeonreach/scheduling/_orders.py
+++ b/src/wigeonreach/scheduling/_orders.py
@@ -123,6 +123,21 @@
             yield run
 
 
+def why_stopped(run: Run, incarnation: Incarnation, store: JobStore) -> str:
+    """Return why a worker is told to stop a run, for people."""
+    key, number = run
+    job = store.job_of(key)
+    if job is None:
+        return 'its job is not known'
+    if not job.is_active:
+        return f'its job is {job.phase.name.lower()}'
+    if store.held_by(incarnation.report.worker).get(key) != number:
+        return 'it was given up, or another run took its place'
+    if incarnation.report.is_draining:
+        return 'its worker drains'
+    return 'its VM is wanted, or it makes no progress'
+
+
 def _starts(
     incarnation: Incarnation,
     store: JobStore,
--- a/src/wigeonreach/scheduling/_scheduler.py
+++ b/src/wigeonreach/scheduling/_scheduler.py
@@ -100,6 +100,7 @@
             self.advice,
             self.moving_out,
             self.stopping,
+            self.notes,
         )
         self.ready = ReadySteps()
         self._lost_runs = LostRuns(store, self.workers, self.progress, now_s)
@@ -145,6 +146,7 @@
         )
         for ended in ends:
             self._stops.note_end(ended, now_s)
+            self.answers.forget_run((ended.task, ended.run))
         stalled = self._stops.stop_stalled(incarnation, now_s)
         if report.is_draining:
             self._move_out(incarnation, now_s)
@@ -197,6 +199,7 @@
         self._forget_stopped()
         for run_lost in lost:
             self._stops.stop_gang(run_lost.task)
+            self.answers.forget_run((run_lost.task, run_lost.run))
         doubled = self._lost_runs.doubled(now_s)
         for run_doubled in doubled:
             self.progress.forget_run((run_doubled.task, run_doubled.run))
