Let nothing but its cancelling end a job with tasks that serve

Cause: crash marks of a serving task counted like those of a task that ends by itself. Beside batch tasks that crash their workers it collects them though it is sound, its job was given up, and the next answers stopped all that it had, without a look at what was away. Likewise a batch step of the same job that failed too often ended the steps that serve.

Now a job with serving tasks is never given up; a task of it that can't be done is given up by itself, and the rest goes on. Marks of serving tasks are kept, as they tell which workers to avoid.

Tests: the two of TestGivenUp and two of crashes failed before. The check that a serving task that crashes its workers is given up was wrong, as such tasks are restarted however they end; in its place its job has to go on while nothing else falls with its workers, and no series of marks may end it.

--- a/src/wigeonreach/jobs/_model.py
+++ b/src/wigeonreach/jobs/_model.py
@@ -104,6 +104,11 @@
     interval_ms: int = 0
     occurrences: int = 1
 
+    @property
+    def is_serving(self) -> bool:
+        """Whether it has tasks that run until it is cancelled."""
+        return any(step.is_service for step in self.steps)
+
     @property
     def is_timed(self) -> bool:
         """Whether its occurrences wait for a time of day."""
@@ -214,11 +219,15 @@
 
 
 class TaskPhase(enum.IntEnum):
-    """Where a task is."""
+    """Where a task is.
+
+    ``GIVEN_UP`` is a task that can't be done beside others of its job that serve.
+    """
 
     WAITING = 0
     ASSIGNED = 1
     DONE = 2
+    GIVEN_UP = 3
 
 
 class RunEnd(enum.IntEnum):
--- a/src/wigeonreach/jobs/_runs.py
+++ b/src/wigeonreach/jobs/_runs.py
@@ -24,6 +24,7 @@
         CrashEvidence.JUST_BEGUN: 3,
     },
 )
+_OVER = frozenset((TaskPhase.DONE, TaskPhase.GIVEN_UP))
 # Whatever they prove, and also those that may have come after its lease.
 _MOST_CRASHES = 4
 
@@ -75,7 +76,7 @@
     have been started again before that.
     """
     task = job.task(crashed.task)
-    if task is None or not job.is_active or task.phase is TaskPhase.DONE:
+    if task is None or not job.is_active or task.phase in _OVER:
         return False
     if crashed.evidence is CrashEvidence.SOUND:
         task.crashes = ()
@@ -84,11 +85,26 @@
         return False
     crash = TaskCrash(crashed.run, crashed.evidence)
     task.crashes = (*task.crashes, crash)
-    if _is_proved(task.crashes):
-        job.phase = JobPhase.FAILED
+    is_service = job.step_spec(crashed.task).is_service
+    if not is_service and _is_proved(task.crashes):
+        _give_up(job, crashed.task)
     return True
 
 
+def _give_up(job: JobRecord, key: TaskKey) -> None:
+    """Start a task no more, and end its job unless others of it serve.
+
+    Nothing but its cancelling ends a job with tasks that serve.
+    """
+    if not job.spec.is_serving:
+        job.phase = JobPhase.FAILED
+        return
+    for member in members(job, key):
+        task = job.task(member)
+        if task is not None:
+            task.phase = TaskPhase.GIVEN_UP
+
+
 def _is_proved(crashes: tuple[TaskCrash, ...]) -> bool:
     """Whether it is a task that brings its workers down."""
     certain = [
@@ -119,7 +135,7 @@
 ) -> bool:
     """Whether a run ended well before the newer copy of it did."""
     may_run_twice = job.step_spec(ended.task).may_run_twice
-    is_older = ended.run < task.run and task.phase is not TaskPhase.DONE
+    is_older = ended.run < task.run and task.phase not in _OVER
     return may_run_twice and is_older and ended.end is RunEnd.DONE
 
 
@@ -159,4 +175,4 @@
     if step.is_gang:
         failures = sum(member.failures for member in job.step_tasks(ended.task))
     if job.is_active and failures >= job.queue.max_failures:
-        job.phase = JobPhase.FAILED
+        _give_up(job, ended.task)
--- a/src/wigeonreach/jobs/_store.py
+++ b/src/wigeonreach/jobs/_store.py
@@ -28,7 +28,13 @@
     Verdict,
     VmStep,
 )
-from wigeonreach.jobs._model import JobPhase, Manifest, StepSpec, TaskKey
+from wigeonreach.jobs._model import (
+    JobPhase,
+    Manifest,
+    StepSpec,
+    TaskKey,
+    TaskPhase,
+)
 from wigeonreach.jobs._queue_index import QueueIndex
 from wigeonreach.jobs._records import JobRecord, TaskRecord, new_record
 from wigeonreach.jobs._waves import WaveRecord
@@ -258,12 +264,22 @@
     for key in runs.note_end(job, ended):
         store.unassign(workers[key], key)
         store.changed.add(key.job_id)
+    _release_given_up(store, job, ended.task)
 
 
 def _note_crash(store: JobStore, crashed: RunCrashed) -> None:
     job = store.job_of(crashed.task)
     if job is not None and runs.note_crash(job, crashed):
         store.changed.add(crashed.task.job_id)
+        _release_given_up(store, job, crashed.task)
+
+
+def _release_given_up(store: JobStore, job: JobRecord, key: TaskKey) -> None:
+    """Let workers stop what was given up while its job goes on."""
+    for member in runs.members(job, key):
+        task = job.task(member)
+        if task is not None and task.phase is TaskPhase.GIVEN_UP:
+            store.unassign(task.worker, member)
 
 
 def _note_start(store: JobStore, start: RunStarted) -> None:
--- a/src/wigeonreach/scheduling/_ready.py
+++ b/src/wigeonreach/scheduling/_ready.py
@@ -212,7 +212,7 @@
         if steps:
             self._by_job[job_id] = steps
         service = store.service_of(job)
-        if any(step.is_service for step in job.spec.steps):
+        if job.spec.is_serving:
             self._serving[job_id] = (service, _workers_for(job))
             return
         self._pending.setdefault(service, {})[job_id] = tuple(
