Look again before a stop of a serving run is repeated

For up to 1.5 s after a stop was first told it was told again whatever had gone of its step since: if the first answer was lost, the repeat ended one more than may be away. Now the repeat is withheld, and the run counts as away until it is listed so late that no answer can have reached it.

The test failed before: it is the one that held a told stop to be repeated, stricter, as neither a repeat nor another stop may come.

--- a/src/wigeonreach/scheduling/_answers.py
+++ b/src/wigeonreach/scheduling/_answers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
+
 from wigeonreach.jobs import JobStore, Run, run_name
 from wigeonreach.observe import LogEvent
 from wigeonreach.scheduling._advice import TicketCache
@@ -58,18 +60,11 @@
 
     def orders(self, incarnation: Incarnation, now_s: float) -> WorkerOrders:
         """Return what a worker is to be told."""
-        if self._stopping:
-            retracted = self._moving_out.retracted(
-                incarnation,
-                self._stopping,
-                now_s,
-            )
-            self._stopping.difference_update(retracted)
         orders = orders_for(
             incarnation,
             self._store,
             self._pacing,
-            self._stopping,
+            self._to_stop(incarnation, now_s),
             Tickets(self._advice, now_s),
             self._term,
         )
@@ -78,6 +73,20 @@
         )
         return orders
 
+    def _to_stop(
+        self,
+        incarnation: Incarnation,
+        now_s: float,
+    ) -> Collection[Run]:
+        """Return what may be stopped by an answer that is sent now."""
+        if not self._stopping:
+            return ()
+        review = self._moving_out.review(incarnation, self._stopping, now_s)
+        self._stopping.difference_update(review.retracted)
+        if not review.withheld:
+            return self._stopping
+        return self._stopping - review.withheld
+
     def due(
         self,
         incarnation: Incarnation,
--- a/src/wigeonreach/scheduling/_moving_out.py
+++ b/src/wigeonreach/scheduling/_moving_out.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 from collections.abc import Collection, Container, Iterable, Mapping, Set
 
 from wigeonreach.jobs import (
@@ -29,6 +30,22 @@
 _TOLD_FOR_S = 1.0 + _STOP_LASTS_S
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopReview:
+    """Stops that were decided and are not told now.
+
+    Attributes
+    ----------
+    withheld
+        Told before, so their runs may be away, but not to be told again.
+    retracted
+        Never told, or not heard: their runs stay.
+    """
+
+    withheld: set[Run] = dataclasses.field(default_factory=set)
+    retracted: set[Run] = dataclasses.field(default_factory=set)
+
+
 def is_empty(incarnation: Incarnation, store: JobStore) -> bool:
     """Whether nothing is on a worker, may be, or is about to be started.
 
@@ -106,16 +123,16 @@
                 chosen.append(run)
         return chosen
 
-    def retracted(
+    def review(
         self,
         incarnation: Incarnation,
         stopping: Collection[Run],
         now_s: float,
-    ) -> list[Run]:
-        """Return the stops that a worker is not to be told any more.
+    ) -> StopReview:
+        """Return the stops that a worker is not to be told, or not again.
 
         They were right when they were decided; its answer is due only now, and
-        others of their steps have gone meanwhile.  What was told stays told.
+        others of their steps have gone meanwhile.
 
         Parameters
         ----------
@@ -127,14 +144,16 @@
             Clock in seconds.
         """
         held = self._store.held_by(incarnation.report.worker)
-        found: list[Run] = []
+        found = StopReview()
         for run in held.items():
-            if run not in stopping or self._was_told(run, incarnation):
+            if run not in stopping:
                 continue
             if self._may_still_go(run, incarnation, stopping, now_s):
                 self._told_s[run] = now_s
+            elif self._was_told(run, incarnation):
+                found.withheld.add(run)
             else:
-                found.append(run)
+                found.retracted.add(run)
         return found
 
     def keep_only(self, held: Set[Run]) -> None:
--- a/tests/scheduling/test_moving_out.py
+++ b/tests/scheduling/test_moving_out.py
@@ -116,25 +116,31 @@
         self.assertThat(orders.stops, matchers.HasLength(0))
         self.assertThat(lead.scheduler.stopping, matchers.Equals(set()))
 
-    def test_stop_that_was_told_stays_told(self) -> None:
-        """Its worker may have carried it out before the other task failed."""
+    def test_stop_that_was_told_is_not_repeated_blindly(self) -> None:
+        """Another task failed since; it may have been lost, and would end two."""
         lead = _serving_lead()
-        first, second, _ = [
+        first, second, third = [
             told for told in lead.workers.values() if told.running
         ]
         lead.start_wave([first.vm], limit=1, due_after_s=2)
         lead.scheduler.stopping.update(self._wave_step(lead).stops)
         incarnation = lead.scheduler.workers.incarnations[first.name]
-        lead.scheduler.answers.orders(incarnation, lead.now_s)
+        orders = lead.scheduler.answers.orders(incarnation, lead.now_s)
+        self.assertThat(orders.stops, matchers.HasLength(1))
         second.end(next(iter(second.running)), RunEnd.FAILED)
         lead.hear(second)
         orders = lead.scheduler.answers.orders(incarnation, lead.now_s)
-        self.assertThat(orders.stops, matchers.HasLength(1))
+        self.assertThat(orders.stops, matchers.HasLength(0))
+        # Its worker may have carried it out all the same.
+        lead.start_wave([third.vm], limit=1, due_after_s=2)
+        self.assertThat(self._wave_step(lead).stops, matchers.HasLength(0))
+        self.assertThat(lead.scheduler.stopping, matchers.HasLength(1))
         # Its answer was lost, as it still works: then it may stay.
         lead.now_s += 1.6
         _hear_all(lead)
         orders = lead.scheduler.answers.orders(incarnation, lead.now_s)
         self.assertThat(orders.stops, matchers.HasLength(0))
+        self.assertThat(lead.scheduler.stopping, matchers.HasLength(0))
 
     def test_other_run_of_a_task_is_not_at_work(self) -> None:
         """A worker lists one that it stops; the task's newest is not there."""
