Go by the platform's bounds for how long stops take and tasks may be away

A stop counted as over after 0.5 s everywhere, but may take killGraceMs, 900 on one of the sites: a run that ended for an earlier leader, or by an answer told before, counted as at work again while it was still listed, and another of its step could be stopped beside it. And the first heartbeat heard in a term may be one that the former leader answered, so its stop may come up to a second later. How old what a worker told may be follows from noticeMs, so that a task that fell since does not yet count as away when the stop arrives.

--- a/src/wigeonreach/platform/_settings.py
+++ b/src/wigeonreach/platform/_settings.py
@@ -18,6 +18,7 @@
 # A port of our own choice, on which each process serves its metrics.
 METRICS_VARIABLE = 'WIGEONREACH_METRICS_PORT'
 _DEFAULT_ORDER_PAUSE_MS = 3000
+_MS_PER_S = 1000
 
 
 class _Listen(msgspec.Struct, frozen=True, rename='camel'):
@@ -40,6 +41,10 @@
     maintenance_s: float = 2.0
     # Of the time that work takes away from its data.
     remote_factor: float = 1.0
+    # How long a stop may take.
+    kill_grace_ms: int = 400
+    # After how long a task that is not at work counts as away.
+    notice_ms: int = 4500
 
 
 class _Cloud(msgspec.Struct, frozen=True, rename='camel'):
@@ -101,11 +106,13 @@
             is_first_start=self.bootstrap,
             tolerated_losses=self.fault_tolerance.machines,
             api_port=control.port,
-            order_pause_s=self.bounds.lease_ms / 1000,  # noqa: WPS432
+            order_pause_s=self.bounds.lease_ms / _MS_PER_S,
             scheduling=SchedulingSettings(
                 move_s=self.bounds.migration_s,
                 far_factor=self.bounds.remote_factor,
                 maintained_s=self.bounds.maintenance_s,
+                stop_s=self.bounds.kill_grace_ms / _MS_PER_S,
+                notice_s=self.bounds.notice_ms / _MS_PER_S,
             ),
         )
 
--- a/src/wigeonreach/scheduling/_incarnation.py
+++ b/src/wigeonreach/scheduling/_incarnation.py
@@ -24,7 +24,7 @@
 SUCCESSOR_PROVEN_S = 1.0
 # A worker that is silent for longer gets nothing new: heartbeats come several
 # times a second, and one is given up after 1 s by its sender.
-_SILENT_S = 1.3
+SILENT_S = 1.3
 # A worker is heard again within 0.8 s of a heartbeat that was answered, also
 # where the answer was held, and after 1 s of one that was not.
 _UNANSWERED_S = 0.9
@@ -123,7 +123,7 @@
 
     def is_silent(self, now_s: float) -> bool:
         """Whether a heartbeat is overdue."""
-        return now_s - self.heard_s > _SILENT_S
+        return now_s - self.heard_s > SILENT_S
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/wigeonreach/scheduling/_moving_out.py
+++ b/src/wigeonreach/scheduling/_moving_out.py
@@ -18,16 +18,18 @@
     TaskKey,
     TaskPhase,
 )
-from wigeonreach.scheduling._incarnation import Incarnation
+from wigeonreach.scheduling._incarnation import SILENT_S, Incarnation
+from wigeonreach.scheduling._settings import SchedulingSettings
 
 # A serving task whose step says nothing is moved with one away at a time.
 _DEFAULT_MAY_MISS = 1
 _AT_WORK_PERCENT = 100
-# A stop takes up to 0.4 s, in which the run is still listed; an earlier leader
-# may have ordered it with the answer before the first heartbeat heard here.
-_STOP_LASTS_S = 0.5
 # An answer that arrives does so within 1 s of its heartbeat.
-_TOLD_FOR_S = 1.0 + _STOP_LASTS_S
+_ANSWER_LASTS_S = 1.0
+# The end of a stop is told with the next heartbeat, 0.05 s later.
+_TELLING_S = 0.1
+# Busy workers are heard as often, so what they tell is never much younger.
+_LEAST_FRESH_S = 0.3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -66,16 +68,25 @@
         The replicated state; it is only read.
     incarnations
         The workers of now, by name.
+    settings
+        How long stops take, and from when on a task counts as away.
     """
 
     def __init__(
         self,
         store: JobStore,
         incarnations: Mapping[str, Incarnation],
+        settings: SchedulingSettings,
     ) -> None:
         """Take over what earlier leaders started, and may have stopped."""
         self._store = store
         self._incarnations = incarnations
+        # So long after a stop was told its run may be listed though it ends.
+        self._told_for_s = _ANSWER_LASTS_S + settings.stop_s + _TELLING_S
+        # A task that fell after it was last heard must not count as away yet
+        # when a stop that was decided by that arrives.
+        fresh_s = min(SILENT_S, settings.notice_s - _ANSWER_LASTS_S)
+        self._fresh_s = max(fresh_s, _LEAST_FRESH_S)
         # Stops that were put into an answer, which may have arrived, and when.
         self._told_s: dict[Run, float] = {}
         self._inherited: frozenset[Run] = frozenset(
@@ -167,7 +178,7 @@
         One that lists the run long after was not reached by the answer.
         """
         told_s = self._told_s.get(run, float('-inf'))
-        return incarnation.heard_s - told_s < _TOLD_FOR_S
+        return incarnation.heard_s - told_s < self._told_for_s
 
     def _may_still_go(
         self,
@@ -218,16 +229,18 @@
             return False
         # What a silent worker told last may be over: its lease, by a stop that
         # was ordered, or all that ran there.
-        is_doubtful = incarnation.is_silent(now_s) or (
-            run in self._inherited and not _is_proven(incarnation)
+        is_doubtful = now_s - incarnation.heard_s > self._fresh_s or (
+            run in self._inherited and not self._is_proven(incarnation)
         )
         return not is_doubtful and _lists_at_work(incarnation, run)
 
+    def _is_proven(self, incarnation: Incarnation) -> bool:
+        """Whether a stop by an earlier leader would have been told by now.
 
-def _is_proven(incarnation: Incarnation) -> bool:
-    """Whether a stop by an earlier leader would have been told by now."""
-    heard_for_s = incarnation.heard_s - incarnation.first_heard_s
-    return heard_for_s >= _STOP_LASTS_S
+        It may have answered the first heartbeat that was heard here.
+        """
+        heard_for_s = incarnation.heard_s - incarnation.first_heard_s
+        return heard_for_s >= self._told_for_s
 
 
 def _lists_at_work(incarnation: Incarnation, run: Run) -> bool:
--- a/src/wigeonreach/scheduling/_scheduler.py
+++ b/src/wigeonreach/scheduling/_scheduler.py
@@ -75,7 +75,11 @@
         self.progress = ProgressWatch()
         self.advice = TicketCache()
         self.notes: list[Note] = []
-        self.moving_out = MovingOut(store, self.workers.incarnations)
+        self.moving_out = MovingOut(
+            store,
+            self.workers.incarnations,
+            settings,
+        )
         self.maintenance = Maintenance(
             store,
             self.workers,
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -54,6 +54,8 @@
 [bounds]
 leaseMs = 3000
 migrationS = 1.5
+killGraceMs = 900
+noticeMs = 6500
 """
 
 
@@ -334,6 +336,8 @@
         self.assertThat(core.name, matchers.Equals('10.1.0.12:7060'))
         self.assertThat(core.voter_target, matchers.Equals(5))
         self.assertThat(core.order_pause_s, matchers.Equals(3))
+        self.assertThat(core.scheduling.stop_s, matchers.Equals(0.9))
+        self.assertThat(core.scheduling.notice_s, matchers.Equals(6.5))
 
     def test_wrong_files_are_refused_by_number(self) -> None:
         """A file that is missing, cut short or of wrong kinds ends a start."""
--- a/tests/scheduling/test_moving_out.py
+++ b/tests/scheduling/test_moving_out.py
@@ -24,18 +24,27 @@
 )
 from wigeonreach.jobs import AddJob, RunEnd, VmStep
 from wigeonreach.lab import commit
+from wigeonreach.scheduling import SchedulingSettings
 from wigeonreach.scheduling._maintenance import MaintenanceStep
 from wigeonreach.scheduling._moving_out import is_empty
 
 # More than a silent worker may take, less than its lease.
 _SILENT_S = 1.5
+_DEFAULTS = SchedulingSettings()
+_SLOW_STOPS = SchedulingSettings(stop_s=0.9)
+_SHORT_NOTICE = SchedulingSettings(notice_s=1.8)
 
 
-def _serving_lead(tasks: int = 3, spare: int = 5) -> FakeLead:
+def _serving_lead(
+    tasks: int = 3,
+    spare: int = 5,
+    settings: SchedulingSettings = _DEFAULTS,
+) -> FakeLead:
     """Return a leader of a serving step at work, one task a worker."""
     lead = FakeLead(
         store_with(job(serving_step(tasks))),
         workers(tasks + spare),
+        settings=settings,
     )
     lead.round()
     lead.round()
@@ -46,13 +55,17 @@
     return [worker.vm for worker in lead.workers.values() if worker.running]
 
 
-def _next_term(lead: FakeLead) -> FakeLead:
+def _next_term(
+    lead: FakeLead,
+    settings: SchedulingSettings = _DEFAULTS,
+) -> FakeLead:
     """Return the leader after one, which has heard nobody yet."""
     return FakeLead(
         lead.store,
         lead.workers.values(),
         lead.term + 1,
         lead.now_s,
+        settings,
     )
 
 
@@ -91,12 +104,70 @@
         successor.start_wave(busy[:1], limit=1, due_after_s=2)
         first = self._wave_step(successor)
         self.assertThat(first.stops, matchers.HasLength(0))
-        successor.now_s += 0.6
+        for waited_s, stops in ((0.6, 0), (1.0, 1)):
+            successor.now_s += waited_s
+            _hear_all(successor)
+            self.assertThat(
+                self._wave_step(successor).stops,
+                matchers.HasLength(stops),
+            )
+
+    def test_long_stop_by_an_earlier_leader_is_waited_for(self) -> None:
+        """Where stops take longer, a run is listed for longer while it ends."""
+        lead = _serving_lead()
+        busy = _busy_vms(lead)
+        successor = _next_term(lead, _SLOW_STOPS)
         _hear_all(successor)
-        self.assertThat(
-            self._wave_step(successor).stops,
-            matchers.HasLength(1),
+        successor.start_wave(busy[:1], limit=1, due_after_s=2)
+        for waited_s, stops in ((1.7, 0), (0.4, 1)):
+            successor.now_s += waited_s
+            _hear_all(successor)
+            self.assertThat(
+                self._wave_step(successor).stops,
+                matchers.HasLength(stops),
+            )
+
+    def test_run_that_takes_long_to_stop_is_not_at_work(self) -> None:
+        """It is listed until it has ended, and another must not end meanwhile."""
+        lead = _serving_lead(settings=_SLOW_STOPS)
+        first, second, _ = [
+            told for told in lead.workers.values() if told.running
+        ]
+        lead.start_wave([first.vm, second.vm], limit=2, due_after_s=2)
+        lead.scheduler.stopping.update(self._wave_step(lead).stops)
+        leaving = set(lead.scheduler.stopping)
+        self.assertThat(leaving, matchers.HasLength(1))
+        for worker in lead.workers.values():
+            incarnation = lead.scheduler.workers.incarnations[worker.name]
+            lead.scheduler.answers.orders(incarnation, lead.now_s)
+        other = next(
+            told
+            for told in (first, second)
+            if not leaving.intersection(told.running)
         )
+        # A third task fails, so that the stop is looked at again.
+        for told in lead.workers.values():
+            if told not in (first, second) and told.running:
+                told.end(next(iter(told.running)), RunEnd.FAILED)
+        lead.now_s += 1.8
+        _hear_all(lead)
+        for worker in lead.workers.values():
+            incarnation = lead.scheduler.workers.incarnations[worker.name]
+            lead.scheduler.answers.orders(incarnation, lead.now_s)
+        self.assertThat(lead.scheduler.stopping, matchers.Equals(leaving))
+        self.assertThat(other.running, matchers.HasLength(1))
+
+    def test_heartbeat_proves_no_work_beyond_the_notice(self) -> None:
+        """Where a task counts as away sooner, what was told is older sooner."""
+        lead = _serving_lead(settings=_SHORT_NOTICE)
+        busy = [told for told in lead.workers.values() if told.running]
+        silent = lead.workers.pop(busy[0].name)
+        lead.now_s += 1.0
+        _hear_all(lead)
+        lead.start_wave([busy[1].vm], limit=1, due_after_s=2)
+        self.assertThat(self._wave_step(lead).stops, matchers.HasLength(0))
+        lead.hear(silent)
+        self.assertThat(self._wave_step(lead).stops, matchers.HasLength(1))
 
     def test_stop_is_taken_back_until_it_is_told(self) -> None:
         """Another task fails while the worker's answer is on its way."""
