Count a serving run that is about to work as at work when its stop arrives

A run below 100 percent in the newest heartbeat was stopped without a look at its step, as it serves nobody yet. On a worker that takes several times as long it comes to work about when it is given up for want of progress, and the stop then ends a task at work while another is away. Now what may work by the time that the stop arrives is asked for, until it has not come to work for twice as long.

The test failed before.

--- a/src/wigeonreach/scheduling/_moving_out.py
+++ b/src/wigeonreach/scheduling/_moving_out.py
@@ -19,6 +19,7 @@
     TaskPhase,
 )
 from wigeonreach.scheduling._incarnation import SILENT_S, Incarnation
+from wigeonreach.scheduling._progress import ProgressWatch
 from wigeonreach.scheduling._settings import SchedulingSettings
 
 # A serving task whose step says nothing is moved with one away at a time.
@@ -30,6 +31,9 @@
 _TELLING_S = 0.1
 # Busy workers are heard as often, so what they tell is never much younger.
 _LEAST_FRESH_S = 0.3
+# Even on a worker that takes several times as long a serving task is at work so
+# soon after it began, or never.
+_NEVER_WORKS_S = 8.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -68,6 +72,8 @@
         The replicated state; it is only read.
     incarnations
         The workers of now, by name.
+    progress
+        Since when runs are listed.
     settings
         How long stops take, and from when on a task counts as away.
     """
@@ -76,11 +82,13 @@
         self,
         store: JobStore,
         incarnations: Mapping[str, Incarnation],
+        progress: ProgressWatch,
         settings: SchedulingSettings,
     ) -> None:
         """Take over what earlier leaders started, and may have stopped."""
         self._store = store
         self._incarnations = incarnations
+        self._progress = progress
         # So long after a stop was told its run may be listed though it ends.
         self._told_for_s = _ANSWER_LASTS_S + settings.stop_s + _TELLING_S
         # A task that fell after it was last heard must not count as away yet
@@ -159,7 +167,7 @@
         for run in held.items():
             if run not in stopping:
                 continue
-            if self._may_still_go(run, incarnation, stopping, now_s):
+            if self.may_stop(run, incarnation, stopping, now_s):
                 self._told_s[run] = now_s
             elif self._was_told(run, incarnation):
                 found.withheld.add(run)
@@ -167,6 +175,33 @@
                 found.retracted.add(run)
         return found
 
+    def may_stop(
+        self,
+        run: Run,
+        incarnation: Incarnation,
+        stopping: Collection[Run],
+        now_s: float,
+    ) -> bool:
+        """Whether a run may be stopped, for all that is away of its step.
+
+        Parameters
+        ----------
+        run, incarnation
+            A run, and its worker.
+        stopping
+            What is being stopped.
+        now_s
+            Clock in seconds.
+        """
+        key, _ = run
+        job = self._store.job_of(key)
+        spec = self._store.spec_of(key)
+        if job is None or spec is None or not spec.is_service:
+            return True
+        if not self._may_be_at_work(run, incarnation):
+            return True
+        return self._may_go(key, job, spec, stopping, now_s)
+
     def keep_only(self, held: Set[Run]) -> None:
         """Drop the runs that are over."""
         for run in self._told_s.keys() - held:
@@ -180,22 +215,18 @@
         told_s = self._told_s.get(run, float('-inf'))
         return incarnation.heard_s - told_s < self._told_for_s
 
-    def _may_still_go(
-        self,
-        run: Run,
-        incarnation: Incarnation,
-        stopping: Collection[Run],
-        now_s: float,
-    ) -> bool:
-        key, _ = run
-        job = self._store.job_of(key)
-        spec = self._store.spec_of(key)
-        if job is None or spec is None or not spec.is_service:
-            return True
-        if not _lists_at_work(incarnation, run):
-            # It serves nobody yet.
+    def _may_be_at_work(self, run: Run, incarnation: Incarnation) -> bool:
+        """Whether a run serves somebody by now, or may when it is stopped.
+
+        One that was about to may do so since it was told of; one that did not
+        for so long will not.
+        """
+        if not _is_listed(incarnation, run):
+            return False
+        if _lists_at_work(incarnation, run):
             return True
-        return self._may_go(key, job, spec, stopping, now_s)
+        worked_s = self._progress.worked_s(run, incarnation.heard_s)
+        return worked_s < _NEVER_WORKS_S
 
     def _may_go(
         self,
@@ -243,6 +274,10 @@
         return heard_for_s >= self._told_for_s
 
 
+def _is_listed(incarnation: Incarnation, run: Run) -> bool:
+    return any((row.task, row.run) == run for row in incarnation.running)
+
+
 def _lists_at_work(incarnation: Incarnation, run: Run) -> bool:
     return any(
         (row.task, row.run) == run and row.percent >= _AT_WORK_PERCENT
--- a/src/wigeonreach/scheduling/_scheduler.py
+++ b/src/wigeonreach/scheduling/_scheduler.py
@@ -78,6 +78,7 @@
         self.moving_out = MovingOut(
             store,
             self.workers.incarnations,
+            self.progress,
             settings,
         )
         self.maintenance = Maintenance(
@@ -92,6 +93,7 @@
             store,
             self.pacing,
             self.progress,
+            self.moving_out,
             self.stopping,
             self.notes,
         )
--- a/src/wigeonreach/scheduling/_stops.py
+++ b/src/wigeonreach/scheduling/_stops.py
@@ -14,6 +14,7 @@
 )
 from wigeonreach.observe import LogEvent
 from wigeonreach.scheduling._incarnation import Incarnation
+from wigeonreach.scheduling._moving_out import MovingOut
 from wigeonreach.scheduling._notes import Note
 from wigeonreach.scheduling._pacing import Pacing
 from wigeonreach.scheduling._progress import ProgressWatch
@@ -33,6 +34,8 @@
         The replicated state; it is only read.
     pacing, progress
         How fast runs may go, and how fast they do.
+    moving_out
+        Which serving runs may be stopped.
     stopping
         Runs that are being stopped; more are put into it.
     notes
@@ -49,6 +52,7 @@
         store: JobStore,
         pacing: Pacing,
         progress: ProgressWatch,
+        moving_out: MovingOut,
         stopping: set[Run],
         notes: list[Note],
     ) -> None:
@@ -56,6 +60,7 @@
         self._store = store
         self._pacing = pacing
         self._progress = progress
+        self._moving_out = moving_out
         self.quarantine = WorkerQuarantine()
         self._stopping = stopping
         self._notes = notes
@@ -95,11 +100,19 @@
         worker = incarnation.report.worker
         pace = self._pacing.pace(worker)
         still = self._progress.note(incarnation, self._store, pace, now_s)
-        stalled = tuple(run for run in still if run not in self._stopping)
-        for run in stalled:
+        stalled: list[Run] = []
+        for run in still:
+            if run in self._stopping or not self._moving_out.may_stop(
+                run,
+                incarnation,
+                self._stopping,
+                now_s,
+            ):
+                continue
             self._stopping.add(run)
             self._distrust(worker, run[0].job_id, now_s)
-        return stalled
+            stalled.append(run)
+        return tuple(stalled)
 
     def move_laggards(
         self,
--- a/tests/scheduling/test_moving_out.py
+++ b/tests/scheduling/test_moving_out.py
@@ -213,6 +213,30 @@
         self.assertThat(orders.stops, matchers.HasLength(0))
         self.assertThat(lead.scheduler.stopping, matchers.HasLength(0))
 
+    def test_run_that_may_be_at_work_by_now_stays(self) -> None:
+        """It was about to serve when it was last heard; another is away."""
+        lead = _serving_lead()
+        first, second, _ = [
+            told for told in lead.workers.values() if told.running
+        ]
+        lead.now_s += 0.2
+        slow = next(iter(first.running))
+        first.running.clear()
+        first.advance_one(slow, 60)
+        second.end(next(iter(second.running)), RunEnd.FAILED)
+        for waited_s, stops in ((0.0, 0), (4.5, 0), (4.5, 1)):
+            self._let_pass(lead, waited_s)
+            stopped = lead.scheduler.stopping.intersection({slow})
+            self.assertThat(stopped, matchers.HasLength(stops))
+
+    def _let_pass(self, lead: FakeLead, for_s: float) -> None:
+        """Hear all workers for some time while nothing new is started."""
+        until_s = lead.now_s + for_s
+        _hear_all(lead)
+        while lead.now_s < until_s:
+            lead.now_s += 0.5
+            _hear_all(lead)
+
     def test_other_run_of_a_task_is_not_at_work(self) -> None:
         """A worker lists one that it stops; the task's newest is not there."""
         lead = _serving_lead()
