Go by when a heartbeat was sent for what it proves of serving tasks

A heartbeat may be held up for seconds, by a cut or a core process that stands still, and its worker may have gone down since. Its arrival counted as the moment that it tells of, so a task that was away for longer than noticeMs could count as at work. Workers tell their steady clock; the quickest heartbeat of an incarnation, with what clocks drift, tells how late the others are.

The test of moving out failed before.

--- a/src/wigeonreach/platform/_bodies.py
+++ b/src/wigeonreach/platform/_bodies.py
@@ -12,8 +12,8 @@
 # What a log line or an answer tells of a body; it may be long.
 _MOST_TOLD_CHARS = 200
 # Whole numbers above this are not exact in every JSON reader.
-_MOST_EXACT = 2**53
-Amount = Annotated[int, msgspec.Meta(ge=0, le=_MOST_EXACT)]
+MOST_EXACT = 2**53
+Amount = Annotated[int, msgspec.Meta(ge=0, le=MOST_EXACT)]
 
 
 class UnreadableBodyError(ValueError):
--- a/src/wigeonreach/platform/_workers.py
+++ b/src/wigeonreach/platform/_workers.py
@@ -12,6 +12,7 @@
 from wigeonreach.codes import ResultCode
 from wigeonreach.exceptions import RequestRefusedError
 from wigeonreach.platform._bodies import (
+    MOST_EXACT,
     Amount,
     UnreadableBodyError,
     decode_body,
@@ -44,6 +45,8 @@
 _TASK = re.compile(r'([^.]+)\.([0-9]{1,9})\.([0-9]{1,9})\.([0-9]{1,9})')
 # Figures may be sent with a fraction.
 _Figure = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+# Milliseconds from any beginning.
+_Clock = Annotated[float, msgspec.Meta(ge=0, le=MOST_EXACT)]
 
 
 class _Capacity(msgspec.Struct, frozen=True, rename='camel'):
@@ -88,6 +91,8 @@
     labels: tuple[str, ...]
     # When it started, in milliseconds since 1970.
     born: Amount | None = None
+    # By the worker's steady clock.
+    clock_ms: _Clock | None = None
     cold_remaining_ms: _Figure = 0
     # The VM under the worker.
     machine: str = ''
@@ -204,6 +209,7 @@
         rack=rack_of(beat.labels),
         running=tuple(_running(row) for row in beat.running),
         ended=tuple(_ended(row) for row in beat.finished),
+        clock_ms=None if beat.clock_ms is None else int(beat.clock_ms),
     )
 
 
--- a/src/wigeonreach/scheduling/_incarnation.py
+++ b/src/wigeonreach/scheduling/_incarnation.py
@@ -7,6 +7,7 @@
 from wigeonreach._room import Room
 from wigeonreach.jobs import Run, RunEnded
 from wigeonreach.jobs._model import MEBIBYTE, MILLICORES
+from wigeonreach.scheduling._heartbeat_age import HeartbeatAge
 from wigeonreach.wire._worker_messages import RunningTask, WorkerReport
 
 # How long a worker may go on after a heartbeat that was answered.  Longer
@@ -59,6 +60,8 @@
         Runs that this leader gave it and that it has not listed yet.
     told
         What the newest answer told it to start.
+    sent_s
+        When its newest heartbeat was sent.
     """
 
     report: WorkerReport
@@ -73,6 +76,19 @@
     leased_s: float = float('-inf')
     given: set[Run] = dataclasses.field(default_factory=set)
     told: frozenset[Run] = frozenset()
+    sent_s: float = float('-inf')
+    _age: HeartbeatAge = dataclasses.field(default_factory=HeartbeatAge)
+
+    def __post_init__(self) -> None:
+        """Take note of when the first heartbeat was sent."""
+        self.sent_s = self._age.sent_s(self.report.clock_ms, self.heard_s)
+
+    def take(self, report: WorkerReport, now_s: float) -> None:
+        """Take a newer heartbeat."""
+        self.report = report
+        self.heard_s = now_s
+        self.sent_s = self._age.sent_s(report.clock_ms, now_s)
+        self.room = room_of(report)
 
     @property
     def running(self) -> tuple[RunningTask, ...]:
--- a/src/wigeonreach/scheduling/_moving_out.py
+++ b/src/wigeonreach/scheduling/_moving_out.py
@@ -260,7 +260,7 @@
             return False
         # What a silent worker told last may be over: its lease, by a stop that
         # was ordered, or all that ran there.
-        is_doubtful = now_s - incarnation.heard_s > self._fresh_s or (
+        is_doubtful = now_s - incarnation.sent_s > self._fresh_s or (
             run in self._inherited and not self._is_proven(incarnation)
         )
         return not is_doubtful and _lists_at_work(incarnation, run)
--- a/src/wigeonreach/scheduling/_workers.py
+++ b/src/wigeonreach/scheduling/_workers.py
@@ -80,9 +80,7 @@
             self._remove(report.worker)
             known.report = report
             self._add(known)
-        known.report = report
-        known.heard_s = now_s
-        known.room = room_of(report)
+        known.take(report, now_s)
         return known
 
     def leave(self, worker: str, now_s: float) -> None:
@@ -201,10 +199,8 @@
             return None
         self._lapsed.pop(report.worker)
         self._gone_s.pop(report.worker)
-        known.report = report
-        known.heard_s = now_s
+        known.take(report, now_s)
         known.doubted_s = now_s
-        known.room = room_of(report)
         self._add(known)
         return known
 
--- a/src/wigeonreach/standins/_worker.py
+++ b/src/wigeonreach/standins/_worker.py
@@ -31,6 +31,8 @@
         Outlives the worker.
     born_ms
         When it started, since 1970; None if it does not say.
+    clock_ms
+        What its steady clock says; None if it does not tell.
     fence
         The highest that it was given; orders under a lower one are ignored.
     lease_until_s
@@ -57,6 +59,7 @@
     ended: list[EndedRun] = dataclasses.field(default_factory=list)
     over: dict[TaskKey, int] = dataclasses.field(default_factory=dict)
     born_ms: int | None = None
+    clock_ms: int | None = None
     _numbers: Iterator[int] = dataclasses.field(
         default_factory=lambda: itertools.count(1),
     )
@@ -83,6 +86,7 @@
             rack=self.rack,
             running=tuple(self.running.values()),
             ended=tuple(self.ended),
+            clock_ms=self.clock_ms,
         )
 
     def report(self) -> WorkerReport:
--- a/src/wigeonreach/wire/_worker_messages.py
+++ b/src/wigeonreach/wire/_worker_messages.py
@@ -87,6 +87,8 @@
         Least time that a draining worker still has.
     cold_ms
         How much longer it stays slow after its start.
+    clock_ms
+        What its steady clock said when it sent this; None if it doesn't tell.
     """
 
     worker: str
@@ -105,6 +107,7 @@
     rack: str = ''
     running: tuple[RunningTask, ...] = ()
     ended: tuple[EndedRun, ...] = ()
+    clock_ms: int | None = None
 
     @property
     def vm_or_address(self) -> str:
--- a/tests/scheduling/test_moving_out.py
+++ b/tests/scheduling/test_moving_out.py
@@ -213,6 +213,24 @@
         self.assertThat(orders.stops, matchers.HasLength(0))
         self.assertThat(lead.scheduler.stopping, matchers.HasLength(0))
 
+    def test_late_heartbeat_proves_no_work(self) -> None:
+        """It was held up, and its worker may have gone down since it was sent."""
+        lead = _serving_lead()
+        busy = [told for told in lead.workers.values() if told.running]
+        for told in busy:
+            told.clock_ms = 50_000
+        _hear_all(lead)
+        lead.now_s += 3.0
+        for prompt in busy[1:]:
+            prompt.clock_ms = 53_000
+        busy[0].clock_ms = 50_250
+        _hear_all(lead)
+        lead.start_wave([busy[1].vm], limit=1, due_after_s=2)
+        self.assertThat(self._wave_step(lead).stops, matchers.HasLength(0))
+        busy[0].clock_ms = 53_000
+        lead.hear(busy[0])
+        self.assertThat(self._wave_step(lead).stops, matchers.HasLength(1))
+
     def test_run_that_may_be_at_work_by_now_stays(self) -> None:
         """It was about to serve when it was last heard; another is away."""
         lead = _serving_lead()
