Let an order explain the loss of the worker that it ends only

Cause: orders were kept by VM and time. The successor of a crashed worker is idle and its VM is ordered to another pool at once; that order came before the loss was judged, and explained it. Three of six crashes of one traced task were lost so, once by the next leader, to whom each VM ordered lately explained all.

Each order is now recorded with the incarnation that it ends, and by its VM alone only where nobody is known there. The test failed before (a task with as many crashes as rounds was never given up).

--- a/src/wigeonreach/core/_vm_actions.py
+++ b/src/wigeonreach/core/_vm_actions.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import functools
-from collections.abc import Iterable
+from collections.abc import Collection
+
+import msgspec
 
 from wigeonreach.core._clock import steady_s
 from wigeonreach.core._term import LeaderTerm
@@ -119,7 +121,7 @@
             await self._record_safely(wave, vm, VmStep.DONE)
         for wave, vm, worker in step.orders:
             if self._orders.is_free(vm):
-                scheduler.crashes.note_vm_ordered(vm, steady_s())
+                scheduler.crashes.note_vm_ordered(vm, worker, steady_s())
                 self._orders.start(
                     vm,
                     functools.partial(self._maintain_vm, wave, vm, worker),
@@ -146,19 +148,29 @@
         if await self._term.propose(record) is not Verdict.DONE:
             return
         for move in moves:
-            self._term.scheduler.crashes.note_vm_ordered(move.vm, steady_s())
+            self._term.scheduler.crashes.note_vm_ordered(
+                move.vm,
+                move.worker,
+                steady_s(),
+            )
             self._orders.start(move.vm, functools.partial(self._move_vm, move))
 
-    def _record_of(self, moves: Iterable[Move]) -> RecordVmOrders:
+    def _record_of(self, moves: Collection[Move]) -> RecordVmOrders:
         """Return what is to be replicated of the VMs now."""
-        term = self._term.term
-        vms = tuple(move.vm for move in moves)
+        record = RecordVmOrders(
+            self._term.term,
+            tuple(move.vm for move in moves),
+            workers=tuple(move.worker for move in moves),
+        )
         now_s = steady_s()
         if now_s - self._told_s < _TOLD_S:
-            return RecordVmOrders(term, vms)
+            return record
         self._told_s = now_s
-        settled = self._orders.settled()
-        return RecordVmOrders(term, vms, settled, self._orders.take_answered())
+        return msgspec.structs.replace(
+            record,
+            settled=self._orders.settled(),
+            answered=self._orders.take_answered(),
+        )
 
     async def _maintain_vm(self, wave: int, vm: str, worker: str) -> None:
         # First recorded, so that a next leader knows it may be down.
--- a/src/wigeonreach/core/_vm_holds.py
+++ b/src/wigeonreach/core/_vm_holds.py
@@ -67,7 +67,7 @@
             vm
             for vm, answered_s in self._answered_s.items()
             if now_s >= answered_s + self._apart_s
-            and vm in self._store.ordered_vms
+            and vm in self._store.vm_orders
         )
 
     def refresh(self, now_s: float) -> None:
@@ -82,7 +82,7 @@
             self._over_s[answered] = now_s
         self._store.newly_ordered.clear()
         self._store.newly_answered.clear()
-        for settled in self._recorded_s.keys() - self._store.ordered_vms:
+        for settled in self._recorded_s.keys() - self._store.vm_orders:
             self._recorded_s.pop(settled)
             self._over_s.pop(settled, None)
             self._answered_s.pop(settled, None)
--- a/src/wigeonreach/jobs/__init__.py
+++ b/src/wigeonreach/jobs/__init__.py
@@ -35,7 +35,7 @@
     TaskPhase,
     run_name,
 )
-from wigeonreach.jobs._records import JobRecord, TaskRecord
+from wigeonreach.jobs._records import JobRecord, TaskRecord, VmOrder
 from wigeonreach.jobs._store import JobStore
 from wigeonreach.jobs._waves import WaveRecord
 
@@ -70,6 +70,7 @@
     'TaskPhase',
     'TaskRecord',
     'Verdict',
+    'VmOrder',
     'VmStep',
     'WaveRecord',
     'decode_reply',
--- a/src/wigeonreach/jobs/_commands.py
+++ b/src/wigeonreach/jobs/_commands.py
@@ -143,6 +143,8 @@
 
     Attributes
     ----------
+    workers
+        For each of the VMs, the incarnation that its order ends, or nothing.
     settled
         VMs whose last order was answered so long ago that any leader may give
         them another.
@@ -154,6 +156,7 @@
     vms: tuple[str, ...]
     settled: tuple[str, ...] = ()
     answered: tuple[str, ...] = ()
+    workers: tuple[str, ...] = ()
 
 
 AnyCommand: TypeAlias = (
--- a/src/wigeonreach/jobs/_records.py
+++ b/src/wigeonreach/jobs/_records.py
@@ -49,6 +49,21 @@
     crashes: tuple[TaskCrash, ...] = ()
 
 
+class VmOrder(msgspec.Struct, array_like=True):
+    """The newest order for a VM.
+
+    Attributes
+    ----------
+    worker
+        The incarnation that it ends; nothing if none was known there.
+    is_answered
+        Whether the platform said what became of it.
+    """
+
+    worker: str = ''
+    is_answered: bool = False
+
+
 Occurrence = list[list[TaskRecord]]
 
 
--- a/src/wigeonreach/jobs/_store.py
+++ b/src/wigeonreach/jobs/_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+import itertools
 from collections.abc import Iterable, Mapping
 from types import MappingProxyType
 
@@ -36,7 +37,12 @@
     TaskPhase,
 )
 from wigeonreach.jobs._queue_index import QueueIndex
-from wigeonreach.jobs._records import JobRecord, TaskRecord, new_record
+from wigeonreach.jobs._records import (
+    JobRecord,
+    TaskRecord,
+    VmOrder,
+    new_record,
+)
 from wigeonreach.jobs._waves import WaveRecord
 
 _NOTHING: Mapping[TaskKey, int] = MappingProxyType({})
@@ -50,7 +56,9 @@
     manifest: Manifest
     jobs: list[JobRecord]
     waves: list[WaveRecord]
+    # Of snapshots that tell no more of orders than their VMs.
     ordered_vms: list[str] = msgspec.field(default_factory=list)
+    vm_orders: dict[str, VmOrder] = msgspec.field(default_factory=dict)
 
 
 _SNAPSHOTS = msgspec.msgpack.Decoder(_Stored)
@@ -71,8 +79,8 @@
         Jobs that changed since a reader last cleared this.
     reassigned
         Workers whose runs changed since a reader last cleared this.
-    ordered_vms
-        VMs that some leader has ordered lately, or was about to.
+    vm_orders
+        By VM, what some leader has ordered lately, or was about to.
     newly_ordered, newly_answered
         Those among them that were ordered, and those whose order was answered,
         since a reader last cleared these.
@@ -89,7 +97,7 @@
         self.assigned: dict[str, dict[TaskKey, int]] = {}
         self.changed: set[str] = set()
         self.reassigned: set[str] = set()
-        self.ordered_vms: set[str] = set()
+        self.vm_orders: dict[str, VmOrder] = {}
         self.newly_ordered: set[str] = set()
         self.newly_answered: set[str] = set()
         self.term = 0
@@ -106,7 +114,7 @@
             self.manifest,
             list(self.jobs.values()),
             list(self.waves.values()),
-            sorted(self.ordered_vms),
+            vm_orders=self.vm_orders,
         )
         return msgspec.msgpack.encode(stored)
 
@@ -123,19 +131,36 @@
             for key, task in job.assigned():
                 self.assign(task.worker, key, task.run)
         self.changed = set(self.jobs)
-        self.note_ordered(stored.ordered_vms)
+        self.note_ordered(dict.fromkeys(stored.ordered_vms, ''))
+        for vm, order in stored.vm_orders.items():
+            self.note_ordered({vm: order.worker})
+            self.vm_orders[vm] = order
 
     def put_manifest(self, manifest: Manifest) -> None:
         """Put a manifest in force."""
         self.manifest = manifest
         self.queues = QueueIndex(manifest)
 
-    def note_ordered(self, vms: Iterable[str]) -> None:
-        """Note that VMs have been ordered, or are about to be."""
-        ordered = set(vms)
-        self.newly_ordered |= ordered
-        self.newly_answered -= ordered
-        self.ordered_vms |= ordered
+    def note_ordered(self, workers: Mapping[str, str]) -> None:
+        """Note that VMs have been ordered, or are about to be.
+
+        Parameters
+        ----------
+        workers
+            By VM, the incarnation that its order ends, or nothing.
+        """
+        for vm, worker in workers.items():
+            self.newly_ordered.add(vm)
+            self.newly_answered.discard(vm)
+            self.vm_orders[vm] = VmOrder(worker)
+
+    def note_answered(self, vms: Iterable[str]) -> None:
+        """Note that the newest orders of VMs were answered."""
+        for vm in vms:
+            self.newly_answered.add(vm)
+            order = self.vm_orders.get(vm)
+            if order is not None:
+                order.is_answered = True
 
     def service_of(self, job: JobRecord) -> str:
         """Return the service whose workers may run a job now."""
@@ -316,7 +341,7 @@
         return CommandReply(Verdict.UNKNOWN)
     waves.note_step(wave, command)
     if command.step is VmStep.ORDERED:
-        store.note_ordered((command.vm,))
+        store.note_ordered({command.vm: command.worker})
     return CommandReply(Verdict.DONE)
 
 
@@ -324,8 +349,10 @@
 def _on_vm_orders(command: RecordVmOrders, store: JobStore) -> CommandReply:
     if command.term != store.term:
         return CommandReply(Verdict.OUTDATED)
-    store.ordered_vms.difference_update(command.settled)
-    store.newly_ordered.difference_update(command.settled)
-    store.newly_answered.update(command.answered)
-    store.note_ordered(command.vms)
+    for settled in command.settled:
+        store.vm_orders.pop(settled, None)
+        store.newly_ordered.discard(settled)
+    store.note_answered(command.answered)
+    workers = itertools.zip_longest(command.vms, command.workers, fillvalue='')
+    store.note_ordered(dict(workers))
     return CommandReply(Verdict.DONE)
--- a/src/wigeonreach/scheduling/_crashes.py
+++ b/src/wigeonreach/scheduling/_crashes.py
@@ -91,8 +91,11 @@
         self._crashed_s: dict[str, float] = {}
         # When the newest worker of each VM was heard first, and which it is.
         self._joined: dict[str, tuple[float, str]] = {}
-        # When each VM was ordered last, by a former leader before all else.
-        self._inherited = frozenset(store.ordered_vms)
+        # When each worker was ordered to end, by a former leader before all
+        # else; by the VM alone where no worker was known.
+        self._inherited = frozenset(
+            order.worker or vm for vm, order in store.vm_orders.items()
+        )
         self._ordered_s = dict.fromkeys(self._inherited, now_s + _ALL_HEARD_S)
 
     def note_heard(self, incarnation: Incarnation) -> None:
@@ -105,9 +108,26 @@
         if joined > self._joined.get(vm, (0.0, '')):
             self._joined[vm] = joined
 
-    def note_vm_ordered(self, vm: str, now_s: float) -> None:
-        """Take note that an order is about to end a VM's worker."""
-        self._ordered_s[vm] = now_s
+    def note_vm_ordered(self, vm: str, worker: str, now_s: float) -> None:
+        """Take note that an order is about to end a VM's worker.
+
+        It explains nothing that befell earlier workers of the VM.
+
+        Parameters
+        ----------
+        vm
+            Which is ordered.
+        worker
+            The incarnation there; nothing if none is known.
+        now_s
+            Clock in seconds.
+        """
+        self._ordered_s = {
+            ordered: ordered_s
+            for ordered, ordered_s in self._ordered_s.items()
+            if now_s - ordered_s <= _BACK_WITHIN_S
+        }
+        self._ordered_s[worker or vm] = now_s
 
     def note_lost(
         self,
@@ -139,7 +159,8 @@
         held = self._store.held_by(worker)
         tasks = [self._store.task_of(key) for key in held]
         vm = next((task.vm for task in tasks if task is not None), '')
-        if not vm or vm in self._inherited or worker in self._open:
+        is_ordered = not self._inherited.isdisjoint((vm, worker))
+        if not vm or is_ordered or worker in self._open:
             return
         loss = WorkerLoss(worker, vm, _NEVER_S, now_s)
         loss.runs.update(
@@ -221,10 +242,18 @@
 
     def _was_ordered(self, incarnation: Incarnation) -> bool:
         """Whether an order for its VM may have ended a worker."""
-        ordered_s = self._ordered_s.get(incarnation.report.vm, _NEVER_S)
+        report = incarnation.report
+        ordered_s = self._order_s(report.worker, report.vm)
         is_of_it = incarnation.first_heard_s <= ordered_s
         return is_of_it and incarnation.heard_s < ordered_s + _ORDER_LASTS_S
 
+    def _order_s(self, worker: str, vm: str) -> float:
+        """Return when a worker was ordered to end, or its VM without one."""
+        return max(
+            self._ordered_s.get(worker, _NEVER_S),
+            self._ordered_s.get(vm, _NEVER_S),
+        )
+
     def _is_over(self, loss: WorkerLoss) -> bool:
         """Whether another worker joined on the VM of a lost one."""
         joined_s, worker = self._joined.get(loss.vm, (0.0, loss.worker))
@@ -260,7 +289,7 @@
             self._note(loss, f'{domain.name} went down with it')
             return
         joined_s, _ = self._joined[loss.vm]
-        if loss.heard_s < self._ordered_s.get(loss.vm, joined_s) < joined_s:
+        if loss.heard_s < self._order_s(loss.worker, loss.vm) < joined_s:
             self._note(loss, 'its VM was ordered while it was silent')
             return
         most = self._most_proved(loss, domain, now_s)
--- a/src/wigeonreach/scheduling/_pool_vms.py
+++ b/src/wigeonreach/scheduling/_pool_vms.py
@@ -27,12 +27,15 @@
     ----------
     reason
         For people; two moves of one VM between the same pools are the same.
+    worker
+        The incarnation that the move ends; nothing if none is known there.
     """
 
     vm: str
     from_pool: str
     to_pool: str
     reason: str = dataclasses.field(default='', compare=False)
+    worker: str = dataclasses.field(default='', compare=False)
 
 
 class PoolVms:
--- a/src/wigeonreach/scheduling/_pools.py
+++ b/src/wigeonreach/scheduling/_pools.py
@@ -340,18 +340,33 @@
         moves: list[Move] = []
         for vm, emptying in list(self._emptying.items()):
             incarnation = self._workers.of_vm(vm)
-            pool = (
-                incarnation.report.service
-                if incarnation
-                else self.vms.standby_pool
-            )
             if incarnation is None or is_empty(incarnation, self._store):
-                move = Move(vm, pool, emptying.to_pool, emptying.reason)
-                moves.append(move)
+                moves.append(self._move_of(vm, emptying, incarnation))
             elif now_s - emptying.since_s > _EMPTY_S:
                 self._emptying.pop(vm)
         return moves
 
+    def _move_of(
+        self,
+        vm: str,
+        emptying: _Emptying,
+        incarnation: Incarnation | None,
+    ) -> Move:
+        move = Move(
+            vm,
+            self.vms.standby_pool,
+            emptying.to_pool,
+            emptying.reason,
+        )
+        if incarnation is None:
+            return move
+        report = incarnation.report
+        return dataclasses.replace(
+            move,
+            from_pool=report.service,
+            worker=report.worker,
+        )
+
     def _idle_vms(self, pool: PoolState) -> list[str]:
         """Return a pool's VMs with nothing on them that it does not need."""
         spare = self.vms.count_labels(self._vms_of(pool))
--- a/tests/scheduling/test_crashing.py
+++ b/tests/scheduling/test_crashing.py
@@ -277,7 +277,8 @@
             for worker in fleet.up:
                 if worker.running:
                     crashes = fleet.lead.scheduler.crashes
-                    crashes.note_vm_ordered(worker.vm, fleet.lead.now_s)
+                    now_s = fleet.lead.now_s
+                    crashes.note_vm_ordered(worker.vm, worker.name, now_s)
                     fleet.take_down((worker,), 1.5)
         fleet.run(10)
         self.assertThat(_crashes(store), matchers.Equals([0]))
@@ -294,11 +295,30 @@
             fleet.run(5)
             for worker in silent:
                 crashes = fleet.lead.scheduler.crashes
-                crashes.note_vm_ordered(worker.vm, fleet.lead.now_s)
+                crashes.note_vm_ordered(worker.vm, '', fleet.lead.now_s)
         fleet.run(10)
         self.assertThat(_crashes(store), matchers.Equals([0]))
         self.assertThat(_phase(store), _ACTIVE)
 
+    def test_order_for_its_successor_explains_no_loss(self) -> None:
+        """An idle worker is moved at once; the one before it had crashed."""
+        store = store_with(job(step(2)))
+        fleet = CrashingFleet(store, workers(6), _is_first)
+        ordered: set[str] = set()
+        while fleet.lead.now_s < _LONG_S:
+            fleet.round()
+            crashes = fleet.lead.scheduler.crashes
+            for worker in fleet.up:
+                is_successor = 'life' in worker.name and not worker.running
+                if is_successor and worker.name not in ordered:
+                    ordered.add(worker.name)
+                    now_s = fleet.lead.now_s
+                    crashes.note_vm_ordered(worker.vm, worker.name, now_s)
+                    fleet.take_down((worker,), 1.5)
+        self.assertThat(_phase(store), _FAILED)
+        started = len(fleet.starts[key(0)])
+        self.assertThat(started, matchers.LessThan(_MOST_STARTS + 1))
+
     def test_worker_that_crashes_behind_a_cut_proves_little(self) -> None:
         """Its lease may have ended the run before, so two are no proof."""
         store = store_with(job(serving_step(1)))
