--- a/tests/jobs/test_vm_orders.py
+++ b/tests/jobs/test_vm_orders.py
@@ -44,7 +44,7 @@
 
     def test_snapshot_that_tells_no_more_than_vms_is_read(self) -> None:
         """It was taken by a process of before."""
-        before = (TERM, manifest(), [], [], ['vm1'])
+        before = (TERM, manifest(), (), (), ('vm1',))
         store = JobStore()
         store.restore(msgspec.msgpack.encode(before))
         expected = {'vm1': VmOrder()}
