Record a loss against its runs at once, and take it back when it is explained

Now each run whose worker falls silent has a mark from the record that gives it up; the mark is replaced by what the crash proves, or dropped when the worker is heard again, an order, a rack or a zone explains it, or its VM is not back in time. How much speaks against a task is told by its record alone.

--- a/src/wigeonreach/core/_term_log.py
+++ b/src/wigeonreach/core/_term_log.py
@@ -6,6 +6,7 @@
 
 from wigeonreach.core._term_load import LoadFigures
 from wigeonreach.jobs import (
+    CrashEvidence,
     JobRecord,
     JobStore,
     RunCrashed,
@@ -157,6 +158,9 @@
         """Count a run whose worker crashed, and tell what that proves."""
         evidence = crashed.evidence.name.lower()
         self._metrics.count('runs_crashed', evidence)
+        if crashed.evidence is CrashEvidence.UNSETTLED:
+            # Its end is told of at the same time.
+            return
         task = self._store.task_of(crashed.task)
         self._log.info(
             LogEvent.RUN_CRASHED,
--- a/src/wigeonreach/jobs/_commands.py
+++ b/src/wigeonreach/jobs/_commands.py
@@ -59,10 +59,13 @@
 class CrashEvidence(enum.IntEnum):
     """What speaks for it that a run brought its worker down.
 
-    ``SOUND`` speaks against it: the run had worked for long.  The others speak
-    for it, each more than the one before: the worker went down, but perhaps
-    after the run's lease; other work was there that may be the cause as well;
-    the run had just begun; nothing of other jobs was there.
+    ``SOUND`` speaks against it: the run had worked for long.  The others up to
+    ``ALONE`` speak for it, each more than the one before: the worker went down,
+    but perhaps after the run's lease; other work was there that may be the cause
+    as well; the run had just begun; nothing of other jobs was there.
+
+    ``UNSETTLED`` is a run whose worker fell silent, until it is known why; then
+    another takes its place, or ``EXPLAINED`` if it was for another cause.
     """
 
     SOUND = 0
@@ -70,10 +73,12 @@
     BESIDE_OTHERS = 2
     JUST_BEGUN = 3
     ALONE = 4
+    EXPLAINED = 5
+    UNSETTLED = 6
 
 
 class RunCrashed(msgspec.Struct, frozen=True, array_like=True):
-    """A run was on a worker that went down for no cause but what it ran."""
+    """A run was on a worker that fell silent, and what that proves."""
 
     task: TaskKey
     run: int
--- a/src/wigeonreach/jobs/_records.py
+++ b/src/wigeonreach/jobs/_records.py
@@ -19,7 +19,7 @@
 
 
 class TaskCrash(msgspec.Struct, frozen=True, array_like=True):
-    """A run of a task whose worker went down, and what that proves."""
+    """A run of a task whose worker fell silent, and what that proves."""
 
     run: int
     evidence: CrashEvidence
@@ -36,8 +36,8 @@
         Which incarnation of a worker the newest run was given to, and the VM
         under it, by which a next leader knows whether that worker crashed.
     crashes
-        Of the runs whose workers crashed under them, since one of them worked
-        for long.
+        Of the runs whose workers crashed under them, or may have, since one of
+        them worked for long.
     """
 
     phase: TaskPhase = TaskPhase.WAITING
@@ -48,6 +48,20 @@
     vm: str = ''
     crashes: tuple[TaskCrash, ...] = ()
 
+    @property
+    def crash_count(self) -> int:
+        """How many crashes speak against it, with those that may have been some.
+
+        One loss without an explanation is most often a worker that is cut off,
+        and speaks against nothing.
+        """
+        marks = len(self.crashes)
+        is_certain = any(
+            mark.evidence is not CrashEvidence.UNSETTLED
+            for mark in self.crashes
+        )
+        return marks if is_certain or marks > 1 else 0
+
 
 class VmOrder(msgspec.Struct, array_like=True):
     """The newest order for a VM.
--- a/src/wigeonreach/jobs/_runs.py
+++ b/src/wigeonreach/jobs/_runs.py
@@ -24,6 +24,7 @@
         CrashEvidence.JUST_BEGUN: 3,
     },
 )
+_UNCERTAIN = frozenset((CrashEvidence.UNCERTAIN, CrashEvidence.UNSETTLED))
 _OVER = frozenset((TaskPhase.DONE, TaskPhase.GIVEN_UP))
 # Whatever they prove, and also those that may have come after its lease.
 _MOST_CRASHES = 4
@@ -69,28 +70,56 @@
 
 
 def note_crash(job: JobRecord, crashed: RunCrashed) -> bool:
-    """Take note that a run's worker crashed; tell whether anything changed.
+    """Take note of what became of a run's worker; tell what changed by it.
 
     Each run counts once.  It does not matter which run is the newest by now: a
     crash is known for sure only once the VM has another worker, and the task may
     have been started again before that.
     """
     task = job.task(crashed.task)
-    if task is None or not job.is_active or task.phase in _OVER:
+    if task is None:
+        return False
+    if crashed.evidence is CrashEvidence.EXPLAINED:
+        return _drop_mark(task, crashed.run)
+    if not job.is_active or task.phase in _OVER:
         return False
     if crashed.evidence is CrashEvidence.SOUND:
         task.crashes = ()
         return True
-    if any(known.run == crashed.run for known in task.crashes):
+    crashes = _with_mark(task.crashes, crashed)
+    if crashes == task.crashes:
         return False
-    crash = TaskCrash(crashed.run, crashed.evidence)
-    task.crashes = (*task.crashes, crash)
+    task.crashes = crashes
     is_service = job.step_spec(crashed.task).is_service
     if not is_service and _is_proved(task.crashes):
         _give_up(job, crashed.task)
     return True
 
 
+def _drop_mark(task: TaskRecord, run: int) -> bool:
+    """Hold a loss against a task no more; tell whether it was."""
+    before = len(task.crashes)
+    task.crashes = tuple(mark for mark in task.crashes if mark.run != run)
+    return len(task.crashes) < before
+
+
+def _with_mark(
+    crashes: tuple[TaskCrash, ...],
+    crashed: RunCrashed,
+) -> tuple[TaskCrash, ...]:
+    """Return the marks of a task with what is known of one of its runs now."""
+    others = tuple(mark for mark in crashes if mark.run != crashed.run)
+    settled = [
+        mark
+        for mark in crashes
+        if mark.run == crashed.run
+        and mark.evidence is not CrashEvidence.UNSETTLED
+    ]
+    if settled:
+        return crashes
+    return (*others, TaskCrash(crashed.run, crashed.evidence))
+
+
 def _give_up(job: JobRecord, key: TaskKey) -> None:
     """Start a task no more, and end its job unless others of it serve.
 
@@ -107,11 +136,9 @@
 
 def _is_proved(crashes: tuple[TaskCrash, ...]) -> bool:
     """Whether it is a task that brings its workers down."""
-    certain = [
-        crash
-        for crash in crashes
-        if crash.evidence is not CrashEvidence.UNCERTAIN
-    ]
+    if not crashes:
+        return False
+    certain = [crash for crash in crashes if crash.evidence not in _UNCERTAIN]
     allowed = _CRASHES_ALLOWED.get(crashes[-1].evidence, _MOST_CRASHES)
     return len(certain) >= allowed or len(crashes) >= _MOST_CRASHES
 
--- a/src/wigeonreach/scheduling/_choosing.py
+++ b/src/wigeonreach/scheduling/_choosing.py
@@ -6,7 +6,6 @@
 from collections.abc import Iterable
 
 from wigeonreach.jobs import StepSpec, TaskKey
-from wigeonreach.scheduling._suspects import Suspects
 from wigeonreach.scheduling._ready import ReadyStep, most_together
 from wigeonreach.scheduling._room_left import CRASHES_BEFORE_TRIAL, WorkerRoom
 
@@ -46,20 +45,16 @@
         Whose tasks are to be placed.
     rooms
         The workers that may take something.
-    suspects
-        Which tasks may bring their workers down.
     """
 
     def __init__(
         self,
         step: ReadyStep,
         rooms: Iterable[WorkerRoom],
-        suspects: Suspects,
     ) -> None:
         """Rank the workers with room for a task."""
         need = step.spec.room
         self._step = step
-        self._suspects = suspects
         self._rooms = [room for room in rooms if room.left.holds(need)]
         self._heap: list[tuple[_Cost, WorkerRoom]] | None = None
 
@@ -69,7 +64,7 @@
         has_run = task is not None and bool(task.run)
         if has_run or self._step.spec.is_service:
             # Where it ran, and where its siblings are, counts too.
-            crashes = self._suspects.crashes(key, task) if task else 0
+            crashes = task.crash_count if task else 0
             return best_room(self._step, key, self._rooms, crashes)
         return self._first(key)
 
--- a/src/wigeonreach/scheduling/_crashes.py
+++ b/src/wigeonreach/scheduling/_crashes.py
@@ -101,7 +101,9 @@
     def note_heard(self, incarnation: Incarnation) -> None:
         """Take note of a heartbeat: its worker goes on, if it was given up."""
         report = incarnation.report
-        self._open.pop(report.worker, None)
+        returned = self._open.pop(report.worker, None)
+        if returned is not None:
+            self._drop(returned)
         self._losses.pop(report.worker, None)
         joined = (incarnation.first_heard_s, report.worker)
         vm = report.vm_or_address
@@ -151,7 +153,7 @@
         worker = incarnation.report.worker
         loss = self._open.get(worker) or _loss_of(incarnation, now_s)
         self._charge(loss, incarnation, runs)
-        self._open[worker] = loss
+        self._doubt(loss)
         self._losses[worker] = loss
 
     def note_unheard(self, worker: str, now_s: float) -> None:
@@ -166,7 +168,7 @@
         loss.runs.update(
             dict.fromkeys(held.items(), CrashEvidence.UNCERTAIN),
         )
-        self._open[worker] = loss
+        self._doubt(loss)
 
     def found(self, now_s: float) -> tuple[RunCrashed, ...]:
         """Return the crashes to be recorded; the same until they are."""
@@ -181,7 +183,7 @@
                 self._settle(settled, fallen, now_s)
         for waiting in tuple(self._open.values()):
             if now_s - waiting.noted_s > _BACK_WITHIN_S:
-                self._open.pop(waiting.worker)
+                self._drop(self._open.pop(waiting.worker))
         if self._losses:
             self._losses = {
                 worker: late
@@ -213,6 +215,22 @@
         }
         return Suspects(doubtful, newly_lost)
 
+    def _doubt(self, loss: WorkerLoss) -> None:
+        """Have it recorded that a loss may be the fault of what ran there.
+
+        A next leader knows nothing of it but that.
+        """
+        self._open[loss.worker] = loss
+        for run, evidence in loss.runs.items():
+            if evidence is not CrashEvidence.SOUND:
+                crashed = RunCrashed(*run, CrashEvidence.UNSETTLED)
+                self._found[run] = crashed
+
+    def _drop(self, loss: WorkerLoss) -> None:
+        """Hold a loss against nothing that ran there."""
+        for run in loss.runs:
+            self._found[run] = RunCrashed(*run, CrashEvidence.EXPLAINED)
+
     def _charge(
         self,
         loss: WorkerLoss,
@@ -235,7 +253,7 @@
         suspected: dict[str, int] = {}
         for key, _ in runs:
             task = self._store.task_of(key)
-            crashes = len(task.crashes) if task else 0
+            crashes = task.crash_count if task else 0
             known = suspected.get(key.job_id, 0)
             suspected[key.job_id] = max(known, crashes)
         return suspected
@@ -287,10 +305,12 @@
         domain = fallen.domain_of(loss)
         if domain is not None and domain.is_proved:
             self._note(loss, f'{domain.name} went down with it')
+            self._drop(loss)
             return
         joined_s, _ = self._joined[loss.vm]
         if loss.heard_s < self._order_s(loss.worker, loss.vm) < joined_s:
             self._note(loss, 'its VM was ordered while it was silent')
+            self._drop(loss)
             return
         most = self._most_proved(loss, domain, now_s)
         self._crashed_s[loss.vm] = now_s
--- a/src/wigeonreach/scheduling/_lost_runs.py
+++ b/src/wigeonreach/scheduling/_lost_runs.py
@@ -80,9 +80,8 @@
         """Return the runs of silent workers of which copies may begin."""
         if not self._is_awake(now_s):
             return ()
-        suspects = self.crashes.suspects(now_s)
         incarnations = self._workers.incarnations
-        found = tuple(copied(incarnations, self._store, suspects, now_s))
+        found = tuple(copied(incarnations, self._store, now_s))
         for incarnation, run in found:
             self.crashes.note_lost(incarnation, (run,), now_s)
         return tuple(
--- a/src/wigeonreach/scheduling/_placing.py
+++ b/src/wigeonreach/scheduling/_placing.py
@@ -95,7 +95,7 @@
         rooms: Sequence[WorkerRoom],
     ) -> bool:
         is_placed = True
-        ranking = Ranking(step, rooms, self._suspects)
+        ranking = Ranking(step, rooms)
         waiting = [
             index
             for index in step.waiting
@@ -124,7 +124,7 @@
             return False
         if any(self._must_wait(step, _key(step, at)) for at in step.waiting):
             return True
-        chosen = _fit_all(step, rooms, self._suspects)
+        chosen = _fit_all(step, rooms)
         if chosen is None:
             self._near.note_waiting(step, len(step.waiting))
             return False
@@ -142,8 +142,8 @@
     ) -> None:
         room.add(key, step.spec)
         task = step.job.task(key)
-        if task is not None and self._suspects.crashes(key, task):
-            self._note_suspect(step, room, self._suspects.crashes(key, task))
+        if task is not None and task.crash_count:
+            self._note_suspect(step, room, task.crash_count)
         report = room.incarnation.report
         vm = report.vm_or_address
         self.starts.append(RunStarted(key, run, report.worker, vm))
@@ -162,7 +162,7 @@
         if step.spec.is_service or key not in self._suspects.newly_lost:
             return False
         task = step.job.task(key)
-        crashes = self._suspects.crashes(key, task) if task else 0
+        crashes = task.crash_count if task else 0
         others = room.suspects - {key.job_id}
         return crashes >= CRASHES_BEFORE_TRIAL and bool(others)
 
@@ -191,7 +191,6 @@
 def _fit_all(
     step: ReadyStep,
     rooms: Sequence[WorkerRoom],
-    suspects: Suspects,
 ) -> list[tuple[TaskKey, WorkerRoom]] | None:
     """Return where all waiting tasks of a step fit together, if they do."""
     if not fits_whole(step, rooms):
@@ -205,7 +204,7 @@
     for index in step.waiting:
         key = _key(step, index)
         task = step.job.task(key)
-        crashes = suspects.crashes(key, task) if task else 0
+        crashes = task.crash_count if task else 0
         room = best_room(step, key, copies, crashes)
         if room is None:
             return None
--- a/src/wigeonreach/scheduling/_room_left.py
+++ b/src/wigeonreach/scheduling/_room_left.py
@@ -118,10 +118,10 @@
     for key, run in held.items():
         _add_known(room, key, store)
         task = store.task_of(key)
-        if task is None or not task.crashes:
+        if task is None or not task.crash_count:
             continue
         if progress.worked_s((key, run), incarnation.heard_s) < SOUND_S:
-            room.note_suspect(key.job_id, len(task.crashes))
+            room.note_suspect(key.job_id, task.crash_count)
     for row in incarnation.running:
         # What is being stopped takes room until its end is listed.
         if row.task not in held:
--- a/src/wigeonreach/scheduling/_second_runs.py
+++ b/src/wigeonreach/scheduling/_second_runs.py
@@ -15,7 +15,6 @@
 from wigeonreach.jobs import JobStore, Run, TaskKey
 from wigeonreach.scheduling._incarnation import Incarnation
 from wigeonreach.scheduling._progress import ProgressWatch
-from wigeonreach.scheduling._suspects import Suspects
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -58,7 +57,6 @@
 def copied(
     incarnations: Mapping[str, Incarnation],
     store: JobStore,
-    suspects: Suspects,
     now_s: float,
 ) -> Iterator[tuple[Incarnation, Run]]:
     """Yield the runs of silent workers beside which a copy may run.
@@ -71,12 +69,12 @@
         if not incarnation.is_silent(now_s):
             continue
         for run in store.held_by(worker).items():
-            if _may_be_copied(run[0], store, suspects):
+            if _may_be_copied(run[0], store):
                 yield incarnation, run
 
 
-def _may_be_copied(key: TaskKey, store: JobStore, suspects: Suspects) -> bool:
+def _may_be_copied(key: TaskKey, store: JobStore) -> bool:
     task = store.task_of(key)
     if task is None or not store.may_run_twice(key):
         return False
-    return suspects.may_be_copied(key, task)
+    return not task.crashes
--- a/src/wigeonreach/scheduling/_suspects.py
+++ b/src/wigeonreach/scheduling/_suspects.py
@@ -20,7 +20,7 @@
     Attributes
     ----------
     doubtful
-        In how many losses that are not explained yet each task was.
+        In how many losses each task was that are not explained, but soon will.
     newly_lost
         Tasks that were lost so short a time ago that they may still wait for
         a worker without others of them.
@@ -29,21 +29,7 @@
     doubtful: collections.Counter[TaskKey]
     newly_lost: Collection[TaskKey] = frozenset()
 
-    def crashes(self, key: TaskKey, task: TaskRecord) -> int:
-        """Return how many crashes speak against a task, with doubtful ones.
-
-        One loss without an explanation is most often a worker that is cut off,
-        and speaks against nothing.
-        """
-        counted = len(task.crashes)
-        doubtful = self.doubtful[key]
-        return counted + doubtful if counted or doubtful > 1 else 0
-
-    def may_be_copied(self, key: TaskKey, task: TaskRecord) -> bool:
-        """Whether a copy of a task's run may begin before the run is over."""
-        return not task.crashes and not self.doubtful[key]
-
     def must_wait(self, key: TaskKey, task: TaskRecord) -> bool:
         """Whether a task may not start before its losses are explained."""
         is_settled = not self.doubtful[key]
-        return not is_settled and self.crashes(key, task) >= _MOST_DOUBTS
+        return not is_settled and task.crash_count >= _MOST_DOUBTS
--- a/tests/jobs/test_crashes.py
+++ b/tests/jobs/test_crashes.py
@@ -106,6 +106,24 @@
         self.assertThat(_record(store).crashes, matchers.HasLength(1))
         self.assertThat(store.jobs[JOB].phase, matchers.Equals(JobPhase.ACTIVE))
 
+    def test_loss_without_an_explanation_counts_until_it_has_one(self) -> None:
+        """It is known from the moment of the loss on, and taken back then."""
+        store = store_with(job(step()))
+        _crash(store, 1, CrashEvidence.UNSETTLED)
+        _crash(store, 2, CrashEvidence.UNSETTLED)
+        self.assertThat(_record(store).crash_count, matchers.Equals(2))
+        _crash(store, 1, CrashEvidence.EXPLAINED)
+        _crash(store, 3, CrashEvidence.EXPLAINED)
+        self.assertThat(_record(store).crashes, matchers.HasLength(1))
+        self.assertThat(_record(store).crash_count, matchers.Equals(0))
+        _crash(store, 2, _ALONE)
+        _crash(store, 2, CrashEvidence.UNSETTLED)
+        self.assertThat(
+            [mark.evidence for mark in _record(store).crashes],
+            matchers.Equals([_ALONE]),
+        )
+        self.assertThat(_record(store).crash_count, matchers.Equals(1))
+
     def test_tasks_of_a_step_count_apart(self) -> None:
         """Two tasks that lost one worker each are no task that lost two."""
         store = store_with(job(step(2)))
--- a/tests/scheduling/test_choosing.py
+++ b/tests/scheduling/test_choosing.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import collections
 import random
 
 import testtools
@@ -23,12 +22,10 @@
 from wigeonreach.scheduling._progress import ProgressWatch
 from wigeonreach.scheduling._ready import ReadyStep, ReadySteps
 from wigeonreach.scheduling._room_left import WorkerRoom, room_left
-from wigeonreach.scheduling._suspects import Suspects
 from wigeonreach.standins import StandInWorker
 
 _DRAWS = 200
 _RACKS = ('near', 'far')
-_NO_SUSPECTS = Suspects(collections.Counter())
 
 
 def _rooms(rng: random.Random, store: JobStore) -> list[WorkerRoom]:
@@ -75,7 +72,7 @@
             ranked = _rooms(rng, store)
             rng.setstate(state)
             looked_at = _rooms(rng, store)
-            ranking = Ranking(ready, ranked, _NO_SUSPECTS)
+            ranking = Ranking(ready, ranked)
             for index in ready.waiting:
                 found = _put(ranking.best(key(index)), ready, index)
                 looked = best_room(ready, key(index), looked_at)
--- a/tests/scheduling/test_crashing.py
+++ b/tests/scheduling/test_crashing.py
@@ -155,6 +155,33 @@
         started = len(fleet.starts[key(0)])
         self.assertThat(started, matchers.LessThan(_MOST_STARTS + 1))
 
+    def test_late_workers_and_new_leaders_lose_no_crash(self) -> None:
+        """A leader that knows nothing of a loss knows that there was one."""
+        store = store_with(job(step(4)))
+        fleet = CrashingFleet(store, workers(6), _is_first, back_after_s=6.5)
+        for _ in range(20):
+            fleet.run(5)
+            fleet.change_leader()
+        started = len(fleet.starts[key(0)])
+        self.assertThat(started, matchers.LessThan(_MOST_STARTS + 1))
+        self.assertThat(_phase(store), _FAILED)
+
+    def test_loss_that_is_explained_counts_no_more(self) -> None:
+        """A worker that was cut off is heard again, before it is settled."""
+        store = store_with(job(serving_step(1)))
+        fleet = CrashingFleet(store, workers(4), _nothing)
+        fleet.run(2)
+        cut = [worker for worker in fleet.up if worker.running]
+        for worker in cut:
+            fleet.lead.workers.pop(worker.name)
+        fleet.run(_AWAY_S)
+        self.assertThat(_crashes(store), matchers.Equals([1]))
+        for returned in cut:
+            returned.running.clear()
+            fleet.lead.workers[returned.name] = returned
+        fleet.run(1)
+        self.assertThat(_crashes(store), matchers.Equals([0]))
+
 
 class TestKinds(testtools.TestCase):
     """Steps of other kinds that crash their workers."""
@@ -265,6 +292,7 @@
             for returned in cut:
                 returned.running.clear()
                 fleet.lead.workers[returned.name] = returned
+        fleet.run(1)
         self.assertThat(_crashes(store), matchers.Equals([0]))
         self.assertThat(_phase(store), _ACTIVE)
 
