Give a task up by crashes under which nothing else can be the cause

What callers saw: sound jobs shown as failed beside tasks that crash their workers, and such tasks started six times and more.

Cause: four crashes of any kind ended a job, so a sound task that was lost four times beside others was given up, and one lost twice with the second alone on its worker for a second. What a crash proves went by how long the run was listed, though a task that crashes its worker is never listed: the worker is not heard after it was told to start it. A rack that was taken to have gone excused a crash altogether.

Now a mark also tells that. Three crashes end a task if two of them were alone at its start, or all three alone; five at its start whatever was beside it, so that a sixth start never comes. Where others go down at the same moment that had nothing to do so by, a crash proves nothing but counts as a start.

--- a/src/wigeonreach/jobs/_commands.py
+++ b/src/wigeonreach/jobs/_commands.py
@@ -61,8 +61,9 @@
 
     ``SOUND`` speaks against it: the run had worked for long.  The others up to
     ``ALONE`` speak for it, each more than the one before: the worker went down,
-    but perhaps after the run's lease; other work was there that may be the cause
-    as well; the run had just begun; nothing of other jobs was there.
+    but perhaps after the run's lease, or with others for another cause; other
+    work was there that may be the cause as well; nothing else may be, but the
+    run had been at work; nothing else may be, and the run had just begun.
 
     ``UNSETTLED`` is a run whose worker fell silent, until it is known why; then
     another takes its place, or ``EXPLAINED`` if it was for another cause.
@@ -71,18 +72,25 @@
     SOUND = 0
     UNCERTAIN = 1
     BESIDE_OTHERS = 2
-    JUST_BEGUN = 3
+    AT_WORK = 3
     ALONE = 4
     EXPLAINED = 5
     UNSETTLED = 6
 
 
 class RunCrashed(msgspec.Struct, frozen=True, array_like=True):
-    """A run was on a worker that fell silent, and what that proves."""
+    """A run was on a worker that fell silent, and what that proves.
+
+    Attributes
+    ----------
+    is_at_start
+        The worker was told to start it, and not heard any more.
+    """
 
     task: TaskKey
     run: int
     evidence: CrashEvidence
+    is_at_start: bool = False
 
 
 class BeginTerm(Command, frozen=True):
--- a/src/wigeonreach/jobs/_records.py
+++ b/src/wigeonreach/jobs/_records.py
@@ -19,10 +19,17 @@
 
 
 class TaskCrash(msgspec.Struct, frozen=True, array_like=True):
-    """A run of a task whose worker fell silent, and what that proves."""
+    """A run of a task whose worker fell silent, and what that proves.
+
+    Attributes
+    ----------
+    is_at_start
+        The worker was not heard after it was told to start the run.
+    """
 
     run: int
     evidence: CrashEvidence
+    is_at_start: bool = False
 
 
 class TaskRecord(msgspec.Struct, array_like=True):
--- a/src/wigeonreach/jobs/_runs.py
+++ b/src/wigeonreach/jobs/_runs.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from types import MappingProxyType
-
 from wigeonreach.jobs._commands import (
     CrashEvidence,
     RunCrashed,
@@ -13,18 +11,17 @@
 from wigeonreach.jobs._model import JobPhase, RunEnd, TaskKey, TaskPhase
 from wigeonreach.jobs._records import JobRecord, TaskCrash, TaskRecord
 
-# After how many crashes a task is given up, by what the last one proves.  A task
-# that crashes its workers costs each time a VM for some seconds and all that runs
-# beside it, without end; a task that is given up wrongly costs its team a job.
-# So one alone on its worker is given up at the second crash, and one beside
-# others only if the same befell it more often than chance explains.
-_CRASHES_ALLOWED = MappingProxyType(
-    {
-        CrashEvidence.ALONE: 2,
-        CrashEvidence.JUST_BEGUN: 3,
-    },
-)
-_UNCERTAIN = frozenset((CrashEvidence.UNCERTAIN, CrashEvidence.UNSETTLED))
+# What ends a task that crashes its workers.  It costs each time a VM for some
+# seconds and all that runs beside it, without end; a task that is given up wrongly
+# costs its team a job.  So only crashes count under which nothing else could be
+# the cause, several of them, as a worker may go down by itself beside them.
+_ALONE_AT_START = 2
+_CRASHES_WITH_THEM = 3
+_ALONE = 3
+# A worker that is not heard after a start may go down by itself in that moment, or
+# by another start; no sound task meets that so often.
+_AT_START = 5
+_PROVES_IT = frozenset((CrashEvidence.AT_WORK, CrashEvidence.ALONE))
 _OVER = frozenset((TaskPhase.DONE, TaskPhase.GIVEN_UP))
 # Whatever they prove, and also those that may have come after its lease.
 _MOST_CRASHES = 4
@@ -117,7 +114,8 @@
     ]
     if settled:
         return crashes
-    return (*others, TaskCrash(crashed.run, crashed.evidence))
+    mark = TaskCrash(crashed.run, crashed.evidence, crashed.is_at_start)
+    return (*others, mark)
 
 
 def _give_up(job: JobRecord, key: TaskKey) -> None:
@@ -136,11 +134,15 @@
 
 def _is_proved(crashes: tuple[TaskCrash, ...]) -> bool:
     """Whether it is a task that brings its workers down."""
-    if not crashes:
-        return False
-    certain = [crash for crash in crashes if crash.evidence not in _UNCERTAIN]
-    allowed = _CRASHES_ALLOWED.get(crashes[-1].evidence, _MOST_CRASHES)
-    return len(certain) >= allowed or len(crashes) >= _MOST_CRASHES
+    alone = sum(mark.evidence in _PROVES_IT for mark in crashes)
+    alone_at_start = sum(
+        mark.evidence is CrashEvidence.ALONE for mark in crashes
+    )
+    at_start = sum(mark.is_at_start for mark in crashes)
+    is_at_once = (
+        alone_at_start >= _ALONE_AT_START and len(crashes) >= _CRASHES_WITH_THEM
+    )
+    return is_at_once or alone >= _ALONE or at_start >= _AT_START
 
 
 def _counts(job: JobRecord, task: TaskRecord, ended: RunEnded) -> bool:
--- a/src/wigeonreach/scheduling/_crashes.py
+++ b/src/wigeonreach/scheduling/_crashes.py
@@ -21,10 +21,9 @@
     TaskKey,
 )
 from wigeonreach.observe import LogEvent
-from wigeonreach.scheduling._evidence import JUST_BEGUN_S, evidence_of
+from wigeonreach.scheduling._evidence import LostRun, evidence_of
 from wigeonreach.scheduling._incarnation import LEASE_MS, Incarnation
 from wigeonreach.scheduling._losses import (
-    DomainLoss,
     FallenWorkers,
     WorkerLoss,
 )
@@ -88,7 +87,9 @@
         self._open: dict[str, WorkerLoss] = {}
         self._losses: dict[str, WorkerLoss] = {}
         self._found: dict[Run, RunCrashed] = {}
+        # When VMs lost a worker last, and when for no start on it.
         self._crashed_s: dict[str, float] = {}
+        self._by_itself_s: dict[str, float] = {}
         # When the newest worker of each VM was heard first, and which it is.
         self._joined: dict[str, tuple[float, str]] = {}
         # When each worker was ordered to end, by a former leader before all
@@ -168,6 +169,8 @@
         loss.runs.update(
             dict.fromkeys(held.items(), CrashEvidence.UNCERTAIN),
         )
+        # Nobody here knows whether it listed them.
+        loss.at_start.update(held.items())
         self._doubt(loss)
 
     def found(self, now_s: float) -> tuple[RunCrashed, ...]:
@@ -223,13 +226,27 @@
         self._open[loss.worker] = loss
         for run, evidence in loss.runs.items():
             if evidence is not CrashEvidence.SOUND:
-                crashed = RunCrashed(*run, CrashEvidence.UNSETTLED)
-                self._found[run] = crashed
+                mark = loss.mark(run, CrashEvidence.UNSETTLED)
+                self._found[run] = mark
+
+    def _explain(self, loss: WorkerLoss) -> None:
+        """Hold a loss against nothing but starts at that very moment.
+
+        A task that crashes its workers may be begun just when a rack goes.
+        """
+        for run in loss.runs:
+            is_at_start = run in loss.at_start
+            evidence = (
+                CrashEvidence.UNCERTAIN
+                if is_at_start
+                else CrashEvidence.EXPLAINED
+            )
+            self._found[run] = loss.mark(run, evidence)
 
     def _drop(self, loss: WorkerLoss) -> None:
         """Hold a loss against nothing that ran there."""
         for run in loss.runs:
-            self._found[run] = RunCrashed(*run, CrashEvidence.EXPLAINED)
+            self._found[run] = loss.mark(run, CrashEvidence.EXPLAINED)
 
     def _charge(
         self,
@@ -241,22 +258,27 @@
         listed = {(row.task, row.run) for row in incarnation.running}
         begun = listed | incarnation.told
         held = {*self._store.held_by(loss.worker).items(), *listed} & begun
-        suspected = self._suspected(held)
+        described = {
+            run: self._describe(run, loss.heard_s, run in listed)
+            for run in held
+        }
         # What it was never told of can't have brought it down.
-        for run in begun.intersection(runs):
-            worked_s = self._progress.worked_s(run, loss.heard_s)
-            loss.is_provoked |= worked_s < JUST_BEGUN_S
-            loss.runs[run] = evidence_of(run[0].job_id, worked_s, suspected)
-
-    def _suspected(self, runs: Iterable[Run]) -> dict[str, int]:
-        """Return of each job how many crashes speak against a task of it."""
-        suspected: dict[str, int] = {}
-        for key, _ in runs:
-            task = self._store.task_of(key)
-            crashes = task.crash_count if task else 0
-            known = suspected.get(key.job_id, 0)
-            suspected[key.job_id] = max(known, crashes)
-        return suspected
+        for run in held.intersection(runs):
+            lost = described[run]
+            loss.is_provoked |= lost.has_just_begun
+            loss.runs[run] = evidence_of(lost, described.values())
+            if lost.is_at_start:
+                loss.at_start.add(run)
+
+    def _describe(self, run: Run, heard_s: float, is_listed: bool) -> LostRun:
+        key, _ = run
+        task = self._store.task_of(key)
+        return LostRun(
+            key.job_id,
+            self._progress.worked_s(run, heard_s),
+            is_at_start=not is_listed,
+            crashes=task.crash_count if task else 0,
+        )
 
     def _was_ordered(self, incarnation: Incarnation) -> bool:
         """Whether an order for its VM may have ended a worker."""
@@ -280,7 +302,7 @@
     def _most_proved(
         self,
         loss: WorkerLoss,
-        domain: DomainLoss | None,
+        fallen: FallenWorkers,
         now_s: float,
     ) -> CrashEvidence:
         """Return what the crash of a worker proves of its runs at the most."""
@@ -288,11 +310,11 @@
         if joined_s - loss.heard_s >= LEASE_MS / _MS_PER_S:
             # It may have been cut off, and have ended its runs before.
             return CrashEvidence.UNCERTAIN
-        if domain is not None:
-            return CrashEvidence.BESIDE_OTHERS
-        if self.has_crashed_lately(loss.vm, now_s):
+        if fallen.has_company(loss) or fallen.domain_of(loss) is not None:
+            return CrashEvidence.UNCERTAIN
+        if now_s - self._by_itself_s.get(loss.vm, _NEVER_S) < _LATELY_S:
             # What runs there may be as sound as what ran before.
-            return CrashEvidence.JUST_BEGUN
+            return CrashEvidence.BESIDE_OTHERS
         return CrashEvidence.ALONE
 
     def _settle(
@@ -305,18 +327,19 @@
         domain = fallen.domain_of(loss)
         if domain is not None and domain.is_proved:
             self._note(loss, f'{domain.name} went down with it')
-            self._drop(loss)
+            self._explain(loss)
             return
         joined_s, _ = self._joined[loss.vm]
         if loss.heard_s < self._order_s(loss.worker, loss.vm) < joined_s:
             self._note(loss, 'its VM was ordered while it was silent')
             self._drop(loss)
             return
-        most = self._most_proved(loss, domain, now_s)
+        most = self._most_proved(loss, fallen, now_s)
         self._crashed_s[loss.vm] = now_s
-        for (key, run), evidence in loss.runs.items():
-            proved = min(evidence, most)
-            self._found[key, run] = RunCrashed(key, run, proved)
+        if not loss.is_provoked:
+            self._by_itself_s[loss.vm] = now_s
+        for run, evidence in loss.runs.items():
+            self._found[run] = loss.mark(run, min(evidence, most))
         self._note(loss, f'{len(loss.runs)} runs may be the cause')
 
     def _silent(self, now_s: float) -> Iterator[WorkerLoss]:
--- a/src/wigeonreach/scheduling/_evidence.py
+++ b/src/wigeonreach/scheduling/_evidence.py
@@ -1,8 +1,9 @@
-"""Weigh what the crash of a worker proves of a run that it had."""
+"""Weigh what the crash of a worker proves of the runs that it had."""
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+import dataclasses
+from collections.abc import Iterable
 
 from wigeonreach.jobs import CrashEvidence
 
@@ -14,44 +15,61 @@
 JUST_BEGUN_S = 1.0
 
 
-def evidence_of(
-    job_id: str,
-    worked_s: float,
-    suspected: Mapping[str, int],
-) -> CrashEvidence:
-    """Return what a crash proves of a run.
+@dataclasses.dataclass(frozen=True, slots=True)
+class LostRun:
+    """A run on a worker that fell silent.
 
-    Parameters
+    Attributes
     ----------
     job_id
         Whose run it is.
     worked_s
         For how long it was listed when its worker was heard last.
-    suspected
-        Of each job on the worker, how many crashes speak against it.
+    is_at_start
+        The worker was told to start it, and not heard any more.
+    crashes
+        How many crashes speak against its task already.
     """
-    is_alone = len(suspected) == 1
-    by_time = _by_time(worked_s, is_alone)
-    return min(by_time, _most_beside(job_id, suspected))
 
+    job_id: str
+    worked_s: float
+    is_at_start: bool
+    crashes: int = 0
+
+    @property
+    def has_just_begun(self) -> bool:
+        """Whether its start may have brought the worker down."""
+        return self.worked_s < JUST_BEGUN_S
+
+    @property
+    def is_sound(self) -> bool:
+        """Whether it had worked for too long to be the cause."""
+        return self.worked_s >= SOUND_S
+
+
+def evidence_of(lost: LostRun, beside: Iterable[LostRun]) -> CrashEvidence:
+    """Return what a crash proves of a run.
 
-def _by_time(worked_s: float, is_alone: bool) -> CrashEvidence:
-    """Return what the time that a run had worked says."""
-    if worked_s >= SOUND_S:
+    Parameters
+    ----------
+    lost
+        The run.
+    beside
+        All runs of the worker.
+    """
+    if lost.is_sound:
         return CrashEvidence.SOUND
-    if worked_s < JUST_BEGUN_S:
+    if any(_may_be_the_cause(other, lost) for other in beside):
+        return CrashEvidence.BESIDE_OTHERS
+    if lost.is_at_start:
         return CrashEvidence.ALONE
-    return CrashEvidence.JUST_BEGUN if is_alone else CrashEvidence.BESIDE_OTHERS
+    return CrashEvidence.AT_WORK
 
 
-def _most_beside(job_id: str, suspected: Mapping[str, int]) -> CrashEvidence:
-    """Return how much a crash may prove beside what else was there."""
-    others = [
-        crashes for other, crashes in suspected.items() if other != job_id
-    ]
-    if not others:
-        return CrashEvidence.ALONE
-    if max(others) and max(others) >= suspected.get(job_id, 0):
-        # One that others were more often lost with may be the cause instead.
-        return CrashEvidence.BESIDE_OTHERS
-    return CrashEvidence.JUST_BEGUN
+def _may_be_the_cause(other: LostRun, lost: LostRun) -> bool:
+    """Whether a run of another job may have brought a worker down instead."""
+    if other.job_id == lost.job_id or other.is_sound:
+        return False
+    if not lost.is_at_start:
+        return True
+    return other.has_just_begun or bool(other.crashes)
--- a/src/wigeonreach/scheduling/_losses.py
+++ b/src/wigeonreach/scheduling/_losses.py
@@ -6,12 +6,14 @@
 import dataclasses
 from collections.abc import Collection, Iterable, Iterator
 
-from wigeonreach.jobs import CrashEvidence, Run
+from wigeonreach.jobs import CrashEvidence, Run, RunCrashed
 from wigeonreach.scheduling._incarnation import Incarnation
 
 # Workers that go down together are heard last within the pause between two
 # heartbeats of an idle one (0.7 s) and one that was given up (0.8 s).
 _TOGETHER_S = 1.5
+# Of two that go down at one moment, an idle one was heard within this before.
+_AT_ONCE_S = 0.9
 
 
 @dataclasses.dataclass(slots=True)
@@ -28,6 +30,8 @@
         When it was given up.
     runs
         What it had, with what its crash would prove.
+    at_start
+        Those that it was told to start when it was heard last.
     is_provoked
         Something had just begun there that may have brought it down.
     """
@@ -40,8 +44,13 @@
     zone: str = ''
     rack: str = ''
     runs: dict[Run, CrashEvidence] = dataclasses.field(default_factory=dict)
+    at_start: set[Run] = dataclasses.field(default_factory=set)
     is_provoked: bool = False
 
+    def mark(self, run: Run, evidence: CrashEvidence) -> RunCrashed:
+        """Return what is to be recorded of one of its runs."""
+        return RunCrashed(*run, evidence, run in self.at_start)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class DomainLoss:
@@ -80,9 +89,10 @@
         incarnations: Iterable[Incarnation],
     ) -> None:
         """Sort them by rack and zone."""
+        self._all = tuple(losses)
         self._lost = collections.defaultdict[str, list[WorkerLoss]](list)
         self._heard = collections.defaultdict[str, list[Incarnation]](list)
-        for loss in losses:
+        for loss in self._all:
             for domain in _domains(loss.rack, loss.zone):
                 self._lost[domain].append(loss)
         for known in incarnations:
@@ -102,6 +112,18 @@
                 return DomainLoss(domain, _is_proved(loss, others))
         return None
 
+    def has_company(self, loss: WorkerLoss) -> bool:
+        """Whether a worker went down beside one, and had nothing to do so by.
+
+        Where some go down by themselves at that moment, it may be one of them.
+        """
+        return any(
+            other.worker != loss.worker
+            and not other.is_provoked
+            and abs(other.heard_s - loss.heard_s) <= _AT_ONCE_S
+            for other in self._all
+        )
+
     def _has_survivor(self, domain: str, heard_s: float) -> bool:
         """Whether a worker that was there then was heard well after."""
         return any(
