Let a task that lost two workers run alone, with nothing beside it

Two crashes left a task a preference for a worker of its own, for 2 s; in a full pool it ran beside others, took them down, and neither its crash nor theirs proved anything. Now it waits for up to 8 s for a worker without others, and one without serving tasks is kept from the rest until it is empty, at least one and at most a third of a pool.

--- a/src/wigeonreach/scheduling/_choosing.py
+++ b/src/wigeonreach/scheduling/_choosing.py
@@ -58,14 +58,31 @@
         self._rooms = [room for room in rooms if room.left.holds(need)]
         self._heap: list[tuple[_Cost, WorkerRoom]] | None = None
 
-    def best(self, key: TaskKey) -> WorkerRoom | None:
-        """Return the worker for one task, or None if it fits nowhere."""
+    def best(
+        self,
+        key: TaskKey,
+        must_be_alone: bool = False,
+    ) -> WorkerRoom | None:
+        """Return the worker for one task, or None if it fits nowhere.
+
+        Parameters
+        ----------
+        key
+            The task.
+        must_be_alone
+            Whether no worker with tasks of other jobs will do.
+        """
         task = self._step.job.task(key)
         has_run = task is not None and bool(task.run)
         if has_run or self._step.spec.is_service:
             # Where it ran, and where its siblings are, counts too.
             crashes = task.crash_count if task else 0
-            return best_room(self._step, key, self._rooms, crashes)
+            rooms = self._rooms
+            if must_be_alone:
+                rooms = [
+                    room for room in rooms if not room.has_others(key.job_id)
+                ]
+            return best_room(self._step, key, rooms, crashes)
         return self._first(key)
 
     def _first(self, key: TaskKey) -> WorkerRoom | None:
--- a/src/wigeonreach/scheduling/_crashes.py
+++ b/src/wigeonreach/scheduling/_crashes.py
@@ -46,9 +46,9 @@
 _ALL_HEARD_S = 1.5
 # A VM that lost its worker so short a time ago may itself be the cause.
 _LATELY_S = 20.0
-# A task that has to run alone waits for a worker for so long, while others of
-# its kind have them all: those that are sound are done by then.
-_PATIENCE_S = 2.0
+# A task that has to run alone waits for a worker for so long: several times what
+# most tasks take that are on it.  Who waits for longer runs beside others.
+_PATIENCE_S = 8.0
 
 
 class CrashWatch:
--- a/src/wigeonreach/scheduling/_placing.py
+++ b/src/wigeonreach/scheduling/_placing.py
@@ -58,6 +58,7 @@
     def place(self, steps: Sequence[ReadyStep]) -> None:
         """Place the tasks of steps, in their order."""
         self._mark_wanted(steps)
+        self._keep_for_trials(steps)
         for step in steps:
             rooms = self._rooms_for(step)
             if step.spec.is_gang:
@@ -78,6 +79,20 @@
                 rack = room.incarnation.report.rack
                 room.is_wanted_near = (service, rack) in wanted
 
+    def _keep_for_trials(self, steps: Iterable[ReadyStep]) -> None:
+        """Let workers run empty for the tasks that have to run alone."""
+        for step in steps:
+            if step.spec.is_gang or not self._has_trial(step):
+                continue
+            rooms = self._rooms.get(self._store.service_of(step.job), ())
+            keep_for_trial(step, rooms)
+
+    def _has_trial(self, step: ReadyStep) -> bool:
+        return any(
+            self._must_be_alone(step, _key(step, index))
+            for index in step.waiting
+        )
+
     def _rooms_for(self, step: ReadyStep) -> Sequence[WorkerRoom]:
         """Return the workers that may take a step now."""
         rooms: Sequence[WorkerRoom]
@@ -103,12 +118,12 @@
         ]
         for placed, index in enumerate(waiting):
             key = _key(step, index)
-            room = ranking.best(key)
-            if room is None:
+            must_be_alone = self._must_be_alone(step, key)
+            room = ranking.best(key, must_be_alone)
+            if room is None and not must_be_alone:
                 self._near.note_waiting(step, len(waiting) - placed)
                 return False
-            waits = self._waits_to_be_alone(step, key, room)
-            if waits or _waits_for_another(step, key, room, rooms):
+            if room is None or _waits_for_another(step, key, room, rooms):
                 is_placed = False
                 continue
             self._start(step, key, room, _next_run(step, index))
@@ -152,19 +167,15 @@
         task = step.job.task(key)
         return task is not None and self._suspects.must_wait(key, task)
 
-    def _waits_to_be_alone(
-        self,
-        step: ReadyStep,
-        key: TaskKey,
-        room: WorkerRoom,
-    ) -> bool:
-        """Whether the best worker for a task has another that may crash it."""
+    def _must_be_alone(self, step: ReadyStep, key: TaskKey) -> bool:
+        """Whether a task waits for a worker without others.
+
+        The next crash then tells, and takes nothing else with it.
+        """
         if step.spec.is_service or key not in self._suspects.newly_lost:
             return False
         task = step.job.task(key)
-        crashes = task.crash_count if task else 0
-        others = room.suspects - {key.job_id}
-        return crashes >= CRASHES_BEFORE_TRIAL and bool(others)
+        return task is not None and task.crash_count >= CRASHES_BEFORE_TRIAL
 
     def _note_suspect(
         self,
@@ -176,6 +187,34 @@
         close_trials(self._rooms[self._store.service_of(step.job)])
 
 
+def keep_for_trial(step: ReadyStep, rooms: Sequence[WorkerRoom]) -> None:
+    """Keep others away from a worker for a task that has to run alone.
+
+    Parameters
+    ----------
+    step
+        Whose task it is.
+    rooms
+        The workers of its service.
+    """
+    job_id = step.job.spec.job_id
+    if any(room.trial_job == job_id for room in rooms):
+        return
+    free = [
+        room
+        for room in rooms
+        if not room.serving and not room.trial_job and not room.is_reserved
+    ]
+    emptiest = min(
+        free,
+        key=lambda room: (sum(room.steps.values()), room.name),
+        default=None,
+    )
+    if emptiest is not None:
+        emptiest.trial_job = job_id
+        close_trials(rooms)
+
+
 def close_trials(rooms: Sequence[WorkerRoom]) -> None:
     """Keep others away from tasks that have to run alone.
 
@@ -183,7 +222,7 @@
     worker for themselves run beside others.
     """
     trials = [room for room in rooms if room.trial_job]
-    allowed = int(len(rooms) * _MOST_CLOSED_RATIO)
+    allowed = max(int(len(rooms) * _MOST_CLOSED_RATIO), 1)
     for number, room in enumerate(trials):
         room.is_closed = number < allowed
 
--- a/src/wigeonreach/scheduling/_room_left.py
+++ b/src/wigeonreach/scheduling/_room_left.py
@@ -58,6 +58,11 @@
     is_closed: bool = False
     has_crashed_lately: bool = False
 
+    @property
+    def name(self) -> str:
+        """The worker's name."""
+        return self.incarnation.report.worker
+
     def add(self, key: TaskKey, spec: StepSpec) -> None:
         """Put a task on it."""
         self.left = self.left - spec.room
--- /dev/null
+++ b/tests/scheduling/test_sound_beside_crashing.py
@@ -0,0 +1,134 @@
+"""Test that sound jobs outlive the tasks that crash their workers, and crashes.
+
+Pattern: tasks that crash each worker that starts them come among many that are
+sound, on a pool of which a third goes down by itself every few seconds.
+"""
+
+from __future__ import annotations
+
+import random
+
+import testtools
+from testtools import matchers
+
+from tests.builders_crashes import CrashingFleet
+from tests.builders_jobs import (
+    QUEUE,
+    job,
+    serving_step,
+    step,
+    store_with,
+    workers,
+)
+from wigeonreach.jobs import AddJob, JobPhase, JobStore, TaskKey
+from wigeonreach.lab import commit
+from wigeonreach.standins import StandInWorker
+
+_SERVING = 'ffffffffffffffff'
+# After the third crash, two more starts could still be excused.
+_MOST_STARTS = 5
+_DAY_S = 45.0
+_SETTLED_S = 45.0
+_BAD_RATIO = 0.08
+
+
+class _Day:
+    """Jobs that come by chance, some of which crash their workers."""
+
+    def __init__(self, seed: int, crash_share: float, every_s: float) -> None:
+        """Begin with a serving job alone."""
+        self._random = random.Random(seed)
+        self._crash_share = crash_share
+        self._every_s = every_s
+        self.store = store_with(job(serving_step(4), job_id=_SERVING))
+        self.bad: set[TaskKey] = set()
+        self.fleet = CrashingFleet(
+            self.store,
+            _racks(10),
+            self.bad.__contains__,
+            work_s=0.6,
+        )
+
+    def play(self) -> None:
+        """Let jobs come, then let all of them end."""
+        next_crash_s = 5.0
+        while self.fleet.lead.now_s < _DAY_S:
+            self._accept()
+            self.fleet.round()
+            if self._every_s and self.fleet.lead.now_s >= next_crash_s:
+                next_crash_s += self._every_s
+                self._take_some_down()
+        self.fleet.run(_SETTLED_S)
+
+    def given_up(self) -> set[str]:
+        """Return the jobs that ended without being done."""
+        return _jobs(self.store, JobPhase.FAILED)
+
+    def bad_jobs(self) -> set[str]:
+        """Return the jobs with tasks that crash their workers."""
+        return {task.job_id for task in self.bad}
+
+    def most_starts(self) -> int:
+        """Return how often a task that crashes its workers was started."""
+        starts = [len(self.fleet.starts[task]) for task in self.bad]
+        return max(starts, default=0)
+
+    def _accept(self) -> None:
+        for _ in range(self._random.randrange(2)):
+            job_id = f'{self._random.getrandbits(60):016x}'
+            count = self._random.randrange(1, 7)
+            spec = job(step(count, cpu_millicores=2300), job_id=job_id)
+            commit(self.store, AddJob(spec, QUEUE))
+            if self._random.random() < _BAD_RATIO:
+                index = self._random.randrange(count)
+                self.bad.add(TaskKey(job_id, 0, 0, index))
+
+    def _take_some_down(self) -> None:
+        up = self.fleet.up
+        self.fleet.take_down(
+            worker for worker in up if self._random.random() < self._crash_share
+        )
+
+
+def _racks(count: int) -> list[StandInWorker]:
+    """Return workers, four of each rack."""
+    fleet = workers(count)
+    for number, worker in enumerate(fleet):
+        worker.rack = f'r{number // 4}'
+        worker.zone = f'z{number // 8}'
+    return fleet
+
+
+def _jobs(store: JobStore, phase: JobPhase) -> set[str]:
+    return {
+        job_id for job_id, known in store.jobs.items() if known.phase is phase
+    }
+
+
+class TestSoundJobs(testtools.TestCase):
+    """Days by seed."""
+
+    def _assert_sound(self, day: _Day) -> None:
+        day.play()
+        sound = day.given_up() - day.bad_jobs()
+        self.assertThat(sound, matchers.HasLength(0))
+        # What is waited for at the end is a task that crashes its workers.
+        left = _jobs(day.store, JobPhase.ACTIVE) - day.bad_jobs()
+        self.assertThat(left, matchers.Equals({_SERVING}))
+        allowed = matchers.LessThan(_MOST_STARTS + 1)
+        self.assertThat(day.most_starts(), allowed)
+
+    def test_tasks_that_crash_their_workers_cost_no_sound_job(self) -> None:
+        """Whatever runs beside them, and however often it is lost."""
+        for seed in range(6):
+            self._assert_sound(_Day(seed, 0, 0))
+
+    def test_nor_do_crashes_beside_them(self) -> None:
+        """A third of the pool goes down at once every few seconds."""
+        for seed in range(6):
+            self._assert_sound(_Day(seed, 0.35, 4.5))
+
+    def test_nor_do_single_crashes(self) -> None:
+        """Workers go down one by one, each for a cause of its own."""
+        for seed in range(6):
+            self._assert_sound(_Day(seed, 0.08, 0.9))
