Start nothing under an order that an earlier leader was about to give

A leader records which VMs it is about to order, then confirms that it leads, then calls the platform, which may be slow. If another leads by then, the VM looked free to it, and what it started there ended with the order: a serving task too, beside another of its step. For as long as such an order lasts, and unless its answer is recorded, the VM now gets nothing new.

The test failed before.

--- a/src/wigeonreach/core/_vm_holds.py
+++ b/src/wigeonreach/core/_vm_holds.py
@@ -10,12 +10,10 @@
 from __future__ import annotations
 
 from wigeonreach.jobs import JobStore
+from wigeonreach.scheduling._vms import ORDER_LASTS_S
 
 # Clocks and answers are late by less.
 _MARGIN_S = 0.5
-# From when an order is recorded until the platform has carried it out or not:
-# its leader is confirmed, and the call is given up after 2 s.
-_ORDER_LASTS_S = 3.0
 
 
 class VmHolds:
@@ -114,5 +112,5 @@
         """Return when any leader may order a VM again."""
         over_s = self._over_s.get(vm)
         if over_s is None:
-            over_s = self._recorded_s[vm] + _ORDER_LASTS_S
+            over_s = self._recorded_s[vm] + ORDER_LASTS_S
         return over_s + self._apart_s
--- a/src/wigeonreach/scheduling/_crashes.py
+++ b/src/wigeonreach/scheduling/_crashes.py
@@ -30,6 +30,7 @@
 from wigeonreach.scheduling._notes import Note
 from wigeonreach.scheduling._progress import ProgressWatch
 from wigeonreach.scheduling._suspects import Suspects
+from wigeonreach.scheduling._vms import ORDER_LASTS_S
 from wigeonreach.scheduling._workers import Workers
 
 _MS_PER_S = 1000
@@ -40,8 +41,6 @@
 # For so long a loss that is not explained yet counts in what a task may risk: one
 # whose workers come back late would be begun too often meanwhile.
 _DOUBT_S = 15.0
-# What a VM was ordered to do is carried out within this, or not at all.
-_ORDER_LASTS_S = 3.0
 # All workers that go on are heard so soon in a term.
 _ALL_HEARD_S = 1.5
 # A VM that lost its worker so short a time ago may itself be the cause.
@@ -285,7 +284,7 @@
         report = incarnation.report
         ordered_s = self._order_s(report.worker, report.vm)
         is_of_it = incarnation.first_heard_s <= ordered_s
-        return is_of_it and incarnation.heard_s < ordered_s + _ORDER_LASTS_S
+        return is_of_it and incarnation.heard_s < ordered_s + ORDER_LASTS_S
 
     def _order_s(self, worker: str, vm: str) -> float:
         """Return when a worker was ordered to end, or its VM without one."""
--- a/src/wigeonreach/scheduling/_open_rooms.py
+++ b/src/wigeonreach/scheduling/_open_rooms.py
@@ -14,6 +14,7 @@
 from wigeonreach.scheduling._quarantine import WorkerQuarantine
 from wigeonreach.scheduling._room_book import RoomBook
 from wigeonreach.scheduling._room_left import WorkerRoom
+from wigeonreach.scheduling._vms import ORDER_LASTS_S
 from wigeonreach.scheduling._workers import Workers
 
 # The room of each worker of a service, by its name.
@@ -31,6 +32,8 @@
         Those that are heard.
     progress, pacing, quarantine, crashes
         What is known of slow, slowed, failing and crashing workers.
+    now_s
+        When the term began.
     """
 
     def __init__(
@@ -41,8 +44,15 @@
         pacing: Pacing,
         quarantine: WorkerQuarantine,
         crashes: CrashWatch,
+        now_s: float,
     ) -> None:
         """Know no worker's room."""
+        # An order that an earlier leader was about to give may still be carried
+        # out, and ends all that runs on its VM then.
+        self._unanswered = frozenset(
+            vm for vm, order in store.vm_orders.items() if not order.is_answered
+        )
+        self._unanswered_until_s = now_s + ORDER_LASTS_S
         self._workers = workers
         self._progress = progress
         self._pacing = pacing
@@ -80,9 +90,12 @@
             Workers that may take nothing now are left out.
         """
         by_service: dict[str, list[Incarnation]] = {}
+        closed = {*cordoned}
+        if now_s < self._unanswered_until_s:
+            closed |= self._unanswered
         for incarnation in self._workers.incarnations.values():
             report = incarnation.report
-            is_asked = report.service in services and report.vm not in cordoned
+            is_asked = report.service in services and report.vm not in closed
             if is_asked and incarnation.may_take(now_s):
                 by_service.setdefault(report.service, []).append(incarnation)
         return {
--- a/src/wigeonreach/scheduling/_scheduler.py
+++ b/src/wigeonreach/scheduling/_scheduler.py
@@ -118,6 +118,7 @@
             self.pacing,
             self.quarantine,
             self.crashes,
+            now_s,
         )
         # VMs that serving tasks without room fill, by service and label.
         self._homeless: dict[str, dict[str, float]] = {}
--- a/src/wigeonreach/scheduling/_vms.py
+++ b/src/wigeonreach/scheduling/_vms.py
@@ -7,6 +7,11 @@
 from typing import Protocol
 
 
+# From when an order is recorded until the platform has carried it out or not:
+# its leader is confirmed, and the call is given up after 2 s.
+ORDER_LASTS_S = 3.0
+
+
 class VmPhase(enum.StrEnum):
     """What a VM does, as the platform sees it."""
 
--- a/tests/scheduling/test_moving_out.py
+++ b/tests/scheduling/test_moving_out.py
@@ -22,7 +22,7 @@
     store_with,
     workers,
 )
-from wigeonreach.jobs import AddJob, RunEnd, VmStep
+from wigeonreach.jobs import AddJob, RecordVmOrders, RunEnd, VmStep
 from wigeonreach.lab import commit
 from wigeonreach.scheduling import SchedulingSettings
 from wigeonreach.scheduling._maintenance import MaintenanceStep
@@ -314,6 +314,25 @@
         incarnation = lead.scheduler.workers.incarnations[worker]
         self.assertThat(is_empty(incarnation, lead.store), matchers.Is(True))
 
+    def test_nothing_starts_under_an_earlier_leaders_order(self) -> None:
+        """The platform may carry it out a while after its leader has gone."""
+        for is_answered in (False, True):
+            store = store_with()
+            before = FakeLead(store, workers(1))
+            commit(store, RecordVmOrders(before.term, ('vm0',)))
+            if is_answered:
+                answer = RecordVmOrders(before.term, (), answered=('vm0',))
+                commit(store, answer)
+            lead = _next_term(before)
+            commit(store, AddJob(job(step(1)), QUEUE))
+            _hear_all(lead)
+            at_once = matchers.HasLength(int(is_answered))
+            self.assertThat(lead.plan(), at_once)
+            lead.now_s += 3.1
+            _hear_all(lead)
+            later = matchers.HasLength(int(not is_answered))
+            self.assertThat(lead.plan(), later)
+
     def test_nothing_starts_until_an_order_is_recorded(self) -> None:
         """A VM is kept free from when it is found empty."""
         lead = FakeLead(store_with(), workers(1))
