Run a task alone only where others are kept away

Beyond the third of a pool that may be kept for such tasks, a worker that was empty when one began there was filled beside it. Such a task waits now until a worker is kept for it, and those that run alone already come first.

--- a/src/wigeonreach/scheduling/_choosing.py
+++ b/src/wigeonreach/scheduling/_choosing.py
@@ -79,9 +79,7 @@
             crashes = task.crash_count if task else 0
             rooms = self._rooms
             if must_be_alone:
-                rooms = [
-                    room for room in rooms if not room.has_others(key.job_id)
-                ]
+                rooms = [room for room in rooms if room.is_kept_for(key.job_id)]
             return best_room(self._step, key, rooms, crashes)
         return self._first(key)
 
--- a/src/wigeonreach/scheduling/_open_rooms.py
+++ b/src/wigeonreach/scheduling/_open_rooms.py
@@ -90,7 +90,7 @@
             Workers that may take nothing now are left out.
         """
         by_service: dict[str, list[Incarnation]] = {}
-        closed = {*cordoned}
+        closed = set(cordoned)
         if now_s < self._unanswered_until_s:
             closed |= self._unanswered
         for incarnation in self._workers.incarnations.values():
--- a/src/wigeonreach/scheduling/_placing.py
+++ b/src/wigeonreach/scheduling/_placing.py
@@ -198,15 +198,13 @@
         The workers of its service.
     """
     job_id = step.job.spec.job_id
-    if any(room.trial_job == job_id for room in rooms):
+    trials = [room for room in rooms if room.trial_job]
+    if len(trials) >= _most_closed(rooms):
+        return
+    if any(room.trial_job == job_id for room in trials):
         return
-    free = [
-        room
-        for room in rooms
-        if not room.serving and not room.trial_job and not room.is_reserved
-    ]
     emptiest = min(
-        free,
+        (room for room in rooms if room.may_run_empty),
         key=lambda room: (sum(room.steps.values()), room.name),
         default=None,
     )
@@ -219,14 +217,19 @@
     """Keep others away from tasks that have to run alone.
 
     Most of a pool stays open: with many such tasks at once those that find no
-    worker for themselves run beside others.
+    worker for themselves wait, and then run beside others.
     """
     trials = [room for room in rooms if room.trial_job]
-    allowed = max(int(len(rooms) * _MOST_CLOSED_RATIO), 1)
+    trials.sort(key=lambda room: room.has_others(room.trial_job))
+    allowed = _most_closed(rooms)
     for number, room in enumerate(trials):
         room.is_closed = number < allowed
 
 
+def _most_closed(rooms: Sequence[WorkerRoom]) -> int:
+    return max(int(len(rooms) * _MOST_CLOSED_RATIO), 1)
+
+
 def _fit_all(
     step: ReadyStep,
     rooms: Sequence[WorkerRoom],
--- a/src/wigeonreach/scheduling/_room_left.py
+++ b/src/wigeonreach/scheduling/_room_left.py
@@ -90,6 +90,16 @@
         """Whether tasks of other jobs are on it."""
         return any(on_it[0] != job_id for on_it in self.steps)
 
+    def is_kept_for(self, job_id: str) -> bool:
+        """Whether nothing but a job's tasks is on it, or will be."""
+        is_kept = self.is_closed and self.trial_job == job_id
+        return is_kept and not self.has_others(job_id)
+
+    @property
+    def may_run_empty(self) -> bool:
+        """Whether others may be kept from it until nothing is on it."""
+        return not (self.serving or self.trial_job or self.is_reserved)
+
     def _has_room(self, key: TaskKey, spec: StepSpec) -> bool:
         return self.left.holds(spec.room) and self.allows(key, spec)
 
