Count a start on a worker that falls silent whatever explains its loss

A former leader had recorded an order for the worker's VM and did not give it; to the next leader that order explained the loss, and the crash left no mark. A worker that drains, a rack that goes and a VM that does not come back did the same.

Now runs that were told to start and never listed keep a mark that proves nothing but counts to the most starts, unless their worker is heard again. Of those that wait to run alone the ones with the fewest crashes come first.

--- a/src/wigeonreach/scheduling/_crashes.py
+++ b/src/wigeonreach/scheduling/_crashes.py
@@ -148,11 +148,12 @@
         now_s
             Clock in seconds.
         """
-        if incarnation.is_ending or self._was_ordered(incarnation):
-            return
         worker = incarnation.report.worker
         loss = self._open.get(worker) or _loss_of(incarnation, now_s)
         self._charge(loss, incarnation, runs)
+        if incarnation.is_ending or self._was_ordered(incarnation):
+            self._doubt_starts(loss)
+            return
         self._doubt(loss)
         self._losses[worker] = loss
 
@@ -161,8 +162,7 @@
         held = self._store.held_by(worker)
         tasks = [self._store.task_of(key) for key in held]
         vm = next((task.vm for task in tasks if task is not None), '')
-        is_ordered = not self._inherited.isdisjoint((vm, worker))
-        if not vm or is_ordered or worker in self._open:
+        if not vm or worker in self._open:
             return
         loss = WorkerLoss(worker, vm, _NEVER_S, now_s)
         loss.runs.update(
@@ -170,7 +170,10 @@
         )
         # Nobody here knows whether it listed them.
         loss.at_start.update(held.items())
-        self._doubt(loss)
+        if self._inherited.isdisjoint((vm, worker)):
+            self._doubt(loss)
+        else:
+            self._doubt_starts(loss)
 
     def found(self, now_s: float) -> tuple[RunCrashed, ...]:
         """Return the crashes to be recorded; the same until they are."""
@@ -186,6 +189,7 @@
         for waiting in tuple(self._open.values()):
             if now_s - waiting.noted_s > _BACK_WITHIN_S:
                 self._drop(self._open.pop(waiting.worker))
+                self._doubt_starts(waiting)
         if self._losses:
             self._losses = {
                 worker: late
@@ -228,19 +232,14 @@
                 mark = loss.mark(run, CrashEvidence.UNSETTLED)
                 self._found[run] = mark
 
-    def _explain(self, loss: WorkerLoss) -> None:
-        """Hold a loss against nothing but starts at that very moment.
+    def _doubt_starts(self, loss: WorkerLoss) -> None:
+        """Hold a loss that is explained against nothing but starts on it.
 
-        A task that crashes its workers may be begun just when a rack goes.
+        A task that crashes its workers may be begun just when a rack goes, or
+        where an order was to be given that never came.
         """
-        for run in loss.runs:
-            is_at_start = run in loss.at_start
-            evidence = (
-                CrashEvidence.UNCERTAIN
-                if is_at_start
-                else CrashEvidence.EXPLAINED
-            )
-            self._found[run] = loss.mark(run, evidence)
+        for run in loss.at_start:
+            self._found[run] = loss.mark(run, CrashEvidence.UNCERTAIN)
 
     def _drop(self, loss: WorkerLoss) -> None:
         """Hold a loss against nothing that ran there."""
@@ -326,12 +325,14 @@
         domain = fallen.domain_of(loss)
         if domain is not None and domain.is_proved:
             self._note(loss, f'{domain.name} went down with it')
-            self._explain(loss)
+            self._drop(loss)
+            self._doubt_starts(loss)
             return
         joined_s, _ = self._joined[loss.vm]
         if loss.heard_s < self._order_s(loss.worker, loss.vm) < joined_s:
             self._note(loss, 'its VM was ordered while it was silent')
             self._drop(loss)
+            self._doubt_starts(loss)
             return
         most = self._most_proved(loss, fallen, now_s)
         self._crashed_s[loss.vm] = now_s
--- a/src/wigeonreach/scheduling/_placing.py
+++ b/src/wigeonreach/scheduling/_placing.py
@@ -80,17 +80,31 @@
                 room.is_wanted_near = (service, rack) in wanted
 
     def _keep_for_trials(self, steps: Iterable[ReadyStep]) -> None:
-        """Let workers run empty for the tasks that have to run alone."""
-        for step in steps:
-            if step.spec.is_gang or not self._has_trial(step):
-                continue
+        """Let workers run empty for the tasks that have to run alone.
+
+        Those with the fewest crashes come first: most sound ones are there.
+        """
+        trials = [
+            (crashes, step)
+            for step in steps
+            if not step.spec.is_gang
+            and (crashes := self._crashes_before_trial(step))
+        ]
+        trials.sort(key=lambda trial: trial[0])
+        for _, step in trials:
             rooms = self._rooms.get(self._store.service_of(step.job), ())
             keep_for_trial(step, rooms)
 
-    def _has_trial(self, step: ReadyStep) -> bool:
-        return any(
-            self._must_be_alone(step, _key(step, index))
-            for index in step.waiting
+    def _crashes_before_trial(self, step: ReadyStep) -> int:
+        """Return the fewest crashes of a task that has to run alone, or 0."""
+        tasks = step.job.occurrences[step.occurrence][step.step]
+        return min(
+            (
+                tasks[index].crash_count
+                for index in step.waiting
+                if self._must_be_alone(step, _key(step, index))
+            ),
+            default=0,
         )
 
     def _rooms_for(self, step: ReadyStep) -> Sequence[WorkerRoom]:
