Keep a task that waited in vain to run alone from others that may crash their workers

After 8 s it ran beside anything, and in a full pool most often beside another that had waited as long, so both collected marks. Now it waits for up to 16 s for a worker without suspects of other jobs.

--- a/src/wigeonreach/scheduling/_choosing.py
+++ b/src/wigeonreach/scheduling/_choosing.py
@@ -7,7 +7,8 @@
 
 from wigeonreach.jobs import StepSpec, TaskKey
 from wigeonreach.scheduling._ready import ReadyStep, most_together
-from wigeonreach.scheduling._room_left import CRASHES_BEFORE_TRIAL, WorkerRoom
+from wigeonreach.scheduling._room_left import WorkerRoom
+from wigeonreach.scheduling._suspects import CRASHES_BEFORE_TRIAL, Apart
 
 # Weights of what speaks for a worker; each outweighs all behind it.
 _FAILED_HERE = 100.0
@@ -61,7 +62,7 @@
     def best(
         self,
         key: TaskKey,
-        must_be_alone: bool = False,
+        apart: Apart = Apart.FROM_NOTHING,
     ) -> WorkerRoom | None:
         """Return the worker for one task, or None if it fits nowhere.
 
@@ -69,8 +70,8 @@
         ----------
         key
             The task.
-        must_be_alone
-            Whether no worker with tasks of other jobs will do.
+        apart
+            Beside what it may not be.
         """
         task = self._step.job.task(key)
         has_run = task is not None and bool(task.run)
@@ -78,8 +79,12 @@
             # Where it ran, and where its siblings are, counts too.
             crashes = task.crash_count if task else 0
             rooms = self._rooms
-            if must_be_alone:
-                rooms = [room for room in rooms if room.is_kept_for(key.job_id)]
+            if apart is not Apart.FROM_NOTHING:
+                rooms = [
+                    room
+                    for room in rooms
+                    if room.keeps_apart(key.job_id, apart)
+                ]
             return best_room(self._step, key, rooms, crashes)
         return self._first(key)
 
--- a/src/wigeonreach/scheduling/_crashes.py
+++ b/src/wigeonreach/scheduling/_crashes.py
@@ -29,7 +29,7 @@
 )
 from wigeonreach.scheduling._notes import Note
 from wigeonreach.scheduling._progress import ProgressWatch
-from wigeonreach.scheduling._suspects import Suspects
+from wigeonreach.scheduling._suspects import APART_FOR_S, Suspects
 from wigeonreach.scheduling._vms import ORDER_LASTS_S
 from wigeonreach.scheduling._workers import Workers
 
@@ -45,9 +45,6 @@
 _ALL_HEARD_S = 1.5
 # A VM that lost its worker so short a time ago may itself be the cause.
 _LATELY_S = 20.0
-# A task that has to run alone waits for a worker for so long: several times what
-# most tasks take that are on it.  Who waits for longer runs beside others.
-_PATIENCE_S = 8.0
 
 
 class CrashWatch:
@@ -213,13 +210,13 @@
         for loss in self._open.values():
             if now_s - loss.noted_s < _DOUBT_S:
                 doubtful.update(key for key, _ in loss.runs)
-        newly_lost = {
-            key
-            for loss in self._losses.values()
-            if now_s - loss.noted_s < _PATIENCE_S
-            for key, _ in loss.runs
-        }
-        return Suspects(doubtful, newly_lost)
+        lost_for_s: dict[TaskKey, float] = {}
+        for late in self._losses.values():
+            for_s = now_s - late.noted_s
+            if for_s < APART_FOR_S:
+                for key, _ in late.runs:
+                    lost_for_s[key] = min(lost_for_s.get(key, for_s), for_s)
+        return Suspects(doubtful, lost_for_s)
 
     def _doubt(self, loss: WorkerLoss) -> None:
         """Have it recorded that a loss may be the fault of what ran there.
--- a/src/wigeonreach/scheduling/_placing.py
+++ b/src/wigeonreach/scheduling/_placing.py
@@ -8,10 +8,10 @@
 from wigeonreach.jobs import JobStore, RunStarted, TaskKey
 from wigeonreach.scheduling._advice import TicketCache
 from wigeonreach.scheduling._choosing import Ranking, best_room
-from wigeonreach.scheduling._suspects import Suspects
+from wigeonreach.scheduling._suspects import Apart, Suspects
 from wigeonreach.scheduling._near import NearRooms, fits_whole
 from wigeonreach.scheduling._ready import ReadyStep
-from wigeonreach.scheduling._room_left import CRASHES_BEFORE_TRIAL, WorkerRoom
+from wigeonreach.scheduling._room_left import WorkerRoom
 
 # Of a pool's workers, so many may have one task alone.
 _MOST_CLOSED_RATIO = 0.34
@@ -102,7 +102,7 @@
             (
                 tasks[index].crash_count
                 for index in step.waiting
-                if self._must_be_alone(step, _key(step, index))
+                if self._kept_apart(step, _key(step, index)) is Apart.FROM_ALL
             ),
             default=0,
         )
@@ -132,9 +132,9 @@
         ]
         for placed, index in enumerate(waiting):
             key = _key(step, index)
-            must_be_alone = self._must_be_alone(step, key)
-            room = ranking.best(key, must_be_alone)
-            if room is None and not must_be_alone:
+            apart = self._kept_apart(step, key)
+            room = ranking.best(key, apart)
+            if room is None and apart is Apart.FROM_NOTHING:
                 self._near.note_waiting(step, len(waiting) - placed)
                 return False
             if room is None or _waits_for_another(step, key, room, rooms):
@@ -181,15 +181,12 @@
         task = step.job.task(key)
         return task is not None and self._suspects.must_wait(key, task)
 
-    def _must_be_alone(self, step: ReadyStep, key: TaskKey) -> bool:
-        """Whether a task waits for a worker without others.
-
-        The next crash then tells, and takes nothing else with it.
-        """
-        if step.spec.is_service or key not in self._suspects.newly_lost:
-            return False
+    def _kept_apart(self, step: ReadyStep, key: TaskKey) -> Apart:
+        """Return from what a task is kept; users of serving ones don't wait."""
         task = step.job.task(key)
-        return task is not None and task.crash_count >= CRASHES_BEFORE_TRIAL
+        if task is None or step.spec.is_service:
+            return Apart.FROM_NOTHING
+        return self._suspects.kept_apart(key, task)
 
     def _note_suspect(
         self,
--- a/src/wigeonreach/scheduling/_room_left.py
+++ b/src/wigeonreach/scheduling/_room_left.py
@@ -10,10 +10,7 @@
 from wigeonreach.scheduling._evidence import SOUND_S
 from wigeonreach.scheduling._incarnation import Incarnation
 from wigeonreach.scheduling._progress import ProgressWatch
-
-# Of two crashes one may be chance; after them a task runs alone, so that the
-# next one tells, and takes nothing else with it.
-CRASHES_BEFORE_TRIAL = 2
+from wigeonreach.scheduling._suspects import CRASHES_BEFORE_TRIAL, Apart
 
 
 @dataclasses.dataclass(slots=True)
@@ -90,10 +87,14 @@
         """Whether tasks of other jobs are on it."""
         return any(on_it[0] != job_id for on_it in self.steps)
 
-    def is_kept_for(self, job_id: str) -> bool:
-        """Whether nothing but a job's tasks is on it, or will be."""
-        is_kept = self.is_closed and self.trial_job == job_id
-        return is_kept and not self.has_others(job_id)
+    def keeps_apart(self, job_id: str, apart: Apart) -> bool:
+        """Whether a job's task is kept there from what it has to be."""
+        if apart is Apart.FROM_SUSPECTS:
+            return self.suspects <= {job_id}
+        if apart is Apart.FROM_ALL:
+            is_kept = self.is_closed and self.trial_job == job_id
+            return is_kept and not self.has_others(job_id)
+        return True
 
     @property
     def may_run_empty(self) -> bool:
--- a/src/wigeonreach/scheduling/_suspects.py
+++ b/src/wigeonreach/scheduling/_suspects.py
@@ -4,13 +4,29 @@
 
 import collections
 import dataclasses
-from collections.abc import Collection
+import enum
+from collections.abc import Mapping
 
 from wigeonreach.jobs import TaskKey, TaskRecord
 
 # With so many crashes and doubts a task waits until the doubts are settled, as
 # its next start may be one too many.
 _MOST_DOUBTS = 3
+# Of two crashes one may be chance; after them a task runs alone, so that the
+# next one tells, and takes nothing else with it.
+CRASHES_BEFORE_TRIAL = 2
+# It waits for a worker of its own for several times what most tasks take that are
+# on it, and for as long again for one without others that may be the cause.
+_ALONE_FOR_S = 8.0
+APART_FOR_S = 16.0
+
+
+class Apart(enum.Enum):
+    """Beside what a task may not run."""
+
+    FROM_NOTHING = enum.auto()
+    FROM_SUSPECTS = enum.auto()
+    FROM_ALL = enum.auto()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -21,13 +37,21 @@
     ----------
     doubtful
         In how many losses each task was that are not explained, but soon will.
-    newly_lost
-        Tasks that were lost so short a time ago that they may still wait for
-        a worker without others of them.
+    lost_for_s
+        How long ago each task was lost, if it was lately.
     """
 
     doubtful: collections.Counter[TaskKey]
-    newly_lost: Collection[TaskKey] = frozenset()
+    lost_for_s: Mapping[TaskKey, float]
+
+    def kept_apart(self, key: TaskKey, task: TaskRecord) -> Apart:
+        """Return from what a task has to be kept for now."""
+        lost_for_s = self.lost_for_s.get(key)
+        if lost_for_s is None or task.crash_count < CRASHES_BEFORE_TRIAL:
+            return Apart.FROM_NOTHING
+        if lost_for_s < _ALONE_FOR_S:
+            return Apart.FROM_ALL
+        return Apart.FROM_SUSPECTS
 
     def must_wait(self, key: TaskKey, task: TaskRecord) -> bool:
         """Whether a task may not start before its losses are explained."""
