Weigh the runs of a lost worker together, and find its company by time

A zone of thousands of workers that is back was to be compared run by run and loss by loss. What a new leader's predecessor may have told a worker to start counts as begun too.

--- a/src/wigeonreach/scheduling/_crashes.py
+++ b/src/wigeonreach/scheduling/_crashes.py
@@ -250,21 +250,30 @@
         runs: Iterable[Run],
     ) -> None:
         """Note what a worker had, and what its crash would prove."""
-        listed = {(row.task, row.run) for row in incarnation.running}
-        begun = listed | incarnation.told
-        held = {*self._store.held_by(loss.worker).items(), *listed} & begun
-        described = {
-            run: self._describe(run, loss.heard_s, run in listed)
-            for run in held
-        }
-        # What it was never told of can't have brought it down.
-        for run in held.intersection(runs):
+        described = self._describe_all(incarnation)
+        evidence = evidence_of(described)
+        for run in described.keys() & set(runs):
             lost = described[run]
             loss.is_provoked |= lost.has_just_begun
-            loss.runs[run] = evidence_of(lost, described.values())
+            loss.runs[run] = evidence[run]
             if lost.is_at_start:
                 loss.at_start.add(run)
 
+    def _describe_all(self, incarnation: Incarnation) -> dict[Run, LostRun]:
+        """Return the runs of a worker that may have brought it down.
+
+        What it was never told of can't have; a former leader may have told it.
+        """
+        listed = {(row.task, row.run) for row in incarnation.running}
+        held = self._store.held_by(incarnation.report.worker).items()
+        begun = incarnation.told.union(
+            run for run in held if not incarnation.surely_lacks(run)
+        )
+        return {
+            run: self._describe(run, incarnation.heard_s, run in listed)
+            for run in listed.union(begun.intersection(held))
+        }
+
     def _describe(self, run: Run, heard_s: float, is_listed: bool) -> LostRun:
         key, _ = run
         task = self._store.task_of(key)
@@ -346,8 +355,10 @@
                 continue
             if not self._was_ordered(incarnation):
                 loss = _loss_of(incarnation, now_s)
-                held = self._store.held_by(loss.worker)
-                self._charge(loss, incarnation, held.items())
+                loss.is_provoked = any(
+                    lost.has_just_begun
+                    for lost in self._describe_all(incarnation).values()
+                )
                 yield loss
 
     def _note(self, loss: WorkerLoss, reason: str) -> None:
--- a/src/wigeonreach/scheduling/_evidence.py
+++ b/src/wigeonreach/scheduling/_evidence.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Iterable
+from collections.abc import Mapping, Set
 
-from wigeonreach.jobs import CrashEvidence
+from wigeonreach.jobs import CrashEvidence, Run
 
 # A task that crashes its worker does so when it starts.  What had worked for so
 # long was not the cause: several times what heartbeats need to tell of a start.
@@ -47,29 +47,30 @@
         return self.worked_s >= SOUND_S
 
 
-def evidence_of(lost: LostRun, beside: Iterable[LostRun]) -> CrashEvidence:
-    """Return what a crash proves of a run.
+def evidence_of(runs: Mapping[Run, LostRun]) -> dict[Run, CrashEvidence]:
+    """Return what the crash of a worker proves of each of its runs."""
+    unsound = [lost for lost in runs.values() if not lost.is_sound]
+    # Beside what was never listed, only another start can be the cause, or what
+    # was lost before.
+    may_have_begun_it = {
+        lost.job_id for lost in unsound if lost.has_just_begun or lost.crashes
+    }
+    all_jobs = {lost.job_id for lost in unsound}
+    return {
+        run: _evidence(
+            lost,
+            may_have_begun_it if lost.is_at_start else all_jobs,
+        )
+        for run, lost in runs.items()
+    }
 
-    Parameters
-    ----------
-    lost
-        The run.
-    beside
-        All runs of the worker.
-    """
+
+def _evidence(lost: LostRun, suspected: Set[str]) -> CrashEvidence:
+    """Return what a crash proves of a run, by the jobs that may be its cause."""
     if lost.is_sound:
         return CrashEvidence.SOUND
-    if any(_may_be_the_cause(other, lost) for other in beside):
+    if suspected - {lost.job_id}:
         return CrashEvidence.BESIDE_OTHERS
     if lost.is_at_start:
         return CrashEvidence.ALONE
     return CrashEvidence.AT_WORK
-
-
-def _may_be_the_cause(other: LostRun, lost: LostRun) -> bool:
-    """Whether a run of another job may have brought a worker down instead."""
-    if other.job_id == lost.job_id or other.is_sound:
-        return False
-    if not lost.is_at_start:
-        return True
-    return other.has_just_begun or bool(other.crashes)
--- a/src/wigeonreach/scheduling/_losses.py
+++ b/src/wigeonreach/scheduling/_losses.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import bisect
 import collections
 import dataclasses
 from collections.abc import Collection, Iterable, Iterator
@@ -89,10 +90,13 @@
         incarnations: Iterable[Incarnation],
     ) -> None:
         """Sort them by rack and zone."""
-        self._all = tuple(losses)
+        fallen = tuple(losses)
+        self._unprovoked_heard_s = sorted(
+            loss.heard_s for loss in fallen if not loss.is_provoked
+        )
         self._lost = collections.defaultdict[str, list[WorkerLoss]](list)
         self._heard = collections.defaultdict[str, list[Incarnation]](list)
-        for loss in self._all:
+        for loss in fallen:
             for domain in _domains(loss.rack, loss.zone):
                 self._lost[domain].append(loss)
         for known in incarnations:
@@ -117,12 +121,11 @@
 
         Where some go down by themselves at that moment, it may be one of them.
         """
-        return any(
-            other.worker != loss.worker
-            and not other.is_provoked
-            and abs(other.heard_s - loss.heard_s) <= _AT_ONCE_S
-            for other in self._all
-        )
+        heard_s = self._unprovoked_heard_s
+        first = bisect.bisect_left(heard_s, loss.heard_s - _AT_ONCE_S)
+        behind = bisect.bisect_right(heard_s, loss.heard_s + _AT_ONCE_S)
+        itself = int(not loss.is_provoked)
+        return behind - first > itself
 
     def _has_survivor(self, domain: str, heard_s: float) -> bool:
         """Whether a worker that was there then was heard well after."""
--- a/tests/scheduling/test_losses.py
+++ b/tests/scheduling/test_losses.py
@@ -95,6 +95,20 @@
         expected = DomainLoss('zone z0', is_proved=True)
         self.assertThat(found, matchers.Equals(expected))
 
+    def test_idle_worker_that_fell_too_is_company(self) -> None:
+        """Something takes workers down that have nothing to do so by."""
+        others = (_loss(1, 10.5, rack='r1', is_provoked=False), _loss(2, 10.1))
+        for lost, beside, has_company in (
+            (_loss(0), others, True),
+            (_loss(0), others[1:], False),
+            (_loss(0, 12.0), others, False),
+            (_loss(0, is_provoked=False), others, True),
+            (_loss(0, is_provoked=False), others[1:], False),
+        ):
+            fallen = FallenWorkers((lost, *beside), ())
+            found = fallen.has_company(lost)
+            self.assertThat(found, matchers.Is(has_company))
+
     def test_losses_at_other_times_are_no_domain(self) -> None:
         """Three seconds apart they did not go together."""
         losses = (_loss(0), _loss(1, 13, is_provoked=False))
