--- a/tests/scheduling/test_crashing.py
+++ b/tests/scheduling/test_crashing.py
@@ -23,6 +23,7 @@
 from tests.builders_jobs import (
     JOB,
     OTHER_JOB,
+    QUEUE,
     job,
     key,
     serving_step,
@@ -30,7 +31,15 @@
     store_with,
     workers,
 )
-from wigeonreach.jobs import CrashEvidence, JobPhase, JobStore, TaskKey
+from wigeonreach.jobs import (
+    AddJob,
+    CrashEvidence,
+    JobPhase,
+    JobStore,
+    RecordVmOrders,
+    TaskKey,
+)
+from wigeonreach.lab import commit
 from wigeonreach.standins import StandInWorker
 
 # After the third crash, two more starts could still be excused: what is known
@@ -166,6 +175,21 @@
         self.assertThat(started, matchers.LessThan(_MOST_STARTS + 1))
         self.assertThat(_phase(store), _FAILED)
 
+    def test_order_of_an_earlier_leader_hides_no_start(self) -> None:
+        """It was recorded, and answered; what began there since is not ended."""
+        store = store_with()
+        fleet = CrashingFleet(store, workers(6), _is_first)
+        fleet.run(1)
+        vms = tuple(worker.vm for worker in fleet.up)
+        names = tuple(worker.name for worker in fleet.up)
+        term = fleet.lead.term
+        commit(store, RecordVmOrders(term, vms, workers=names))
+        commit(store, RecordVmOrders(term, (), answered=vms))
+        fleet.change_leader()
+        commit(store, AddJob(job(step(2)), QUEUE))
+        fleet.run(5)
+        self.assertThat(_crashes(store)[0], matchers.Equals(1))
+
     def test_loss_that_is_explained_counts_no_more(self) -> None:
         """A worker that was cut off is heard again, before it is settled."""
         store = store_with(job(serving_step(1)))
