Keep only a worker empty that can take the task that runs alone

The emptiest worker of a service was kept, also one without the label, the ticket or the room that the task asks for; the task then waited for 8 s for nothing. By the code; the test failed before.

--- a/src/wigeonreach/scheduling/_crashes.py
+++ b/src/wigeonreach/scheduling/_crashes.py
@@ -3,9 +3,10 @@
 Answers tasks that crash each worker that starts them: such a worker just falls
 silent, like one that is cut off or loses its power, so a task that is merely
 begun again elsewhere takes down one worker after another, and all that runs
-beside it.  A loss is held against the runs of a worker only if its VM has
-another worker afterwards (what is cut off comes back as it was), if no order
-for the VM explains it, and if its rack or zone did not go with it.
+beside it.  What fell silent is doubted at once.  It is held against the runs of
+a worker only if its VM has another worker afterwards (what is cut off comes back
+as it was), if no order for that worker explains it, and if its rack or zone did
+not go with it; a start that was never listed counts in each of these cases.
 """
 
 from __future__ import annotations
--- a/src/wigeonreach/scheduling/_moving_out.py
+++ b/src/wigeonreach/scheduling/_moving_out.py
@@ -1,8 +1,9 @@
 """Empty a worker without taking more of a serving step than it may miss.
 
-Answers waves, drains and changes of leader that come together: all that ends
-serving runs asks here, so that no two of them count the same task as at work.
-A task that may be away already, for all that is known, is taken for away.
+Answers waves, drains, runs without progress and changes of leader that come
+together: all that ends serving runs asks here, when it decides and each time that
+a worker is told, so that no two of them count the same task as at work.  A task
+that may be away already, for all that is known, is taken for away.
 """
 
 from __future__ import annotations
--- a/src/wigeonreach/scheduling/_placing.py
+++ b/src/wigeonreach/scheduling/_placing.py
@@ -84,6 +84,8 @@
 
         Those with the fewest crashes come first: most sound ones are there.
         """
+        if not self._suspects.lost_for_s:
+            return
         trials = [
             (crashes, step)
             for step in steps
@@ -92,8 +94,8 @@
         ]
         trials.sort(key=lambda trial: trial[0])
         for _, step in trials:
-            rooms = self._rooms.get(self._store.service_of(step.job), ())
-            keep_for_trial(step, rooms)
+            pool = self._rooms.get(self._store.service_of(step.job), ())
+            keep_for_trial(step, self._rooms_for(step), pool)
 
     def _crashes_before_trial(self, step: ReadyStep) -> int:
         """Return the fewest crashes of a task that has to run alone, or 0."""
@@ -102,7 +104,8 @@
             (
                 tasks[index].crash_count
                 for index in step.waiting
-                if self._kept_apart(step, _key(step, index)) is Apart.FROM_ALL
+                if tasks[index].crashes
+                and self._kept_apart(step, _key(step, index)) is Apart.FROM_ALL
             ),
             default=0,
         )
@@ -198,30 +201,34 @@
         close_trials(self._rooms[self._store.service_of(step.job)])
 
 
-def keep_for_trial(step: ReadyStep, rooms: Sequence[WorkerRoom]) -> None:
+def keep_for_trial(
+    step: ReadyStep,
+    rooms: Sequence[WorkerRoom],
+    pool: Sequence[WorkerRoom],
+) -> None:
     """Keep others away from a worker for a task that has to run alone.
 
     Parameters
     ----------
     step
         Whose task it is.
-    rooms
-        The workers of its service.
+    rooms, pool
+        The workers that may take it, and all of its service.
     """
     job_id = step.job.spec.job_id
-    trials = [room for room in rooms if room.trial_job]
-    if len(trials) >= _most_closed(rooms):
+    trials = [room for room in pool if room.trial_job]
+    if len(trials) >= _most_closed(pool):
         return
     if any(room.trial_job == job_id for room in trials):
         return
     emptiest = min(
-        (room for room in rooms if room.may_run_empty),
+        (room for room in rooms if room.may_run_empty_for(step.spec)),
         key=lambda room: (sum(room.steps.values()), room.name),
         default=None,
     )
     if emptiest is not None:
         emptiest.trial_job = job_id
-        close_trials(rooms)
+        close_trials(pool)
 
 
 def close_trials(rooms: Sequence[WorkerRoom]) -> None:
--- a/src/wigeonreach/scheduling/_room_left.py
+++ b/src/wigeonreach/scheduling/_room_left.py
@@ -60,6 +60,10 @@
         """The worker's name."""
         return self.incarnation.report.worker
 
+    @property
+    def _labels(self) -> tuple[str, ...]:
+        return self.incarnation.report.labels
+
     def add(self, key: TaskKey, spec: StepSpec) -> None:
         """Put a task on it."""
         self.left = self.left - spec.room
@@ -96,10 +100,12 @@
             return is_kept and not self.has_others(job_id)
         return True
 
-    @property
-    def may_run_empty(self) -> bool:
-        """Whether others may be kept from it until nothing is on it."""
-        return not (self.serving or self.trial_job or self.is_reserved)
+    def may_run_empty_for(self, spec: StepSpec) -> bool:
+        """Whether others may be kept from it until a task is alone there."""
+        if self.serving or self.trial_job or self.is_reserved:
+            return False
+        has_label = not spec.label or spec.label in self._labels
+        return has_label and self.incarnation.room.holds(spec.room)
 
     def _has_room(self, key: TaskKey, spec: StepSpec) -> bool:
         return self.left.holds(spec.room) and self.allows(key, spec)
@@ -116,7 +122,7 @@
 
     def allows(self, key: TaskKey, spec: StepSpec) -> bool:
         """Whether a task may be put on it once there is room."""
-        if spec.label and spec.label not in self.incarnation.report.labels:
+        if spec.label and spec.label not in self._labels:
             return False
         same = self.steps[key.job_id, key.occurrence, key.step]
         return not spec.spread_limit or same < spec.spread_limit
--- a/tests/scheduling/test_crashing.py
+++ b/tests/scheduling/test_crashing.py
@@ -49,6 +49,8 @@
 _COMPLETED = matchers.Equals(JobPhase.COMPLETED)
 _ACTIVE = matchers.Equals(JobPhase.ACTIVE)
 _LONG_S = 60
+# Three crashes, each found out after a lease, and little more.
+_SOON_S = 16
 # How long a worker is cut off, or a rack without power: longer than a lease.
 _AWAY_S = 7.0
 
@@ -451,6 +453,21 @@
                     self.assertThat(beside, matchers.HasLength(0))
         self.assertThat(_phase(store), _FAILED)
 
+    def test_worker_is_kept_that_can_take_the_task(self) -> None:
+        """It carries what the task needs, and has the room for it."""
+        large = workers(8)
+        for number, worker in enumerate(large):
+            worker.kind = 'large' if number in {5, 6, 7} else 'small'
+            # By name alone the small ones would be taken first.
+            worker.name = f'{worker.kind != "small"}{number}'
+            worker.cpu_millicores = 4000 if number == 5 else 16_000
+        store = store_with(
+            job(step(1, label='large', cpu_millicores=8000)),
+        )
+        fleet = CrashingFleet(store, large, _is_first)
+        fleet.run(_SOON_S)
+        self.assertThat(_phase(store), _FAILED)
+
     def test_most_of_a_pool_stays_open(self) -> None:
         """Many tasks that have to run alone leave others two thirds of it."""
         bad = [f'{number:016x}' for number in range(6)]
