Keep suspects apart under a next leader as well

A new leader did not know when tasks had been lost, so those with two crashes ran beside others at once after each change of leader; their crashes proved nothing then. What it does not know counts from the beginning of its term. The test failed before.

--- a/src/wigeonreach/scheduling/_crashes.py
+++ b/src/wigeonreach/scheduling/_crashes.py
@@ -84,6 +84,9 @@
         self._open: dict[str, WorkerLoss] = {}
         self._losses: dict[str, WorkerLoss] = {}
         self._found: dict[Run, RunCrashed] = {}
+        # When tasks were lost last; before, if they were, no later than here.
+        self._lost_s: dict[TaskKey, float] = {}
+        self._began_s = now_s
         # When VMs lost a worker last, and when for no start on it.
         self._crashed_s: dict[str, float] = {}
         self._by_itself_s: dict[str, float] = {}
@@ -149,6 +152,7 @@
         worker = incarnation.report.worker
         loss = self._open.get(worker) or _loss_of(incarnation, now_s)
         self._charge(loss, incarnation, runs)
+        self._lost_s.update(dict.fromkeys((key for key, _ in loss.runs), now_s))
         if incarnation.is_ending or self._was_ordered(incarnation):
             self._doubt_starts(loss)
             return
@@ -168,6 +172,7 @@
         )
         # Nobody here knows whether it listed them.
         loss.at_start.update(held.items())
+        self._lost_s.update(dict.fromkeys(held, now_s))
         if self._inherited.isdisjoint((vm, worker)):
             self._doubt(loss)
         else:
@@ -211,13 +216,12 @@
         for loss in self._open.values():
             if now_s - loss.noted_s < _DOUBT_S:
                 doubtful.update(key for key, _ in loss.runs)
-        lost_for_s: dict[TaskKey, float] = {}
-        for late in self._losses.values():
-            for_s = now_s - late.noted_s
-            if for_s < APART_FOR_S:
-                for key, _ in late.runs:
-                    lost_for_s[key] = min(lost_for_s.get(key, for_s), for_s)
-        return Suspects(doubtful, lost_for_s)
+        self._lost_s = {
+            key: lost_s
+            for key, lost_s in self._lost_s.items()
+            if now_s - lost_s < APART_FOR_S
+        }
+        return Suspects(doubtful, self._lost_s, self._began_s, now_s)
 
     def _doubt(self, loss: WorkerLoss) -> None:
         """Have it recorded that a loss may be the fault of what ran there.
--- a/src/wigeonreach/scheduling/_placing.py
+++ b/src/wigeonreach/scheduling/_placing.py
@@ -84,7 +84,7 @@
 
         Those with the fewest crashes come first: most sound ones are there.
         """
-        if not self._suspects.lost_for_s:
+        if not self._suspects.may_wait:
             return
         trials = [
             (crashes, step)
--- a/src/wigeonreach/scheduling/_suspects.py
+++ b/src/wigeonreach/scheduling/_suspects.py
@@ -37,17 +37,29 @@
     ----------
     doubtful
         In how many losses each task was that are not explained, but soon will.
-    lost_for_s
-        How long ago each task was lost, if it was lately.
+    lost_s
+        When each task was lost, if it was lately.
+    began_s
+        When the term began, before which others may have been lost.
+    now_s
+        Clock in seconds.
     """
 
     doubtful: collections.Counter[TaskKey]
-    lost_for_s: Mapping[TaskKey, float]
+    lost_s: Mapping[TaskKey, float]
+    began_s: float
+    now_s: float
+
+    @property
+    def may_wait(self) -> bool:
+        """Whether any task may have to be kept apart now."""
+        return bool(self.lost_s) or self.now_s - self.began_s < APART_FOR_S
 
     def kept_apart(self, key: TaskKey, task: TaskRecord) -> Apart:
         """Return from what a task has to be kept for now."""
-        lost_for_s = self.lost_for_s.get(key)
-        if lost_for_s is None or task.crash_count < CRASHES_BEFORE_TRIAL:
+        lost_for_s = self.now_s - self.lost_s.get(key, self.began_s)
+        is_suspect = task.crash_count >= CRASHES_BEFORE_TRIAL
+        if not is_suspect or lost_for_s >= APART_FOR_S:
             return Apart.FROM_NOTHING
         if lost_for_s < _ALONE_FOR_S:
             return Apart.FROM_ALL
--- a/tests/scheduling/test_crashing.py
+++ b/tests/scheduling/test_crashing.py
@@ -24,6 +24,7 @@
     JOB,
     OTHER_JOB,
     QUEUE,
+    TERM,
     job,
     key,
     serving_step,
@@ -36,7 +37,12 @@
     CrashEvidence,
     JobPhase,
     JobStore,
+    RecordRuns,
     RecordVmOrders,
+    RunCrashed,
+    RunEnd,
+    RunEnded,
+    RunStarted,
     TaskKey,
 )
 from wigeonreach.lab import commit
@@ -453,6 +459,26 @@
                     self.assertThat(beside, matchers.HasLength(0))
         self.assertThat(_phase(store), _FAILED)
 
+    def test_next_leader_lets_it_run_alone_too(self) -> None:
+        """It knows of the crashes, if not when they were."""
+        beside = step(14, cpu_millicores=4000)
+        store = store_with(job(beside, job_id=OTHER_JOB))
+        fleet = CrashingFleet(store, workers(4), _is_first, work_s=4.0)
+        fleet.run(1)
+        commit(store, AddJob(job(step(1)), QUEUE))
+        crashes = tuple(
+            RunCrashed(key(0), run, CrashEvidence.BESIDE_OTHERS)
+            for run in (1, 2)
+        )
+        start = RunStarted(key(0), 2, 'gone', 'vm-gone')
+        commit(store, RecordRuns(TERM, starts=(start,), crashes=crashes))
+        ended = RunEnded(key(0), 2, 'gone', RunEnd.LOST)
+        commit(store, RecordRuns(TERM, ends=(ended,)))
+        fleet.change_leader()
+        while not fleet.crashed[key(0)]:
+            fleet.round()
+        self.assertThat(fleet.crashed, matchers.HasLength(1))
+
     def test_worker_is_kept_that_can_take_the_task(self) -> None:
         """It carries what the task needs, and has the room for it."""
         large = workers(8)
