--- a/tests/builders_crashes.py
+++ b/tests/builders_crashes.py
@@ -6,8 +6,8 @@
 import dataclasses
 from collections.abc import Callable, Iterable
 
-from tests.builders_jobs import FakeLead
-from wigeonreach.jobs import JobStore, Run, RunEnd, TaskKey
+from tests.builders_jobs import JOB, FakeLead, key, workers
+from wigeonreach.jobs import JobPhase, JobStore, Run, RunEnd, TaskKey
 from wigeonreach.standins import StandInWorker
 
 # As long as workers were seen to be away after such a crash.
@@ -103,8 +103,8 @@
             self._forget_begun(worker)
             after_s = back_after_s or self._back_after_s
             self._down.append(_Down(worker, self.lead.now_s + after_s))
-            for key, _ in worker.running:
-                self.crashed[key].append(worker.name)
+            for task, _ in worker.running:
+                self.crashed[task].append(worker.name)
 
     def change_leader(self) -> None:
         """Let another process lead, which has heard nobody."""
@@ -165,3 +165,33 @@
         running = {there for worker in self.up for there in worker.running}
         members = {(member, number) for member in job.step_keys(key)}
         return not job.step_spec(key).is_gang or members <= running
+
+
+def is_first(task: TaskKey) -> bool:
+    """Whether a task is the first of its step."""
+    return task == key(0)
+
+
+def nothing(task: TaskKey) -> bool:
+    """Let no task crash its workers."""
+    return False
+
+
+def phase_of(store: JobStore, job_id: str = JOB) -> JobPhase:
+    """Return whether a job goes on, or how it ended."""
+    return store.jobs[job_id].phase
+
+
+def crash_counts(store: JobStore, job_id: str = JOB) -> list[int]:
+    """Return how many crashes count against each task of the first step."""
+    record = store.jobs[job_id]
+    return [len(task.crashes) for task in record.occurrences[0][0]]
+
+
+def on_racks(count: int, racks: int) -> list[StandInWorker]:
+    """Return workers that share racks, two racks a zone."""
+    fleet = workers(count)
+    for number, worker in enumerate(fleet):
+        worker.rack = f'r{number % racks}'
+        worker.zone = f'z{number % racks // 2}'
+    return fleet
--- a/tests/scheduling/test_crashing.py
+++ b/tests/scheduling/test_crashing.py
@@ -19,7 +19,14 @@
 import testtools
 from testtools import matchers
 
-from tests.builders_crashes import CrashingFleet
+from tests.builders_crashes import (
+    CrashingFleet,
+    crash_counts,
+    is_first,
+    nothing,
+    on_racks,
+    phase_of,
+)
 from tests.builders_jobs import (
     JOB,
     OTHER_JOB,
@@ -43,10 +50,8 @@
     RunEnd,
     RunEnded,
     RunStarted,
-    TaskKey,
 )
 from wigeonreach.lab import commit
-from wigeonreach.standins import StandInWorker
 
 # After the third crash, two more starts could still be excused: what is known
 # of a crash comes seconds after it.
@@ -61,33 +66,6 @@
 _AWAY_S = 7.0
 
 
-def _is_first(task: TaskKey) -> bool:
-    return task == key(0)
-
-
-def _nothing(task: TaskKey) -> bool:
-    return False
-
-
-def _phase(store: JobStore, job_id: str = JOB) -> JobPhase:
-    return store.jobs[job_id].phase
-
-
-def _crashes(store: JobStore, job_id: str = JOB) -> list[int]:
-    """Return how many crashes count against each task of the first step."""
-    record = store.jobs[job_id]
-    return [len(task.crashes) for task in record.occurrences[0][0]]
-
-
-def _racks(count: int, racks: int) -> list[StandInWorker]:
-    """Return workers that share racks, two racks a zone."""
-    fleet = workers(count)
-    for number, worker in enumerate(fleet):
-        worker.rack = f'r{number % racks}'
-        worker.zone = f'z{number % racks // 2}'
-    return fleet
-
-
 class TestCrashingTask(testtools.TestCase):
     """A task that crashes each worker that starts it."""
 
@@ -106,11 +84,11 @@
         store = store_with(
             job(step(2)), *(job(step(4), job_id=other) for other in others)
         )
-        fleet = CrashingFleet(store, workers(6), _is_first)
+        fleet = CrashingFleet(store, workers(6), is_first)
         fleet.run(_LONG_S)
-        self.assertThat(_phase(store), _FAILED)
+        self.assertThat(phase_of(store), _FAILED)
         for other in others:
-            self.assertThat(_phase(store, other), _COMPLETED)
+            self.assertThat(phase_of(store, other), _COMPLETED)
 
     def test_many_such_tasks_at_once_are_given_up(self) -> None:
         """Of twelve jobs on six workers, those six that crash them fail."""
@@ -125,16 +103,16 @@
         fleet.run(120)
         for one in ids:
             expected = _FAILED if one in bad else _COMPLETED
-            self.assertThat(_phase(store, one), expected)
+            self.assertThat(phase_of(store, one), expected)
             started = len(fleet.starts[key(0, job_id=one)])
             self.assertThat(started, matchers.LessThan(_MOST_STARTS + 1))
 
     def test_job_of_such_tasks_alone_is_given_up(self) -> None:
         """All its tasks crash their workers, those of a whole rack at once."""
         store = store_with(job(step(8, cpu_millicores=16_000)))
-        fleet = CrashingFleet(store, _racks(8, 2), lambda task: True)
+        fleet = CrashingFleet(store, on_racks(8, 2), lambda task: True)
         fleet.run(_LONG_S)
-        self.assertThat(_phase(store), _FAILED)
+        self.assertThat(phase_of(store), _FAILED)
         for started in fleet.starts.values():
             most = matchers.LessThan(_MOST_STARTS + 1)
             self.assertThat(len(started), most)
@@ -142,9 +120,9 @@
     def test_small_pool_gives_it_up_too(self) -> None:
         """One worker is all there is, so nothing can be kept apart."""
         store = store_with(job(step(2)), job(step(2), job_id=OTHER_JOB))
-        fleet = CrashingFleet(store, workers(1), _is_first)
+        fleet = CrashingFleet(store, workers(1), is_first)
         fleet.run(_LONG_S)
-        self.assertThat(_phase(store), _FAILED)
+        self.assertThat(phase_of(store), _FAILED)
 
     def test_workers_that_come_back_late_are_waited_for(self) -> None:
         """A task whose crashes are not proved yet is not begun for ever."""
@@ -153,40 +131,40 @@
             fleet = CrashingFleet(
                 store,
                 workers(6),
-                _is_first,
+                is_first,
                 back_after_s=back_after_s,
             )
             fleet.run(150)
-            self.assertThat(_phase(store), _FAILED)
+            self.assertThat(phase_of(store), _FAILED)
             started = len(fleet.starts[key(0)])
             self.assertThat(started, matchers.LessThan(_MOST_STARTS + 1))
 
     def test_changes_of_leader_lose_no_crash(self) -> None:
         """A leader that never heard a worker knows its VM by the record."""
         store = store_with(job(step(4)))
-        fleet = CrashingFleet(store, workers(6), _is_first)
+        fleet = CrashingFleet(store, workers(6), is_first)
         for _ in range(12):
             fleet.run(6)
             fleet.change_leader()
-        self.assertThat(_phase(store), _FAILED)
+        self.assertThat(phase_of(store), _FAILED)
         started = len(fleet.starts[key(0)])
         self.assertThat(started, matchers.LessThan(_MOST_STARTS + 1))
 
     def test_late_workers_and_new_leaders_lose_no_crash(self) -> None:
         """A leader that knows nothing of a loss knows that there was one."""
         store = store_with(job(step(4)))
-        fleet = CrashingFleet(store, workers(6), _is_first, back_after_s=6.5)
+        fleet = CrashingFleet(store, workers(6), is_first, back_after_s=6.5)
         for _ in range(20):
             fleet.run(5)
             fleet.change_leader()
         started = len(fleet.starts[key(0)])
         self.assertThat(started, matchers.LessThan(_MOST_STARTS + 1))
-        self.assertThat(_phase(store), _FAILED)
+        self.assertThat(phase_of(store), _FAILED)
 
     def test_order_of_an_earlier_leader_hides_no_start(self) -> None:
         """It was recorded, and answered; what began there since is not ended."""
         store = store_with()
-        fleet = CrashingFleet(store, workers(6), _is_first)
+        fleet = CrashingFleet(store, workers(6), is_first)
         fleet.run(1)
         vms = tuple(worker.vm for worker in fleet.up)
         names = tuple(worker.name for worker in fleet.up)
@@ -196,23 +174,23 @@
         fleet.change_leader()
         commit(store, AddJob(job(step(2)), QUEUE))
         fleet.run(5)
-        self.assertThat(_crashes(store)[0], matchers.Equals(1))
+        self.assertThat(crash_counts(store)[0], matchers.Equals(1))
 
     def test_loss_that_is_explained_counts_no_more(self) -> None:
         """A worker that was cut off is heard again, before it is settled."""
         store = store_with(job(serving_step(1)))
-        fleet = CrashingFleet(store, workers(4), _nothing)
+        fleet = CrashingFleet(store, workers(4), nothing)
         fleet.run(2)
         cut = [worker for worker in fleet.up if worker.running]
         for worker in cut:
             fleet.lead.workers.pop(worker.name)
         fleet.run(_AWAY_S)
-        self.assertThat(_crashes(store), matchers.Equals([1]))
+        self.assertThat(crash_counts(store), matchers.Equals([1]))
         for returned in cut:
             returned.running.clear()
             fleet.lead.workers[returned.name] = returned
         fleet.run(1)
-        self.assertThat(_crashes(store), matchers.Equals([0]))
+        self.assertThat(crash_counts(store), matchers.Equals([0]))
 
 
 class TestKinds(testtools.TestCase):
@@ -222,29 +200,29 @@
         """The members on other workers are not held to be the cause."""
         gang = step(4, is_gang=True, cpu_millicores=9000)
         store = store_with(job(gang))
-        fleet = CrashingFleet(store, workers(6), _is_first)
+        fleet = CrashingFleet(store, workers(6), is_first)
         fleet.run(_LONG_S)
-        self.assertThat(_phase(store), _FAILED)
+        self.assertThat(phase_of(store), _FAILED)
         started = len(fleet.starts[key(0)])
         self.assertThat(started, matchers.LessThan(_MOST_STARTS + 1))
-        self.assertThat(_crashes(store)[1:], matchers.Equals([0, 0, 0]))
+        self.assertThat(crash_counts(store)[1:], matchers.Equals([0, 0, 0]))
 
     def test_copies_do_not_add_to_the_starts(self) -> None:
         """What may have brought a worker down gets no copy elsewhere."""
         store = store_with(job(step(4, has_copies=True)))
-        fleet = CrashingFleet(store, workers(6), _is_first)
+        fleet = CrashingFleet(store, workers(6), is_first)
         fleet.run(_LONG_S)
-        self.assertThat(_phase(store), _FAILED)
+        self.assertThat(phase_of(store), _FAILED)
         started = len(fleet.starts[key(0)])
         self.assertThat(started, matchers.LessThan(_MOST_STARTS + 1))
 
     def test_serving_task_that_crashes_its_workers_costs_no_other(self) -> None:
         """Its job goes on, and nothing else is on a worker that it may crash."""
         store = store_with(job(serving_step(3)), job(step(4), job_id=OTHER_JOB))
-        fleet = CrashingFleet(store, workers(8), _is_first, work_s=3.0)
+        fleet = CrashingFleet(store, workers(8), is_first, work_s=3.0)
         fleet.run(_LONG_S)
-        self.assertThat(_phase(store), _ACTIVE)
-        self.assertThat(_phase(store, OTHER_JOB), _COMPLETED)
+        self.assertThat(phase_of(store), _ACTIVE)
+        self.assertThat(phase_of(store, OTHER_JOB), _COMPLETED)
         for index in (1, 2):
             crashed = fleet.crashed[key(index)]
             self.assertThat(crashed, matchers.HasLength(0))
@@ -252,13 +230,13 @@
     def test_serving_task_outlives_the_crashes_of_its_vms(self) -> None:
         """One that worked for long each time is at no fault, however often."""
         store = store_with(job(serving_step(1)))
-        fleet = CrashingFleet(store, workers(6), _nothing)
+        fleet = CrashingFleet(store, workers(6), nothing)
         for _ in range(8):
             fleet.run(20)
             fleet.take_down(worker for worker in fleet.up if worker.running)
         fleet.run(10)
-        self.assertThat(_phase(store), _ACTIVE)
-        self.assertThat(_crashes(store), matchers.Equals([0]))
+        self.assertThat(phase_of(store), _ACTIVE)
+        self.assertThat(crash_counts(store), matchers.Equals([0]))
         self.assertThat(fleet.crashed[key(0)], matchers.HasLength(8))
 
     def test_serving_tasks_beside_crashes_go_on(self) -> None:
@@ -274,166 +252,13 @@
             lambda task: task.job_id in ids,
         )
         fleet.run(90)
-        self.assertThat(_phase(store), _ACTIVE)
+        self.assertThat(phase_of(store), _ACTIVE)
         for one in ids:
-            self.assertThat(_phase(store, one), _FAILED)
+            self.assertThat(phase_of(store, one), _FAILED)
         running = [run for worker in fleet.up for run in worker.running]
         self.assertThat(running, matchers.HasLength(3))
 
 
-class TestOtherLosses(testtools.TestCase):
-    """Losses that are not the fault of what ran there."""
-
-    def test_rack_that_goes_counts_against_nothing(self) -> None:
-        """However often: all its workers go at once, those without work too."""
-        long_step = step(8, cpu_millicores=9000)
-        store = store_with(job(long_step))
-        fleet = CrashingFleet(store, _racks(12, 3), _nothing, work_s=2.5)
-        for _ in range(5):
-            fleet.run(1.5)
-            busy = [worker.rack for worker in fleet.up if worker.running]
-            gone = [worker for worker in fleet.up if worker.rack in busy[:1]]
-            fleet.take_down(gone, _AWAY_S)
-            fleet.run(9)
-        self.assertThat(set(_crashes(store)), matchers.Equals({0}))
-        self.assertThat(_phase(store), _COMPLETED)
-
-    def test_zone_that_goes_counts_against_nothing(self) -> None:
-        """Two racks of one zone go together."""
-        store = store_with(job(step(10, cpu_millicores=9000)))
-        fleet = CrashingFleet(store, _racks(12, 4), _nothing, work_s=4.0)
-        fleet.run(1)
-        gone = [worker for worker in fleet.up if worker.zone == 'z0']
-        fleet.take_down(gone, _AWAY_S)
-        fleet.run(20)
-        lost = [task for task, on in fleet.crashed.items() if on]
-        self.assertThat(lost, matchers.Not(matchers.HasLength(0)))
-        self.assertThat(set(_crashes(store)), matchers.Equals({0}))
-        self.assertThat(_phase(store), _COMPLETED)
-
-    def test_worker_that_is_cut_off_counts_against_nothing(self) -> None:
-        """It comes back as it was: it never went down."""
-        store = store_with(job(serving_step(1)))
-        fleet = CrashingFleet(store, workers(4), _nothing)
-        for _ in range(6):
-            fleet.run(2)
-            cut = [worker for worker in fleet.up if worker.running]
-            for worker in cut:
-                fleet.lead.workers.pop(worker.name)
-            fleet.run(_AWAY_S)
-            for returned in cut:
-                returned.running.clear()
-                fleet.lead.workers[returned.name] = returned
-        fleet.run(1)
-        self.assertThat(_crashes(store), matchers.Equals([0]))
-        self.assertThat(_phase(store), _ACTIVE)
-
-    def test_order_for_its_vm_counts_against_nothing(self) -> None:
-        """A VM that is moved or maintained has another worker afterwards."""
-        store = store_with(job(serving_step(1)))
-        fleet = CrashingFleet(store, workers(4), _nothing)
-        for _ in range(5):
-            fleet.run(3)
-            for worker in fleet.up:
-                if worker.running:
-                    crashes = fleet.lead.scheduler.crashes
-                    now_s = fleet.lead.now_s
-                    crashes.note_vm_ordered(worker.vm, worker.name, now_s)
-                    fleet.take_down((worker,), 1.5)
-        fleet.run(10)
-        self.assertThat(_crashes(store), matchers.Equals([0]))
-        self.assertThat(_phase(store), _ACTIVE)
-
-    def test_order_while_it_was_silent_counts_against_nothing(self) -> None:
-        """It was cut off, and what ended it was the order."""
-        store = store_with(job(serving_step(1)))
-        fleet = CrashingFleet(store, workers(4), _nothing)
-        for _ in range(5):
-            fleet.run(3)
-            silent = [worker for worker in fleet.up if worker.running]
-            fleet.take_down(silent, _AWAY_S)
-            fleet.run(5)
-            for worker in silent:
-                crashes = fleet.lead.scheduler.crashes
-                crashes.note_vm_ordered(worker.vm, '', fleet.lead.now_s)
-        fleet.run(10)
-        self.assertThat(_crashes(store), matchers.Equals([0]))
-        self.assertThat(_phase(store), _ACTIVE)
-
-    def test_order_for_its_successor_explains_no_loss(self) -> None:
-        """An idle worker is moved at once; the one before it had crashed."""
-        store = store_with(job(step(2)))
-        fleet = CrashingFleet(store, workers(6), _is_first)
-        ordered: set[str] = set()
-        while fleet.lead.now_s < _LONG_S:
-            fleet.round()
-            crashes = fleet.lead.scheduler.crashes
-            for worker in fleet.up:
-                is_successor = 'life' in worker.name and not worker.running
-                if is_successor and worker.name not in ordered:
-                    ordered.add(worker.name)
-                    now_s = fleet.lead.now_s
-                    crashes.note_vm_ordered(worker.vm, worker.name, now_s)
-                    fleet.take_down((worker,), 1.5)
-        self.assertThat(_phase(store), _FAILED)
-        started = len(fleet.starts[key(0)])
-        self.assertThat(started, matchers.LessThan(_MOST_STARTS + 1))
-
-    def test_worker_that_crashes_behind_a_cut_proves_little(self) -> None:
-        """Its lease may have ended the run before, so two are no proof."""
-        store = store_with(job(serving_step(1)))
-        fleet = CrashingFleet(store, workers(4), _nothing)
-        for _ in range(3):
-            fleet.run(3)
-            cut = [worker for worker in fleet.up if worker.running]
-            fleet.take_down(cut, _AWAY_S)
-            fleet.run(9)
-        task = store.task_of(key(0))
-        assert task is not None
-        evidence = {crash.evidence for crash in task.crashes}
-        uncertain = matchers.Equals({CrashEvidence.UNCERTAIN})
-        self.assertThat(evidence, uncertain)
-        self.assertThat(_phase(store), _ACTIVE)
-
-    def test_worker_that_drained_counts_against_nothing(self) -> None:
-        """It said that it ends, and a task could not leave in time."""
-        store = store_with(job(step(2)))
-        fleet = CrashingFleet(store, workers(4), _nothing, work_s=9.0)
-        for _ in range(4):
-            fleet.run(1)
-            leaving = [worker for worker in fleet.up if worker.running]
-            for worker in leaving:
-                worker.is_draining = True
-            fleet.run(1)
-            for gone in leaving:
-                gone.is_draining = False
-            fleet.take_down(leaving)
-            fleet.run(6)
-        self.assertThat(set(_crashes(store)), matchers.Equals({0}))
-
-    def test_start_that_was_never_told_counts_against_nothing(self) -> None:
-        """A worker can't go down by what it did not hear of."""
-        store = store_with(job(step(2)))
-        fleet = CrashingFleet(store, workers(1), _nothing)
-        lead = fleet.lead
-        lead.hear(fleet.up[0])
-        lead.plan()
-        fleet.take_down(fleet.up)
-        fleet.run(8)
-        self.assertThat(_crashes(store), matchers.Equals([0, 0]))
-        self.assertThat(_phase(store), _COMPLETED)
-
-    def test_single_crash_is_no_verdict(self) -> None:
-        """A worker that goes down once costs its tasks a start, no more."""
-        store = store_with(job(step(6)))
-        fleet = CrashingFleet(store, workers(4), _nothing, work_s=2.0)
-        fleet.run(1)
-        fleet.take_down(worker for worker in fleet.up if worker.running)
-        fleet.run(15)
-        self.assertThat(set(_crashes(store)), matchers.Equals({1}))
-        self.assertThat(_phase(store), _COMPLETED)
-
-
 class TestKeptApart(testtools.TestCase):
     """Where tasks run that may crash their workers."""
 
@@ -443,9 +268,9 @@
         store = store_with(
             job(step(1)), *(job(step(6), job_id=one) for one in ids)
         )
-        fleet = CrashingFleet(store, workers(6), _is_first, work_s=3.0)
+        fleet = CrashingFleet(store, workers(6), is_first, work_s=3.0)
         crashes = 0
-        while _phase(store) is JobPhase.ACTIVE and fleet.lead.now_s < _LONG_S:
+        while phase_of(store) is JobPhase.ACTIVE and fleet.lead.now_s < _LONG_S:
             fleet.round()
             if len(fleet.crashed[key(0)]) > crashes:
                 crashes = len(fleet.crashed[key(0)])
@@ -455,15 +280,15 @@
                     for task, on in fleet.crashed.items()
                     if worker in on and task.job_id != JOB
                 ]
-                if max(_crashes(store)) > 1:
+                if max(crash_counts(store)) > 1:
                     self.assertThat(beside, matchers.HasLength(0))
-        self.assertThat(_phase(store), _FAILED)
+        self.assertThat(phase_of(store), _FAILED)
 
     def test_next_leader_lets_it_run_alone_too(self) -> None:
         """It knows of the crashes, if not when they were."""
         beside = step(14, cpu_millicores=4000)
         store = store_with(job(beside, job_id=OTHER_JOB))
-        fleet = CrashingFleet(store, workers(4), _is_first, work_s=4.0)
+        fleet = CrashingFleet(store, workers(4), is_first, work_s=4.0)
         fleet.run(1)
         commit(store, AddJob(job(step(1)), QUEUE))
         crashes = tuple(
@@ -490,9 +315,9 @@
         store = store_with(
             job(step(1, label='large', cpu_millicores=8000)),
         )
-        fleet = CrashingFleet(store, large, _is_first)
+        fleet = CrashingFleet(store, large, is_first)
         fleet.run(_SOON_S)
-        self.assertThat(_phase(store), _FAILED)
+        self.assertThat(phase_of(store), _FAILED)
 
     def test_most_of_a_pool_stays_open(self) -> None:
         """Many tasks that have to run alone leave others two thirds of it."""
@@ -506,7 +331,7 @@
         )
         fleet.run(40)
         for one in good:
-            self.assertThat(_phase(store, one), _COMPLETED)
+            self.assertThat(phase_of(store, one), _COMPLETED)
 
 
 class TestRecord(testtools.TestCase):
@@ -515,12 +340,14 @@
     def test_snapshot_keeps_what_counts(self) -> None:
         """A process that begins from a snapshot counts on from there."""
         store = store_with(job(step(4)))
-        fleet = CrashingFleet(store, workers(6), _is_first)
-        while not any(_crashes(store)):
+        fleet = CrashingFleet(store, workers(6), is_first)
+        while not any(crash_counts(store)):
             fleet.round()
         restored = JobStore()
         restored.restore(store.snapshot())
-        self.assertThat(_crashes(restored), matchers.Equals(_crashes(store)))
+        self.assertThat(
+            crash_counts(restored), matchers.Equals(crash_counts(store))
+        )
         assigned = restored.jobs[JOB].occurrences[0][0]
         before = store.jobs[JOB].occurrences[0][0]
         self.assertThat(
--- /dev/null
+++ b/tests/scheduling/test_explained_losses.py
@@ -0,0 +1,190 @@
+"""Test that losses of workers that have another cause count against nothing.
+
+Pattern: racks, zones and single workers go down or are cut off, drain, and are
+ordered away, again and again under the same tasks, which are all sound.
+"""
+
+from __future__ import annotations
+
+import testtools
+from testtools import matchers
+
+from tests.builders_crashes import (
+    CrashingFleet,
+    crash_counts,
+    is_first,
+    nothing,
+    on_racks,
+    phase_of,
+)
+from tests.builders_jobs import (
+    key,
+    job,
+    serving_step,
+    step,
+    store_with,
+    workers,
+)
+from wigeonreach.jobs import CrashEvidence, JobPhase
+
+_ACTIVE = matchers.Equals(JobPhase.ACTIVE)
+_COMPLETED = matchers.Equals(JobPhase.COMPLETED)
+_FAILED = matchers.Equals(JobPhase.FAILED)
+_LONG_S = 60
+# After the third crash, two more starts could still be excused.
+_MOST_STARTS = 5
+# How long a worker is cut off, or a rack without power: longer than a lease.
+_AWAY_S = 7.0
+
+
+class TestOtherLosses(testtools.TestCase):
+    """Losses that are not the fault of what ran there."""
+
+    def test_rack_that_goes_counts_against_nothing(self) -> None:
+        """However often: all its workers go at once, those without work too."""
+        long_step = step(8, cpu_millicores=9000)
+        store = store_with(job(long_step))
+        fleet = CrashingFleet(store, on_racks(12, 3), nothing, work_s=2.5)
+        for _ in range(5):
+            fleet.run(1.5)
+            busy = [worker.rack for worker in fleet.up if worker.running]
+            gone = [worker for worker in fleet.up if worker.rack in busy[:1]]
+            fleet.take_down(gone, _AWAY_S)
+            fleet.run(9)
+        self.assertThat(set(crash_counts(store)), matchers.Equals({0}))
+        self.assertThat(phase_of(store), _COMPLETED)
+
+    def test_zone_that_goes_counts_against_nothing(self) -> None:
+        """Two racks of one zone go together."""
+        store = store_with(job(step(10, cpu_millicores=9000)))
+        fleet = CrashingFleet(store, on_racks(12, 4), nothing, work_s=4.0)
+        fleet.run(1)
+        gone = [worker for worker in fleet.up if worker.zone == 'z0']
+        fleet.take_down(gone, _AWAY_S)
+        fleet.run(20)
+        lost = [task for task, on in fleet.crashed.items() if on]
+        self.assertThat(lost, matchers.Not(matchers.HasLength(0)))
+        self.assertThat(set(crash_counts(store)), matchers.Equals({0}))
+        self.assertThat(phase_of(store), _COMPLETED)
+
+    def test_worker_that_is_cut_off_counts_against_nothing(self) -> None:
+        """It comes back as it was: it never went down."""
+        store = store_with(job(serving_step(1)))
+        fleet = CrashingFleet(store, workers(4), nothing)
+        for _ in range(6):
+            fleet.run(2)
+            cut = [worker for worker in fleet.up if worker.running]
+            for worker in cut:
+                fleet.lead.workers.pop(worker.name)
+            fleet.run(_AWAY_S)
+            for returned in cut:
+                returned.running.clear()
+                fleet.lead.workers[returned.name] = returned
+        fleet.run(1)
+        self.assertThat(crash_counts(store), matchers.Equals([0]))
+        self.assertThat(phase_of(store), _ACTIVE)
+
+    def test_order_for_its_vm_counts_against_nothing(self) -> None:
+        """A VM that is moved or maintained has another worker afterwards."""
+        store = store_with(job(serving_step(1)))
+        fleet = CrashingFleet(store, workers(4), nothing)
+        for _ in range(5):
+            fleet.run(3)
+            for worker in fleet.up:
+                if worker.running:
+                    crashes = fleet.lead.scheduler.crashes
+                    now_s = fleet.lead.now_s
+                    crashes.note_vm_ordered(worker.vm, worker.name, now_s)
+                    fleet.take_down((worker,), 1.5)
+        fleet.run(10)
+        self.assertThat(crash_counts(store), matchers.Equals([0]))
+        self.assertThat(phase_of(store), _ACTIVE)
+
+    def test_order_while_it_was_silent_counts_against_nothing(self) -> None:
+        """It was cut off, and what ended it was the order."""
+        store = store_with(job(serving_step(1)))
+        fleet = CrashingFleet(store, workers(4), nothing)
+        for _ in range(5):
+            fleet.run(3)
+            silent = [worker for worker in fleet.up if worker.running]
+            fleet.take_down(silent, _AWAY_S)
+            fleet.run(5)
+            for worker in silent:
+                crashes = fleet.lead.scheduler.crashes
+                crashes.note_vm_ordered(worker.vm, '', fleet.lead.now_s)
+        fleet.run(10)
+        self.assertThat(crash_counts(store), matchers.Equals([0]))
+        self.assertThat(phase_of(store), _ACTIVE)
+
+    def test_order_for_its_successor_explains_no_loss(self) -> None:
+        """An idle worker is moved at once; the one before it had crashed."""
+        store = store_with(job(step(2)))
+        fleet = CrashingFleet(store, workers(6), is_first)
+        ordered: set[str] = set()
+        while fleet.lead.now_s < _LONG_S:
+            fleet.round()
+            crashes = fleet.lead.scheduler.crashes
+            for worker in fleet.up:
+                is_successor = 'life' in worker.name and not worker.running
+                if is_successor and worker.name not in ordered:
+                    ordered.add(worker.name)
+                    now_s = fleet.lead.now_s
+                    crashes.note_vm_ordered(worker.vm, worker.name, now_s)
+                    fleet.take_down((worker,), 1.5)
+        self.assertThat(phase_of(store), _FAILED)
+        started = len(fleet.starts[key(0)])
+        self.assertThat(started, matchers.LessThan(_MOST_STARTS + 1))
+
+    def test_worker_that_crashes_behind_a_cut_proves_little(self) -> None:
+        """Its lease may have ended the run before, so two are no proof."""
+        store = store_with(job(serving_step(1)))
+        fleet = CrashingFleet(store, workers(4), nothing)
+        for _ in range(3):
+            fleet.run(3)
+            cut = [worker for worker in fleet.up if worker.running]
+            fleet.take_down(cut, _AWAY_S)
+            fleet.run(9)
+        task = store.task_of(key(0))
+        assert task is not None
+        evidence = {crash.evidence for crash in task.crashes}
+        uncertain = matchers.Equals({CrashEvidence.UNCERTAIN})
+        self.assertThat(evidence, uncertain)
+        self.assertThat(phase_of(store), _ACTIVE)
+
+    def test_worker_that_drained_counts_against_nothing(self) -> None:
+        """It said that it ends, and a task could not leave in time."""
+        store = store_with(job(step(2)))
+        fleet = CrashingFleet(store, workers(4), nothing, work_s=9.0)
+        for _ in range(4):
+            fleet.run(1)
+            leaving = [worker for worker in fleet.up if worker.running]
+            for worker in leaving:
+                worker.is_draining = True
+            fleet.run(1)
+            for gone in leaving:
+                gone.is_draining = False
+            fleet.take_down(leaving)
+            fleet.run(6)
+        self.assertThat(set(crash_counts(store)), matchers.Equals({0}))
+
+    def test_start_that_was_never_told_counts_against_nothing(self) -> None:
+        """A worker can't go down by what it did not hear of."""
+        store = store_with(job(step(2)))
+        fleet = CrashingFleet(store, workers(1), nothing)
+        lead = fleet.lead
+        lead.hear(fleet.up[0])
+        lead.plan()
+        fleet.take_down(fleet.up)
+        fleet.run(8)
+        self.assertThat(crash_counts(store), matchers.Equals([0, 0]))
+        self.assertThat(phase_of(store), _COMPLETED)
+
+    def test_single_crash_is_no_verdict(self) -> None:
+        """A worker that goes down once costs its tasks a start, no more."""
+        store = store_with(job(step(6)))
+        fleet = CrashingFleet(store, workers(4), nothing, work_s=2.0)
+        fleet.run(1)
+        fleet.take_down(worker for worker in fleet.up if worker.running)
+        fleet.run(15)
+        self.assertThat(set(crash_counts(store)), matchers.Equals({1}))
+        self.assertThat(phase_of(store), _COMPLETED)
