--- a/tests/builders_crashes.py
+++ b/tests/builders_crashes.py
@@ -10,6 +10,11 @@
 from wigeonreach.jobs import JobPhase, JobStore, Run, RunEnd, TaskKey
 from wigeonreach.standins import StandInWorker
 
+# After the third crash, two more starts could still be excused: what is known
+# of a crash comes seconds after it.
+MOST_STARTS = 5
+# How long a worker is cut off, or a rack without power: longer than a lease.
+AWAY_S = 7.0
 # As long as workers were seen to be away after such a crash.
 BACK_AFTER_S = 3.2
 _ROUND_S = 0.1
--- a/tests/jobs/test_crashes.py
+++ b/tests/jobs/test_crashes.py
@@ -6,6 +6,7 @@
 import testtools
 from testtools import matchers
 
+from tests.builders_crashes import MOST_STARTS
 from tests.builders_jobs import (
     JOB,
     TERM,
@@ -36,8 +37,6 @@
 _UNCERTAIN = CrashEvidence.UNCERTAIN
 _SOUND = CrashEvidence.SOUND
 _UNSETTLED = CrashEvidence.UNSETTLED
-# The next start would be the third after the third crash.
-_MOST_STARTS = 5
 # Series of crashes, and whether the last of them ends the job.
 _SERIES = (
     ((_ALONE,), False),
@@ -104,7 +103,7 @@
         """Whatever else was there, so often it crashes its workers itself."""
         for evidence in (_BESIDE, _UNCERTAIN, _UNSETTLED):
             store = store_with(job(step()))
-            for run in range(1, _MOST_STARTS + 1):
+            for run in range(1, MOST_STARTS + 1):
                 phase = store.jobs[JOB].phase
                 self.assertThat(phase, matchers.Equals(JobPhase.ACTIVE))
                 _crash(store, run, evidence, is_at_start=True)
--- a/tests/scheduling/test_crashing.py
+++ b/tests/scheduling/test_crashing.py
@@ -20,6 +20,8 @@
 from testtools import matchers
 
 from tests.builders_crashes import (
+    AWAY_S,
+    MOST_STARTS,
     CrashingFleet,
     crash_counts,
     is_first,
@@ -53,17 +55,12 @@
 )
 from wigeonreach.lab import commit
 
-# After the third crash, two more starts could still be excused: what is known
-# of a crash comes seconds after it.
-_MOST_STARTS = 5
 _FAILED = matchers.Equals(JobPhase.FAILED)
 _COMPLETED = matchers.Equals(JobPhase.COMPLETED)
 _ACTIVE = matchers.Equals(JobPhase.ACTIVE)
 _LONG_S = 60
 # Three crashes, each found out after a lease, and little more.
 _SOON_S = 16
-# How long a worker is cut off, or a rack without power: longer than a lease.
-_AWAY_S = 7.0
 
 
 class TestCrashingTask(testtools.TestCase):
@@ -75,7 +72,7 @@
         fleet = CrashingFleet(store, workers(6), lambda task: task == key(0))
         fleet.run(60)
         started = len(fleet.starts[key(0)])
-        self.assertThat(started, matchers.LessThan(_MOST_STARTS + 1))
+        self.assertThat(started, matchers.LessThan(MOST_STARTS + 1))
         self.assertThat(store.jobs[JOB].phase, matchers.Equals(JobPhase.FAILED))
 
     def test_jobs_beside_it_are_done(self) -> None:
@@ -105,7 +102,7 @@
             expected = _FAILED if one in bad else _COMPLETED
             self.assertThat(phase_of(store, one), expected)
             started = len(fleet.starts[key(0, job_id=one)])
-            self.assertThat(started, matchers.LessThan(_MOST_STARTS + 1))
+            self.assertThat(started, matchers.LessThan(MOST_STARTS + 1))
 
     def test_job_of_such_tasks_alone_is_given_up(self) -> None:
         """All its tasks crash their workers, those of a whole rack at once."""
@@ -114,7 +111,7 @@
         fleet.run(_LONG_S)
         self.assertThat(phase_of(store), _FAILED)
         for started in fleet.starts.values():
-            most = matchers.LessThan(_MOST_STARTS + 1)
+            most = matchers.LessThan(MOST_STARTS + 1)
             self.assertThat(len(started), most)
 
     def test_small_pool_gives_it_up_too(self) -> None:
@@ -137,7 +134,7 @@
             fleet.run(150)
             self.assertThat(phase_of(store), _FAILED)
             started = len(fleet.starts[key(0)])
-            self.assertThat(started, matchers.LessThan(_MOST_STARTS + 1))
+            self.assertThat(started, matchers.LessThan(MOST_STARTS + 1))
 
     def test_changes_of_leader_lose_no_crash(self) -> None:
         """A leader that never heard a worker knows its VM by the record."""
@@ -148,7 +145,7 @@
             fleet.change_leader()
         self.assertThat(phase_of(store), _FAILED)
         started = len(fleet.starts[key(0)])
-        self.assertThat(started, matchers.LessThan(_MOST_STARTS + 1))
+        self.assertThat(started, matchers.LessThan(MOST_STARTS + 1))
 
     def test_late_workers_and_new_leaders_lose_no_crash(self) -> None:
         """A leader that knows nothing of a loss knows that there was one."""
@@ -158,7 +155,7 @@
             fleet.run(5)
             fleet.change_leader()
         started = len(fleet.starts[key(0)])
-        self.assertThat(started, matchers.LessThan(_MOST_STARTS + 1))
+        self.assertThat(started, matchers.LessThan(MOST_STARTS + 1))
         self.assertThat(phase_of(store), _FAILED)
 
     def test_order_of_an_earlier_leader_hides_no_start(self) -> None:
@@ -184,7 +181,7 @@
         cut = [worker for worker in fleet.up if worker.running]
         for worker in cut:
             fleet.lead.workers.pop(worker.name)
-        fleet.run(_AWAY_S)
+        fleet.run(AWAY_S)
         self.assertThat(crash_counts(store), matchers.Equals([1]))
         for returned in cut:
             returned.running.clear()
@@ -204,7 +201,7 @@
         fleet.run(_LONG_S)
         self.assertThat(phase_of(store), _FAILED)
         started = len(fleet.starts[key(0)])
-        self.assertThat(started, matchers.LessThan(_MOST_STARTS + 1))
+        self.assertThat(started, matchers.LessThan(MOST_STARTS + 1))
         self.assertThat(crash_counts(store)[1:], matchers.Equals([0, 0, 0]))
 
     def test_copies_do_not_add_to_the_starts(self) -> None:
@@ -214,7 +211,7 @@
         fleet.run(_LONG_S)
         self.assertThat(phase_of(store), _FAILED)
         started = len(fleet.starts[key(0)])
-        self.assertThat(started, matchers.LessThan(_MOST_STARTS + 1))
+        self.assertThat(started, matchers.LessThan(MOST_STARTS + 1))
 
     def test_serving_task_that_crashes_its_workers_costs_no_other(self) -> None:
         """Its job goes on, and nothing else is on a worker that it may crash."""
--- a/tests/scheduling/test_explained_losses.py
+++ b/tests/scheduling/test_explained_losses.py
@@ -10,6 +10,8 @@
 from testtools import matchers
 
 from tests.builders_crashes import (
+    AWAY_S,
+    MOST_STARTS,
     CrashingFleet,
     crash_counts,
     is_first,
@@ -31,10 +33,6 @@
 _COMPLETED = matchers.Equals(JobPhase.COMPLETED)
 _FAILED = matchers.Equals(JobPhase.FAILED)
 _LONG_S = 60
-# After the third crash, two more starts could still be excused.
-_MOST_STARTS = 5
-# How long a worker is cut off, or a rack without power: longer than a lease.
-_AWAY_S = 7.0
 
 
 class TestOtherLosses(testtools.TestCase):
@@ -49,7 +47,7 @@
             fleet.run(1.5)
             busy = [worker.rack for worker in fleet.up if worker.running]
             gone = [worker for worker in fleet.up if worker.rack in busy[:1]]
-            fleet.take_down(gone, _AWAY_S)
+            fleet.take_down(gone, AWAY_S)
             fleet.run(9)
         self.assertThat(set(crash_counts(store)), matchers.Equals({0}))
         self.assertThat(phase_of(store), _COMPLETED)
@@ -60,7 +58,7 @@
         fleet = CrashingFleet(store, on_racks(12, 4), nothing, work_s=4.0)
         fleet.run(1)
         gone = [worker for worker in fleet.up if worker.zone == 'z0']
-        fleet.take_down(gone, _AWAY_S)
+        fleet.take_down(gone, AWAY_S)
         fleet.run(20)
         lost = [task for task, on in fleet.crashed.items() if on]
         self.assertThat(lost, matchers.Not(matchers.HasLength(0)))
@@ -76,7 +74,7 @@
             cut = [worker for worker in fleet.up if worker.running]
             for worker in cut:
                 fleet.lead.workers.pop(worker.name)
-            fleet.run(_AWAY_S)
+            fleet.run(AWAY_S)
             for returned in cut:
                 returned.running.clear()
                 fleet.lead.workers[returned.name] = returned
@@ -107,7 +105,7 @@
         for _ in range(5):
             fleet.run(3)
             silent = [worker for worker in fleet.up if worker.running]
-            fleet.take_down(silent, _AWAY_S)
+            fleet.take_down(silent, AWAY_S)
             fleet.run(5)
             for worker in silent:
                 crashes = fleet.lead.scheduler.crashes
@@ -133,7 +131,7 @@
                     fleet.take_down((worker,), 1.5)
         self.assertThat(phase_of(store), _FAILED)
         started = len(fleet.starts[key(0)])
-        self.assertThat(started, matchers.LessThan(_MOST_STARTS + 1))
+        self.assertThat(started, matchers.LessThan(MOST_STARTS + 1))
 
     def test_worker_that_crashes_behind_a_cut_proves_little(self) -> None:
         """Its lease may have ended the run before, so two are no proof."""
@@ -142,7 +140,7 @@
         for _ in range(3):
             fleet.run(3)
             cut = [worker for worker in fleet.up if worker.running]
-            fleet.take_down(cut, _AWAY_S)
+            fleet.take_down(cut, AWAY_S)
             fleet.run(9)
         task = store.task_of(key(0))
         assert task is not None
--- a/tests/scheduling/test_sound_beside_crashing.py
+++ b/tests/scheduling/test_sound_beside_crashing.py
@@ -11,7 +11,7 @@
 import testtools
 from testtools import matchers
 
-from tests.builders_crashes import CrashingFleet
+from tests.builders_crashes import MOST_STARTS, CrashingFleet
 from tests.builders_jobs import (
     QUEUE,
     job,
@@ -25,8 +25,6 @@
 from wigeonreach.standins import StandInWorker
 
 _SERVING = 'ffffffffffffffff'
-# After the third crash, two more starts could still be excused.
-_MOST_STARTS = 5
 _DAY_S = 45.0
 _SETTLED_S = 45.0
 _BAD_RATIO = 0.08
@@ -115,7 +113,7 @@
         # What is waited for at the end is a task that crashes its workers.
         left = _jobs(day.store, JobPhase.ACTIVE) - day.bad_jobs()
         self.assertThat(left, matchers.Equals({_SERVING}))
-        allowed = matchers.LessThan(_MOST_STARTS + 1)
+        allowed = matchers.LessThan(MOST_STARTS + 1)
         self.assertThat(day.most_starts(), allowed)
 
     def test_tasks_that_crash_their_workers_cost_no_sound_job(self) -> None:
