Let nobody in whose API key stands for no workspace

Cause: nothing read the key.

The key becomes a digest at the border; the leader finds its workspace in the manifest in force, and the log decides between a job and the manifest that withdraws its key. A copy of the keys at each entry was ruled out: it would refuse a new key, or take a dropped one, whenever it is old. Jobs are of the workspace that handed them in, and the replicated state keeps what each has running and applies no start beyond its cap.

--- a/src/wigeonreach/core/_call_handler.py
+++ b/src/wigeonreach/core/_call_handler.py
@@ -10,6 +10,7 @@
 from wigeonreach.jobs import (
     AddJob,
     CancelJob,
+    JobRecord,
     JobStore,
     QueueSpec,
     SetManifest,
@@ -29,10 +30,12 @@
     ReadWave,
     StartWaveCall,
     SubmitJob,
+    WorkspaceCall,
 )
 from wigeonreach.wire._call_replies import (
     AnyReply,
     Done,
+    Forbidden,
     Invalid,
     JobState,
     ManifestText,
@@ -40,6 +43,7 @@
     NotDone,
     NotFound,
     Orders,
+    Unauthorized,
     Unknown,
     WaitingJobs,
     WaveState,
@@ -93,6 +97,36 @@
             return None
         return queue, call.path.removeprefix(queue.path_prefix)
 
+    def denies(
+        self,
+        call: WorkspaceCall,
+        queue: QueueSpec,
+        job: JobRecord | None = None,
+    ) -> Unauthorized | Forbidden | None:
+        """Return why a call may not be made, or None if it may.
+
+        Parameters
+        ----------
+        call
+            With what stands for its caller.
+        queue
+            Which it is made to.
+        job
+            That it is about, if there is one.
+        """
+        caller = self.store.workspaces.caller(call.credential, queue.is_public)
+        if caller is None:
+            return self.unauthorized(call)
+        if queue.is_public or job is None or job.workspace in {'', caller}:
+            return None
+        return Forbidden(caller)
+
+    def unauthorized(self, call: WorkspaceCall) -> Unauthorized:
+        """Return the refusal of a call by its credential."""
+        return Unauthorized(
+            *self.store.workspaces.why_denied(call.credential),
+        )
+
 
 @functools.singledispatch
 async def _on(call: object, handler: CallHandler) -> AnyReply:
@@ -108,13 +142,24 @@
         await handler.term.barrier.wait()
         return NotFound()
     queue, job_id = found
+    denied = handler.denies(call, queue, handler.store.jobs.get(job_id))
+    if denied is not None:
+        # A leader that has been replaced may not know the newest credentials.
+        await handler.term.barrier.wait()
+        return denied
     if not _JOB_ID.fullmatch(job_id):
         return Invalid(f'job id {job_id!r}; allowed: 16 hexadecimal digits')
     verdict = await handler.term.propose(
-        AddJob(call.spec_for(job_id), queue.name, wall_ms())
+        AddJob(
+            call.spec_for(job_id),
+            queue.name,
+            wall_ms(),
+            call.credential,
+        ),
     )
-    if verdict is Verdict.NO_QUEUE:
-        return NotFound()
+    refused = _refused_add(verdict, call, handler)
+    if refused is not None:
+        return refused
     if verdict is Verdict.DONE:
         handler.metrics.count('jobs_accepted')
         handler.term.wake.set()
@@ -122,6 +167,7 @@
             LogEvent.JOB_ACCEPTED,
             job=job_id,
             queue=queue.name,
+            workspace=handler.store.jobs[job_id].workspace,
             version=handler.store.manifest.version,
             occurrences=call.spec.occurrences,
             steps=[_shape(step) for step in call.spec.steps],
@@ -129,6 +175,19 @@
     return Done()
 
 
+def _refused_add(
+    verdict: Verdict,
+    call: SubmitJob,
+    handler: CallHandler,
+) -> AnyReply | None:
+    """Return what a caller is told whose job was not accepted."""
+    if verdict is Verdict.NO_QUEUE:
+        return NotFound()
+    if verdict is Verdict.UNAUTHORIZED:
+        return handler.unauthorized(call)
+    return Forbidden('') if verdict is Verdict.OTHERS else None
+
+
 def _shape(step: StepSpec) -> str:
     """Return what decides where a step's tasks may go, for a log line."""
     kind = 'serving' if step.is_service else 'batch'
@@ -151,9 +210,12 @@
     if found is None:
         return NotFound()
     queue, job_id = found
+    job = handler.store.jobs.get(job_id)
+    denied = handler.denies(call, queue, job)
+    if denied is not None:
+        return denied
     if not job_id:
         return WaitingJobs(_count_waiting(handler.store, queue))
-    job = handler.store.jobs.get(job_id)
     if job is None:
         return NoSuchJob()
     return JobState(job.phase, job.has_started)
@@ -173,8 +235,14 @@
     job_id = found[1] if found else call.path.rpartition('/')[2]
     if job_id not in handler.store.jobs:
         await handler.term.barrier.wait()
-        if job_id not in handler.store.jobs:
-            return NoSuchJob()
+    job = handler.store.jobs.get(job_id)
+    queue = found[0] if found else job and job.queue
+    denied = handler.denies(call, queue, job) if queue else None
+    if denied is not None:
+        await handler.term.barrier.wait()
+        return denied
+    if job is None:
+        return NoSuchJob()
     verdict = await handler.term.propose(CancelJob(job_id))
     if verdict is Verdict.UNKNOWN:
         return NoSuchJob()
--- a/src/wigeonreach/jobs/_commands.py
+++ b/src/wigeonreach/jobs/_commands.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from wigeonreach.jobs._model import JobSpec, Manifest, RunEnd, TaskKey
+from wigeonreach.workspaces import NO_CREDENTIAL, Credential
 
 
 class Command(msgspec.Struct, frozen=True, array_like=True, tag=True):
@@ -23,12 +24,18 @@
 class AddJob(Command, frozen=True):
     """Accept a job for a queue.
 
-    ``accepted_ms`` is the leader's time of day; 0 if it isn't known.
+    Attributes
+    ----------
+    accepted_ms
+        The leader's time of day; 0 if it isn't known.
+    credential
+        Stands for the workspace whose job it is.
     """
 
     spec: JobSpec
     queue: str
     accepted_ms: float = 0
+    credential: Credential = NO_CREDENTIAL
 
 
 class CancelJob(Command, frozen=True):
@@ -193,6 +200,8 @@
     UNKNOWN = 2
     NO_QUEUE = 3
     OUTDATED = 4
+    UNAUTHORIZED = 5
+    OTHERS = 6
 
 
 class CommandReply(msgspec.Struct, frozen=True, array_like=True):
--- a/src/wigeonreach/jobs/_model.py
+++ b/src/wigeonreach/jobs/_model.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from wigeonreach._room import Room
+from wigeonreach.workspaces import Amounts, WorkspaceSpec
 
 MILLICORES = 1000
 MEBIBYTE = 1024 * 1024
@@ -81,6 +82,17 @@
             self.accelerators,
         )
 
+    @property
+    def amounts(self) -> Amounts:
+        """What one task takes of its workspace's cap."""
+        millicores = 0 if self.is_filler else self.cpu_millicores
+        return Amounts(millicores, self.memory_mb, self.accelerators)
+
+    @property
+    def least_start(self) -> Amounts:
+        """The least of it that can start: one task, or a whole gang."""
+        return self.amounts.times(self.count if self.is_gang else 1)
+
 
 class JobSpec(msgspec.Struct, frozen=True, array_like=True):
     """A job as its caller handed it in.
@@ -166,6 +178,8 @@
         Times of the longest chain of work within which a job is of full use.
     target_latency_ms
         Added to that.
+    is_public
+        Whether calls need no credential.
     """
 
     name: str
@@ -178,6 +192,7 @@
     slack_factor: float = 1.0
     target_latency_ms: int = 0
     advice: AdvicePolicy | None = None
+    is_public: bool = False
 
 
 class ServiceSpec(msgspec.Struct, frozen=True, array_like=True):
@@ -197,9 +212,14 @@
 
 
 class Manifest(msgspec.Struct, frozen=True, array_like=True):
-    """All queues and services under one version.
+    """All queues, services and workspaces under one version.
 
-    ``document`` is the operator's own text, given back on a read.
+    Attributes
+    ----------
+    document
+        The operator's own text, given back on a read.
+    workspaces
+        None if no call needs a credential.
     """
 
     version: int
@@ -207,6 +227,7 @@
     services: tuple[ServiceSpec, ...] = ()
     max_body_bytes: int = 0
     document: bytes = b''
+    workspaces: tuple[WorkspaceSpec, ...] | None = None
 
 
 class JobPhase(enum.IntEnum):
--- a/src/wigeonreach/jobs/_records.py
+++ b/src/wigeonreach/jobs/_records.py
@@ -16,6 +16,7 @@
     TaskPhase,
     tasks_of,
 )
+from wigeonreach.workspaces import NO_AMOUNTS, Amounts, WorkspaceSpec
 
 
 class TaskCrash(msgspec.Struct, frozen=True, array_like=True):
@@ -100,6 +101,10 @@
     accepted_ms
         When it was accepted, by the time of day of who led then; it may be
         off, and is 0 if it isn't known.
+    workspace
+        Whose job it is; nothing for one that was accepted from anybody.
+    cap_then
+        The cap of its workspace when it was accepted; it outlives the workspace.
     """
 
     spec: JobSpec
@@ -110,6 +115,8 @@
         default_factory=list,
     )
     accepted_ms: float = 0
+    workspace: str = ''
+    cap_then: Amounts = NO_AMOUNTS
 
     @property
     def is_active(self) -> bool:
@@ -173,6 +180,7 @@
     spec: JobSpec,
     queue: QueueSpec,
     accepted_ms: float,
+    workspace: WorkspaceSpec | None = None,
 ) -> JobRecord:
     """Return a job of which nothing has started."""
     return JobRecord(
@@ -183,4 +191,6 @@
             for _ in range(spec.occurrences)
         ],
         accepted_ms=accepted_ms,
+        workspace=workspace.name if workspace else '',
+        cap_then=workspace.cap if workspace else NO_AMOUNTS,
     )
--- a/src/wigeonreach/jobs/_store.py
+++ b/src/wigeonreach/jobs/_store.py
@@ -44,6 +44,13 @@
     new_record,
 )
 from wigeonreach.jobs._waves import WaveRecord
+from wigeonreach.workspaces import (
+    NO_AMOUNTS,
+    Amounts,
+    UseBook,
+    WorkspaceIndex,
+    fits_cap,
+)
 
 _NOTHING: Mapping[TaskKey, int] = MappingProxyType({})
 _COMMANDS = msgspec.msgpack.Decoder(AnyCommand)
@@ -84,14 +91,18 @@
     newly_ordered, newly_answered
         Those among them that were ordered, and those whose order was answered,
         since a reader last cleared these.
-    queues
-        Finds the queues of the manifest.
+    queues, workspaces
+        Find the queues and the workspaces of the manifest.
+    use
+        What each workspace has on workers, or may have.
     """
 
     def __init__(self) -> None:
         """Start with nothing accepted."""
         self.manifest = Manifest(version=0)
         self.queues = QueueIndex(self.manifest)
+        self.workspaces = WorkspaceIndex()
+        self.use = UseBook()
         self.jobs: dict[str, JobRecord] = {}
         self.waves: dict[int, WaveRecord] = {}
         self.assigned: dict[str, dict[TaskKey, int]] = {}
@@ -127,6 +138,7 @@
         self.waves = {wave.wave: wave for wave in stored.waves}
         self.reassigned.update(self.assigned)
         self.assigned = {}
+        self.use.clear()
         for job in stored.jobs:
             for key, task in job.assigned():
                 self.assign(task.worker, key, task.run)
@@ -140,6 +152,7 @@
         """Put a manifest in force."""
         self.manifest = manifest
         self.queues = QueueIndex(manifest)
+        self.workspaces = WorkspaceIndex(manifest.workspaces, self.workspaces)
 
     def note_ordered(self, workers: Mapping[str, str]) -> None:
         """Note that VMs have been ordered, or are about to be.
@@ -207,16 +220,48 @@
         spec = self.spec_of(key)
         return spec is not None and spec.may_run_twice
 
+    def cap_of(self, job: JobRecord) -> Amounts:
+        """Return the cap in force for a job's workspace."""
+        workspace = self.workspaces.named(job.workspace)
+        return workspace.cap if workspace else job.cap_then
+
+    def is_under_cap(
+        self,
+        job: JobRecord,
+        step: StepSpec,
+        besides: Amounts = NO_AMOUNTS,
+    ) -> bool:
+        """Whether the cap of a job's workspace lets a task or a gang start.
+
+        Parameters
+        ----------
+        job, step
+            Whose task it is, or which gang.
+        besides
+            What else the workspace may have running.
+        """
+        if not job.workspace:
+            return True
+        used = self.use.used(job.workspace) + besides
+        cap = self.cap_of(job)
+        return fits_cap(cap, used, step.least_start, step.amounts)
+
     def assign(self, worker: str, key: TaskKey, run: int) -> None:
         """Note that a worker has, or may have, a run."""
-        self.assigned.setdefault(worker, {})[key] = run
+        held = self.assigned.setdefault(worker, {})
+        job = self.jobs.get(key.job_id)
+        if job is not None and key not in held:
+            self.use.add(job.workspace, job.step_spec(key).amounts)
+        held[key] = run
         self.reassigned.add(worker)
 
     def unassign(self, worker: str, key: TaskKey) -> None:
         """Note that a worker has a run no more."""
         held = self.assigned.get(worker)
         if held is not None:
-            held.pop(key, None)
+            job = self.jobs.get(key.job_id)
+            if held.pop(key, None) is not None and job is not None:
+                self.use.remove(job.workspace, job.step_spec(key).amounts)
             self.reassigned.add(worker)
             if not held:
                 self.assigned.pop(worker)
@@ -237,12 +282,24 @@
 
 @_on.register
 def _on_add(command: AddJob, store: JobStore) -> CommandReply:
-    if command.spec.job_id in store.jobs:
-        return CommandReply(Verdict.KNOWN)
+    known = store.jobs.get(command.spec.job_id)
     queue = store.queues.named(command.queue)
     if queue is None:
-        return CommandReply(Verdict.NO_QUEUE)
-    record = new_record(command.spec, queue, command.accepted_ms)
+        return CommandReply(Verdict.KNOWN if known else Verdict.NO_QUEUE)
+    # Here and not only where the call arrived: of a job and the manifest that
+    # withdraws its credential, the log alone says which came first.
+    caller = store.workspaces.caller(command.credential, queue.is_public)
+    if caller is None:
+        return CommandReply(Verdict.UNAUTHORIZED)
+    if known is not None:
+        is_own = queue.is_public or known.workspace in {'', caller}
+        return CommandReply(Verdict.KNOWN if is_own else Verdict.OTHERS)
+    record = new_record(
+        command.spec,
+        queue,
+        command.accepted_ms,
+        store.workspaces.named(caller),
+    )
     store.jobs[command.spec.job_id] = record
     store.changed.add(command.spec.job_id)
     return CommandReply(Verdict.DONE)
@@ -274,8 +331,7 @@
         _note_end(store, ended)
     for crashed in command.crashes:
         _note_crash(store, crashed)
-    for start in command.starts:
-        _note_start(store, start)
+    _note_starts(store, command.starts)
     return CommandReply(Verdict.DONE)
 
 
@@ -307,9 +363,35 @@
             store.unassign(task.worker, member)
 
 
-def _note_start(store: JobStore, start: RunStarted) -> None:
-    job = store.job_of(start.task)
-    if job is not None and runs.note_start(job, start):
+def _note_starts(store: JobStore, starts: Iterable[RunStarted]) -> None:
+    """Assign tasks, as far as the caps of their workspaces let them start.
+
+    Whoever decided them looked at the caps too, but may not have known all that
+    was recorded since.  A gang starts whole or not at all.
+    """
+    groups = itertools.groupby(
+        starts,
+        key=lambda start: _started_with(store, start.task),
+    )
+    for _, members in groups:
+        together = tuple(members)
+        job = store.job_of(together[0].task)
+        if job is None:
+            continue
+        if store.is_under_cap(job, job.step_spec(together[0].task)):
+            for start in together:
+                _note_start(store, job, start)
+
+
+def _started_with(store: JobStore, key: TaskKey) -> TaskKey:
+    """Return what stands for all that starts with a task: it, or its gang."""
+    spec = store.spec_of(key)
+    is_gang = spec is not None and spec.is_gang
+    return msgspec.structs.replace(key, index=0) if is_gang else key
+
+
+def _note_start(store: JobStore, job: JobRecord, start: RunStarted) -> None:
+    if runs.note_start(job, start):
         store.assign(start.worker, start.task, start.run)
         store.changed.add(start.task.job_id)
 
--- a/src/wigeonreach/platform/_callers.py
+++ b/src/wigeonreach/platform/_callers.py
@@ -17,8 +17,22 @@
     ReadJob,
     SubmitJob,
 )
-from wigeonreach.wire._call_replies import NotDone, Unknown
+from wigeonreach.wire._call_replies import (
+    AnyReply,
+    Forbidden,
+    NotDone,
+    Unauthorized,
+    Unknown,
+)
+from wigeonreach.workspaces import (
+    NO_CREDENTIAL,
+    Credential,
+    credential_of,
+)
 
+# Who calls; the platform's word for a workspace's credential is a key.
+_CALLER_HEADER = 'Authorization'
+_CALLER = re.compile(r'token +(\S+)', re.IGNORECASE)
 # How long a client waits for its answer.
 _DEADLINE_HEADER = 'X-Deadline-Ms'
 _DEFAULT_DEADLINE_S = 3.0
@@ -63,10 +77,9 @@
         reply = await self._gateway.call(call, _timeout_s(request))
         took_s = time.monotonic() - began_s
         self._metrics.observe_s(request.method.lower(), took_s)
-        if isinstance(reply, NotDone):
-            self._note_refusal(request, reply.reason.value, '', took_s)
-        elif isinstance(reply, Unknown):
-            self._note_refusal(request, 'outcome-unknown', '', took_s)
+        reason, detail = _why_refused(reply)
+        if reason:
+            self._note_refusal(request, reason, detail, took_s)
         return http_reply(reply)
 
     def _note_refusal(
@@ -91,15 +104,36 @@
 
 def _decode(request: HttpRequest) -> AnyCall | None:
     place = (request.host, request.path)
+    credential = _credential(request)
     if request.method == 'POST':
-        return SubmitJob(*place, decode_job(request.body))
+        return SubmitJob(*place, decode_job(request.body), credential)
     if request.method == 'GET':
-        return ReadJob(*place)
+        return ReadJob(*place, credential)
     if request.method == 'DELETE':
-        return CancelJobCall(*place)
+        return CancelJobCall(*place, credential)
     return None
 
 
+def _credential(request: HttpRequest) -> Credential:
+    """Return who calls; what can't be read stands for nobody."""
+    told = _CALLER.fullmatch(request.headers.get(_CALLER_HEADER, '').strip())
+    return credential_of(told.group(1)) if told else NO_CREDENTIAL
+
+
+def _why_refused(reply: AnyReply) -> tuple[str, str]:
+    """Return reason and detail of a refusal, for people; nothing if it is none."""
+    match reply:
+        case NotDone(reason=reason):
+            return reason.value, ''
+        case Unknown():
+            return 'outcome-unknown', ''
+        case Unauthorized(denial=denial, workspace=workspace):
+            return denial.value, workspace
+        case Forbidden(workspace=workspace):
+            return 'other-workspace', workspace
+    return '', ''
+
+
 def _timeout_s(request: HttpRequest) -> float:
     text = request.headers.get(_DEADLINE_HEADER, '')
     is_read = _DEADLINE.fullmatch(text) is not None
--- a/src/wigeonreach/platform/_control.py
+++ b/src/wigeonreach/platform/_control.py
@@ -39,20 +39,29 @@
     ----------
     core
         Who answers them.
+    asks_credentials
+        Whether a manifest without workspaces lets nobody in, instead of all.
     logger, metrics
         Where refusals are logged and counted.
     """
 
-    def __init__(self, core: Core, logger: Logger, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        core: Core,
+        asks_credentials: bool,
+        logger: Logger,
+        metrics: Metrics,
+    ) -> None:
         """Keep the core process."""
         self._core = core
+        self._asks_credentials = asks_credentials
         self._log = logger
         self._metrics = metrics
 
     async def handle(self, request: HttpRequest) -> HttpReply:
         """Answer one request."""
         try:
-            call = _decode(request)
+            call = self._decode(request)
         except RequestRefusedError as refused:
             self._metrics.count('heartbeats_refused')
             self._log.warning(LogEvent.HEARTBEAT_REFUSED, reason=refused.detail)
@@ -67,22 +76,23 @@
             return HttpReply(_UNAVAILABLE, b'{"error":"outcome-unknown"}')
         return http_reply(reply)
 
-
-def _decode(request: HttpRequest) -> AnyCall | None:
-    if request.method == 'GET':
-        return _decode_read(request)
-    path = request.path
-    if path.startswith(_HEARTBEAT):
-        worker_id = path.removeprefix(_HEARTBEAT)
-        return HearWorker(decode_heartbeat(worker_id, request.body))
-    if path.startswith(_LEAVE):
-        leaving_id = path.removeprefix(_LEAVE)
-        return DropWorker(decode_farewell(leaving_id, request.body))
-    if path == '/Config.Replace':
-        return PutManifest(decode_manifest(request.body))
-    if path == '/wave-start':
-        return decode_wave(request.body)
-    return None
+    def _decode(self, request: HttpRequest) -> AnyCall | None:
+        if request.method == 'GET':
+            return _decode_read(request)
+        path = request.path
+        if path.startswith(_HEARTBEAT):
+            worker_id = path.removeprefix(_HEARTBEAT)
+            return HearWorker(decode_heartbeat(worker_id, request.body))
+        if path.startswith(_LEAVE):
+            leaving_id = path.removeprefix(_LEAVE)
+            return DropWorker(decode_farewell(leaving_id, request.body))
+        if path == '/Config.Replace':
+            return PutManifest(
+                decode_manifest(request.body, self._asks_credentials),
+            )
+        if path == '/wave-start':
+            return decode_wave(request.body)
+        return None
 
 
 def _decode_read(request: HttpRequest) -> AnyCall | None:
--- a/src/wigeonreach/platform/_http.py
+++ b/src/wigeonreach/platform/_http.py
@@ -5,7 +5,7 @@
 import asyncio
 import dataclasses
 import json
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 
 import mode
 from aiohttp import web
@@ -38,13 +38,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HttpRequest:
-    """A whole request; ``host`` is without its port."""
+    """A whole request.
+
+    Attributes
+    ----------
+    host
+        Without its port.
+    headers
+        By name, whatever its case.  They hold secrets: they are not shown.
+    """
 
     method: str
     host: str
     path: str
     body: bytes
-    headers: dict[str, str]
+    headers: Mapping[str, str] = dataclasses.field(repr=False)
 
 
 Handler = Callable[[HttpRequest], Awaitable[HttpReply]]
@@ -152,7 +160,7 @@
                 request.host.partition(':')[0],
                 request.path,
                 body,
-                dict(request.headers),
+                request.headers,
             ),
         )
 
--- a/src/wigeonreach/platform/_manifest.py
+++ b/src/wigeonreach/platform/_manifest.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import collections
-from collections.abc import Container
+from collections.abc import Container, Iterable, Set
 
 import msgspec
 
@@ -16,6 +16,7 @@
     decode_body,
 )
 from wigeonreach.wire._call_messages import StartWaveCall
+from wigeonreach.workspaces import Amounts, WorkspaceSpec, credential_of
 
 
 class _Advice(msgspec.Struct, frozen=True, rename='camel'):
@@ -42,6 +43,8 @@
     slack_factor: float = 1.0
     # Whether and how the advisor has to be asked about each step.
     recommendation: _Advice | None = None
+    # Whether calls need no API key.
+    public: bool = False
 
 
 class _Service(msgspec.Struct, frozen=True, rename='camel'):
@@ -56,11 +59,29 @@
     max_body_bytes: Amount = 0
 
 
+class _Cap(msgspec.Struct, frozen=True, rename='camel'):
+    # In thousandths of a processor.
+    cpu: Amount = 0
+    mem_mb: Amount = 0
+    # A number of accelerators.
+    gpu: Amount = 0
+
+
+class _Tenant(msgspec.Struct, frozen=True, rename='camel'):
+    """A workspace; the platform calls it a tenant."""
+
+    name: str
+    api_keys: tuple[str, ...] = ()
+    weight: Amount = 0
+    cap: _Cap = _Cap()
+
+
 class _Manifest(msgspec.Struct, frozen=True):
     version: Amount
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...]
     limits: _Limits = _Limits()
+    tenants: tuple[_Tenant, ...] | None = None
 
 
 class _Wave(msgspec.Struct, frozen=True):
@@ -75,9 +96,16 @@
 _WAVES = msgspec.json.Decoder(_Wave)
 
 
-def decode_manifest(body: bytes) -> Manifest:
+def decode_manifest(body: bytes, asks_credentials: bool = False) -> Manifest:
     """Return a manifest.
 
+    Parameters
+    ----------
+    body
+        As the operator sent it.
+    asks_credentials
+        Whether one without workspaces lets nobody in, instead of all.
+
     Raises
     ------
     FleetTextError
@@ -101,6 +129,9 @@
         ),
         max_body_bytes=read.limits.max_body_bytes,
         document=body,
+        workspaces=_workspaces(
+            () if asks_credentials and read.tenants is None else read.tenants,
+        ),
     )
 
 
@@ -132,6 +163,23 @@
         slack_factor=route.slack_factor,
         target_latency_ms=route.target_latency_ms,
         advice=_policy(advice) if advice else None,
+        is_public=route.public,
+    )
+
+
+def _workspaces(
+    tenants: Iterable[_Tenant] | None,
+) -> tuple[WorkspaceSpec, ...] | None:
+    if tenants is None:
+        return None
+    return tuple(
+        WorkspaceSpec(
+            tenant.name,
+            tuple(map(credential_of, tenant.api_keys)),
+            tenant.weight,
+            Amounts(tenant.cap.cpu, tenant.cap.mem_mb, tenant.cap.gpu),
+        )
+        for tenant in tenants
     )
 
 
@@ -160,6 +208,36 @@
                 ResultCode.TEXT_BAD_VALUE,
                 f'{route.name}: another route has its host and prefix',
             )
+    _check_tenants(read.tenants or ())
+
+
+def _check_tenants(tenants: Iterable[_Tenant]) -> None:
+    """Check that a key stands for one tenant; no error shows a key."""
+    names: set[str] = set()
+    keys: set[str] = set()
+    for tenant in tenants:
+        fault = _fault_of(tenant, names, keys)
+        if fault:
+            raise FleetTextError(
+                ResultCode.TEXT_BAD_VALUE,
+                f'tenant {tenant.name}: {fault}',
+            )
+        names.add(tenant.name)
+        keys.update(tenant.api_keys)
+
+
+def _fault_of(
+    tenant: _Tenant,
+    names: Container[str],
+    keys: Set[str],
+) -> str:
+    """Return what is wrong with a tenant beside those before it, or nothing."""
+    own = set(tenant.api_keys)
+    if tenant.name in names:
+        return 'another tenant has its name'
+    if len(own) < len(tenant.api_keys):
+        return 'one key twice'
+    return 'another tenant has one of its keys' if own & keys else ''
 
 
 def _check_route(route: _Route, services: Container[str]) -> None:
--- a/src/wigeonreach/platform/_processes.py
+++ b/src/wigeonreach/platform/_processes.py
@@ -233,7 +233,12 @@
         control = settings.listen_addrs.control_addr
         self._control = HttpListener(
             parse_address(control, 'controlAddr'),
-            ControlApi(self._core, logger, metrics).handle,
+            ControlApi(
+                self._core,
+                settings.asks_credentials,
+                logger,
+                metrics,
+            ).handle,
             _MAX_MANIFEST_BYTES,
         )
         self._metrics = MetricsPage(settings, metrics)
--- a/src/wigeonreach/platform/_replies.py
+++ b/src/wigeonreach/platform/_replies.py
@@ -11,6 +11,7 @@
 from wigeonreach.platform._workers import encode_orders
 from wigeonreach.wire._call_replies import (
     Done,
+    Forbidden,
     Invalid,
     JobState,
     ManifestText,
@@ -19,6 +20,7 @@
     NotFound,
     Orders,
     Reply,
+    Unauthorized,
     Unknown,
     WaitingJobs,
     WaveState,
@@ -81,6 +83,24 @@
     )
 
 
+@http_reply.register
+def _from_unauthorized(reply: Unauthorized) -> HttpReply:
+    error = RequestRefusedError(
+        ResultCode.REQUEST_UNAUTHORIZED,
+        'this queue needs a credential that is in force; nothing was done',
+    )
+    return error_reply(401, error)
+
+
+@http_reply.register
+def _from_forbidden(reply: Forbidden) -> HttpReply:
+    error = RequestRefusedError(
+        ResultCode.REQUEST_OTHER_WORKSPACE,
+        'the job is of another workspace; nothing was done',
+    )
+    return error_reply(403, error)
+
+
 @http_reply.register
 def _from_no_job(reply: NoSuchJob) -> HttpReply:
     return HttpReply(_GONE, b'{}')
--- a/src/wigeonreach/platform/_settings.py
+++ b/src/wigeonreach/platform/_settings.py
@@ -19,6 +19,8 @@
 METRICS_VARIABLE = 'WIGEONREACH_METRICS_PORT'
 _DEFAULT_ORDER_PAUSE_MS = 3000
 _MS_PER_S = 1000
+# The platform's name for the rules on workspaces and their API keys.
+_WORKSPACE_RULES = 'tenants'
 
 
 class _Listen(msgspec.Struct, frozen=True, rename='camel'):
@@ -64,6 +66,8 @@
         True only when the whole system starts for the first time.
     recommendation
         Address of the advisor, or nothing.
+    invariants
+        Which rules are in force.
     """
 
     node_name: str
@@ -75,10 +79,16 @@
     listen_addrs: _Listen
     data_dir: str = ''
     recommendation: str = ''
+    invariants: tuple[str, ...] = ()
     fault_tolerance: _Tolerance = _Tolerance()
     bounds: _Bounds = _Bounds()
     cloud_api: _Cloud = _Cloud()
 
+    @property
+    def asks_credentials(self) -> bool:
+        """Whether calls need a credential even if a manifest names none."""
+        return _WORKSPACE_RULES in self.invariants
+
     @property
     def seeds(self) -> tuple[str, ...]:
         """Names of the seeds: where they listen for other processes.
--- a/src/wigeonreach/wire/_call_messages.py
+++ b/src/wigeonreach/wire/_call_messages.py
@@ -10,6 +10,7 @@
 from wigeonreach.wire._base import WireMessage
 from wigeonreach.wire._call_replies import AnyReply
 from wigeonreach.wire._worker_messages import WorkerReport
+from wigeonreach.workspaces import NO_CREDENTIAL, Credential
 
 
 class Call(msgspec.Struct, frozen=True, array_like=True, tag=True):
@@ -27,6 +28,7 @@
     """Accept a job; its id is what follows the queue's prefix."""
 
     spec: JobSpec
+    credential: Credential = NO_CREDENTIAL
 
     def spec_for(self, job_id: str) -> JobSpec:
         """Return the job with the id that its path turned out to hold."""
@@ -36,10 +38,14 @@
 class ReadJob(QueueCall, frozen=True):
     """Tell where a job is."""
 
+    credential: Credential = NO_CREDENTIAL
+
 
 class CancelJobCall(QueueCall, frozen=True):
     """Let nothing more of a job start."""
 
+    credential: Credential = NO_CREDENTIAL
+
 
 class ReadManifest(Call, frozen=True):
     """Return the newest manifest."""
@@ -95,6 +101,9 @@
 )
 
 
+# Calls that a workspace makes.
+WorkspaceCall: TypeAlias = CancelJobCall | ReadJob | SubmitJob
+
 # Calls without an effect that anybody could miss: one whose reply is lost may
 # truly be said not to have run.
 READS = (HearWorker, ReadJob, ReadManifest, ReadWave)
--- a/src/wigeonreach/wire/_call_replies.py
+++ b/src/wigeonreach/wire/_call_replies.py
@@ -9,6 +9,7 @@
 
 from wigeonreach.jobs._model import JobPhase
 from wigeonreach.wire._worker_messages import WorkerOrders
+from wigeonreach.workspaces import Denial
 
 
 class Reply(msgspec.Struct, frozen=True, array_like=True, tag=True):
@@ -58,6 +59,25 @@
     """No such job is known."""
 
 
+class Unauthorized(Reply, frozen=True):
+    """The call's credential stands for no workspace; nothing changed.
+
+    ``workspace`` is whose credential it was; it is told to nobody but the log.
+    """
+
+    denial: Denial
+    workspace: str = ''
+
+
+class Forbidden(Reply, frozen=True):
+    """The job is of another workspace than its caller; nothing changed.
+
+    ``workspace`` is the caller's; it is told to nobody but the log.
+    """
+
+    workspace: str
+
+
 class Invalid(Reply, frozen=True):
     """The call itself is wrong; nothing changed."""
 
@@ -91,6 +111,7 @@
 
 AnyReply: TypeAlias = (
     Done
+    | Forbidden
     | Invalid
     | JobState
     | ManifestText
@@ -98,6 +119,7 @@
     | NotDone
     | NotFound
     | Orders
+    | Unauthorized
     | Unknown
     | WaitingJobs
     | WaveState
