Keep every workspace within its cap, over all workers

A workspace had 1,973 GB running where 1,778 counted (QUOTA), as no decision knew a cap. Plans count the book of the replicated state, runs that may go on unrecorded and what is planned; a start that is recorded and not begun is taken back when a lower cap comes in force. Work beyond a cap wants no VM, puts no other job back and waits without blocking those behind it.

--- a/src/wigeonreach/observe/_events.py
+++ b/src/wigeonreach/observe/_events.py
@@ -65,6 +65,7 @@
     JOB_ENDED = 513
     JOB_CANCELLED = 514
     JOB_PUT_BACK = 515
+    JOB_CAPPED = 516
     RUNS_ORDERED = 521
     RUN_ENDED = 522
     RUNS_REASSIGNED = 523
--- a/src/wigeonreach/scheduling/_backlog.py
+++ b/src/wigeonreach/scheduling/_backlog.py
@@ -24,15 +24,22 @@
         How many are not done.
     lasts_s
         Estimated time of one of them.
+    workspace
+        Whose job it is.
+    part
+        How much of it the cap of its workspace lets run.
     """
 
     spec: StepSpec
     tasks: int
     lasts_s: float
+    workspace: str = ''
+    part: float = 1.0
 
     def vm_s(self, vm_room: Room) -> float:
         """Return it in seconds of a whole VM of a size."""
-        return part_of(self.spec.room, vm_room) * self.tasks * self.lasts_s
+        lasts_s = self.tasks * self.lasts_s * self.part
+        return part_of(self.spec.room, vm_room) * lasts_s
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/wigeonreach/scheduling/_ends.py
+++ b/src/wigeonreach/scheduling/_ends.py
@@ -7,7 +7,11 @@
 from wigeonreach.jobs import JobStore, Run, RunEnd, RunEnded, TaskKey
 from wigeonreach.scheduling._advice import TicketCache
 from wigeonreach.scheduling._incarnation import Incarnation
-from wigeonreach.scheduling._orders import not_begun, over_room
+from wigeonreach.scheduling._orders import (
+    is_over_cap,
+    not_begun,
+    over_room,
+)
 from wigeonreach.wire._worker_messages import EndedRun
 
 
@@ -77,7 +81,9 @@
     ) -> bool:
         if not incarnation.surely_lacks(run):
             return False
-        return run in unfit or self._lacks_ticket(incarnation, run)
+        if run in unfit or is_over_cap(run[0], self._store):
+            return True
+        return self._lacks_ticket(incarnation, run)
 
     def _lacks_ticket(self, incarnation: Incarnation, run: Run) -> bool:
         # A worker that waits for a ticket holds room for nothing.
--- a/src/wigeonreach/scheduling/_orders.py
+++ b/src/wigeonreach/scheduling/_orders.py
@@ -17,6 +17,7 @@
     StopOrder,
     WorkerOrders,
 )
+from wigeonreach.workspaces import NO_AMOUNTS
 
 # An end makes a worker send at once; a start waits for the next heartbeat.
 # A quarter of a second is a small part of the shortest objective (3 s), and
@@ -123,6 +124,19 @@
             yield run
 
 
+def is_over_cap(key: TaskKey, store: JobStore) -> bool:
+    """Whether a run that is not begun takes its workspace over its cap.
+
+    A cap may be lowered between the record of a start and its order.  Of a gang
+    the members that have begun are stopped then.
+    """
+    job = store.job_of(key)
+    spec = store.spec_of(key)
+    if job is None or spec is None:
+        return False
+    return not store.is_under_cap(job, spec, NO_AMOUNTS - spec.least_start)
+
+
 def why_stopped(run: Run, incarnation: Incarnation, store: JobStore) -> str:
     """Return why a worker is told to stop a run, for people."""
     key, number = run
@@ -148,7 +162,7 @@
         return
     for key, run in not_begun(incarnation, store):
         job = store.job_of(key)
-        if job is None or (key, run) in stopping:
+        if job is None or (key, run) in stopping or is_over_cap(key, store):
             continue
         ticket = tickets.of(key, incarnation.report.worker)
         if _may_start(job, incarnation, store, ticket):
--- a/src/wigeonreach/scheduling/_placing.py
+++ b/src/wigeonreach/scheduling/_placing.py
@@ -5,13 +5,16 @@
 import dataclasses
 from collections.abc import Iterable, Sequence
 
-from wigeonreach.jobs import JobStore, RunStarted, TaskKey
+from wigeonreach._room import Room
+from wigeonreach.jobs import JobStore, Run, RunStarted, TaskKey
 from wigeonreach.scheduling._advice import TicketCache
 from wigeonreach.scheduling._choosing import Ranking, best_room
 from wigeonreach.scheduling._suspects import Apart, Suspects
 from wigeonreach.scheduling._near import NearRooms, fits_whole
+from wigeonreach.scheduling._preempting import RoomMade, make_room
 from wigeonreach.scheduling._ready import ReadyStep
 from wigeonreach.scheduling._room_left import WorkerRoom
+from wigeonreach.scheduling.sharing import CapPlan
 
 # Of a pool's workers, so many may have one task alone.
 _MOST_CLOSED_RATIO = 0.34
@@ -32,6 +35,8 @@
         Who waits for room near its data.
     suspects
         Which tasks may bring their workers down.
+    caps
+        What the workspaces may still start.
     now_s
         Clock in seconds.
     """
@@ -43,9 +48,11 @@
         advice: TicketCache,
         near: NearRooms,
         suspects: Suspects,
+        caps: CapPlan,
         now_s: float,
     ) -> None:
         """Start nothing yet."""
+        self._caps = caps
         self._near = near
         self._suspects = suspects
         self._store = store
@@ -60,6 +67,9 @@
         self._mark_wanted(steps)
         self._keep_for_trials(steps)
         for step in steps:
+            if not self._caps.allows(step.job, step.spec):
+                # No room that is made or waited for would help.
+                continue
             rooms = self._rooms_for(step)
             if step.spec.is_gang:
                 is_placed = self._place_gang(step, rooms)
@@ -68,6 +78,24 @@
             if not is_placed:
                 self.unplaced.append(step)
 
+    def make_room(self, stopping: set[Run], vm_room: Room) -> RoomMade:
+        """Find room for the serving tasks that found none.
+
+        Parameters
+        ----------
+        stopping
+            What is being stopped already; its room is waited for.
+        vm_room
+            What a VM holds.
+        """
+        return make_room(
+            self.unplaced,
+            self._rooms,
+            self._store,
+            stopping,
+            vm_room,
+        )
+
     def _mark_wanted(self, steps: Iterable[ReadyStep]) -> None:
         """Take note near which workers the data of some step lies."""
         wanted = {
@@ -133,12 +161,13 @@
             for index in step.waiting
             if not self._must_wait(step, _key(step, index))
         ]
-        for placed, index in enumerate(waiting):
+        allowed = self._caps.most(step.job, step.spec, len(waiting))
+        for placed, index in enumerate(waiting[:allowed]):
             key = _key(step, index)
             apart = self._kept_apart(step, key)
             room = ranking.best(key, apart)
             if room is None and apart is Apart.FROM_NOTHING:
-                self._near.note_waiting(step, len(waiting) - placed)
+                self._near.note_waiting(step, allowed - placed)
                 return False
             if room is None or _waits_for_another(step, key, room, rooms):
                 is_placed = False
@@ -173,6 +202,7 @@
         run: int,
     ) -> None:
         room.add(key, step.spec)
+        self._caps.take(step.job, step.spec.amounts)
         task = step.job.task(key)
         if task is not None and task.crash_count:
             self._note_suspect(step, room, task.crash_count)
--- a/src/wigeonreach/scheduling/_pool_wants.py
+++ b/src/wigeonreach/scheduling/_pool_wants.py
@@ -11,7 +11,7 @@
 
 # Work is of full use for some 5 s; a VM that is ordered now works in 2 s, so
 # what is to be had within this is worth a move.
-_FINISH_S = 4.0
+FINISH_S = 4.0
 # Part of a pool's VMs that packing leaves unused.
 _USABLE_RATIO = 0.85
 _NONE: Mapping[str, float] = MappingProxyType({})
@@ -114,4 +114,4 @@
 
 def _for_work(vm_s: float) -> int:
     """Return how many VMs do some work in time."""
-    return math.ceil(vm_s / (_USABLE_RATIO * _FINISH_S))
+    return math.ceil(vm_s / (_USABLE_RATIO * FINISH_S))
--- a/src/wigeonreach/scheduling/_ready.py
+++ b/src/wigeonreach/scheduling/_ready.py
@@ -12,6 +12,7 @@
 import dataclasses
 import math
 from collections.abc import Collection, Iterator, Mapping
+from types import MappingProxyType
 
 from wigeonreach.jobs import JobRecord, JobStore, StepSpec, TaskPhase
 from wigeonreach.observe import LogEvent
@@ -42,6 +43,7 @@
 # By occurrence and number of the step.
 _ReadySince = dict[tuple[int, int], float]
 _Occurrences = tuple[PendingJob, ...]
+_NO_CAPS: Mapping[str, float] = MappingProxyType({})
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -224,6 +226,7 @@
         now_s: float,
         wall_ms: float,
         processors: Mapping[str, float],
+        caps: Mapping[str, float] = _NO_CAPS,
     ) -> list[ReadyStep]:
         """Return the steps that are due, those to be served first in front.
 
@@ -235,8 +238,10 @@
             Time of day.
         processors
             That each service has now.
+        caps
+            Processors that each workspace with a cap may have.
         """
-        waiting = self._put_back(now_s, processors)
+        waiting = self._put_back(now_s, processors, caps)
         due = [
             step
             for steps in self._by_job.values()
@@ -250,13 +255,16 @@
         self,
         now_s: float,
         processors: Mapping[str, float],
+        caps: Mapping[str, float],
     ) -> set[OccurrenceName]:
         """Return what waits for others, and take note of what is new."""
-        waiting: set[OccurrenceName] = set()
+        waiting = self._over_caps(now_s, caps)
         for service in self._pending:
             has = processors.get(service, 0)
             begun = list(self._begun(service, now_s))
-            found = put_back(begun, has, now_s)
+            # What its cap keeps from being in time takes nothing from others.
+            sharing = [each for each in begun if each.name not in waiting]
+            found = put_back(sharing, has, now_s)
             for pending in begun:
                 if pending.name in found - self._told:
                     reason = _why_put_back(pending, has, len(begun), now_s)
@@ -266,6 +274,23 @@
             waiting |= found
         return waiting
 
+    def _over_caps(
+        self,
+        now_s: float,
+        caps: Mapping[str, float],
+    ) -> set[OccurrenceName]:
+        """Return what the caps of workspaces keep from being in time."""
+        capped: dict[str, list[PendingJob]] = {}
+        for service in self._pending if caps else ():
+            for pending in self._begun(service, now_s):
+                if pending.workspace in caps:
+                    capped.setdefault(pending.workspace, []).append(pending)
+        return {
+            name
+            for workspace, jobs in capped.items()
+            for name in put_back(jobs, caps[workspace], now_s)
+        }
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Clocks:
@@ -312,7 +337,7 @@
     begin_s: float,
 ) -> PendingJob:
     steps = tuple(
-        StepWork(step, left, estimate_s(step))
+        StepWork(step, left, estimate_s(step), job.workspace)
         for number, step in enumerate(job.spec.steps)
         if (left := tasks_left(job, occurrence, number))
     )
@@ -324,6 +349,7 @@
         occurrence=occurrence,
         begin_s=begin_s,
         steps=steps,
+        workspace=job.workspace,
     )
 
 
--- a/src/wigeonreach/scheduling/_scheduler.py
+++ b/src/wigeonreach/scheduling/_scheduler.py
@@ -25,12 +25,12 @@
 from wigeonreach.scheduling._placing import Plan
 from wigeonreach.scheduling._pool_vms import Move
 from wigeonreach.scheduling._pools import PoolPlanner
-from wigeonreach.scheduling._preempting import make_room
 from wigeonreach.scheduling._progress import ProgressWatch
-from wigeonreach.scheduling._ready import ReadySteps
+from wigeonreach.scheduling._ready import ReadyStep, ReadySteps
 from wigeonreach.scheduling._settings import SchedulingSettings
 from wigeonreach.scheduling._stops import RunStops
 from wigeonreach.scheduling._workers import Workers
+from wigeonreach.scheduling.sharing import CapWatch
 from wigeonreach.wire._worker_messages import WorkerReport
 
 _DEFAULTS = SchedulingSettings()
@@ -109,6 +109,7 @@
             self.notes,
         )
         self.ready = ReadySteps()
+        self.caps = CapWatch(store)
         self._lost_runs = LostRuns(store, self.workers, self.progress, now_s)
         self.crashes = self._lost_runs.crashes
         self._rooms = OpenRooms(
@@ -144,6 +145,7 @@
             return Heard(incarnation, tuple(self._ends.told(incarnation)))
         self._rooms.forget(report.worker)
         self.crashes.note_heard(incarnation)
+        self.caps.strays.note_heard(incarnation)
         self._note_changes(incarnation, before, now_s)
         paced = self.pacing.note(incarnation, self._store)
         self._note(LogEvent.WORKER_PACED, incarnation, paced)
@@ -202,6 +204,7 @@
             self.pacing.forget(worker)
             self.quarantine.forget(worker)
             self._rooms.forget(worker)
+            self.caps.strays.forget(worker)
             self.progress.forget(worker, self._store.held_by(worker))
         self._forget_stopped()
         for run_lost in lost:
@@ -210,6 +213,7 @@
         doubled = self._lost_runs.doubled(now_s)
         for run_doubled in doubled:
             self.progress.forget_run((run_doubled.task, run_doubled.run))
+            self.caps.strays.note_copied(run_doubled.worker, run_doubled.task)
         return (*lost, *doubled)
 
     def crashed(self, now_s: float) -> tuple[RunCrashed, ...]:
@@ -221,32 +225,27 @@
 
     def plan(self, now_s: float, wall_ms: float) -> tuple[RunStarted, ...]:
         """Return what is to be started now."""
-        # What was decided before is recorded by now, or never will be.
-        self.workers.note_starting(())
-        accepted = self.ready.refresh(self._store, now_s, wall_ms)
-        for work in accepted:
-            self.pools.note_accepted(work, now_s)
-        self._stops.move_laggards(self.workers.incarnations, now_s)
-        processors = self.workers.processors(now_s)
-        steps = self.ready.in_order(now_s, wall_ms, processors)
+        steps = self._steps_due(now_s, wall_ms)
         self._homeless = {}
-        self.notes.extend(self.ready.notes)
-        self.ready.notes.clear()
         if not steps:
             return ()
         needed = {self._store.service_of(step.job) for step in steps}
         rooms = self.rooms(now_s, needed)
         near = self.pools.near_rooms(now_s)
         suspects = self.crashes.suspects(now_s)
-        plan = Plan(self._store, rooms, self.advice, near, suspects, now_s)
-        plan.place(steps)
-        made = make_room(
-            plan.unplaced,
-            rooms,
+        cap_plan = self.caps.plan()
+        plan = Plan(
             self._store,
-            self.stopping,
-            self.pools.vms.room,
+            rooms,
+            self.advice,
+            near,
+            suspects,
+            cap_plan,
+            now_s,
         )
+        plan.place(steps)
+        self.notes.extend(self.caps.note_plan(cap_plan))
+        made = plan.make_room(self.stopping, self.pools.vms.room)
         self.stopping.update(made.stops)
         self._homeless = made.homeless
         for start in plan.starts:
@@ -258,6 +257,24 @@
         self.workers.note_starting({start.worker for start in plan.starts})
         return tuple(plan.starts)
 
+    def _steps_due(self, now_s: float, wall_ms: float) -> list[ReadyStep]:
+        """Return the steps that may start, in their order."""
+        # What was decided before is recorded by now, or never will be.
+        self.workers.note_starting(())
+        accepted = self.ready.refresh(self._store, now_s, wall_ms)
+        for work in accepted:
+            self.pools.note_accepted(work, now_s)
+        self._stops.move_laggards(self.workers.incarnations, now_s)
+        steps = self.ready.in_order(
+            now_s,
+            wall_ms,
+            self.workers.processors(now_s),
+            self.caps.processors(),
+        )
+        self.notes.extend(self.ready.notes)
+        self.ready.notes.clear()
+        return steps
+
     def moves(
         self,
         now_s: float,
@@ -274,7 +291,7 @@
         """
         taken = self.maintenance.cordoned.union(held)
         return self.pools.step(
-            self.ready.work(now_s),
+            self.caps.within(self.ready.work(now_s)),
             self.ready.serving(),
             self._homeless,
             taken,
--- a/src/wigeonreach/scheduling/_triage.py
+++ b/src/wigeonreach/scheduling/_triage.py
@@ -19,7 +19,7 @@
 
 # Part of a pool's processors that packing and the gaps between an end and the
 # next start leave unused.
-_USABLE_RATIO = 0.85
+USABLE_RATIO = 0.85
 
 
 # Id and occurrence.
@@ -44,6 +44,8 @@
         From when it may run.
     steps
         What is left of its steps.
+    workspace
+        Whose it is.
     """
 
     job_id: str
@@ -53,6 +55,7 @@
     occurrence: int = 0
     begin_s: float = 0.0
     steps: tuple[StepWork, ...] = ()
+    workspace: str = ''
 
     @property
     def name(self) -> OccurrenceName:
@@ -76,7 +79,7 @@
     now_s
         Clock in seconds.
     """
-    usable = processors * _USABLE_RATIO
+    usable = processors * USABLE_RATIO
     kept: list[tuple[float, OccurrenceName]] = []
     waiting: set[OccurrenceName] = set()
     needed_s = 0.0
