Let short jumps of the time of day move nothing

A leader went by its machine's time of day as it was: a jump ahead by 3.7 s started timed jobs as much too early, one back held them up, and a leader that took over within a jump misjudged how long accepted jobs had waited.

The time of day is kept by the steady clock; a jump is logged and counted, and believed only once it has lasted.

--- a/src/wigeonreach/core/_call_handler.py
+++ b/src/wigeonreach/core/_call_handler.py
@@ -5,7 +5,6 @@
 import functools
 import re
 
-from wigeonreach.core._clock import wall_ms
 from wigeonreach.core._term import LeaderTerm
 from wigeonreach.jobs import (
     AddJob,
@@ -153,7 +152,7 @@
         AddJob(
             call.spec_for(job_id),
             queue.name,
-            wall_ms(),
+            handler.term.day_clock.now_ms(),
             call.credential,
         ),
     )
--- a/src/wigeonreach/core/_daemon.py
+++ b/src/wigeonreach/core/_daemon.py
@@ -11,7 +11,7 @@
 from wigeonreach.codes import ExitCode
 from wigeonreach.core._advising import Advising, AdvisorApi
 from wigeonreach.core._call_handler import CallHandler
-from wigeonreach.core._clock import steady_s
+from wigeonreach.core._clock import DayClock, steady_s
 from wigeonreach.core._opening import open_agreement
 from wigeonreach.core._server import CoreServer
 from wigeonreach.core._settings import CoreSettings
@@ -36,6 +36,7 @@
 )
 
 _FORGET_S = 5.0
+_CLOCK_S = 1.0
 _SPACE_S = 1.0
 # A caller is told within the time that its shortest wait allows (1 s).
 _RELAY_TIMEOUT_S = 0.9
@@ -105,6 +106,7 @@
         self._handler: CallHandler | None = None
         self._leading: asyncio.Task[None] | None = None
         self._told_peers: tuple[str, ...] = ()
+        self._day_clock = DayClock(logger, metrics)
 
     @property
     def is_leading(self) -> bool:
@@ -150,6 +152,11 @@
             return await self._gateway.call(call, _RELAY_TIMEOUT_S)
         return _NO_LEADER
 
+    @mode.Service.timer(_CLOCK_S)
+    async def _look_at_clock(self) -> None:
+        # Also while another process leads: who takes over knows the time.
+        self._day_clock.now_ms()
+
     @mode.Service.timer(_FORGET_S)
     async def _forget(self) -> None:
         term = self._term
@@ -255,6 +262,7 @@
             self._store,
             self._agreement.term,
             self._settings.scheduling,
+            self._day_clock,
             self._log,
             self._metrics,
         )
--- a/src/wigeonreach/core/_term.py
+++ b/src/wigeonreach/core/_term.py
@@ -8,7 +8,7 @@
 
 from wigeonreach.agreement import Agreement
 from wigeonreach.core._barrier import SharedBarrier
-from wigeonreach.core._clock import steady_s, wall_ms
+from wigeonreach.core._clock import DayClock, steady_s
 from wigeonreach.core._term_load import TermLoad
 from wigeonreach.core._term_log import TermLog
 from wigeonreach.exceptions import StateError
@@ -62,7 +62,7 @@
         The replicated state and how it is changed.
     term
         Which this is.
-    settings
+    settings, day_clock
         What decisions go by.
     logger, metrics
         Where decisions are logged and counted.
@@ -74,6 +74,7 @@
         store: JobStore,
         term: int,
         settings: SchedulingSettings,
+        day_clock: DayClock,
         logger: Logger,
         metrics: Metrics,
     ) -> None:
@@ -84,6 +85,7 @@
         self._agreement = agreement
         self._store = store
         self._settings = settings
+        self.day_clock = day_clock
         self._log = TermLog(store, logger, metrics)
         self._metrics = metrics
         self._scheduler: Scheduler | None = None
@@ -131,7 +133,7 @@
             self.term,
             steady_s(),
             self._settings,
-            wall_ms(),
+            self.day_clock.now_ms(),
         )
         self._log.term_began(self.term)
 
@@ -199,7 +201,7 @@
         await self._record_ends((*ends, *lost), crashes)
         for heartbeat in arrived:
             _note_ends(heartbeat)
-        starts = self.scheduler.plan(steady_s(), wall_ms())
+        starts = self.scheduler.plan(steady_s(), self.day_clock.now_ms())
         await self._record_starts(starts)
         if arrived and not ends and not starts:
             await self.barrier.wait()
--- a/src/wigeonreach/observe/_events.py
+++ b/src/wigeonreach/observe/_events.py
@@ -100,3 +100,4 @@
     LINES_OMITTED = 613
     HEARTBEAT_REFUSED = 614
     ENTRIES_SKIPPED = 615
+    CLOCK_JUMPED = 616
