--- a/src/wigeonreach/scheduling/_choosing.py
+++ b/src/wigeonreach/scheduling/_choosing.py
@@ -15,7 +15,7 @@
 _SLOW = 50.0
 _FAR_FROM_DATA = 10.0
 # Only beside tasks whose answers are timed: the others' workers stay anyway, so
-# what fits there keeps a VM less (in the lab 5 % of all VM seconds).
+# what fits there keeps a VM less.
 _BESIDE_SERVING = 4.0
 _CROWDED = 20.0
 # Two tasks that may crash their worker would each stand for the other's crash.
--- a/src/wigeonreach/scheduling/_pool_wants.py
+++ b/src/wigeonreach/scheduling/_pool_wants.py
@@ -83,8 +83,7 @@
     is_far_slow
         Whether work takes longer away from its data.  If it does, each rack
         with some gets a VM: a job that waits for one, or runs far away, is
-        late.  In the lab (half of the jobs near data) that served 0.945 of
-        their worth instead of 0.904, for as many VM seconds.
+        late.
     """
     homeless = serving.homeless.get(service, _NONE)
     by_label = {
--- a/src/wigeonreach/scheduling/_pools.py
+++ b/src/wigeonreach/scheduling/_pools.py
@@ -294,8 +294,8 @@
     ) -> str | None:
         """Return the VM with a label that carries most of what is needed.
 
-        One in a zone from which nobody is heard comes last: in cuts of a zone
-        6 of 28 and 4 of 17 moves went to VMs behind them.
+        One in a zone from which nobody is heard comes last: the zone may be cut
+        off, and the VM of no use.
         """
         fitting = [
             vm for vm in vms if not label or label in self.vms.labels(vm)
--- a/src/wigeonreach/scheduling/_ready.py
+++ b/src/wigeonreach/scheduling/_ready.py
@@ -364,8 +364,7 @@
     """Return how many serving tasks of a step should share a worker.
 
     No worker's loss takes all of a step, and two workers are enough for that:
-    on a third, five tasks would keep a VM of each pool from moving, which in
-    the lab is an eighth of all VM seconds (750 instead of 881).
+    on a third, five tasks would keep a VM of each pool from moving.
     """
     half = math.ceil(step.count / 2)
     return min(step.spread_limit, half) if step.spread_limit else half
--- a/src/wigeonreach/scheduling/_second_runs.py
+++ b/src/wigeonreach/scheduling/_second_runs.py
@@ -38,11 +38,7 @@
     store: JobStore,
     now_s: float,
 ) -> Iterator[Laggards]:
-    """Yield what slow workers would end later than others would.
-
-    In the lab, with workers that are slow for 4 to 8 s, this brings 0.967 of the
-    worth of all jobs instead of 0.953.
-    """
+    """Yield what slow workers would end later than others would."""
     by_service: dict[str, list[str]] = collections.defaultdict(list)
     for worker, known in incarnations.items():
         by_service[known.report.service].append(worker)
@@ -61,9 +57,8 @@
 ) -> Iterator[tuple[Incarnation, Run]]:
     """Yield the runs of silent workers beside which a copy may run.
 
-    In the lab, with racks cut off for 6 s and copies of three jobs in ten, this
-    brings 0.913 of the worth of all jobs instead of 0.908.  What may have brought
-    a worker down has no copy: it would take down three in the time of one.
+    What may have brought a worker down has no copy: it would take down three in
+    the time of one.
     """
     for worker, incarnation in incarnations.items():
         if not incarnation.is_silent(now_s):
