Wait for the next leader with calls that may have run

A refusal would not be true and an unknown outcome is the worst answer, so such a call is made again for as long as its caller waits; calls that were sent to nobody are refused as soon as before.

The new test fails on the code before: Unknown() instead of Done().

--- a/src/wigeonreach/gateway/_gateway.py
+++ b/src/wigeonreach/gateway/_gateway.py
@@ -118,16 +118,15 @@
             is not known.
         """
         due_s = time.monotonic() + timeout_s
-        is_sent = False
+        may_have_run = False
         while True:
-            link = await self._reach_leader(due_s)
+            link = await self._reach_leader(due_s, may_have_run)
             left_s = due_s - time.monotonic()
             if link is None or left_s <= 0:
-                has_effect = not isinstance(call, READS)
-                return self._give_up(is_sent and has_effect)
+                return self._give_up(may_have_run)
             reply = await link.call(call, _HOPS, left_s)
             if reply is None:
-                is_sent = True
+                may_have_run = not isinstance(call, READS)
                 self._metrics.count('call_retries', 'reply-lost')
             elif lacks_leader(reply):
                 self._metrics.count('call_retries', 'no-leader')
@@ -161,10 +160,21 @@
         since_s = self._leaderless_since_s
         return 0.0 if since_s is None else time.monotonic() - since_s
 
-    async def _reach_leader(self, due_s: float) -> CoreLink | None:
+    async def _reach_leader(
+        self,
+        due_s: float,
+        may_have_run: bool,
+    ) -> CoreLink | None:
+        """Return a channel to the leader, or None if waiting for one is in vain.
+
+        A call that may have run is waited with for as long as its caller does:
+        only the next leader can tell, and a refusal would not be true.
+        """
         is_long = self._outage_s() > _LONG_OUTAGE_S
         wait_s = _RETRY_S if is_long else _LEADER_WAIT_S
         wait_until_s = min(due_s, time.monotonic() + wait_s)
+        if may_have_run:
+            wait_until_s = due_s
         while True:
             link = self._best_link()
             if link is not None or time.monotonic() >= wait_until_s:
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -191,6 +191,27 @@
 
         _run([leader], body)
 
+    def test_call_whose_reply_was_lost_waits_for_the_next_leader(self) -> None:
+        """Its caller is told what became of it, if there is time to learn it.
+
+        Pattern: the leader loses its power with calls in flight, and the next one is
+        found later than a new call would wait for it.
+        """
+        leader = _FakeCore(self.first, self.first)
+        leader.reply = None
+        later = _FakeCore(self.second, '')
+
+        async def body(gateway: Gateway) -> None:
+            await _until(lambda: gateway.has_leader)
+            call = asyncio.create_task(gateway.call(_WAVE, 6))
+            await _until(lambda: leader.calls > 0)
+            leader.stop()
+            await asyncio.sleep(1.5)
+            later.notice = CoreNotice(self.second, (self.second,), 2)
+            self.assertThat(await call, matchers.Equals(Done()))
+
+        _run([leader, later], body)
+
     def test_lost_reply_to_a_read_is_a_refusal(self) -> None:
         """Nothing ran that its caller could not ask for again."""
         leader = _FakeCore(self.first, self.first)
