Repeat the leader's refusal of a credential at the entry

Each call of a stranger cost the leader a round to prove its lead. An entry keeps refusals for the version of the manifest under which they were given, and repeats them while the leader itself tells that this version is the newest. A copy of all keys at each entry was ruled out: it would let in who was dropped whenever it is old; a kept refusal lets nobody in.

tests/gateway: five calls with one bad credential reach the leader once (five times before).

--- a/src/wigeonreach/core/_call_handler.py
+++ b/src/wigeonreach/core/_call_handler.py
@@ -124,6 +124,7 @@
         """Return the refusal of a call by its credential."""
         return Unauthorized(
             *self.store.workspaces.why_denied(call.credential),
+            self.store.manifest.version,
         )
 
 
--- a/src/wigeonreach/core/_daemon.py
+++ b/src/wigeonreach/core/_daemon.py
@@ -232,6 +232,7 @@
             self._reachable_leader(),
             tuple(sorted({*self._agreement.peers, *self._gateway.cores})),
             self._agreement.term,
+            self._store.manifest.version,
         )
 
     def _reachable_leader(self) -> str:
--- a/src/wigeonreach/gateway/_gateway.py
+++ b/src/wigeonreach/gateway/_gateway.py
@@ -9,6 +9,7 @@
 
 import mode
 
+from wigeonreach.gateway._denials import Denials
 from wigeonreach.gateway._link import CoreLink
 from wigeonreach.observe import LogEvent, Logger, Metrics
 from wigeonreach.wire._call_messages import READS, AnyCall
@@ -34,6 +35,9 @@
 _LOOK_S = 1.0
 # To a core process that doesn't lead, and from there to the leader.
 _HOPS = 1
+# Twice the time between two notices: a version that a leader told longer ago may
+# have been replaced.
+_FRESH_S = 0.8
 # A core process that nobody has named for so long is forgotten.
 _FORGET_CORE_S = 60.0
 
@@ -66,6 +70,7 @@
         self._metrics = metrics
         self._links: dict[str, CoreLink] = {}
         self._named_s: dict[str, float] = {}
+        self._denials = Denials()
         self._changed = asyncio.Event()
         self._leader = ''
         self._leaderless_since_s: float | None = time.monotonic()
@@ -118,6 +123,9 @@
             is not known.
         """
         due_s = time.monotonic() + timeout_s
+        denied = self._denials.find(call, self._version_in_force())
+        if denied is not None:
+            return denied
         may_have_run = False
         while True:
             link = await self._reach_leader(due_s, may_have_run)
@@ -131,6 +139,7 @@
             elif lacks_leader(reply):
                 self._metrics.count('call_retries', 'no-leader')
             else:
+                self._denials.note(call, reply)
                 return reply
             await asyncio.sleep(_RETRY_S)
 
@@ -221,6 +230,18 @@
                 self._named_s.pop(core)
                 await self._links.pop(core).stop()
 
+    def _version_in_force(self) -> int:
+        """Return the manifest's version at the leader, or 0 if it is not sure."""
+        link = self._best_link()
+        if (
+            link is None
+            or link.notice is None
+            or link.core != link.notice.leader
+        ):
+            return 0
+        is_fresh = time.monotonic() - link.noticed_s <= _FRESH_S
+        return link.notice.version if is_fresh else 0
+
     def _note_leader(self) -> None:
         link = self._best_link()
         leader = link.notice.leader if link and link.notice else ''
--- a/src/wigeonreach/gateway/_link.py
+++ b/src/wigeonreach/gateway/_link.py
@@ -56,6 +56,7 @@
         super().__init__()
         self.core = core
         self.notice: CoreNotice | None = None
+        self.noticed_s = float('-inf')
         self._process = process
         self._on_change = on_change
         self._log = logger
@@ -149,6 +150,7 @@
             self._log.info(LogEvent.CORE_CONNECTED, core=self.core)
         is_news = notice != self.notice
         self.notice = notice
+        self.noticed_s = time.monotonic()
         if is_news:
             self._on_change()
 
--- a/src/wigeonreach/wire/_call_messages.py
+++ b/src/wigeonreach/wire/_call_messages.py
@@ -137,12 +137,13 @@
     """Who leads and which core processes there are, as the sender knows it.
 
     Sent at once when it changes, and regularly, so that a channel that went
-    silent shows.
+    silent shows.  ``version`` is that of the manifest that the sender has.
     """
 
     leader: str
     cores: tuple[str, ...]
     term: int
+    version: int = 0
 
 
 CallMessage: TypeAlias = CallReply | CallRequest | CoreHello | CoreNotice
--- a/src/wigeonreach/wire/_call_replies.py
+++ b/src/wigeonreach/wire/_call_replies.py
@@ -62,11 +62,17 @@
 class Unauthorized(Reply, frozen=True):
     """The call's credential stands for no workspace; nothing changed.
 
-    ``workspace`` is whose credential it was; it is told to nobody but the log.
+    Attributes
+    ----------
+    workspace
+        Whose credential it was; it is told to nobody but the log.
+    version
+        Of the manifest by which it was refused.
     """
 
     denial: Denial
     workspace: str = ''
+    version: int = 0
 
 
 class Forbidden(Reply, frozen=True):
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -17,6 +17,7 @@
     CallRequest,
     CoreHello,
     CoreNotice,
+    ReadJob,
     ReadManifest,
     ReadWave,
     StartWaveCall,
@@ -25,9 +26,11 @@
     AnyReply,
     Done,
     NotDone,
+    Unauthorized,
     Unknown,
     WhyNot,
 )
+from wigeonreach.workspaces import Denial
 
 _PATIENCE_S = 20.0
 _NOTICE_S = 0.1
@@ -143,6 +146,66 @@
 
         _run([follower, leader], body)
 
+    def test_refused_credential_is_asked_about_once(self) -> None:
+        """A stranger that goes on calling costs the leader nothing more."""
+        leader = _FakeCore(self.first, self.first)
+        leader.notice = CoreNotice(self.first, (self.first,), 1, 7)
+        denied = Unauthorized(Denial.UNKNOWN, version=7)
+        leader.reply = denied
+
+        async def body(gateway: Gateway) -> None:
+            await _until(lambda: gateway.has_leader)
+            for number in range(5):
+                call = ReadJob('club.example', f'/a/{number}', b'strange')
+                self.assertThat(
+                    await gateway.call(call, 3), matchers.Equals(denied)
+                )
+            self.assertThat(leader.calls, matchers.Equals(1))
+            other = ReadJob('club.example', '/a/1', b'another')
+            await gateway.call(other, 3)
+            self.assertThat(leader.calls, matchers.Equals(2))
+
+        _run([leader], body)
+
+    def test_credential_is_asked_about_again_under_the_next_manifest(
+        self,
+    ) -> None:
+        """It may have been added; so it is as soon as a notice tells of one."""
+        leader = _FakeCore(self.first, self.first)
+        leader.notice = CoreNotice(self.first, (self.first,), 1, 7)
+        leader.reply = Unauthorized(Denial.UNKNOWN, version=7)
+        call = ReadJob('club.example', '/a/1', b'new')
+
+        async def body(gateway: Gateway) -> None:
+            await _until(lambda: gateway.has_leader)
+            await gateway.call(call, 3)
+            leader.reply = Done()
+            leader.notice = CoreNotice(self.first, (self.first,), 1, 8)
+            reply = await gateway.call(call, 3)
+            while reply != Done():
+                await asyncio.sleep(0.01)
+                reply = await gateway.call(call, 3)
+
+        _run([leader], body)
+
+    def test_silent_leader_refuses_nobody(self) -> None:
+        """What it told last may be old by now."""
+        leader = _FakeCore(self.first, self.first)
+        leader.notice = CoreNotice(self.first, (self.first,), 1, 7)
+        leader.reply = Unauthorized(Denial.UNKNOWN, version=7)
+        call = ReadJob('club.example', '/a/1', b'new')
+
+        async def body(gateway: Gateway) -> None:
+            await _until(lambda: gateway.has_leader)
+            await gateway.call(call, 3)
+            leader.is_silent = True
+            leader.reply = None
+            await asyncio.sleep(1)
+            reply = await gateway.call(call, 0.1)
+            self.assertThat(reply, matchers.IsInstance(NotDone))
+
+        _run([leader], body)
+
     def test_follower_passes_on_where_the_leader_is_out_of_reach(self) -> None:
         """A process without a channel to the leader asks one that has."""
         follower = _FakeCore(self.first, self.second)
