Decode messages with a decoder that is made once

A message cost its receiver 117 microseconds, as the type of all messages was worked out anew for each; a tenth of all processor time of three core processes that serve 150 workers (1.9 of 19.8 s in a profile). The stream is now looked through for the ends of messages only, and each is decoded from its bytes by one decoder: 15 microseconds, 0.17 s for half as many messages more in the same profile. The bytes on the wire are the same.

--- a/src/wigeonreach/wire/_channel.py
+++ b/src/wigeonreach/wire/_channel.py
@@ -6,7 +6,7 @@
 import collections
 import contextlib
 import socket
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 
 import msgpack
 import msgspec
@@ -19,6 +19,7 @@
 
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
 _READ_BYTES = 64 * 1024
+_MESSAGES: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
 _CONNECT_TIMEOUT_S = 2.0
 # A connection may go silent without a reset.  Bytes that are not acknowledged
 # for so long, or two probes without an answer, end it: a silent peer is found
@@ -48,6 +49,9 @@
         _find_silence(writer.get_extra_info('socket'))
         self._unpacker = msgpack.Unpacker(max_buffer_size=MAX_MESSAGE_BYTES)
         self._ready: collections.deque[Message] = collections.deque()
+        # What arrived of messages that are not decoded yet.
+        self._held = bytearray()
+        self._decoded_bytes = 0
         self.sent_bytes = 0
         self.received_bytes = 0
 
@@ -127,13 +131,34 @@
                 ResultCode.WIRE_TOO_LARGE,
                 f'allowed: {MAX_MESSAGE_BYTES} bytes',
             ) from error
+        self._held.extend(chunk)
         try:
-            self._ready.extend(
-                msgspec.convert(raw, Message) for raw in self._unpacker
-            )
+            self._decode_whole()
         except (ValueError, msgpack.UnpackException) as error:
             raise WireError(ResultCode.WIRE_MALFORMED, str(error)) from error
 
+    def _decode_whole(self) -> None:
+        """Decode the messages that have arrived in full.
+
+        The stream is only looked through for their ends: a decoder that is made
+        once reads a message in a fraction of what it takes to build it from values.
+        """
+        begin = 0
+        for end in self._ends():
+            self._ready.append(_MESSAGES.decode(self._held[begin:end]))
+            begin = end
+        self._held = self._held[begin:]
+        self._decoded_bytes += begin
+
+    def _ends(self) -> Iterator[int]:
+        """Yield where messages end in what is held."""
+        while True:
+            try:
+                self._unpacker.skip()
+            except msgpack.OutOfData:
+                return
+            yield self._unpacker.tell() - self._decoded_bytes
+
 
 def _find_silence(connection: socket.socket | None) -> None:
     """Have the kernel end a connection on which nothing gets through."""
