Give pools and workspaces rooms of their own in the scheduler

Those about pools are in pooling/, those about shares and caps in sharing/; both show only what others use. Nothing else changed.

--- a/src/wigeonreach/core/_vm_actions.py
+++ b/src/wigeonreach/core/_vm_actions.py
@@ -20,8 +20,8 @@
     VmStep,
 )
 from wigeonreach.observe import LogEvent, Logger, Metrics
-from wigeonreach.scheduling._pool_vms import Move
 from wigeonreach.scheduling._vms import OrderResult, VmApi
+from wigeonreach.scheduling.pooling import Move
 
 _ROUND_S = 0.1
 _LIST_S = 1.0
--- a/src/wigeonreach/lab/_variants.py
+++ b/src/wigeonreach/lab/_variants.py
@@ -101,8 +101,8 @@
             Variant('as it is'),
             _without('triage', '_ready:put_back', _no_set),
             _without('near waiting', '_near:NearRooms.near', _all_rooms),
-            _without('lookahead', '_pools:_LOOKAHEAD_S', 0.0),
-            _without('give-back', '_pools:_SETTLE_S', math.inf),
+            _without('lookahead', 'pooling._pools:_LOOKAHEAD_S', 0.0),
+            _without('give-back', 'pooling._pools:_SETTLE_S', math.inf),
             _without('slow order', '_progress:ProgressWatch.slow', _no_map),
             _without(
                 'moves off slow workers',
--- a/src/wigeonreach/scheduling/_placing.py
+++ b/src/wigeonreach/scheduling/_placing.py
@@ -9,11 +9,11 @@
 from wigeonreach.jobs import JobStore, Run, RunStarted, TaskKey
 from wigeonreach.scheduling._advice import TicketCache
 from wigeonreach.scheduling._choosing import Ranking, best_room
-from wigeonreach.scheduling._suspects import Apart, Suspects
 from wigeonreach.scheduling._near import NearRooms, fits_whole
 from wigeonreach.scheduling._preempting import RoomMade, make_room
 from wigeonreach.scheduling._ready import ReadyStep
 from wigeonreach.scheduling._room_left import WorkerRoom
+from wigeonreach.scheduling._suspects import Apart, Suspects
 from wigeonreach.scheduling.sharing import CapPlan
 
 # Of a pool's workers, so many may have one task alone.
--- a/src/wigeonreach/scheduling/_scheduler.py
+++ b/src/wigeonreach/scheduling/_scheduler.py
@@ -23,13 +23,12 @@
 from wigeonreach.scheduling._open_rooms import OpenRooms, PoolRooms
 from wigeonreach.scheduling._pacing import Pacing
 from wigeonreach.scheduling._placing import Plan
-from wigeonreach.scheduling._pool_vms import Move
-from wigeonreach.scheduling._pools import PoolPlanner
 from wigeonreach.scheduling._progress import ProgressWatch
 from wigeonreach.scheduling._ready import ReadyStep, ReadySteps
 from wigeonreach.scheduling._settings import SchedulingSettings
 from wigeonreach.scheduling._stops import RunStops
 from wigeonreach.scheduling._workers import Workers
+from wigeonreach.scheduling.pooling import Move, PoolPlanner
 from wigeonreach.scheduling.sharing import CapWatch
 from wigeonreach.wire._worker_messages import WorkerReport
 
--- a/src/wigeonreach/scheduling/_pools.py
+++ b/src/wigeonreach/scheduling/pooling/_pools.py
@@ -21,21 +21,21 @@
     StepWork,
     backlogs,
 )
-from wigeonreach.scheduling._demand import ServiceDemand
 from wigeonreach.scheduling._incarnation import Incarnation
 from wigeonreach.scheduling._moving_out import is_empty
 from wigeonreach.scheduling._near import NearRooms
-from wigeonreach.scheduling._pool_vms import Move, PoolVms
-from wigeonreach.scheduling._pool_wants import (
+from wigeonreach.scheduling._ready import AcceptedWork
+from wigeonreach.scheduling._settings import SchedulingSettings
+from wigeonreach.scheduling._vms import VmRecord
+from wigeonreach.scheduling._workers import Workers
+from wigeonreach.scheduling.pooling._demand import ServiceDemand
+from wigeonreach.scheduling.pooling._pool_vms import Move, PoolVms
+from wigeonreach.scheduling.pooling._pool_wants import (
     PoolSize,
     ServingNeed,
     Wanted,
     wanted_by,
 )
-from wigeonreach.scheduling._ready import AcceptedWork
-from wigeonreach.scheduling._settings import SchedulingSettings
-from wigeonreach.scheduling._vms import VmRecord
-from wigeonreach.scheduling._workers import Workers
 
 # What arrives before a VM that is ordered now works.
 _LOOKAHEAD_S = 1.5
--- a/src/wigeonreach/scheduling/sharing/_cap_watch.py
+++ b/src/wigeonreach/scheduling/sharing/_cap_watch.py
@@ -9,7 +9,7 @@
 from wigeonreach.observe import LogEvent
 from wigeonreach.scheduling._backlog import StepWork
 from wigeonreach.scheduling._notes import Note
-from wigeonreach.scheduling._pool_wants import FINISH_S
+from wigeonreach.scheduling.pooling import FINISH_S
 from wigeonreach.scheduling.sharing._cap_plan import CapPlan
 from wigeonreach.scheduling.sharing._capped_work import within_caps
 from wigeonreach.scheduling.sharing._stray_runs import StrayRuns
--- a/tests/lab/test_day.py
+++ b/tests/lab/test_day.py
@@ -19,7 +19,8 @@
     Outcome,
     applied,
 )
-from wigeonreach.scheduling import _incarnation, _pools, _room_left, _workers
+from wigeonreach.scheduling import _incarnation, _room_left, _workers
+from wigeonreach.scheduling.pooling import _pools
 
 _FLEET = FleetPlan(
     pool_vms=2, standby_vms=3, rack_vms=2, millicores=16_000, memory_mb=32_768
--- /dev/null
+++ b/tests/scheduling/pooling/__init__.py
@@ -0,0 +1,1 @@
+"""Test the pools of VMs."""
--- a/tests/scheduling/test_demand.py
+++ b/tests/scheduling/pooling/test_demand.py
@@ -9,7 +9,7 @@
 import testtools
 from testtools import matchers
 
-from wigeonreach.scheduling._demand import ServiceDemand
+from wigeonreach.scheduling.pooling._demand import ServiceDemand
 
 _SMALL_S = 2.0
 _LARGE_S = 100.0
--- a/tests/scheduling/test_pool_places.py
+++ b/tests/scheduling/pooling/test_pool_places.py
@@ -30,8 +30,8 @@
 )
 from wigeonreach.lab import commit
 from wigeonreach.scheduling import SchedulingSettings
-from wigeonreach.scheduling._pool_vms import Move
 from wigeonreach.scheduling._vms import VmPhase, VmRecord
+from wigeonreach.scheduling.pooling._pool_vms import Move
 
 _STANDBY = 'standby'
 _FAR_FACTOR = 3.0
--- /dev/null
+++ b/tests/scheduling/sharing/__init__.py
@@ -0,0 +1,1 @@
+"""Test how workers are shared between workspaces."""
--- a/tests/scheduling/test_near.py
+++ b/tests/scheduling/test_near.py
@@ -21,7 +21,7 @@
 from wigeonreach.jobs import AddJob, JobSpec, RunEnd
 from wigeonreach.lab import commit
 from wigeonreach.scheduling import SchedulingSettings
-from wigeonreach.scheduling._pool_vms import Move
+from wigeonreach.scheduling.pooling import Move
 from wigeonreach.scheduling._vms import VmPhase, VmRecord
 from wigeonreach.standins import StandInWorker
 
