Stop nothing for a serving task that may not start yet

With a full pool, a step none of whose tasks may start was told that it found no room, since a full pool is looked at once a plan; for a serving one, batch work was stopped then. It waits for its losses to be explained and needs no room meanwhile. The new test fails on the code before.

--- a/src/wigeonreach/scheduling/_placing.py
+++ b/src/wigeonreach/scheduling/_placing.py
@@ -155,23 +155,18 @@
         step: ReadyStep,
         rooms: Sequence[WorkerRoom],
     ) -> bool:
-        is_placed = True
-        waiting = [
-            index
-            for index in step.waiting
-            if not self._must_wait(step, _key(step, index))
-        ]
-        allowed = self._caps.most(step.job, step.spec, len(waiting))
+        waiting = self._startable(step)
         ranking = self._ranking(step, rooms)
         if ranking is None:
-            self._near.note_waiting(step, allowed)
-            return False
-        for placed, index in enumerate(waiting[:allowed]):
+            self._near.note_waiting(step, len(waiting))
+            return not waiting
+        is_placed = True
+        for placed, index in enumerate(waiting):
             key = _key(step, index)
             apart = self._kept_apart(step, key)
             room = ranking.best(key, apart)
             if room is None and apart is Apart.FROM_NOTHING:
-                self._near.note_waiting(step, allowed - placed)
+                self._near.note_waiting(step, len(waiting) - placed)
                 return False
             if room is None or _waits_for_another(step, key, room, rooms):
                 is_placed = False
@@ -179,6 +174,16 @@
             self._start(step, key, room, _next_run(step, index))
         return is_placed
 
+    def _startable(self, step: ReadyStep) -> list[int]:
+        """Return the tasks of a step that may start if there is room."""
+        waiting = [
+            index
+            for index in step.waiting
+            if not self._must_wait(step, _key(step, index))
+        ]
+        allowed = self._caps.most(step.job, step.spec, len(waiting))
+        return waiting[:allowed]
+
     def _ranking(
         self,
         step: ReadyStep,
--- a/tests/scheduling/test_choosing.py
+++ b/tests/scheduling/test_choosing.py
@@ -10,6 +10,7 @@
 
 from tests.builders_jobs import (
     OTHER_JOB,
+    QUEUE,
     FakeLead,
     job,
     key,
@@ -18,13 +19,15 @@
     store_with,
     workers,
 )
-from wigeonreach.jobs import JobStore, StepSpec
+from wigeonreach.jobs import AddJob, JobStore, StepSpec
+from wigeonreach.lab import commit
 from wigeonreach.scheduling._choosing import Ranking, best_room
 from wigeonreach.scheduling._incarnation import Incarnation, room_of
 from wigeonreach.scheduling._placing import Plan
 from wigeonreach.scheduling._progress import ProgressWatch
 from wigeonreach.scheduling._ready import ReadyStep, ReadySteps
 from wigeonreach.scheduling._room_left import WorkerRoom, room_left
+from wigeonreach.scheduling._suspects import Suspects
 from wigeonreach.standins import StandInWorker
 
 _DRAWS = 200
@@ -143,6 +146,20 @@
 class TestFullPools(testtools.TestCase):
     """Many steps that find no room in one plan."""
 
+    def test_serving_task_that_may_not_start_makes_no_room(self) -> None:
+        """Nothing is stopped for one that waits until its losses are explained."""
+        batch = job(step(16, estimate_ms=60_000))
+        lead = FakeLead(store_with(batch), workers(1))
+        lead.round()
+        commit(
+            lead.store, AddJob(job(serving_step(1), job_id=OTHER_JOB), QUEUE)
+        )
+        with mock.patch.object(Suspects, 'must_wait', lambda *_: True):
+            lead.round()
+        self.assertThat(lead.scheduler.stopping, matchers.Equals(set()))
+        lead.round()
+        self.assertThat(lead.scheduler.stopping, matchers.HasLength(1))
+
     def test_step_that_is_not_tried_would_find_no_room(self) -> None:
         """The same starts as with a look at all workers for each step."""
         for seed in range(_DRAWS):
