Tell of a manifest before it is acknowledged

The leader now tells all processes of the new version before it acknowledges it, on the same channels; an entry repeats refusals only under the version that the leader told last.

--- a/src/wigeonreach/core/_daemon.py
+++ b/src/wigeonreach/core/_daemon.py
@@ -25,7 +25,12 @@
 from wigeonreach.observe import LogEvent, Logger, Metrics
 from wigeonreach.scheduling._vms import VmApi
 from wigeonreach.wire import parse_address
-from wigeonreach.wire._call_messages import READS, AnyCall, CoreNotice
+from wigeonreach.wire._call_messages import (
+    READS,
+    AnyCall,
+    CoreNotice,
+    PutManifest,
+)
 from wigeonreach.wire._call_replies import (
     AnyReply,
     NotDone,
@@ -206,7 +211,7 @@
     async def _answer(self, call: AnyCall) -> AnyReply:
         assert self._handler is not None
         try:
-            return await self._handler.answer(call)
+            reply = await self._handler.answer(call)
         except StateError as error:
             self._metrics.count('calls_failed', 'no-quorum')
             self._log.warning(
@@ -216,6 +221,11 @@
             )
             # A call that only reads had no effect that anybody could miss.
             return _NO_LEADER if isinstance(call, READS) else Unknown()
+        if isinstance(call, PutManifest):
+            # Before the acknowledgement: an entry repeats no refusal that was
+            # given under an older manifest.
+            self._server.tell()
+        return reply
 
     def _with_next_core(self, reply: AnyReply) -> AnyReply:
         """Tell a worker who leads, which saves its next heartbeat a hop."""
