Give VMs to work in time while there are fewer than all work needs

Cause: pools were filled by their whole backlog, late or not, so after the flood of one queue its late work kept the VMs and every later turn was late.

Change: triage over all queues, by claimants and their weights; max-min shares of the VMs for work in time, with a tenth for late work; VMs with nothing but late batch work are emptied, by stops where these throw away less than work in time gains. pooling/_pools.py is split in filling, reservations and sizes.

--- a/src/wigeonreach/cli/_core_command.py
+++ b/src/wigeonreach/cli/_core_command.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 import pathlib
 from typing import Annotated
 
@@ -16,6 +17,13 @@
 from wigeonreach.wire import parse_address
 
 
+class Switch(enum.StrEnum):
+    """Whether a mechanism is in use."""
+
+    ON = 'on'
+    OFF = 'off'
+
+
 def core(
     zone: options.Zone,
     listen: options.Listen,
@@ -50,6 +58,13 @@
             help='Disks that may be lost at once; needs 2 * LOSSES + 1 voters.',
         ),
     ] = 1,
+    shortage: Annotated[
+        Switch,
+        typer.Option(
+            envvar='WIGEONREACH_SHORTAGE',
+            help='Whether late jobs make way while VMs are short.',
+        ),
+    ] = Switch.ON,
     log_format: options.Format = LogFormat.JSON,
     log_level: options.Level = LogLevel.INFO,
 ) -> None:
@@ -67,7 +82,10 @@
             tolerated_losses=losses,
             api_port=0,
             order_pause_s=0,
-            scheduling=SchedulingSettings(move_s=0),
+            scheduling=SchedulingSettings(
+                move_s=0,
+                shares_shortage=shortage is Switch.ON,
+            ),
             advertised=advertised,
         )
         start_daemon(
--- a/src/wigeonreach/lab/__init__.py
+++ b/src/wigeonreach/lab/__init__.py
@@ -11,7 +11,7 @@
     check_workers,
 )
 from wigeonreach.lab._day import Day, DayPlan
-from wigeonreach.lab._demand import DemandPlan, KindShares
+from wigeonreach.lab._demand import DemandPlan, Flood, KindShares
 from wigeonreach.lab._virtual_leader import VirtualLead, commit
 from wigeonreach.lab._fleet import FleetPlan
 from wigeonreach.lab._outcome import Outcome
@@ -24,6 +24,7 @@
     'DayPlan',
     'DemandPlan',
     'FleetPlan',
+    'Flood',
     'KindShares',
     'Outcome',
     'Variant',
--- a/src/wigeonreach/lab/_day.py
+++ b/src/wigeonreach/lab/_day.py
@@ -55,12 +55,15 @@
         Rate at which workers crash, become unreachable or slow down.
     leader_changes
         Number of leader changes, evenly spaced.
+    scheduling
+        Settings of the scheduler; None for those that the fleet implies.
     """
 
     demand: DemandPlan = DemandPlan()
     fleet: FleetPlan = FleetPlan()
     faults_per_s: float = 0.0
     leader_changes: int = 0
+    scheduling: SchedulingSettings | None = None
 
 
 class Day:
@@ -166,7 +169,9 @@
 
     def _new_leader(self, term: int = 1) -> VirtualLead:
         fleet = self._plan.fleet
-        settings = SchedulingSettings(fleet.move_s, fleet.far_factor)
+        settings = self._plan.scheduling or SchedulingSettings(
+            fleet.move_s, fleet.far_factor
+        )
         return VirtualLead(self.store, term, self._now_s, settings)
 
     def _send_heartbeats(self) -> None:
--- a/src/wigeonreach/lab/_demand.py
+++ b/src/wigeonreach/lab/_demand.py
@@ -40,6 +40,24 @@
     timed: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Flood:
+    """A queue that asks for a multiple of its usual for some time.
+
+    Attributes
+    ----------
+    service
+        Number of the queue's service.
+    factor
+        Multiple of the usual arrival rate.
+    """
+
+    service: int
+    begin_s: float
+    end_s: float
+    factor: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class DemandPlan:
     """Parameters of the load of one day.
@@ -61,6 +79,8 @@
         estimate.
     serving_tasks
         Number of serving tasks of each service.
+    floods
+        Queues that ask for more than their usual.
     """
 
     services: int = 4
@@ -73,6 +93,7 @@
     estimate_error: float = 0.5
     serving_tasks: int = 5
     kinds: KindShares = KindShares()
+    floods: tuple[Flood, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -179,7 +200,8 @@
     def _batch(self, service: int) -> Iterator[Arrival]:
         at_s = 0.0
         while True:
-            at_s += self._rng.expovariate(self._plan.jobs_per_s)
+            rate = self._plan.jobs_per_s * self._flood_factor(service, at_s)
+            at_s += self._rng.expovariate(rate)
             if at_s > self._plan.length_s:
                 return
             peaking = int(at_s / self._plan.peak_s) % self._plan.services
@@ -187,6 +209,14 @@
             if is_peak or self._rng.random() < _OFF_PEAK_RATIO:
                 yield self._job(at_s, service)
 
+    def _flood_factor(self, service: int, at_s: float) -> float:
+        factors = (
+            flood.factor
+            for flood in self._plan.floods
+            if flood.service == service and flood.begin_s <= at_s < flood.end_s
+        )
+        return max(factors, default=1.0)
+
     def _job(self, at_s: float, service: int) -> Arrival:
         kinds = self._draw_kinds()
         steps = [
--- a/src/wigeonreach/platform/_core_settings.py
+++ b/src/wigeonreach/platform/_core_settings.py
@@ -2,16 +2,19 @@
 
 from __future__ import annotations
 
+import os
 import pathlib
 
 from wigeonreach.codes import ResultCode
 from wigeonreach.core import CoreSettings
 from wigeonreach.exceptions import SettingError
-from wigeonreach.platform._settings import PlatformFile
+from wigeonreach.platform._settings import SHORTAGE_VARIABLE, PlatformFile
 from wigeonreach.scheduling import SchedulingSettings
 from wigeonreach.wire import Address, parse_address
 
 _MS_PER_S = 1000
+_ON = 'on'
+_OFF = 'off'
 
 
 def core_settings(file: PlatformFile) -> CoreSettings:
@@ -20,7 +23,8 @@
     Raises
     ------
     SettingError
-        If the file does not set a data directory.
+        If the file does not set a data directory, or a variable of the
+        environment that switches a mechanism is neither on nor off.
     """
     if not file.data_dir:
         raise SettingError(
@@ -43,5 +47,17 @@
             maintenance_s=file.bounds.maintenance_s,
             stop_s=file.bounds.kill_grace_ms / _MS_PER_S,
             unavailable_after_s=file.bounds.notice_ms / _MS_PER_S,
+            shares_shortage=_switch(SHORTAGE_VARIABLE),
         ),
     )
+
+
+def _switch(variable: str) -> bool:
+    """Return whether a mechanism is on: unless its variable says ``off``."""
+    text = os.environ.get(variable, _ON)
+    if text not in {_ON, _OFF}:
+        raise SettingError(
+            ResultCode.SETTING_INVALID,
+            f'{variable}={text}: allowed: {_ON}, {_OFF}',
+        )
+    return text == _ON
--- a/src/wigeonreach/scheduling/_ready.py
+++ b/src/wigeonreach/scheduling/_ready.py
@@ -26,7 +26,7 @@
     task_estimate_s,
     unfinished_tasks,
 )
-from wigeonreach.scheduling._triage import (
+from wigeonreach.scheduling.shortage._triage import (
     OccurrenceId,
     PendingOccurrence,
     deferred_occurrences,
@@ -44,7 +44,7 @@
 # When each step became ready, by occurrence and step number.
 _ReadySince = dict[tuple[int, int], float]
 _PendingOccurrences = tuple[PendingOccurrence, ...]
-_NO_CAPS: Mapping[str, float] = MappingProxyType({})
+_NO_LIMITS: Mapping[str, float] = MappingProxyType({})
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -112,16 +112,13 @@
         self._reported_deferrals: set[OccurrenceId] = set()
         self.notes: list[LogNote] = []
 
-    def remaining_work(self, now_s: float) -> dict[str, list[StepWork]]:
-        """Return each service's work that may begin within the lookahead."""
-        return {
-            service: [
-                step
-                for pending in self._startable_by(service, now_s + _LOOKAHEAD_S)
-                for step in pending.steps
-            ]
+    def pending_work(self, now_s: float) -> list[PendingOccurrence]:
+        """Return the work of all queues that may begin within the lookahead."""
+        return [
+            pending
             for service in self._pending
-        }
+            for pending in self._startable_by(service, now_s + _LOOKAHEAD_S)
+        ]
 
     def serving_workers(self) -> dict[str, int]:
         """Return how many workers the serving tasks of each service need."""
@@ -216,8 +213,9 @@
             for occurrence, _ in enumerate(job.occurrences)
         ]
         since_s = self._ready_since_s.setdefault(job_id, {})
+        service = store.service_of(job)
         unfinished = [
-            _pending_occurrence(job, occurrence, begin_s)
+            _pending_occurrence(job, service, occurrence, begin_s)
             for occurrence, begin_s in enumerate(begins_s)
         ]
         steps = tuple(
@@ -227,7 +225,6 @@
         )
         if steps:
             self._by_job[job_id] = steps
-        service = store.service_of(job)
         if job.spec.is_serving:
             self._serving[job_id] = (service, _serving_workers_needed(job))
             return
@@ -240,7 +237,8 @@
         now_s: float,
         wall_ms: float,
         processors: Mapping[str, float],
-        caps: Mapping[str, float] = _NO_CAPS,
+        caps: Mapping[str, float] = _NO_LIMITS,
+        weights: Mapping[str, float] = _NO_LIMITS,
     ) -> list[ReadyStep]:
         """Return the steps that are due, highest priority first.
 
@@ -254,8 +252,10 @@
             Processors that each service has now.
         caps
             Processors that each workspace with a cap may use.
+        weights
+            Weights of the workspaces that share a full pool by them.
         """
-        deferred = self._deferred(now_s, processors, caps)
+        deferred = self._deferred(now_s, processors, caps, weights)
         due = [
             step
             for steps in self._by_job.values()
@@ -270,6 +270,7 @@
         now_s: float,
         processors: Mapping[str, float],
         caps: Mapping[str, float],
+        weights: Mapping[str, float],
     ) -> set[OccurrenceId]:
         """Return the deferred occurrences, and note those deferred newly."""
         deferred = self._deferred_by_caps(now_s, caps)
@@ -283,7 +284,9 @@
                 for occurrence in startable
                 if occurrence.occurrence_id not in deferred
             ]
-            pool_deferred = deferred_occurrences(competing, available, now_s)
+            pool_deferred = deferred_occurrences(
+                competing, available, now_s, weights
+            )
             for pending in startable:
                 if (
                     pending.occurrence_id
@@ -361,6 +364,7 @@
 
 def _pending_occurrence(
     job: JobRecord,
+    service: str,
     occurrence: int,
     begin_s: float,
 ) -> PendingOccurrence:
@@ -378,6 +382,7 @@
         begin_s=begin_s,
         steps=steps,
         workspace=job.workspace,
+        service=service,
     )
 
 
--- a/src/wigeonreach/scheduling/_scheduler.py
+++ b/src/wigeonreach/scheduling/_scheduler.py
@@ -35,8 +35,13 @@
 from wigeonreach.scheduling._settings import SchedulingSettings
 from wigeonreach.scheduling._stops import RunStops
 from wigeonreach.scheduling._workers import Workers
-from wigeonreach.scheduling.pooling import Move, PoolPlanner
+from wigeonreach.scheduling.pooling import (
+    Move,
+    PoolPlanner,
+    ServingNeed,
+)
 from wigeonreach.scheduling.sharing import CapTracker
+from wigeonreach.scheduling.shortage import Shortage
 from wigeonreach.wire._worker_messages import WorkerReport
 
 _DEFAULTS = SchedulingSettings()
@@ -117,6 +122,7 @@
         )
         self.ready = ReadySteps()
         self.cap_tracker = CapTracker(store)
+        self.shortage = Shortage(store, settings.shares_shortage)
         self._lost_runs = LostRuns(store, self.workers, self.progress, now_s)
         self.crashes = self._lost_runs.crashes
         self._available = AvailableWorkers(
@@ -285,6 +291,7 @@
             wall_ms,
             self.workers.processors(now_s),
             self.cap_tracker.processors(),
+            self.shortage.weights(),
         )
         self.notes.extend(self.ready.notes)
         self.ready.notes.clear()
@@ -304,14 +311,21 @@
         held
             VMs that may not be ordered yet.
         """
-        taken = self.maintenance.cordoned.union(held)
-        return self.pools.plan_moves(
-            self.cap_tracker.limit_work(self.ready.remaining_work(now_s)),
-            self.ready.serving_workers(),
-            self._unplaced_vms,
-            taken,
+        work = self.shortage.split(
+            self.ready.pending_work(now_s),
+            self.pools.capacity(now_s),
+            now_s,
+        )
+        plan = self.pools.plan_moves(
+            self.cap_tracker.limit_work(work),
+            ServingNeed(self.ready.serving_workers(), self._unplaced_vms),
+            self.maintenance.cordoned.union(held),
             now_s,
         )
+        self.stopping.update(plan.stops)
+        self.shortage.note_figures(plan.figures, now_s)
+        self.notes.extend(self.shortage.take_notes())
+        return plan.moves
 
     def _drop_ended_stops(self) -> None:
         if not self.stopping:
--- a/src/wigeonreach/scheduling/_settings.py
+++ b/src/wigeonreach/scheduling/_settings.py
@@ -23,6 +23,9 @@
     unavailable_after_s
         How long a serving task may be down before it counts as unavailable,
         unless an order ended it.
+    shares_shortage
+        Whether late work makes way for work that can be in time while there
+        are fewer VMs than all work needs.
     """
 
     move_s: float = 1.5
@@ -30,3 +33,4 @@
     maintenance_s: float = 2.0
     stop_s: float = 0.4
     unavailable_after_s: float = 4.5
+    shares_shortage: bool = True
--- a/src/wigeonreach/scheduling/pooling/_pool_vms.py
+++ b/src/wigeonreach/scheduling/pooling/_pool_vms.py
@@ -89,6 +89,16 @@
         """VMs in the standby pool."""
         return set(self._standby)
 
+    @property
+    def reachable_standby(self) -> set[str]:
+        """VMs in the standby pool whose zone sends heartbeats."""
+        return {vm for vm in self._standby if self.is_reachable(vm)}
+
+    @property
+    def all_incoming(self) -> set[str]:
+        """VMs that are moving to any pool but the standby pool."""
+        return set(self._incoming)
+
     def incoming(self, pool: str) -> list[str]:
         """Return the VMs that are moving to a pool."""
         return [vm for vm, (to, _) in self._incoming.items() if to == pool]
--- a/src/wigeonreach/scheduling/pooling/_pools.py
+++ b/src/wigeonreach/scheduling/pooling/_pools.py
@@ -13,15 +13,13 @@
 import dataclasses
 from collections.abc import Iterable, Mapping
 
-from wigeonreach.jobs import JobStore
+from wigeonreach.jobs import JobStore, Run
 from wigeonreach.scheduling._backlog import (
     ANY_LABEL,
     EMPTY_BACKLOG,
-    Backlog,
     StepWork,
     backlog_by_service,
 )
-from wigeonreach.scheduling._disruption_budget import is_empty
 from wigeonreach.scheduling._incarnation import Incarnation
 from wigeonreach.scheduling._locality import DataLocality
 from wigeonreach.scheduling._ready import AcceptedWork
@@ -29,13 +27,28 @@
 from wigeonreach.scheduling._vms import VmRecord
 from wigeonreach.scheduling._workers import Workers
 from wigeonreach.scheduling.pooling._demand import ServiceDemand
+from wigeonreach.scheduling.pooling._filling import PoolFilling
 from wigeonreach.scheduling.pooling._pool_needs import (
     PoolSize,
-    RequiredVms,
     ServingNeed,
     required_vms,
 )
 from wigeonreach.scheduling.pooling._pool_vms import Move, PoolVms
+from wigeonreach.scheduling.pooling._reservations import (
+    PoolState,
+    Reservations,
+    move_reason,
+)
+from wigeonreach.scheduling.pooling._short_pools import (
+    busy_vms,
+    pools_with_shares,
+)
+from wigeonreach.scheduling.shortage import (
+    EmptyingVm,
+    FleetCapacity,
+    FleetFigures,
+    FleetWork,
+)
 
 # Work that arrives within this time is counted in, as a VM ordered now starts
 # to work only after it.
@@ -44,51 +57,54 @@
 _IDLE_TIMEOUT_S = 1.5
 # How long a new leader keeps surplus VMs, as it knows too little of the demand.
 _SETTLE_S = 8.0
-# A VM that is not empty within this time stays in its pool.
-_EMPTYING_TIMEOUT_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _PendingMove:
-    """A move that waits for its VM to be empty.
+class PoolPlan:
+    """What is to be done for the pools now.
 
     Attributes
     ----------
-    to_pool
-        Name of the new pool.
-    since_s
-        When the move was planned.
-    reason
-        For operators.
+    moves
+        Moves to be ordered.
+    stops
+        Late batch runs to be stopped, on VMs that are to move.
+    figures
+        VMs that there are, and that the work needs.
     """
 
-    to_pool: str
-    since_s: float
-    reason: str
+    moves: list[Move]
+    stops: tuple[Run, ...]
+    figures: FleetFigures
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class PoolState:
-    """Current state of one pool.
+class _Sizing:
+    """What decides the size of the pools, besides accepted batch work.
 
     Attributes
     ----------
-    name
-        Name of the pool, which is that of its service.
+    serving
+        What the serving tasks need.
     incarnations
-        Workers that accept tasks.
-    required
-        VMs that its work needs.
+        Workers of each service that accept tasks.
+    arriving_vm_s
+        Work of each service that is about to arrive, in VM seconds.
     """
 
-    name: str
-    incarnations: tuple[Incarnation, ...]
-    required: RequiredVms
+    serving: ServingNeed
+    incarnations: Mapping[str, list[Incarnation]]
+    arriving_vm_s: Mapping[str, float]
 
-    @property
-    def vms(self) -> list[str]:
-        """VMs of the pool's workers."""
-        return [worker.report.vm for worker in self.incarnations]
+    def for_in_time(self, work: FleetWork) -> _Sizing:
+        """Return the same for work in time: of what arrives, its share."""
+        return dataclasses.replace(
+            self,
+            arriving_vm_s={
+                name: vm_s * work.in_time_share(name)
+                for name, vm_s in self.arriving_vm_s.items()
+            },
+        )
 
 
 class PoolPlanner:
@@ -118,17 +134,18 @@
         self._store = store
         self._workers = workers
         self._far_factor = settings.far_factor
+        self._move_s = settings.move_s
         self._settled_s = now_s + _SETTLE_S
         self._demand: dict[str, ServiceDemand] = collections.defaultdict(
             ServiceDemand,
         )
-        self._pending_moves: dict[str, _PendingMove] = {}
+        self._reservations = Reservations(store, workers, self.vms)
         self._surplus_since_s: dict[str, float] = {}
 
     @property
     def cordoned(self) -> set[str]:
         """VMs that get no new tasks."""
-        return set(self._pending_moves)
+        return self._reservations.reserved
 
     def data_locality(self, now_s: float) -> DataLocality:
         """Return the data locality rules for one plan."""
@@ -145,67 +162,107 @@
 
     def note_moved(self, move: Move, now_s: float) -> None:
         """Record that the platform is executing a move."""
-        self._pending_moves.pop(move.vm, None)
+        self._reservations.drop(move.vm)
         self.vms.note_moved(move, now_s)
 
     def note_failed(self, move: Move) -> None:
         """Record that a move was refused."""
-        self._pending_moves.pop(move.vm, None)
+        self._reservations.drop(move.vm)
         self.vms.note_failed(move)
 
+    def capacity(self, now_s: float) -> FleetCapacity:
+        """Return the processors of the fleet, now and after moves."""
+        per_vm = self.vms.vm_resources.processors
+        coming = self.vms.reachable_standby | self.vms.all_incoming
+        return FleetCapacity(
+            sum(self._workers.processors(now_s).values()),
+            len(coming) * per_vm,
+            self._move_s,
+        )
+
     def plan_moves(
         self,
-        work: Mapping[str, Iterable[StepWork]],
-        serving: Mapping[str, int],
-        unmet_vms: Mapping[str, Mapping[str, float]],
+        work: FleetWork,
+        serving: ServingNeed,
         excluded_vms: set[str],
         now_s: float,
-    ) -> list[Move]:
+    ) -> PoolPlan:
         """Return the moves to be ordered now.
 
         Parameters
         ----------
         work
-            Remaining work of the accepted jobs of each service.
+            Remaining work of the accepted jobs.
         serving
-            Number of workers for the serving tasks of each service.
-        unmet_vms
-            Number of VMs needed by serving tasks that fit on no worker, by
-            service and label.
+            What the serving tasks need.
         excluded_vms
             VMs that must not move, such as those in a maintenance wave.
         now_s
             Clock in seconds.
         """
         self.vms.refresh(now_s)
-        backlog = backlog_by_service(work, self.vms.vm_resources)
-        need = ServingNeed(serving, unmet_vms)
-        pools = self._pools(backlog, need, excluded_vms, now_s)
-        self._fill_pools(pools, excluded_vms, now_s)
+        incarnations = self._available_workers(excluded_vms, now_s)
+        sizing = _Sizing(serving, incarnations, self._arriving_vm_s(now_s))
+        pools = self._pools(work.steps, sizing)
+        fleet_vms = self._fleet_vms(pools, excluded_vms)
+        in_time = pools
+        if work.late:
+            in_time = self._pools(work.in_time_steps, sizing.for_in_time(work))
+        figures = FleetFigures(
+            fleet_vms,
+            _needed_vms(pools),
+            _needed_vms(in_time),
+            len(work.late),
+        )
+        filling = PoolFilling(self._reservations, self.vms, excluded_vms, now_s)
+        emptied: list[EmptyingVm] = []
+        if figures.is_short and work.late:
+            shares = pools_with_shares(pools, in_time, figures.vms)
+            busy = busy_vms(incarnations, self._store, work.late)
+            filling.fill(shares)
+            emptied = filling.fill_from_busy(shares, busy)
+        filling.fill(pools)
         self._release_idle(pools, now_s)
-        return self._moves_due(now_s)
+        return PoolPlan(
+            self._reservations.moves_due(now_s),
+            tuple(run for vm in emptied for run in vm.stops),
+            figures,
+        )
+
+    def _arriving_vm_s(self, now_s: float) -> dict[str, float]:
+        """Return the work of each service that is about to arrive."""
+        return {
+            name: demand.rate_at(now_s) * _LOOKAHEAD_S
+            for name, demand in self._demand.items()
+        }
+
+    def _fleet_vms(
+        self, pools: Mapping[str, PoolState], excluded_vms: set[str]
+    ) -> int:
+        """Return how many VMs the pools have, with those that can join."""
+        standby = self.vms.reachable_standby.difference(
+            excluded_vms, self._reservations.reserved
+        )
+        return len(standby) + sum(map(self._reservations.count, pools.values()))
 
     def _pools(
         self,
-        backlog: Mapping[str, Backlog],
-        serving: ServingNeed,
-        excluded_vms: set[str],
-        now_s: float,
+        steps: Mapping[str, Iterable[StepWork]],
+        sizing: _Sizing,
     ) -> dict[str, PoolState]:
-        incarnations = self._available_workers(excluded_vms, now_s)
+        backlog = backlog_by_service(steps, self.vms.vm_resources)
         pools: dict[str, PoolState] = {}
         for service in self._store.manifest.services:
             if service.is_standby:
                 continue
             name = service.name
-            workers = tuple(incarnations[name])
+            workers = tuple(sizing.incarnations[name])
             vms = [incarnation.report.vm for incarnation in workers]
-            arriving_vm_s = self._demand[name].rate_at(now_s) * _LOOKAHEAD_S
             required = required_vms(
                 name,
                 backlog.get(name, EMPTY_BACKLOG),
-                arriving_vm_s,
-                serving,
+                sizing.arriving_vm_s.get(name, 0),
+                sizing.serving,
                 PoolSize(len(vms), self.vms.count_labels(vms)),
                 self._far_factor > 1,
             )
@@ -221,114 +278,14 @@
         by_service: dict[str, list[Incarnation]] = collections.defaultdict(list)
         for incarnation in self._workers.incarnations.values():
             vm = incarnation.report.vm
-            is_free = vm not in excluded_vms and vm not in self._pending_moves
+            is_free = (
+                vm not in excluded_vms
+                and not self._reservations.is_reserved(vm)
+            )
             if is_free and incarnation.accepts_work(now_s):
                 by_service[incarnation.report.service].append(incarnation)
         return by_service
 
-    def _fill_pools(
-        self,
-        pools: Mapping[str, PoolState],
-        excluded_vms: set[str],
-        now_s: float,
-    ) -> None:
-        """Reserve VMs for the pools, largest shortage first."""
-        by_shortage = sorted(
-            pools.values(),
-            key=lambda pool: self._vm_count(pool) - pool.required.total,
-        )
-        for pool in by_shortage:
-            # VMs with labels go first, as they also count toward the total.
-            for label in pool.required.by_label:
-                self._reserve_vms(pool, pools, excluded_vms, label, now_s)
-            self._reserve_vms(pool, pools, excluded_vms, ANY_LABEL, now_s)
-
-    def _reserve_vms(
-        self,
-        pool: PoolState,
-        pools: Mapping[str, PoolState],
-        excluded_vms: set[str],
-        label: str,
-        now_s: float,
-    ) -> None:
-        """Reserve VMs with a label that a pool lacks, if any can be spared."""
-        for _ in range(self._missing(pool, label)):
-            vm = self._donor(pool, pools, excluded_vms, label)
-            if vm is None:
-                return
-            reason = _move_reason(pool, self._vm_count(pool), label)
-            self._pending_moves[vm] = _PendingMove(pool.name, now_s, reason)
-
-    def _missing(self, pool: PoolState, label: str) -> int:
-        """Return how many VMs with a label, or in total, a pool lacks."""
-        if not label:
-            return max(pool.required.total - self._vm_count(pool), 0)
-        has = self.vms.count_labels(self._vms_of(pool))
-        return max(pool.required.by_label[label] - has[label], 0)
-
-    def _vms_of(self, pool: PoolState) -> list[str]:
-        """Return the VMs of a pool, including those reserved for it."""
-        reserved = [
-            vm
-            for vm, move in self._pending_moves.items()
-            if move.to_pool == pool.name
-        ]
-        # VMs reserved for other pools since the count no longer belong to it.
-        staying = [vm for vm in pool.vms if vm not in self._pending_moves]
-        return [*staying, *self.vms.incoming(pool.name), *reserved]
-
-    def _vm_count(self, pool: PoolState) -> int:
-        return len(self._vms_of(pool))
-
-    def _donor(
-        self,
-        receiver: PoolState,
-        pools: Mapping[str, PoolState],
-        excluded_vms: set[str],
-        label: str,
-    ) -> str | None:
-        """Return a VM with a label that can be spared for a pool, or None."""
-        spare = [
-            vm
-            for pool in pools.values()
-            if pool.name != receiver.name
-            and self._vm_count(pool) > pool.required.total
-            for vm in self._idle_vms(pool)
-        ]
-        standby = self.vms.standby - excluded_vms - self._pending_moves.keys()
-        return self._best_match(spare, receiver, label) or self._best_match(
-            standby, receiver, label
-        )
-
-    def _best_match(
-        self,
-        vms: Iterable[str],
-        pool: PoolState,
-        label: str,
-    ) -> str | None:
-        """Return the VM with a label that has most of the required labels.
-
-        A VM in a zone without heartbeats comes last: the zone may be cut off,
-        and the VM of no use.
-        """
-        fitting = [
-            vm for vm in vms if not label or label in self.vms.labels(vm)
-        ]
-        fitting.sort(
-            key=lambda vm: (
-                not self.vms.is_reachable(vm),
-                -self._matching_labels(vm, pool),
-                vm,
-            ),
-        )
-        return next(iter(fitting), None)
-
-    def _matching_labels(self, vm: str, pool: PoolState) -> int:
-        """Return how many of the labels required by a pool a VM has."""
-        return sum(
-            label in pool.required.by_label for label in self.vms.labels(vm)
-        )
-
     def _release_idle(
         self,
         pools: Mapping[str, PoolState],
@@ -339,68 +296,18 @@
         if not standby_pool or now_s < self._settled_s:
             return
         for pool in pools.values():
-            surplus = self._vm_count(pool) - pool.required.total
+            count = self._reservations.count(pool)
+            surplus = count - pool.required.total
             if surplus <= 0:
                 self._surplus_since_s.pop(pool.name, None)
                 continue
             since_s = self._surplus_since_s.setdefault(pool.name, now_s)
             if now_s - since_s >= _IDLE_TIMEOUT_S:
-                reason = _move_reason(pool, self._vm_count(pool), ANY_LABEL)
-                pending = _PendingMove(standby_pool, now_s, reason)
-                idle = sorted(self._idle_vms(pool))[:surplus]
-                self._pending_moves.update(dict.fromkeys(idle, pending))
-
-    def _moves_due(self, now_s: float) -> list[Move]:
-        moves: list[Move] = []
-        for vm, pending in list(self._pending_moves.items()):
-            incarnation = self._workers.of_vm(vm)
-            if incarnation is None or is_empty(incarnation, self._store):
-                moves.append(self._move_of(vm, pending, incarnation))
-            elif now_s - pending.since_s > _EMPTYING_TIMEOUT_S:
-                self._pending_moves.pop(vm)
-        return moves
-
-    def _move_of(
-        self,
-        vm: str,
-        pending: _PendingMove,
-        incarnation: Incarnation | None,
-    ) -> Move:
-        move = Move(
-            vm,
-            self.vms.standby_pool,
-            pending.to_pool,
-            pending.reason,
-        )
-        if incarnation is None:
-            return move
-        report = incarnation.report
-        return dataclasses.replace(
-            move,
-            from_pool=report.service,
-            worker=report.worker,
-        )
+                reason = move_reason(pool, count, ANY_LABEL)
+                idle = sorted(self._reservations.idle_vms(pool))[:surplus]
+                for vm in idle:
+                    self._reservations.add(vm, standby_pool, now_s, reason)
 
-    def _idle_vms(self, pool: PoolState) -> list[str]:
-        """Return the empty VMs of a pool that it does not need."""
-        spare = self.vms.count_labels(self._vms_of(pool))
-        spare.subtract(pool.required.by_label)
-        idle: list[str] = []
-        for incarnation in pool.incarnations:
-            vm = incarnation.report.vm
-            needed = [
-                label
-                for label in self.vms.labels(vm)
-                if label in pool.required.by_label and spare[label] <= 0
-            ]
-            is_idle = vm and vm not in self._pending_moves and not needed
-            if is_idle and is_empty(incarnation, self._store):
-                idle.append(vm)
-                spare.subtract(self.vms.labels(vm))
-        return idle
-
-
-def _move_reason(pool: PoolState, have: int, label: str) -> str:
-    # Both numbers are totals of the pool, also if a label is what it lacks.
-    with_label = f' with {label}' if label else ''
-    return f'{pool.name} needs {pool.required.total}{with_label}, has {have}'
+
+def _needed_vms(pools: Mapping[str, PoolState]) -> int:
+    return sum(pool.required.total for pool in pools.values())
--- a/src/wigeonreach/scheduling/sharing/_cap_watch.py
+++ b/src/wigeonreach/scheduling/sharing/_cap_watch.py
@@ -2,17 +2,17 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+import dataclasses
 
 from wigeonreach.jobs import JobStore
 from wigeonreach.jobs._model import MILLICORES
 from wigeonreach.observe import LogEvent
-from wigeonreach.scheduling._backlog import StepWork
 from wigeonreach.scheduling._notes import LogNote
 from wigeonreach.scheduling.pooling import WORK_HORIZON_S
 from wigeonreach.scheduling.sharing._cap_plan import CapPlan
 from wigeonreach.scheduling.sharing._capped_work import within_caps
 from wigeonreach.scheduling.sharing._untracked_runs import UntrackedRuns
+from wigeonreach.scheduling.shortage import FleetWork
 
 
 class CapTracker:
@@ -43,12 +43,15 @@
             if spec.cap.millicores
         }
 
-    def limit_work(
-        self,
-        work: Mapping[str, Iterable[StepWork]],
-    ) -> dict[str, list[StepWork]]:
+    def limit_work(self, work: FleetWork) -> FleetWork:
         """Return the work of each service, reduced to what the caps allow."""
-        return within_caps(work, self._store, WORK_HORIZON_S)
+        return dataclasses.replace(
+            work,
+            steps=within_caps(work.steps, self._store, WORK_HORIZON_S),
+            in_time_steps=within_caps(
+                work.in_time_steps, self._store, WORK_HORIZON_S
+            ),
+        )
 
     def begin_plan(self) -> CapPlan:
         """Return the cap usage for a new plan."""
--- a/tests/scheduling/sharing/test_caps.py
+++ b/tests/scheduling/sharing/test_caps.py
@@ -24,6 +24,7 @@
 from wigeonreach.jobs._model import StepSpec
 from wigeonreach.lab import commit
 from wigeonreach.scheduling._incarnation import LEASE_EXPIRED_S
+from wigeonreach.scheduling.shortage import all_in_time
 from wigeonreach.standins import StandInWorker
 from wigeonreach.workspaces import NO_AMOUNTS, Amounts, fits_cap
 
@@ -227,12 +228,12 @@
             lead = FakeLead(store, workers(1))
             lead.round()
             work = lead.scheduler.cap_tracker.limit_work(
-                lead.scheduler.ready.remaining_work(lead.now_s),
+                all_in_time(lead.scheduler.ready.pending_work(lead.now_s)),
             )
             lead.scheduler.plan_moves(lead.now_s)
             vm_s = sum(
                 owed.vm_s(lead.scheduler.pools.vms.vm_resources)
-                for steps in work.values()
+                for steps in work.steps.values()
                 for owed in steps
             )
             self.assertThat(round(vm_s, 1), matchers.Equals(expected_vm_s))
--- /dev/null
+++ b/tests/scheduling/shortage/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what a fleet serves that is short of VMs."""
--- /dev/null
+++ b/tests/scheduling/shortage/test_emptying.py
@@ -0,0 +1,228 @@
+"""Test that late work gives its VMs to work that can still be in time.
+
+Two pools; the jobs of one have been late for long and fill its VMs, and there
+are no others.  Then jobs of the other come.
+"""
+
+from __future__ import annotations
+
+import testtools
+from testtools import matchers
+
+from tests.builders_jobs import (
+    QUEUE,
+    SERVICE,
+    FakeLead,
+    job,
+    queue,
+    step,
+    store_with,
+    workers,
+)
+from wigeonreach.jobs import (
+    AddJob,
+    JobSpec,
+    Manifest,
+    ServiceSpec,
+    SetManifest,
+)
+from wigeonreach.lab import commit
+from wigeonreach.scheduling import SchedulingSettings
+from wigeonreach.scheduling.pooling import Move
+from wigeonreach.scheduling.shortage import emptying_vm
+
+_OTHER = 'other'
+_VMS = 6
+_MS = 1000
+_NONE = matchers.HasLength(0)
+_NOW_S = 100.0
+# Acceptance of a job that has been too late for long at that time.
+_LONG_AGO_MS = 60_000
+
+
+def _large(number: int, tasks: int, **changes: object) -> JobSpec:
+    """Return a job whose tasks fill half a VM each for two seconds."""
+    fields: dict[str, object] = {
+        'cpu_millicores': 8000,
+        'estimate_ms': 2000,
+        **changes,
+    }
+    return job(step(tasks, **fields), job_id=f'{number:016x}')
+
+
+def _lead(*late: JobSpec, is_shared: bool = True) -> FakeLead:
+    """Return a leader whose only pool with VMs runs late jobs."""
+    store = store_with()
+    services = (ServiceSpec(SERVICE), ServiceSpec(_OTHER))
+    queues = (queue(), queue(_OTHER, service=_OTHER))
+    commit(store, SetManifest(Manifest(2, queues, services)))
+    settings = SchedulingSettings(shares_shortage=is_shared)
+    lead = FakeLead(store, workers(_VMS), now_s=_NOW_S, settings=settings)
+    lead.round()
+    for spec in late:
+        commit(store, AddJob(spec, QUEUE, _LONG_AGO_MS))
+    for _ in range(3):
+        lead.round()
+    _advance(lead, 10)
+    return lead
+
+
+def _advance(lead: FakeLead, percent: int) -> None:
+    """Set the progress of all runs, and report it."""
+    for worker in lead.workers.values():
+        worker.advance(percent)
+    lead.round()
+
+
+def _urgent(lead: FakeLead, number: int = 900) -> None:
+    commit(lead.store, AddJob(_large(number, 8), _OTHER, lead.now_s * _MS))
+    lead.round()
+
+
+def _play(lead: FakeLead, rounds: int = 20) -> list[Move]:
+    """Plan moves for some rounds and return them, as if all were refused."""
+    found: list[Move] = []
+    for _ in range(rounds):
+        lead.round()
+        found.extend(lead.scheduler.plan_moves(lead.now_s))
+    return found
+
+
+class TestLateWork(testtools.TestCase):
+    """A pool with nothing but late work, beside one that has no VM."""
+
+    def test_vms_move_to_work_in_time(self) -> None:
+        """The late runs there are stopped, and begin again elsewhere."""
+        lead = _lead(_large(1, 40))
+        _urgent(lead)
+        moves = _play(lead)
+        self.assertThat(
+            {move.to_pool for move in moves}, matchers.Equals({_OTHER})
+        )
+        names = {note.event.name for note in lead.scheduler.notes}
+        self.assertThat(names, matchers.Contains('SHORTAGE_BEGAN'))
+
+    def test_some_vms_stay(self) -> None:
+        """Late work keeps a tenth of what it asks for, and goes on."""
+        lead = _lead(_large(1, 40))
+        _urgent(lead)
+        moved = {move.vm for move in _play(lead)}
+        self.assertThat(len(moved), matchers.LessThan(_VMS))
+
+    def test_switched_off(self) -> None:
+        """Late work keeps its VMs, as without this mechanism."""
+        lead = _lead(_large(1, 40), is_shared=False)
+        _urgent(lead)
+        self.assertThat(_play(lead), _NONE)
+        self.assertThat(lead.scheduler.stopping, _NONE)
+
+    def test_jobs_in_time_keep_their_vms(self) -> None:
+        """Only late runs are stopped."""
+        lead = _lead()
+        commit(lead.store, AddJob(_large(1, 12), QUEUE, lead.now_s * _MS))
+        for _ in range(3):
+            lead.round()
+        _urgent(lead)
+        _play(lead, rounds=1)
+        self.assertThat(lead.scheduler.stopping, _NONE)
+
+    def test_serving_tasks_stay(self) -> None:
+        """They are no late work, whenever their job came."""
+        serving = {
+            'is_service': True,
+            'spread_limit': 1,
+            'max_unavailable': 1,
+            'cpu_millicores': 1000,
+        }
+        lead = _lead(_large(1, 40), _large(2, _VMS, **serving))
+        _urgent(lead)
+        self.assertThat(_play(lead), _NONE)
+
+
+class TestFailures(testtools.TestCase):
+    """One failure each while VMs are being emptied."""
+
+    def test_worker_is_lost(self) -> None:
+        """Another VM is emptied in its place."""
+        lead = _lead(_large(1, 40))
+        _urgent(lead)
+        lead.scheduler.plan_moves(lead.now_s)
+        vm = min(lead.scheduler.pools.cordoned)
+        lead.workers = {
+            name: worker
+            for name, worker in lead.workers.items()
+            if worker.vm != vm
+        }
+        moves = _play(lead, rounds=60)
+        self.assertThat(
+            len({move.vm for move in moves} - {vm}), matchers.GreaterThan(2)
+        )
+
+    def test_move_is_refused(self) -> None:
+        """The VM takes tasks again, and is tried again later."""
+        lead = _lead(_large(1, 40))
+        _urgent(lead)
+        refused = _play(lead)[0]
+        lead.scheduler.pools.note_failed(refused)
+        self.assertThat(
+            lead.scheduler.pools.cordoned,
+            matchers.Not(matchers.Contains(refused.vm)),
+        )
+
+    def test_stop_is_lost(self) -> None:
+        """The order is repeated until the run has gone, then the VM moves."""
+        lead = _lead(_large(1, 40))
+        _urgent(lead)
+        lead.scheduler.plan_moves(lead.now_s)
+        stopped = set(lead.scheduler.stopping)
+        self.assertThat(stopped, matchers.Not(_NONE))
+        for worker in lead.workers.values():
+            incarnation = lead.scheduler.workers.incarnations[worker.name]
+            # The answer with the stops does not arrive.
+            lead.scheduler.answers.orders(incarnation, lead.now_s)
+        self.assertThat(stopped <= lead.scheduler.stopping, matchers.Is(True))
+        self.assertThat(_play(lead), matchers.Not(_NONE))
+
+    def test_next_leader_decides_the_same(self) -> None:
+        """It finds the late jobs by when the store says they came."""
+        lead = _lead(_large(1, 40))
+        _urgent(lead)
+        successor = FakeLead(
+            lead.store, lead.workers.values(), lead.term + 1, lead.now_s
+        )
+        moves = _play(successor, rounds=30)
+        self.assertThat(
+            {move.to_pool for move in moves}, matchers.Equals({_OTHER})
+        )
+
+
+class TestEmptyingVm(testtools.TestCase):
+    """What emptying one VM takes."""
+
+    def _vm(self, percent: int, **changes: object) -> tuple[int, float]:
+        """Return how many runs are stopped, and what they had done."""
+        spec = _large(1, 2 * _VMS, **changes)
+        lead = _lead(spec)
+        _advance(lead, percent)
+        incarnation = next(iter(lead.scheduler.workers.incarnations.values()))
+        found = emptying_vm(incarnation, lead.store, {(spec.job_id, 0)})
+        assert found is not None
+        return len(found.stops), found.lost_s
+
+    def test_young_runs_are_stopped(self) -> None:
+        """Work in time gains more than stopping them throws away."""
+        self.assertThat(
+            self._vm(10, cpu_millicores=4000), matchers.Equals((4, 3.2))
+        )
+
+    def test_runs_about_to_end_are_left(self) -> None:
+        """They end sooner than what they did is done again."""
+        stops, _ = self._vm(90)
+        self.assertThat(stops, matchers.Equals(0))
+
+    def test_saved_progress_is_not_lost(self) -> None:
+        """Such runs go on elsewhere."""
+        self.assertThat(
+            self._vm(60, cpu_millicores=4000, saves_progress=True),
+            matchers.Equals((4, 0.0)),
+        )
--- a/tests/scheduling/test_triage.py
+++ b/tests/scheduling/shortage/test_triage.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import collections
+import dataclasses
 import random
 from unittest import mock
 
@@ -25,7 +27,7 @@
 from wigeonreach.lab import commit
 from wigeonreach.scheduling import _ready
 from wigeonreach.scheduling._objectives import objective_s
-from wigeonreach.scheduling._triage import (
+from wigeonreach.scheduling.shortage._triage import (
     PendingOccurrence,
     deferred_occurrences,
 )
@@ -84,6 +86,85 @@
         self.assertThat(self._deferred(late), matchers.Equals({'late'}))
 
 
+class TestClaimants(testtools.TestCase):
+    """Workspaces that share ten usable processors by their weights."""
+
+    def _deferred(
+        self, *jobs: PendingOccurrence, **weights: float
+    ) -> collections.Counter[str]:
+        by_id = {job.occurrence_id: job for job in jobs}
+        waiting = deferred_occurrences(jobs, 10 / 0.85, 0, weights)
+        return collections.Counter(by_id[name].workspace for name in waiting)
+
+    def _claim(
+        self, workspace: str, jobs: int, work_s: float = 4
+    ) -> list[PendingOccurrence]:
+        return [
+            PendingOccurrence(
+                f'{workspace}-{number}', work_s, 4, 0.5, workspace=workspace
+            )
+            for number in range(jobs)
+        ]
+
+    def test_flood_defers_only_its_own_jobs(self) -> None:
+        """Others stay within a third of the 40 processor seconds."""
+        deferred = self._deferred(
+            *self._claim('flood', 30),
+            *self._claim('club', 3),
+            *self._claim('school', 1, work_s=12),
+        )
+        self.assertThat(deferred, matchers.Equals({'flood': 26}))
+
+    def test_unused_share_goes_to_who_asks(self) -> None:
+        """Nothing is deferred while all fit, whatever their weights."""
+        deferred = self._deferred(
+            *self._claim('flood', 9), *self._claim('club', 1), club=8
+        )
+        self.assertThat(deferred, matchers.Equals({}))
+
+    def test_weights_count(self) -> None:
+        """Three quarters of the processors belong to the club."""
+        jobs = (*self._claim('club', 20), *self._claim('school', 20))
+        deferred = self._deferred(*jobs, club=3, school=1)
+        self.assertThat(deferred, matchers.Equals({'club': 12, 'school': 18}))
+        changed = self._deferred(*jobs, club=1, school=1)
+        self.assertThat(changed, matchers.Equals({'club': 15, 'school': 15}))
+
+    def test_two_floods_leave_the_others_alone(self) -> None:
+        """Both give way, none of the third."""
+        deferred = self._deferred(
+            *self._claim('flood', 30),
+            *self._claim('second', 20),
+            *self._claim('club', 3),
+        )
+        self.assertThat(sum(deferred.values()), matchers.Equals(43))
+        self.assertThat(deferred['club'], matchers.Equals(0))
+
+    def test_flood_by_all_defers_the_largest(self) -> None:
+        """As many jobs are in time as without any claimants."""
+        rng = random.Random(1)
+        jobs = [
+            PendingOccurrence(
+                f'{number}',
+                rng.expovariate(1 / 4),
+                rng.uniform(2, 6),
+                0.5,
+                workspace=f'club-{number % 5}',
+            )
+            for number in range(60)
+        ]
+        alone = [dataclasses.replace(job, workspace='') for job in jobs]
+        waiting = deferred_occurrences(jobs, 10, 0)
+        fewest = deferred_occurrences(alone, 10, 0)
+        self.assertThat(len(waiting) - len(fewest), matchers.LessThan(4))
+
+    def test_no_processors(self) -> None:
+        """All is deferred, and nothing fails."""
+        jobs = self._claim('club', 7, work_s=0.1)
+        waiting = deferred_occurrences(jobs, 0, 0)
+        self.assertThat(waiting, matchers.HasLength(7))
+
+
 class _Peak:
     """A load peak on one pool, simulated in virtual time."""
 
