Prefer one zone for the tasks of a batch job

Cause: workers were ranked by leftover processors and name only, so most jobs had tasks in all zones and the loss of one zone held up nearly each of them.

Change: a home zone for each occurrence, found again from the runs by a new leader; a zone whose heartbeats are overdue together is no home. Choosing and placing have a package of their own.

--- a/src/wigeonreach/cli/_core_command.py
+++ b/src/wigeonreach/cli/_core_command.py
@@ -65,6 +65,13 @@
             help='Whether late jobs make way while VMs are short.',
         ),
     ] = Switch.ON,
+    home_zones: Annotated[
+        Switch,
+        typer.Option(
+            envvar='WIGEONREACH_HOME_ZONES',
+            help='Whether the tasks of a batch job preferably share a zone.',
+        ),
+    ] = Switch.ON,
     log_format: options.Format = LogFormat.JSON,
     log_level: options.Level = LogLevel.INFO,
 ) -> None:
@@ -85,6 +92,7 @@
             scheduling=SchedulingSettings(
                 move_s=0,
                 shares_shortage=shortage is Switch.ON,
+                keeps_jobs_in_zones=home_zones is Switch.ON,
             ),
             advertised=advertised,
         )
--- a/src/wigeonreach/core/_advice_poller.py
+++ b/src/wigeonreach/core/_advice_poller.py
@@ -8,7 +8,7 @@
 from wigeonreach.core._clock import steady_s
 from wigeonreach.core._term import LeaderTerm
 from wigeonreach.observe import Metrics
-from wigeonreach.scheduling._advice import Advice, AdviceRequest
+from wigeonreach.scheduling.placing._advice import Advice, AdviceRequest
 
 _POLL_INTERVAL_S = 0.05
 # The advisor serves one call per process at a time; a second one waits in its
--- a/src/wigeonreach/core/_call_handler.py
+++ b/src/wigeonreach/core/_call_handler.py
@@ -162,13 +162,16 @@
     if rejection is not None:
         return rejection
     if result is CommandResult.DONE:
+        workspace = handler.store.jobs[job_id].workspace
         handler.metrics.count('jobs_accepted')
+        if workspace:
+            handler.metrics.count('workspace_jobs_accepted', workspace)
         handler.term.wake.set()
         handler.log.info(
             LogEvent.JOB_ACCEPTED,
             job=job_id,
             queue=queue.name,
-            workspace=handler.store.jobs[job_id].workspace,
+            workspace=workspace,
             version=handler.store.manifest.version,
             occurrences=call.spec.occurrences,
             steps=[_describe_step(step) for step in call.spec.steps],
--- a/src/wigeonreach/core/_null_platform.py
+++ b/src/wigeonreach/core/_null_platform.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from wigeonreach.scheduling._advice import Advice, AdviceRequest
+from wigeonreach.scheduling.placing._advice import Advice, AdviceRequest
 from wigeonreach.scheduling._vms import OrderResult, VmRecord
 
 
--- a/src/wigeonreach/core/_term.py
+++ b/src/wigeonreach/core/_term.py
@@ -201,6 +201,7 @@
         self._log.runs_reassigned(lost)
         self._log.beliefs_changed(self.scheduler.notes)
         self.scheduler.notes.clear()
+        self._log.pools_planned(self.scheduler.shortage.figures)
         await self._record_ends((*ends, *lost), crashes)
         for heartbeat in received:
             _mark_ends_recorded(heartbeat)
--- a/src/wigeonreach/core/_term_log.py
+++ b/src/wigeonreach/core/_term_log.py
@@ -19,6 +19,7 @@
 from wigeonreach.scheduling import HeartbeatResult
 from wigeonreach.scheduling._notes import LogNote
 from wigeonreach.scheduling._objectives import objective_s
+from wigeonreach.scheduling.shortage import FleetFigures
 from wigeonreach.wire._worker_messages import WorkerReport
 
 
@@ -124,6 +125,8 @@
         """Log and count changed beliefs."""
         for note in notes:
             self._metrics.count('beliefs', note.event.name.lower())
+            if note.event is LogEvent.JOB_PUT_BACK:
+                self._count_workspace('workspace_jobs_put_back', note.subject)
             self._log.info(
                 note.event,
                 subject=note.subject,
@@ -184,11 +187,30 @@
     def runs_ordered(self, starts: tuple[RunStarted, ...]) -> None:
         """Log starts after their commit, including any that it rejected."""
         self._metrics.count('runs_ordered', amount=len(starts))
+        for start in starts:
+            self._count_workspace('workspace_runs_ordered', start.task.job_id)
         self._log.info(
             LogEvent.RUNS_ORDERED,
             runs=[_run_name(start) for start in starts],
         )
 
+    def pools_planned(self, figures: FleetFigures | None) -> None:
+        """Set the gauges of the VMs that there are and that work needs."""
+        if figures is None:
+            return
+        self._metrics.gauge('fleet_vms', figures.vms)
+        self._metrics.gauge('fleet_vms_needed', figures.needed_vms)
+        self._metrics.gauge(
+            'fleet_vms_needed_in_time', figures.needed_in_time_vms
+        )
+        self._metrics.gauge('fleet_late_jobs', figures.late_jobs)
+
+    def _count_workspace(self, name: str, job_id: str) -> None:
+        """Count for the workspace of a job, if it has one."""
+        job = self._store.jobs.get(job_id)
+        if job is not None and job.workspace:
+            self._metrics.count(name, job.workspace)
+
 
 def _run_name(run: RunStarted | RunEnded) -> str:
     """Return TASK/RUN@WORKER."""
--- a/src/wigeonreach/lab/_variants.py
+++ b/src/wigeonreach/lab/_variants.py
@@ -102,7 +102,7 @@
             _without('triage', '_ready:deferred_occurrences', _no_set),
             _without(
                 'near waiting',
-                '_locality:DataLocality.nearby_workers',
+                'placing._locality:DataLocality.nearby_workers',
                 _all_workers,
             ),
             _without('lookahead', 'pooling._pools:_LOOKAHEAD_S', 0.0),
@@ -123,9 +123,11 @@
                 '_quarantine:WorkerQuarantine.quarantined',
                 _no_set,
             ),
-            _without('rack courtesy', '_choosing:_DATA_RACK_COST', 0.0),
+            _without('rack courtesy', 'placing._choosing:_DATA_RACK_COST', 0.0),
             _without(
-                'apart from serving', '_choosing:_BESIDE_SERVING_COST', 0.0
+                'apart from serving',
+                'placing._choosing:_BESIDE_SERVING_COST',
+                0.0,
             ),
         )
     }
--- a/src/wigeonreach/platform/_advisor.py
+++ b/src/wigeonreach/platform/_advisor.py
@@ -14,7 +14,7 @@
     decode_entries,
 )
 from wigeonreach.platform._session import PlatformSession, expect_ok
-from wigeonreach.scheduling._advice import Advice, AdviceRequest
+from wigeonreach.scheduling.placing._advice import Advice, AdviceRequest
 from wigeonreach.wire._worker_messages import worker_id_of
 
 _TIMEOUT_S = 3.0
--- a/src/wigeonreach/platform/_core_settings.py
+++ b/src/wigeonreach/platform/_core_settings.py
@@ -8,7 +8,11 @@
 from wigeonreach.codes import ResultCode
 from wigeonreach.core import CoreSettings
 from wigeonreach.exceptions import SettingError
-from wigeonreach.platform._settings import SHORTAGE_VARIABLE, PlatformFile
+from wigeonreach.platform._settings import (
+    HOME_ZONES_VARIABLE,
+    SHORTAGE_VARIABLE,
+    PlatformFile,
+)
 from wigeonreach.scheduling import SchedulingSettings
 from wigeonreach.wire import Address, parse_address
 
@@ -48,6 +52,7 @@
             stop_s=file.bounds.kill_grace_ms / _MS_PER_S,
             unavailable_after_s=file.bounds.notice_ms / _MS_PER_S,
             shares_shortage=_switch(SHORTAGE_VARIABLE),
+            keeps_jobs_in_zones=_switch(HOME_ZONES_VARIABLE),
         ),
     )
 
--- a/src/wigeonreach/platform/_settings.py
+++ b/src/wigeonreach/platform/_settings.py
@@ -16,9 +16,10 @@
 # Optional environment variable with the port on which a process serves its
 # metrics; it is not part of the platform's interface.
 METRICS_VARIABLE = 'WIGEONREACH_METRICS_PORT'
-# Optional environment variable that switches the mechanisms for a fleet that is
-# short of VMs; also a flag of the core command.
+# Optional environment variables that switch mechanisms of the scheduler; each is
+# also a flag of the core command.
 SHORTAGE_VARIABLE = 'WIGEONREACH_SHORTAGE'
+HOME_ZONES_VARIABLE = 'WIGEONREACH_HOME_ZONES'
 _DEFAULT_ORDER_PAUSE_MS = 3000
 # The platform's name for the invariants on workspaces and their API keys.
 _WORKSPACE_INVARIANT = 'tenants'
--- a/src/wigeonreach/scheduling/_answers.py
+++ b/src/wigeonreach/scheduling/_answers.py
@@ -6,7 +6,7 @@
 
 from wigeonreach.jobs import JobStore, Run, run_name
 from wigeonreach.observe import LogEvent
-from wigeonreach.scheduling._advice import TicketCache
+from wigeonreach.scheduling.placing._advice import TicketCache
 from wigeonreach.scheduling._disruption_budget import DisruptionBudget
 from wigeonreach.scheduling._incarnation import Incarnation
 from wigeonreach.scheduling._notes import LogNote
--- a/src/wigeonreach/scheduling/_ends.py
+++ b/src/wigeonreach/scheduling/_ends.py
@@ -5,7 +5,7 @@
 from collections.abc import Collection
 
 from wigeonreach.jobs import JobStore, Run, RunEnd, RunEnded, TaskKey
-from wigeonreach.scheduling._advice import TicketCache
+from wigeonreach.scheduling.placing._advice import TicketCache
 from wigeonreach.scheduling._incarnation import Incarnation
 from wigeonreach.scheduling._orders import (
     is_over_cap,
--- a/src/wigeonreach/scheduling/_orders.py
+++ b/src/wigeonreach/scheduling/_orders.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from wigeonreach.jobs import JobRecord, JobStore, Run, TaskKey
-from wigeonreach.scheduling._advice import TicketCache
+from wigeonreach.scheduling.placing._advice import TicketCache
 from wigeonreach.scheduling._incarnation import LEASE_MS, Incarnation
 from wigeonreach.scheduling._pacing import FULL_PACE, Pacing
 from wigeonreach.wire._worker_messages import (
--- a/src/wigeonreach/scheduling/_scheduler.py
+++ b/src/wigeonreach/scheduling/_scheduler.py
@@ -12,12 +12,8 @@
     RunStarted,
 )
 from wigeonreach.observe import LogEvent
-from wigeonreach.scheduling._advice import TicketCache
+from wigeonreach.scheduling.placing._advice import TicketCache
 from wigeonreach.scheduling._answers import HeartbeatAnswers
-from wigeonreach.scheduling._available_workers import (
-    AvailableWorkers,
-    CapacityByService,
-)
 from wigeonreach.scheduling._disruption_budget import DisruptionBudget
 from wigeonreach.scheduling._ends import RunEnds
 from wigeonreach.scheduling._incarnation import (
@@ -29,12 +25,17 @@
 from wigeonreach.scheduling._maintenance import Maintenance
 from wigeonreach.scheduling._notes import LogNote
 from wigeonreach.scheduling._pacing import Pacing
-from wigeonreach.scheduling._placing import Plan
 from wigeonreach.scheduling._progress import ProgressTracker
 from wigeonreach.scheduling._ready import ReadyStep, ReadySteps
 from wigeonreach.scheduling._settings import SchedulingSettings
 from wigeonreach.scheduling._stops import RunStops
 from wigeonreach.scheduling._workers import Workers
+from wigeonreach.scheduling.placing import (
+    AvailableWorkers,
+    CapacityByService,
+    HomeZones,
+    Plan,
+)
 from wigeonreach.scheduling.pooling import (
     Move,
     PoolPlanner,
@@ -125,6 +126,9 @@
         self.shortage = Shortage(store, settings.shares_shortage)
         self._lost_runs = LostRuns(store, self.workers, self.progress, now_s)
         self.crashes = self._lost_runs.crashes
+        self._homes = HomeZones(
+            store, self.workers.incarnations, settings.keeps_jobs_in_zones
+        )
         self._available = AvailableWorkers(
             store,
             self.workers,
@@ -254,6 +258,7 @@
         near = self.pools.data_locality(now_s)
         suspects = self.crashes.suspects(now_s)
         cap_plan = self.cap_tracker.begin_plan()
+        self._homes.begin_plan(now_s)
         plan = Plan(
             self._store,
             workers,
@@ -261,6 +266,7 @@
             near,
             suspects,
             cap_plan,
+            self._homes,
             now_s,
         )
         plan.place(steps)
--- a/src/wigeonreach/scheduling/_settings.py
+++ b/src/wigeonreach/scheduling/_settings.py
@@ -26,6 +26,8 @@
     shares_shortage
         Whether late work makes way for work that can be in time while there
         are fewer VMs than all work needs.
+    keeps_jobs_in_zones
+        Whether the tasks of a batch job preferably run in one zone.
     """
 
     move_s: float = 1.5
@@ -34,3 +36,4 @@
     stop_s: float = 0.4
     unavailable_after_s: float = 4.5
     shares_shortage: bool = True
+    keeps_jobs_in_zones: bool = True
--- /dev/null
+++ b/src/wigeonreach/scheduling/placing/__init__.py
@@ -0,0 +1,17 @@
+"""Choose the worker for each task that may start."""
+
+from wigeonreach.scheduling.placing._available_workers import (
+    AvailableWorkers,
+    CapacityByService,
+)
+from wigeonreach.scheduling.placing._home_zones import HomeZones
+from wigeonreach.scheduling.placing._locality import DataLocality
+from wigeonreach.scheduling.placing._placing import Plan
+
+__all__ = (
+    'AvailableWorkers',
+    'CapacityByService',
+    'DataLocality',
+    'HomeZones',
+    'Plan',
+)
--- a/src/wigeonreach/scheduling/_advice.py
+++ b/src/wigeonreach/scheduling/placing/_advice.py
@@ -14,7 +14,7 @@
 
 from wigeonreach.jobs import TaskKey
 from wigeonreach.scheduling._ready import ReadyStep
-from wigeonreach.scheduling._worker_capacity import WorkerCapacity
+from wigeonreach.scheduling.placing._worker_capacity import WorkerCapacity
 
 # Limits the workers named in one call.
 _MAX_WORKERS_PER_CALL = 30
--- a/src/wigeonreach/scheduling/_capacity_cache.py
+++ b/src/wigeonreach/scheduling/placing/_capacity_cache.py
@@ -12,7 +12,7 @@
 from wigeonreach.jobs import JobStore, Run
 from wigeonreach.scheduling._incarnation import Incarnation
 from wigeonreach.scheduling._progress import ProgressTracker
-from wigeonreach.scheduling._worker_capacity import (
+from wigeonreach.scheduling.placing._worker_capacity import (
     WorkerCapacity,
     worker_capacity,
 )
--- a/src/wigeonreach/scheduling/_choosing.py
+++ b/src/wigeonreach/scheduling/placing/_choosing.py
@@ -8,7 +8,9 @@
 from wigeonreach.jobs import StepSpec, TaskKey
 from wigeonreach.scheduling._ready import ReadyStep, max_tasks_per_worker
 from wigeonreach.scheduling._suspects import CRASHES_BEFORE_ISOLATION, Isolation
-from wigeonreach.scheduling._worker_capacity import WorkerCapacity
+from wigeonreach.scheduling.placing._home_zones import NO_HOME, Home
+from wigeonreach.scheduling.placing._worker_capacity import WorkerCapacity
+from wigeonreach.wire._worker_messages import WorkerReport
 
 # Costs of placing a task on a worker; the worker with the lowest sum is chosen.
 _FAILED_HERE_COST = 100.0
@@ -29,6 +31,11 @@
 # Keeps tasks without a data rack off racks where waiting tasks have their data.
 _DATA_RACK_COST = 2.0
 
+# A job all in one zone is not held up by the loss of another one.  Everything
+# above that can delay a task costs more.
+_OTHER_ZONE_COST = 1.0
+_OTHER_RACK_COST = 0.5
+
 # Cost, tie-breaker by leftover capacity, worker name; the lowest is chosen.
 _Cost = tuple[float, float, str]
 
@@ -47,16 +54,20 @@
         The step whose tasks are to be placed.
     workers
         The workers that accept tasks.
+    home
+        Where the tasks should run.
     """
 
     def __init__(
         self,
         step: ReadyStep,
         workers: Iterable[WorkerCapacity],
+        home: Home = NO_HOME,
     ) -> None:
         """Select the workers with capacity for a task."""
         need = step.spec.resources
         self._step = step
+        self._home = home
         self._workers = [
             worker for worker in workers if worker.free.covers(need)
         ]
@@ -94,14 +105,13 @@
                     for worker in workers
                     if worker.isolates(key.job_id, isolation)
                 ]
-            return best_worker(self._step, key, workers, crashes)
+            return best_worker(self._step, key, workers, crashes, self._home)
         return self._cheapest(key)
 
     def _cheapest(self, key: TaskKey) -> WorkerCapacity | None:
         if self._heap is None:
             self._heap = [
-                (_cost(self._step, key, worker), worker)
-                for worker in self._workers
+                (self._cost(key, worker), worker) for worker in self._workers
             ]
             heapq.heapify(self._heap)
         while self._heap:
@@ -109,28 +119,33 @@
             if not worker.holds(key, self._step.spec):
                 heapq.heappop(self._heap)
                 continue
-            current = _cost(self._step, key, worker)
+            current = self._cost(key, worker)
             if current == ranked:
                 return worker
             # A task was placed on the worker since it was ranked.
             heapq.heapreplace(self._heap, (current, worker))
         return None
 
+    def _cost(self, key: TaskKey, worker: WorkerCapacity) -> _Cost:
+        return _cost(self._step, key, worker, 0, self._home)
+
 
 def best_worker(
     step: ReadyStep,
     key: TaskKey,
     workers: Iterable[WorkerCapacity],
     crashes: int = 0,
+    home: Home = NO_HOME,
 ) -> WorkerCapacity | None:
     """Return the best worker for one task, or None if none fits.
 
-    ``crashes`` is the number of worker crashes that the task may have caused.
+    ``crashes`` is the number of worker crashes that the task may have caused,
+    ``home`` where it should run.
     """
     fitting = [worker for worker in workers if worker.holds(key, step.spec)]
     return min(
         fitting,
-        key=lambda worker: _cost(step, key, worker, crashes),
+        key=lambda worker: _cost(step, key, worker, crashes, home),
         default=None,
     )
 
@@ -140,12 +155,13 @@
     key: TaskKey,
     worker: WorkerCapacity,
     crashes: int = 0,
+    home: Home = NO_HOME,
 ) -> _Cost:
     """Return the cost of placing a task on a worker."""
     spec = step.spec
     report = worker.incarnation.report
     task = step.job.task(key)
-    cost = _crash_cost(key.job_id, worker, crashes)
+    cost = _crash_cost(key.job_id, worker, crashes) + _away_cost(report, home)
     if task is not None and task.run and task.worker == report.worker:
         cost += _FAILED_HERE_COST
     if spec.data_rack and spec.data_rack != report.rack:
@@ -161,6 +177,15 @@
     return cost, _leftover_cost(spec, worker), report.worker
 
 
+def _away_cost(report: WorkerReport, home: Home) -> float:
+    """Return the cost of placing a task away from its job's other tasks."""
+    if home.zone and report.zone != home.zone:
+        return _OTHER_ZONE_COST
+    if home.racks and report.rack not in home.racks:
+        return _OTHER_RACK_COST
+    return 0.0
+
+
 def _crash_cost(job_id: str, worker: WorkerCapacity, crashes: int) -> float:
     """Return the cost of placing suspect tasks beside others."""
     if not crashes and not worker.suspects:
--- a/src/wigeonreach/scheduling/_locality.py
+++ b/src/wigeonreach/scheduling/placing/_locality.py
@@ -16,7 +16,7 @@
 from wigeonreach.jobs import TaskKey
 from wigeonreach.scheduling._objectives import task_estimate_s
 from wigeonreach.scheduling._ready import ReadyStep
-from wigeonreach.scheduling._worker_capacity import WorkerCapacity
+from wigeonreach.scheduling.placing._worker_capacity import WorkerCapacity
 
 # Service and rack.
 Rack = tuple[str, str]
--- a/src/wigeonreach/scheduling/_placing.py
+++ b/src/wigeonreach/scheduling/placing/_placing.py
@@ -7,13 +7,20 @@
 
 from wigeonreach._resources import Resources
 from wigeonreach.jobs import JobStore, Run, RunStarted, TaskKey
-from wigeonreach.scheduling._advice import TicketCache
-from wigeonreach.scheduling._choosing import WorkerRanking, best_worker
-from wigeonreach.scheduling._locality import DataLocality, fits_all_tasks
-from wigeonreach.scheduling._preemption import Preemption, plan_preemption
+from wigeonreach.scheduling.placing._advice import TicketCache
+from wigeonreach.scheduling.placing._choosing import WorkerRanking, best_worker
+from wigeonreach.scheduling.placing._home_zones import Home, HomeZones
+from wigeonreach.scheduling.placing._locality import (
+    DataLocality,
+    fits_all_tasks,
+)
+from wigeonreach.scheduling.placing._preemption import (
+    Preemption,
+    plan_preemption,
+)
 from wigeonreach.scheduling._ready import ReadyStep
 from wigeonreach.scheduling._suspects import Isolation, Suspects
-from wigeonreach.scheduling._worker_capacity import WorkerCapacity
+from wigeonreach.scheduling.placing._worker_capacity import WorkerCapacity
 from wigeonreach.scheduling.sharing import CapPlan
 
 # Share of a pool's workers that may be reserved for isolated tasks.
@@ -37,6 +44,8 @@
         The tasks that may crash their workers.
     caps
         What the workspaces may still start.
+    homes
+        The zones in which jobs should run.
     now_s
         Clock in seconds.
     """
@@ -49,9 +58,11 @@
         locality: DataLocality,
         suspects: Suspects,
         caps: CapPlan,
+        homes: HomeZones,
         now_s: float,
     ) -> None:
         """Start with an empty plan."""
+        self._homes = homes
         self._caps = caps
         self._locality = locality
         self._suspects = suspects
@@ -206,7 +217,9 @@
         unplaceable = self._unplaceable.setdefault(self._service_of(step), [])
         if any(need.covers(request) for request in unplaceable):
             return None
-        ranking = WorkerRanking(step, workers)
+        ranking = WorkerRanking(
+            step, workers, self._homes.home_of(step, workers)
+        )
         if ranking.has_workers:
             return ranking
         if workers is self._pool_of(step):
@@ -233,7 +246,8 @@
             for at in step.waiting_tasks
         ):
             return True
-        chosen = _fit_gang(step, workers)
+        home = self._homes.home_of(step, workers)
+        chosen = _fit_gang(step, workers, home)
         if chosen is None:
             self._locality.add_queued(step, len(step.waiting_tasks))
             return False
@@ -331,6 +345,7 @@
 def _fit_gang(
     step: ReadyStep,
     workers: Sequence[WorkerCapacity],
+    home: Home,
 ) -> list[tuple[TaskKey, WorkerCapacity]] | None:
     """Return a worker for each task of a gang, or None if it does not fit."""
     if not fits_all_tasks(step, workers):
@@ -346,7 +361,7 @@
         key = _task_key(step, index)
         task = step.job.task(key)
         crashes = task.crash_count if task else 0
-        worker = best_worker(step, key, copies, crashes)
+        worker = best_worker(step, key, copies, crashes, home)
         if worker is None:
             return None
         worker.add(key, step.spec)
--- a/src/wigeonreach/scheduling/_preemption.py
+++ b/src/wigeonreach/scheduling/placing/_preemption.py
@@ -13,7 +13,7 @@
 from wigeonreach.jobs import JobStore, Run, TaskKey
 from wigeonreach.scheduling._backlog import vm_share
 from wigeonreach.scheduling._ready import ReadyStep
-from wigeonreach.scheduling._worker_capacity import WorkerCapacity
+from wigeonreach.scheduling.placing._worker_capacity import WorkerCapacity
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/wigeonreach/scheduling/pooling/_pools.py
+++ b/src/wigeonreach/scheduling/pooling/_pools.py
@@ -21,7 +21,7 @@
     backlog_by_service,
 )
 from wigeonreach.scheduling._incarnation import Incarnation
-from wigeonreach.scheduling._locality import DataLocality
+from wigeonreach.scheduling.placing._locality import DataLocality
 from wigeonreach.scheduling._ready import AcceptedWork
 from wigeonreach.scheduling._settings import SchedulingSettings
 from wigeonreach.scheduling._vms import VmRecord
--- a/tests/lab/test_day.py
+++ b/tests/lab/test_day.py
@@ -19,7 +19,8 @@
     Outcome,
     applied,
 )
-from wigeonreach.scheduling import _incarnation, _worker_capacity, _workers
+from wigeonreach.scheduling import _incarnation, _workers
+from wigeonreach.scheduling.placing import _worker_capacity
 from wigeonreach.scheduling.pooling import _pools
 
 _FLEET = FleetPlan(
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -28,7 +28,7 @@
     decode_heartbeat,
     encode_orders,
 )
-from wigeonreach.scheduling._advice import Advice
+from wigeonreach.scheduling.placing._advice import Advice
 from wigeonreach.wire._call_replies import JobState
 from wigeonreach.wire._worker_messages import (
     PaceOrder,
--- /dev/null
+++ b/tests/scheduling/placing/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the choice of workers for tasks."""
--- a/tests/scheduling/test_advice.py
+++ b/tests/scheduling/placing/test_advice.py
@@ -22,7 +22,7 @@
     SetManifest,
 )
 from wigeonreach.lab import commit
-from wigeonreach.scheduling._advice import Advice
+from wigeonreach.scheduling.placing._advice import Advice
 
 _POLICY = AdvicePolicy(decision_ms=20, per_worker_ms=5, validity_ms=3000)
 
--- a/tests/scheduling/test_random_days.py
+++ b/tests/scheduling/test_random_days.py
@@ -10,7 +10,8 @@
 from tests.builders_days import RandomDay, play
 from wigeonreach.jobs import JobPhase
 from wigeonreach.lab import BrokenRuleError
-from wigeonreach.scheduling import _incarnation, _worker_capacity, _workers
+from wigeonreach.scheduling import _incarnation, _workers
+from wigeonreach.scheduling.placing import _worker_capacity
 from wigeonreach.standins import _worker
 
 _DAYS = 25
--- a/tests/scheduling/test_restarts.py
+++ b/tests/scheduling/test_restarts.py
@@ -39,7 +39,7 @@
     VmStep,
 )
 from wigeonreach.lab import commit
-from wigeonreach.scheduling._advice import Advice
+from wigeonreach.scheduling.placing._advice import Advice
 from wigeonreach.scheduling._incarnation import LEASE_EXPIRED_S
 from wigeonreach.scheduling._vms import VmPhase, VmRecord
 from wigeonreach.standins import StandInWorker
--- a/tests/scheduling/test_stale_heartbeats.py
+++ b/tests/scheduling/test_stale_heartbeats.py
@@ -38,7 +38,7 @@
     TaskPhase,
 )
 from wigeonreach.lab import commit
-from wigeonreach.scheduling._advice import Advice
+from wigeonreach.scheduling.placing._advice import Advice
 from wigeonreach.standins import StandInWorker
 
 _HALF = 8000
