Log suspect zones, count starts in the home zone or away

One line when the heartbeats of half of a zone are overdue, and one when they come again; a counter of starts by place. Imports of the moved modules are in order again.

--- a/src/wigeonreach/core/_null_platform.py
+++ b/src/wigeonreach/core/_null_platform.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from wigeonreach.scheduling.placing._advice import Advice, AdviceRequest
 from wigeonreach.scheduling._vms import OrderResult, VmRecord
+from wigeonreach.scheduling.placing._advice import Advice, AdviceRequest
 
 
 class NullVmApi:
--- a/src/wigeonreach/core/_term.py
+++ b/src/wigeonreach/core/_term.py
@@ -276,7 +276,7 @@
         if not starts:
             return
         await self._record(RecordRuns(self.term, starts=starts))
-        self._log.runs_ordered(starts)
+        self._log.runs_ordered(starts, self.scheduler.take_start_places())
 
     def _age_s(self, job_id: str) -> float:
         accepted_s = self.scheduler.ready.accepted_s(job_id)
--- a/src/wigeonreach/core/_term_log.py
+++ b/src/wigeonreach/core/_term_log.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from wigeonreach.core._cycle_stats import CycleFigures
 from wigeonreach.jobs import (
@@ -184,8 +184,22 @@
             objective_s=round(objective_s(job), 3),
         )
 
-    def runs_ordered(self, starts: tuple[RunStarted, ...]) -> None:
-        """Log starts after their commit, including any that it rejected."""
+    def runs_ordered(
+        self,
+        starts: tuple[RunStarted, ...],
+        places: Mapping[str, int],
+    ) -> None:
+        """Log starts after their commit, including any that it rejected.
+
+        Parameters
+        ----------
+        starts
+            The starts.
+        places
+            How many batch starts were in the home zone of their job, or away.
+        """
+        for place, count in places.items():
+            self._metrics.count('batch_starts', place, count)
         self._metrics.count('runs_ordered', amount=len(starts))
         for start in starts:
             self._count_workspace('workspace_runs_ordered', start.task.job_id)
--- a/src/wigeonreach/lab/__init__.py
+++ b/src/wigeonreach/lab/__init__.py
@@ -12,10 +12,10 @@
 )
 from wigeonreach.lab._day import Day, DayPlan
 from wigeonreach.lab._demand import DemandPlan, Flood, KindShares
-from wigeonreach.lab._virtual_leader import VirtualLead, commit
 from wigeonreach.lab._fleet import FleetPlan
 from wigeonreach.lab._outcome import Outcome
 from wigeonreach.lab._variants import VARIANTS, Variant, applied
+from wigeonreach.lab._virtual_leader import VirtualLead, commit
 
 __all__ = (
     'VARIANTS',
--- a/src/wigeonreach/observe/_events.py
+++ b/src/wigeonreach/observe/_events.py
@@ -89,6 +89,8 @@
     VM_ORDERED = 543
     VM_ORDER_FAILED = 544
     VM_MAINTAINED = 545
+    ZONE_SUSPECTED = 546
+    ZONE_CLEARED = 547
 
     # 600: connections to the leading core process, and the platform adapter.
     CORE_CONNECTED = 601
--- a/src/wigeonreach/scheduling/_answers.py
+++ b/src/wigeonreach/scheduling/_answers.py
@@ -6,7 +6,6 @@
 
 from wigeonreach.jobs import JobStore, Run, run_name
 from wigeonreach.observe import LogEvent
-from wigeonreach.scheduling.placing._advice import TicketCache
 from wigeonreach.scheduling._disruption_budget import DisruptionBudget
 from wigeonreach.scheduling._incarnation import Incarnation
 from wigeonreach.scheduling._notes import LogNote
@@ -17,6 +16,7 @@
     stop_reason,
 )
 from wigeonreach.scheduling._pacing import Pacing
+from wigeonreach.scheduling.placing._advice import TicketCache
 from wigeonreach.wire._worker_messages import WorkerOrders
 
 
--- a/src/wigeonreach/scheduling/_ends.py
+++ b/src/wigeonreach/scheduling/_ends.py
@@ -5,13 +5,13 @@
 from collections.abc import Collection
 
 from wigeonreach.jobs import JobStore, Run, RunEnd, RunEnded, TaskKey
-from wigeonreach.scheduling.placing._advice import TicketCache
 from wigeonreach.scheduling._incarnation import Incarnation
 from wigeonreach.scheduling._orders import (
     is_over_cap,
     runs_over_capacity,
     unlisted_runs,
 )
+from wigeonreach.scheduling.placing._advice import TicketCache
 from wigeonreach.wire._worker_messages import EndedRun
 
 
--- a/src/wigeonreach/scheduling/_orders.py
+++ b/src/wigeonreach/scheduling/_orders.py
@@ -8,9 +8,9 @@
 import msgspec
 
 from wigeonreach.jobs import JobRecord, JobStore, Run, TaskKey
-from wigeonreach.scheduling.placing._advice import TicketCache
 from wigeonreach.scheduling._incarnation import LEASE_MS, Incarnation
 from wigeonreach.scheduling._pacing import FULL_PACE, Pacing
+from wigeonreach.scheduling.placing._advice import TicketCache
 from wigeonreach.wire._worker_messages import (
     PaceOrder,
     StartOrder,
--- a/src/wigeonreach/scheduling/_scheduler.py
+++ b/src/wigeonreach/scheduling/_scheduler.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 from collections.abc import Collection
 
 from wigeonreach.jobs import (
@@ -12,7 +13,6 @@
     RunStarted,
 )
 from wigeonreach.observe import LogEvent
-from wigeonreach.scheduling.placing._advice import TicketCache
 from wigeonreach.scheduling._answers import HeartbeatAnswers
 from wigeonreach.scheduling._disruption_budget import DisruptionBudget
 from wigeonreach.scheduling._ends import RunEnds
@@ -36,6 +36,7 @@
     HomeZones,
     Plan,
 )
+from wigeonreach.scheduling.placing._advice import TicketCache
 from wigeonreach.scheduling.pooling import (
     Move,
     PoolPlanner,
@@ -258,7 +259,7 @@
         near = self.pools.data_locality(now_s)
         suspects = self.crashes.suspects(now_s)
         cap_plan = self.cap_tracker.begin_plan()
-        self._homes.begin_plan(now_s)
+        self.notes.extend(self._homes.begin_plan(now_s))
         plan = Plan(
             self._store,
             workers,
@@ -284,6 +285,13 @@
         self.workers.note_starting({start.worker for start in plan.starts})
         return tuple(plan.starts)
 
+    def take_start_places(self) -> collections.Counter[str]:
+        """Return how many batch starts were in their job's home zone or away.
+
+        Starts are counted since the last call.
+        """
+        return self._homes.take_starts()
+
     def _steps_due(self, now_s: float, wall_ms: float) -> list[ReadyStep]:
         """Return the steps that may start, in the order of placement."""
         # Earlier starts are recorded by now, or never will be.
--- a/src/wigeonreach/scheduling/placing/_available_workers.py
+++ b/src/wigeonreach/scheduling/placing/_available_workers.py
@@ -6,16 +6,16 @@
 from typing import TypeAlias
 
 from wigeonreach.jobs import JobStore, Run
-from wigeonreach.scheduling.placing._capacity_cache import WorkerCapacityCache
 from wigeonreach.scheduling._crashes import CrashTracker
 from wigeonreach.scheduling._incarnation import Incarnation
 from wigeonreach.scheduling._pacing import Pacing
-from wigeonreach.scheduling.placing._placing import close_trial_workers
 from wigeonreach.scheduling._progress import ProgressTracker
 from wigeonreach.scheduling._quarantine import WorkerQuarantine
 from wigeonreach.scheduling._vms import ORDER_TIMEOUT_S
-from wigeonreach.scheduling.placing._worker_capacity import WorkerCapacity
 from wigeonreach.scheduling._workers import Workers
+from wigeonreach.scheduling.placing._capacity_cache import WorkerCapacityCache
+from wigeonreach.scheduling.placing._placing import close_trial_workers
+from wigeonreach.scheduling.placing._worker_capacity import WorkerCapacity
 
 # Free capacity of the workers of each service, by service name.
 CapacityByService: TypeAlias = dict[str, list[WorkerCapacity]]
--- a/src/wigeonreach/scheduling/placing/_home_zones.py
+++ b/src/wigeonreach/scheduling/placing/_home_zones.py
@@ -12,10 +12,12 @@
 import collections
 import dataclasses
 import itertools
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Collection, Iterable, Iterator, Mapping
 
-from wigeonreach.jobs import JobStore, TaskPhase
+from wigeonreach.jobs import JobStore, TaskKey, TaskPhase
+from wigeonreach.observe import LogEvent
 from wigeonreach.scheduling._incarnation import Incarnation
+from wigeonreach.scheduling._notes import LogNote
 from wigeonreach.scheduling._ready import ReadyStep
 from wigeonreach.scheduling.placing._worker_capacity import WorkerCapacity
 
@@ -26,6 +28,10 @@
 # a whole may be cut off; single workers fall silent for other reasons.
 _SUSPECT_RATIO = 0.5
 
+# Places of a start in the metrics.
+IN_HOME = 'home'
+AWAY = 'away'
+
 # Job id and occurrence number.
 _Occurrence = tuple[str, int]
 
@@ -73,11 +79,23 @@
         self._incarnations = incarnations
         self._is_enabled = is_enabled
         self._homes: dict[_Occurrence, str] = {}
-        self.suspect: frozenset[str] = frozenset()
+        self._suspect: frozenset[str] = frozenset()
+        self._starts: collections.Counter[str] = collections.Counter()
+
+    def begin_plan(self, now_s: float) -> list[LogNote]:
+        """Find the suspect zones, and forget the homes of ended jobs.
 
-    def begin_plan(self, now_s: float) -> None:
-        """Find the suspect zones, and forget the homes of ended jobs."""
-        self.suspect = suspect_zones(self._incarnations.values(), now_s)
+        Returns
+        -------
+        list of LogNote
+            Notes on zones that became suspect, or are no more.
+        """
+        suspect = suspect_zones(self._incarnations.values(), now_s)
+        notes = [
+            *_notes(LogEvent.ZONE_SUSPECTED, suspect - self._suspect, 'over'),
+            *_notes(LogEvent.ZONE_CLEARED, self._suspect - suspect, 'up to'),
+        ]
+        self._suspect = suspect
         ended = [
             occurrence
             for occurrence in self._homes
@@ -85,6 +103,19 @@
         ]
         for occurrence in ended:
             self._homes.pop(occurrence)
+        return notes
+
+    def count_start(self, key: TaskKey, zone: str) -> None:
+        """Count a start in the home zone of its job, or elsewhere."""
+        home = self._homes.get((key.job_id, key.occurrence))
+        if home:
+            self._starts[IN_HOME if zone == home else AWAY] += 1
+
+    def take_starts(self) -> collections.Counter[str]:
+        """Return the starts counted since the last call, by place."""
+        starts = self._starts
+        self._starts = collections.Counter()
+        return starts
 
     def home_of(
         self,
@@ -105,8 +136,8 @@
         occurrence = (step.job.spec.job_id, step.occurrence)
         zones, racks = _places_of_runs(step, self._incarnations)
         zone = self._homes.get(occurrence) or most_frequent(zones)
-        if not zone or zone in self.suspect:
-            zone = emptiest_zone(workers, self.suspect)
+        if not zone or zone in self._suspect:
+            zone = emptiest_zone(workers, self._suspect)
         if zone:
             self._homes[occurrence] = zone
         return Home(zone, racks)
@@ -147,6 +178,14 @@
     return max(free, key=lambda zone: (free[zone], zone), default='')
 
 
+def _notes(
+    event: LogEvent, zones: Iterable[str], compared: str
+) -> Iterator[LogNote]:
+    for zone in sorted(zones):
+        reason = f'{compared} half of its workers silent for {_OVERDUE_S} s'
+        yield LogNote(event, zone, reason)
+
+
 def most_frequent(zones: collections.Counter[str]) -> str:
     """Return the zone that is counted most often, '' if there is none."""
     return max(zones, key=lambda zone: (zones[zone], zone), default='')
--- a/src/wigeonreach/scheduling/placing/_placing.py
+++ b/src/wigeonreach/scheduling/placing/_placing.py
@@ -7,6 +7,8 @@
 
 from wigeonreach._resources import Resources
 from wigeonreach.jobs import JobStore, Run, RunStarted, TaskKey
+from wigeonreach.scheduling._ready import ReadyStep
+from wigeonreach.scheduling._suspects import Isolation, Suspects
 from wigeonreach.scheduling.placing._advice import TicketCache
 from wigeonreach.scheduling.placing._choosing import WorkerRanking, best_worker
 from wigeonreach.scheduling.placing._home_zones import Home, HomeZones
@@ -18,8 +20,6 @@
     Preemption,
     plan_preemption,
 )
-from wigeonreach.scheduling._ready import ReadyStep
-from wigeonreach.scheduling._suspects import Isolation, Suspects
 from wigeonreach.scheduling.placing._worker_capacity import WorkerCapacity
 from wigeonreach.scheduling.sharing import CapPlan
 
@@ -269,6 +269,7 @@
         if task is not None and task.crash_count:
             self._note_suspect(step, worker, task.crash_count)
         report = worker.incarnation.report
+        self._homes.count_start(key, report.zone)
         vm = report.vm_or_address
         self.starts.append(RunStarted(key, run, report.worker, vm))
 
--- a/src/wigeonreach/scheduling/pooling/_pools.py
+++ b/src/wigeonreach/scheduling/pooling/_pools.py
@@ -21,11 +21,11 @@
     backlog_by_service,
 )
 from wigeonreach.scheduling._incarnation import Incarnation
-from wigeonreach.scheduling.placing._locality import DataLocality
 from wigeonreach.scheduling._ready import AcceptedWork
 from wigeonreach.scheduling._settings import SchedulingSettings
 from wigeonreach.scheduling._vms import VmRecord
 from wigeonreach.scheduling._workers import Workers
+from wigeonreach.scheduling.placing._locality import DataLocality
 from wigeonreach.scheduling.pooling._demand import ServiceDemand
 from wigeonreach.scheduling.pooling._filling import PoolFilling
 from wigeonreach.scheduling.pooling._pool_needs import (
--- a/tests/builders_core.py
+++ b/tests/builders_core.py
@@ -16,8 +16,8 @@
 from wigeonreach.gateway import Gateway
 from wigeonreach.observe import Logger, Metrics
 from wigeonreach.scheduling import SchedulingSettings
-from wigeonreach.scheduling.placing._advice import Advice, AdviceRequest
 from wigeonreach.scheduling._vms import OrderResult, VmRecord
+from wigeonreach.scheduling.placing._advice import Advice, AdviceRequest
 from wigeonreach.wire import parse_address
 from wigeonreach.wire._call_messages import AnyCall, PutManifest
 from wigeonreach.wire._call_replies import AnyReply, Done
--- a/tests/scheduling/placing/test_choosing.py
+++ b/tests/scheduling/placing/test_choosing.py
@@ -21,12 +21,12 @@
 )
 from wigeonreach.jobs import AddJob, JobStore, StepSpec
 from wigeonreach.lab import commit
-from wigeonreach.scheduling.placing._choosing import WorkerRanking, best_worker
 from wigeonreach.scheduling._incarnation import Incarnation, resources_of
-from wigeonreach.scheduling.placing._placing import Plan
 from wigeonreach.scheduling._progress import ProgressTracker
 from wigeonreach.scheduling._ready import ReadyStep, ReadySteps
 from wigeonreach.scheduling._suspects import Suspects
+from wigeonreach.scheduling.placing._choosing import WorkerRanking, best_worker
+from wigeonreach.scheduling.placing._placing import Plan
 from wigeonreach.scheduling.placing._worker_capacity import (
     WorkerCapacity,
     worker_capacity,
--- a/tests/scheduling/test_restarts.py
+++ b/tests/scheduling/test_restarts.py
@@ -39,9 +39,9 @@
     VmStep,
 )
 from wigeonreach.lab import commit
-from wigeonreach.scheduling.placing._advice import Advice
 from wigeonreach.scheduling._incarnation import LEASE_EXPIRED_S
 from wigeonreach.scheduling._vms import VmPhase, VmRecord
+from wigeonreach.scheduling.placing._advice import Advice
 from wigeonreach.standins import StandInWorker
 from wigeonreach.wire._worker_messages import EndedRun, WorkerOrders
 
