--- a/tests/builders_floods.py
+++ b/tests/builders_floods.py
@@ -16,6 +16,9 @@
     pool_vms=3, standby_vms=3, rack_vms=3, millicores=16_000, memory_mb=65_536
 )
 _TURN_S = 3.0
+# When VMs are cut off, and for how long; jobs come from second 9 on.
+_LOST_FROM_S = 11.0
+_LOST_FOR_S = 5.0
 _DEMAND = DemandPlan(
     peak_s=_TURN_S, length_s=18.0, serving_tasks=0, millicores=2500
 )
@@ -49,16 +52,23 @@
 
 
 class _RecordingDay(Day):
-    """A day that records when jobs complete."""
+    """A day that records when jobs complete, and may lose VMs in a flood."""
 
-    def __init__(self, plan: DayPlan, seed: int) -> None:
+    def __init__(self, plan: DayPlan, seed: int, lost_vms: int) -> None:
         self.completed_s: dict[str, float] = {}
+        self._lost_vms = lost_vms
         super().__init__(plan, seed)
 
     @property
     def arrivals(self) -> Iterator[Arrival]:
         yield from self._all_arrivals.values()
 
+    def _inject_faults(self) -> None:
+        super()._inject_faults()
+        if self._now_s >= _LOST_FROM_S:
+            for vm in list(self.fleet.vms.values())[: self._lost_vms]:
+                vm.partitioned_until_s = _LOST_FROM_S + _LOST_FOR_S
+
     def _pop_completed(self) -> Iterator[Arrival]:
         for arrival in super()._pop_completed():
             self.completed_s[arrival.spec.job_id] = self._now_s
@@ -71,7 +81,7 @@
     seed: int,
     is_shared: bool = True,
     leader_changes: int = 0,
-    faults_per_s: float = 0.0,
+    lost_vms: int = 0,
 ) -> FloodedDay:
     """Simulate a day of four queues whose turns follow each other.
 
@@ -87,23 +97,23 @@
         Whether late work makes way while VMs are short.
     leader_changes
         Number of leader changes, evenly spaced.
-    faults_per_s
-        Rate at which workers crash, become unreachable or slow down.
+    lost_vms
+        VMs that are cut off together while the first turn goes on.
     """
     demand = dataclasses.replace(_DEMAND, jobs_per_s=jobs_per_s, floods=floods)
     day = _RecordingDay(
         DayPlan(
             demand,
             _FLEET,
-            faults_per_s,
-            leader_changes,
-            SchedulingSettings(
+            leader_changes=leader_changes,
+            scheduling=SchedulingSettings(
                 move_s=_FLEET.move_s,
                 far_factor=_FLEET.far_factor,
                 shares_shortage=is_shared,
             ),
         ),
         seed,
+        lost_vms,
     )
     arrivals = list(day.arrivals)
     outcome = day.simulate()
--- a/tests/scheduling/sharing/test_caps.py
+++ b/tests/scheduling/sharing/test_caps.py
@@ -24,7 +24,7 @@
 from wigeonreach.jobs._model import StepSpec
 from wigeonreach.lab import commit
 from wigeonreach.scheduling._incarnation import LEASE_EXPIRED_S
-from wigeonreach.scheduling.shortage import all_in_time
+from wigeonreach.scheduling.shortage import FleetCapacity, all_in_time
 from wigeonreach.standins import StandInWorker
 from wigeonreach.workspaces import NO_AMOUNTS, Amounts, fits_cap
 
@@ -238,6 +238,25 @@
             )
             self.assertThat(round(vm_s, 1), matchers.Equals(expected_vm_s))
 
+    def test_work_in_time_is_limited_too(self) -> None:
+        """A capped flood gets no VMs ahead of others while VMs are short."""
+        store = _store(Amounts(4_000))
+        add(store, numbered_job(_MINE, step(100, estimate_ms=4_000)))
+        lead = FakeLead(store, workers(1))
+        lead.round()
+        scheduler = lead.scheduler
+        work = scheduler.cap_tracker.limit_work(
+            scheduler.shortage.split(
+                scheduler.ready.pending_work(lead.now_s),
+                FleetCapacity(1_000),
+                lead.now_s,
+            )
+        )
+        self.assertThat(work.late, matchers.Equals(frozenset()))
+        self.assertThat(work.in_time_steps, matchers.Equals(work.steps))
+        ratios = {owed.allowed_ratio for owed in work.steps['desk']}
+        self.assertThat(max(ratios), matchers.LessThan(0.1))
+
     def test_its_jobs_defer_no_others(self) -> None:
         """The pool fits the work within the cap and the jobs of others."""
         store = _store(Amounts(2_000))
--- a/tests/scheduling/shortage/test_flood.py
+++ b/tests/scheduling/shortage/test_flood.py
@@ -24,6 +24,7 @@
 _LATER_TURNS = (2, 3)
 # Stopped twice at most, so that the third run ends.
 _MAX_RUNS = 3
+_ZONE_VMS = 5
 # By as much the worth of a day may fall.
 _NOISE = 0.03
 
@@ -34,6 +35,7 @@
     is_shared: bool,
     jobs_per_s: float = _JOBS_PER_S,
     leader_changes: int = 0,
+    lost_vms: int = 0,
 ) -> list[FloodedDay]:
     return [
         play_flood(
@@ -42,6 +44,7 @@
             seed=seed,
             is_shared=is_shared,
             leader_changes=leader_changes,
+            lost_vms=lost_vms,
         )
         for seed in _SEEDS
     ]
@@ -82,6 +85,15 @@
             _worth(shared), matchers.GreaterThan(_worth(kept) - _NOISE)
         )
 
+    def test_beside_a_lost_zone(self) -> None:
+        """A third of the VMs is cut off in the flood, and comes back."""
+        kept = _days(*_ONE_FLOOD, is_shared=False, lost_vms=_ZONE_VMS)
+        shared = _days(*_ONE_FLOOD, is_shared=True, lost_vms=_ZONE_VMS)
+        self.assertThat(_later(shared), matchers.GreaterThan(_later(kept)))
+        self.assertThat(
+            _worth(shared), matchers.GreaterThan(_worth(kept) - _NOISE)
+        )
+
 
 class TestSeveralFloods(testtools.TestCase):
     """Several queues ask for too much."""
