--- a/bench/bench_commit.py
+++ b/bench/bench_commit.py
@@ -191,6 +191,7 @@
             server = await serve(
                 member.address,
                 functools.partial(_receive, agreement),
+                Logger(member.name).message_unreadable,
             )
             stack.callback(server.close)
             await agreement.start()
--- a/src/wigeonreach/core/_daemon.py
+++ b/src/wigeonreach/core/_daemon.py
@@ -106,6 +106,7 @@
             self._build_notice,
             self._agreement.receive,
             self.handle,
+            logger,
         )
         self._vm_holds = VmHolds(self._store, settings.order_pause_s)
         self._term: LeaderTerm | None = None
--- a/src/wigeonreach/core/_server.py
+++ b/src/wigeonreach/core/_server.py
@@ -7,6 +7,7 @@
 
 import mode
 
+from wigeonreach.observe import Logger
 from wigeonreach.wire import Address, Channel, serve
 from wigeonreach.wire._call_messages import (
     AnyCall,
@@ -39,6 +40,8 @@
         Called with a message between replicas.
     on_call
         Called with a call and the number of times it may be forwarded.
+    logger
+        Where messages that can't be read are logged.
     """
 
     def __init__(
@@ -47,6 +50,7 @@
         notice: Callable[[], CoreNotice],
         on_replica: Callable[[RaftMessage], None],
         on_call: Callable[[AnyCall, int], Awaitable[AnyReply]],
+        logger: Logger,
     ) -> None:
         """Prepare; the server listens on start."""
         super().__init__()
@@ -54,6 +58,7 @@
         self._notice = notice
         self._on_replica = on_replica
         self._on_call = on_call
+        self._log = logger
         self._server: asyncio.Server | None = None
         self._channels: set[Channel] = set()
         self._subscribers: set[Channel] = set()
@@ -61,7 +66,9 @@
 
     async def on_start(self) -> None:
         """Start listening."""
-        self._server = await serve(self._listen, self._on_channel)
+        self._server = await serve(
+            self._listen, self._on_channel, self._log.message_unreadable
+        )
 
     async def on_stop(self) -> None:
         """Stop listening and abort all channels."""
--- a/src/wigeonreach/entry/_peers.py
+++ b/src/wigeonreach/entry/_peers.py
@@ -188,7 +188,11 @@
 
     async def on_start(self) -> None:
         """Listen for peers and connect to each of them."""
-        self._server = await serve(self._settings.listen, self._on_channel)
+        self._server = await serve(
+            self._settings.listen,
+            self._on_channel,
+            self._log.message_unreadable,
+        )
         for peer in self._other_entries:
             self.add_future(self._keep_connected(peer))
 
--- a/src/wigeonreach/observe/_logs.py
+++ b/src/wigeonreach/observe/_logs.py
@@ -54,6 +54,10 @@
         """Write an event that an operator should look at."""
         self._logger.warning(event.name.lower(), number=int(event), **fields)
 
+    def message_unreadable(self, error: Exception) -> None:
+        """Write that a peer sent what can't be decoded."""
+        self.warning(LogEvent.MESSAGE_UNREADABLE, reason=str(error))
+
 
 class _SinkLogger:
     """Logger behind structlog, with a method for each level."""
--- a/src/wigeonreach/state/_replica.py
+++ b/src/wigeonreach/state/_replica.py
@@ -64,7 +64,11 @@
         """Join the other replicas and start to listen."""
         await self.add_runtime_dependency(self._agreement)
         await self.add_runtime_dependency(self._request_handler)
-        self._server = await serve(self._settings.listen, self._on_channel)
+        self._server = await serve(
+            self._settings.listen,
+            self._on_channel,
+            self._log.message_unreadable,
+        )
 
     async def drain(self) -> None:
         """Do nothing, since each acknowledged change is already synced."""
--- a/src/wigeonreach/wire/_channel.py
+++ b/src/wigeonreach/wire/_channel.py
@@ -23,6 +23,7 @@
     Message
 )
 _CONNECT_TIMEOUT_S = 2.0
+_UNREADABLE = frozenset((ResultCode.WIRE_MALFORMED, ResultCode.WIRE_TOO_LARGE))
 # A connection may go silent without a reset.  The kernel closes it when bytes
 # stay unacknowledged for TCP_USER_TIMEOUT or two keepalive probes get no reply:
 # a silent peer is detected within about 3 s, even on an idle connection.
@@ -220,6 +221,7 @@
 async def serve(
     address: Address,
     on_channel: Callable[[Channel], Awaitable[None]],
+    on_unreadable: Callable[[WireError], None],
 ) -> asyncio.Server:
     """Listen, and run a coroutine for each channel that is opened.
 
@@ -229,6 +231,9 @@
         Address to listen on.
     on_channel
         Called with each new channel; the channel is closed when it returns.
+    on_unreadable
+        Called when a channel is closed because of a message that can't be
+        decoded.
 
     Returns
     -------
@@ -243,8 +248,12 @@
         channel = Channel(reader, writer)
         try:
             await on_channel(channel)
-        except (WireError, asyncio.CancelledError):
-            # The peer disconnected, or this process is shutting down.
+        except WireError as error:
+            # Otherwise the peer only disconnected.
+            if error.code in _UNREADABLE:
+                on_unreadable(error)
+        except asyncio.CancelledError:
+            # This process is shutting down.
             return
         finally:
             await channel.close()
--- a/tests/agreement/test_links.py
+++ b/tests/agreement/test_links.py
@@ -64,7 +64,11 @@
     body: Callable[[Callable[[], None]], Awaitable[None]],
 ) -> None:
     name = free_addresses(1)[0]
-    server = await serve(parse_address(name, 'peer'), peer.on_channel)
+    server = await serve(
+        parse_address(name, 'peer'),
+        peer.on_channel,
+        Logger('test').message_unreadable,
+    )
     links = Links((), Logger('sender'))
     await links.start()
     try:
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -56,7 +56,9 @@
     async def start(self) -> None:
         """Listen."""
         address = parse_address(self.name, 'name')
-        self._server = await serve(address, self._on_channel)
+        self._server = await serve(
+            address, self._on_channel, Logger('test').message_unreadable
+        )
 
     def stop(self) -> None:
         """Stop listening and abort all channels."""
--- a/tests/wire/test_channel.py
+++ b/tests/wire/test_channel.py
@@ -9,9 +9,10 @@
 import testtools
 from testtools import matchers
 
+from tests.builders_core import free_addresses
 from wigeonreach.codes import ResultCode
 from wigeonreach.exceptions import WireError
-from wigeonreach.wire import Channel
+from wigeonreach.wire import Channel, connect, parse_address, serve
 from wigeonreach.wire._call_messages import CoreHello, CoreNotice
 
 _MESSAGES = (
@@ -68,3 +69,51 @@
                 error.code,
                 matchers.Equals(ResultCode.WIRE_MALFORMED),
             )
+
+
+class TestServe(testtools.TestCase):
+    """A listening process, and a peer that sends something and leaves."""
+
+    def _codes(self, sent: bytes) -> list[ResultCode]:
+        """Return the codes of the faults that were passed on."""
+        return asyncio.run(_serve_once(sent))
+
+    def test_unreadable_message_is_passed_on(self) -> None:
+        """An operator can see that a peer speaks something else."""
+        self.assertThat(
+            self._codes(msgspec.msgpack.encode({'kind': 'unknown'})),
+            matchers.Equals([ResultCode.WIRE_MALFORMED]),
+        )
+
+    def test_disconnected_peer_is_no_fault(self) -> None:
+        """Peers come and go."""
+        self.assertThat(
+            self._codes(msgspec.msgpack.encode(_MESSAGES[0])),
+            matchers.Equals([]),
+        )
+
+
+async def _serve_once(sent: bytes) -> list[ResultCode]:
+    """Send bytes to a listening process, and return its faults."""
+    codes: list[ResultCode] = []
+    ended = asyncio.Event()
+
+    async def receive(channel: Channel) -> None:  # noqa: WPS430 - a callback
+        try:
+            while True:
+                await channel.receive()
+        finally:
+            asyncio.get_running_loop().call_soon(ended.set)
+
+    name = free_addresses(1)[0]
+    address = parse_address(name, 'peer')
+    server = await serve(
+        address, receive, lambda error: codes.append(error.code)
+    )
+    peer = await connect(address)
+    peer._writer.write(sent)  # noqa: SLF001 - bytes that are no message
+    await peer.drain()
+    await peer.close()
+    await ended.wait()
+    server.close()
+    return codes
