--- a/src/wigeonreach/scheduling/pooling/_pools.py
+++ b/src/wigeonreach/scheduling/pooling/_pools.py
@@ -57,6 +57,9 @@
 _IDLE_TIMEOUT_S = 1.5
 # How long a new leader keeps surplus VMs, as it knows too little of the demand.
 _SETTLE_S = 8.0
+# Until a new leader has heard the workers, which send a heartbeat within 1 s of
+# learning of it, the fleet looks smaller than it is.
+_HEARD_AFTER_S = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -70,12 +73,13 @@
     stops
         Late batch runs to be stopped, on VMs that are to move.
     figures
-        VMs that there are, and that the work needs.
+        VMs that there are, and that the work needs; None as long as the leader
+        has not heard all workers.
     """
 
     moves: list[Move]
     stops: tuple[Run, ...]
-    figures: FleetFigures
+    figures: FleetFigures | None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -136,6 +140,7 @@
         self._far_factor = settings.far_factor
         self._move_s = settings.move_s
         self._settled_s = now_s + _SETTLE_S
+        self._heard_s = now_s + _HEARD_AFTER_S
         self._demand: dict[str, ServiceDemand] = collections.defaultdict(
             ServiceDemand,
         )
@@ -216,7 +221,7 @@
         )
         filling = PoolFilling(self._reservations, self.vms, excluded_vms, now_s)
         emptied: list[EmptyingVm] = []
-        if figures.is_short and work.late:
+        if figures.is_short and work.late and now_s >= self._heard_s:
             shares = pools_with_shares(pools, in_time, figures.vms)
             busy = busy_vms(incarnations, self._store, work.late)
             filling.fill(shares)
@@ -226,7 +231,7 @@
         return PoolPlan(
             self._reservations.moves_due(now_s),
             tuple(run for vm in emptied for run in vm.stops),
-            figures,
+            figures if now_s >= self._heard_s else None,
         )
 
     def _arriving_vm_s(self, now_s: float) -> dict[str, float]:
--- a/src/wigeonreach/scheduling/shortage/_shortage.py
+++ b/src/wigeonreach/scheduling/shortage/_shortage.py
@@ -94,10 +94,10 @@
             return all_in_time(jobs)
         return split_work(jobs, capacity, now_s, self.weights())
 
-    def note_figures(self, figures: FleetFigures, now_s: float) -> None:
-        """Record what the last plan found."""
+    def note_figures(self, figures: FleetFigures | None, now_s: float) -> None:
+        """Record what the last plan found, if anything."""
         self.figures = figures
-        if not self.is_enabled:
+        if figures is None or not self.is_enabled:
             return
         if figures.is_short:
             if self._last_short_s is None:
