--- a/src/wigeonreach/cli/_core_command.py
+++ b/src/wigeonreach/cli/_core_command.py
@@ -71,7 +71,7 @@
             envvar='WIGEONREACH_HOME_ZONES',
             help='Whether the tasks of a batch job preferably share a zone.',
         ),
-    ] = Switch.ON,
+    ] = Switch.OFF,
     log_format: options.Format = LogFormat.JSON,
     log_level: options.Level = LogLevel.INFO,
 ) -> None:
--- a/src/wigeonreach/platform/_core_settings.py
+++ b/src/wigeonreach/platform/_core_settings.py
@@ -51,15 +51,15 @@
             maintenance_s=file.bounds.maintenance_s,
             stop_s=file.bounds.kill_grace_ms / _MS_PER_S,
             unavailable_after_s=file.bounds.notice_ms / _MS_PER_S,
-            shares_shortage=_switch(SHORTAGE_VARIABLE),
-            keeps_jobs_in_zones=_switch(HOME_ZONES_VARIABLE),
+            shares_shortage=_switch(SHORTAGE_VARIABLE, _ON),
+            keeps_jobs_in_zones=_switch(HOME_ZONES_VARIABLE, _OFF),
         ),
     )
 
 
-def _switch(variable: str) -> bool:
-    """Return whether a mechanism is on: unless its variable says ``off``."""
-    text = os.environ.get(variable, _ON)
+def _switch(variable: str, default: str) -> bool:
+    """Return whether a variable of the environment, or its default, is on."""
+    text = os.environ.get(variable, default)
     if text not in {_ON, _OFF}:
         raise SettingError(
             ResultCode.SETTING_INVALID,
--- a/src/wigeonreach/scheduling/_settings.py
+++ b/src/wigeonreach/scheduling/_settings.py
@@ -36,4 +36,4 @@
     stop_s: float = 0.4
     unavailable_after_s: float = 4.5
     shares_shortage: bool = True
-    keeps_jobs_in_zones: bool = True
+    keeps_jobs_in_zones: bool = False
--- a/tests/scheduling/placing/test_home_zones.py
+++ b/tests/scheduling/placing/test_home_zones.py
@@ -148,7 +148,11 @@
         )
         home = next(iter(_zones_of(lead)[_spec(1).job_id]))
         successor = FakeLead(
-            lead.store, lead.workers.values(), TERM + 1, lead.now_s
+            lead.store,
+            lead.workers.values(),
+            TERM + 1,
+            lead.now_s,
+            SchedulingSettings(keeps_jobs_in_zones=True),
         )
         for _ in range(3):
             successor.round()
