--- a/src/wigeonreach/scheduling/placing/_choosing.py
+++ b/src/wigeonreach/scheduling/placing/_choosing.py
@@ -30,7 +30,6 @@
 _BESIDE_SUSPECT_COST = 6.0
 # Keeps tasks without a data rack off racks where waiting tasks have their data.
 _DATA_RACK_COST = 2.0
-
 # A job all in one zone is not held up by the loss of another one.  Everything
 # above that can delay a task costs more.
 _OTHER_ZONE_COST = 1.0
--- a/src/wigeonreach/scheduling/placing/_home_zones.py
+++ b/src/wigeonreach/scheduling/placing/_home_zones.py
@@ -90,6 +90,8 @@
         list of LogNote
             Notes on zones that became suspect, or are no more.
         """
+        if not self._is_enabled:
+            return []
         suspect = suspect_zones(self._incarnations.values(), now_s)
         notes = [
             *_notes(LogEvent.ZONE_SUSPECTED, suspect - self._suspect, 'over'),
