--- a/soak/_cores.py
+++ b/soak/_cores.py
@@ -222,6 +222,7 @@
             f'--advertise={core.name}',
             f'--data-folder={core.folder}',
             f'--losses={self._losses}',
+            '--home-zones=on',
             *seeds,
             *options,
             stdout=asyncio.subprocess.PIPE,
--- a/soak/_workers.py
+++ b/soak/_workers.py
@@ -21,6 +21,7 @@
 _MIN_RUN_S = 0.1
 _MAX_RUN_S = 1.5
 _NS_PER_MS = 1_000_000
+_ZONES = 3
 
 
 @dataclasses.dataclass(slots=True)
@@ -134,7 +135,8 @@
 
 def _new_worker(vm: str) -> StandInWorker:
     born_ms = time.time_ns() // _NS_PER_MS
-    return StandInWorker(f'worker-of-{vm}', vm, born_ms=born_ms)
+    zone = f'z{int(vm.rpartition("-")[-1]) % _ZONES}'
+    return StandInWorker(f'worker-of-{vm}', vm, born_ms=born_ms, zone=zone)
 
 
 def _percent(now_s: float) -> int:
