--- a/src/wigeonreach/core/_term_log.py
+++ b/src/wigeonreach/core/_term_log.py
@@ -13,6 +13,7 @@
     RunEnd,
     RunEnded,
     RunStarted,
+    TaskCrash,
     run_name,
 )
 from wigeonreach.observe import LogEvent, Logger, Metrics
@@ -169,6 +170,7 @@
             LogEvent.RUN_CRASHED,
             run=run_name((crashed.task, crashed.run)),
             evidence=evidence,
+            is_at_start=crashed.is_at_start,
             crashes=len(task.crashes) if task else 0,
         )
 
@@ -207,6 +209,8 @@
             LogEvent.RUNS_ORDERED,
             runs=[_run_name(start) for start in starts],
         )
+        for suspect in starts:
+            self._log_suspect(suspect)
 
     def pools_planned(self, figures: FleetFigures | None) -> None:
         """Set the gauges of the VMs that there are and that work needs."""
@@ -219,6 +223,18 @@
         )
         self._metrics.gauge('fleet_late_jobs', figures.late_jobs)
 
+    def _log_suspect(self, start: RunStarted) -> None:
+        """Log the start of a task under which workers crashed."""
+        task = self._store.task_of(start.task)
+        if task is None or not task.crashes:
+            return
+        self._metrics.count('suspect_starts')
+        self._log.info(
+            LogEvent.SUSPECT_ORDERED,
+            run=_run_name(start),
+            crashes=[_crash_name(crash) for crash in task.crashes],
+        )
+
     def _count_workspace(self, name: str, job_id: str) -> None:
         """Count for the workspace of a job, if it has one."""
         job = self._store.jobs.get(job_id)
@@ -226,6 +242,12 @@
             self._metrics.count(name, job.workspace)
 
 
+def _crash_name(crash: TaskCrash) -> str:
+    """Return RUN:EVIDENCE, with ``-start`` if the run was never listed."""
+    suffix = '-start' if crash.is_at_start else ''
+    return f'{crash.run}:{crash.evidence.name.lower()}{suffix}'
+
+
 def _run_name(run: RunStarted | RunEnded) -> str:
     """Return TASK/RUN@WORKER."""
     return f'{run_name((run.task, run.run))}@{run.worker}'
--- a/src/wigeonreach/jobs/__init__.py
+++ b/src/wigeonreach/jobs/__init__.py
@@ -35,7 +35,12 @@
     TaskPhase,
     run_name,
 )
-from wigeonreach.jobs._records import JobRecord, TaskRecord, VmOrder
+from wigeonreach.jobs._records import (
+    JobRecord,
+    TaskCrash,
+    TaskRecord,
+    VmOrder,
+)
 from wigeonreach.jobs._store import JobStore
 from wigeonreach.jobs._waves import WaveRecord
 
@@ -66,6 +71,7 @@
     'SetManifest',
     'StartWave',
     'StepSpec',
+    'TaskCrash',
     'TaskKey',
     'TaskPhase',
     'TaskRecord',
