--- a/tests/builders_crashes.py
+++ b/tests/builders_crashes.py
@@ -12,7 +12,9 @@
 
 # A task fails after its third crash.  Two more starts are tolerated, as
 # evidence of a crash arrives seconds after it.
-MOST_STARTS = 5
+CRASHES = 3
+MOST_LATE_STARTS = 2
+MOST_STARTS = CRASHES + MOST_LATE_STARTS
 # How long a worker is cut off or a rack has no power; longer than a lease.
 OUTAGE_S = 7.0
 # Time from a crash until the VM has a new worker, as observed.
@@ -46,6 +48,8 @@
         How long a worker is down.
     successor
         Returns the next worker on the VM of one that was down.
+    crashes_after_s
+        How long such a task works before it crashes its worker.
 
     Attributes
     ----------
@@ -55,6 +59,8 @@
         Names of the workers on which each task was started.
     crashed
         Names of the crashed workers that ran each task.
+    late_starts
+        How often each task was started after ``CRASHES`` crashed workers.
     """
 
     def __init__(
@@ -65,11 +71,13 @@
         work_s: float = 0.5,
         back_after_s: float = RESTART_DELAY_S,
         successor: Callable[[StandInWorker], StandInWorker] | None = None,
+        crashes_after_s: float = 0.0,
     ) -> None:
         """Begin with all workers up."""
         self.lead = FakeLead(store, workers)
         self.starts: dict[TaskKey, list[str]] = collections.defaultdict(list)
         self.crashed: dict[TaskKey, list[str]] = collections.defaultdict(list)
+        self.late_starts = collections.Counter[TaskKey]()
         self._store = store
         self._crashes = crashes
         self._work_s = work_s
@@ -78,6 +86,7 @@
         self._down: list[_DownWorker] = []
         self._restarts = collections.Counter[str]()
         self._begun_s: dict[tuple[Run, str], float] = {}
+        self._crashes_after_s = crashes_after_s
 
     @property
     def up(self) -> list[StandInWorker]:
@@ -139,7 +148,7 @@
     def _work(self, worker: StandInWorker) -> None:
         now_s = self.lead.now_s
         self._note_begun(worker)
-        if any(self._crashes(key) for key, _ in worker.running):
+        if any(self._has_crashed(run, worker) for run in worker.running):
             self.crash_workers((worker,))
             return
         for ending in list(worker.running):
@@ -151,6 +160,10 @@
             if done >= 1 and self._is_whole(ending):
                 worker.end(ending, RunEnd.DONE)
 
+    def _has_crashed(self, run: Run, worker: StandInWorker) -> bool:
+        worked_s = self.lead.now_s - self._begun_s[run, worker.name]
+        return self._crashes(run[0]) and worked_s >= self._crashes_after_s
+
     def _forget_begun(self, worker: StandInWorker) -> None:
         """Forget start times, as the next worker may have the same name."""
         for run in worker.running:
@@ -162,6 +175,8 @@
             if name not in self._begun_s:
                 self._begun_s[name] = self.lead.now_s
                 self.starts[run[0]].append(worker.name)
+                is_late = len(self.crashed.get(run[0], ())) >= CRASHES
+                self.late_starts[run[0]] += is_late
 
     def _is_whole(self, run: Run) -> bool:
         """Whether a run may end: all members of its gang are running."""
--- /dev/null
+++ b/tests/scheduling/test_crash_starts.py
@@ -0,0 +1,71 @@
+"""Test how often a task is started after three workers crashed under it.
+
+Guards against this failure: a task crashed each of its workers some moments
+after its start, when a heartbeat had listed the run.  Each loss was evidence of
+a kind that no limit counted, so the task was started without limit.
+"""
+
+from __future__ import annotations
+
+import itertools
+
+import testtools
+from testtools import matchers
+
+from tests.builders_crash_days import CrashDay
+from tests.builders_crashes import (
+    CRASHES,
+    MOST_LATE_STARTS,
+    CrashingFleet,
+    is_first,
+    phase_of,
+)
+from tests.builders_jobs import job, key, step, store_with, workers
+from wigeonreach.jobs import JobPhase
+
+_FEW = matchers.LessThan(MOST_LATE_STARTS + 1)
+# One heartbeat or more lists the run before its worker goes down.
+_CRASHES_AFTER_S = (0.2, 0.5, 1.2, 3.0)
+_SEEDS = 4
+
+
+class TestStartsAfterCrashes(testtools.TestCase):
+    """A task that crashes each worker some moments after its start."""
+
+    def test_task_that_crashes_its_workers_at_work_is_given_up(self) -> None:
+        """It runs beside others, so each of its crashes proves little."""
+        for after_s in _CRASHES_AFTER_S:
+            others = [f'{number:016x}' for number in range(1, 20)]
+            store = store_with(
+                job(step(1)), *(job(step(2), job_id=one) for one in others)
+            )
+            fleet = CrashingFleet(
+                store, workers(6), is_first, 2.0, crashes_after_s=after_s
+            )
+            fleet.run(60)
+            self.assertThat(fleet.late_starts[key(0)], _FEW)
+            self.assertThat(phase_of(store), matchers.Equals(JobPhase.FAILED))
+            for one in others:
+                done = matchers.Equals(JobPhase.COMPLETED)
+                self.assertThat(phase_of(store, one), done)
+
+    def test_days_of_one_leader_give_few_starts(self) -> None:
+        """Several such tasks at once, beside sound jobs, which are done."""
+        self._play_days(changes_leader=False)
+
+    def test_days_of_many_leaders_give_few_starts(self) -> None:
+        """Each leader knows what the former ones started and lost."""
+        self._play_days(changes_leader=True)
+
+    def _play_days(self, changes_leader: bool) -> None:
+        for after_s, seed in itertools.product(_CRASHES_AFTER_S, range(_SEEDS)):
+            day = CrashDay(seed, after_s, changes_leader)
+            day.play()
+            self.assertThat(
+                day.most_late_starts(),
+                _FEW,
+                f'seed {seed}, {after_s} s, {CRASHES} crashes',
+            )
+            done = day.sound_jobs(JobPhase.COMPLETED)
+            others = day.store.jobs.keys() - {task.job_id for task in day.bad}
+            self.assertThat(done, matchers.Equals(others))
