Let crashes of suspects excuse no crash of each other

A worker on which no run had just begun counted as one that failed by itself, so a loss at the same moment proved little, and a rack that lost two such workers counted as failed. A task that crashes its worker a second after its start is not just begun: two such tasks excused each other for ever. Now a worker with a run of a task under which others have crashed is provoked too.

Test, failing before (UNCERTAIN each time): two tasks that crash their workers together, 1.2 s after their start; AT_WORK from the second time on.

--- a/src/wigeonreach/scheduling/_crashes.py
+++ b/src/wigeonreach/scheduling/_crashes.py
@@ -279,7 +279,7 @@
         evidence = evidence_of(causes)
         for run in causes.keys() & set(runs):
             lost = causes[run]
-            loss.is_provoked |= lost.has_just_begun
+            loss.is_provoked |= lost.may_be_cause
             loss.runs[run] = evidence[run]
             if lost.is_at_start:
                 loss.at_start.add(run)
@@ -392,7 +392,7 @@
             if not self._may_end_by_order(incarnation):
                 loss = _worker_loss(incarnation, now_s)
                 loss.is_provoked = any(
-                    lost.has_just_begun
+                    lost.may_be_cause
                     for lost in self._possible_causes(incarnation).values()
                 )
                 yield loss
--- a/src/wigeonreach/scheduling/_evidence.py
+++ b/src/wigeonreach/scheduling/_evidence.py
@@ -42,6 +42,11 @@
         """Whether its start may have crashed the worker."""
         return self.worked_s < JUST_BEGUN_S
 
+    @property
+    def may_be_cause(self) -> bool:
+        """Whether it just began, or others have crashed under its task."""
+        return self.has_just_begun or (bool(self.crashes) and not self.is_sound)
+
     @property
     def is_sound(self) -> bool:
         """Whether it had run for too long to be the cause."""
@@ -54,9 +59,7 @@
     # A task that crashes its worker does so when it starts.  Beside a run that
     # was never listed, only other starts and tasks with earlier crashes are
     # therefore suspected.
-    start_suspects = {
-        lost.job_id for lost in unsound if lost.has_just_begun or lost.crashes
-    }
+    start_suspects = {lost.job_id for lost in unsound if lost.may_be_cause}
     all_jobs = {lost.job_id for lost in unsound}
     return {
         run: _evidence_of_run(
--- a/src/wigeonreach/scheduling/_losses.py
+++ b/src/wigeonreach/scheduling/_losses.py
@@ -39,7 +39,8 @@
         The runs that it was told to start and had not listed when it was last
         heard; all of its runs if it was not heard in this term.
     is_provoked
-        Whether a run had just begun on it that may have crashed it.
+        Whether a run on it may have crashed it: one that had just begun, or
+        one of a task under which others have crashed.
     """
 
     worker: str
@@ -68,7 +69,7 @@
         The rack or zone.
     is_conclusive
         Whether the failure of the rack or zone is proved: at the same time it
-        lost another worker on which no run had just begun, or several others,
+        lost another worker that no run had provoked, or several others,
         and they are of more than one service in all.  Tasks of a queue that
         crash their workers one by one don't look like this.  Otherwise such
         tasks may still be the cause.
@@ -132,7 +133,7 @@
     def coincides_with_unprovoked(self, loss: WorkerLoss) -> bool:
         """Whether an unprovoked worker was lost at the same moment.
 
-        No run had just begun on that worker, so it failed by itself.  This one
+        No run on that worker may be the cause, so it failed by itself.  This one
         may have done so too, and its loss is only weak evidence.
         """
         heard_s = self._unprovoked_heard_s
--- a/tests/scheduling/test_crash_starts.py
+++ b/tests/scheduling/test_crash_starts.py
@@ -20,8 +20,15 @@
     is_first,
     phase_of,
 )
-from tests.builders_jobs import job, key, step, store_with, workers
-from wigeonreach.jobs import JobPhase
+from tests.builders_jobs import (
+    OTHER_JOB,
+    job,
+    key,
+    step,
+    store_with,
+    workers,
+)
+from wigeonreach.jobs import CrashEvidence, JobPhase
 
 _FEW = matchers.LessThan(MOST_LATE_STARTS + 1)
 # One heartbeat or more lists the run before its worker goes down.
@@ -57,6 +64,25 @@
         """Each leader knows what the former ones started and lost."""
         self._play_days(changes_leader=True)
 
+    def test_suspects_excuse_no_crash_of_each_other(self) -> None:
+        """Two tasks crash their workers at the same moment, again and again.
+
+        The first time each looks like a sound task beside a worker that failed
+        by itself; from then on both are suspects.
+        """
+        large = step(1, cpu_millicores=16_000)
+        store = store_with(job(large), job(large, job_id=OTHER_JOB))
+        fleet = CrashingFleet(
+            store, workers(6), lambda task: True, 3.0, crashes_after_s=1.2
+        )
+        fleet.run(20)
+        for task_key in (key(0), key(0, job_id=OTHER_JOB)):
+            task = store.task_of(task_key)
+            assert task is not None
+            evidence = [crash.evidence for crash in task.crashes[:2]]
+            expected = [CrashEvidence.UNCERTAIN, CrashEvidence.AT_WORK]
+            self.assertThat(evidence, matchers.Equals(expected))
+
     def _play_days(self, changes_leader: bool) -> None:
         for after_s, seed in itertools.product(_CRASHES_AFTER_S, range(_SEEDS)):
             day = CrashDay(seed, after_s, changes_leader)
