Limit the starts of a task whose runs are lost with their workers

Cause: three kinds of evidence had a limit, starts had none. A run that a heartbeat had listed, beside others or with a worker that came back late, left marks that no limit counts, so its task was started without end. Class: a retry loop bounded by evidence, which comes later than the retry or not at all, instead of by the retries.

Each run that may have begun and is lost with its worker now uses one of five starts up, in the record that lets its task wait again: no leader can start it without counting, and the store refuses a sixth start. Out of starts, it is given up once its losses are settled, unless three of the five are explained. A worker that is heard again gives the start back; a run that its worker was never told to start uses none.

The test of a task at work let sound work take 2.0 s, so that a task which was to crash its worker after 3.0 s was done first; its work now takes longer than that.

--- a/src/wigeonreach/jobs/_commands.py
+++ b/src/wigeonreach/jobs/_commands.py
@@ -54,13 +54,22 @@
 
 
 class RunEnded(msgspec.Struct, frozen=True, array_like=True):
-    """How a run ended; ``checkpoint`` is its saved progress, if any."""
+    """How a run ended.
+
+    Attributes
+    ----------
+    checkpoint
+        Its saved progress, if any.
+    may_have_begun
+        Whether its worker may have begun the run before it was lost.
+    """
 
     task: TaskKey
     run: int
     worker: str
     end: RunEnd
     checkpoint: str = ''
+    may_have_begun: bool = True
 
 
 class CrashEvidence(enum.IntEnum):
@@ -98,12 +107,15 @@
     ----------
     is_at_start
         Whether no heartbeat came after the worker was told to start the run.
+    has_returned
+        Whether the worker was heard again, so that it never went down.
     """
 
     task: TaskKey
     run: int
     evidence: CrashEvidence
     is_at_start: bool = False
+    has_returned: bool = False
 
 
 class BeginTerm(Command, frozen=True):
--- a/src/wigeonreach/jobs/_records.py
+++ b/src/wigeonreach/jobs/_records.py
@@ -18,6 +18,13 @@
 )
 from wigeonreach.workspaces import NO_AMOUNTS, Amounts, WorkspaceSpec
 
+# Users allow two starts after three crashed workers; a sixth start would be the
+# third.
+MAX_LOST_RUNS = 5
+# A task that lost so many runs counts as the cause only if this many of the
+# losses are not explained by something else.
+_MIN_UNEXPLAINED_LOSSES = 3
+
 
 class TaskCrash(msgspec.Struct, frozen=True, array_like=True):
     """Evidence whether a run crashed its worker, which stopped responding.
@@ -47,6 +54,9 @@
     crashes
         Runs whose workers crashed or may have crashed; cleared when a run is
         recorded as ``SOUND``, that is, as having worked for a long time.
+    lost_runs
+        Runs that may have begun and were lost with their workers, whatever the
+        cause; cleared like ``crashes``, and kept for batch tasks only.
     """
 
     phase: TaskPhase = TaskPhase.WAITING
@@ -56,6 +66,21 @@
     checkpoint: str = ''
     vm: str = ''
     crashes: tuple[TaskCrash, ...] = ()
+    lost_runs: tuple[int, ...] = ()
+
+    @property
+    def has_starts_left(self) -> bool:
+        """Whether it may start again after the workers that it lost."""
+        is_within_limit = len(self.lost_runs) < MAX_LOST_RUNS
+        return is_within_limit or len(self.crashes) < _MIN_UNEXPLAINED_LOSSES
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether it has no loss whose cause may still be found."""
+        return all(
+            crash.evidence is not CrashEvidence.UNSETTLED
+            for crash in self.crashes
+        )
 
     @property
     def crash_count(self) -> int:
--- a/src/wigeonreach/jobs/_runs.py
+++ b/src/wigeonreach/jobs/_runs.py
@@ -9,7 +9,12 @@
     RunStarted,
 )
 from wigeonreach.jobs._model import JobPhase, RunEnd, TaskKey, TaskPhase
-from wigeonreach.jobs._records import JobRecord, TaskCrash, TaskRecord
+from wigeonreach.jobs._records import (
+    MAX_LOST_RUNS,
+    JobRecord,
+    TaskCrash,
+    TaskRecord,
+)
 
 # Limits for giving up a task that crashes its workers.  Each crash costs a VM for
 # some seconds and all other runs on it, again and again; a task that is given up
@@ -25,8 +30,6 @@
 _START_CRASH_LIMIT = 5
 _CONCLUSIVE = frozenset((CrashEvidence.AT_WORK, CrashEvidence.ALONE))
 _FINAL_PHASES = frozenset((TaskPhase.DONE, TaskPhase.GIVEN_UP))
-# Not used: the number of crashes of any evidence has no limit of its own.
-_MAX_CRASHES = 4
 
 
 def apply_run_start(job: JobRecord, start: RunStarted) -> bool:
@@ -36,6 +39,8 @@
         return False
     if task.phase is not TaskPhase.WAITING or start.run <= task.run:
         return False
+    if not task.has_starts_left:
+        return False
     task.phase = TaskPhase.ASSIGNED
     task.run = start.run
     task.worker = start.worker
@@ -79,11 +84,12 @@
     if task is None:
         return False
     if crashed.evidence is CrashEvidence.EXPLAINED:
-        return _without_crash(task, crashed.run)
+        return _without_crash(task, crashed)
     if not job.is_active or task.phase in _FINAL_PHASES:
         return False
     if crashed.evidence is CrashEvidence.SOUND:
         task.crashes = ()
+        task.lost_runs = ()
         return True
     crashes = _with_crash(task.crashes, crashed)
     if crashes == task.crashes:
@@ -95,11 +101,35 @@
     return True
 
 
-def _without_crash(task: TaskRecord, run: int) -> bool:
-    """Remove the crash of a run from its task; return whether there was one."""
-    before = len(task.crashes)
+def apply_start_limit(job: JobRecord, key: TaskKey) -> bool:
+    """Give up a task that is out of starts; return whether it was given up.
+
+    While some of its losses are unsettled it only waits, as a worker that
+    returns gives a start back.
+    """
+    task = job.task(key)
+    if task is None or not job.is_active:
+        return False
+    if task.phase is not TaskPhase.WAITING or task.has_starts_left:
+        return False
+    if not task.is_settled:
+        return False
+    _give_up(job, key)
+    return True
+
+
+def _without_crash(task: TaskRecord, explained: RunCrashed) -> bool:
+    """Remove the crash of a run from its task; return whether it changed.
+
+    A run that was lost with its worker used up a start whatever the cause, but
+    not if the worker never went down.
+    """
+    run = explained.run
+    before = (task.crashes, task.lost_runs)
     task.crashes = tuple(crash for crash in task.crashes if crash.run != run)
-    return len(task.crashes) < before
+    if explained.has_returned:
+        task.lost_runs = tuple(lost for lost in task.lost_runs if lost != run)
+    return (task.crashes, task.lost_runs) != before
 
 
 def _with_crash(
@@ -201,7 +231,11 @@
 def _requeue(job: JobRecord, ended: RunEnded, task: TaskRecord) -> None:
     task.phase = TaskPhase.WAITING
     step = job.step_spec(ended.task)
-    if ended.end is not RunEnd.FAILED or step.is_service:
+    if step.is_service:
+        return
+    if ended.end is RunEnd.LOST and ended.may_have_begun:
+        task.lost_runs = (*task.lost_runs, ended.run)[-MAX_LOST_RUNS:]
+    if ended.end is not RunEnd.FAILED:
         return
     task.failures += 1
     failures = task.failures
--- a/src/wigeonreach/jobs/_store.py
+++ b/src/wigeonreach/jobs/_store.py
@@ -340,6 +340,10 @@
         _apply_run_end(store, ended)
     for crashed in command.crashes:
         _apply_run_crash(store, crashed)
+    for ended in command.ends:
+        _apply_start_limit(store, ended.task)
+    for settled in command.crashes:
+        _apply_start_limit(store, settled.task)
     _apply_run_starts(store, command.starts)
     return CommandReply(CommandResult.DONE)
 
@@ -364,6 +368,13 @@
         _unassign_given_up(store, job, crashed.task)
 
 
+def _apply_start_limit(store: JobStore, key: TaskKey) -> None:
+    job = store.job_of(key)
+    if job is not None and runs.apply_start_limit(job, key):
+        store.changed_jobs.add(key.job_id)
+        _unassign_given_up(store, job, key)
+
+
 def _unassign_given_up(store: JobStore, job: JobRecord, key: TaskKey) -> None:
     """Unassign given up tasks of an active job, so that workers stop them."""
     for member in runs.gang_of(job, key):
--- a/src/wigeonreach/scheduling/_crashes.py
+++ b/src/wigeonreach/scheduling/_crashes.py
@@ -15,7 +15,7 @@
 from __future__ import annotations
 
 import collections
-from collections.abc import Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator
 
 from wigeonreach.jobs import (
     CrashEvidence,
@@ -113,7 +113,7 @@
         report = incarnation.report
         returned = self._unexplained.pop(report.worker, None)
         if returned is not None:
-            self._mark_explained(returned)
+            self._mark_returned(returned)
         self._recent_losses.pop(report.worker, None)
         newest = (incarnation.first_heard_s, report.worker)
         vm = report.vm_or_address
@@ -147,7 +147,7 @@
         incarnation: Incarnation,
         runs: Iterable[Run],
         now_s: float,
-    ) -> None:
+    ) -> Collection[Run]:
         """Record that runs are given up as their worker is silent or ended.
 
         Parameters
@@ -158,6 +158,11 @@
             The runs that are given up.
         now_s
             Clock in seconds.
+
+        Returns
+        -------
+        Collection of Run
+            Those of the runs that may have begun.
         """
         worker = incarnation.report.worker
         loss = self._unexplained.get(worker) or _worker_loss(incarnation, now_s)
@@ -167,9 +172,10 @@
         )
         if incarnation.is_ending or self._may_end_by_order(incarnation):
             self._mark_starts_uncertain(loss)
-            return
+            return loss.runs.keys()
         self._mark_unsettled(loss)
         self._recent_losses[worker] = loss
+        return loss.runs.keys()
 
     def note_unheard(self, worker: str, now_s: float) -> None:
         """Record a worker with runs of earlier terms, not heard in this one."""
@@ -268,6 +274,13 @@
                 run, CrashEvidence.EXPLAINED
             )
 
+    def _mark_returned(self, loss: WorkerLoss) -> None:
+        """Record that a worker was heard again, so that it never crashed."""
+        for run in loss.runs:
+            self._unrecorded[run] = RunCrashed(
+                *run, CrashEvidence.EXPLAINED, has_returned=True
+            )
+
     def _add_runs(
         self,
         loss: WorkerLoss,
--- a/src/wigeonreach/scheduling/_lost_runs.py
+++ b/src/wigeonreach/scheduling/_lost_runs.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Collection, Iterator, Mapping
 
 from wigeonreach.jobs import JobStore, Run, RunEnd, RunEnded
 from wigeonreach.scheduling._crashes import CrashTracker
@@ -67,15 +67,20 @@
         now_s
             Clock in seconds.
         """
+        lost: list[RunEnded] = []
         for worker, ending in ended.items():
             held = self._store.runs_of(worker).items()
-            self.crashes.note_lost(ending.incarnation, held, now_s)
-        over = {*ended, *self._unheard_workers(now_s)}
-        return tuple(
-            self._lost_end(worker, run)
-            for worker in sorted(over)
-            for run in self._store.runs_of(worker).items()
-        )
+            begun = self.crashes.note_lost(ending.incarnation, held, now_s)
+            lost.extend(self._lost_end(worker, run, begun) for run in held)
+        for unheard in self._unheard_workers(now_s):
+            if unheard in ended:
+                continue
+            # It is not known which of these their worker began.
+            unknown = self._store.runs_of(unheard).items()
+            lost.extend(
+                self._lost_end(unheard, run, unknown) for run in unknown
+            )
+        return tuple(lost)
 
     def to_be_copied(self, now_s: float) -> tuple[RunEnded, ...]:
         """Return runs of silent workers as lost, so that copies may start."""
@@ -83,10 +88,12 @@
             return ()
         incarnations = self._workers.incarnations
         found = tuple(runs_to_copy(incarnations, self._store, now_s))
-        for incarnation, run in found:
-            self.crashes.note_lost(incarnation, (run,), now_s)
         return tuple(
-            self._lost_end(incarnation.report.worker, run)
+            self._lost_end(
+                incarnation.report.worker,
+                run,
+                self.crashes.note_lost(incarnation, (run,), now_s),
+            )
             for incarnation, run in found
         )
 
@@ -99,11 +106,23 @@
                 self.crashes.note_unheard(worker, now_s)
             yield worker
 
-    def _lost_end(self, worker: str, run: Run) -> RunEnded:
+    def _lost_end(
+        self,
+        worker: str,
+        run: Run,
+        begun: Collection[Run],
+    ) -> RunEnded:
         key, number = run
         task = self._store.task_of(key)
         saved = task.checkpoint if task else ''
-        return RunEnded(key, number, worker, RunEnd.LOST, saved)
+        return RunEnded(
+            key,
+            number,
+            worker,
+            RunEnd.LOST,
+            saved,
+            may_have_begun=run in begun,
+        )
 
     def _has_listened_long(self, now_s: float) -> bool:
         """Whether this process has run long enough to hear every worker.
--- a/src/wigeonreach/scheduling/_suspects.py
+++ b/src/wigeonreach/scheduling/_suspects.py
@@ -68,5 +68,8 @@
 
     def must_wait(self, key: TaskKey, task: TaskRecord) -> bool:
         """Whether a task must not start before its losses are explained."""
+        if not task.has_starts_left:
+            return True
         is_settled = not self.unexplained_losses[key]
-        return not is_settled and task.crash_count >= _MAX_UNSETTLED_CRASHES
+        losses = max(task.crash_count, len(task.lost_runs))
+        return not is_settled and losses >= _MAX_UNSETTLED_CRASHES
--- a/tests/scheduling/test_crash_starts.py
+++ b/tests/scheduling/test_crash_starts.py
@@ -47,7 +47,12 @@
                 job(step(1)), *(job(step(2), job_id=one) for one in others)
             )
             fleet = CrashingFleet(
-                store, workers(6), is_first, 2.0, crashes_after_s=after_s
+                store,
+                workers(6),
+                is_first,
+                # Longer than the task takes to crash its worker.
+                max(2.0, after_s + 1.0),
+                crashes_after_s=after_s,
             )
             fleet.run(60)
             self.assertThat(fleet.late_starts[key(0)], _FEW)
