--- a/src/wigeonreach/scheduling/_crashes.py
+++ b/src/wigeonreach/scheduling/_crashes.py
@@ -49,6 +49,9 @@
 # Running workers that are not cut off are heard within this time after a term
 # begins.
 _FIRST_HEARTBEATS_S = 1.5
+# Workers count as failing by themselves for this long after one was given up; a
+# little longer than a lease.
+_CALM_AFTER_S = 5.0
 # A VM that lost its worker within this time may itself be the cause.
 _RECENT_CRASH_S = 20.0
 
@@ -243,7 +246,20 @@
             for key, lost_s in self._task_lost_s.items()
             if now_s - lost_s < ISOLATION_S
         }
-        return Suspects(unexplained, self._task_lost_s, self._began_s, now_s)
+        return Suspects(
+            unexplained,
+            self._task_lost_s,
+            self._began_s,
+            now_s,
+            is_calm=self._is_calm(now_s),
+        )
+
+    def _is_calm(self, now_s: float) -> bool:
+        """Whether no worker was given up lately that no run had provoked."""
+        return all(
+            loss.is_provoked or now_s - loss.given_up_s >= _CALM_AFTER_S
+            for loss in self._recent_losses.values()
+        )
 
     def _mark_unsettled(self, loss: WorkerLoss) -> None:
         """Record a loss as unsettled for the runs that may have caused it.
--- a/src/wigeonreach/scheduling/_suspects.py
+++ b/src/wigeonreach/scheduling/_suspects.py
@@ -22,6 +22,11 @@
 ISOLATION_S = 16.0
 
 
+# A task with few starts left waits for so long while workers fail by themselves:
+# more than twice what it takes to find a lost worker.
+_CALM_WAIT_S = 10.0
+
+
 class Isolation(enum.Enum):
     """The runs from which a task is isolated."""
 
@@ -44,12 +49,15 @@
         When the term began; other tasks may have been lost before.
     now_s
         Clock in seconds.
+    is_calm
+        Whether no worker was lost lately that no run had provoked.
     """
 
     unexplained_losses: collections.Counter[TaskKey]
     lost_s: Mapping[TaskKey, float]
     began_s: float
     now_s: float
+    is_calm: bool
 
     @property
     def may_isolate(self) -> bool:
@@ -70,6 +78,14 @@
         """Whether a task must not start before its losses are explained."""
         if not task.has_starts_left:
             return True
-        is_settled = not self.unexplained_losses[key]
         losses = max(task.crash_count, len(task.lost_runs))
-        return not is_settled and losses >= _MAX_UNSETTLED_CRASHES
+        if losses < _MAX_UNSETTLED_CRASHES:
+            return False
+        is_settled = not self.unexplained_losses[key]
+        return not is_settled or self._awaits_calm(key, task)
+
+    def _awaits_calm(self, key: TaskKey, task: TaskRecord) -> bool:
+        """Whether a task saves one of its last starts for a calmer moment."""
+        is_limited = len(task.lost_runs) >= _MAX_UNSETTLED_CRASHES
+        lost_for_s = self.now_s - self.lost_s.get(key, self.began_s)
+        return is_limited and not self.is_calm and lost_for_s < _CALM_WAIT_S
--- a/tests/scheduling/test_crash_starts.py
+++ b/tests/scheduling/test_crash_starts.py
@@ -34,6 +34,9 @@
 # One heartbeat or more lists the run before its worker goes down.
 _CRASHES_AFTER_S = (0.2, 0.5, 1.2, 3.0)
 _SEEDS = 4
+_NEVER_S = float('inf')
+# Days on which sound jobs were given up without this.
+_STORM_SEEDS = (16, 74, 76)
 
 
 class TestStartsAfterCrashes(testtools.TestCase):
@@ -88,6 +91,19 @@
             expected = [CrashEvidence.UNCERTAIN, CrashEvidence.AT_WORK]
             self.assertThat(evidence, matchers.Equals(expected))
 
+    def test_last_starts_wait_until_workers_stop_failing(self) -> None:
+        """A third of the workers goes down every 4.5 s, by themselves.
+
+        A sound task that was lost three times is not started until that is
+        over, or for 10 s, so it is not lost five times and given up.
+        """
+        for seed in _STORM_SEEDS:
+            day = CrashDay(seed, crashes_after_s=_NEVER_S, storm_ratio=0.35)
+            day.bad.clear()
+            day.play()
+            failed = day.sound_jobs(JobPhase.FAILED)
+            self.assertThat(failed, matchers.HasLength(0), f'seed {seed}')
+
     def _play_days(self, changes_leader: bool) -> None:
         for after_s, seed in itertools.product(_CRASHES_AFTER_S, range(_SEEDS)):
             day = CrashDay(seed, after_s, changes_leader)
