--- a/src/wigeonreach/jobs/_commands.py
+++ b/src/wigeonreach/jobs/_commands.py
@@ -109,6 +109,8 @@
         Whether no heartbeat came after the worker was told to start the run.
     has_returned
         Whether the worker was heard again, so that it never went down.
+    is_coincident
+        Whether a worker that failed by itself was lost at the same moment.
     """
 
     task: TaskKey
@@ -116,6 +118,7 @@
     evidence: CrashEvidence
     is_at_start: bool = False
     has_returned: bool = False
+    is_coincident: bool = False
 
 
 class BeginTerm(Command, frozen=True):
--- a/src/wigeonreach/jobs/_records.py
+++ b/src/wigeonreach/jobs/_records.py
@@ -22,7 +22,8 @@
 # third.
 MAX_LOST_RUNS = 5
 # A task that lost so many runs counts as the cause only if this many of the
-# losses are not explained by something else.
+# losses are not explained by something else, and some came at a moment at which
+# no worker failed by itself.
 _MIN_UNEXPLAINED_LOSSES = 3
 
 
@@ -33,11 +34,14 @@
     ----------
     is_at_start
         Whether no heartbeat came after the worker was told to start the run.
+    is_coincident
+        Whether a worker that failed by itself was lost at the same moment.
     """
 
     run: int
     evidence: CrashEvidence
     is_at_start: bool = False
+    is_coincident: bool = False
 
 
 class TaskRecord(msgspec.Struct, array_like=True):
@@ -72,7 +76,13 @@
     def has_starts_left(self) -> bool:
         """Whether it may start again after the workers that it lost."""
         is_within_limit = len(self.lost_runs) < MAX_LOST_RUNS
-        return is_within_limit or len(self.crashes) < _MIN_UNEXPLAINED_LOSSES
+        return is_within_limit or not self._is_likely_cause
+
+    @property
+    def _is_likely_cause(self) -> bool:
+        """Whether most of its losses have no other explanation."""
+        has_own_losses = not all(crash.is_coincident for crash in self.crashes)
+        return has_own_losses and len(self.crashes) >= _MIN_UNEXPLAINED_LOSSES
 
     @property
     def is_settled(self) -> bool:
--- a/src/wigeonreach/jobs/_runs.py
+++ b/src/wigeonreach/jobs/_runs.py
@@ -146,7 +146,12 @@
     ]
     if settled:
         return crashes
-    crash = TaskCrash(crashed.run, crashed.evidence, crashed.is_at_start)
+    crash = TaskCrash(
+        crashed.run,
+        crashed.evidence,
+        crashed.is_at_start,
+        crashed.is_coincident,
+    )
     return (*others, crash)
 
 
--- a/src/wigeonreach/scheduling/_crashes.py
+++ b/src/wigeonreach/scheduling/_crashes.py
@@ -361,7 +361,6 @@
     def _max_evidence(
         self,
         loss: WorkerLoss,
-        correlation: LossCorrelation,
         now_s: float,
     ) -> CrashEvidence:
         """Return the upper limit of the evidence that a crash provides."""
@@ -370,10 +369,7 @@
             # A partition may have lasted longer than the lease and ended the
             # runs before the worker went down.
             return CrashEvidence.UNCERTAIN
-        if (
-            correlation.coincides_with_unprovoked(loss)
-            or correlation.failed_domain(loss) is not None
-        ):
+        if loss.is_coincident:
             return CrashEvidence.UNCERTAIN
         if (
             now_s - self._vm_unprovoked_s.get(loss.vm, _NEVER_S)
@@ -403,7 +399,10 @@
             self._mark_explained(loss)
             self._mark_starts_uncertain(loss)
             return
-        max_evidence = self._max_evidence(loss, correlation, now_s)
+        loss.is_coincident = (
+            domain is not None or correlation.coincides_with_unprovoked(loss)
+        )
+        max_evidence = self._max_evidence(loss, now_s)
         self._vm_crashed_s[loss.vm] = now_s
         if not loss.is_provoked:
             self._vm_unprovoked_s[loss.vm] = now_s
--- a/src/wigeonreach/scheduling/_losses.py
+++ b/src/wigeonreach/scheduling/_losses.py
@@ -41,6 +41,9 @@
     is_provoked
         Whether a run on it may have crashed it: one that had just begun, or
         one of a task under which others have crashed.
+    is_coincident
+        Whether a worker that no run had provoked was lost at the same moment,
+        or all other workers of its rack or zone were.
     """
 
     worker: str
@@ -53,10 +56,16 @@
     runs: dict[Run, CrashEvidence] = dataclasses.field(default_factory=dict)
     at_start: set[Run] = dataclasses.field(default_factory=set)
     is_provoked: bool = False
+    is_coincident: bool = False
 
     def crash_record(self, run: Run, evidence: CrashEvidence) -> RunCrashed:
         """Return the record of this loss for one of its runs."""
-        return RunCrashed(*run, evidence, run in self.at_start)
+        return RunCrashed(
+            *run,
+            evidence,
+            is_at_start=run in self.at_start,
+            is_coincident=self.is_coincident,
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/jobs/test_lost_runs.py
+++ b/tests/jobs/test_lost_runs.py
@@ -37,6 +37,7 @@
 _FAILED = matchers.Equals(JobPhase.FAILED)
 _BESIDE = CrashEvidence.BESIDE_OTHERS
 _EXPLAINED = CrashEvidence.EXPLAINED
+_UNCERTAIN = CrashEvidence.UNCERTAIN
 _UNSETTLED = CrashEvidence.UNSETTLED
 _MANY = 9
 
@@ -50,6 +51,7 @@
     run: int,
     evidence: CrashEvidence,
     may_have_begun: bool = True,
+    is_coincident: bool = False,
 ) -> None:
     """Start a run, lose its worker, and record what that proves."""
     worker = f'w{run}'
@@ -58,7 +60,7 @@
     ended = RunEnded(
         key(), run, worker, RunEnd.LOST, may_have_begun=may_have_begun
     )
-    crashed = RunCrashed(key(), run, evidence)
+    crashed = RunCrashed(key(), run, evidence, is_coincident=is_coincident)
     commit(store, RecordRuns(TERM, ends=(ended,), crashes=(crashed,)))
 
 
@@ -116,6 +118,15 @@
             _lose(store, run, _BESIDE)
         self.assertThat(store.jobs[JOB].phase, _FAILED)
 
+    def test_losses_beside_failing_workers_fail_no_job(self) -> None:
+        """Each came at the moment at which workers failed by themselves."""
+        store = _store()
+        for run in range(1, _MANY):
+            _lose(store, run, _UNCERTAIN, is_coincident=True)
+        self.assertThat(store.jobs[JOB].phase, _ACTIVE)
+        _lose(store, _MANY, _UNCERTAIN)
+        self.assertThat(store.jobs[JOB].phase, _FAILED)
+
     def test_explained_losses_alone_fail_no_job(self) -> None:
         """Racks fail under it, however often."""
         store = _store()
--- a/tests/scheduling/test_crash_starts.py
+++ b/tests/scheduling/test_crash_starts.py
@@ -36,7 +36,7 @@
 _SEEDS = 4
 _NEVER_S = float('inf')
 # Days on which sound jobs were given up without this.
-_STORM_SEEDS = (16, 74, 76)
+_STORM_SEEDS = (0, 16, 74, 76)
 
 
 class TestStartsAfterCrashes(testtools.TestCase):
