Settle at a new leader the losses that former ones left open

A loss is unsettled until its VM has another worker. The next leader knew the mark and not the worker, so nobody settled it any more, and a task without starts left waited for ever with its job. Class: state that only a leader's memory can bring to its end. Once all workers were heard in a term, such marks count as uncertain, or as explained if the worker of a task's newest run was heard again.

Test, failing before: a leader every 6.5 s, VMs back after 9 s; the job stays active for 130 s.

--- a/src/wigeonreach/jobs/_records.py
+++ b/src/wigeonreach/jobs/_records.py
@@ -206,10 +206,16 @@
 
     def assigned_tasks(self) -> Iterator[tuple[TaskKey, TaskRecord]]:
         """Yield the tasks that are assigned to a worker."""
+        for key, task in self.all_tasks():
+            if task.phase is TaskPhase.ASSIGNED:
+                yield key, task
+
+    def all_tasks(self) -> Iterator[tuple[TaskKey, TaskRecord]]:
+        """Yield all tasks of all occurrences."""
         for occurrence, _ in enumerate(self.occurrences):
             for key in tasks_of(self.spec, occurrence):
                 task = self.task(key)
-                if task is not None and task.phase is TaskPhase.ASSIGNED:
+                if task is not None:
                     yield key, task
 
 
--- a/src/wigeonreach/scheduling/_crashes.py
+++ b/src/wigeonreach/scheduling/_crashes.py
@@ -15,6 +15,7 @@
 from __future__ import annotations
 
 import collections
+import itertools
 from collections.abc import Collection, Iterable, Iterator
 
 from wigeonreach.jobs import (
@@ -110,6 +111,8 @@
         self._ordered_s = dict.fromkeys(
             self._inherited_orders, now_s + _FIRST_HEARTBEATS_S
         )
+        # Losses of which former leaders had not found the cause.
+        self._inherited_losses = tuple(_unsettled_losses(store))
 
     def note_heard(self, incarnation: Incarnation) -> None:
         """Record a heartbeat, which clears an earlier loss of its worker."""
@@ -201,6 +204,8 @@
 
     def unrecorded(self, now_s: float) -> tuple[RunCrashed, ...]:
         """Return the crashes to record; they repeat until they are recorded."""
+        if now_s - self._began_s >= _FIRST_HEARTBEATS_S:
+            self._settle_inherited()
         replaced = [
             loss
             for loss in self._unexplained.values()
@@ -412,6 +417,30 @@
             )
         self._add_note(loss, f'{len(loss.runs)} runs may be the cause')
 
+    def _settle_inherited(self) -> None:
+        """Settle the losses of former terms once all workers were heard.
+
+        Of a task's newest run the worker is known, and may have returned.  For
+        earlier ones nobody knows it any more, and nothing explains them.
+        """
+        for run, is_at_start in self._inherited_losses:
+            key, number = run
+            task = self._store.task_of(key)
+            if task is None:
+                continue
+            has_returned = (
+                task.run == number and task.worker in self._workers.incarnations
+            )
+            evidence = (
+                CrashEvidence.EXPLAINED
+                if has_returned
+                else CrashEvidence.UNCERTAIN
+            )
+            self._unrecorded[run] = RunCrashed(
+                *run, evidence, is_at_start, has_returned
+            )
+        self._inherited_losses = ()
+
     def _silent_workers(self, now_s: float) -> Iterator[WorkerLoss]:
         """Yield the losses of silent workers that are not given up yet."""
         for incarnation in self._workers.incarnations.values():
@@ -429,6 +458,17 @@
         self.notes.append(LogNote(LogEvent.WORKER_CRASHED, loss.worker, reason))
 
 
+def _unsettled_losses(store: JobStore) -> Iterator[tuple[Run, bool]]:
+    """Yield the runs lost for an unknown cause, and whether at their start."""
+    active = (job for job in store.jobs.values() if job.is_active)
+    for key, task in itertools.chain.from_iterable(
+        job.all_tasks() for job in active
+    ):
+        for crash in task.crashes:
+            if crash.evidence is CrashEvidence.UNSETTLED:
+                yield (key, crash.run), crash.is_at_start
+
+
 def _worker_loss(incarnation: Incarnation, now_s: float) -> WorkerLoss:
     report = incarnation.report
     return WorkerLoss(
--- a/tests/scheduling/test_crash_starts.py
+++ b/tests/scheduling/test_crash_starts.py
@@ -91,6 +91,27 @@
             expected = [CrashEvidence.UNCERTAIN, CrashEvidence.AT_WORK]
             self.assertThat(evidence, matchers.Equals(expected))
 
+    def test_new_leaders_settle_what_former_ones_left_open(self) -> None:
+        """So a job that is out of starts ends, and doesn't wait for ever.
+
+        Its VMs have no new worker before the next leader has begun, so no
+        leader that saw a loss ever settles it.
+        """
+        store = store_with(job(step(2)))
+        fleet = CrashingFleet(
+            store,
+            workers(8),
+            is_first,
+            work_s=2.0,
+            back_after_s=9.0,
+            crashes_after_s=0.5,
+        )
+        for _ in range(20):
+            fleet.run(6.5)
+            fleet.change_leader()
+        self.assertThat(fleet.late_starts[key(0)], _FEW)
+        self.assertThat(phase_of(store), matchers.Equals(JobPhase.FAILED))
+
     def test_last_starts_wait_until_workers_stop_failing(self) -> None:
         """A third of the workers goes down every 4.5 s, by themselves.
 
