Take a loss back only once its worker goes on

A single heartbeat of a lost worker took the marks of all its runs back. One that was underway when the worker went down, and came after its lease was over and before its VM had another worker, did the same, so each such crash left no mark and gave its start back. A dead worker's late heartbeat proves nothing: what was known for new work was not asked for here. Now a loss is taken back when the worker is heard over 0.7 s.

--- a/src/wigeonreach/scheduling/_crashes.py
+++ b/src/wigeonreach/scheduling/_crashes.py
@@ -115,12 +115,16 @@
         self._inherited_losses = tuple(_unsettled_losses(store))
 
     def note_heard(self, incarnation: Incarnation) -> None:
-        """Record a heartbeat, which clears an earlier loss of its worker."""
+        """Record a heartbeat; several clear an earlier loss of its worker.
+
+        A single one may have been underway when the worker went down.
+        """
         report = incarnation.report
-        returned = self._unexplained.pop(report.worker, None)
-        if returned is not None:
+        returned = self._unexplained.get(report.worker)
+        if returned is not None and returned.is_disproved(incarnation.heard_s):
+            self._unexplained.pop(report.worker)
+            self._recent_losses.pop(report.worker, None)
             self._mark_returned(returned)
-        self._recent_losses.pop(report.worker, None)
         newest = (incarnation.first_heard_s, report.worker)
         vm = report.vm_or_address
         if newest > self._newest_worker.get(vm, (0.0, '')):
--- a/src/wigeonreach/scheduling/_losses.py
+++ b/src/wigeonreach/scheduling/_losses.py
@@ -17,6 +17,9 @@
 # Greatest difference if no heartbeat timed out: if two workers fail at the same
 # moment, even an idle one was heard this shortly before.
 _SAME_MOMENT_S = 0.9
+# A lost worker that is heard over this time goes on; at the interval of an idle
+# worker that is two heartbeats.
+_RETURNED_FOR_S = 0.7
 
 
 @dataclasses.dataclass(slots=True)
@@ -44,6 +47,8 @@
     is_coincident
         Whether a worker that no run had provoked was lost at the same moment,
         or all other workers of its rack or zone were.
+    returned_s
+        When a heartbeat of it arrived after that.
     """
 
     worker: str
@@ -57,6 +62,12 @@
     at_start: set[Run] = dataclasses.field(default_factory=set)
     is_provoked: bool = False
     is_coincident: bool = False
+    returned_s: float = float('inf')
+
+    def is_disproved(self, heard_s: float) -> bool:
+        """Record a heartbeat that came after it; return whether it goes on."""
+        self.returned_s = min(self.returned_s, heard_s)
+        return heard_s - self.returned_s >= _RETURNED_FOR_S
 
     def crash_record(self, run: Run, evidence: CrashEvidence) -> RunCrashed:
         """Return the record of this loss for one of its runs."""
--- a/tests/scheduling/test_crash_starts.py
+++ b/tests/scheduling/test_crash_starts.py
@@ -29,11 +29,13 @@
     workers,
 )
 from wigeonreach.jobs import CrashEvidence, JobPhase
+from wigeonreach.standins import StandInWorker
 
 _FEW = matchers.LessThan(MOST_LATE_STARTS + 1)
 # One heartbeat or more lists the run before its worker goes down.
 _CRASHES_AFTER_S = (0.2, 0.5, 1.2, 3.0)
 _SEEDS = 4
+_LONG_S = 60
 _NEVER_S = float('inf')
 # Days on which sound jobs were given up without this.
 _STORM_SEEDS = (0, 16, 74, 76)
@@ -57,7 +59,7 @@
                 max(2.0, after_s + 1.0),
                 crashes_after_s=after_s,
             )
-            fleet.run(60)
+            fleet.run(_LONG_S)
             self.assertThat(fleet.late_starts[key(0)], _FEW)
             self.assertThat(phase_of(store), matchers.Equals(JobPhase.FAILED))
             for one in others:
@@ -112,6 +114,33 @@
         self.assertThat(fleet.late_starts[key(0)], _FEW)
         self.assertThat(phase_of(store), matchers.Equals(JobPhase.FAILED))
 
+    def test_late_heartbeats_of_lost_workers_explain_no_loss(self) -> None:
+        """One is underway when a worker goes down, and arrives 5 s later."""
+        store = store_with(job(step(2)))
+        fleet = CrashingFleet(
+            store,
+            workers(6),
+            is_first,
+            work_s=2.0,
+            back_after_s=6.5,
+            crashes_after_s=0.5,
+        )
+        late: list[tuple[float, StandInWorker]] = []
+        before = {worker.name: worker for worker in fleet.up}
+        while fleet.lead.now_s < _LONG_S:
+            fleet.round()
+            now_s = fleet.lead.now_s
+            after = {worker.name: worker for worker in fleet.up}
+            late.extend(
+                (now_s + 5.0, before[name])
+                for name in before.keys() - after.keys()
+            )
+            before = after
+            while late and late[0][0] <= now_s:
+                fleet.lead.hear(late.pop(0)[1])
+        self.assertThat(fleet.late_starts[key(0)], _FEW)
+        self.assertThat(phase_of(store), matchers.Equals(JobPhase.FAILED))
+
     def test_last_starts_wait_until_workers_stop_failing(self) -> None:
         """A third of the workers goes down every 4.5 s, by themselves.
 
