--- a/src/wigeonreach/scheduling/_crashes.py
+++ b/src/wigeonreach/scheduling/_crashes.py
@@ -24,6 +24,7 @@
     Run,
     RunCrashed,
     TaskKey,
+    TaskRecord,
 )
 from wigeonreach.observe import LogEvent
 from wigeonreach.scheduling._evidence import LostRun, evidence_of
@@ -44,6 +45,9 @@
 # explained.  A VM was observed to have a new worker 3.2 s after a crash;
 # outages of racks are shorter than this limit too.
 _SETTLE_WITHIN_S = 30.0
+# A task that lost so many workers may be the cause although each loss has another
+# explanation: racks and zones fail seldom.
+_EXCUSED_LOSSES = 2
 # How long an unexplained loss counts against a task.  If it did not count, a
 # task whose workers return late would be started too often in the meantime.
 _UNEXPLAINED_COUNTS_S = 15.0
@@ -345,7 +349,7 @@
             key.job_id,
             self._progress.reported_for_s(run, heard_s),
             is_at_start=not is_listed,
-            crashes=task.crash_count if task else 0,
+            crashes=_suspicions(task) if task else 0,
         )
 
     def _may_end_by_order(self, incarnation: Incarnation) -> bool:
@@ -462,6 +466,12 @@
         self.notes.append(LogNote(LogEvent.WORKER_CRASHED, loss.worker, reason))
 
 
+def _suspicions(task: TaskRecord) -> int:
+    """Return how many crashes, explained ones too, make a task a suspect."""
+    losses = len(task.lost_runs)
+    return max(task.crash_count, losses if losses >= _EXCUSED_LOSSES else 0)
+
+
 def _unsettled_losses(store: JobStore) -> Iterator[tuple[Run, bool]]:
     """Yield the runs lost for an unknown cause, and whether at their start."""
     active = (job for job in store.jobs.values() if job.is_active)
--- a/tests/scheduling/test_crash_starts.py
+++ b/tests/scheduling/test_crash_starts.py
@@ -19,6 +19,7 @@
     CrashingFleet,
     is_first,
     phase_of,
+    workers_on_racks,
 )
 from tests.builders_jobs import (
     OTHER_JOB,
@@ -93,6 +94,24 @@
             expected = [CrashEvidence.UNCERTAIN, CrashEvidence.AT_WORK]
             self.assertThat(evidence, matchers.Equals(expected))
 
+    def test_racks_that_tasks_crash_excuse_them_once(self) -> None:
+        """Two tasks crash both workers of a rack, again and again.
+
+        The first time the rack seems to have failed by itself.
+        """
+        large = step(1, cpu_millicores=16_000)
+        store = store_with(job(large), job(large, job_id=OTHER_JOB))
+        fleet = CrashingFleet(
+            store,
+            workers_on_racks(2, 1),
+            lambda task: True,
+            3.0,
+            crashes_after_s=1.2,
+        )
+        fleet.run(_LONG_S)
+        for task_key in (key(0), key(0, job_id=OTHER_JOB)):
+            self.assertThat(fleet.late_starts[task_key], _FEW)
+
     def test_new_leaders_settle_what_former_ones_left_open(self) -> None:
         """So a job that is out of starts ends, and doesn't wait for ever.
 
