Let a VM that stays away explain no crash

A loss whose VM had no other worker for 30 s counted as explained, so a task that brings VMs down for longer left no mark for a run that a heartbeat had listed, and its starts were not limited: 9 more after three crashed workers in 200 s. Nothing explains such a loss; it is uncertain what it proves, and is recorded so.

Test, failing before: VMs that are away for 300 s.

--- a/src/wigeonreach/scheduling/_crashes.py
+++ b/src/wigeonreach/scheduling/_crashes.py
@@ -41,8 +41,8 @@
 
 _MS_PER_S = 1000
 _NEVER_S = float('-inf')
-# How long a loss may wait for a new worker on its VM; after that it counts as
-# explained.  A VM was observed to have a new worker 3.2 s after a crash;
+# How long a loss may wait for a new worker on its VM; after that it is uncertain
+# what it proves.  A VM was observed to have a new worker 3.2 s after a crash;
 # outages of racks are shorter than this limit too.
 _SETTLE_WITHIN_S = 30.0
 # A task that lost so many workers may be the cause although each loss has another
@@ -229,8 +229,8 @@
                 self._settle(settled, correlation, now_s)
         for waiting in tuple(self._unexplained.values()):
             if now_s - waiting.given_up_s > _SETTLE_WITHIN_S:
-                self._mark_explained(self._unexplained.pop(waiting.worker))
-                self._mark_starts_uncertain(waiting)
+                self._unexplained.pop(waiting.worker)
+                self._mark_crashed(waiting, CrashEvidence.UNCERTAIN)
         if self._recent_losses:
             self._recent_losses = {
                 worker: recent
@@ -303,6 +303,17 @@
                 run, CrashEvidence.EXPLAINED
             )
 
+    def _mark_crashed(
+        self,
+        loss: WorkerLoss,
+        max_evidence: CrashEvidence,
+    ) -> None:
+        """Record what a crash proves against each of the worker's runs."""
+        for run, evidence in loss.runs.items():
+            self._unrecorded[run] = loss.crash_record(
+                run, min(evidence, max_evidence)
+            )
+
     def _mark_returned(self, loss: WorkerLoss) -> None:
         """Record that a worker was heard again, so that it never crashed."""
         for run in loss.runs:
@@ -419,10 +430,7 @@
         self._vm_crashed_s[loss.vm] = now_s
         if not loss.is_provoked:
             self._vm_unprovoked_s[loss.vm] = now_s
-        for run, evidence in loss.runs.items():
-            self._unrecorded[run] = loss.crash_record(
-                run, min(evidence, max_evidence)
-            )
+        self._mark_crashed(loss, max_evidence)
         self._add_note(loss, f'{len(loss.runs)} runs may be the cause')
 
     def _settle_inherited(self) -> None:
--- a/tests/scheduling/test_crash_starts.py
+++ b/tests/scheduling/test_crash_starts.py
@@ -112,6 +112,21 @@
         for task_key in (key(0), key(0, job_id=OTHER_JOB)):
             self.assertThat(fleet.late_starts[task_key], _FEW)
 
+    def test_vms_that_stay_away_explain_no_crash(self) -> None:
+        """Each VM is down for longer than a loss is waited for."""
+        store = store_with(job(step(2)))
+        fleet = CrashingFleet(
+            store,
+            workers(16),
+            is_first,
+            work_s=2.0,
+            back_after_s=300.0,
+            crashes_after_s=0.5,
+        )
+        fleet.run(200)
+        self.assertThat(fleet.late_starts[key(0)], _FEW)
+        self.assertThat(phase_of(store), matchers.Equals(JobPhase.FAILED))
+
     def test_new_leaders_settle_what_former_ones_left_open(self) -> None:
         """So a job that is out of starts ends, and doesn't wait for ever.
 
