--- a/tests/scheduling/test_crash_starts.py
+++ b/tests/scheduling/test_crash_starts.py
@@ -40,6 +40,8 @@
 _NEVER_S = float('inf')
 # Days on which sound jobs were given up without this.
 _STORM_SEEDS = (0, 16, 74, 76)
+# Seeds of days with storms and bad tasks, and when these crash their workers.
+_STORMS_BESIDE_BAD_TASKS = ((0, 0.5), (3, 0.5), (5, 1.2), (27, 1.2))
 
 
 class TestStartsAfterCrashes(testtools.TestCase):
@@ -188,6 +190,16 @@
             failed = day.sound_jobs(JobPhase.FAILED)
             self.assertThat(failed, matchers.HasLength(0), f'seed {seed}')
 
+    def test_storms_beside_such_tasks_give_few_starts(self) -> None:
+        """A third of the workers goes down by itself every 4.5 s besides."""
+        for seed, after_s in _STORMS_BESIDE_BAD_TASKS:
+            day = CrashDay(seed, after_s, storm_ratio=0.35)
+            day.play()
+            case = f'seed {seed}, {after_s} s'
+            self.assertThat(day.most_late_starts(), _FEW, case)
+            failed = day.sound_jobs(JobPhase.FAILED)
+            self.assertThat(failed, matchers.HasLength(0), case)
+
     def _play_days(self, changes_leader: bool) -> None:
         for after_s, seed in itertools.product(_CRASHES_AFTER_S, range(_SEEDS)):
             day = CrashDay(seed, after_s, changes_leader)
