Don't give up a task that was lost beside others while workers failed

Its losses came as others failed by themselves, or beside suspects, so none of them was its own doing, but the marks of the latter counted as such.

--- a/src/wigeonreach/jobs/_records.py
+++ b/src/wigeonreach/jobs/_records.py
@@ -22,8 +22,8 @@
 # third.
 MAX_LOST_RUNS = 5
 # A task that lost so many runs counts as the cause only if this many of the
-# losses are not explained by something else, and some came at a moment at which
-# no worker failed by itself.
+# losses are not explained by something else.  If workers failed by themselves
+# meanwhile, one loss at another moment must not be due to a run beside it.
 _MIN_UNEXPLAINED_LOSSES = 3
 
 
@@ -81,8 +81,13 @@
     @property
     def _is_likely_cause(self) -> bool:
         """Whether most of its losses have no other explanation."""
-        has_own_losses = not all(crash.is_coincident for crash in self.crashes)
-        return has_own_losses and len(self.crashes) >= _MIN_UNEXPLAINED_LOSSES
+        if len(self.crashes) < _MIN_UNEXPLAINED_LOSSES:
+            return False
+        own = [crash for crash in self.crashes if not crash.is_coincident]
+        has_failing_workers = len(own) < len(self.lost_runs)
+        return not has_failing_workers or any(
+            crash.evidence is not CrashEvidence.BESIDE_OTHERS for crash in own
+        )
 
     @property
     def is_settled(self) -> bool:
