--- a/review/3/case.py
+++ b/review/3/case.py
@@ -13,8 +13,9 @@
 import standin  # noqa: E402
 
 ROOM = {'cpu': 16000, 'memMb': 32768, 'gpu': 0}
-ROUNDS = 6
 CLIENTS = 40
+# From the first call to the freeze, one round for each.
+DELAYS_S = (0.03, 0.045, 0.06, 0.09, 0.13, 0.02)
 FROZEN_S = 1.9
 # No answer of the system tells a client that its job was or may be accepted.
 REJECTIONS = {404, 429, 503}
@@ -52,7 +53,7 @@
     threads, begin = hand_in(system, queue, statuses)
     begin.set()
     # While the entry waits for the answers to some of the jobs.
-    time.sleep(0.03 + 0.015 * (number % 3))
+    time.sleep(DELAYS_S[number])
     if standin.TROUBLE:
         record.add('entry-frozen', round=number)
         entry.send_signal(signal.SIGSTOP)
@@ -93,7 +94,7 @@
             system, f'm-{at}', 'desk', standin.ZONES[at % 3], ['a', 'r1-1'], ROOM, plan,
         ))
     time.sleep(3)
-    for number in range(ROUNDS):
+    for number in range(len(DELAYS_S)):
         version += 1
         if play(system, record, operator, version, (kept, queue), number):
             return standin.BROKEN
