Review: freeze the entry after the first answers; smaller stand-ins

Done: the script of REFUSED freezes the entry as soon as some clients have their answers, instead of at fixed moments; parts of the stand-ins that no case uses are gone.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,7 +8,7 @@
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent))
-import standin  # noqa: E402
+import standin
 
 ROOM = {'cpu': 16000, 'memMb': 32768, 'gpu': 0}
 WORK_S = 6.0
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -8,7 +8,7 @@
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent))
-import standin  # noqa: E402
+import standin
 
 # The rule: `finish_s` after the end of the traffic, nothing of the job has run
 # for 3 s though a task's turn has come.
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -10,12 +10,12 @@
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent))
-import standin  # noqa: E402
+import standin
 
 ROOM = {'cpu': 16000, 'memMb': 32768, 'gpu': 0}
 CLIENTS = 40
-# From the first call to the freeze, one round for each.
-DELAYS_S = (0.03, 0.045, 0.06, 0.09, 0.13, 0.02)
+# Answers that clients have before the entry is frozen, one round for each.
+ANSWERED = (1, 4, 2, 8, 1, 6)
 FROZEN_S = 1.9
 # No answer of the system tells a client that its job was or may be accepted.
 REJECTIONS = {404, 429, 503}
@@ -26,37 +26,60 @@
     return 0.3, 'done'
 
 
-def hand_in(system, queue, statuses):
-    """Return threads that hand in one job each, and the event that they wait for."""
-    client = standin.Client(system, queue)
-    step = {'count': 1, 'cpu': 100, 'memMb': 16, 'estimatedMs': 300}
-    begin = threading.Event()
-
-    def submit(job):
-        begin.wait()
-        statuses[job] = client.submit(job, 'text', [step])
-
-    threads = [
-        threading.Thread(target=submit, args=(standin.new_job_id(),)) for _ in range(CLIENTS)
-    ]
-    for thread in threads:
-        thread.start()
-    time.sleep(0.2)
-    return threads, begin
+class Round:
+    """Clients that hand in one job each; the entry is frozen after some answers."""
+
+    def __init__(self, system, record, queue, number):
+        self.statuses = {}
+        self.frozen = threading.Event()
+        self._lock = threading.Lock()
+        self._entry = system.processes['entry-0']
+        self._record = record
+        self._number = number
+        self._client = standin.Client(system, queue)
+        self._begin = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._submit, args=(standin.new_job_id(),))
+            for _ in range(CLIENTS)
+        ]
+        for thread in self._threads:
+            thread.start()
+        time.sleep(0.2)
+
+    def begin(self):
+        """Let the clients begin; return once the entry is frozen."""
+        self._begin.set()
+        self.frozen.wait(1.0)
+
+    def thaw(self):
+        """Let the entry go on, and wait until each client has its answer."""
+        if standin.TROUBLE:
+            self._entry.send_signal(signal.SIGCONT)
+            self._record.add('entry-thawed', round=self._number)
+        for thread in self._threads:
+            thread.join()
+
+    def _submit(self, job):
+        step = {'count': 1, 'cpu': 100, 'memMb': 16, 'estimatedMs': 300}
+        self._begin.wait()
+        status = self._client.submit(job, 'text', [step])
+        with self._lock:
+            self.statuses[job] = status
+            if len(self.statuses) >= ANSWERED[self._number] and not self.frozen.is_set():
+                self._freeze()
+
+    def _freeze(self):
+        if standin.TROUBLE:
+            self._entry.send_signal(signal.SIGSTOP)
+            self._record.add('entry-frozen', round=self._number)
+        self.frozen.set()
 
 
 def play(system, record, operator, version, queues, number):
     """Play one round; return whether a rejected job has started."""
     kept, queue = queues
-    entry = system.processes['entry-0']
-    statuses = {}
-    threads, begin = hand_in(system, queue, statuses)
-    begin.set()
-    # While the entry waits for the answers to some of the jobs.
-    time.sleep(DELAYS_S[number])
-    if standin.TROUBLE:
-        record.add('entry-frozen', round=number)
-        entry.send_signal(signal.SIGSTOP)
+    clients = Round(system, record, queue, number)
+    clients.begin()
     frozen_s = time.monotonic()
     time.sleep(0.05)
     try:
@@ -64,12 +87,9 @@
             raise standin.CannotRun('no ack of the manifest')
         time.sleep(max(0.0, frozen_s + FROZEN_S - time.monotonic()))
     finally:
-        if standin.TROUBLE:
-            entry.send_signal(signal.SIGCONT)
-            record.add('entry-thawed', round=number)
-    for thread in threads:
-        thread.join()
+        clients.thaw()
     time.sleep(1.5)
+    statuses = clients.statuses
     started = {str(event['task']).split('.')[0] for event in record.of('run-started')}
     wronged = [job for job, status in statuses.items() if status in REJECTIONS and job in started]
     for job in wronged:
@@ -94,7 +114,7 @@
             system, f'm-{at}', 'desk', standin.ZONES[at % 3], ['a', 'r1-1'], ROOM, plan,
         ))
     time.sleep(3)
-    for number in range(len(DELAYS_S)):
+    for number in range(len(ANSWERED)):
         version += 1
         if play(system, record, operator, version, (kept, queue), number):
             return standin.BROKEN
--- a/review/standin.py
+++ b/review/standin.py
@@ -167,32 +167,6 @@
         """Start a core, or start it again on the disk that it had."""
         self._start('core', f'core-{at}', self.core_ips[at], at)
 
-    def signal_core(self, at: int, number: signal.Signals) -> None:
-        """Send a signal to the process of a core."""
-        process = self.processes[f'core-{at}']
-        self.record.add('signal', core=at, signal=number.name)
-        process.send_signal(number)
-        if number is signal.SIGKILL:
-            process.wait(10)
-
-    def leader(self) -> int | None:
-        """Return the core that began the newest term, by its own log."""
-        newest: tuple[int, int] | None = None
-        for at, _ in enumerate(self.core_ips):
-            for line in self._log(f'core-{at}').splitlines():
-                if 'term-began' not in line and 'term_began' not in line:
-                    continue
-                with contextlib.suppress(ValueError, KeyError, TypeError):
-                    fields = json.loads(line)
-                    term = int(fields.get('term', 0))
-                    if newest is None or term > newest[0]:
-                        newest = (term, at)
-        return newest[1] if newest else None
-
-    def _log(self, name: str) -> str:
-        path = self.folder / f'{name}.log'
-        return path.read_text(errors='replace') if path.exists() else ''
-
     def stop(self) -> None:
         """End all processes."""
         for process in self.processes.values():
@@ -211,7 +185,7 @@
         file.write_text(self._settings(role, name, ip, at), encoding='utf-8')
         environment = {
             'PATH': os.environ['PATH'],
-            'HOME': os.environ.get('HOME', '/tmp'),
+            'HOME': os.environ.get('HOME', ''),
             'PYTHONPATH': 'target/deps',
             'SSL_CERT_FILE': '/dev/null',
             'WIGEONREACH_NODE_FILE': str(file),
@@ -378,21 +352,6 @@
         self._system.record.add('state', job=job, status=status, state=state)
         return status, state
 
-    def pending(self) -> tuple[int, int]:
-        """Ask for the number of jobs for which no task has started."""
-        status, text = self._call('GET', '')
-        count = -1
-        with contextlib.suppress(ValueError, KeyError):
-            count = int(json.loads(text)['pending'])
-        self._system.record.add('pending', status=status, count=count)
-        return status, count
-
-    def cancel(self, job: str) -> int:
-        """Cancel a job."""
-        status, _ = self._call('DELETE', job)
-        self._system.record.add('cancel', job=job, status=status)
-        return status
-
     def _call(self, method: str, rest: str, body: object = None) -> tuple[int, bytes]:
         headers = {'Host': self._queue.host, 'X-Deadline-Ms': '3000'}
         return call(self._address, method, self._queue.prefix + rest, body, headers, 3.0)
@@ -417,7 +376,7 @@
     """A runner: checks in, runs tasks under a lease, lists their ends.
 
     ``plan`` returns, for a task and its attempt, how long it works and how it
-    ends.  While ``is_cut`` no check-in leaves the runner; it runs on.
+    ends.
     """
 
     def __init__(self, system: System, machine: str, service: str, zone: str,
@@ -428,7 +387,6 @@
         self.zone = zone
         self.labels = labels
         self.capacity = capacity
-        self.is_cut = False
         self.is_up = True
         self._plan = plan
         self._system = system
@@ -456,21 +414,6 @@
         self._record.add('runner-up', runner=self.id, machine=machine,
                          labels=','.join(labels), capacity=json.dumps(capacity))
 
-    def crash(self) -> None:
-        """End without a word, with all that runs."""
-        with self._lock:
-            self.is_up = False
-            for run in self._runs.values():
-                self._record.add('run-ended', runner=self.id, task=run.task,
-                                 run=run.number, how='crashed')
-            self._runs.clear()
-        self._record.add('runner-crashed', runner=self.id)
-
-    def cut(self, is_cut: bool) -> None:
-        """Cut the runner off from all machines of the system, or join it."""
-        self.is_cut = is_cut
-        self._record.add('runner-cut' if is_cut else 'runner-joined', runner=self.id)
-
     def at_work(self) -> int:
         """Return the number of tasks at work."""
         with self._lock:
@@ -504,12 +447,8 @@
                 'finished': list(self._ended[:500]),
             }
             self.last_check_in = body
-        if self.is_cut:
-            time.sleep(1.0)
-            self._next_target()
-            return 0.0
         status, text = call(self._address, 'POST', f'/Instances.Heartbeat/{self.id}', body, timeout_s=1.0)
-        if self.is_cut or time.monotonic() - sent_s > 1.0 or status // 100 != 2:
+        if time.monotonic() - sent_s > 1.0 or status // 100 != 2:
             self._next_target()
             return 0.05
         answer = json.loads(text)
