--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""A task that failed on the only runner that it can run on is never started again."""
+"""A check-in of another writer, with fields missing, makes tasks run twice."""
 
 from __future__ import annotations
 
@@ -10,56 +10,81 @@
 sys.path.insert(0, str(HERE.parent))
 import standin  # noqa: E402
 
-# The rule: nothing of the job runs for 3 s though a task's turn has come.
-IDLE_S = 3.0
-WATCH_S = 20.0
-FAILING = {'is_on': False}
+ROOM = {'cpu': 16000, 'memMb': 32768, 'gpu': 0}
+WORK_S = 6.0
 
 
 def plan(runner, task, run, spec):
-    """Work for half a second; fail while the runner fails all that it starts."""
-    is_failing = FAILING['is_on'] and 'large' in runner.labels
-    return 0.5, 'failed' if is_failing else 'done'
+    """Work for six seconds, then end as done."""
+    return WORK_S, 'done'
+
+
+def foreign_check_in(system, runner):
+    """Send a check-in for a runner that lacks the lists and the capacity."""
+    body = {
+        'service': runner.service, 'address': '10.9.0.1:80', 'zone': runner.zone,
+        'version': 'v1', 'slots': 8, 'state': 'ready', 'coldRemainingMs': 0,
+        'labels': runner.labels, 'machine': runner.machine, 'capacity': {},
+        'sequence': runner.sequence + 3,
+    }
+    path = f'/Instances.Heartbeat/{runner.id}'
+    sent = system.record.add('foreign-check-in', runner=runner.id, sequence=body['sequence'])
+    status, text = standin.call(system.controls[0], 'POST', path, body)
+    system.record.add('foreign-answered', runner=runner.id, sent_s=sent['at_s'],
+                      status=status, body=text.decode()[:200])
+
+
+def doubled(record):
+    """Return the tasks of which two runs were at work at the same time."""
+    began = {}
+    ended = {}
+    for event in list(record.events):
+        if event['what'] == 'run-started':
+            began[event['task'], event['run'], event['runner']] = event['at_s']
+        elif event['what'] == 'run-ended' and event['how'] != 'refused':
+            ended[event['task'], event['run'], event['runner']] = event['at_s']
+    now = record.now_s()
+    found = []
+    for first, first_s in began.items():
+        for second, second_s in began.items():
+            if first[0] != second[0] or first[1] >= second[1]:
+                continue
+            until = min(ended.get(first, now), ended.get(second, now))
+            together = until - max(first_s, second_s)
+            if together > 0:
+                found.append((first, second, together))
+    return found
 
 
 def case(system, platform, record):
     queue = standin.Queue('r-1', 'desk.example', '/work/', 'desk')
     if not standin.Operator(system).send(1, [queue], ['desk']):
         raise standin.CannotRun('no ack of the manifest')
-    room = {'cpu': 16000, 'memMb': 32768, 'gpu': 0}
-    for at in range(4):
-        kind = 'large' if at == 3 else 'small'
+    for at in range(8):
         platform.runners.append(standin.Runner(
-            system, f'm-{at}', 'desk', standin.ZONES[at % 3], [kind, 'r1-1'], room, plan,
+            system, f'm-{at}', 'desk', standin.ZONES[at % 3], ['a', f'r1-{at // 4}'], ROOM, plan,
         ))
     time.sleep(3)
     client = standin.Client(system, queue)
-    step = {'count': 1, 'cpu': 1000, 'memMb': 256, 'estimatedMs': 500, 'requirements': 'large'}
-    FAILING['is_on'] = standin.TROUBLE
-    job = standin.new_job_id()
-    client.submit_until_accepted(job, 'text', [step])
-    # The runner fails all that it starts until two of the three attempts are used.
-    until = time.monotonic() + 15
-    while standin.TROUBLE and time.monotonic() < until:
-        if len(record.of('end-acked', how='failed')) >= 2:
-            break
-        time.sleep(0.02)
-    FAILING['is_on'] = False
-    record.add('runner-sound-again')
-    began = time.monotonic()
-    idle_since = began
-    longest = 0.0
-    while time.monotonic() - began < WATCH_S:
-        if any(runner.busy_cpu() for runner in platform.runners):
-            idle_since = time.monotonic()
-        longest = max(longest, time.monotonic() - idle_since)
-        status, state = client.state(job)
-        if state in {'completed', 'failed'}:
-            record.add('ended', state=state, longest_idle_s=round(longest, 2))
-            return standin.BROKEN if longest > IDLE_S else standin.HELD
-        time.sleep(0.5)
-    record.add('never-ended', starts=len(record.of('run-started')), longest_idle_s=round(longest, 2))
-    return standin.BROKEN if longest > IDLE_S else standin.HELD
+    step = {'count': 1, 'cpu': 16000, 'memMb': 256, 'estimatedMs': 6000}
+    jobs = [standin.new_job_id() for _ in range(4)]
+    for job in jobs:
+        client.submit_until_accepted(job, 'text', [step])
+    time.sleep(1.5)
+    at_work = [runner for runner in platform.runners if runner.at_work()]
+    if len(at_work) < 4:
+        raise standin.CannotRun('not all tasks have begun')
+    if standin.TROUBLE:
+        for runner in at_work[:2]:
+            foreign_check_in(system, runner)
+    time.sleep(WORK_S + 3)
+    for job in jobs:
+        client.state(job)
+    found = doubled(record)
+    for first, second, together in found:
+        record.add('two-runs-at-once', task=first[0], runs=f'{first[1]},{second[1]}',
+                   runners=f'{first[2]},{second[2]}', together_s=round(together, 2))
+    return standin.BROKEN if found else standin.HELD
 
 
 sys.exit(standin.main(HERE, case))
--- a/review/standin.py
+++ b/review/standin.py
@@ -144,12 +144,16 @@
         """Control addresses of all cores."""
         return [(ip, self.control) for ip in self.core_ips]
 
-    def start(self) -> None:
-        """Start all processes and wait until every entry is ready."""
+    def launch(self) -> None:
+        """Start all processes, without waiting for them."""
         for at, _ in enumerate(self.core_ips):
             self.start_core(at)
         for at, ip in enumerate(self.entry_ips):
             self._start('entry', f'entry-{at}', ip, at)
+
+    def start(self) -> None:
+        """Start all processes and wait until every entry is ready."""
+        self.launch()
         until = time.monotonic() + 20
         while time.monotonic() < until:
             if all(self._is_ready(ip) for ip in self.entry_ips):
@@ -465,7 +469,12 @@
         self.is_cut = is_cut
         self._record.add('runner-cut' if is_cut else 'runner-joined', runner=self.id)
 
-    def busy_cpu(self) -> int:
+    @property
+    def sequence(self) -> int:
+        """Number of the last check-in."""
+        return self._sequence
+
+    def at_work(self) -> int:
         """Return the number of tasks at work."""
         with self._lock:
             return len(self._runs)
