--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,95 +1,107 @@
-"""A core that is killed as the system is founded leaves it without a leader for ever."""
+"""Clients are told that there is no such queue, and their jobs run."""
 
 from __future__ import annotations
 
-import os
 import pathlib
 import signal
 import sys
+import threading
 import time
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent))
 import standin  # noqa: E402
 
-RESTART_AFTER_S = 0.5
-# `recoveryS` and `ackTimeoutMs` after the killed core is back, and some more.
-WATCH_S = 30.0
-NO_NEW_ATTEMPT_AFTER_S = 70.0
-FOUNDING_S = 8.0
-
-
-def wait_for_founding(system):
-    """Wait until the first core stores its vote of the first term.
-
-    The file is written when the core first starts, and replaced when it founds
-    the system: its inode then changes.
-    """
-    file = system.folder / 'core-0-disk' / 'hard-state'
-    until = time.monotonic() + FOUNDING_S
-    first = None
-    while time.monotonic() < until:
-        try:
-            inode = os.stat(file).st_ino
-        except FileNotFoundError:
-            continue
-        if first is None:
-            first = inode
-        elif inode != first:
-            return True
-    return False
-
-
-def is_served(system, queue, within_s):
-    """Send a manifest until it is acknowledged, or the time is up."""
-    return standin.Operator(system).send(1, [queue], ['desk'], within_s=within_s)
-
-
-def attempt(record, number):
-    """Start a new system; return whether it was still not founded at the end."""
-    record.add('attempt', number=number)
-    system = standin.System(record)
-    platform = standin.Platform(system)
+ROOM = {'cpu': 16000, 'memMb': 32768, 'gpu': 0}
+ROUNDS = 6
+CLIENTS = 40
+FROZEN_S = 1.9
+# No answer of the system tells a client that its job was or may be accepted.
+REJECTIONS = {404, 429, 503}
+
+
+def plan(runner, task, run, spec):
+    """Work for 0.3 s, then end as done."""
+    return 0.3, 'done'
+
+
+def hand_in(system, queue, statuses):
+    """Return threads that hand in one job each, and the event that they wait for."""
+    client = standin.Client(system, queue)
+    step = {'count': 1, 'cpu': 100, 'memMb': 16, 'estimatedMs': 300}
+    begin = threading.Event()
+
+    def submit(job):
+        begin.wait()
+        statuses[job] = client.submit(job, 'text', [step])
+
+    threads = [
+        threading.Thread(target=submit, args=(standin.new_job_id(),)) for _ in range(CLIENTS)
+    ]
+    for thread in threads:
+        thread.start()
+    time.sleep(0.2)
+    return threads, begin
+
+
+def play(system, record, operator, version, queues, number):
+    """Play one round; return whether a rejected job has started."""
+    kept, queue = queues
+    entry = system.processes['entry-0']
+    statuses = {}
+    threads, begin = hand_in(system, queue, statuses)
+    begin.set()
+    # While the entry waits for the answers to some of the jobs.
+    time.sleep(0.03 + 0.015 * (number % 3))
+    if standin.TROUBLE:
+        record.add('entry-frozen', round=number)
+        entry.send_signal(signal.SIGSTOP)
+    frozen_s = time.monotonic()
+    time.sleep(0.05)
     try:
-        system.launch()
-        if not wait_for_founding(system):
-            raise standin.CannotRun('the first core founds nothing')
-        if standin.TROUBLE:
-            system.signal_core(0, signal.SIGKILL)
-            time.sleep(RESTART_AFTER_S)
-            system.start_core(0)
-        back_s = record.now_s()
-        queue = standin.Queue('r-1', 'desk.example', '/work/', 'desk')
-        if is_served(system, queue, WATCH_S):
-            record.add('manifest-acknowledged', after_s=round(record.now_s() - back_s, 2))
-            return False
-        running = [name for name, process in system.processes.items() if process.poll() is None]
-        record.add('no-ack', after_s=round(record.now_s() - back_s, 2), running=','.join(running))
-        step = {'count': 1, 'cpu': 1000, 'memMb': 256, 'estimatedMs': 500}
-        standin.Client(system, queue).submit(standin.new_job_id(), 'text', [step])
-        return True
+        if not operator.send(version, [kept], ['desk'], within_s=1.5):
+            raise standin.CannotRun('no ack of the manifest')
+        time.sleep(max(0.0, frozen_s + FROZEN_S - time.monotonic()))
     finally:
-        platform.stop()
-        system.stop()
+        if standin.TROUBLE:
+            entry.send_signal(signal.SIGCONT)
+            record.add('entry-thawed', round=number)
+    for thread in threads:
+        thread.join()
+    time.sleep(1.5)
+    started = {str(event['task']).split('.')[0] for event in record.of('run-started')}
+    wronged = [job for job, status in statuses.items() if status in REJECTIONS and job in started]
+    for job in wronged:
+        record.add('started-though-rejected', job=job, status=statuses[job])
+    answers = {}
+    for job, status in statuses.items():
+        what = f'{status}-{"started" if job in started else "never-started"}'
+        answers[what] = answers.get(what, 0) + 1
+    record.add('answers', round=number, **answers)
+    return bool(wronged)
 
 
-def main():
-    record = standin.Record(HERE)
-    record.add('case', folder=HERE.name, trouble=standin.TROUBLE)
-    status = standin.HELD
-    number = 0
-    try:
-        while number == 0 or (standin.TROUBLE and record.now_s() < NO_NEW_ATTEMPT_AFTER_S):
-            number += 1
-            if attempt(record, number):
-                status = standin.BROKEN
-                break
-    except standin.CannotRun as error:
-        record.add('cannot-run', reason=str(error))
-        status = standin.NOT_RUN
-    record.add('result', status=status)
-    print({0: 'held', 1: 'broken', 2: 'not run'}[status])
-    return status
-
-
-sys.exit(main())
+def case(system, platform, record):
+    kept = standin.Queue('r-kept', 'desk.example', '/kept/', 'desk')
+    queue = standin.Queue('r-work', 'desk.example', '/work/', 'desk')
+    operator = standin.Operator(system)
+    version = 1
+    if not operator.send(version, [kept, queue], ['desk']):
+        raise standin.CannotRun('no ack of the manifest')
+    for at in range(4):
+        platform.runners.append(standin.Runner(
+            system, f'm-{at}', 'desk', standin.ZONES[at % 3], ['a', 'r1-1'], ROOM, plan,
+        ))
+    time.sleep(3)
+    for number in range(ROUNDS):
+        version += 1
+        if play(system, record, operator, version, (kept, queue), number):
+            return standin.BROKEN
+        version += 1
+        if not operator.send(version, [kept, queue], ['desk']):
+            raise standin.CannotRun('no ack of the manifest')
+        time.sleep(3)
+    return standin.HELD
+
+
+sys.exit(standin.main(HERE, case))
