--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,9 +1,10 @@
-"""A check-in of another writer, with fields missing, makes tasks run twice."""
+"""Check-ins of another writer make one leader after the other end by itself."""
 
 from __future__ import annotations
 
 import pathlib
 import sys
+import threading
 import time
 
 HERE = pathlib.Path(__file__).resolve().parent
@@ -11,81 +12,100 @@
 import standin
 
 ROOM = {'cpu': 16000, 'memMb': 32768, 'gpu': 0}
-WORK_S = 6.0
+# The rule: on half of the core, processes end by themselves three times.
+ENDS = 3
+HALF = 2
+WATCH_S = 60.0
+RESTART_AFTER_S = 0.5
+JOBS = 60
 
 
 def plan(runner, task, run, spec):
-    """Work for six seconds, then end as done."""
-    return WORK_S, 'done'
-
-
-def foreign_check_in(system, runner):
-    """Send what the runner last said of itself, with fields missing."""
-    body = {
-        field: value
-        for field, value in runner.last_check_in.items()
-        if field not in {'running', 'finished'}
-    }
-    body['capacity'] = {}
-    body['sequence'] += 3
-    path = f'/Instances.Heartbeat/{runner.id}'
-    sent = system.record.add('foreign-check-in', runner=runner.id, sequence=body['sequence'])
-    status, text = standin.call(system.controls[0], 'POST', path, body)
-    system.record.add('foreign-answered', runner=runner.id, sent_s=sent['at_s'],
-                      status=status, body=text.decode()[:200])
-
-
-def doubled(record):
-    """Return the tasks of which two runs were at work at the same time."""
-    began = {}
-    ended = {}
-    for event in list(record.events):
-        if event['what'] == 'run-started':
-            began[event['task'], event['run'], event['runner']] = event['at_s']
-        elif event['what'] == 'run-ended' and event['how'] != 'refused':
-            ended[event['task'], event['run'], event['runner']] = event['at_s']
-    now = record.now_s()
-    found = []
-    for first, first_s in began.items():
-        for second, second_s in began.items():
-            if first[0] != second[0] or first[1] >= second[1]:
-                continue
-            until = min(ended.get(first, now), ended.get(second, now))
-            together = until - max(first_s, second_s)
-            if together > 0:
-                found.append((first, second, together))
-    return found
+    """Work for three seconds, then end as done."""
+    return 3.0, 'done'
+
+
+class OtherWriter:
+    """Sends a check-in twice a second under an id that no runner has.
+
+    It lacks the lists, the machine, the number of slots and the version, and
+    names the service whose machines are off.
+    """
+
+    def __init__(self, system, record):
+        self._system = system
+        self._record = record
+        self._stop = threading.Event()
+        self._thread = threading.Thread(target=self._send)
+
+    def start(self):
+        self._thread.start()
+
+    def stop(self):
+        self._stop.set()
+        if self._thread.is_alive():
+            self._thread.join()
+
+    def _send(self):
+        number = 0
+        while not self._stop.wait(0.5):
+            number += 1
+            body = {
+                'service': 'spare', 'address': '10.9.9.9:80', 'zone': 'zone-a',
+                'state': 'ready', 'labels': ['a', 'r1-9'], 'capacity': ROOM,
+                'sequence': number,
+            }
+            core = self._system.controls[number % 3]
+            status, text = standin.call(core, 'POST', '/Instances.Heartbeat/i-00000000', body)
+            self._record.add('foreign-check-in', sequence=number, core=core[0],
+                             status=status, body=text.decode()[:120])
+
+
+def watch(system, record, ends):
+    """Start each core that has ended again, as the platform does."""
+    for at, ip in enumerate(system.core_ips):
+        name = f'core-{at}'
+        code = system.processes[name].poll()
+        if code is None:
+            continue
+        ends[name] += 1
+        record.add('core-ended-by-itself', name=name, code=code, times=ends[name])
+        time.sleep(RESTART_AFTER_S)
+        system.start_core(at)
 
 
 def case(system, platform, record):
     queue = standin.Queue('r-1', 'desk.example', '/work/', 'desk')
-    if not standin.Operator(system).send(1, [queue], ['desk']):
+    if not standin.Operator(system).send(1, [queue], ['desk'], standby='spare'):
         raise standin.CannotRun('no ack of the manifest')
-    for at in range(8):
+    for at in range(4):
         platform.runners.append(standin.Runner(
-            system, f'm-{at}', 'desk', standin.ZONES[at % 3], ['a', f'r1-{at // 4}'], ROOM, plan,
+            system, f'm-{at}', 'desk', standin.ZONES[at % 3], ['a', 'r1-1'], ROOM, plan,
         ))
     time.sleep(3)
+    writer = OtherWriter(system, record)
+    ends = {f'core-{at}': 0 for at, _ in enumerate(system.core_ips)}
     client = standin.Client(system, queue)
-    step = {'count': 1, 'cpu': 16000, 'memMb': 256, 'estimatedMs': 6000}
-    jobs = [standin.new_job_id() for _ in range(4)]
-    for job in jobs:
-        client.submit_until_accepted(job, 'text', [step])
-    time.sleep(1.5)
-    at_work = [runner for runner in platform.runners if runner.at_work()]
-    if len(at_work) < 4:
-        raise standin.CannotRun('not all tasks have begun')
-    if standin.TROUBLE:
-        for runner in at_work[:2]:
-            foreign_check_in(system, runner)
-    time.sleep(WORK_S + 3)
-    for job in jobs:
-        client.state(job)
-    found = doubled(record)
-    for first, second, together in found:
-        record.add('two-runs-at-once', task=first[0], runs=f'{first[1]},{second[1]}',
-                   runners=f'{first[2]},{second[2]}', together_s=round(together, 2))
-    return standin.BROKEN if found else standin.HELD
+    step = {'count': 2, 'cpu': 16000, 'memMb': 256, 'estimatedMs': 3000}
+    jobs = []
+    try:
+        if standin.TROUBLE:
+            writer.start()
+        began = time.monotonic()
+        while time.monotonic() - began < WATCH_S:
+            if len(jobs) < JOBS:
+                jobs.append(standin.new_job_id())
+                client.submit(jobs[-1], 'text', [step])
+            else:
+                time.sleep(0.1)
+            watch(system, record, ends)
+            if sum(times >= ENDS for times in ends.values()) >= HALF:
+                break
+    finally:
+        writer.stop()
+    record.add('ends-by-themselves', **{name.replace('-', '_'): times for name, times in ends.items()})
+    is_broken = sum(times >= ENDS for times in ends.values()) >= HALF
+    return standin.BROKEN if is_broken else standin.HELD
 
 
 sys.exit(standin.main(HERE, case))
