--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,7 +1,12 @@
-"""Check-ins of another writer make one leader after the other end by itself."""
+"""Check-ins of another writer make one leader after the other end by itself.
+
+With ``WAY=dropped`` there is no other writer: the operator drops a service of
+which a lasting task still runs.
+"""
 
 from __future__ import annotations
 
+import os
 import pathlib
 import sys
 import threading
@@ -18,11 +23,12 @@
 WATCH_S = 60.0
 RESTART_AFTER_S = 0.5
 JOBS = 60
+IS_DROPPED = os.environ.get('WAY') == 'dropped'
 
 
 def plan(runner, task, run, spec):
-    """Work for three seconds, then end as done."""
-    return 3.0, 'done'
+    """Work for three seconds, then end as done; or last."""
+    return (1000.0 if spec == 'lasts' else 3.0), 'done'
 
 
 class OtherWriter:
@@ -74,6 +80,26 @@
         system.start_core(at)
 
 
+def drop_service(system, platform, queue):
+    """Let a task of another service last, then drop the service and its route."""
+    old = standin.Queue('r-2', 'old.example', '/old/', 'old')
+    operator = standin.Operator(system)
+    if not operator.send(2, [queue, old], ['desk', 'old'], standby='spare'):
+        raise standin.CannotRun('no ack of the manifest')
+    for at in range(3):
+        platform.runners.append(standin.Runner(
+            system, f'o-{at}', 'old', standin.ZONES[at % 3], ['a', 'r1-2'], ROOM, plan,
+        ))
+    time.sleep(2)
+    step = {'count': 3, 'cpu': 1000, 'memMb': 256, 'longRunning': True, 'antiAffinity': 1,
+            'missAllowed': 1}
+    client = standin.Client(system, old)
+    client.submit_until_accepted(standin.new_job_id(), 'lasts', [step])
+    time.sleep(2)
+    if standin.TROUBLE and not operator.send(3, [queue], ['desk'], standby='spare'):
+        raise standin.CannotRun('no ack of the manifest')
+
+
 def case(system, platform, record):
     queue = standin.Queue('r-1', 'desk.example', '/work/', 'desk')
     if not standin.Operator(system).send(1, [queue], ['desk'], standby='spare'):
@@ -89,7 +115,9 @@
     step = {'count': 2, 'cpu': 16000, 'memMb': 256, 'estimatedMs': 3000}
     jobs = []
     try:
-        if standin.TROUBLE:
+        if IS_DROPPED:
+            drop_service(system, platform, queue)
+        elif standin.TROUBLE:
             writer.start()
         began = time.monotonic()
         while time.monotonic() - began < WATCH_S:
