--- a/review/1/case.py
+++ b/review/1/case.py
@@ -22,7 +22,7 @@
 HALF = 2
 WATCH_S = 60.0
 RESTART_AFTER_S = 0.5
-JOBS = 60
+JOBS = 30
 IS_DROPPED = os.environ.get('WAY') == 'dropped'
 
 
@@ -42,7 +42,7 @@
         self._system = system
         self._record = record
         self._stop = threading.Event()
-        self._thread = threading.Thread(target=self._send)
+        self._thread = threading.Thread(target=self._send, daemon=True)
 
     def start(self):
         self._thread.start()
@@ -101,7 +101,7 @@
 
 
 def case(system, platform, record):
-    queue = standin.Queue('r-1', 'desk.example', '/work/', 'desk')
+    queue = standin.Queue('r-1', 'desk.example', '/jobs/', 'desk')
     if not standin.Operator(system).send(1, [queue], ['desk'], standby='spare'):
         raise standin.CannotRun('no ack of the manifest')
     for at in range(4):
@@ -136,4 +136,4 @@
     return standin.BROKEN if is_broken else standin.HELD
 
 
-sys.exit(standin.main(HERE, case))
+sys.exit(standin.main(HERE / 'record.txt', case))
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -25,12 +25,12 @@
 
 
 def case(system, platform, record):
-    queue = standin.Queue('r-1', 'desk.example', '/work/', 'desk')
+    queue = standin.Queue('r-1', 'desk.example', '/jobs/', 'desk')
     if not standin.Operator(system).send(1, [queue], ['desk']):
         raise standin.CannotRun('no ack of the manifest')
     room = {'cpu': 16000, 'memMb': 32768, 'gpu': 0}
-    for at in range(4):
-        kind = 'large' if at == 3 else 'small'
+    for at in range(8):
+        kind = 'large' if at == 7 else 'small'
         platform.runners.append(standin.Runner(
             system, f'm-{at}', 'desk', standin.ZONES[at % 3], [kind, 'r1-1'], room, plan,
         ))
@@ -65,4 +65,4 @@
     return standin.BROKEN if idle_s > IDLE_S else standin.HELD
 
 
-sys.exit(standin.main(HERE, case))
+sys.exit(standin.main(HERE / 'record.txt', case))
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -39,7 +39,7 @@
         self._client = standin.Client(system, queue)
         self._begin = threading.Event()
         self._threads = [
-            threading.Thread(target=self._submit, args=(standin.new_job_id(),))
+            threading.Thread(target=self._submit, args=(standin.new_job_id(),), daemon=True)
             for _ in range(CLIENTS)
         ]
         for thread in self._threads:
@@ -104,7 +104,7 @@
 
 def case(system, platform, record):
     kept = standin.Queue('r-kept', 'desk.example', '/kept/', 'desk')
-    queue = standin.Queue('r-work', 'desk.example', '/work/', 'desk')
+    queue = standin.Queue('r-work', 'desk.example', '/jobs/', 'desk')
     operator = standin.Operator(system)
     version = 1
     if not operator.send(version, [kept, queue], ['desk']):
@@ -125,4 +125,4 @@
     return standin.HELD
 
 
-sys.exit(standin.main(HERE, case))
+sys.exit(standin.main(HERE / 'record.txt', case))
