A worker of a service without a pool no longer ends the leader

Callers saw: no service for seconds, again and again, while work was late.

Cause: while VMs are short, the planner listed VMs to empty from all services that are heard, and looked up their pools among the services of the manifest without the standby one: KeyError, which ends the process. The next leader hears the same worker.

Change: the VMs to empty are listed from the pools, so there is one source. All other lookups by service, VM, worker, zone and job in scheduling, core and jobs were read; none looks up in one list what it takes from another.

TestServicesWithoutPool fails twice before and passes after.

--- a/src/wigeonreach/scheduling/pooling/_pools.py
+++ b/src/wigeonreach/scheduling/pooling/_pools.py
@@ -223,7 +223,7 @@
         emptied: list[EmptyingVm] = []
         if figures.is_short and work.late and now_s >= self._heard_s:
             shares = pools_with_shares(pools, in_time, figures.vms)
-            busy = busy_vms(incarnations, self._store, work.late)
+            busy = busy_vms(shares, self._store, work.late)
             filling.fill(shares)
             emptied = filling.fill_from_busy(shares, busy)
         filling.fill(pools)
--- a/src/wigeonreach/scheduling/pooling/_short_pools.py
+++ b/src/wigeonreach/scheduling/pooling/_short_pools.py
@@ -6,7 +6,6 @@
 from collections.abc import Collection, Mapping
 
 from wigeonreach.jobs import JobStore
-from wigeonreach.scheduling._incarnation import Incarnation
 from wigeonreach.scheduling.pooling._pool_needs import RequiredVms
 from wigeonreach.scheduling.pooling._reservations import PoolState
 from wigeonreach.scheduling.shortage import (
@@ -53,7 +52,7 @@
 
 
 def busy_vms(
-    incarnations: Mapping[str, Collection[Incarnation]],
+    pools: Mapping[str, PoolState],
     store: JobStore,
     late: Collection[OccurrenceId],
 ) -> dict[str, list[EmptyingVm]]:
@@ -61,8 +60,8 @@
 
     Parameters
     ----------
-    incarnations
-        The workers of each pool.
+    pools
+        The pools; workers of other services belong to none of them.
     store
         The replicated state, which tells what runs where.
     late
@@ -72,12 +71,12 @@
         name: sorted(
             (
                 vm
-                for worker in workers
+                for worker in pool.incarnations
                 if (vm := emptying_vm(worker, store, late)) is not None
             ),
             key=emptying_order,
         )
-        for name, workers in incarnations.items()
+        for name, pool in pools.items()
     }
 
 
--- a/tests/scheduling/shortage/test_emptying.py
+++ b/tests/scheduling/shortage/test_emptying.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import msgspec
 import testtools
 from testtools import matchers
 
@@ -15,6 +16,7 @@
     FakeLead,
     job,
     queue,
+    serving_step,
     step,
     store_with,
     workers,
@@ -30,8 +32,11 @@
 from wigeonreach.scheduling import SchedulingSettings
 from wigeonreach.scheduling.pooling import Move
 from wigeonreach.scheduling.shortage import emptying_vm
+from wigeonreach.standins import StandInWorker
 
 _OTHER = 'other'
+_STANDBY = 'standby'
+_DROPPED = 'dropped'
 _VMS = 6
 _MS = 1000
 _NONE = matchers.HasLength(0)
@@ -51,12 +56,16 @@
     return job(step(tasks, **fields), job_id=f'{number:016x}')
 
 
-def _lead(*late: JobSpec, is_shared: bool = True) -> FakeLead:
+def _lead(
+    *late: JobSpec, is_shared: bool = True, standby: str = ''
+) -> FakeLead:
     """Return a leader whose only pool with VMs runs late jobs."""
     store = store_with()
-    services = (ServiceSpec(SERVICE), ServiceSpec(_OTHER))
+    services = [ServiceSpec(SERVICE), ServiceSpec(_OTHER)]
+    if standby:
+        services.append(ServiceSpec(standby, is_standby=True))
     queues = (queue(), queue(_OTHER, service=_OTHER))
-    commit(store, SetManifest(Manifest(2, queues, services)))
+    commit(store, SetManifest(Manifest(2, queues, tuple(services))))
     settings = SchedulingSettings(shares_shortage=is_shared)
     lead = FakeLead(store, workers(_VMS), now_s=_NOW_S, settings=settings)
     for _ in range(_ROUNDS_UNTIL_HEARD):
@@ -81,6 +90,28 @@
     lead.round()
 
 
+def _serve_dropped(lead: FakeLead) -> StandInWorker:
+    """Let a worker serve, then drop its service from the manifest."""
+    before = lead.store.manifest
+    dropped = queue(_DROPPED, service=_DROPPED)
+    with_it = Manifest(
+        3,
+        (*before.queues, dropped),
+        (*before.services, ServiceSpec(_DROPPED)),
+    )
+    commit(lead.store, SetManifest(with_it))
+    worker = StandInWorker('serving', 'vm-serving', service=_DROPPED)
+    lead.workers[worker.name] = worker
+    lead.round()
+    serving = job(serving_step(1), job_id=f'{800:016x}')
+    commit(lead.store, AddJob(serving, _DROPPED, lead.now_s * _MS))
+    lead.round()
+    without = msgspec.structs.replace(before, version=4)
+    commit(lead.store, SetManifest(without))
+    lead.round()
+    return worker
+
+
 def _play(lead: FakeLead, rounds: int = 20) -> list[Move]:
     """Plan moves for some rounds and return them, as if all were refused."""
     found: list[Move] = []
@@ -90,6 +121,13 @@
     return found
 
 
+def _play_hearing_first(lead: FakeLead, first: StandInWorker) -> list[Move]:
+    """Let the next leader, which hears one worker first, plan moves."""
+    heard = [first, *lead.workers.values()]
+    successor = FakeLead(lead.store, heard, lead.term + 1, lead.now_s)
+    return _play(successor, rounds=45)
+
+
 class TestLateWork(testtools.TestCase):
     """A pool with nothing but late work, beside one that has no VM."""
 
@@ -208,6 +246,36 @@
         )
 
 
+class TestServicesWithoutPool(testtools.TestCase):
+    """Workers of services that have no pool, while VMs are short.
+
+    Guards against a planner that ends its leader, and each leader after it, as
+    it looks up the pool of every service that is heard.
+    """
+
+    def test_worker_of_the_standby_service(self) -> None:
+        """Another writer's heartbeat names the service of the standby VMs."""
+        lead = _lead(_large(1, 40), standby=_STANDBY)
+        _urgent(lead)
+        moves = _play_hearing_first(
+            lead, StandInWorker('foreign', '', service=_STANDBY)
+        )
+        self.assertThat(
+            {move.to_pool for move in moves}, matchers.Equals({_OTHER})
+        )
+
+    def test_worker_of_a_dropped_service(self) -> None:
+        """A lasting task still runs there as the manifest drops its service."""
+        lead = _lead(_large(1, 40))
+        worker = _serve_dropped(lead)
+        _urgent(lead)
+        moves = _play_hearing_first(lead, worker)
+        self.assertThat(
+            {move.to_pool for move in moves}, matchers.Equals({_OTHER})
+        )
+        self.assertThat(worker.running, matchers.HasLength(1))
+
+
 class TestEmptyingVm(testtools.TestCase):
     """What emptying one VM takes."""
 
