A last attempt waits only for a worker that can run it, and not for long

Callers saw: an accepted job shown as running for ever, with nothing of it running beside idle workers (LOST).

Cause: the last attempt of a task is kept off the worker on which it failed, if its service has other workers. All of them counted, with the label, the room or neither, and nothing ended the wait.

Change: the rule has a module of its own. The task waits only if another worker has the label and, when empty, the room; for 1.5 s, or for 10 s while over half of the pool is in use, when the failing worker is often the only one with room. What a leader keeps between plans is one object now, as the plan has as many arguments as the style allows.

--- a/src/wigeonreach/_resources.py
+++ b/src/wigeonreach/_resources.py
@@ -54,6 +54,14 @@
             counts.append(self.accelerators // need.accelerators)
         return max(min(counts), 0)
 
+    def maximum(self, other: Resources) -> Resources:
+        """Return the larger of both in every dimension."""
+        return Resources(
+            max(self.processors, other.processors),
+            max(self.memory_bytes, other.memory_bytes),
+            max(self.accelerators, other.accelerators),
+        )
+
     def scaled(self, processors: float, memory: float) -> Resources:
         """Return processors and memory scaled; accelerators are indivisible."""
         return Resources(
--- a/src/wigeonreach/scheduling/_incarnation.py
+++ b/src/wigeonreach/scheduling/_incarnation.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 
-from wigeonreach._resources import Resources
+from wigeonreach._resources import NO_RESOURCES, Resources
 from wigeonreach.jobs import Run, RunEnded
 from wigeonreach.jobs._model import MEBIBYTE, MILLICORES
 from wigeonreach.scheduling._send_time import SendTimeEstimator
@@ -53,6 +53,8 @@
         When its newest heartbeat arrived.
     resources
         All resources of the worker.
+    largest_resources
+        The most of each that it had in this term.
     last_recorded_end
         Number of the last of its ends that is committed.
     ends_at_s
@@ -86,12 +88,14 @@
     unlisted_starts: set[Run] = dataclasses.field(default_factory=set)
     ordered_starts: frozenset[Run] = frozenset()
     sent_s: float = float('-inf')
+    largest_resources: Resources = NO_RESOURCES
     _send_time: SendTimeEstimator = dataclasses.field(
         default_factory=SendTimeEstimator
     )
 
     def __post_init__(self) -> None:
         """Estimate when the first heartbeat was sent."""
+        self.largest_resources = self.resources
         self.sent_s = self._send_time.estimate_s(
             self.report.clock_ms, self.heard_s
         )
@@ -102,6 +106,9 @@
         self.heard_s = now_s
         self.sent_s = self._send_time.estimate_s(report.clock_ms, now_s)
         self.resources = resources_of(report)
+        if not self.largest_resources.covers(self.resources):
+            largest = self.largest_resources.maximum(self.resources)
+            self.largest_resources = largest
 
     @property
     def running(self) -> tuple[RunningTask, ...]:
--- a/src/wigeonreach/scheduling/_scheduler.py
+++ b/src/wigeonreach/scheduling/_scheduler.py
@@ -34,7 +34,9 @@
     AvailableWorkers,
     CapacityByService,
     HomeZones,
+    LastAttempts,
     Plan,
+    TermTrackers,
 )
 from wigeonreach.scheduling.placing._advice import TicketCache
 from wigeonreach.scheduling.pooling import (
@@ -127,8 +129,12 @@
         self.shortage = Shortage(store, settings.shares_shortage)
         self._lost_runs = LostRuns(store, self.workers, self.progress, now_s)
         self.crashes = self._lost_runs.crashes
-        self._homes = HomeZones(
-            store, self.workers.incarnations, settings.keeps_jobs_in_zones
+        self._placing = TermTrackers(
+            self.advice,
+            HomeZones(
+                store, self.workers.incarnations, settings.keeps_jobs_in_zones
+            ),
+            LastAttempts(store),
         )
         self._available = AvailableWorkers(
             store,
@@ -259,15 +265,15 @@
         near = self.pools.data_locality(now_s)
         suspects = self.crashes.suspects(now_s)
         cap_plan = self.cap_tracker.begin_plan()
-        self.notes.extend(self._homes.begin_plan(now_s))
+        self.notes.extend(self._placing.homes.begin_plan(now_s))
+        self._placing.last_attempts.begin_plan(now_s)
         plan = Plan(
             self._store,
             workers,
-            self.advice,
+            self._placing,
             near,
             suspects,
             cap_plan,
-            self._homes,
             now_s,
         )
         plan.place(steps)
@@ -290,7 +296,7 @@
 
         Starts are counted since the last call.
         """
-        return self._homes.take_starts()
+        return self._placing.homes.take_starts()
 
     def _steps_due(self, now_s: float, wall_ms: float) -> list[ReadyStep]:
         """Return the steps that may start, in the order of placement."""
--- a/src/wigeonreach/scheduling/placing/__init__.py
+++ b/src/wigeonreach/scheduling/placing/__init__.py
@@ -5,13 +5,16 @@
     CapacityByService,
 )
 from wigeonreach.scheduling.placing._home_zones import HomeZones
+from wigeonreach.scheduling.placing._last_attempts import LastAttempts
 from wigeonreach.scheduling.placing._locality import DataLocality
-from wigeonreach.scheduling.placing._placing import Plan
+from wigeonreach.scheduling.placing._placing import Plan, TermTrackers
 
 __all__ = (
     'AvailableWorkers',
     'CapacityByService',
     'DataLocality',
     'HomeZones',
+    'LastAttempts',
     'Plan',
+    'TermTrackers',
 )
--- a/src/wigeonreach/scheduling/placing/_placing.py
+++ b/src/wigeonreach/scheduling/placing/_placing.py
@@ -12,6 +12,7 @@
 from wigeonreach.scheduling.placing._advice import TicketCache
 from wigeonreach.scheduling.placing._choosing import WorkerRanking, best_worker
 from wigeonreach.scheduling.placing._home_zones import Home, HomeZones
+from wigeonreach.scheduling.placing._last_attempts import LastAttempts
 from wigeonreach.scheduling.placing._locality import (
     DataLocality,
     fits_all_tasks,
@@ -27,6 +28,25 @@
 _MAX_CLOSED_RATIO = 0.34
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TermTrackers:
+    """What a leader keeps from one plan to the next.
+
+    Attributes
+    ----------
+    advice
+        Tickets for the queues that require them.
+    homes
+        The zones in which jobs should run.
+    last_attempts
+        The tasks that wait for another worker than the one that failed them.
+    """
+
+    advice: TicketCache
+    homes: HomeZones
+    last_attempts: LastAttempts
+
+
 class Plan:
     """Task starts that are decided together, on the current capacity.
 
@@ -36,16 +56,14 @@
         The accepted jobs and where their tasks run.
     workers
         The workers that accept tasks, by service.
-    advice
-        Tickets for the queues that require them.
+    trackers
+        What the leader keeps from one plan to the next.
     locality
         Decides which steps wait for capacity near their data.
     suspects
         The tasks that may crash their workers.
     caps
         What the workspaces may still start.
-    homes
-        The zones in which jobs should run.
     now_s
         Clock in seconds.
     """
@@ -54,21 +72,21 @@
         self,
         store: JobStore,
         workers: dict[str, list[WorkerCapacity]],
-        advice: TicketCache,
+        trackers: TermTrackers,
         locality: DataLocality,
         suspects: Suspects,
         caps: CapPlan,
-        homes: HomeZones,
         now_s: float,
     ) -> None:
         """Start with an empty plan."""
-        self._homes = homes
+        self._advice = trackers.advice
+        self._homes = trackers.homes
+        self._last_attempts = trackers.last_attempts
         self._caps = caps
         self._locality = locality
         self._suspects = suspects
         self._store = store
         self._workers = workers
-        self._advice = advice
         self._now_s = now_s
         self.starts: list[RunStarted] = []
         self.unplaced: list[ReadyStep] = []
@@ -185,8 +203,8 @@
             if worker is None and isolation is Isolation.FROM_NOTHING:
                 self._locality.add_queued(step, len(waiting) - placed)
                 return False
-            if worker is None or _awaits_other_worker(
-                step, key, worker, workers
+            if worker is None or self._last_attempts.must_wait(
+                step, key, worker, self._pool_of(step)
             ):
                 is_placed = False
                 continue
@@ -377,20 +395,3 @@
 def _next_run(step: ReadyStep, index: int) -> int:
     task = step.job.task(_task_key(step, index))
     return task.run + 1 if task else 1
-
-
-def _awaits_other_worker(
-    step: ReadyStep,
-    key: TaskKey,
-    worker: WorkerCapacity,
-    workers: Sequence[WorkerCapacity],
-) -> bool:
-    """Whether a task's last attempt would use the worker it failed on.
-
-    A worker that fails every task must not make a job fail by itself.
-    """
-    task = step.job.task(key)
-    if task is None or task.worker != worker.incarnation.report.worker:
-        return False
-    is_last = task.failures + 1 >= step.job.queue.max_failures
-    return bool(task.failures) and is_last and len(workers) > 1
--- a/src/wigeonreach/scheduling/placing/_worker_capacity.py
+++ b/src/wigeonreach/scheduling/placing/_worker_capacity.py
@@ -110,8 +110,19 @@
         """Whether the worker can be reserved for a task that runs alone."""
         if self.serving or self.trial_job or self.is_reserved:
             return False
-        has_label = not spec.label or spec.label in self._labels
-        return has_label and self.incarnation.resources.covers(spec.resources)
+        resources = self.incarnation.resources
+        return self._has_label(spec) and resources.covers(spec.resources)
+
+    def could_ever_hold(self, spec: StepSpec) -> bool:
+        """Whether a task could run on the worker if it were empty.
+
+        A worker whose capacity has shrunk may have it back at any time.
+        """
+        largest = self.incarnation.largest_resources
+        return self._has_label(spec) and largest.covers(spec.resources)
+
+    def _has_label(self, spec: StepSpec) -> bool:
+        return not spec.label or spec.label in self._labels
 
     def _fits(self, key: TaskKey, spec: StepSpec) -> bool:
         return self.free.covers(spec.resources) and self.meets_constraints(
@@ -130,7 +141,7 @@
 
     def meets_constraints(self, key: TaskKey, spec: StepSpec) -> bool:
         """Whether the worker suits a task apart from its free capacity."""
-        if spec.label and spec.label not in self._labels:
+        if not self._has_label(spec):
             return False
         placed = self.steps[key.job_id, key.occurrence, key.step]
         return not spec.spread_limit or placed < spec.spread_limit
