The advisor is asked only about workers that suit the step

A step that needs tickets and a label asked for tickets of the emptiest workers, with the label or not, again and again, and so never got one where the workers with the label were not among the emptiest.

Change: only workers that may take a task of the step now are named.

--- a/src/wigeonreach/scheduling/placing/_advice.py
+++ b/src/wigeonreach/scheduling/placing/_advice.py
@@ -109,7 +109,10 @@
             if self.ticket(key, worker.incarnation.report.worker, now_s)
         ]
         if len(with_ticket) < len(step.waiting_tasks):
-            self._request_tickets(step, candidates, now_s)
+            suitable = [
+                worker for worker in candidates if worker.holds(key, step.spec)
+            ]
+            self._request_tickets(step, suitable, now_s)
         return with_ticket
 
     def pop_requests(self) -> list[AdviceRequest]:
@@ -146,7 +149,7 @@
     def _request_tickets(
         self,
         step: ReadyStep,
-        candidates: list[WorkerCapacity],
+        suitable: list[WorkerCapacity],
         now_s: float,
     ) -> None:
         name = (step.job.spec.job_id, step.occurrence, step.step)
@@ -156,14 +159,9 @@
         count = min(
             len(step.waiting_tasks) * _WORKERS_PER_TASK, _MAX_WORKERS_PER_CALL
         )
-        fitting = [
-            worker
-            for worker in candidates
-            if worker.free.covers(step.spec.resources)
-        ]
-        fitting.sort(key=lambda worker: -worker.free.processors)
+        suitable.sort(key=lambda worker: -worker.free.processors)
         workers = tuple(
-            worker.incarnation.report.worker for worker in fitting[:count]
+            worker.incarnation.report.worker for worker in suitable[:count]
         )
         if workers:
             self._pending[name] = AdviceRequest(name, workers)
--- a/tests/scheduling/placing/test_advice.py
+++ b/tests/scheduling/placing/test_advice.py
@@ -27,11 +27,11 @@
 _POLICY = AdvicePolicy(decision_ms=20, per_worker_ms=5, validity_ms=3000)
 
 
-def _lead(count: int) -> FakeLead:
+def _lead(count: int, **changes: object) -> FakeLead:
     store = JobStore()
     commit(store, SetManifest(manifest(queue(advice=_POLICY))))
     commit(store, BeginTerm(3))
-    commit(store, AddJob(job(step(count)), 'bookings'))
+    commit(store, AddJob(job(step(count, **changes)), 'bookings'))
     return FakeLead(store, workers(4))
 
 
@@ -83,6 +83,23 @@
             matchers.HasLength(1),
         )
 
+    def test_only_suitable_workers_are_asked_for(self) -> None:
+        """The emptiest workers lack the label that the step requires.
+
+        Guards against a step that never gets a ticket, as the advisor is asked
+        about the same unsuitable workers again and again.
+        """
+        lead = _lead(1, label='large')
+        suitable = lead.workers['w3']
+        suitable.kind = 'large'
+        suitable.cpu_millicores = 8000
+        lead.round()
+        requests = lead.scheduler.advice.pop_requests()
+        self.assertThat(
+            [request.workers for request in requests],
+            matchers.Equals([('w3',)]),
+        )
+
     def test_step_has_one_request_at_a_time(self) -> None:
         """The advisor is slow, so no request is sent twice."""
         lead = _lead(1)
