Decisions no longer depend on the order of sets

Cause: sets were iterated where the order decides: changed jobs (ties between steps), workers whose lease may be over (the order of losses), runs of a lost worker (the order of their evidence).

Change: they are sorted, or taken in the order of the record; the sort keys of steps and of jobs to defer end with their ids, so that leaders which learned of them in another order agree too.

The storms test is still red, now the same way under each seed.

--- a/src/wigeonreach/scheduling/_crashes.py
+++ b/src/wigeonreach/scheduling/_crashes.py
@@ -330,8 +330,10 @@
         """Add the runs of a lost worker, and the evidence of its crash."""
         causes = self._possible_causes(incarnation)
         evidence = evidence_of(causes)
-        for run in causes.keys() & set(runs):
-            lost = causes[run]
+        for run in runs:
+            lost = causes.get(run)
+            if lost is None:
+                continue
             loss.is_provoked |= lost.may_be_cause
             loss.runs[run] = evidence[run]
             if lost.is_at_start:
--- a/src/wigeonreach/scheduling/_ready.py
+++ b/src/wigeonreach/scheduling/_ready.py
@@ -156,7 +156,8 @@
         changed = store.changed_jobs
         store.changed_jobs = set()
         accepted: list[AcceptedWork] = []
-        for job_id in changed:
+        # The order of a set differs from process to process.
+        for job_id in sorted(changed):
             is_new = job_id not in self._accepted_s
             job = store.jobs.get(job_id)
             if is_new and job is not None:
@@ -409,7 +410,7 @@
     step: ReadyStep,
     now_s: float,
     deferred: Collection[OccurrenceId],
-) -> tuple[float, ...]:
+) -> tuple[float, float, float, float, tuple[str, int, int]]:
     is_deferred = (step.job.spec.job_id, step.occurrence) in deferred
     is_late = is_deferred or now_s > step.latest_start_s
     urgency = step.work_s if is_late else step.latest_start_s
@@ -418,6 +419,8 @@
         float(is_late),
         float(step.job.queue.priority),
         urgency,
+        # Leaders that learned of the steps in another order decide the same.
+        (step.job.spec.job_id, step.occurrence, step.step),
     )
 
 
--- a/src/wigeonreach/scheduling/_workers.py
+++ b/src/wigeonreach/scheduling/_workers.py
@@ -222,8 +222,8 @@
         self.by_vm.remove(self.incarnations.pop(worker))
         self._leaving.discard(worker)
 
-    def _possibly_ended(self, now_s: float) -> set[str]:
-        """Return the incarnations whose end has to be checked now.
+    def _possibly_ended(self, now_s: float) -> list[str]:
+        """Return the incarnations whose end has to be checked now, by name.
 
         These are the ones whose lease may have expired, that announced their
         end, or that share their VM with another one.
@@ -237,7 +237,7 @@
             suspects.add(worker)
             if known.lease_over_s > now_s:
                 heapq.heappush(self._leases, (known.lease_over_s, worker))
-        return suspects
+        return sorted(suspects)
 
     def _end_reason(self, incarnation: Incarnation, now_s: float) -> str:
         """Return why an incarnation has ended; empty if it has not."""
--- a/src/wigeonreach/scheduling/shortage/_triage.py
+++ b/src/wigeonreach/scheduling/shortage/_triage.py
@@ -134,7 +134,7 @@
     """
     deferred: set[OccurrenceId] = set()
     claims = _Claims(weights)
-    for job in sorted(jobs, key=lambda pending: pending.due_s):
+    for job in sorted(jobs, key=_by_due):
         if job.is_too_late(now_s):
             deferred.add(job.occurrence_id)
             continue
@@ -145,6 +145,11 @@
     return deferred
 
 
+def _by_due(job: PendingOccurrence) -> tuple[float, OccurrenceId]:
+    """Sort key: the next due first, in the same order at each leader."""
+    return job.due_s, job.occurrence_id
+
+
 @dataclasses.dataclass(slots=True)
 class _Claim:
     """What one claimant asks for.
