Last starts are made alone and in calm, so that their losses prove something

Cause: the limit of starts spares a task whose losses have other explanations, and the last starts, which are to tell, were made at moments that tell nothing. Losses in a storm looked provoked, so the wait for a calmer moment ended at once; it used up the time of isolation, was shorter than the storms, and three explained losses spared a task whatever the last two were.

Change: from the fourth on a start waits for up to 30 s until no worker was lost for 5 s, other than under a task that has to run alone; it is alone at first, counted from then on. A run alone on a doubtful VM is "uncertain". One loss of its own at a calm moment is enough beside explained ones.

New tests: the one of the record and the one of the mark fail before.

--- a/src/wigeonreach/jobs/_records.py
+++ b/src/wigeonreach/jobs/_records.py
@@ -21,10 +21,6 @@
 # Users allow two starts after three crashed workers; a sixth start would be the
 # third.
 MAX_LOST_RUNS = 5
-# A task that lost so many runs counts as the cause only if this many of the
-# losses are not explained by something else.  If workers failed by themselves
-# meanwhile, one loss at another moment must not be due to a run beside it.
-_MIN_UNEXPLAINED_LOSSES = 3
 
 
 class TaskCrash(msgspec.Struct, frozen=True, array_like=True):
@@ -80,9 +76,12 @@
 
     @property
     def _is_likely_cause(self) -> bool:
-        """Whether most of its losses have no other explanation."""
-        if len(self.crashes) < _MIN_UNEXPLAINED_LOSSES:
-            return False
+        """Whether some of its losses have no other explanation.
+
+        Its last starts were made alone, and while no workers failed by
+        themselves.  So if workers failed meanwhile, one loss at another moment
+        that is not due to a run beside it is enough.
+        """
         own = [crash for crash in self.crashes if not crash.is_coincident]
         has_failing_workers = len(own) < len(self.lost_runs)
         return not has_failing_workers or any(
--- a/src/wigeonreach/scheduling/_crashes.py
+++ b/src/wigeonreach/scheduling/_crashes.py
@@ -35,7 +35,11 @@
 )
 from wigeonreach.scheduling._notes import LogNote
 from wigeonreach.scheduling._progress import ProgressTracker
-from wigeonreach.scheduling._suspects import ISOLATION_S, Suspects
+from wigeonreach.scheduling._suspects import (
+    CRASHES_BEFORE_ISOLATION,
+    LOSS_RETENTION_S,
+    Suspects,
+)
 from wigeonreach.scheduling._vms import ORDER_TIMEOUT_S
 from wigeonreach.scheduling._workers import Workers
 
@@ -257,21 +261,29 @@
         self._task_lost_s = {
             key: lost_s
             for key, lost_s in self._task_lost_s.items()
-            if now_s - lost_s < ISOLATION_S
+            if now_s - lost_s < LOSS_RETENTION_S
         }
         return Suspects(
             unexplained,
             self._task_lost_s,
             self._began_s,
             now_s,
-            is_calm=self._is_calm(now_s),
+            self._calm_since_s(),
         )
 
-    def _is_calm(self, now_s: float) -> bool:
-        """Whether no worker was given up lately that no run had provoked."""
-        return all(
-            loss.is_provoked or now_s - loss.given_up_s >= _CALM_AFTER_S
-            for loss in self._recent_losses.values()
+    def _calm_since_s(self) -> float:
+        """Return since when workers no longer count as failing by themselves.
+
+        While they do, most losses look provoked, as tasks that were lost start
+        again all the time.  Only a task that runs alone explains a loss.
+        """
+        return max(
+            (
+                loss.given_up_s + _CALM_AFTER_S
+                for loss in self._recent_losses.values()
+                if not loss.is_trial
+            ),
+            default=self._began_s,
         )
 
     def _mark_unsettled(self, loss: WorkerLoss) -> None:
@@ -311,7 +323,7 @@
         """Record what a crash proves against each of the worker's runs."""
         for run, evidence in loss.runs.items():
             self._unrecorded[run] = loss.crash_record(
-                run, min(evidence, max_evidence)
+                run, _weakened(evidence, max_evidence)
             )
 
     def _mark_returned(self, loss: WorkerLoss) -> None:
@@ -335,6 +347,7 @@
             if lost is None:
                 continue
             loss.is_provoked |= lost.may_be_cause
+            loss.is_trial |= lost.crashes >= CRASHES_BEFORE_ISOLATION
             loss.runs[run] = evidence[run]
             if lost.is_at_start:
                 loss.at_start.add(run)
@@ -476,6 +489,19 @@
         self.notes.append(LogNote(LogEvent.WORKER_CRASHED, loss.worker, reason))
 
 
+def _weakened(
+    evidence: CrashEvidence, max_evidence: CrashEvidence
+) -> CrashEvidence:
+    """Return the evidence against a run, within what its loss can prove.
+
+    A run that was alone on its worker stays one, also if the VM may be the
+    cause: what the loss proves is then uncertain, but not due to other runs.
+    """
+    if evidence <= max_evidence:
+        return evidence
+    return min(max_evidence, CrashEvidence.UNCERTAIN)
+
+
 def _suspicions(task: TaskRecord) -> int:
     """Return how many crashes, explained ones too, make a task a suspect."""
     losses = len(task.lost_runs)
--- a/src/wigeonreach/scheduling/_losses.py
+++ b/src/wigeonreach/scheduling/_losses.py
@@ -44,6 +44,9 @@
     is_provoked
         Whether a run on it may have crashed it: one that had just begun, or
         one of a task under which others have crashed.
+    is_trial
+        Whether it ran a task that has to run alone, as two workers crashed
+        under it.
     is_coincident
         Whether a worker that no run had provoked was lost at the same moment,
         or all other workers of its rack or zone were.
@@ -61,6 +64,7 @@
     runs: dict[Run, CrashEvidence] = dataclasses.field(default_factory=dict)
     at_start: set[Run] = dataclasses.field(default_factory=set)
     is_provoked: bool = False
+    is_trial: bool = False
     is_coincident: bool = False
     returned_s: float = float('inf')
 
--- a/src/wigeonreach/scheduling/_suspects.py
+++ b/src/wigeonreach/scheduling/_suspects.py
@@ -20,11 +20,11 @@
 # without other suspects.
 _ALONE_S = 8.0
 ISOLATION_S = 16.0
-
-
-# A task with few starts left waits for so long while workers fail by themselves:
-# more than twice what it takes to find a lost worker.
-_CALM_WAIT_S = 10.0
+# A task with few starts left waits at most for so long until workers no longer
+# fail by themselves; outages of racks are shorter.
+_CALM_WAIT_S = 30.0
+# The time of a task's last loss is needed until it needs no isolation.
+LOSS_RETENTION_S = _CALM_WAIT_S + ISOLATION_S
 
 
 class Isolation(enum.Enum):
@@ -49,15 +49,16 @@
         When the term began; other tasks may have been lost before.
     now_s
         Clock in seconds.
-    is_calm
-        Whether no worker was lost lately that no run had provoked.
+    calm_since_s
+        Since when, or from when on, workers count as no longer failing by
+        themselves.
     """
 
     unexplained_losses: collections.Counter[TaskKey]
     lost_s: Mapping[TaskKey, float]
     began_s: float
     now_s: float
-    is_calm: bool
+    calm_since_s: float
 
     @property
     def may_isolate(self) -> bool:
@@ -66,11 +67,14 @@
 
     def isolation_of(self, key: TaskKey, task: TaskRecord) -> Isolation:
         """Return the isolation that a task needs now."""
-        lost_for_s = self.now_s - self.lost_s.get(key, self.began_s)
-        is_suspect = task.crash_count >= CRASHES_BEFORE_ISOLATION
-        if not is_suspect or lost_for_s >= ISOLATION_S:
+        waited_s = self.now_s - self._startable_since_s(key, task)
+        is_suspect = (
+            task.crash_count >= CRASHES_BEFORE_ISOLATION
+            or _has_few_starts(task)
+        )
+        if not is_suspect or waited_s >= ISOLATION_S:
             return Isolation.FROM_NOTHING
-        if lost_for_s < _ALONE_S:
+        if waited_s < _ALONE_S:
             return Isolation.FROM_ALL
         return Isolation.FROM_SUSPECTS
 
@@ -82,10 +86,19 @@
         if losses < _MAX_UNSETTLED_CRASHES:
             return False
         is_settled = not self.unexplained_losses[key]
-        return not is_settled or self._awaits_calm(key, task)
+        return not is_settled or self.now_s < self._startable_since_s(key, task)
+
+    def _startable_since_s(self, key: TaskKey, task: TaskRecord) -> float:
+        """Return from when on a task may start again, after its last loss.
+
+        A task with few starts left saves them for a calmer moment, so that
+        another loss shows whether it is the cause.
+        """
+        lost_s = self.lost_s.get(key, self.began_s)
+        if not _has_few_starts(task):
+            return lost_s
+        return min(lost_s + _CALM_WAIT_S, max(lost_s, self.calm_since_s))
+
 
-    def _awaits_calm(self, key: TaskKey, task: TaskRecord) -> bool:
-        """Whether a task saves one of its last starts for a calmer moment."""
-        is_limited = len(task.lost_runs) >= _MAX_UNSETTLED_CRASHES
-        lost_for_s = self.now_s - self.lost_s.get(key, self.began_s)
-        return is_limited and not self.is_calm and lost_for_s < _CALM_WAIT_S
+def _has_few_starts(task: TaskRecord) -> bool:
+    return len(task.lost_runs) >= _MAX_UNSETTLED_CRASHES
--- a/tests/jobs/test_lost_runs.py
+++ b/tests/jobs/test_lost_runs.py
@@ -136,6 +136,20 @@
         _lose(store, _MANY, _UNCERTAIN)
         self.assertThat(store.jobs[JOB].phase, _FAILED)
 
+    def test_losses_of_its_own_fail_a_job_beside_explained_ones(self) -> None:
+        """Its last starts were made alone and while nothing else failed.
+
+        Guards against a sixth start, which most losses being explained by
+        storms allowed.
+        """
+        store = _store()
+        for run in range(1, 4):
+            _lose(store, run, _EXPLAINED)
+        for later in range(4, MOST_STARTS + 1):
+            self.assertThat(store.jobs[JOB].phase, _ACTIVE)
+            _lose(store, later, _UNCERTAIN)
+        self.assertThat(store.jobs[JOB].phase, _FAILED)
+
     def test_explained_losses_alone_fail_no_job(self) -> None:
         """Racks fail under it, however often."""
         store = _store()
--- a/tests/scheduling/test_crash_starts.py
+++ b/tests/scheduling/test_crash_starts.py
@@ -23,13 +23,15 @@
 )
 from tests.builders_jobs import (
     OTHER_JOB,
+    QUEUE,
     job,
     key,
     step,
     store_with,
     workers,
 )
-from wigeonreach.jobs import CrashEvidence, JobPhase
+from wigeonreach.jobs import AddJob, CrashEvidence, JobPhase
+from wigeonreach.lab import commit
 from wigeonreach.standins import StandInWorker
 
 _FEW = matchers.LessThan(MOST_LATE_STARTS + 1)
@@ -114,6 +116,27 @@
         for task_key in (key(0), key(0, job_id=OTHER_JOB)):
             self.assertThat(fleet.late_starts[task_key], _FEW)
 
+    def test_vm_that_failed_before_makes_no_run_beside_others(self) -> None:
+        """A task crashes its worker alone, where one failed by itself.
+
+        Guards against evidence that spares a task, as if others had run
+        beside it.
+        """
+        store = store_with()
+        fleet = CrashingFleet(
+            store, workers(1), is_first, 3.0, crashes_after_s=1.2
+        )
+        fleet.run(2)
+        fleet.crash_workers(fleet.up)
+        fleet.run(8)
+        commit(store, AddJob(job(step(1)), QUEUE))
+        fleet.run(10)
+        task = store.task_of(key(0))
+        assert task is not None
+        evidence = [crash.evidence for crash in task.crashes[:1]]
+        expected = [CrashEvidence.UNCERTAIN]
+        self.assertThat(evidence, matchers.Equals(expected))
+
     def test_vms_that_stay_away_explain_no_crash(self) -> None:
         """Each VM is down for longer than a loss is waited for."""
         store = store_with(job(step(2)))
