Look for suitable workers only when tickets are requested

Read again as a newcomer would: the workers that suit a step were looked for in each plan, also while a request was under way. Same requests as before; the tests of advice pass.

--- a/src/wigeonreach/scheduling/placing/_advice.py
+++ b/src/wigeonreach/scheduling/placing/_advice.py
@@ -109,10 +109,7 @@
             if self.ticket(key, worker.incarnation.report.worker, now_s)
         ]
         if len(with_ticket) < len(step.waiting_tasks):
-            suitable = [
-                worker for worker in candidates if worker.holds(key, step.spec)
-            ]
-            self._request_tickets(step, suitable, now_s)
+            self._request_tickets(step, candidates, now_s)
         return with_ticket
 
     def pop_requests(self) -> list[AdviceRequest]:
@@ -149,7 +146,7 @@
     def _request_tickets(
         self,
         step: ReadyStep,
-        suitable: list[WorkerCapacity],
+        candidates: list[WorkerCapacity],
         now_s: float,
     ) -> None:
         name = (step.job.spec.job_id, step.occurrence, step.step)
@@ -159,6 +156,10 @@
         count = min(
             len(step.waiting_tasks) * _WORKERS_PER_TASK, _MAX_WORKERS_PER_CALL
         )
+        first = TaskKey(*name, 0)
+        suitable = [
+            worker for worker in candidates if worker.holds(first, step.spec)
+        ]
         suitable.sort(key=lambda worker: -worker.free.processors)
         workers = tuple(
             worker.incarnation.report.worker for worker in suitable[:count]
