--- a/src/wigeonreach/scheduling/_crashes.py
+++ b/src/wigeonreach/scheduling/_crashes.py
@@ -27,9 +27,10 @@
     TaskRecord,
 )
 from wigeonreach.observe import LogEvent
-from wigeonreach.scheduling._evidence import LostRun, evidence_of
+from wigeonreach.scheduling._evidence import LostRun, evidence_of, weakened
 from wigeonreach.scheduling._incarnation import LEASE_MS, Incarnation
 from wigeonreach.scheduling._losses import (
+    SETTLE_WITHIN_S,
     LossCorrelation,
     WorkerLoss,
 )
@@ -40,15 +41,11 @@
     LOSS_RETENTION_S,
     Suspects,
 )
-from wigeonreach.scheduling._vms import ORDER_TIMEOUT_S
+from wigeonreach.scheduling._vm_order_times import VmOrderTimes
 from wigeonreach.scheduling._workers import Workers
 
 _MS_PER_S = 1000
 _NEVER_S = float('-inf')
-# How long a loss may wait for a new worker on its VM; after that it is uncertain
-# what it proves.  A VM was observed to have a new worker 3.2 s after a crash;
-# outages of racks are shorter than this limit too.
-_SETTLE_WITHIN_S = 30.0
 # A task that lost so many workers may be the cause although each loss has another
 # explanation: racks and zones fail seldom.
 _EXCUSED_LOSSES = 2
@@ -110,14 +107,8 @@
         self._vm_unprovoked_s: dict[str, float] = {}
         # When the newest worker of each VM was first heard, and its name.
         self._newest_worker: dict[str, tuple[float, str]] = {}
-        # When each worker was last ordered to end, by worker, or by VM if its
-        # worker was not known.  The time of a former leader's order is unknown;
-        # it is taken to be the time by which all running workers are heard.
-        self._inherited_orders = frozenset(
-            order.worker or vm for vm, order in store.vm_orders.items()
-        )
-        self._ordered_s = dict.fromkeys(
-            self._inherited_orders, now_s + _FIRST_HEARTBEATS_S
+        self._orders = VmOrderTimes(
+            store.vm_orders, now_s + _FIRST_HEARTBEATS_S
         )
         # Losses of which former leaders had not found the cause.
         self._inherited_losses = tuple(_unsettled_losses(store))
@@ -153,12 +144,7 @@
         now_s
             Clock in seconds.
         """
-        self._ordered_s = {
-            ordered: ordered_s
-            for ordered, ordered_s in self._ordered_s.items()
-            if now_s - ordered_s <= _SETTLE_WITHIN_S
-        }
-        self._ordered_s[worker or vm] = now_s
+        self._orders.note(worker or vm, now_s)
 
     def note_lost(
         self,
@@ -188,7 +174,7 @@
         self._task_lost_s.update(
             dict.fromkeys((key for key, _ in loss.runs), now_s)
         )
-        if incarnation.is_ending or self._may_end_by_order(incarnation):
+        if incarnation.is_ending or self._orders.may_have_ended(incarnation):
             self._mark_starts_uncertain(loss)
             return loss.runs.keys()
         self._mark_unsettled(loss)
@@ -209,10 +195,10 @@
         # This leader does not know whether the worker listed them.
         loss.at_start.update(held.items())
         self._task_lost_s.update(dict.fromkeys(held, now_s))
-        if self._inherited_orders.isdisjoint((vm, worker)):
-            self._mark_unsettled(loss)
-        else:
+        if self._orders.is_inherited(worker, vm):
             self._mark_starts_uncertain(loss)
+        else:
+            self._mark_unsettled(loss)
 
     def unrecorded(self, now_s: float) -> tuple[RunCrashed, ...]:
         """Return the crashes to record; they repeat until they are recorded."""
@@ -232,14 +218,14 @@
                 self._unexplained.pop(settled.worker)
                 self._settle(settled, correlation, now_s)
         for waiting in tuple(self._unexplained.values()):
-            if now_s - waiting.given_up_s > _SETTLE_WITHIN_S:
+            if now_s - waiting.given_up_s > SETTLE_WITHIN_S:
                 self._unexplained.pop(waiting.worker)
                 self._mark_crashed(waiting, CrashEvidence.UNCERTAIN)
         if self._recent_losses:
             self._recent_losses = {
                 worker: recent
                 for worker, recent in self._recent_losses.items()
-                if now_s - recent.given_up_s <= _SETTLE_WITHIN_S
+                if now_s - recent.given_up_s <= SETTLE_WITHIN_S
             }
         return tuple(self._unrecorded.values())
 
@@ -323,7 +309,7 @@
         """Record what a crash proves against each of the worker's runs."""
         for run, evidence in loss.runs.items():
             self._unrecorded[run] = loss.crash_record(
-                run, _weakened(evidence, max_evidence)
+                run, weakened(evidence, max_evidence)
             )
 
     def _mark_returned(self, loss: WorkerLoss) -> None:
@@ -378,20 +364,6 @@
             crashes=_suspicions(task) if task else 0,
         )
 
-    def _may_end_by_order(self, incarnation: Incarnation) -> bool:
-        """Whether an order for its VM may have ended a worker."""
-        report = incarnation.report
-        ordered_s = self._last_order_s(report.worker, report.vm)
-        was_up = incarnation.first_heard_s <= ordered_s
-        return was_up and incarnation.heard_s < ordered_s + ORDER_TIMEOUT_S
-
-    def _last_order_s(self, worker: str, vm: str) -> float:
-        """Return when an order was last given for a worker, or for its VM."""
-        return max(
-            self._ordered_s.get(worker, _NEVER_S),
-            self._ordered_s.get(vm, _NEVER_S),
-        )
-
     def _is_replaced(self, loss: WorkerLoss) -> bool:
         """Whether another worker appeared on the VM after the loss."""
         joined_s, worker = self._newest_worker.get(loss.vm, (0.0, loss.worker))
@@ -432,7 +404,7 @@
             self._mark_starts_uncertain(loss)
             return
         joined_s, _ = self._newest_worker[loss.vm]
-        if loss.heard_s < self._last_order_s(loss.worker, loss.vm) < joined_s:
+        if loss.heard_s < self._orders.last_s(loss.worker, loss.vm) < joined_s:
             # The platform was told to move or maintain the VM.
             self._add_note(loss, 'its VM was ordered while it was silent')
             self._mark_explained(loss)
@@ -477,7 +449,7 @@
         for incarnation in self._workers.incarnations.values():
             if not incarnation.is_silent(now_s) or incarnation.is_ending:
                 continue
-            if not self._may_end_by_order(incarnation):
+            if not self._orders.may_have_ended(incarnation):
                 loss = _worker_loss(incarnation, now_s)
                 loss.is_provoked = any(
                     lost.may_be_cause
@@ -489,19 +461,6 @@
         self.notes.append(LogNote(LogEvent.WORKER_CRASHED, loss.worker, reason))
 
 
-def _weakened(
-    evidence: CrashEvidence, max_evidence: CrashEvidence
-) -> CrashEvidence:
-    """Return the evidence against a run, within what its loss can prove.
-
-    A run that was alone on its worker stays one, also if the VM may be the
-    cause: what the loss proves is then uncertain, but not due to other runs.
-    """
-    if evidence <= max_evidence:
-        return evidence
-    return min(max_evidence, CrashEvidence.UNCERTAIN)
-
-
 def _suspicions(task: TaskRecord) -> int:
     """Return how many crashes, explained ones too, make a task a suspect."""
     losses = len(task.lost_runs)
--- a/src/wigeonreach/scheduling/_evidence.py
+++ b/src/wigeonreach/scheduling/_evidence.py
@@ -70,6 +70,19 @@
     }
 
 
+def weakened(
+    evidence: CrashEvidence, max_evidence: CrashEvidence
+) -> CrashEvidence:
+    """Return the evidence against a run, within what its loss can prove.
+
+    A run that was alone on its worker stays one, also if the VM may be the
+    cause: what the loss proves is then uncertain, but not due to other runs.
+    """
+    if evidence <= max_evidence:
+        return evidence
+    return min(max_evidence, CrashEvidence.UNCERTAIN)
+
+
 def _evidence_of_run(lost: LostRun, suspected: Set[str]) -> CrashEvidence:
     """Return the evidence against a run, given the jobs that are suspected."""
     if lost.is_sound:
--- a/src/wigeonreach/scheduling/_losses.py
+++ b/src/wigeonreach/scheduling/_losses.py
@@ -10,6 +10,10 @@
 from wigeonreach.jobs import CrashEvidence, Run, RunCrashed
 from wigeonreach.scheduling._incarnation import Incarnation
 
+# How long a loss may wait for a new worker on its VM; after that it is uncertain
+# what it proves.  A VM was observed to have a new worker 3.2 s after a crash;
+# outages of racks are shorter than this limit too.
+SETTLE_WITHIN_S = 30.0
 # Greatest difference between the last heartbeats of workers that fail together:
 # the interval of an idle worker (0.7 s) and 0.8 s for a heartbeat that timed
 # out.
