--- a/tests/scheduling/placing/test_last_attempts.py
+++ b/tests/scheduling/placing/test_last_attempts.py
@@ -56,6 +56,13 @@
     return lead
 
 
+def _fail_beside_full(cpu_millicores: int = _FULL) -> FakeLead:
+    """Return the same, beside a worker ``s0`` that a long task fills."""
+    other = StandInWorker('s0', 'vm-s0', cpu_millicores=cpu_millicores)
+    lasting = step(cpu_millicores=cpu_millicores, estimate_ms=_LONG_MS)
+    return _fail_on_first(step(), other, lasting=lasting)
+
+
 def _waited_s(lead: FakeLead, within_s: float) -> float:
     """Return how long the task waits for its last run on ``w0``."""
     began_s = lead.now_s
@@ -90,23 +97,17 @@
 
     def test_other_worker_stays_full(self) -> None:
         """A long task fills it, and most of the pool is idle."""
-        other = StandInWorker('s0', 'vm-s0', cpu_millicores=8000)
-        lasting = step(cpu_millicores=8000, estimate_ms=_LONG_MS)
-        lead = _fail_on_first(step(), other, lasting=lasting)
+        lead = _fail_beside_full(cpu_millicores=8000)
         waited_s = _waited_s(lead, _START_WITHIN_S)
-        self.assertThat(other.running, matchers.HasLength(1))
+        self.assertThat(lead.workers['s0'].running, matchers.HasLength(1))
         self.assertThat(waited_s, matchers.LessThan(_START_WITHIN_S))
 
     def test_other_worker_may_be_free_soon(self) -> None:
         """The task waits for it, as the last run may fail again where it did."""
-        other = StandInWorker('s0', 'vm-s0')
-        lead = _fail_on_first(
-            step(),
-            other,
-            lasting=step(cpu_millicores=_FULL, estimate_ms=_LONG_MS),
-        )
+        lead = _fail_beside_full()
         lead.round()
         self.assertThat(lead.workers['w0'].running, matchers.HasLength(0))
+        other = lead.workers['s0']
         other.end((key(job_id=OTHER_JOB), 1), RunEnd.DONE)
         lead.round()
         lead.round()
@@ -127,9 +128,7 @@
 
     def test_next_leader_bounds_the_wait_too(self) -> None:
         """It knows nothing of the wait so far, and begins anew."""
-        other = StandInWorker('s0', 'vm-s0', cpu_millicores=8000)
-        lasting = step(cpu_millicores=8000, estimate_ms=_LONG_MS)
-        lead = _fail_on_first(step(), other, lasting=lasting)
+        lead = _fail_beside_full(cpu_millicores=8000)
         lead.round()
         successor = FakeLead(
             lead.store, lead.workers.values(), lead.term + 1, lead.now_s
@@ -139,14 +138,9 @@
             matchers.LessThan(2 * _START_WITHIN_S),
         )
 
-    def test_task_that_is_cancelled_is_forgotten(self) -> None:
-        """Nothing is kept for it."""
-        other = StandInWorker('s0', 'vm-s0')
-        lead = _fail_on_first(
-            step(),
-            other,
-            lasting=step(cpu_millicores=_FULL, estimate_ms=_LONG_MS),
-        )
+    def test_waiting_task_can_be_cancelled(self) -> None:
+        """It does not start any more, and the plans go on."""
+        lead = _fail_beside_full()
         lead.round()
         lead.cancel()
         self.assertThat(
