--- a/tests/builders_crash_days.py
+++ b/tests/builders_crash_days.py
@@ -29,6 +29,8 @@
         Whether there is a new leader every 1 to 9 s.
     storm_ratio
         Share of the workers that crash by themselves, again and again.
+    storm_every_s
+        How often they do.
     """
 
     def __init__(
@@ -37,11 +39,13 @@
         crashes_after_s: float,
         changes_leader: bool = False,
         storm_ratio: float = 0.0,
+        storm_every_s: float = _STORM_EVERY_S,
     ) -> None:
         """Draw the fleet and the jobs."""
         self._random = random.Random(seed)
         self._changes_leader = changes_leader
         self._storm_ratio = storm_ratio
+        self._storm_every_s = storm_every_s
         self.store = store_with()
         self.bad: set[TaskKey] = set()
         count = self._random.randrange(4, 11)
@@ -59,7 +63,7 @@
     def play(self) -> None:
         """Play the whole day."""
         next_leader_s = self._next_leader_s()
-        next_storm_s = _STORM_EVERY_S if self._storm_ratio else _NEVER_S
+        next_storm_s = self._storm_every_s if self._storm_ratio else _NEVER_S
         while self.fleet.lead.now_s < _DAY_S:
             self._accept()
             self.fleet.round()
@@ -68,7 +72,7 @@
                 self.fleet.change_leader()
                 next_leader_s = self._next_leader_s()
             if next_storm_s <= now_s < _STORMS_UNTIL_S:
-                next_storm_s += _STORM_EVERY_S
+                next_storm_s += self._storm_every_s
                 self._crash_some()
 
     def most_late_starts(self) -> int:
--- a/tests/scheduling/test_crash_starts.py
+++ b/tests/scheduling/test_crash_starts.py
@@ -48,6 +48,9 @@
 # Seeds of days with storms and bad tasks, and when these crash their workers.
 _STORMS_BESIDE_BAD_TASKS = ((0, 0.5), (3, 0.5), (5, 1.2), (27, 1.2))
 
+_UNPAUSED_STORMS = ((8, 0.2), (32, 0.2), (8, 0.5), (28, 0.5))
+_STORMS_BESIDE_SOUND_JOBS = ((5, 0.5),)
+
 
 class TestStartsAfterCrashes(testtools.TestCase):
     """A task that crashes each worker some moments after its start."""
@@ -226,6 +229,29 @@
             failed = day.sound_jobs(JobPhase.FAILED)
             self.assertThat(failed, matchers.HasLength(0), case)
 
+    def test_storms_that_never_pause_give_few_starts(self) -> None:
+        """Some workers go down by themselves every 0.9 s.
+
+        Guards against a sixth start, as all losses coincide with others.
+        """
+        for seed, after_s in _UNPAUSED_STORMS:
+            day = CrashDay(seed, after_s, storm_ratio=0.08, storm_every_s=0.9)
+            day.play()
+            case = f'seed {seed}, {after_s} s'
+            self.assertThat(day.most_late_starts(), _FEW, case)
+
+    def test_storms_beside_such_tasks_fail_no_sound_job(self) -> None:
+        """A third of the workers goes down by itself every 4.5 s besides.
+
+        Guards against a sound job that is given up after five such losses.
+        """
+        for seed, after_s in _STORMS_BESIDE_SOUND_JOBS:
+            day = CrashDay(seed, after_s, storm_ratio=0.35)
+            day.play()
+            failed = day.sound_jobs(JobPhase.FAILED)
+            case = f'seed {seed}, {after_s} s'
+            self.assertThat(failed, matchers.HasLength(0), case)
+
     def test_tasks_that_excuse_each_other_get_few_starts(self) -> None:
         """Bad tasks alone make losses that coincide, and racks that fail.
 
