A task waits for the end of a quarantine only where another worker can run it

Cause: up to a third of a service's workers are quarantined, for up to 16 s each. They were left out of the plan before any task was looked at, so the workers that can run a task could all be among them.

Change: quarantined workers are a last resort, task by task. A task for which no other worker has room waits for 1.5 s and then gets one of them; in a pool that is mostly in use only if no other worker could ever run it. The module of last attempts is now that of all avoided workers, with one clock for each task, so that waits do not add up.

--- a/src/wigeonreach/scheduling/_scheduler.py
+++ b/src/wigeonreach/scheduling/_scheduler.py
@@ -31,10 +31,11 @@
 from wigeonreach.scheduling._stops import RunStops
 from wigeonreach.scheduling._workers import Workers
 from wigeonreach.scheduling.placing import (
+    AvailableCapacity,
     AvailableWorkers,
+    AvoidedWorkers,
     CapacityByService,
     HomeZones,
-    LastAttempts,
     Plan,
     TermTrackers,
 )
@@ -134,7 +135,7 @@
             HomeZones(
                 store, self.workers.incarnations, settings.keeps_jobs_in_zones
             ),
-            LastAttempts(store),
+            AvoidedWorkers(store),
         )
         self._available = AvailableWorkers(
             store,
@@ -261,15 +262,15 @@
         if not steps:
             return ()
         needed = {self._store.service_of(step.job) for step in steps}
-        workers = self.available_workers(now_s, needed)
+        available = self._available_capacity(now_s, needed)
         near = self.pools.data_locality(now_s)
         suspects = self.crashes.suspects(now_s)
         cap_plan = self.cap_tracker.begin_plan()
         self.notes.extend(self._placing.homes.begin_plan(now_s))
-        self._placing.last_attempts.begin_plan(now_s)
+        self._placing.avoided.begin_plan(available, now_s)
         plan = Plan(
             self._store,
-            workers,
+            available.accepting,
             self._placing,
             near,
             suspects,
@@ -381,8 +382,15 @@
     ) -> CapacityByService:
         """Return the free resources on each worker of some services.
 
-        Workers that accept no work now are left out.
+        Workers that accept no work now are left out, and quarantined ones.
         """
+        return self._available_capacity(now_s, services).accepting
+
+    def _available_capacity(
+        self,
+        now_s: float,
+        services: Collection[str],
+    ) -> AvailableCapacity:
         cordoned = self.maintenance.cordoned | self.pools.cordoned
         return self._available.by_service(
             services, cordoned, self.stopping, now_s
--- a/src/wigeonreach/scheduling/placing/_available_workers.py
+++ b/src/wigeonreach/scheduling/placing/_available_workers.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Collection
-from typing import TypeAlias
 
 from wigeonreach.jobs import JobStore, Run
 from wigeonreach.scheduling._crashes import CrashTracker
@@ -15,10 +14,10 @@
 from wigeonreach.scheduling._workers import Workers
 from wigeonreach.scheduling.placing._capacity_cache import WorkerCapacityCache
 from wigeonreach.scheduling.placing._placing import close_trial_workers
-from wigeonreach.scheduling.placing._worker_capacity import WorkerCapacity
-
-# Free capacity of the workers of each service, by service name.
-CapacityByService: TypeAlias = dict[str, list[WorkerCapacity]]
+from wigeonreach.scheduling.placing._worker_capacity import (
+    AvailableCapacity,
+    WorkerCapacity,
+)
 
 
 class AvailableWorkers:
@@ -70,7 +69,7 @@
         cordoned: Collection[str],
         stopping: Collection[Run],
         now_s: float,
-    ) -> CapacityByService:
+    ) -> AvailableCapacity:
         """Return the free capacity of each worker of some services.
 
         Parameters
@@ -86,9 +85,8 @@
 
         Returns
         -------
-        CapacityByService
-            Free capacity by service, without the workers that accept no tasks
-            now.
+        AvailableCapacity
+            The workers that accept tasks now.
         """
         by_service: dict[str, list[Incarnation]] = {}
         closed = set(cordoned)
@@ -99,10 +97,18 @@
             is_asked = report.service in services and report.vm not in closed
             if is_asked and incarnation.accepts_work(now_s):
                 by_service.setdefault(report.service, []).append(incarnation)
-        return {
-            service: self._of_pool(incarnations, stopping, now_s)
-            for service, incarnations in by_service.items()
-        }
+        found = AvailableCapacity({}, {})
+        for service, incarnations in by_service.items():
+            workers = self._of_pool(incarnations, stopping, now_s)
+            found.quarantined[service] = [
+                worker for worker in workers if worker.is_quarantined
+            ]
+            accepting = [
+                worker for worker in workers if not worker.is_quarantined
+            ]
+            close_trial_workers(accepting)
+            found.accepting[service] = accepting
+        return found
 
     def _of_pool(
         self,
@@ -116,15 +122,14 @@
         workers = [
             self._cache.get(incarnation, stopping)
             for incarnation in incarnations
-            if incarnation.report.worker not in quarantined
         ]
         for worker in workers:
             report = worker.incarnation.report
+            worker.is_quarantined = report.worker in quarantined
             is_paced = self._pacing.is_paced(report.worker)
             worker.is_slow = report.worker in slow or is_paced
             worker.has_crashed_recently = self._crashes.has_crashed_recently(
                 report.vm_or_address,
                 now_s,
             )
-        close_trial_workers(workers)
         return workers
--- /dev/null
+++ b/src/wigeonreach/scheduling/placing/_avoided_workers.py
@@ -0,0 +1,163 @@
+"""Keep tasks off workers on which runs failed, for a bounded time.
+
+A worker that fails every task must not make a job fail by itself.  Tasks avoid
+quarantined workers, and a last attempt avoids the worker on which the task
+failed.  They wait for another worker only if there is one that could run them,
+and not for long: that worker may be filled by tasks that last, and an avoided
+one may be sound again.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+
+from wigeonreach.jobs import JobStore, StepSpec, TaskKey, TaskPhase
+from wigeonreach.scheduling._ready import ReadyStep
+from wigeonreach.scheduling.placing._locality import fits_all_tasks
+from wigeonreach.scheduling.placing._worker_capacity import (
+    AvailableCapacity,
+    WorkerCapacity,
+)
+
+# Users expect a task to start within 3 s where there is capacity for it, and the
+# order takes up to a heartbeat interval (0.8 s) to arrive.
+_MAX_WAIT_S = 1.5
+# In a pool that is mostly in use, the failing worker is often the only one with
+# free capacity, until the tasks on others end.
+_MAX_WAIT_IN_BUSY_POOL_S = 10.0
+_BUSY_RATIO = 0.5
+
+
+class AvoidedWorkers:
+    """Tasks that wait for another worker than an avoided one, during one term.
+
+    Parameters
+    ----------
+    store
+        The replicated state; it is only read.
+    """
+
+    def __init__(self, store: JobStore) -> None:
+        """Start without waiting tasks."""
+        self._store = store
+        self._available = AvailableCapacity({}, {})
+        self._busy_services: set[str] = set()
+        self._since_s: dict[TaskKey, float] = {}
+        self._now_s = 0.0
+
+    def begin_plan(self, available: AvailableCapacity, now_s: float) -> None:
+        """Set the workers and the clock; forget tasks that no longer wait."""
+        self._available = available
+        self._now_s = now_s
+        self._busy_services = {
+            service
+            for service, workers in available.accepting.items()
+            if _is_busy((*workers, *available.quarantined[service]))
+        }
+        self._since_s = {
+            key: since_s
+            for key, since_s in self._since_s.items()
+            if self._is_waiting(key)
+        }
+
+    def candidates(self, step: ReadyStep) -> Sequence[WorkerCapacity]:
+        """Return the workers of its service that a step may use at all.
+
+        These are the accepting ones, and the quarantined ones if the step may
+        have to use one of them.
+        """
+        service = self._store.service_of(step.job)
+        pool = self._available.accepting.get(service, ())
+        quarantined = self._available.quarantined.get(service)
+        if not quarantined or not self._may_need_quarantined(step, pool):
+            return pool
+        return [*pool, *quarantined]
+
+    def must_wait(
+        self,
+        step: ReadyStep,
+        key: TaskKey,
+        worker: WorkerCapacity,
+    ) -> bool:
+        """Whether a task waits for another worker than the one chosen for it.
+
+        Parameters
+        ----------
+        step, key
+            The task.
+        worker
+            The worker that was chosen.
+        """
+        if worker.is_quarantined:
+            return self._waited_s(key) < _MAX_WAIT_S
+        if not _is_last_attempt(step, key, worker):
+            return False
+        service = self._store.service_of(step.job)
+        if not _has_other(
+            worker, self._available.accepting[service], step.spec
+        ):
+            return False
+        is_busy = service in self._busy_services
+        max_wait_s = _MAX_WAIT_IN_BUSY_POOL_S if is_busy else _MAX_WAIT_S
+        return self._waited_s(key) < max_wait_s
+
+    def _waited_s(self, key: TaskKey) -> float:
+        return self._now_s - self._since_s.setdefault(key, self._now_s)
+
+    def _may_need_quarantined(
+        self, step: ReadyStep, pool: Sequence[WorkerCapacity]
+    ) -> bool:
+        """Whether no other worker can run a step soon.
+
+        In a busy pool the step waits for the end of the quarantine, unless no
+        other worker could ever run it.
+        """
+        if self._store.service_of(step.job) in self._busy_services:
+            return not any(worker.could_ever_hold(step.spec) for worker in pool)
+        return not _has_room(step, pool)
+
+    def _is_waiting(self, key: TaskKey) -> bool:
+        job = self._store.job_of(key)
+        task = self._store.task_of(key)
+        if job is None or task is None:
+            return False
+        return job.is_active and task.phase is TaskPhase.WAITING
+
+
+def _is_busy(workers: Iterable[WorkerCapacity]) -> bool:
+    """Whether most of the capacity of workers is in use."""
+    free = 0.0
+    total = 0.0
+    for worker in workers:
+        free += worker.free.processors
+        total += worker.incarnation.resources.processors
+    return free < total * (1 - _BUSY_RATIO)
+
+
+def _is_last_attempt(
+    step: ReadyStep, key: TaskKey, worker: WorkerCapacity
+) -> bool:
+    """Whether a worker would get the last attempt of a task it has failed."""
+    task = step.job.task(key)
+    if task is None or task.worker != worker.name or not task.failures:
+        return False
+    return task.failures + 1 >= step.job.queue.max_failures
+
+
+def _has_other(
+    worker: WorkerCapacity,
+    pool: Iterable[WorkerCapacity],
+    spec: StepSpec,
+) -> bool:
+    """Whether another worker could run a task of a step, once it is empty."""
+    return any(
+        other.could_ever_hold(spec) for other in pool if other is not worker
+    )
+
+
+def _has_room(step: ReadyStep, pool: Iterable[WorkerCapacity]) -> bool:
+    """Whether workers have capacity for a task, or a whole gang, now."""
+    if step.spec.is_gang:
+        return fits_all_tasks(step, pool)
+    first = TaskKey(step.job.spec.job_id, step.occurrence, step.step, 0)
+    return any(worker.holds(first, step.spec) for worker in pool)
--- a/src/wigeonreach/scheduling/placing/_choosing.py
+++ b/src/wigeonreach/scheduling/placing/_choosing.py
@@ -13,6 +13,7 @@
 from wigeonreach.wire._worker_messages import WorkerReport
 
 # Costs of placing a task on a worker; the worker with the lowest sum is chosen.
+_QUARANTINED_COST = 200.0
 _FAILED_HERE_COST = 100.0
 _SLOW_WORKER_COST = 50.0
 _REMOTE_DATA_COST = 10.0
@@ -167,8 +168,7 @@
         cost += _REMOTE_DATA_COST
     elif not spec.data_rack and worker.has_local_demand:
         cost += _DATA_RACK_COST
-    if worker.is_slow:
-        cost += _SLOW_WORKER_COST
+    cost += _doubtful_cost(worker)
     if spec.is_service:
         cost += _serving_cost(key, spec, worker)
     elif worker.has_target:
@@ -176,6 +176,13 @@
     return cost, _leftover_cost(spec, worker), report.worker
 
 
+def _doubtful_cost(worker: WorkerCapacity) -> float:
+    """Return the cost of a worker on which runs fail or take long."""
+    if worker.is_quarantined:
+        return _QUARANTINED_COST
+    return _SLOW_WORKER_COST if worker.is_slow else 0.0
+
+
 def _away_cost(report: WorkerReport, home: Home) -> float:
     """Return the cost of placing a task away from its job's other tasks."""
     if home.zone and report.zone != home.zone:
--- a/src/wigeonreach/scheduling/placing/_placing.py
+++ b/src/wigeonreach/scheduling/placing/_placing.py
@@ -10,9 +10,9 @@
 from wigeonreach.scheduling._ready import ReadyStep
 from wigeonreach.scheduling._suspects import Isolation, Suspects
 from wigeonreach.scheduling.placing._advice import TicketCache
+from wigeonreach.scheduling.placing._avoided_workers import AvoidedWorkers
 from wigeonreach.scheduling.placing._choosing import WorkerRanking, best_worker
 from wigeonreach.scheduling.placing._home_zones import Home, HomeZones
-from wigeonreach.scheduling.placing._last_attempts import LastAttempts
 from wigeonreach.scheduling.placing._locality import (
     DataLocality,
     fits_all_tasks,
@@ -38,13 +38,13 @@
         Tickets for the queues that require them.
     homes
         The zones in which jobs should run.
-    last_attempts
-        The tasks that wait for another worker than the one that failed them.
+    avoided
+        The workers that tasks avoid, and the tasks that wait for others.
     """
 
     advice: TicketCache
     homes: HomeZones
-    last_attempts: LastAttempts
+    avoided: AvoidedWorkers
 
 
 class Plan:
@@ -81,7 +81,7 @@
         """Start with an empty plan."""
         self._advice = trackers.advice
         self._homes = trackers.homes
-        self._last_attempts = trackers.last_attempts
+        self._avoided = trackers.avoided
         self._caps = caps
         self._locality = locality
         self._suspects = suspects
@@ -175,7 +175,7 @@
     def _candidate_workers(self, step: ReadyStep) -> Sequence[WorkerCapacity]:
         """Return the workers that may run tasks of a step now."""
         workers: Sequence[WorkerCapacity]
-        workers = self._pool_of(step)
+        workers = self._avoided.candidates(step)
         workers = self._locality.nearby_workers(step, workers)
         if step.job.queue.advice is not None:
             workers = self._advice.workers_with_ticket(
@@ -203,9 +203,7 @@
             if worker is None and isolation is Isolation.FROM_NOTHING:
                 self._locality.add_queued(step, len(waiting) - placed)
                 return False
-            if worker is None or self._last_attempts.must_wait(
-                step, key, worker, self._pool_of(step)
-            ):
+            if worker is None or self._avoided.must_wait(step, key, worker):
                 is_placed = False
                 continue
             self._start(step, key, worker, _next_run(step, index))
@@ -232,15 +230,17 @@
         no look at the workers, because a smaller task did not fit before.
         """
         need = step.spec.resources
+        pool = self._pool_of(step)
         unplaceable = self._unplaceable.setdefault(self._service_of(step), [])
         if any(need.covers(request) for request in unplaceable):
-            return None
+            if workers is pool or not _include_quarantined(workers):
+                return None
         ranking = WorkerRanking(
             step, workers, self._homes.home_of(step, workers)
         )
         if ranking.has_workers:
             return ranking
-        if workers is self._pool_of(step):
+        if workers is pool:
             unplaceable.append(need)
         return None
 
@@ -269,11 +269,27 @@
         if chosen is None:
             self._locality.add_queued(step, len(step.waiting_tasks))
             return False
+        if self._must_avoid(step, chosen):
+            return False
         run = max(_next_run(step, index) for index in step.waiting_tasks)
         for key, worker in chosen:
             self._start(step, key, worker, run)
         return True
 
+    def _must_avoid(
+        self,
+        step: ReadyStep,
+        chosen: Iterable[tuple[TaskKey, WorkerCapacity]],
+    ) -> bool:
+        """Whether a gang waits, as quarantined workers were chosen for it."""
+        # The waits of all members begin together.
+        waits = [
+            self._avoided.must_wait(step, key, worker)
+            for key, worker in chosen
+            if worker.is_quarantined
+        ]
+        return any(waits)
+
     def _start(
         self,
         step: ReadyStep,
@@ -388,6 +404,10 @@
     return chosen
 
 
+def _include_quarantined(workers: Iterable[WorkerCapacity]) -> bool:
+    return any(worker.is_quarantined for worker in workers)
+
+
 def _task_key(step: ReadyStep, index: int) -> TaskKey:
     return TaskKey(step.job.spec.job_id, step.occurrence, step.step, index)
 
--- a/src/wigeonreach/scheduling/placing/_worker_capacity.py
+++ b/src/wigeonreach/scheduling/placing/_worker_capacity.py
@@ -4,6 +4,7 @@
 
 import collections
 import dataclasses
+from typing import TypeAlias
 
 from wigeonreach._resources import Resources
 from wigeonreach.jobs import JobStore, StepSpec, TaskKey
@@ -32,6 +33,8 @@
         worker may violate.
     is_reserved
         Some run on it is being stopped; only serving tasks may be placed.
+    is_quarantined
+        Runs of several jobs in a row failed on it, so tasks avoid it.
     is_slow
         Its runs take much longer than on other workers, or are paced.
     has_local_demand
@@ -53,6 +56,7 @@
     serving: int = 0
     has_target: bool = False
     is_reserved: bool = False
+    is_quarantined: bool = False
     is_slow: bool = False
     has_local_demand: bool = False
     suspects: set[str] = dataclasses.field(default_factory=set)
@@ -110,6 +114,8 @@
         """Whether the worker can be reserved for a task that runs alone."""
         if self.serving or self.trial_job or self.is_reserved:
             return False
+        if self.is_quarantined:
+            return False
         resources = self.incarnation.resources
         return self._has_label(spec) and resources.covers(spec.resources)
 
@@ -147,6 +153,26 @@
         return not spec.spread_limit or placed < spec.spread_limit
 
 
+# Free capacity of the workers of each service, by service name.
+CapacityByService: TypeAlias = dict[str, list[WorkerCapacity]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AvailableCapacity:
+    """Free capacity by service, without the workers that accept no tasks now.
+
+    Attributes
+    ----------
+    accepting
+        The workers that may be given any task.
+    quarantined
+        The quarantined workers, which tasks avoid.
+    """
+
+    accepting: CapacityByService
+    quarantined: CapacityByService
+
+
 def worker_capacity(
     incarnation: Incarnation,
     store: JobStore,
--- /dev/null
+++ b/tests/scheduling/test_single_worker_waits.py
@@ -0,0 +1,179 @@
+"""Test each wait of a task where only one worker can ever run it.
+
+Guards against a job that stands still beside an idle, sound worker, because its
+task waits for a better worker that does not exist.
+"""
+
+from __future__ import annotations
+
+import testtools
+from testtools import matchers
+
+from tests.builders_jobs import (
+    JOB,
+    OTHER_JOB,
+    QUEUE,
+    FakeLead,
+    job,
+    manifest,
+    queue,
+    step,
+    store_with,
+)
+from wigeonreach.jobs import (
+    AddJob,
+    JobPhase,
+    JobSpec,
+    JobStore,
+    RunEnd,
+    SetManifest,
+)
+from wigeonreach.lab import commit
+from wigeonreach.standins import StandInWorker
+
+# A task whose turn has come starts within this time where there is capacity.
+_START_WITHIN_S = 3.0
+_IN_TIME = matchers.LessThan(_START_WITHIN_S)
+_ROUND_S = 0.1
+_LARGE = 'large'
+_LARGE_WORKER = 'w9'
+_FULL = 16_000
+
+
+def _small_workers() -> list[StandInWorker]:
+    return [StandInWorker(f's{at}', f'vm-s{at}') for at in range(9)]
+
+
+def _large_worker(name: str = _LARGE_WORKER) -> StandInWorker:
+    """Return a worker with the label that the tasks require."""
+    return StandInWorker(name, f'vm-{name}', kind=_LARGE)
+
+
+def _job_ids(count: int) -> list[str]:
+    return [f'{number:016x}' for number in range(1, count + 1)]
+
+
+def _labelled(job_id: str = JOB) -> JobSpec:
+    return job(step(label=_LARGE), job_id=job_id)
+
+
+def _store_with_attempts(jobs: list[JobSpec]) -> JobStore:
+    """Return a store with jobs whose tasks have three attempts each."""
+    store = store_with()
+    commit(store, SetManifest(manifest(queue(max_failures=3), version=2)))
+    for spec in jobs:
+        commit(store, AddJob(spec, QUEUE))
+    return store
+
+
+class _FailingFleet:
+    """Workers of which one with the label fails its first runs.
+
+    Parameters
+    ----------
+    jobs
+        Jobs of tasks that only workers with the label can run.
+    failing_runs
+        How many runs it fails.
+    others
+        The other workers.
+
+    Attributes
+    ----------
+    lead
+        The leader.
+    large
+        The worker that fails runs.
+    longest_wait_s
+        The longest time for which it ran nothing.
+    """
+
+    def __init__(
+        self,
+        jobs: list[JobSpec],
+        failing_runs: int,
+        others: list[StandInWorker],
+    ) -> None:
+        """Begin with all workers idle."""
+        self.large = _large_worker()
+        self.lead = FakeLead(_store_with_attempts(jobs), [*others, self.large])
+        self.longest_wait_s = 0.0
+        self._failing_runs = failing_runs
+        self._idle_since_s = 0.0
+
+    @property
+    def is_done(self) -> bool:
+        """Whether no task waits or runs on the failing worker."""
+        return not any(
+            record.phase is JobPhase.ACTIVE and record.spec.job_id != OTHER_JOB
+            for record in self.lead.store.jobs.values()
+        )
+
+    def run_until_done(self, within_s: float = 30.0) -> None:
+        """Play until all jobs but the other one have ended.
+
+        Each run on the failing worker takes one round, others do not end.
+        """
+        until_s = self.lead.now_s + within_s
+        while not self.is_done and self.lead.now_s < until_s:
+            self._round()
+
+    def _round(self) -> None:
+        for worker in self.lead.workers.values():
+            # Runs without progress would be stopped.
+            worker.advance(int(self.lead.now_s))
+        self.lead.round(_ROUND_S)
+        if self.large.running:
+            self._idle_since_s = self.lead.now_s
+        waited_s = self.lead.now_s - self._idle_since_s
+        self.longest_wait_s = max(self.longest_wait_s, waited_s)
+        for run in list(self.large.running):
+            self.large.end(run, self._next_end())
+
+    def _next_end(self) -> RunEnd:
+        self._failing_runs -= 1
+        return RunEnd.FAILED if self._failing_runs >= 0 else RunEnd.DONE
+
+
+class TestQuarantine(testtools.TestCase):
+    """The worker with the label failed runs of several jobs in a row.
+
+    Guards against a quarantine of up to 16 s that leaves tasks no worker.
+    """
+
+    def test_only_worker_with_the_label(self) -> None:
+        """It is sound again, and three jobs wait for it alone."""
+        jobs = [_labelled(job_id) for job_id in _job_ids(3)]
+        fleet = _FailingFleet(jobs, 6, _small_workers())
+        fleet.run_until_done()
+        self.assertThat(fleet.is_done, matchers.Is(True))
+        self.assertThat(fleet.longest_wait_s, _IN_TIME)
+
+    def test_gangs_that_fit_only_there(self) -> None:
+        """A gang waits no longer than a single task."""
+        gang = step(2, label=_LARGE, is_gang=True)
+        jobs = [job(gang, job_id=job_id) for job_id in _job_ids(3)]
+        fleet = _FailingFleet(jobs, 6, _small_workers())
+        fleet.run_until_done()
+        self.assertThat(fleet.is_done, matchers.Is(True))
+        self.assertThat(fleet.longest_wait_s, _IN_TIME)
+
+    def test_other_worker_with_the_label_is_full(self) -> None:
+        """A task that lasts fills it, and most of the pool is idle."""
+        filling = job(
+            step(label=_LARGE, cpu_millicores=_FULL, estimate_ms=60_000),
+            job_id=OTHER_JOB,
+        )
+        other = _large_worker('w1')
+        jobs = [_labelled(job_id) for job_id in _job_ids(3)]
+        fleet = _FailingFleet([], 6, [*_small_workers(), other])
+        fleet.lead.workers.pop(_LARGE_WORKER)
+        commit(fleet.lead.store, AddJob(filling, QUEUE))
+        fleet.lead.round(_ROUND_S)
+        self.assertThat(other.running, matchers.HasLength(1))
+        fleet.lead.workers[_LARGE_WORKER] = fleet.large
+        for spec in jobs:
+            commit(fleet.lead.store, AddJob(spec, QUEUE))
+        fleet.run_until_done()
+        self.assertThat(fleet.is_done, matchers.Is(True))
+        self.assertThat(fleet.longest_wait_s, _IN_TIME)
