A lasting task does not wait until its losses are explained

Callers would see: a lasting task down for 15 s beside an idle worker that can run it (LOST), once it lost three workers whose VMs stay away.

Cause: a task with three losses waits until they are explained, as another start may be one too many. That held for lasting tasks, whose starts are not counted and which no number of losses ends.

Change: only batch tasks wait for that. Measured in virtual time: the new test fails before (14.9 s after the third worker is given up, 3 s allowed) and passes after.

--- a/src/wigeonreach/scheduling/placing/_placing.py
+++ b/src/wigeonreach/scheduling/placing/_placing.py
@@ -308,6 +308,12 @@
         self.starts.append(RunStarted(key, run, report.worker, vm))
 
     def _must_wait(self, step: ReadyStep, key: TaskKey) -> bool:
+        """Whether a task may not start yet; serving tasks always may.
+
+        Their users wait, and no number of losses ends a serving task.
+        """
+        if step.spec.is_service:
+            return False
         task = step.job.task(key)
         return task is not None and self._suspects.must_wait(key, task)
 
--- a/tests/scheduling/test_single_worker_waits.py
+++ b/tests/scheduling/test_single_worker_waits.py
@@ -9,6 +9,7 @@
 import testtools
 from testtools import matchers
 
+from tests.builders_crashes import CrashingFleet, crashes_nothing
 from tests.builders_jobs import (
     JOB,
     OTHER_JOB,
@@ -17,6 +18,7 @@
     job,
     manifest,
     queue,
+    serving_step,
     step,
     store_with,
 )
@@ -38,6 +40,9 @@
 _LARGE = 'large'
 _LARGE_WORKER = 'w9'
 _FULL = 16_000
+# Until a worker that went down silently is given up.
+_GIVEN_UP_AFTER_S = 4.5
+_NEVER_S = 1000.0
 
 
 def _small_workers() -> list[StandInWorker]:
@@ -177,3 +182,34 @@
         fleet.run_until_done()
         self.assertThat(fleet.is_done, matchers.Is(True))
         self.assertThat(fleet.longest_wait_s, _IN_TIME)
+
+
+class TestUnexplainedLosses(testtools.TestCase):
+    """A task lost three workers, of which no one knows the cause yet."""
+
+    def test_lasting_task_on_the_only_worker_left(self) -> None:
+        """The VMs of the others stay away, so nothing explains their losses.
+
+        Guards against a lasting task that is down for 15 s beside an idle
+        worker: its losses are no reason to give it up.
+        """
+        fleet = CrashingFleet(
+            store_with(job(serving_step(1, label=_LARGE))),
+            [
+                *_small_workers(),
+                *(_large_worker(f'w{number}') for number in range(4)),
+            ],
+            crashes_nothing,
+            back_after_s=_NEVER_S,
+        )
+        for _ in range(3):
+            fleet.run(_START_WITHIN_S + _GIVEN_UP_AFTER_S)
+            fleet.crash_workers(_busy(fleet))
+        began_s = fleet.lead.now_s + _GIVEN_UP_AFTER_S
+        while not _busy(fleet):
+            fleet.round()
+        self.assertThat(fleet.lead.now_s - began_s, _IN_TIME)
+
+
+def _busy(fleet: CrashingFleet) -> list[StandInWorker]:
+    return [worker for worker in fleet.up if worker.running]
