--- a/src/wigeonreach/scheduling/_suspects.py
+++ b/src/wigeonreach/scheduling/_suspects.py
@@ -78,8 +78,15 @@
             return Isolation.FROM_ALL
         return Isolation.FROM_SUSPECTS
 
-    def must_wait(self, key: TaskKey, task: TaskRecord) -> bool:
-        """Whether a task must not start before its losses are explained."""
+    def must_wait(
+        self, key: TaskKey, task: TaskRecord, is_serving: bool = False
+    ) -> bool:
+        """Whether a task must not start before its losses are explained.
+
+        Serving tasks do not wait for that: no number of losses ends them.
+        """
+        if is_serving:
+            return False
         if not task.has_starts_left:
             return True
         losses = max(task.crash_count, len(task.lost_runs))
--- a/src/wigeonreach/scheduling/placing/_placing.py
+++ b/src/wigeonreach/scheduling/placing/_placing.py
@@ -308,14 +308,10 @@
         self.starts.append(RunStarted(key, run, report.worker, vm))
 
     def _must_wait(self, step: ReadyStep, key: TaskKey) -> bool:
-        """Whether a task may not start yet; serving tasks always may.
-
-        Their users wait, and no number of losses ends a serving task.
-        """
-        if step.spec.is_service:
-            return False
         task = step.job.task(key)
-        return task is not None and self._suspects.must_wait(key, task)
+        return task is not None and self._suspects.must_wait(
+            key, task, step.spec.is_service
+        )
 
     def _isolation_of(self, step: ReadyStep, key: TaskKey) -> Isolation:
         """Return a task's isolation; serving tasks are never isolated."""
