A task does not wait for a worker of its own where only one can run it

Callers would see: a sound job that stands still for 10 s beside the only worker that can run it, which has room (LOST): its task lost two workers and has to run alone at first beside a task that lasts, or that worker is closed as a suspect of another job runs alone there.

Cause: the waits of suspects, 8 s and 8 s more, and of closed workers, until the suspect has run for 10 s, do not ask whether there is another worker.

Change: a task that only one worker could ever run gets it after 1.5 s, if it has room there. It is the clock of the other waits, so they do not add up.

--- a/src/wigeonreach/scheduling/placing/_avoided_workers.py
+++ b/src/wigeonreach/scheduling/placing/_avoided_workers.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections.abc import Iterable, Sequence
 
 from wigeonreach.jobs import JobStore, StepSpec, TaskKey, TaskPhase
@@ -101,6 +102,50 @@
         max_wait_s = _MAX_WAIT_IN_BUSY_POOL_S if is_busy else _MAX_WAIT_S
         return self._waited_s(key) < max_wait_s
 
+    def only_worker(
+        self,
+        step: ReadyStep,
+        key: TaskKey,
+        candidates: Sequence[WorkerCapacity],
+    ) -> WorkerCapacity | None:
+        """Return the only worker that could ever run a task, after a wait.
+
+        A task that has to run alone, or whose worker is closed for another task
+        that has to, can't wait for a worker of its own if there is no other.
+
+        Parameters
+        ----------
+        step, key
+            The task, for which no worker was chosen.
+        candidates
+            The workers that may run it now.
+
+        Returns
+        -------
+        WorkerCapacity or None
+            The worker; None if there are others, if it is full, or if the task
+            has not waited long enough.
+        """
+        only = self._only_possible(step)
+        if only is None or not only.has_room(key, step.spec):
+            return None
+        if not any(worker is only for worker in candidates):
+            return None
+        return only if self._waited_s(key) >= _MAX_WAIT_S else None
+
+    def _only_possible(self, step: ReadyStep) -> WorkerCapacity | None:
+        """Return the only worker that could ever run a step, if there is one."""
+        service = self._store.service_of(step.job)
+        workers = itertools.chain(
+            self._available.accepting.get(service, ()),
+            self._available.quarantined.get(service, ()),
+        )
+        possible = (
+            worker for worker in workers if worker.could_ever_hold(step.spec)
+        )
+        first = next(possible, None)
+        return first if next(possible, None) is None else None
+
     def _waited_s(self, key: TaskKey) -> float:
         return self._now_s - self._since_s.setdefault(key, self._now_s)
 
--- a/src/wigeonreach/scheduling/placing/_choosing.py
+++ b/src/wigeonreach/scheduling/placing/_choosing.py
@@ -56,6 +56,11 @@
         The workers that accept tasks.
     home
         Where the tasks should run.
+
+    Attributes
+    ----------
+    workers
+        The workers that had capacity for a task at first.
     """
 
     def __init__(
@@ -68,7 +73,7 @@
         need = step.spec.resources
         self._step = step
         self._home = home
-        self._workers = [
+        self.workers = [
             worker for worker in workers if worker.free.covers(need)
         ]
         self._heap: list[tuple[_Cost, WorkerCapacity]] | None = None
@@ -76,7 +81,7 @@
     @property
     def has_workers(self) -> bool:
         """Whether some worker had capacity for a task."""
-        return bool(self._workers)
+        return bool(self.workers)
 
     def best(
         self,
@@ -98,7 +103,7 @@
             # The cost depends on where the task ran before or where other
             # tasks of its step are, so the shared ranking does not apply.
             crashes = task.crash_count if task else 0
-            workers = self._workers
+            workers = self.workers
             if isolation is not Isolation.FROM_NOTHING:
                 workers = [
                     worker
@@ -111,7 +116,7 @@
     def _cheapest(self, key: TaskKey) -> WorkerCapacity | None:
         if self._heap is None:
             self._heap = [
-                (self._cost(key, worker), worker) for worker in self._workers
+                (self._cost(key, worker), worker) for worker in self.workers
             ]
             heapq.heapify(self._heap)
         while self._heap:
--- a/src/wigeonreach/scheduling/placing/_placing.py
+++ b/src/wigeonreach/scheduling/placing/_placing.py
@@ -199,7 +199,7 @@
         for placed, index in enumerate(waiting):
             key = _task_key(step, index)
             isolation = self._isolation_of(step, key)
-            worker = ranking.best(key, isolation)
+            worker = self._choose(step, key, isolation, ranking)
             if worker is None and isolation is Isolation.FROM_NOTHING:
                 self._locality.add_queued(step, len(waiting) - placed)
                 return False
@@ -209,6 +209,18 @@
             self._start(step, key, worker, _next_run(step, index))
         return is_placed
 
+    def _choose(
+        self,
+        step: ReadyStep,
+        key: TaskKey,
+        isolation: Isolation,
+        ranking: WorkerRanking,
+    ) -> WorkerCapacity | None:
+        best = ranking.best(key, isolation)
+        if best is not None:
+            return best
+        return self._avoided.only_worker(step, key, ranking.workers)
+
     def _startable(self, step: ReadyStep) -> list[int]:
         """Return the tasks of a step that may start, given enough capacity."""
         waiting = [
--- a/src/wigeonreach/scheduling/placing/_worker_capacity.py
+++ b/src/wigeonreach/scheduling/placing/_worker_capacity.py
@@ -90,6 +90,11 @@
             return spec.is_service and self._fits(key, spec)
         return self._fits(key, spec)
 
+    def has_room(self, key: TaskKey, spec: StepSpec) -> bool:
+        """Whether a task fits on the worker, which may be closed to it."""
+        is_open = spec.is_service or not self.is_reserved
+        return is_open and self._fits(key, spec)
+
     def add_suspect(self, job_id: str, crashes: int) -> None:
         """Record that a task on the worker may crash it."""
         if crashes:
--- a/tests/scheduling/test_single_worker_waits.py
+++ b/tests/scheduling/test_single_worker_waits.py
@@ -27,8 +27,10 @@
     JobPhase,
     JobSpec,
     JobStore,
+    Run,
     RunEnd,
     SetManifest,
+    StepSpec,
 )
 from wigeonreach.lab import commit
 from wigeonreach.standins import StandInWorker
@@ -38,11 +40,14 @@
 _IN_TIME = matchers.LessThan(_START_WITHIN_S)
 _ROUND_S = 0.1
 _LARGE = 'large'
+_SMALL = 'kind'
 _LARGE_WORKER = 'w9'
 _FULL = 16_000
 # Until a worker that went down silently is given up.
 _GIVEN_UP_AFTER_S = 4.5
 _NEVER_S = 1000.0
+# Of a task that does not end during a test, but makes progress.
+_LONG_S = 300.0
 
 
 def _small_workers() -> list[StandInWorker]:
@@ -62,6 +67,10 @@
     return job(step(label=_LARGE), job_id=job_id)
 
 
+def _long_step(label: str = _LARGE, cpu_millicores: int = 1000) -> StepSpec:
+    return step(label=label, cpu_millicores=cpu_millicores, estimate_ms=60_000)
+
+
 def _store_with_attempts(jobs: list[JobSpec]) -> JobStore:
     """Return a store with jobs whose tasks have three attempts each."""
     store = store_with()
@@ -211,5 +220,79 @@
         self.assertThat(fleet.lead.now_s - began_s, _IN_TIME)
 
 
+class TestIsolation(testtools.TestCase):
+    """A task that lost two workers is to run alone at first."""
+
+    def test_lasting_task_on_the_only_worker(self) -> None:
+        """It never ends, so the worker never becomes empty.
+
+        Guards against a sound job that stands still for 11 s beside a worker
+        with room.
+        """
+        self._start_beside(serving_step(1, label=_LARGE))
+
+    def test_long_task_on_the_only_worker(self) -> None:
+        """It ends long after the wait."""
+        self._start_beside(_long_step())
+
+    def _start_beside(self, other: StepSpec) -> None:
+        fleet = CrashingFleet(
+            store_with(job(other, job_id=OTHER_JOB), job(_long_step())),
+            [*_small_workers(), _large_worker()],
+            crashes_nothing,
+            work_s=_LONG_S,
+        )
+        for _ in range(2):
+            _run_until_running(fleet, 2)
+            fleet.run(1)
+            fleet.crash_workers(_busy(fleet))
+        _run_until_running(fleet, 1)
+        began_s = fleet.lead.now_s
+        _run_until_running(fleet, 2)
+        self.assertThat(fleet.lead.now_s - began_s, _IN_TIME)
+
+
+class TestReservedWorkers(testtools.TestCase):
+    """A worker is closed, as a suspect task of another job runs alone there."""
+
+    def test_only_worker_with_the_label(self) -> None:
+        """The task that waits can run nowhere else.
+
+        Guards against a sound job that waits until the suspect is cleared.
+        """
+        filling = _long_step(label=_SMALL, cpu_millicores=_FULL)
+        store = store_with(job(filling, job_id=OTHER_JOB))
+        fleet = CrashingFleet(
+            store,
+            [_small_workers()[0], _large_worker()],
+            crashes_nothing,
+            work_s=_LONG_S,
+        )
+        fleet.run(1)
+        commit(store, AddJob(job(_long_step(label='')), QUEUE))
+        for _ in range(2):
+            _run_until_running(fleet, 2)
+            fleet.run(1)
+            large = [one for one in fleet.up if one.kind == _LARGE]
+            fleet.crash_workers(large)
+        _run_until_running(fleet, 2)
+        labelled = _job_ids(1)[0]
+        commit(store, AddJob(_labelled(labelled), QUEUE))
+        began_s = fleet.lead.now_s
+        _run_until_running(fleet, 3)
+        self.assertThat(fleet.lead.now_s - began_s, _IN_TIME)
+
+
+def _run_until_running(fleet: CrashingFleet, count: int) -> None:
+    """Play until some number of tasks runs, for some time at most."""
+    until_s = fleet.lead.now_s + _NEVER_S
+    while len(_runs(fleet)) < count and fleet.lead.now_s < until_s:
+        fleet.round()
+
+
+def _runs(fleet: CrashingFleet) -> list[Run]:
+    return [run for worker in fleet.up for run in worker.running]
+
+
 def _busy(fleet: CrashingFleet) -> list[StandInWorker]:
     return [worker for worker in fleet.up if worker.running]
