A suspect still waits for an only worker that may become empty

Cause: the bound of 1.5 s let two suspects start beside each other there, and the losses of both then showed no cause.

Change: the bound holds for suspects only beside a lasting task, as that worker never becomes empty, and for all others.

--- a/src/wigeonreach/scheduling/placing/_avoided_workers.py
+++ b/src/wigeonreach/scheduling/placing/_avoided_workers.py
@@ -14,6 +14,7 @@
 
 from wigeonreach.jobs import JobStore, StepSpec, TaskKey, TaskPhase
 from wigeonreach.scheduling._ready import ReadyStep
+from wigeonreach.scheduling._suspects import Isolation
 from wigeonreach.scheduling.placing._locality import fits_all_tasks
 from wigeonreach.scheduling.placing._worker_capacity import (
     AvailableCapacity,
@@ -106,6 +107,7 @@
         self,
         step: ReadyStep,
         key: TaskKey,
+        isolation: Isolation,
         candidates: Sequence[WorkerCapacity],
     ) -> WorkerCapacity | None:
         """Return the only worker that could ever run a task, after a wait.
@@ -129,6 +131,10 @@
         only = self._only_possible(step)
         if only is None or not only.has_room(key, step.spec):
             return None
+        if isolation is not Isolation.FROM_NOTHING and not only.serving:
+            # It may still become empty, and a loss beside other suspects would
+            # show no cause.
+            return None
         if not any(worker is only for worker in candidates):
             return None
         return only if self._waited_s(key) >= _MAX_WAIT_S else None
--- a/src/wigeonreach/scheduling/placing/_placing.py
+++ b/src/wigeonreach/scheduling/placing/_placing.py
@@ -219,7 +219,7 @@
         best = ranking.best(key, isolation)
         if best is not None:
             return best
-        return self._avoided.only_worker(step, key, ranking.workers)
+        return self._avoided.only_worker(step, key, isolation, ranking.workers)
 
     def _startable(self, step: ReadyStep) -> list[int]:
         """Return the tasks of a step that may start, given enough capacity."""
--- a/tests/scheduling/test_crash_starts.py
+++ b/tests/scheduling/test_crash_starts.py
@@ -49,6 +49,7 @@
 _STORMS_BESIDE_BAD_TASKS = ((0, 0.5), (3, 0.5), (5, 1.2), (27, 1.2))
 
 _UNPAUSED_STORMS = ((8, 0.2), (32, 0.2), (8, 0.5), (28, 0.5))
+_STORMS_AT_AN_ONLY_WORKER = ((9, 0.2), (8, 0.5))
 _STORMS_BESIDE_SOUND_JOBS = ((5, 0.5),)
 
 
@@ -240,6 +241,20 @@
             case = f'seed {seed}, {after_s} s'
             self.assertThat(day.most_late_starts(), _FEW, case)
 
+    def test_storms_beside_such_tasks_on_an_only_worker(self) -> None:
+        """Only one worker can run the tasks that crash it.
+
+        Guards against starts beside other suspects there, as a task waits no
+        longer for a worker of its own: their losses show no cause.
+        """
+        for seed, after_s in _STORMS_AT_AN_ONLY_WORKER:
+            day = CrashDay(
+                seed, after_s, storm_ratio=0.35, has_only_worker=True
+            )
+            day.play()
+            case = f'seed {seed}, {after_s} s'
+            self.assertThat(day.most_late_starts(), _FEW, case)
+
     def test_storms_beside_such_tasks_fail_no_sound_job(self) -> None:
         """A third of the workers goes down by itself every 4.5 s besides.
 
