--- a/tests/scheduling/test_single_worker_waits.py
+++ b/tests/scheduling/test_single_worker_waits.py
@@ -194,6 +194,31 @@
         self.assertThat(fleet.longest_wait_s, _IN_TIME)
 
 
+class TestQuarantineInBusyPools(testtools.TestCase):
+    """Most of the pool is in use, so that the failing worker is often idle."""
+
+    def test_other_worker_with_the_label_is_full(self) -> None:
+        """Tasks wait for the end of the quarantine or for the other worker.
+
+        Guards against a worker that fails all runs, and gets all tasks of a
+        full pool.
+        """
+        fleet = _FailingFleet(
+            [], 6, [_large_worker(f'w{at}') for at in range(4)]
+        )
+        fleet.lead.workers.pop(_LARGE_WORKER)
+        filling = step(4, cpu_millicores=_FULL, estimate_ms=60_000)
+        commit(fleet.lead.store, AddJob(job(filling, job_id=OTHER_JOB), QUEUE))
+        fleet.lead.round(_ROUND_S)
+        fleet.lead.workers[_LARGE_WORKER] = fleet.large
+        for job_id in _job_ids(3):
+            commit(fleet.lead.store, AddJob(_labelled(job_id), QUEUE))
+        fleet.run_until_done()
+        self.assertThat(
+            fleet.longest_wait_s, matchers.GreaterThan(_START_WITHIN_S)
+        )
+
+
 class TestUnexplainedLosses(testtools.TestCase):
     """A task lost three workers, of which no one knows the cause yet."""
 
