A task waits for a full rack only for a moment while the service is idle

Callers would see: a job whose data lies on a rack that a lasting task fills stands still beside idle workers elsewhere (LOST), for as long as a remote run would cost in addition.

Cause: the wait weighs what may be gained, and has no bound.

Change: while most of the service's capacity is free, a step waits for a rack for 1.5 s at most; in a busy pool as before. Measured in virtual time: the new test fails before (120.2 s, 3 s allowed) and passes after; a second one shows that a busy pool is still waited for.

--- a/src/wigeonreach/scheduling/placing/_avoided_workers.py
+++ b/src/wigeonreach/scheduling/placing/_avoided_workers.py
@@ -16,18 +16,15 @@
 from wigeonreach.scheduling._ready import ReadyStep
 from wigeonreach.scheduling._suspects import Isolation
 from wigeonreach.scheduling.placing._locality import fits_all_tasks
+from wigeonreach.scheduling.placing._waits import MAX_WAIT_S, is_busy
 from wigeonreach.scheduling.placing._worker_capacity import (
     AvailableCapacity,
     WorkerCapacity,
 )
 
-# Users expect a task to start within 3 s where there is capacity for it, and the
-# order takes up to a heartbeat interval (0.8 s) to arrive.
-_MAX_WAIT_S = 1.5
 # In a pool that is mostly in use, the failing worker is often the only one with
 # free capacity, until the tasks on others end.
 _MAX_WAIT_IN_BUSY_POOL_S = 10.0
-_BUSY_RATIO = 0.5
 
 
 class AvoidedWorkers:
@@ -54,7 +51,7 @@
         self._busy_services = {
             service
             for service, workers in available.accepting.items()
-            if _is_busy((*workers, *available.quarantined[service]))
+            if is_busy((*workers, *available.quarantined[service]))
         }
         self._since_s = {
             key: since_s
@@ -91,7 +88,7 @@
             The worker that was chosen.
         """
         if worker.is_quarantined:
-            return self._waited_s(key) < _MAX_WAIT_S
+            return self._waited_s(key) < MAX_WAIT_S
         if not _is_last_attempt(step, key, worker):
             return False
         service = self._store.service_of(step.job)
@@ -100,7 +97,7 @@
         ):
             return False
         is_busy = service in self._busy_services
-        max_wait_s = _MAX_WAIT_IN_BUSY_POOL_S if is_busy else _MAX_WAIT_S
+        max_wait_s = _MAX_WAIT_IN_BUSY_POOL_S if is_busy else MAX_WAIT_S
         return self._waited_s(key) < max_wait_s
 
     def only_worker(
@@ -137,7 +134,7 @@
             return None
         if not any(worker is only for worker in candidates):
             return None
-        return only if self._waited_s(key) >= _MAX_WAIT_S else None
+        return only if self._waited_s(key) >= MAX_WAIT_S else None
 
     def _only_possible(self, step: ReadyStep) -> WorkerCapacity | None:
         """Return the only worker that could ever run a step, if there is one."""
@@ -175,16 +172,6 @@
         return job.is_active and task.phase is TaskPhase.WAITING
 
 
-def _is_busy(workers: Iterable[WorkerCapacity]) -> bool:
-    """Whether most of the capacity of workers is in use."""
-    free = 0.0
-    total = 0.0
-    for worker in workers:
-        free += worker.free.processors
-        total += worker.incarnation.resources.processors
-    return free < total * (1 - _BUSY_RATIO)
-
-
 def _is_last_attempt(
     step: ReadyStep, key: TaskKey, worker: WorkerCapacity
 ) -> bool:
--- a/src/wigeonreach/scheduling/placing/_locality.py
+++ b/src/wigeonreach/scheduling/placing/_locality.py
@@ -5,7 +5,8 @@
 the data is often free within a fraction of it.  A task therefore waits until it
 has lost as much time as a remote run would take in addition, and then runs
 anywhere.  So it never takes more than twice as long as the better of the two
-choices.
+choices.  While most of the service's capacity is free, it waits for a moment
+only: the rack may be filled by tasks that last.
 """
 
 from __future__ import annotations
@@ -16,6 +17,7 @@
 from wigeonreach.jobs import TaskKey
 from wigeonreach.scheduling._objectives import task_estimate_s
 from wigeonreach.scheduling._ready import ReadyStep
+from wigeonreach.scheduling.placing._waits import MAX_WAIT_S, is_busy
 from wigeonreach.scheduling.placing._worker_capacity import WorkerCapacity
 
 # Service and rack.
@@ -64,7 +66,7 @@
             if worker.incarnation.report.rack == rack
         ]
         wait_s = self._expected_wait_s(step, nearby)
-        if wait_s is None or not self._worth_waiting(step, wait_s):
+        if wait_s is None or not self._worth_waiting(step, wait_s, workers):
             return workers
         return nearby
 
@@ -85,7 +87,9 @@
             if fits_all_tasks(step, racks[rack]):
                 return racks[rack]
         may_fit = any(_could_ever_fit(step, racks[rack]) for rack in racks)
-        return () if may_fit and self._worth_waiting(step, 0) else workers
+        return (
+            () if may_fit and self._worth_waiting(step, 0, workers) else workers
+        )
 
     def add_queued(self, step: ReadyStep, tasks: int) -> None:
         """Count tasks without a worker as queued ahead of later steps."""
@@ -110,9 +114,18 @@
         )
         return self._queued_s[_rack_of(step)] / max(processors, 1)
 
-    def _worth_waiting(self, step: ReadyStep, wait_s: float) -> bool:
-        lost_s = self._now_s - step.ready_since_s + wait_s
-        return lost_s < (self._far_factor - 1) * task_estimate_s(step.spec)
+    def _worth_waiting(
+        self,
+        step: ReadyStep,
+        wait_s: float,
+        workers: Iterable[WorkerCapacity],
+    ) -> bool:
+        """Whether a step waits for a rack, if ``wait_s`` more are expected."""
+        waited_s = self._now_s - step.ready_since_s
+        remote_cost_s = (self._far_factor - 1) * task_estimate_s(step.spec)
+        if waited_s + wait_s >= remote_cost_s:
+            return False
+        return waited_s < MAX_WAIT_S or is_busy(workers)
 
 
 def fits_all_tasks(step: ReadyStep, workers: Iterable[WorkerCapacity]) -> bool:
--- a/tests/scheduling/placing/test_locality.py
+++ b/tests/scheduling/placing/test_locality.py
@@ -27,6 +27,8 @@
 
 # Millicores of a whole worker.
 _WHOLE = 16_000
+# A task whose turn has come starts within this time where there is capacity.
+_START_WITHIN_S = 3.0
 
 
 def _lead_two_racks(*jobs: JobSpec) -> FakeLead:
@@ -48,6 +50,33 @@
     return job(shape, job_id=OTHER_JOB)
 
 
+def _wait_for_long_task_s(idle_millicores: int) -> float:
+    """Return how long a task waits for a rack that a long task fills.
+
+    Two workers elsewhere have some idle capacity each.
+    """
+    lead = _lead_two_racks(_near_data(1, estimate_ms=60_000))
+    idle = [
+        StandInWorker(
+            f'w{at}', f'vm{at}', rack='away', cpu_millicores=idle_millicores
+        )
+        for at in range(2)
+    ]
+    lead.workers.pop('w-away')
+    lead.workers.update({worker.name: worker for worker in idle})
+    lead.round()
+    near = lead.workers['w-near']
+    commit(
+        lead.store,
+        AddJob(job(step(data_rack='near', estimate_ms=60_000)), QUEUE),
+    )
+    began_s = lead.now_s
+    while not any(worker.running for worker in idle):
+        near.advance(int(lead.now_s))
+        lead.round()
+    return lead.now_s - began_s
+
+
 class TestWaiting(testtools.TestCase):
     """A rack that one task fills."""
 
@@ -75,6 +104,21 @@
         lead.round(0.2)
         self.assertThat(_running_count(lead, 'w-away'), matchers.Equals(1))
 
+    def test_task_does_not_wait_for_a_lasting_task(self) -> None:
+        """It fills the rack, and most of the other capacity is idle.
+
+        Guards against a job that stands still for as long as a remote run would
+        cost in addition, here 120 s.
+        """
+        self.assertThat(
+            _wait_for_long_task_s(_WHOLE), matchers.LessThan(_START_WITHIN_S)
+        )
+
+    def test_task_waits_longer_in_a_busy_pool(self) -> None:
+        """The rack may be free before a remote run would be done."""
+        waited_s = _wait_for_long_task_s(_WHOLE // 4)
+        self.assertThat(waited_s, matchers.GreaterThan(100.0))
+
     def test_task_does_not_wait_behind_a_long_queue(self) -> None:
         """It runs elsewhere at once if too much work is ahead of it."""
         lead = _lead_two_racks(_near_data(3))
