The only worker, quarantined, where tasks need tickets is a test

The advisor is asked about quarantined workers as long as no other has capacity, so that the wait for a ticket and that for the end of a quarantine do not add up.

--- a/tests/scheduling/test_single_worker_waits.py
+++ b/tests/scheduling/test_single_worker_waits.py
@@ -24,6 +24,7 @@
 )
 from wigeonreach.jobs import (
     AddJob,
+    AdvicePolicy,
     JobPhase,
     JobSpec,
     JobStore,
@@ -33,6 +34,7 @@
     StepSpec,
 )
 from wigeonreach.lab import commit
+from wigeonreach.scheduling.placing._advice import Advice
 from wigeonreach.standins import StandInWorker
 
 # A task whose turn has come starts within this time where there is capacity.
@@ -49,6 +51,8 @@
 # Of a task that does not end during a test, but makes progress.
 _LONG_S = 300.0
 _STORM_EVERY_S = 0.9
+_VALID_S = 3.0
+_ADVICE = AdvicePolicy(decision_ms=20, per_worker_ms=5, validity_ms=3000)
 
 
 def _small_workers() -> list[StandInWorker]:
@@ -72,10 +76,13 @@
     return step(label=label, cpu_millicores=cpu_millicores, estimate_ms=60_000)
 
 
-def _store_with_attempts(jobs: list[JobSpec]) -> JobStore:
+def _store_with_attempts(
+    jobs: list[JobSpec], advice: AdvicePolicy | None = None
+) -> JobStore:
     """Return a store with jobs whose tasks have three attempts each."""
     store = store_with()
-    commit(store, SetManifest(manifest(queue(max_failures=3), version=2)))
+    queued = queue(max_failures=3, advice=advice)
+    commit(store, SetManifest(manifest(queued, version=2)))
     for spec in jobs:
         commit(store, AddJob(spec, QUEUE))
     return store
@@ -92,6 +99,8 @@
         How many runs it fails.
     others
         The other workers.
+    advice
+        When the advisor, which allows all workers, has to be asked.
 
     Attributes
     ----------
@@ -108,10 +117,13 @@
         jobs: list[JobSpec],
         failing_runs: int,
         others: list[StandInWorker],
+        advice: AdvicePolicy | None = None,
     ) -> None:
         """Begin with all workers idle."""
         self.large = _large_worker()
-        self.lead = FakeLead(_store_with_attempts(jobs), [*others, self.large])
+        self.lead = FakeLead(
+            _store_with_attempts(jobs, advice), [*others, self.large]
+        )
         self.longest_wait_s = 0.0
         self._failing_runs = failing_runs
         self._idle_since_s = 0.0
@@ -138,6 +150,7 @@
             # Runs without progress would be stopped.
             worker.advance(int(self.lead.now_s))
         self.lead.round(_ROUND_S)
+        self._grant_tickets()
         if self.large.running:
             self._idle_since_s = self.lead.now_s
         waited_s = self.lead.now_s - self._idle_since_s
@@ -145,6 +158,12 @@
         for run in list(self.large.running):
             self.large.end(run, self._next_end())
 
+    def _grant_tickets(self) -> None:
+        advisor = self.lead.scheduler.advice
+        for request in advisor.pop_requests():
+            granted = Advice(dict.fromkeys(request.workers, 'ticket'), _VALID_S)
+            advisor.record_advice(request, granted, self.lead.now_s)
+
     def _next_end(self) -> RunEnd:
         self._failing_runs -= 1
         return RunEnd.FAILED if self._failing_runs >= 0 else RunEnd.DONE
@@ -173,6 +192,14 @@
         self.assertThat(fleet.is_done, matchers.Is(True))
         self.assertThat(fleet.longest_wait_s, _IN_TIME)
 
+    def test_only_worker_needs_a_ticket(self) -> None:
+        """The advisor is asked about it as long as no other has capacity."""
+        jobs = [_labelled(job_id) for job_id in _job_ids(3)]
+        fleet = _FailingFleet(jobs, 6, _small_workers(), _ADVICE)
+        fleet.run_until_done()
+        self.assertThat(fleet.is_done, matchers.Is(True))
+        self.assertThat(fleet.longest_wait_s, _IN_TIME)
+
     def test_other_worker_with_the_label_is_full(self) -> None:
         """A task that lasts fills it, and most of the pool is idle."""
         filling = job(
