--- a/src/wigeonreach/scheduling/placing/_avoided_workers.py
+++ b/src/wigeonreach/scheduling/placing/_avoided_workers.py
@@ -1,8 +1,8 @@
-"""Keep tasks off workers on which runs failed, for a bounded time.
+"""Keep tasks off workers that they should avoid, for a bounded time.
 
 A worker that fails every task must not make a job fail by itself.  Tasks avoid
 quarantined workers, and a last attempt avoids the worker on which the task
-failed.  They wait for another worker only if there is one that could run them,
+failed.  A suspect task avoids other tasks, and they avoid it.  They wait for another worker only if there is one that could run them,
 and not for long: that worker may be filled by tasks that last, and an avoided
 one may be sound again.
 """
@@ -96,9 +96,9 @@
             worker, self._available.accepting[service], step.spec
         ):
             return False
-        is_busy = service in self._busy_services
-        max_wait_s = _MAX_WAIT_IN_BUSY_POOL_S if is_busy else MAX_WAIT_S
-        return self._waited_s(key) < max_wait_s
+        if service in self._busy_services:
+            return self._waited_s(key) < _MAX_WAIT_IN_BUSY_POOL_S
+        return self._waited_s(key) < MAX_WAIT_S
 
     def only_worker(
         self,
@@ -116,6 +116,8 @@
         ----------
         step, key
             The task, for which no worker was chosen.
+        isolation
+            The isolation that it needs now.
         candidates
             The workers that may run it now.
 
