The known wait for a reserved only worker includes gangs

A gang that fits on one worker only waits for 10.1 s, in virtual time, until a suspect of another job no longer closes it (3 s allowed).

--- a/tests/scheduling/test_single_worker_waits.py
+++ b/tests/scheduling/test_single_worker_waits.py
@@ -286,12 +286,18 @@
         self.assertThat(_wait_beside_s(lasting), _IN_TIME)
 
     def test_suspects_on_the_only_worker(self) -> None:
-        """Another suspect runs alone there, or other workers keep failing.
+        """A suspect runs alone there, or other workers keep failing.
 
         Guards against a sound job that stands still for 10 s, or for 30 s, as
-        its next loss is to show whether it is the cause.
+        the next loss is to show which task is the cause.  The first and the
+        last one wait as suspects, the gang for a suspect of another job.
         """
-        waits_s = [_wait_beside_s(_long_step()), _wait_for_calm_s()]
+        gang = step(2, label=_LARGE, is_gang=True)
+        waits_s = [
+            _wait_beside_s(_long_step()),
+            _wait_for_open_worker_s(gang),
+            _wait_for_calm_s(),
+        ]
         self.assertThat(waits_s, matchers.AllMatch(_IN_TIME))
 
 
@@ -345,26 +351,30 @@
 
         Guards against a sound job that waits until the suspect is cleared.
         """
-        filling = _long_step(label=_SMALL, cpu_millicores=_FULL)
-        store = store_with(job(filling, job_id=OTHER_JOB))
-        fleet = CrashingFleet(
-            store,
-            [_small_workers()[0], _large_worker()],
-            crashes_nothing,
-            work_s=_LONG_S,
-        )
-        fleet.run(1)
-        commit(store, AddJob(job(_long_step(label='')), QUEUE))
-        for _ in range(2):
-            _run_until_running(fleet, 2)
-            fleet.run(1)
-            fleet.crash_workers(_large_workers(fleet))
+        self.assertThat(_wait_for_open_worker_s(step(label=_LARGE)), _IN_TIME)
+
+
+def _wait_for_open_worker_s(waiting: StepSpec) -> float:
+    """Return how long a step waits for the worker on which a suspect runs."""
+    filling = _long_step(label=_SMALL, cpu_millicores=_FULL)
+    store = store_with(job(filling, job_id=OTHER_JOB))
+    fleet = CrashingFleet(
+        store,
+        [_small_workers()[0], _large_worker()],
+        crashes_nothing,
+        work_s=_LONG_S,
+    )
+    fleet.run(1)
+    commit(store, AddJob(job(_long_step(label='')), QUEUE))
+    for _ in range(2):
         _run_until_running(fleet, 2)
-        labelled = _job_ids(1)[0]
-        commit(store, AddJob(_labelled(labelled), QUEUE))
-        began_s = fleet.lead.now_s
-        _run_until_running(fleet, 3)
-        self.assertThat(fleet.lead.now_s - began_s, _IN_TIME)
+        fleet.run(1)
+        fleet.crash_workers(_large_workers(fleet))
+    _run_until_running(fleet, 2)
+    commit(store, AddJob(job(waiting, job_id=_job_ids(1)[0]), QUEUE))
+    began_s = fleet.lead.now_s
+    _run_until_running(fleet, 3)
+    return fleet.lead.now_s - began_s
 
 
 def _run_until_running(fleet: CrashingFleet, count: int) -> None:
