--- a/tests/scheduling/test_single_worker_waits.py
+++ b/tests/scheduling/test_single_worker_waits.py
@@ -130,7 +130,7 @@
 
     @property
     def is_done(self) -> bool:
-        """Whether no task waits or runs on the failing worker."""
+        """Whether all jobs but the other one have ended."""
         return not any(
             record.phase is JobPhase.ACTIVE and record.spec.job_id != OTHER_JOB
             for record in self.lead.store.jobs.values()
