A heartbeat that lacks a part is refused whole

Callers saw: accepted jobs that stay running beside four idle workers (LOST), and tasks at work that start once more elsewhere (TWICE), beside heartbeats of another writer with fields missing.

Cause: the decoder gave the lists, the VM, the clock, version, slots and the amounts of the capacity a default. Such a heartbeat got starts under an id that no worker has; under the id of a worker at work its missing lists and amounts withdrew runs as not begun.

Change: what each worker sends is required. Only the time of a start and the time left of a draining worker may be missing.

Measured: four tests of TestMalformedHeartbeats fail before and pass after. The existing tests that left parts out send whole heartbeats now, but for the part that they are about.

--- a/src/wigeonreach/platform/_workers.py
+++ b/src/wigeonreach/platform/_workers.py
@@ -45,15 +45,16 @@
 _TASK_PATTERN = re.compile(r'([^.]+)\.([0-9]{1,9})\.([0-9]{1,9})\.([0-9]{1,9})')
 # Measurements may be sent with a fraction.
 _Measurement = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+_Name = Annotated[str, msgspec.Meta(min_length=1)]
 # Milliseconds since an arbitrary point in time.
 _ClockMs = Annotated[float, msgspec.Meta(ge=0, le=MAX_SAFE_INTEGER)]
 
 
 class _Capacity(msgspec.Struct, frozen=True, rename='camel'):
     # In thousandths of a processor.
-    cpu: NonNegativeInt = 0
-    mem_mb: NonNegativeInt = 0
-    gpu: NonNegativeInt = 0
+    cpu: NonNegativeInt
+    mem_mb: NonNegativeInt
+    gpu: NonNegativeInt
 
 
 class _RunningRow(msgspec.Struct, frozen=True, array_like=True):
@@ -75,29 +76,39 @@
 
 
 class _Heartbeat(msgspec.Struct, frozen=True, rename='camel'):
-    """A heartbeat."""
+    """A heartbeat.
 
-    service: str
+    Every worker sends all fields without a default.  A heartbeat that lacks one
+    was created by another writer: if its missing lists counted as empty, the
+    runs of a worker would be withdrawn while they are at work.
+    """
+
+    service: _Name
     # Address that the worker listens on; a later incarnation may reuse it.
-    address: str
-    zone: str
+    address: _Name
+    zone: _Name
+    # Version of the worker's software, and how many requests it can handle at
+    # once; not used.
+    version: str
+    slots: NonNegativeInt
     # Counts the heartbeats of one incarnation.
     sequence: NonNegativeInt
     state: Literal['ready', 'draining']
     capacity: _Capacity
     # The kind of the worker, then its rack.
-    labels: tuple[str, ...]
-    # Start time of the worker in milliseconds since 1970.
-    born: NonNegativeInt | None = None
+    labels: Annotated[tuple[str, ...], msgspec.Meta(min_length=2)]
     # The worker's monotonic clock.
-    clock_ms: _ClockMs | None = None
-    cold_remaining_ms: _Measurement = 0
+    clock_ms: _ClockMs
+    cold_remaining_ms: _Measurement
     # The VM that the worker runs on.
-    machine: str = ''
-    # How long a draining worker stays up at least.
+    machine: _Name
+    running: tuple[_RunningRow, ...]
+    finished: tuple[_EndedRow, ...]
+    # Start time of the worker in milliseconds since 1970; only sent by workers
+    # that may restart under the same id.
+    born: NonNegativeInt | None = None
+    # How long a draining worker stays up at least; only sent while it drains.
     remaining_ms: _Measurement = 0
-    running: tuple[_RunningRow, ...] = ()
-    finished: tuple[_EndedRow, ...] = ()
 
 
 class _Deregistration(msgspec.Struct, frozen=True):
@@ -218,9 +229,7 @@
         rack=rack_of(heartbeat.labels),
         running=tuple(_running_task(row) for row in heartbeat.running),
         ended=tuple(_ended_run(row) for row in heartbeat.finished),
-        clock_ms=None
-        if heartbeat.clock_ms is None
-        else int(heartbeat.clock_ms),
+        clock_ms=int(heartbeat.clock_ms),
     )
 
 
--- a/tests/builders_restarts.py
+++ b/tests/builders_restarts.py
@@ -7,7 +7,10 @@
 import json
 from types import MappingProxyType
 
+import msgspec
+
 from tests.builders_jobs import JOB, QUEUE, FakeLead
+from tests.builders_platform import heartbeat
 from wigeonreach.jobs import (
     AddJob,
     JobPhase,
@@ -43,8 +46,13 @@
 
     @property
     def last_report(self) -> WorkerReport:
-        """Its newest heartbeat, decoded from the platform's body."""
-        return decode_heartbeat(self.name, json.dumps(self._body()).encode())
+        """Its newest heartbeat, decoded from the platform's body.
+
+        The body's clock stands still; the decoded one is this worker's.
+        """
+        body = json.dumps(self._body()).encode()
+        report = decode_heartbeat(self.name, body)
+        return msgspec.structs.replace(report, clock_ms=self.clock_ms)
 
     def start_again(self, after_s: float = 1.0) -> None:
         """Restart under the same id, a while after the last start."""
@@ -53,14 +61,18 @@
 
     def _body(self) -> dict[str, object]:
         body: dict[str, object] = {
+            **heartbeat(),
             'service': self.service,
-            'address': '10.0.0.9:8080',
             'zone': self.zone,
             'sequence': self.sequence,
             'state': 'draining' if self.is_draining else 'ready',
             'machine': self.vm,
             'labels': [self.kind, self.rack],
-            'capacity': {'cpu': self.cpu_millicores, 'memMb': self.memory_mb},
+            'capacity': {
+                'cpu': self.cpu_millicores,
+                'memMb': self.memory_mb,
+                'gpu': 0,
+            },
             'running': [
                 [_name(row.task), row.run, row.checkpoint, row.percent]
                 for row in self.running.values()
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -138,16 +138,9 @@
     def test_heartbeat_is_decoded(self) -> None:
         """Rows without field names are decoded to typed records."""
         body = {
-            'service': 's',
-            'address': '10.0.0.9:8080',
-            'zone': 'a',
-            'sequence': 4,
+            **heartbeat(),
             'state': 'draining',
             'remainingMs': 900,
-            'machine': 'm-1',
-            'labels': ['kind', 'r1-3'],
-            'capacity': {'cpu': 16000, 'memMb': 32768, 'gpu': 0},
-            'running': [[f'{_JOB}.0.1.17', 2, 'saved', 41, 700]],
             'finished': [[58, f'{_JOB}.0.1.9', 1, 'broken', '']],
         }
         report = decode_heartbeat('i-1', json.dumps(body).encode())
@@ -163,18 +156,19 @@
 
     def test_malformed_heartbeat_is_refused(self) -> None:
         """One malformed part makes the whole heartbeat invalid."""
-        malformed = (
-            b'[]',
-            b'{"service":"s","address":"x","zone":"a"}',
-            b'{"service":"s","address":"x","zone":"a","sequence":1,'
-            b'"running":[["no-task",1,"",0]]}',
-            b'{"service":"s","address":"x","zone":"a","sequence":1,'
-            b'"running":[["a.0.-1.0",1,"",0]]}',
-            b'{"service":"s","address":"x","zone":"a","sequence":1,'
-            b'"finished":[[1,"a.0.0.0",1,"exploded",""]]}',
+        complete = heartbeat()
+        malformed: tuple[object, ...] = (
+            [],
+            {'service': 's', 'address': 'x', 'zone': 'a'},
+            {**complete, 'running': [['no-task', 1, '', 0]]},
+            {**complete, 'running': [['a.0.-1.0', 1, '', 0]]},
+            {**complete, 'finished': [[1, 'a.0.0.0', 1, 'exploded', '']]},
         )
         for body in malformed:
-            self.assertRaises(RequestRefusedError, decode_heartbeat, 'i', body)
+            encoded = json.dumps(body).encode()
+            self.assertRaises(
+                RequestRefusedError, decode_heartbeat, 'i', encoded
+            )
 
     def test_orders_are_encoded_as_rows(self) -> None:
         """Empty lists and unset fields are left out."""
--- a/tests/platform/test_malformed_bodies.py
+++ b/tests/platform/test_malformed_bodies.py
@@ -177,8 +177,11 @@
         self._refused(state=None)
 
     def test_missing_field_is_refused(self) -> None:
-        """Fields that decide on the placement of tasks are required."""
-        for name in ('state', 'capacity', 'labels', 'sequence', 'service'):
+        """Another writer's heartbeat must not get work or withdraw runs.
+
+        Every worker sends all of these fields.
+        """
+        for name in heartbeat():
             body = {
                 field: content
                 for field, content in heartbeat().items()
@@ -187,6 +190,28 @@
             encoded = json.dumps(body).encode()
             self.assertRaises(RequestRefusedError, _decode_heartbeat, encoded)
 
+    def test_missing_amount_is_refused(self) -> None:
+        """A worker without processors would lose the runs it is to start."""
+        complete = heartbeat()['capacity']
+        assert isinstance(complete, dict)
+        for name in complete:
+            self._refused(
+                capacity={
+                    unit: amount
+                    for unit, amount in complete.items()
+                    if unit != name
+                }
+            )
+
+    def test_empty_name_is_refused(self) -> None:
+        """It identifies no VM, service, zone or address."""
+        for name in ('machine', 'service', 'zone', 'address'):
+            self._refused(**{name: ''})
+
+    def test_labels_without_a_rack_are_refused(self) -> None:
+        """A worker sends its kind and its rack."""
+        self._refused(labels=['kind'])
+
     def test_rows_of_other_types_are_refused(self) -> None:
         """One malformed row makes the whole heartbeat unreliable."""
         rows = (
