A heartbeat that contradicts the one before is foreign

Callers saw: tasks at work that start once more on another worker (TWICE), beside a heartbeat of another writer under the id of their worker, whole, but with empty lists and no capacity, or draining.

Cause: the newest heartbeat of an incarnation replaced what was known, so its runs counted as not begun and were withdrawn. A worker lists each run until its end is acknowledged, and an acknowledged end is recorded; it never changes its VM.

test_older_run_of_a_task_is_not_serving sent a heartbeat that no worker sends: its current run vanished without an end and a later one stood in its place. It now brings about what its text says, an older run listed while the current one has not begun. It fails, as before, if the budget compares tasks instead of runs.

--- a/src/wigeonreach/scheduling/_scheduler.py
+++ b/src/wigeonreach/scheduling/_scheduler.py
@@ -16,6 +16,7 @@
 from wigeonreach.scheduling._answers import HeartbeatAnswers
 from wigeonreach.scheduling._disruption_budget import DisruptionBudget
 from wigeonreach.scheduling._ends import RunEnds
+from wigeonreach.scheduling._foreign import is_foreign
 from wigeonreach.scheduling._incarnation import (
     HeartbeatResult,
     Incarnation,
@@ -38,8 +39,8 @@
     HomeZones,
     Plan,
     TermTrackers,
+    TicketCache,
 )
-from wigeonreach.scheduling.placing._advice import TicketCache
 from wigeonreach.scheduling.pooling import (
     Move,
     PoolPlanner,
@@ -208,21 +209,8 @@
             self._add_note(LogEvent.WORKER_RESIZED, incarnation, has)
 
     def is_foreign(self, report: WorkerReport) -> bool:
-        """Whether a heartbeat can't be attributed to a worker of this fleet.
-
-        An incarnation never changes its service, so a heartbeat of a known one
-        is foreign if its service differs from the one before.  A heartbeat of
-        an unknown one is foreign if it lacks the start time that others of its
-        id include, or if its service is not in the manifest and no run is
-        assigned to its worker.
-        """
-        known = self.workers.incarnations.get(report.worker)
-        if known is not None:
-            return report.service != known.report.service
-        if self.workers.by_vm.lacks_start_time(report):
-            return True
-        is_named = self._store.has_service(report.service)
-        return not is_named and not self._store.runs_of(report.worker)
+        """Whether a heartbeat can't be attributed to a worker of this fleet."""
+        return is_foreign(report, self.workers, self._store)
 
     def take_lost_runs(self, now_s: float) -> tuple[RunEnded, ...]:
         """Return the runs of lost workers, which are to be reassigned."""
--- a/src/wigeonreach/scheduling/placing/__init__.py
+++ b/src/wigeonreach/scheduling/placing/__init__.py
@@ -1,6 +1,7 @@
 """Choose the worker for each task that may start."""
 
 from wigeonreach.scheduling.placing._available_workers import AvailableWorkers
+from wigeonreach.scheduling.placing._advice import TicketCache
 from wigeonreach.scheduling.placing._avoided_workers import AvoidedWorkers
 from wigeonreach.scheduling.placing._home_zones import HomeZones
 from wigeonreach.scheduling.placing._locality import DataLocality
@@ -19,4 +20,5 @@
     'HomeZones',
     'Plan',
     'TermTrackers',
+    'TicketCache',
 )
--- a/src/wigeonreach/wire/_worker_messages.py
+++ b/src/wigeonreach/wire/_worker_messages.py
@@ -4,10 +4,13 @@
 
 import msgspec
 
-from wigeonreach.jobs._model import RunEnd, TaskKey
+from wigeonreach.jobs._model import Run, RunEnd, TaskKey
 
 # Separates a worker's id from its start time; ids can't contain it.
 START_SEPARATOR = '#'
+# A heartbeat lists at most this many ended runs; the others follow once these
+# are acknowledged.
+MAX_LISTED_ENDS = 500
 
 
 def incarnation_name(worker_id: str, born_ms: int | None) -> str:
@@ -123,6 +126,12 @@
         """
         return self.vm or self.address
 
+    def listed_runs(self) -> set[Run]:
+        """Return the runs that are listed as running or as ended."""
+        listed = {(row.task, row.run) for row in self.running}
+        listed.update((ended.task, ended.run) for ended in self.ended)
+        return listed
+
 
 class StartOrder(msgspec.Struct, frozen=True, array_like=True):
     """Start a run, from a checkpoint if there is one."""
--- a/tests/scheduling/test_foreign.py
+++ b/tests/scheduling/test_foreign.py
@@ -6,15 +6,106 @@
 
 from __future__ import annotations
 
+import itertools
+
 import msgspec
 import testtools
 from testtools import matchers
 
-from tests.builders_jobs import FakeLead, job, serving_step, store_with, workers
-from wigeonreach.jobs import JobStore, RunEnd
+from tests.builders_jobs import (
+    TERM,
+    FakeLead,
+    job,
+    key,
+    serving_step,
+    store_with,
+    workers,
+)
+from wigeonreach.jobs import JobStore, Run, RunEnd
 from wigeonreach.scheduling import Scheduler
 from wigeonreach.standins import StandInWorker
-from wigeonreach.wire._worker_messages import EndedRun
+from wigeonreach.wire._worker_messages import (
+    MAX_LISTED_ENDS,
+    EndedRun,
+    WorkerReport,
+)
+
+# Longer than a new leader waits for answers of a former one.
+_ROUNDS = 30
+
+
+class TestRunsAtWork(testtools.TestCase):
+    """Another writer sends an idle worker's heartbeat under the id of a busy one.
+
+    Guards against runs that are withdrawn as not begun, and so started on other
+    workers, while they are at work.
+    """
+
+    def setUp(self) -> None:
+        """Let a worker serve for longer than a new leader withdraws nothing."""
+        super().setUp()
+        self.lead = FakeLead(store_with(job(serving_step(1))), workers(2))
+        for _ in range(_ROUNDS):
+            self.lead.round()
+        self.worker = next(
+            known for known in self.lead.workers.values() if known.running
+        )
+
+    def _forged(self, **changes: object) -> WorkerReport:
+        sent = self.worker.last_report
+        return msgspec.structs.replace(
+            sent, sequence=sent.sequence + 3, running=(), ended=(), **changes
+        )
+
+    def _assert_undisturbed(self) -> None:
+        begun: set[tuple[str, Run]] = set()
+        for _ in range(_ROUNDS):
+            self.lead.round()
+            for known in self.lead.workers.values():
+                begun.update((known.name, run) for run in known.running)
+        only = (self.worker.name, (key(), 1))
+        self.assertThat(begun, matchers.Equals({only}))
+
+    def test_empty_lists(self) -> None:
+        """Its run does not start once more."""
+        self.lead.take(self._forged())
+        self._assert_undisturbed()
+
+    def test_empty_lists_without_capacity(self) -> None:
+        """Its run is not taken for one that no longer fits."""
+        self.lead.take(self._forged(cpu_millicores=0, memory_mb=0))
+        self._assert_undisturbed()
+
+    def test_empty_lists_of_a_draining_worker(self) -> None:
+        """Its run is not taken for one that it begins no more."""
+        self.lead.take(self._forged(is_draining=True))
+        self._assert_undisturbed()
+
+    def test_end_that_a_former_leader_recorded(self) -> None:
+        """The next leader may first hear a late heartbeat, sent before it."""
+        late = self.worker.report()
+        self.worker.end((key(), 1), RunEnd.DONE)
+        self.lead.round()
+        self.lead.round()
+        later = FakeLead(self.lead.store, [], TERM + 1, self.lead.now_s)
+        later.take(late)
+        self.assertThat(self.worker.ended, matchers.HasLength(0))
+        self.assertThat(
+            later.scheduler.is_foreign(self.worker.report()),
+            matchers.Is(False),
+        )
+
+    def test_ends_that_did_not_fit(self) -> None:
+        """A worker with many ends lists the others later."""
+        known = self.worker.last_report
+        other = EndedRun(1, key(1), 1, RunEnd.DONE)
+        ends = tuple(itertools.repeat(other, MAX_LISTED_ENDS))
+        report = msgspec.structs.replace(
+            known, sequence=known.sequence + 1, running=(), ended=ends
+        )
+        self.assertThat(
+            self.lead.scheduler.is_foreign(report), matchers.Is(False)
+        )
 
 
 class TestForeignHeartbeats(testtools.TestCase):
@@ -46,6 +137,15 @@
         self.assertThat(known.report.service, matchers.Equals('desk'))
         self.assertThat(known.heard_s, matchers.Equals(self.lead.now_s))
 
+    def test_incarnation_keeps_its_vm(self) -> None:
+        """A heartbeat with another VM does not move the worker there."""
+        self.lead.hear(StandInWorker('w0', 'elsewhere', sequence=900))
+        known = self.lead.scheduler.workers
+        self.assertThat(known.of_vm('elsewhere'), matchers.Is(None))
+        self.assertThat(
+            known.incarnations['w0'].report.vm, matchers.Equals('vm0')
+        )
+
     def test_copy_of_a_heartbeat_changes_nothing(self) -> None:
         """Only the first heartbeat with a sequence number is applied."""
         worker = next(
--- a/tests/scheduling/test_moving_out.py
+++ b/tests/scheduling/test_moving_out.py
@@ -22,7 +22,15 @@
     store_with,
     workers,
 )
-from wigeonreach.jobs import AddJob, RecordVmOrders, RunEnd, VmStep
+from wigeonreach.jobs import (
+    AddJob,
+    RecordRuns,
+    RecordVmOrders,
+    RunEnd,
+    RunEnded,
+    RunStarted,
+    VmStep,
+)
 from wigeonreach.lab import commit
 from wigeonreach.scheduling import SchedulingSettings
 from wigeonreach.scheduling._disruption_budget import is_empty
@@ -283,9 +291,14 @@
             for candidate in lead.workers.values()
             if (key(0), 1) in candidate.running
         )
-        row = first.running.pop((key(0), 1))
-        first.advance_one((key(0), 9), row.percent)
+        ended = RunEnded(key(0), 1, first.name, RunEnd.STOPPED)
+        started = RunStarted(key(0), 2, first.name, first.vm)
+        record = RecordRuns(lead.term, ends=(ended,), starts=(started,))
+        commit(lead.store, record)
         lead.hear(first)
+        self.assertThat(
+            lead.store.runs_of(first.name), matchers.Equals({key(0): 2})
+        )
         others = [vm for vm in _busy_vms(lead) if vm != first.vm]
         lead.start_wave(others[:1], limit=1, due_after_s=2)
         self.assertThat(self._wave_step(lead).stops, matchers.HasLength(0))
