A worker that begins none of its starts gets no further lease

Callers saw: accepted jobs that stay running beside four idle workers (LOST), beside whole heartbeats of another writer that list no run, ever.

Cause: a start that a heartbeat does not list is ordered again, as the answer may have been lost, and nothing bounded this.

Change: after four answers in a row, over two seconds, whose starts the next heartbeat does not list, the leader renews the worker's lease no more (event 548). Its runs go elsewhere once the last lease is over, so nothing runs twice; they have not crashed it, as it was heard. Later it is given one run at a time, after pauses of 2 s and twice as long each time, until it begins one.

--- a/src/wigeonreach/observe/_events.py
+++ b/src/wigeonreach/observe/_events.py
@@ -92,6 +92,7 @@
     VM_MAINTAINED = 545
     ZONE_SUSPECTED = 546
     ZONE_CLEARED = 547
+    STARTS_IGNORED = 548
 
     # 600: connections to the leading core process, and the platform adapter.
     CORE_CONNECTED = 601
--- a/src/wigeonreach/scheduling/_answers.py
+++ b/src/wigeonreach/scheduling/_answers.py
@@ -10,6 +10,7 @@
 from wigeonreach.scheduling._incarnation import Incarnation
 from wigeonreach.scheduling._notes import LogNote
 from wigeonreach.scheduling._orders import (
+    NO_LEASE,
     ValidTickets,
     answer_if_due,
     orders_for,
@@ -60,6 +61,10 @@
 
     def orders(self, incarnation: Incarnation, now_s: float) -> WorkerOrders:
         """Return the orders for a worker, and record the starts among them."""
+        incarnation.answered_s = now_s
+        if incarnation.withheld_s is not None:
+            incarnation.ordered_starts = frozenset()
+            return NO_LEASE
         orders = orders_for(
             incarnation,
             self._store,
@@ -106,6 +111,8 @@
         now_s
             Clock in seconds.
         """
+        if incarnation.withheld_s is not None:
+            return self.orders(incarnation, now_s)
         due = answer_if_due(
             self.orders(incarnation, now_s),
             self._has_batch(incarnation),
--- a/src/wigeonreach/scheduling/_incarnation.py
+++ b/src/wigeonreach/scheduling/_incarnation.py
@@ -8,6 +8,7 @@
 from wigeonreach.jobs import Run, RunEnded
 from wigeonreach.jobs._model import MEBIBYTE, MILLICORES
 from wigeonreach.scheduling._send_time import SendTimeEstimator
+from wigeonreach.scheduling._unbegun import UnbegunStarts
 from wigeonreach.wire._worker_messages import RunningTask, WorkerReport
 
 # How long a worker may continue after a heartbeat that was answered.  Longer
@@ -71,6 +72,12 @@
         Runs that this leader assigned to it and that it has not listed yet.
     ordered_starts
         Runs that the newest answer told it to start.
+    answered_s
+        When that answer was sent.
+    unbegun
+        Answers whose starts it did not begin.
+    withheld_s
+        Since when its lease is not renewed although it is heard.
     sent_s
         When its newest heartbeat was sent.
     """
@@ -87,6 +94,9 @@
     lease_renewed_s: float = float('-inf')
     unlisted_starts: set[Run] = dataclasses.field(default_factory=set)
     ordered_starts: frozenset[Run] = frozenset()
+    answered_s: float = float('-inf')
+    unbegun: UnbegunStarts = dataclasses.field(default_factory=UnbegunStarts)
+    withheld_s: float | None = None
     sent_s: float = float('-inf')
     largest_resources: Resources = NO_RESOURCES
     _send_time: SendTimeEstimator = dataclasses.field(
@@ -120,6 +130,12 @@
         """Time from which none of its runs can go on, as its lease is over."""
         return self.heard_s + LEASE_EXPIRED_S
 
+    def is_withheld_lease_over(self, now_s: float) -> bool:
+        """Whether its last lease is over, as no further one was given."""
+        if self.withheld_s is None:
+            return False
+        return now_s >= self.withheld_s + LEASE_EXPIRED_S
+
     @property
     def is_ending(self) -> bool:
         """Whether it drains or announced its end."""
@@ -129,7 +145,10 @@
         """Whether it may be given new work."""
         is_ordered = self.heard_s - self.ordered_s < _ORDER_EFFECT_S
         is_doubtful = self.is_ending or is_ordered or not self.is_proven_alive
-        return not self.is_silent(now_s) and not is_doubtful
+        begins_runs = self.withheld_s is None and self.unbegun.accepts_work(
+            now_s, bool(self.unlisted_starts)
+        )
+        return begins_runs and not self.is_silent(now_s) and not is_doubtful
 
     @property
     def is_proven_alive(self) -> bool:
--- a/src/wigeonreach/scheduling/_lost_runs.py
+++ b/src/wigeonreach/scheduling/_lost_runs.py
@@ -6,7 +6,10 @@
 
 from wigeonreach.jobs import JobStore, Run, RunEnd, RunEnded
 from wigeonreach.scheduling._crashes import CrashTracker
-from wigeonreach.scheduling._incarnation import EndedIncarnation
+from wigeonreach.scheduling._incarnation import (
+    EndedIncarnation,
+    Incarnation,
+)
 from wigeonreach.scheduling._progress import ProgressTracker
 from wigeonreach.scheduling._speculation import runs_to_copy
 from wigeonreach.scheduling._workers import Workers
@@ -70,7 +73,7 @@
         lost: list[RunEnded] = []
         for worker, ending in ended.items():
             held = self._store.runs_of(worker).items()
-            begun = self.crashes.note_lost(ending.incarnation, held, now_s)
+            begun = self._note_lost(ending.incarnation, held, now_s)
             lost.extend(self._lost_end(worker, run, begun) for run in held)
         for unheard in self._unheard_workers(now_s):
             if unheard in ended:
@@ -82,6 +85,18 @@
             )
         return tuple(lost)
 
+    def _note_lost(
+        self,
+        incarnation: Incarnation,
+        held: Collection[Run],
+        now_s: float,
+    ) -> Collection[Run]:
+        """Note the loss of a worker; return its runs that may have begun."""
+        if incarnation.withheld_s is None:
+            return self.crashes.note_lost(incarnation, held, now_s)
+        # It was heard until its lease was over, so no run has crashed it.
+        return {(row.task, row.run) for row in incarnation.running}
+
     def to_be_copied(self, now_s: float) -> tuple[RunEnded, ...]:
         """Return runs of silent workers as lost, so that copies may start."""
         if not self._has_listened_long(now_s):
--- a/src/wigeonreach/scheduling/_orders.py
+++ b/src/wigeonreach/scheduling/_orders.py
@@ -29,6 +29,8 @@
 HELD_INTERVAL_MS = 20
 # A heartbeat times out after 1 s; the rest is left for the way back.
 _MAX_HOLD_S = 0.7
+# Extends no lease and starts nothing.
+NO_LEASE = WorkerOrders(next_after_ms=BUSY_INTERVAL_MS)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -98,8 +100,7 @@
 
 def unlisted_runs(incarnation: Incarnation, store: JobStore) -> Iterator[Run]:
     """Yield the assigned runs of a worker that it does not list."""
-    listed = {(row.task, row.run) for row in incarnation.running}
-    listed.update((ended.task, ended.run) for ended in incarnation.report.ended)
+    listed = incarnation.report.listed_runs()
     for run in store.runs_of(incarnation.report.worker).items():
         if run not in listed:
             yield run
--- a/src/wigeonreach/scheduling/_scheduler.py
+++ b/src/wigeonreach/scheduling/_scheduler.py
@@ -176,6 +176,7 @@
         self.crashes.note_heard(incarnation)
         self.cap_tracker.untracked_runs.on_heartbeat(incarnation)
         self._note_report_changes(incarnation, before, now_s)
+        self._note_unbegun_starts(incarnation, now_s)
         paced = self.pacing.on_heartbeat(incarnation, self._store)
         self._add_note(LogEvent.WORKER_PACED, incarnation, paced)
         ends = (
@@ -208,6 +209,28 @@
             has = f'has {incarnation.resources}, had {resources_of(before)}'
             self._add_note(LogEvent.WORKER_RESIZED, incarnation, has)
 
+    def _note_unbegun_starts(
+        self, incarnation: Incarnation, now_s: float
+    ) -> None:
+        """Let the lease of a worker expire that begins no starts."""
+        unbegun = incarnation.unbegun
+        unbegun.note_heartbeat(
+            incarnation.report,
+            incarnation.ordered_starts,
+            incarnation.answered_s,
+            incarnation.sent_s,
+        )
+        if incarnation.withheld_s is not None:
+            return
+        if unbegun.is_limit_reached(now_s):
+            worker = incarnation.report.worker
+            self.workers.withhold_lease(worker, now_s)
+            ignored = (
+                f'{unbegun.ignored} answers with starts in'
+                f' {now_s - unbegun.since_s:.2f} s'
+            )
+            self._add_note(LogEvent.STARTS_IGNORED, incarnation, ignored)
+
     def is_foreign(self, report: WorkerReport) -> bool:
         """Whether a heartbeat can't be attributed to a worker of this fleet."""
         return is_foreign(report, self.workers, self._store)
--- a/src/wigeonreach/scheduling/_workers.py
+++ b/src/wigeonreach/scheduling/_workers.py
@@ -46,9 +46,11 @@
         self.by_vm = VmIncarnations()
         self._began_s = now_s
         self._gone_s: dict[str, float] = {}
-        # Those of the ended incarnations that only fell silent, and may return.
+        # Those of the ended incarnations that only fell silent, or whose lease
+        # was withheld, and that may return.
         self._lapsed: dict[str, Incarnation] = {}
         self._leaving: set[str] = set()
+        self._withheld: set[str] = set()
         self._starting: frozenset[str] = frozenset()
         # Heap of the times at which leases may expire, with their workers.
         self._leases: list[tuple[float, str]] = []
@@ -108,6 +110,16 @@
             known.ends_at_s = now_s + _SHUTDOWN_S
             self._leaving.add(known.report.worker)
 
+    def withhold_lease(self, worker: str, now_s: float) -> None:
+        """Let a worker's lease expire, although it is heard.
+
+        All that runs on it has then ended, and may start elsewhere.
+        """
+        known = self.incarnations.get(worker)
+        if known is not None and known.withheld_s is None:
+            known.withheld_s = now_s
+            self._withheld.add(worker)
+
     def note_starting(self, workers: Collection[str]) -> None:
         """Record the workers with planned starts that are not committed yet.
 
@@ -143,8 +155,11 @@
             incarnation = ending.incarnation
             self._remove(worker)
             self._gone_s[worker] = now_s
-            is_silent = now_s >= incarnation.lease_over_s
-            if is_silent and incarnation.ends_at_s is None:
+            is_lapsed = (
+                now_s >= incarnation.lease_over_s
+                or incarnation.withheld_s is not None
+            )
+            if is_lapsed and incarnation.ends_at_s is None:
                 self._lapsed[worker] = incarnation
         self._forget_gone(now_s)
         return over
@@ -208,6 +223,9 @@
         self._gone_s.pop(report.worker)
         known.update(report, now_s)
         known.unproven_since_s = now_s
+        if known.withheld_s is not None:
+            known.withheld_s = None
+            known.unbegun.exclude(now_s)
         self._add(known)
         return known
 
@@ -221,14 +239,17 @@
     def _remove(self, worker: str) -> None:
         self.by_vm.remove(self.incarnations.pop(worker))
         self._leaving.discard(worker)
+        self._withheld.discard(worker)
 
     def _possibly_ended(self, now_s: float) -> list[str]:
         """Return the incarnations whose end has to be checked now, by name.
 
-        These are the ones whose lease may have expired, that announced their
-        end, or that share their VM with another one.
+        These are the ones whose lease may have expired or is withheld, that
+        announced their end, or that share their VM with another one.
         """
-        suspects = self._leaving.union(self.by_vm.on_shared_vms())
+        suspects = self._leaving.union(
+            self._withheld, self.by_vm.on_shared_vms()
+        )
         while self._leases and self._leases[0][0] <= now_s:
             _, worker = heapq.heappop(self._leases)
             known = self.incarnations.get(worker)
@@ -245,6 +266,8 @@
             return f'lease expired, silent {now_s - incarnation.heard_s:.2f} s'
         if incarnation.ends_at_s is not None and now_s >= incarnation.ends_at_s:
             return 'announced its end'
+        if incarnation.is_withheld_lease_over(now_s):
+            return 'lease withheld'
         if self.by_vm.has_successor(incarnation):
             return f'another incarnation is alive on {incarnation.report.vm}'
         return ''
--- a/src/wigeonreach/scheduling/placing/_available_workers.py
+++ b/src/wigeonreach/scheduling/placing/_available_workers.py
@@ -128,6 +128,7 @@
             worker.is_quarantined = report.worker in quarantined
             is_paced = self._pacing.is_paced(report.worker)
             worker.is_slow = report.worker in slow or is_paced
+            worker.takes_one_run = worker.incarnation.unbegun.is_on_trial
             worker.has_crashed_recently = self._crashes.has_crashed_recently(
                 report.vm_or_address,
                 now_s,
--- a/src/wigeonreach/scheduling/placing/_worker_capacity.py
+++ b/src/wigeonreach/scheduling/placing/_worker_capacity.py
@@ -6,7 +6,7 @@
 import dataclasses
 from typing import TypeAlias
 
-from wigeonreach._resources import Resources
+from wigeonreach._resources import NO_RESOURCES, Resources
 from wigeonreach.jobs import JobStore, StepSpec, TaskKey
 from wigeonreach.scheduling._evidence import CLEARED_AFTER_S
 from wigeonreach.scheduling._incarnation import Incarnation
@@ -48,6 +48,8 @@
         Tasks of other jobs may not be placed beside that task.
     has_crashed_recently
         An earlier worker of its VM crashed a short time ago.
+    takes_one_run
+        It began none of its runs before, so it is given a single one now.
     """
 
     incarnation: Incarnation
@@ -63,6 +65,7 @@
     trial_job: str = ''
     is_closed: bool = False
     has_crashed_recently: bool = False
+    takes_one_run: bool = False
 
     @property
     def name(self) -> str:
@@ -75,7 +78,9 @@
 
     def add(self, key: TaskKey, spec: StepSpec) -> None:
         """Place a task on the worker."""
-        self.free = self.free - spec.resources
+        self.free = (
+            NO_RESOURCES if self.takes_one_run else self.free - spec.resources
+        )
         self.steps[key.job_id, key.occurrence, key.step] += 1
         self.serving += spec.is_service
         self.has_target |= spec.is_service and spec.latency_target_ms > 0
