An unexpected error of a decision ends no leader

Cause of the class: any unexpected error of a decision ended the process, and the next leader decides on the same record and the same heartbeats.

Change: only the heartbeat, answer, plan, cycle or round of moves or waves that failed is skipped, logged with its place (505, one line a second for each kind) and counted (decisions_failed). After three failed heartbeats in a row the worker's lease is left to expire, so that its runs go elsewhere. Bound: if a kind of decision fails for 5 s without success, leadership is handed over (506), after twice as long each further time, 160 s at most: the memory of this process may be at fault. The tasks of a leader move to a module of their own.

--- a/src/wigeonreach/core/_advice_poller.py
+++ b/src/wigeonreach/core/_advice_poller.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from wigeonreach.core._clock import steady_s
+from wigeonreach.core._decision_guard import Decision
 from wigeonreach.core._term import LeaderTerm
 from wigeonreach.observe import Metrics
 from wigeonreach.scheduling.placing._advice import Advice, AdviceRequest
@@ -54,14 +55,18 @@
         try:
             while True:
                 await asyncio.sleep(_POLL_INTERVAL_S)
-                for request in self._term.scheduler.advice.pop_requests():
-                    task = asyncio.create_task(self._ask(request))
-                    self._tasks.add(task)
-                    task.add_done_callback(self._tasks.discard)
+                with self._term.guard.contain(Decision.ADVICE):
+                    self._start_calls()
         finally:
             for running in self._tasks:
                 running.cancel()
 
+    def _start_calls(self) -> None:
+        for request in self._term.scheduler.advice.pop_requests():
+            task = asyncio.create_task(self._ask(request))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
     async def _ask(self, request: AdviceRequest) -> None:
         async with self._call_slots:
             sent_s = steady_s()
--- a/src/wigeonreach/core/_daemon.py
+++ b/src/wigeonreach/core/_daemon.py
@@ -9,16 +9,16 @@
 
 from wigeonreach.agreement import FolderDisk, SpaceWatch
 from wigeonreach.codes import ExitCode
-from wigeonreach.core._advice_poller import AdvicePoller, AdvisorApi
+from wigeonreach.core._advice_poller import AdvisorApi
 from wigeonreach.core._call_handler import CallHandler
 from wigeonreach.core._clock import WallClock, steady_s
+from wigeonreach.core._decision_guard import DecisionGuard
+from wigeonreach.core._leader_tasks import LeaderClients, run_leader_tasks
 from wigeonreach.core._replica_setup import open_agreement
 from wigeonreach.core._server import CoreServer
 from wigeonreach.core._settings import CoreSettings
 from wigeonreach.core._term import LeaderTerm
-from wigeonreach.core._vm_actions import VmActions
 from wigeonreach.core._vm_holds import VmHolds
-from wigeonreach.core._vm_orders import VmOrders
 from wigeonreach.exceptions import StateError
 from wigeonreach.gateway import Gateway
 from wigeonreach.jobs import JobStore
@@ -114,6 +114,7 @@
         self._lead_task: asyncio.Task[None] | None = None
         self._known_cores: tuple[str, ...] = ()
         self._wall_clock = WallClock(logger, metrics)
+        self._guard = DecisionGuard(logger, metrics)
 
     @property
     def is_leading(self) -> bool:
@@ -197,6 +198,8 @@
             # The changed jobs are for a leader's scheduler, which clears them;
             # in a follower, nothing else would.
             self._store.changed_jobs.clear()
+        elif self._guard.takes_hand_over(steady_s()):
+            self._agreement.hand_over()
         self._vm_holds.refresh(steady_s())
         cores = self._gateway.cores
         if cores != self._known_cores:
@@ -285,6 +288,7 @@
             self._wall_clock,
             self._log,
             self._metrics,
+            self._guard,
         )
         self._term = term
         self._handler = CallHandler(term, self._store, self._log, self._metrics)
@@ -315,24 +319,14 @@
             except StateError as error:
                 self._log.warning(LogEvent.CALL_FAILED, reason=str(error))
         self._server.send_notices()
-        vm_actions = VmActions(
+        await run_leader_tasks(
             term,
             self._store,
-            self._api,
-            VmOrders(
-                term,
-                self._vm_holds,
-                self._log,
-                self._metrics,
-            ),
+            LeaderClients(self._api, self._advisor),
+            self._vm_holds,
             self._log,
             self._metrics,
         )
-        advice_poller = AdvicePoller(term, self._advisor, self._metrics)
-        async with asyncio.TaskGroup() as group:
-            group.create_task(term.run())
-            group.create_task(vm_actions.run())
-            group.create_task(advice_poller.run())
 
     def _abort_process(self, error: Exception) -> None:
         # After a failed disk sync, no state in memory may be exposed; after a
--- a/src/wigeonreach/core/_term.py
+++ b/src/wigeonreach/core/_term.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import dataclasses
 from collections.abc import Sequence
 
@@ -10,6 +11,7 @@
 from wigeonreach.core._barrier import SharedReadBarrier
 from wigeonreach.core._clock import WallClock, steady_s
 from wigeonreach.core._cycle_stats import CycleStats
+from wigeonreach.core._decision_guard import Decision, DecisionGuard
 from wigeonreach.core._term_log import TermLog
 from wigeonreach.exceptions import StateError
 from wigeonreach.jobs import (
@@ -34,6 +36,8 @@
 from wigeonreach.wire._worker_messages import WorkerOrders, WorkerReport
 
 _MAX_WAIT_S = 0.05
+# A heartbeat comes at least every second, and a lease lasts for a few of them.
+_MAX_FAILED_HEARTBEATS = 3
 # Longer than the status of an ended job may be queried (120 s).
 _ENDED_JOB_TTL_S = 150.0
 
@@ -66,6 +70,8 @@
         Settings and wall clock of the scheduler.
     logger, metrics
         Log and count the decisions.
+    guard
+        Contains unexpected errors of single decisions.
     """
 
     def __init__(
@@ -77,6 +83,7 @@
         wall_clock: WallClock,
         logger: Logger,
         metrics: Metrics,
+        guard: DecisionGuard,
     ) -> None:
         """Prepare; the scheduler is created by ``begin``."""
         self.term = term
@@ -93,6 +100,10 @@
         self._pending: list[_Heartbeat] = []
         self._first_seen_ended_s: dict[str, float] = {}
         self._cycle_stats = CycleStats(steady_s())
+        self.guard = guard
+        guard.begin_term()
+        # Heartbeats in a row that could not be processed, by worker.
+        self._failed_heartbeats = collections.Counter[str]()
 
     @property
     def scheduler(self) -> Scheduler:
@@ -168,14 +179,16 @@
         self.wake.clear()
 
     async def _try_cycle(self) -> None:
+        # Neither a failed commit nor an unexpected error ends the term: only the
+        # waiting heartbeats get no orders.
         try:
-            await self._cycle()
+            with self.guard.contain(Decision.CYCLE):
+                await self._cycle()
+                return
         except StateError as error:
-            # A failed commit does not end the term: only the waiting heartbeats
-            # get no orders.
             waiting = len(self._received) + len(self._pending)
             self._log.cycle_failed(self.term, str(error), waiting)
-            self._resolve_all()
+        self._resolve_all()
 
     async def _cycle(self) -> None:
         received = self._received
@@ -196,8 +209,11 @@
         now_s: float,
     ) -> None:
         ends = self._process_heartbeats(received, now_s)
-        lost = self.scheduler.take_lost_runs(now_s)
-        crashes = self.scheduler.crashes_to_record(now_s)
+        lost: tuple[RunEnded, ...] = ()
+        crashes: tuple[RunCrashed, ...] = ()
+        with self.guard.contain(Decision.LOSSES):
+            lost = self.scheduler.take_lost_runs(now_s)
+            crashes = self.scheduler.crashes_to_record(now_s)
         self._log.runs_reassigned(lost)
         self._log.beliefs_changed(self.scheduler.notes)
         self.scheduler.notes.clear()
@@ -205,13 +221,20 @@
         await self._record_ends((*ends, *lost), crashes)
         for heartbeat in received:
             _mark_ends_recorded(heartbeat)
-        starts = self.scheduler.plan(steady_s(), self.wall_clock.now_ms())
+        starts = self._plan()
         await self._record_starts(starts)
         if received and not ends and not starts:
             # A commit of ends or starts would have confirmed leadership.
             await self.barrier.wait()
         self._answer_pending(steady_s())
 
+    def _plan(self) -> tuple[RunStarted, ...]:
+        """Return the runs to start; none if they could not be chosen."""
+        with self.guard.contain(Decision.PLACING):
+            return self.scheduler.plan(steady_s(), self.wall_clock.now_ms())
+        self.scheduler.discard_plan()
+        return ()
+
     def _process_heartbeats(
         self,
         received: Sequence[_Heartbeat],
@@ -219,25 +242,48 @@
     ) -> tuple[RunEnded, ...]:
         ends: list[RunEnded] = []
         for heartbeat in received:
-            known = self.scheduler.workers.incarnations.get(
-                heartbeat.report.worker
-            )
-            result = self.scheduler.process_heartbeat(
-                heartbeat.report, heartbeat.received_s
-            )
-            if result is None:
-                self._log_ignored(heartbeat.report)
-                heartbeat.resolve(WorkerOrders())
-                continue
-            heartbeat.incarnation = result.incarnation
-            ends.extend(result.ends)
-            if result.stalled:
-                self._log.runs_stopped(result)
-            if known is None:
-                self._log.worker_joined(heartbeat.report)
+            processed: tuple[RunEnded, ...] | None = None
+            with self.guard.contain(Decision.HEARTBEAT):
+                processed = self._process_heartbeat(heartbeat)
+            if processed is None:
+                self._note_failed_heartbeat(heartbeat, now_s)
+            else:
+                self._failed_heartbeats.pop(heartbeat.report.worker, None)
+                ends.extend(processed)
         self._metrics.count('heartbeats', amount=len(received))
         return tuple(ends)
 
+    def _process_heartbeat(self, heartbeat: _Heartbeat) -> tuple[RunEnded, ...]:
+        """Apply a heartbeat; return the ends that it reports."""
+        report = heartbeat.report
+        is_known = report.worker in self.scheduler.workers.incarnations
+        result = self.scheduler.process_heartbeat(report, heartbeat.received_s)
+        if result is None:
+            self._log_ignored(report)
+            heartbeat.resolve(WorkerOrders())
+            return ()
+        heartbeat.incarnation = result.incarnation
+        if result.stalled:
+            self._log.runs_stopped(result)
+        if not is_known:
+            self._log.worker_joined(report)
+        return result.ends
+
+    def _note_failed_heartbeat(
+        self, heartbeat: _Heartbeat, now_s: float
+    ) -> None:
+        """Answer without a lease; after some in a row, let the lease expire.
+
+        The heartbeat counts as heard, so the worker's runs would otherwise be
+        assigned to it although it gets no orders.
+        """
+        worker = heartbeat.report.worker
+        heartbeat.resolve(WorkerOrders())
+        self._failed_heartbeats[worker] += 1
+        if self._failed_heartbeats[worker] >= _MAX_FAILED_HEARTBEATS:
+            self._failed_heartbeats.pop(worker)
+            self.scheduler.workers.withhold_lease(worker, now_s)
+
     def _log_ignored(self, report: WorkerReport) -> None:
         if self.scheduler.is_foreign(report):
             self._log.heartbeat_foreign(report)
@@ -293,7 +339,9 @@
         for heartbeat in self._pending:
             if heartbeat.reply.done():
                 continue
-            orders = self._orders_due(heartbeat, now_s)
+            orders: WorkerOrders | None = WorkerOrders()
+            with self.guard.contain(Decision.ANSWER):
+                orders = self._orders_due(heartbeat, now_s)
             if orders is None:
                 still_pending.append(heartbeat)
             else:
@@ -314,7 +362,17 @@
         )
 
     async def forget_ended(self) -> None:
-        """Delete ended jobs whose status can't be queried any more."""
+        """Delete ended jobs whose status can't be queried any more.
+
+        Raises
+        ------
+        StateError
+            If a quorum did not confirm.
+        """
+        with self.guard.contain(Decision.FORGETTING):
+            await self._forget_ended()
+
+    async def _forget_ended(self) -> None:
         now_s = steady_s()
         for job in self._store.jobs.values():
             if not job.is_active:
--- a/src/wigeonreach/core/_vm_actions.py
+++ b/src/wigeonreach/core/_vm_actions.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from wigeonreach.core._clock import steady_s
+from wigeonreach.core._decision_guard import Decision
 from wigeonreach.core._term import LeaderTerm
 from wigeonreach.core._vm_orders import VmOrders
 from wigeonreach.exceptions import StateError
@@ -80,15 +81,18 @@
     async def _order_regularly(self) -> None:
         while True:
             await asyncio.sleep(_POLL_INTERVAL_S)
-            await self._maintain()
-            await self._try_move()
+            with self._term.guard.contain(Decision.MAINTENANCE):
+                await self._maintain()
+            with self._term.guard.contain(Decision.MOVES):
+                await self._try_move()
 
     async def _list_regularly(self) -> None:
         # Concurrent with the orders: a slow platform takes up to 2 s for each
         # page of the list, which would delay every order.
         while True:
             await asyncio.sleep(_POLL_INTERVAL_S)
-            await self._list_if_due()
+            with self._term.guard.contain(Decision.VM_LIST):
+                await self._list_if_due()
 
     async def _list_if_due(self) -> None:
         scheduler = self._term.scheduler
--- a/src/wigeonreach/scheduling/_scheduler.py
+++ b/src/wigeonreach/scheduling/_scheduler.py
@@ -303,6 +303,12 @@
         self.workers.note_starting({start.worker for start in plan.starts})
         return tuple(plan.starts)
 
+    def discard_plan(self) -> None:
+        """Drop what a failed plan has changed, so that the next starts afresh."""
+        self._available.forget_all()
+        self.notes.extend(self.ready.notes)
+        self.ready.notes.clear()
+
     def take_start_places(self) -> collections.Counter[str]:
         """Return how many batch starts were in their job's home zone or away.
 
--- a/src/wigeonreach/scheduling/placing/_available_workers.py
+++ b/src/wigeonreach/scheduling/placing/_available_workers.py
@@ -63,6 +63,10 @@
         """Drop a worker's cached capacity."""
         self._cache.forget(worker)
 
+    def forget_all(self) -> None:
+        """Drop the cached capacity of all workers."""
+        self._cache.forget_all()
+
     def by_service(
         self,
         services: Collection[str],
--- a/src/wigeonreach/scheduling/placing/_capacity_cache.py
+++ b/src/wigeonreach/scheduling/placing/_capacity_cache.py
@@ -39,6 +39,10 @@
         """Drop a worker's cached capacity."""
         self._capacities.pop(worker, None)
 
+    def forget_all(self) -> None:
+        """Drop the cached capacity of all workers."""
+        self._capacities.clear()
+
     def get(
         self,
         incarnation: Incarnation,
