The soak sends heartbeats of another writer

Twice a second, in turn: of an idle worker that does not exist and begins nothing, and under the id of a worker, without its runs.

--- a/soak/_play.py
+++ b/soak/_play.py
@@ -13,6 +13,7 @@
 from bench.relay import Link, Relay
 from soak._callers import MAX_FAILURES, Callers
 from soak._cores import CoreCluster
+from soak._other_writer import OtherWriter
 from soak._plan import Fault, FaultEvent, draw_plan
 from soak._promises import InvariantChecker
 from soak._workers import Workers
@@ -84,7 +85,10 @@
         worker_gateway = self._gateway(_WORKERS_NAME)
         self._workers = Workers(_VMS, worker_gateway, self.checker, rng)
         self._callers = Callers(self._gateways, self.checker, rng)
-        self._gateways.append(worker_gateway)
+        writer_gateway = self._gateway('other-writer')
+        # A generator of its own, so that it changes no draw of the others.
+        self._writer = OtherWriter(writer_gateway, random.Random(seed))  # noqa: S311
+        self._gateways.extend((worker_gateway, writer_gateway))
         self._heal_tasks: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
@@ -106,6 +110,7 @@
     async def _run_phases(self) -> None:
         await self._callers.put_first_manifest()
         working = asyncio.create_task(self._workers.run())
+        writing = asyncio.create_task(self._writer.run(self._workers))
         calling = asyncio.create_task(self._callers.run())
         await self._inject_faults()
         await _cancel(calling)
@@ -115,6 +120,7 @@
         self._relay.heal()
         await self._wait_for_ends()
         await _cancel(working)
+        await _cancel(writing)
         self.checker.check_leftover_runs(self._workers.running())
         for core in self._cores.all:
             if core.unexpected_exits:
--- a/soak/_workers.py
+++ b/soak/_workers.py
@@ -70,6 +70,10 @@
             for vm in self._vms:
                 group.create_task(self._heartbeat_loop(vm))
 
+    def current(self) -> list[StandInWorker]:
+        """Return the present worker of each VM."""
+        return [vm.worker for vm in self._vms]
+
     def crash(self, selector: int) -> None:
         """Kill a worker with its runs and restart it with the same ID."""
         vm = self._vms[selector % len(self._vms)]
@@ -111,7 +115,7 @@
         now_s = time.monotonic()
         worker.lapse(now_s)
         self._checker.note_acknowledged(worker, reply.orders, now_s)
-        others = [other.worker for other in self._vms]
+        others = self.current()
         for start in worker.obey(reply.orders, percent=1, sent_s=sent_s):
             self._checker.note_started(start, worker, others, now_s)
             length_s = self._rng.uniform(_MIN_RUN_S, _MAX_RUN_S)
