A worker that ignored withdrawn starts is used again

Since the start limit for workers that begin nothing, a worker that missed two answers got no work any more, for the whole term, if the start in them was withdrawn before the limit was reached: nothing showed that it begins runs again.

Now it pauses like an excluded worker and gets one run then. A worker without a lease is not judged, and starts from before its lease ended are not held against it.

Measured: test_it_is_used_again_after_a_cancellation fails before and passes after.

--- a/src/wigeonreach/scheduling/_scheduler.py
+++ b/src/wigeonreach/scheduling/_scheduler.py
@@ -213,6 +213,8 @@
         self, incarnation: Incarnation, now_s: float
     ) -> None:
         """Let the lease of a worker expire that begins no starts."""
+        if incarnation.withheld_s is not None:
+            return
         unbegun = incarnation.unbegun
         unbegun.note_heartbeat(
             incarnation.report,
@@ -220,8 +222,6 @@
             incarnation.answered_s,
             incarnation.sent_s,
         )
-        if incarnation.withheld_s is not None:
-            return
         if unbegun.is_limit_reached(now_s):
             worker = incarnation.report.worker
             self.workers.withhold_lease(worker, now_s)
--- a/src/wigeonreach/scheduling/_unbegun.py
+++ b/src/wigeonreach/scheduling/_unbegun.py
@@ -57,7 +57,10 @@
             When the heartbeat was sent; one that was sent before the answer
             proves nothing.
         """
-        if not ordered or sent_s <= ordered_s:
+        if sent_s <= ordered_s:
+            return
+        if not ordered:
+            self._note_nothing_ordered(sent_s)
             return
         if len(report.ended) >= MAX_LISTED_ENDS:
             # It may have begun and ended runs that it can't list yet.
@@ -70,6 +73,15 @@
             self.since_s = ordered_s
         self.ignored += 1
 
+    def _note_nothing_ordered(self, now_s: float) -> None:
+        """Forget ignored starts that were withdrawn; pause if there were some.
+
+        Without a start nothing would show whether it begins runs again.
+        """
+        if self.ignored >= _DOUBTFUL_ANSWERS:
+            self.exclude(now_s)
+        self.ignored = 0
+
     @property
     def is_on_trial(self) -> bool:
         """Whether it was excluded, and has begun no run since."""
@@ -98,7 +110,7 @@
         return self.ignored < _DOUBTFUL_ANSWERS
 
     def exclude(self, now_s: float) -> None:
-        """Give the worker no runs for a while, once its lease is over."""
+        """Give the worker no runs for a while; it must have no unbegun ones."""
         self.ignored = 0
         self._excluded_until_s = now_s + self._next_exclusion_s
         self._next_exclusion_s = min(
--- a/src/wigeonreach/scheduling/_workers.py
+++ b/src/wigeonreach/scheduling/_workers.py
@@ -225,6 +225,7 @@
         known.unproven_since_s = now_s
         if known.withheld_s is not None:
             known.withheld_s = None
+            known.ordered_starts = frozenset()
             known.unbegun.exclude(now_s)
         self._add(known)
         return known
--- a/tests/scheduling/test_unbegun.py
+++ b/tests/scheduling/test_unbegun.py
@@ -215,6 +215,33 @@
         day.lead.round(_ROUND_S)
         self.assertThat(day.writer.running, matchers.HasLength(8))
 
+    def test_it_is_used_again_after_a_cancellation(self) -> None:
+        """The run that it ignored is withdrawn before the limit is reached."""
+        day = _Day(sound=0)
+        day.add_for_writer()
+        day.play(1)
+        day.lead.cancel()
+        day.play(0.5)
+        day.writer.ignores = False
+        later = job(step(label=_RACK), job_id='f' * 16)
+        commit(day.store, AddJob(later, QUEUE))
+        day.play(5)
+        self.assertThat(
+            day.store.jobs['f' * 16].phase, matchers.Equals(JobPhase.COMPLETED)
+        )
+
+    def test_withdrawn_starts_give_pauses(self) -> None:
+        """A writer whose starts are withdrawn in time gets fewer and fewer."""
+        day = _Day(sound=0)
+        for number in range(30):
+            spec = job(step(label=_RACK), job_id=f'{number:016x}')
+            commit(day.store, AddJob(spec, QUEUE))
+            day.play(1)
+            day.lead.cancel(spec.job_id)
+            day.play(0.5)
+        orders = sum(bool(told.starts) for told in day.writer.told)
+        self.assertThat(orders, matchers.LessThan(40))
+
     def test_its_serving_task_moves(self) -> None:
         """A serving task is not bound to a worker that never begins it."""
         store = store_with(job(serving_step(1)))
