--- a/tests/scheduling/test_unbegun.py
+++ b/tests/scheduling/test_unbegun.py
@@ -6,12 +6,17 @@
 
 from __future__ import annotations
 
-import dataclasses
 import itertools
 
 import testtools
 from testtools import matchers
 
+from tests.builders_idle_writer import (
+    ROUND_S,
+    WRITER_LABEL,
+    IdleWriter,
+    WriterDay,
+)
 from tests.builders_jobs import (
     JOB,
     QUEUE,
@@ -21,7 +26,6 @@
     serving_step,
     step,
     store_with,
-    workers,
 )
 from wigeonreach.jobs import AddJob, JobPhase, RunEnd
 from wigeonreach.lab import commit
@@ -32,78 +36,11 @@
 from wigeonreach.wire._worker_messages import (
     MAX_LISTED_ENDS,
     EndedRun,
-    StartOrder,
-    WorkerOrders,
     WorkerReport,
 )
 
-_ROUND_S = 0.25
-_ROUNDS_PER_S = 4
 _JOBS = 20
 _RUN = (key(), 1)
-_RACK = 'label-of-the-silent-one'
-
-
-@dataclasses.dataclass(slots=True)
-class IdleWriter(StandInWorker):
-    """Sends the heartbeats of an idle worker, whatever it is told to do.
-
-    Attributes
-    ----------
-    ignores
-        Whether it ignores its orders.
-    told
-        The orders that it received.
-    """
-
-    ignores: bool = True
-    told: list[WorkerOrders] = dataclasses.field(default_factory=list)
-
-    def obey(
-        self,
-        orders: WorkerOrders,
-        percent: int = 100,
-        sent_s: float = 0.0,
-    ) -> tuple[StartOrder, ...]:
-        """Record the orders, and follow them unless they are ignored."""
-        self.told.append(orders)
-        if self.ignores:
-            return ()
-        return StandInWorker.obey(self, orders, percent, sent_s)
-
-
-class _Day:
-    """Jobs of one short task beside an idle writer and some workers."""
-
-    def __init__(self, sound: int = 4) -> None:
-        self.writer = IdleWriter('foreign', 'vm-foreign', kind=_RACK)
-        self.store = store_with()
-        everyone = [self.writer, *workers(sound)]
-        self.lead = FakeLead(self.store, everyone)
-        self.events: list[LogEvent] = []
-
-    def play(self, seconds: float, *, jobs: int = 0) -> None:
-        """Simulate rounds in which listed runs succeed; add a job a second."""
-        for number in range(int(seconds * _ROUNDS_PER_S)):
-            if not number % _ROUNDS_PER_S and number < jobs * _ROUNDS_PER_S:
-                spec = job(step(), job_id=f'{number:016x}')
-                commit(self.store, AddJob(spec, QUEUE))
-            self.lead.round(_ROUND_S)
-            for worker in self.lead.workers.values():
-                for run in list(worker.running):
-                    worker.end(run, RunEnd.DONE)
-            notes = self.lead.scheduler.notes
-            self.events.extend(note.event for note in notes)
-            notes.clear()
-
-    def add_for_writer(self) -> None:
-        """Add a job that only the writer's label allows."""
-        spec = job(step(label=_RACK))
-        commit(self.store, AddJob(spec, QUEUE))
-
-    def lease_count(self) -> int:
-        """Return how many of the writer's answers had a lease."""
-        return sum(orders.lease_ms > 0 for orders in self.writer.told)
 
 
 class TestWriterBesideWorkers(testtools.TestCase):
@@ -111,7 +48,7 @@
 
     def test_all_jobs_end(self) -> None:
         """What was assigned to it runs elsewhere once its lease is over."""
-        day = _Day()
+        day = WriterDay()
         day.play(_JOBS + 10, jobs=_JOBS)
         phases = {spec.phase for spec in day.store.jobs.values()}
         self.assertThat(day.store.jobs, matchers.HasLength(_JOBS))
@@ -119,7 +56,7 @@
 
     def test_it_is_logged(self) -> None:
         """Operators see why a worker that is heard gets nothing."""
-        day = _Day()
+        day = WriterDay()
         day.play(8, jobs=2)
         self.assertThat(
             LogEvent.STARTS_IGNORED in day.events, matchers.Is(True)
@@ -127,7 +64,7 @@
 
     def test_runs_go_elsewhere_after_the_lease_only(self) -> None:
         """Nothing runs twice, should the runs have begun after all."""
-        day = _Day(sound=0)
+        day = WriterDay(sound=0)
         day.add_for_writer()
         day.play(3)
         self.assertThat(day.writer.told[-1].lease_ms, matchers.Equals(0))
@@ -139,7 +76,7 @@
 
     def test_it_proves_nothing_against_the_task(self) -> None:
         """The worker is heard all the time, so no run has crashed it."""
-        day = _Day(sound=0)
+        day = WriterDay(sound=0)
         day.add_for_writer()
         day.play(30)
         task = day.store.task_of(key())
@@ -152,9 +89,9 @@
 
     def test_it_gets_one_run_at_a_time_later(self) -> None:
         """After its exclusion a single job tries whether it begins runs now."""
-        day = _Day(sound=0)
+        day = WriterDay(sound=0)
         for number in range(3):
-            spec = job(step(label=_RACK), job_id=f'{number:016x}')
+            spec = job(step(label=WRITER_LABEL), job_id=f'{number:016x}')
             commit(day.store, AddJob(spec, QUEUE))
         day.play(8)
         day.writer.told.clear()
@@ -164,7 +101,7 @@
 
     def test_exclusions_grow(self) -> None:
         """It holds a lease for an ever smaller part of the time."""
-        day = _Day(sound=0)
+        day = WriterDay(sound=0)
         day.add_for_writer()
         day.play(200)
         ordered = sum(bool(orders.starts) for orders in day.writer.told)
@@ -172,7 +109,7 @@
 
     def test_a_new_leader_finds_it_again(self) -> None:
         """The starts that an earlier leader recorded bind it no longer."""
-        day = _Day(sound=0)
+        day = WriterDay(sound=0)
         day.add_for_writer()
         day.play(1)
         later = FakeLead(day.store, [day.writer], 4, day.lead.now_s)
@@ -188,7 +125,7 @@
 
     def test_two_lost_answers_change_nothing(self) -> None:
         """It begins the run when it hears of it, and keeps its lease."""
-        day = _Day(sound=0)
+        day = WriterDay(sound=0)
         day.add_for_writer()
         day.play(0.5)
         day.writer.ignores = False
@@ -202,7 +139,7 @@
 
     def test_it_is_used_again(self) -> None:
         """It begins its next run, and then gets as many as any other."""
-        day = _Day(sound=0)
+        day = WriterDay(sound=0)
         day.add_for_writer()
         day.play(4)
         day.writer.ignores = False
@@ -210,20 +147,20 @@
         self.assertThat(
             day.store.jobs[JOB].phase, matchers.Equals(JobPhase.COMPLETED)
         )
-        wide = job(step(8, label=_RACK), job_id='f' * 16)
+        wide = job(step(8, label=WRITER_LABEL), job_id='f' * 16)
         commit(day.store, AddJob(wide, QUEUE))
-        day.lead.round(_ROUND_S)
+        day.lead.round(ROUND_S)
         self.assertThat(day.writer.running, matchers.HasLength(8))
 
     def test_it_is_used_again_after_a_cancellation(self) -> None:
         """The run that it ignored is withdrawn before the limit is reached."""
-        day = _Day(sound=0)
+        day = WriterDay(sound=0)
         day.add_for_writer()
         day.play(1)
         day.lead.cancel()
         day.play(0.5)
         day.writer.ignores = False
-        later = job(step(label=_RACK), job_id='f' * 16)
+        later = job(step(label=WRITER_LABEL), job_id='f' * 16)
         commit(day.store, AddJob(later, QUEUE))
         day.play(5)
         self.assertThat(
@@ -232,9 +169,9 @@
 
     def test_withdrawn_starts_give_pauses(self) -> None:
         """A writer whose starts are withdrawn in time gets fewer and fewer."""
-        day = _Day(sound=0)
+        day = WriterDay(sound=0)
         for number in range(30):
-            spec = job(step(label=_RACK), job_id=f'{number:016x}')
+            spec = job(step(label=WRITER_LABEL), job_id=f'{number:016x}')
             commit(day.store, AddJob(spec, QUEUE))
             day.play(1)
             day.lead.cancel(spec.job_id)
@@ -248,10 +185,10 @@
         writer = IdleWriter('foreign', 'vm-foreign')
         lead = FakeLead(store, [writer])
         for _ in range(4):
-            lead.round(_ROUND_S)
+            lead.round(ROUND_S)
         lead.workers['w1'] = StandInWorker('w1', 'vm1')
         for _ in range(40):
-            lead.round(_ROUND_S)
+            lead.round(ROUND_S)
         self.assertThat(lead.workers['w1'].running, matchers.HasLength(1))
 
 
