The soak marks a process that is being started by having none

Flipping should_run let settle start a process that its supervisor was just starting again. Faults pass over a process that is None already; that check serves now. The other writer's worker and timeout are those of the workers.

--- a/soak/_cores.py
+++ b/soak/_cores.py
@@ -77,7 +77,7 @@
     may_exit
         Whether an exit is expected, since its disk is full.
     process
-        Handle of the process, or None before its first start.
+        Handle of the process, or None until it is started.
     """
 
     name: str
@@ -210,9 +210,10 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _start(self, core: CoreProcess, *options: str) -> None:
+        core.should_run = True
         # Faults pass over a process that is being started: two restarts at once
         # would start it twice.
-        core.should_run = False
+        core.process = None
         core.may_exit = False
         core.folder.mkdir(parents=True, exist_ok=True)
         seeds = [f'--seed={seed}' for seed in self.seeds]
@@ -230,7 +231,6 @@
             stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.STDOUT,
         )
-        core.should_run = True
         core.started_s = time.monotonic()
         supervisor = asyncio.create_task(self._supervise(core, core.process))
         supervisor.add_done_callback(_raise_failure)
--- a/soak/_other_writer.py
+++ b/soak/_other_writer.py
@@ -4,19 +4,18 @@
 
 import asyncio
 import random
-import time
 
 import msgspec
 
-from soak._workers import Workers
+from soak._workers import REPLY_TIMEOUT_S, Workers, new_worker
 from wigeonreach.gateway import Gateway
 from wigeonreach.standins import StandInWorker
 from wigeonreach.wire._call_messages import HearWorker
 from wigeonreach.wire._worker_messages import WorkerReport
 
 _INTERVAL_S = 0.5
-_REPLY_TIMEOUT_S = 1.0
-_NS_PER_MS = 1_000_000
+# No worker runs on it.
+_VM = 'vm-1000'
 # Ahead of the worker's own, as a newer heartbeat would be.
 _SEQUENCE_LEAD = 3
 
@@ -39,9 +38,7 @@
         """Prepare; nothing is sent before ``run``."""
         self._gateway = gateway
         self._rng = rng
-        self._idle = StandInWorker(
-            'nobody', 'vm-nobody', born_ms=time.time_ns() // _NS_PER_MS
-        )
+        self._idle = new_worker(_VM)
 
     async def run(self, workers: Workers) -> None:
         """Send heartbeats until cancelled."""
@@ -50,7 +47,7 @@
             await self._send(_without_runs(self._rng.choice(workers.current())))
 
     async def _send(self, report: WorkerReport) -> None:
-        await self._gateway.call(HearWorker(report), _REPLY_TIMEOUT_S)
+        await self._gateway.call(HearWorker(report), REPLY_TIMEOUT_S)
         await asyncio.sleep(_INTERVAL_S)
 
 
--- a/soak/_workers.py
+++ b/soak/_workers.py
@@ -15,7 +15,7 @@
 from wigeonreach.wire._call_replies import Orders
 
 # Like real workers, drop a reply that arrives later than this.
-_REPLY_TIMEOUT_S = 1.0
+REPLY_TIMEOUT_S = 1.0
 _HEARTBEAT_S = 0.05
 _FAILED_PERCENT = 3
 _MIN_RUN_S = 0.1
@@ -60,7 +60,7 @@
         self._checker = checker
         self._rng = rng
         self._vms = [
-            _Vm(f'vm-{number}', _new_worker(f'vm-{number}'))
+            _Vm(f'vm-{number}', new_worker(f'vm-{number}'))
             for number in range(count)
         ]
 
@@ -78,7 +78,7 @@
         """Kill a worker with its runs and restart it with the same ID."""
         vm = self._vms[selector % len(self._vms)]
         vm.due_s.clear()
-        vm.worker = _new_worker(vm.name)
+        vm.worker = new_worker(vm.name)
 
     def running(self) -> dict[TaskKey, str]:
         """Return the running tasks, each with the worker that runs it."""
@@ -98,9 +98,9 @@
             sent_s = time.monotonic()
             reply = await self._gateway.call(
                 HearWorker(worker.report()),
-                _REPLY_TIMEOUT_S,
+                REPLY_TIMEOUT_S,
             )
-            is_late = time.monotonic() - sent_s > _REPLY_TIMEOUT_S
+            is_late = time.monotonic() - sent_s > REPLY_TIMEOUT_S
             # A worker that crashed in the meantime gets no reply.
             if (
                 isinstance(reply, Orders)
@@ -137,7 +137,8 @@
         worker.advance(_percent(now_s))
 
 
-def _new_worker(vm: str) -> StandInWorker:
+def new_worker(vm: str) -> StandInWorker:
+    """Return a worker that starts on a VM, whose name ends in a number."""
     born_ms = time.time_ns() // _NS_PER_MS
     zone = f'z{int(vm.rpartition("-")[-1]) % _ZONES}'
     return StandInWorker(f'worker-of-{vm}', vm, born_ms=born_ms, zone=zone)
