--- a/tests/builders_core.py
+++ b/tests/builders_core.py
@@ -18,9 +18,10 @@
 from wigeonreach.scheduling import SchedulingSettings
 from wigeonreach.scheduling._vms import OrderResult, VmRecord
 from wigeonreach.scheduling.placing._advice import Advice, AdviceRequest
+from wigeonreach.standins import StandInWorker
 from wigeonreach.wire import parse_address
-from wigeonreach.wire._call_messages import AnyCall, PutManifest
-from wigeonreach.wire._call_replies import AnyReply, Done
+from wigeonreach.wire._call_messages import AnyCall, HearWorker, PutManifest
+from wigeonreach.wire._call_replies import AnyReply, Done, Orders
 
 # Far longer than any test takes; it only ends a test that hangs.
 _TEST_TIMEOUT_S = 30.0
@@ -138,6 +139,13 @@
                 return reply
 
 
+async def send_heartbeat(cluster: CoreCluster, worker: StandInWorker) -> None:
+    """Send a worker's next heartbeat and let it follow the orders."""
+    reply = await cluster.call(HearWorker(worker.report()))
+    assert isinstance(reply, Orders), reply
+    worker.obey(reply.orders, percent=1)
+
+
 def run_cluster(body: Callable[[CoreCluster], Awaitable[None]]) -> None:
     """Run a test body with three core processes that have a manifest."""
     with tempfile.TemporaryDirectory() as folder:
--- a/tests/builders_idle_writer.py
+++ b/tests/builders_idle_writer.py
@@ -4,7 +4,15 @@
 
 import dataclasses
 
-from tests.builders_jobs import QUEUE, FakeLead, job, step, store_with, workers
+from tests.builders_jobs import (
+    JOB,
+    QUEUE,
+    FakeLead,
+    job,
+    step,
+    store_with,
+    workers,
+)
 from wigeonreach.jobs import AddJob, RunEnd
 from wigeonreach.lab import commit
 from wigeonreach.observe import LogEvent
@@ -83,9 +91,9 @@
             self.events.extend(note.event for note in notes)
             notes.clear()
 
-    def add_for_writer(self) -> None:
+    def add_for_writer(self, job_id: str = JOB, tasks: int = 1) -> None:
         """Add a job that only the writer's label allows."""
-        spec = job(step(label=WRITER_LABEL))
+        spec = job(step(tasks, label=WRITER_LABEL), job_id=job_id)
         commit(self.store, AddJob(spec, QUEUE))
 
     def lease_count(self) -> int:
--- a/tests/core/test_daemon.py
+++ b/tests/core/test_daemon.py
@@ -8,14 +8,13 @@
 import testtools
 from testtools import matchers
 
-from tests.builders_core import CoreCluster, run_cluster
+from tests.builders_core import CoreCluster, run_cluster, send_heartbeat
 from tests.builders_jobs import JOB, job, key, manifest, step
 from wigeonreach.jobs import JobPhase, RunEnd
 from wigeonreach.standins import StandInWorker
 from wigeonreach.wire._call_messages import (
     AnyCall,
     CancelJobCall,
-    HearWorker,
     PutManifest,
     ReadJob,
     ReadManifest,
@@ -30,7 +29,6 @@
     ManifestText,
     NoSuchJob,
     NotFound,
-    Orders,
     Unknown,
     WaitingJobs,
 )
@@ -39,12 +37,6 @@
 _JOB_PATH = (_HOST, f'/bookings/{JOB}')
 
 
-async def _send_heartbeat(cluster: CoreCluster, worker: StandInWorker) -> None:
-    reply = await cluster.call(HearWorker(worker.report()))
-    assert isinstance(reply, Orders), reply
-    worker.obey(reply.orders, percent=1)
-
-
 class TestCores(testtools.TestCase):
     """Three core processes."""
 
@@ -55,7 +47,7 @@
             worker = StandInWorker('w', 'vm')
             await cluster.call(SubmitJob(*_JOB_PATH, job(step(1))))
             while not worker.running:
-                await _send_heartbeat(cluster, worker)
+                await send_heartbeat(cluster, worker)
             status = await cluster.call(ReadJob(*_JOB_PATH))
             self.assertThat(
                 status,
@@ -63,7 +55,7 @@
             )
             worker.end((key(), 1), RunEnd.DONE)
             while worker.ended:
-                await _send_heartbeat(cluster, worker)
+                await send_heartbeat(cluster, worker)
             status = await cluster.call(ReadJob(*_JOB_PATH))
             self.assertThat(
                 status,
@@ -79,10 +71,10 @@
             worker = StandInWorker('w', 'vm')
             await cluster.call(SubmitJob(*_JOB_PATH, job(step(1))))
             while not worker.running:
-                await _send_heartbeat(cluster, worker)
+                await send_heartbeat(cluster, worker)
             first = await cluster.leader()
             await cluster.stop(first)
-            await _send_heartbeat(cluster, worker)
+            await send_heartbeat(cluster, worker)
             self.assertThat(
                 list(worker.running),
                 matchers.Equals([(key(), 1)]),
@@ -156,10 +148,10 @@
 
         async def body(cluster: CoreCluster) -> None:
             worker = StandInWorker('w', 'vm')
-            await _send_heartbeat(cluster, worker)
+            await send_heartbeat(cluster, worker)
             await cluster.call(StartWaveCall(1, ('vm',), 20, 1))
             while not cluster.vms.orders:
-                await _send_heartbeat(cluster, worker)
+                await send_heartbeat(cluster, worker)
             self.assertThat(cluster.vms.orders, matchers.HasLength(1))
             vm, what, _ = cluster.vms.orders[0]
             self.assertThat((vm, what), matchers.Equals(('vm', 'wave 1')))
@@ -172,10 +164,10 @@
         async def body(cluster: CoreCluster) -> None:
             cluster.vms.list_allowed.clear()
             worker = StandInWorker('w', 'vm')
-            await _send_heartbeat(cluster, worker)
+            await send_heartbeat(cluster, worker)
             await cluster.call(StartWaveCall(1, ('vm', 'unheard'), 20, 2))
             while not cluster.vms.orders:
-                await _send_heartbeat(cluster, worker)
+                await send_heartbeat(cluster, worker)
             ordered = [vm for vm, _, _ in cluster.vms.orders]
             self.assertThat(ordered, matchers.Equals(['vm']))
 
--- a/tests/core/test_decision_guard.py
+++ b/tests/core/test_decision_guard.py
@@ -13,7 +13,7 @@
 import testtools
 from testtools import matchers
 
-from tests.builders_core import CoreCluster, run_cluster
+from tests.builders_core import CoreCluster, run_cluster, send_heartbeat
 from tests.builders_jobs import JOB, job, key, step
 from wigeonreach.codes import ResultCode
 from wigeonreach.core import _decision_guard
@@ -134,19 +134,14 @@
         worker = StandInWorker('w', 'vm')
         await cluster.call(SubmitJob(*_JOB_PATH, job(step(1))))
         while not worker.running:
-            await self._send(cluster, worker)
+            await send_heartbeat(cluster, worker)
         worker.end((key(), 1), RunEnd.DONE)
         while worker.ended:
-            await self._send(cluster, worker)
+            await send_heartbeat(cluster, worker)
         status = await cluster.call(ReadJob(*_JOB_PATH))
         self.assertThat(status, matchers.Equals(_DONE))
         self.assertThat(self.ended.called, matchers.Is(False))
 
-    async def _send(self, cluster: CoreCluster, worker: StandInWorker) -> None:
-        reply = await cluster.call(HearWorker(worker.report()))
-        assert isinstance(reply, Orders), reply
-        worker.obey(reply.orders, percent=1)
-
     def test_moves_fail(self) -> None:
         """Jobs run all the same, and no process ends."""
         failing = mock.patch.object(
--- a/tests/scheduling/test_unbegun.py
+++ b/tests/scheduling/test_unbegun.py
@@ -13,22 +13,19 @@
 
 from tests.builders_idle_writer import (
     ROUND_S,
-    WRITER_LABEL,
     IdleWriter,
     WriterDay,
 )
 from tests.builders_jobs import (
     JOB,
-    QUEUE,
+    OTHER_JOB,
     FakeLead,
     job,
     key,
     serving_step,
-    step,
     store_with,
 )
-from wigeonreach.jobs import AddJob, JobPhase, RunEnd
-from wigeonreach.lab import commit
+from wigeonreach.jobs import JobPhase, RunEnd
 from wigeonreach.observe import LogEvent
 from wigeonreach.scheduling._incarnation import LEASE_EXPIRED_S
 from wigeonreach.scheduling._unbegun import UnbegunStarts
@@ -91,8 +88,7 @@
         """After its exclusion a single job tries whether it begins runs now."""
         day = WriterDay(sound=0)
         for number in range(3):
-            spec = job(step(label=WRITER_LABEL), job_id=f'{number:016x}')
-            commit(day.store, AddJob(spec, QUEUE))
+            day.add_for_writer(f'{number:016x}')
         day.play(8)
         day.writer.told.clear()
         day.play(30)
@@ -147,8 +143,7 @@
         self.assertThat(
             day.store.jobs[JOB].phase, matchers.Equals(JobPhase.COMPLETED)
         )
-        wide = job(step(8, label=WRITER_LABEL), job_id='f' * 16)
-        commit(day.store, AddJob(wide, QUEUE))
+        day.add_for_writer(OTHER_JOB, tasks=8)
         day.lead.round(ROUND_S)
         self.assertThat(day.writer.running, matchers.HasLength(8))
 
@@ -160,21 +155,19 @@
         day.lead.cancel()
         day.play(0.5)
         day.writer.ignores = False
-        later = job(step(label=WRITER_LABEL), job_id='f' * 16)
-        commit(day.store, AddJob(later, QUEUE))
+        day.add_for_writer(OTHER_JOB)
         day.play(5)
         self.assertThat(
-            day.store.jobs['f' * 16].phase, matchers.Equals(JobPhase.COMPLETED)
+            day.store.jobs[OTHER_JOB].phase, matchers.Equals(JobPhase.COMPLETED)
         )
 
     def test_withdrawn_starts_give_pauses(self) -> None:
         """A writer whose starts are withdrawn in time gets fewer and fewer."""
         day = WriterDay(sound=0)
         for number in range(30):
-            spec = job(step(label=WRITER_LABEL), job_id=f'{number:016x}')
-            commit(day.store, AddJob(spec, QUEUE))
+            day.add_for_writer(f'{number:016x}')
             day.play(1)
-            day.lead.cancel(spec.job_id)
+            day.lead.cancel(f'{number:016x}')
             day.play(0.5)
         orders = sum(bool(told.starts) for told in day.writer.told)
         self.assertThat(orders, matchers.LessThan(40))
