--- a/review/5/case.py
+++ b/review/5/case.py
@@ -18,9 +18,8 @@
     # The policy allows half of the workers, or without the disruption all.
     names = [worker.name for worker in fleet.workers]
     fleet.advised = set(names[3:] if h.TROUBLE else names)
-    advice = {'decisionMs': 20, 'periodMs': 0, 'validityMs': 3000}
     await fleet.put_manifest(
-        [h.route('r-desk', 'desk', recommendation=advice)], [h.service('desk')])
+        [h.route('r-desk', 'desk', recommendation=fleet.advice)], [h.service('desk')])
     await fleet.wait_heard()
     jobs = [h.new_id() for _ in range(3)]
     step = {'count': 1, 'cpu': 500, 'memMb': 256, 'estimatedMs': 500}
--- a/review/harness2.py
+++ b/review/harness2.py
@@ -431,6 +431,8 @@
         self.workers = []
         self.tickets = {}
         self.advised = None
+        self.advice = {'decisionMs': 20, 'periodMs': 0, 'validityMs': 3000}
+        self._advisor_turns = {}
         self.version = 0
         self._tasks = set()
 
@@ -577,15 +579,20 @@
         return 409, {'reason': 'busy'}
 
     async def _on_advice(self, method, path, headers, body):
-        await asyncio.sleep(0.02)
+        # One call at a time; here only the leader calls.
+        turn = self._advisor_turns.setdefault('leader', asyncio.Lock())
+        async with turn:
+            took_ms = self.advice['decisionMs'] + self.advice['periodMs'] * len(body['workers'])
+            await asyncio.sleep(took_ms / 1000)
         rows = []
         for worker in body['workers']:
             if self.advised is None or worker in self.advised:
                 ticket = self.tickets.setdefault(
                     (body['step'], worker), f't{len(self.tickets)}')
                 rows.append([worker, ticket])
-        self.record.write('advisor', f'asked for {body["step"]} on {body["workers"]}, allows {[row[0] for row in rows]}')
-        return 200, {'allowedWorkers': rows, 'validityMs': 3000}
+        self.record.write('advisor', f'asked for {body["step"]} on {body["workers"]}, allows'
+                          f' {[row[0] for row in rows]} after {took_ms} ms')
+        return 200, {'allowedWorkers': rows, 'validityMs': self.advice['validityMs']}
 
     def admits(self, worker, task, ticket):
         """Whether a worker may start a task with this ticket."""
