Review: the scripts clean up after any error, and say so by their exit status

An error that nobody expected ends a script with 2, not 1; a SIGTERM ends its processes too, and its temporary folder is removed.

--- a/review/harness2.py
+++ b/review/harness2.py
@@ -11,12 +11,14 @@
 import os
 import pathlib
 import random
+import shutil
 import signal
 import socket
 import subprocess
 import sys
 import tempfile
 import time
+import traceback
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
@@ -691,9 +693,14 @@
     return f'{random.getrandbits(64):016x}'
 
 
+def _on_terminate(number, frame):
+    raise SystemExit(NOT_RUN)
+
+
 def main(file, case, **options):
     """Run a case; `case(fleet)` returns a text if the rule was broken."""
     fleet = None
+    signal.signal(signal.SIGTERM, _on_terminate)
     try:
         fleet = Fleet(pathlib.Path(file).resolve().parent, **options)
 
@@ -703,7 +710,8 @@
                 return await case(fleet)
 
         broken = asyncio.run(whole())
-    except (CannotRun, OSError, TimeoutError) as error:
+    except Exception as error:
+        traceback.print_exc()
         print(f'could not run: {error!r}')
         if fleet is not None:
             fleet.record.write('case', f'could not run: {error!r}')
@@ -711,6 +719,7 @@
     finally:
         if fleet is not None:
             fleet.end_all()
+            shutil.rmtree(fleet._data, ignore_errors=True)
     text = f'the rule was broken: {broken}' if broken else 'the rule held'
     fleet.record.write('case', text)
     print(text)
