A worker's announced end is no proof that its runs have ended

Cause: 0.5 s after an announcement the worker counted as ended, whether or not it got the acknowledgement; its heartbeats even got further leases. A new leader that had not heard the worker gave its runs up at once.

Change: from the announcement on the worker gets no further lease, and its runs start elsewhere once it reports their ends or all leases given to it are over. Ends are acknowledged without a lease. Workers that drain get leases of 2 s, so that the wait is short where the acknowledgement arrives.

One test demanded that an announced worker is gone 0.6 s later, which is the fault itself. It now demands that the worker is tracked until its last lease is over and gone then.

--- a/src/wigeonreach/platform/_workers.py
+++ b/src/wigeonreach/platform/_workers.py
@@ -176,6 +176,7 @@
         response['heartbeatEndpoint'] = orders.next_core
     if orders.lease_ms:
         response['holdMs'] = orders.lease_ms
+    if orders.lease_ms or orders.fence:
         response['ackedSeq'] = orders.acknowledged
         response['fencingToken'] = orders.fence
     if orders.next_after_ms:
--- a/src/wigeonreach/scheduling/_answers.py
+++ b/src/wigeonreach/scheduling/_answers.py
@@ -73,6 +73,7 @@
             ValidTickets(self._advice, now_s),
             self._term,
         )
+        incarnation.note_leased(orders.lease_ms)
         incarnation.ordered_starts = frozenset(
             (start.task, start.run) for start in orders.starts
         )
--- a/src/wigeonreach/scheduling/_incarnation.py
+++ b/src/wigeonreach/scheduling/_incarnation.py
@@ -15,12 +15,16 @@
 # than an election with a lost heartbeat before and after it (about 3 s); short
 # enough that the work of a lost worker is soon restarted elsewhere.
 LEASE_MS = 4000
-_LEASE_S = LEASE_MS / 1000
+# Lease of a worker that drains.  Once it announces its end, what it may still run
+# waits for its last lease, so callers feel this time in each planned shutdown.
+# Longer than an idle heartbeat interval (0.7 s) with a lost heartbeat (1 s).
+DRAINING_LEASE_MS = 2000
+_MS_PER_S = 1000
 # A worker's clock may be 2 % slow, by the platform's documentation.
 _SLOW_CLOCK_RATIO = 1.02
 # Covers the stop at the end of a lease, and a late tick of this process.
 _LEASE_MARGIN_S = 0.3
-LEASE_EXPIRED_S = _LEASE_S * _SLOW_CLOCK_RATIO + _LEASE_MARGIN_S
+LEASE_EXPIRED_S = LEASE_MS / _MS_PER_S * _SLOW_CLOCK_RATIO + _LEASE_MARGIN_S
 # An incarnation that is heard over this time is alive.  Delayed heartbeats of a
 # dead one may still arrive, but not spread over so long.
 PROVEN_ALIVE_S = 1.0
@@ -59,7 +63,7 @@
     last_recorded_end
         Number of the last of its ends that is committed.
     ends_at_s
-        When it has certainly ended, once it announced its end.
+        When its last lease is over, once it announced its end.
     ordered_s
         When an order for its VM was last confirmed.
     unproven_since_s
@@ -80,6 +84,8 @@
         Since when its lease is not renewed although it is heard.
     sent_s
         When its newest heartbeat was sent.
+    leased_until_s
+        When all leases that it was given so far are over.
     """
 
     report: WorkerReport
@@ -99,12 +105,15 @@
     withheld_s: float | None = None
     sent_s: float = float('-inf')
     largest_resources: Resources = NO_RESOURCES
+    leased_until_s: float = float('-inf')
     _send_time: SendTimeEstimator = dataclasses.field(
         default_factory=SendTimeEstimator
     )
 
     def __post_init__(self) -> None:
-        """Estimate when the first heartbeat was sent."""
+        """Estimate when the first heartbeat was sent, and its former lease."""
+        # A former leader may have given a lease until this term began.
+        self.leased_until_s = self.first_heard_s + LEASE_EXPIRED_S
         self.largest_resources = self.resources
         self.sent_s = self._send_time.estimate_s(
             self.report.clock_ms, self.heard_s
@@ -136,6 +145,30 @@
             return False
         return now_s >= self.withheld_s + LEASE_EXPIRED_S
 
+    @property
+    def lease_ms(self) -> int:
+        """The lease to give it next; 0 if it gets no further one."""
+        if self.withheld_s is not None or self.ends_at_s is not None:
+            return 0
+        return DRAINING_LEASE_MS if self.report.is_draining else LEASE_MS
+
+    def note_leased(self, lease_ms: int) -> None:
+        """Record that its newest heartbeat is answered with a lease."""
+        if lease_ms:
+            expired_s = lease_ms / _MS_PER_S * _SLOW_CLOCK_RATIO
+            over_s = self.heard_s + expired_s + _LEASE_MARGIN_S
+            self.leased_until_s = max(self.leased_until_s, over_s)
+
+    def announce_end(self) -> None:
+        """Record that it announced its end, so that it gets no further lease.
+
+        The announcement does not show that it has ended: if the worker does not
+        get the acknowledgement, it goes on for some seconds.  Its last lease
+        ends what it runs in any case.
+        """
+        if self.ends_at_s is None:
+            self.ends_at_s = self.leased_until_s
+
     @property
     def is_ending(self) -> bool:
         """Whether it drains or announced its end."""
--- a/src/wigeonreach/scheduling/_orders.py
+++ b/src/wigeonreach/scheduling/_orders.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from wigeonreach.jobs import JobRecord, JobStore, Run, TaskKey
-from wigeonreach.scheduling._incarnation import LEASE_MS, Incarnation
+from wigeonreach.scheduling._incarnation import Incarnation
 from wigeonreach.scheduling._pacing import FULL_PACE, Pacing
 from wigeonreach.scheduling.placing._advice import TicketCache
 from wigeonreach.wire._worker_messages import (
@@ -62,7 +62,7 @@
     worker = incarnation.report.worker
     held = store.runs_of(worker)
     return WorkerOrders(
-        lease_ms=LEASE_MS,
+        lease_ms=incarnation.lease_ms,
         fence=term,
         acknowledged=incarnation.last_recorded_end,
         starts=tuple(_starts(incarnation, store, stopping, tickets)),
@@ -168,7 +168,7 @@
     stopping: Collection[Run],
     tickets: ValidTickets,
 ) -> Iterator[StartOrder]:
-    if incarnation.report.is_draining:
+    if incarnation.is_ending:
         return
     for key, run in unlisted_runs(incarnation, store):
         job = store.job_of(key)
--- a/src/wigeonreach/scheduling/_workers.py
+++ b/src/wigeonreach/scheduling/_workers.py
@@ -14,8 +14,6 @@
 from wigeonreach.scheduling._vm_incarnations import VmIncarnations
 from wigeonreach.wire._worker_messages import WorkerReport, worker_id_of
 
-# A worker that announced its end has ended after this time.
-_SHUTDOWN_S = 0.5
 # Ended incarnations are remembered for longer than a heartbeat may be delayed.
 _GONE_RETENTION_S = 120.0
 
@@ -50,6 +48,8 @@
         # was withheld, and that may return.
         self._lapsed: dict[str, Incarnation] = {}
         self._leaving: set[str] = set()
+        # When workers that were not heard yet in this term announced their end.
+        self._announced_s: dict[str, float] = {}
         self._withheld: set[str] = set()
         self._starting: frozenset[str] = frozenset()
         # Heap of the times at which leases may expire, with their workers.
@@ -75,6 +75,8 @@
             known = Incarnation(report, now_s, now_s, resources_of(report))
             self.by_vm.mark_rivals_unproven(known, now_s)
             self._add(known)
+            if report.worker in self._announced_s:
+                self._note_leaving(known)
             return known
         if report.sequence < known.report.sequence:
             return None
@@ -89,7 +91,10 @@
         return known
 
     def mark_leaving(self, worker: str, now_s: float) -> None:
-        """Record that a worker announced its end.
+        """Record that a worker announced its end, and give it no more leases.
+
+        Its runs may start elsewhere once it reports their ends, or its last
+        lease is over.
 
         Parameters
         ----------
@@ -105,10 +110,9 @@
             worker
         )
         if known is None:
-            self._gone_s[worker] = now_s
-        elif known.ends_at_s is None:
-            known.ends_at_s = now_s + _SHUTDOWN_S
-            self._leaving.add(known.report.worker)
+            self._announced_s[worker] = now_s
+        else:
+            self._note_leaving(known)
 
     def withhold_lease(self, worker: str, now_s: float) -> None:
         """Let a worker's lease expire, although it is heard.
@@ -165,18 +169,24 @@
         return over
 
     def is_over(self, worker: str, now_s: float) -> bool:
-        """Whether an untracked worker has certainly no runs any more."""
+        """Whether an untracked worker has certainly no runs any more.
+
+        One that announced its end but was not heard in this term may run on
+        under a lease that a former leader gave.
+        """
         if worker in self.incarnations:
             return False
         return self.has_ended(worker) or self.has_heard_all(now_s)
 
     def has_ended(self, worker: str) -> bool:
-        """Whether an incarnation was given up or announced its end."""
+        """Whether an incarnation was given up or has left."""
         return worker in self._gone_s
 
     def was_heard(self, worker: str) -> bool:
         """Whether a worker was heard, or ended, in this term."""
-        return worker in self.incarnations or self.has_ended(worker)
+        is_announced = worker in self._announced_s
+        is_tracked = worker in self.incarnations
+        return is_tracked or is_announced or self.has_ended(worker)
 
     def has_heard_all(self, now_s: float) -> bool:
         """Whether workers not yet heard in this term have no runs left."""
@@ -196,6 +206,10 @@
         """Return the newest incarnation on a VM."""
         return self.by_vm.newest(vm)
 
+    def _note_leaving(self, incarnation: Incarnation) -> None:
+        incarnation.announce_end()
+        self._leaving.add(incarnation.report.worker)
+
     def _draining_incarnation(self, worker_id: str) -> Incarnation | None:
         """Return the draining incarnation of a worker, if there is one."""
         return next(
@@ -282,3 +296,8 @@
         }
         for worker in self._lapsed.keys() - self._gone_s.keys():
             self._lapsed.pop(worker)
+        self._announced_s = {
+            worker: announced_s
+            for worker, announced_s in self._announced_s.items()
+            if announced_s > oldest_s
+        }
--- a/src/wigeonreach/standins/_worker.py
+++ b/src/wigeonreach/standins/_worker.py
@@ -128,17 +128,20 @@
         tuple of StartOrder
             The orders of the runs that were started.
         """
-        if orders.fence < self.fence or not orders.lease_ms:
+        if orders.fence < self.fence:
             return ()
         self.fence = orders.fence
-        lease_until_s = sent_s + orders.lease_ms / _MS_PER_S
-        self.lease_until_s = max(self.lease_until_s, lease_until_s)
+        if orders.lease_ms:
+            lease_until_s = sent_s + orders.lease_ms / _MS_PER_S
+            self.lease_until_s = max(self.lease_until_s, lease_until_s)
         self.ended = [
             ended for ended in self.ended if ended.number > orders.acknowledged
         ]
         for stop in orders.stops:
             if (stop.task, stop.run) in self.running:
                 self.end((stop.task, stop.run), RunEnd.STOPPED)
+        if not orders.lease_ms:
+            return ()
         started = tuple(
             start for start in orders.starts if self._may_start(start)
         )
--- a/src/wigeonreach/wire/_worker_messages.py
+++ b/src/wigeonreach/wire/_worker_messages.py
@@ -165,7 +165,8 @@
     ----------
     lease_ms
         How long all runs of the worker may continue, counted from when the
-        heartbeat was sent; 0 extends no lease and starts nothing.
+        heartbeat was sent; 0 extends no lease and starts nothing; ends are still
+        acknowledged and runs stopped, if ``fence`` is set.
     fence
         Fencing token; the worker ignores orders with a lower one from now on.
     acknowledged
--- a/tests/scheduling/test_restarts.py
+++ b/tests/scheduling/test_restarts.py
@@ -258,18 +258,20 @@
         self.assertThat(self.fleet.phase(), _COMPLETED)
 
     def test_leave_ends_the_draining_incarnation(self) -> None:
-        """It ends at once, before its lease expires."""
+        """It gets no further lease, and is gone once its last one is over."""
         self.fleet.run(_PROVEN_ROUNDS)
         self.worker.is_draining = True
         lead = self.fleet.lead
         lead.round()
         lead.scheduler.workers.mark_leaving('i-0', lead.now_s)
-        lead.now_s += 0.6
+        known = lead.scheduler.workers.incarnations
+        over_s = known[self.worker.incarnation].leased_until_s
+        while lead.now_s + 0.1 < over_s:
+            lead.round()
+            self.assertThat(known, matchers.HasLength(1))
+        lead.now_s = over_s
         lead.plan()
-        self.assertThat(
-            lead.scheduler.workers.incarnations,
-            matchers.HasLength(0),
-        )
+        self.assertThat(known, matchers.HasLength(0))
 
     def test_heartbeat_without_a_start_is_foreign(self) -> None:
         """It can't be attributed to an incarnation."""
