The advisor's refusals count, so that an allowed worker is found

Callers saw accepted jobs without a start for 17 s while three workers that may run them were idle (LOST): the advisor allowed three of six workers, and each call named the two emptiest, which it refused.

Cause: the tickets of an answer were kept, its refusals were not. A refused worker stayed the emptiest and was named again for good.

Change: a worker that an answer leaves out counts as refused for 10 s for that step. What a queue's step learned orders the calls of its other steps. An answer for an ended job leaves nothing behind.

--- a/src/wigeonreach/scheduling/_scheduler.py
+++ b/src/wigeonreach/scheduling/_scheduler.py
@@ -289,6 +289,8 @@
             now_s,
         )
         plan.place(steps)
+        self.notes.extend(self.advice.notes)
+        self.advice.notes.clear()
         self.notes.extend(self.cap_tracker.note_plan(cap_plan))
         made = plan.preempt(self.stopping, self.pools.vms.vm_resources)
         self.stopping.update(made.stops)
--- a/src/wigeonreach/scheduling/placing/_advice.py
+++ b/src/wigeonreach/scheduling/placing/_advice.py
@@ -2,9 +2,12 @@
 
 An external advisor decides which workers may run a step of such a queue.  It
 handles one call at a time and takes time for each worker in the call, so each
-call names only a few workers, is made only if a step has fewer tickets than
-waiting tasks, and its tickets are reused for all tasks of the step while they
-are valid.
+call names only a few workers, and its tickets are reused for all tasks of the
+step while they are valid.
+
+An answer also refuses the workers that it leaves out.  While a step lacks
+workers with a ticket, each call names others than the calls before, and more of
+them, so that a worker that may run the step is found however few there are.
 """
 
 from __future__ import annotations
@@ -13,7 +16,10 @@
 from collections.abc import Iterable, Mapping
 
 from wigeonreach.jobs import TaskKey
+from wigeonreach.observe import LogEvent
+from wigeonreach.scheduling._notes import LogNote
 from wigeonreach.scheduling._ready import ReadyStep
+from wigeonreach.scheduling.placing._locality import fits_all_tasks
 from wigeonreach.scheduling.placing._worker_capacity import WorkerCapacity
 
 # Limits the workers named in one call.
@@ -21,11 +27,17 @@
 # Up to that limit a call names more workers than there are tasks, as the
 # advisor may refuse some.
 _WORKERS_PER_TASK = 2
+# Further doublings change nothing.
+_MAX_DOUBLINGS = 10
 # A ticket must still be valid when the order arrives, a few heartbeats later.
 _MIN_VALIDITY_S = 0.6
-# Delay between the end of a call, even a successful one, and the next call for
-# the same step.
+# Delay before the next call for a step whose last call failed, or that waits
+# although its tickets seem to be enough.
 _RETRY_DELAY_S = 0.5
+# How long a refusal counts.  Who may run a step does not change, so this only
+# covers wrong answers, and costs little even if no worker may.
+_REFUSAL_TTL_S = 10.0
+_NEVER_S = float('-inf')
 
 StepKey = tuple[str, int, int]
 
@@ -63,36 +75,95 @@
 
     Attributes
     ----------
+    queue
+        Name of the queue of its job.
     tickets
-        Ticket and the time at which it expires, by worker.
+        Ticket and the time until which it can be used, by worker.  An expired
+        one shows that the worker may run the step.
+    asked_s
+        When a call last named a worker that has no ticket.
+    refused_s
+        When a worker was last refused.
     next_request_s
         Earliest time of the next request.
+    enough_since_s
+        Since when its tickets have been enough while it waits.
+    seen_s
+        When it was last seen waiting.
     is_requested
         Whether a request is in flight.
+    short_answers
+        Answers in a row that allowed too few of the workers.
+    is_noted
+        Whether it is in the log that no worker is allowed.
     """
 
+    queue: str
     tickets: dict[str, tuple[str, float]] = dataclasses.field(
         default_factory=dict,
     )
-    next_request_s: float = 0.0
+    asked_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    refused_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    next_request_s: float = _NEVER_S
+    enough_since_s: float = _NEVER_S
+    seen_s: float = _NEVER_S
     is_requested: bool = False
+    short_answers: int = 0
+    is_noted: bool = False
+
+    def ticket(self, worker: str, now_s: float) -> str:
+        """Return the valid ticket of a worker, or an empty text."""
+        ticket, until_s = self.tickets.get(worker, ('', _NEVER_S))
+        return ticket if until_s > now_s else ''
+
+    def is_refused(self, worker: str, now_s: float) -> bool:
+        """Whether a worker was refused, not long ago."""
+        refused_s = self.refused_s.get(worker, _NEVER_S)
+        return now_s - refused_s < _REFUSAL_TTL_S
+
+    def is_stuck(self, has_enough: bool, now_s: float) -> bool:
+        """Whether it waits for long although its tickets are enough.
+
+        A task may have to keep away from the workers with a ticket.
+        """
+        is_new = now_s - self.seen_s > _RETRY_DELAY_S
+        self.seen_s = now_s
+        if is_new or not has_enough:
+            self.enough_since_s = now_s
+        return now_s - self.enough_since_s >= _RETRY_DELAY_S
+
+    def note_allowed(self, tickets: Mapping[str, str], until_s: float) -> None:
+        """Store the tickets of an answer."""
+        for worker, ticket in tickets.items():
+            self.tickets[worker] = (ticket, until_s)
+            self.asked_s.pop(worker, None)
+            self.refused_s.pop(worker, None)
+        if tickets:
+            self.is_noted = False
 
 
 class TicketCache:
-    """Tickets received in this term, and the requests for more."""
+    """Tickets received in this term, and the requests for more.
+
+    Attributes
+    ----------
+    notes
+        Notes that are not logged yet.
+    """
 
     def __init__(self) -> None:
         """Start with an empty cache."""
         self._by_step: dict[StepKey, _StepTickets] = {}
         self._pending: dict[StepKey, AdviceRequest] = {}
+        # By queue, when a worker was last refused for one of its steps.  Only a
+        # hint for other steps, as each may be allowed on other workers.
+        self._refused_s: dict[str, dict[str, float]] = {}
+        self.notes: list[LogNote] = []
 
     def ticket(self, key: TaskKey, worker: str, now_s: float) -> str:
         """Return the valid ticket for a task on a worker, or an empty text."""
         known = self._by_step.get(_step_of(key))
-        if known is None:
-            return ''
-        ticket, until_s = known.tickets.get(worker, ('', 0))
-        return ticket if until_s - now_s > _MIN_VALIDITY_S else ''
+        return '' if known is None else known.ticket(worker, now_s)
 
     def workers_with_ticket(
         self,
@@ -101,15 +172,16 @@
         now_s: float,
     ) -> list[WorkerCapacity]:
         """Return the workers with a ticket; request more if needed."""
-        key = TaskKey(step.job.spec.job_id, step.occurrence, step.step, 0)
+        known = self._by_step.setdefault(
+            _name_of(step), _StepTickets(step.job.queue.name)
+        )
         candidates = list(workers)
         with_ticket = [
-            worker
-            for worker in candidates
-            if self.ticket(key, worker.incarnation.report.worker, now_s)
+            worker for worker in candidates if known.ticket(worker.name, now_s)
         ]
-        if len(with_ticket) < len(step.waiting_tasks):
-            self._request_tickets(step, candidates, now_s)
+        has_enough = fits_all_tasks(step, with_ticket)
+        if known.is_stuck(has_enough, now_s) or not has_enough:
+            self._request_tickets(step, known, candidates, now_s)
         return with_ticket
 
     def pop_requests(self) -> list[AdviceRequest]:
@@ -127,14 +199,24 @@
         now_s: float,
     ) -> None:
         """Store the answer to a request; None if the call failed."""
-        known = self._by_step.setdefault(request.step, _StepTickets())
+        known = self._by_step.get(request.step)
+        if known is None:
+            # Its job has ended.
+            return
         known.is_requested = False
-        known.next_request_s = now_s + _RETRY_DELAY_S
+        known.asked_s.update(dict.fromkeys(request.workers, now_s))
         if advice is None:
+            known.next_request_s = now_s + _RETRY_DELAY_S
             return
-        until_s = now_s + advice.valid_s
-        for worker, ticket in advice.tickets.items():
-            known.tickets[worker] = (ticket, until_s)
+        usable_s = advice.valid_s - _MIN_VALIDITY_S
+        known.note_allowed(advice.tickets, now_s + usable_s)
+        is_short = len(advice.tickets) * 2 < len(request.workers)
+        known.short_answers = known.short_answers + 1 if is_short else 0
+        if advice.unreadable:
+            # It is not known which of the others were refused.
+            known.next_request_s = now_s + _RETRY_DELAY_S
+        else:
+            self._note_refused(request, known, now_s)
 
     def forget(self, job_id: str) -> None:
         """Drop the tickets and requests of a job that ended."""
@@ -143,29 +225,89 @@
             self._by_step.pop(step)
             self._pending.pop(step, None)
 
+    def _note_refused(
+        self, request: AdviceRequest, known: _StepTickets, now_s: float
+    ) -> None:
+        of_queue = {
+            worker: refused_s
+            for worker, refused_s in self._refused_of(known.queue).items()
+            if now_s - refused_s < _REFUSAL_TTL_S
+        }
+        for worker in request.workers:
+            if known.ticket(worker, now_s):
+                of_queue.pop(worker, None)
+            else:
+                known.refused_s[worker] = now_s
+                of_queue[worker] = now_s
+        self._refused_s[known.queue] = of_queue
+
+    def _refused_of(self, queue: str) -> Mapping[str, float]:
+        return self._refused_s.get(queue, {})
+
     def _request_tickets(
         self,
         step: ReadyStep,
-        candidates: list[WorkerCapacity],
+        known: _StepTickets,
+        candidates: Iterable[WorkerCapacity],
         now_s: float,
     ) -> None:
-        name = (step.job.spec.job_id, step.occurrence, step.step)
-        known = self._by_step.setdefault(name, _StepTickets())
         if known.is_requested or now_s < known.next_request_s:
             return
-        count = min(
-            len(step.waiting_tasks) * _WORKERS_PER_TASK, _MAX_WORKERS_PER_CALL
-        )
+        name = _name_of(step)
         first = TaskKey(*name, 0)
         suitable = [
             worker for worker in candidates if worker.holds(first, step.spec)
         ]
-        suitable.sort(key=lambda worker: -worker.free.processors)
-        workers = tuple(
-            worker.incarnation.report.worker for worker in suitable[:count]
+        open_ones = [
+            worker
+            for worker in suitable
+            if not known.ticket(worker.name, now_s)
+            and not known.is_refused(worker.name, now_s)
+        ]
+        if not open_ones:
+            self._note_none_allowed(name, known, len(suitable))
+            return
+        doublings = min(known.short_answers, _MAX_DOUBLINGS)
+        wanted = len(step.waiting_tasks) * _WORKERS_PER_TASK << doublings
+        chosen = self._in_order(open_ones, known)
+        chosen = chosen[: min(wanted, _MAX_WORKERS_PER_CALL)]
+        self._pending[name] = AdviceRequest(
+            name, tuple(worker.name for worker in chosen)
         )
-        if workers:
-            self._pending[name] = AdviceRequest(name, workers)
+
+    def _in_order(
+        self, workers: Iterable[WorkerCapacity], known: _StepTickets
+    ) -> list[WorkerCapacity]:
+        """Return workers in the order in which the advisor is asked.
+
+        Those that may run the step come first, then those that no call has
+        named for it, without those that the queue's other steps were refused,
+        then those named longest ago.  The emptiest of each come first.
+        """
+        refused = self._refused_of(known.queue)
+        return sorted(
+            workers,
+            key=lambda worker: (
+                worker.name not in known.tickets,
+                known.asked_s.get(worker.name, _NEVER_S),
+                worker.name in refused,
+                -worker.free.processors,
+            ),
+        )
+
+    def _note_none_allowed(
+        self, name: StepKey, known: _StepTickets, refused: int
+    ) -> None:
+        """Log once that a step may run on no worker with capacity for it."""
+        if known.is_noted or known.tickets or not refused:
+            return
+        known.is_noted = True
+        reason = f'step {name[2]}: refused on all {refused} suitable workers'
+        self.notes.append(LogNote(LogEvent.STEP_REFUSED, name[0], reason))
+
+
+def _name_of(step: ReadyStep) -> StepKey:
+    return step.job.spec.job_id, step.occurrence, step.step
 
 
 def _step_of(key: TaskKey) -> StepKey:
