Calls to the advisor take the times that the manifest gives

Change: a call names as many workers as take 0.5 s, or as long as its constant part, at most half of the time that its tickets are valid. It is given up 3 s after it, and the calls in flight before it, should be over. A failed call halves the next one and gives it up to 12 s. Of tickets that are valid for less than 1.2 s half of the time is used. An unexpected error in a call no longer leaves its step marked as being asked for.

--- a/src/wigeonreach/core/_advice_poller.py
+++ b/src/wigeonreach/core/_advice_poller.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 from typing import Protocol
 
 from wigeonreach.core._clock import steady_s
@@ -20,8 +21,10 @@
 class AdvisorApi(Protocol):
     """Service that knows which workers may run a step."""
 
-    async def advise(self, request: AdviceRequest) -> Advice | None:
-        """Return the tickets, or None without an answer."""
+    async def advise(
+        self, request: AdviceRequest, timeout_s: float
+    ) -> Advice | None:
+        """Return the tickets, or None without an answer in time."""
 
 
 class AdvicePoller:
@@ -49,6 +52,8 @@
         self._metrics = metrics
         self._call_slots = asyncio.Semaphore(_MAX_CONCURRENT_CALLS)
         self._tasks: set[asyncio.Task[None]] = set()
+        # How long the advisor should take for the calls in flight.
+        self._in_flight_s = 0.0
 
     async def run(self) -> None:
         """Poll until cancelled."""
@@ -70,12 +75,38 @@
     async def _ask(self, request: AdviceRequest) -> None:
         async with self._call_slots:
             sent_s = steady_s()
-            advice = await self._api.advise(request)
-        self._metrics.observe_s('advice', steady_s() - sent_s)
+            advice = await self._call(request)
+        took_s = steady_s() - sent_s
+        self._metrics.observe_s('advice', took_s)
+        if advice is not None:
+            # The validity of tickets counts from when the request was sent.
+            advice = dataclasses.replace(
+                advice, valid_s=max(advice.valid_s - took_s, 0)
+            )
+        self._count(request, advice)
+        self._term.scheduler.advice.record_advice(request, advice, steady_s())
+        self._term.wake.set()
+
+    async def _call(self, request: AdviceRequest) -> Advice | None:
+        """Make a call, which may also have to wait for those before it."""
+        self._in_flight_s += request.expected_s
+        timeout_s = self._in_flight_s + request.margin_s
+        try:
+            # The step could never be asked for again after an error.
+            with self._term.guard.contain(Decision.ADVICE):
+                return await self._api.advise(request, timeout_s)
+        finally:
+            self._in_flight_s -= request.expected_s
+        return None
+
+    def _count(self, request: AdviceRequest, advice: Advice | None) -> None:
         outcome = 'none' if advice is None else 'answered'
         self._metrics.count('advice_calls', outcome)
-        if advice is not None and advice.unreadable:
+        if advice is None:
+            return
+        allowed = len(advice.tickets)
+        refused = len(request.workers) - allowed
+        self._metrics.count('advised_workers', 'allowed', amount=allowed)
+        self._metrics.count('advised_workers', 'refused', amount=refused)
+        if advice.unreadable:
             self._metrics.count('advice_rows_skipped', amount=advice.unreadable)
-        # The validity of tickets counts from when the request was sent.
-        self._term.scheduler.advice.record_advice(request, advice, sent_s)
-        self._term.wake.set()
--- a/src/wigeonreach/core/_null_platform.py
+++ b/src/wigeonreach/core/_null_platform.py
@@ -29,6 +29,8 @@
 class NullAdvisor:
     """Advisor that allows no worker to run a step."""
 
-    async def advise(self, request: AdviceRequest) -> Advice | None:
+    async def advise(
+        self, request: AdviceRequest, timeout_s: float
+    ) -> Advice | None:
         """Return no tickets."""
         return Advice({}, 0)
--- a/src/wigeonreach/platform/_advisor.py
+++ b/src/wigeonreach/platform/_advisor.py
@@ -17,6 +17,7 @@
 from wigeonreach.scheduling.placing._advice import Advice, AdviceRequest
 from wigeonreach.wire._worker_messages import worker_id_of
 
+# Of a call without a timeout of its own.
 _TIMEOUT_S = 3.0
 
 
@@ -51,8 +52,18 @@
         self._address = address
         self._session = PlatformSession(address, _TIMEOUT_S, logger)
 
-    async def advise(self, request: AdviceRequest) -> Advice | None:
-        """Return the tickets for a step, or None without a usable response."""
+    async def advise(
+        self, request: AdviceRequest, timeout_s: float
+    ) -> Advice | None:
+        """Return the tickets for a step, or None without a usable response.
+
+        Parameters
+        ----------
+        request
+            The step, and the workers to ask about.
+        timeout_s
+            How long to wait for the response, in seconds.
+        """
         if not self._address:
             return None
         job_id, occurrence, step = request.step
@@ -61,7 +72,9 @@
             'step': f'{job_id}.{occurrence}.{step}',
             'workers': tuple(incarnations),
         }
-        advice = await self._session.post('/advise', decode_advice, body)
+        advice = await self._session.post(
+            '/advise', decode_advice, body, timeout_s=timeout_s
+        )
         return advice and key_by_incarnation(advice, incarnations)
 
     async def close(self) -> None:
--- a/src/wigeonreach/platform/_session.py
+++ b/src/wigeonreach/platform/_session.py
@@ -55,6 +55,7 @@
         decode: Callable[[int, bytes], _Decoded],
         body: Mapping[str, object],
         headers: Mapping[str, str] = _NO_HEADERS,
+        timeout_s: float | None = None,
     ) -> _Decoded | None:
         """Return the decoded response to a POST.
 
@@ -69,6 +70,9 @@
             Request body, sent as JSON.
         headers
             Additional request headers.
+        timeout_s
+            Time limit for this call, in seconds; by default that of the
+            session.
 
         Returns
         -------
@@ -76,7 +80,7 @@
             None if no usable response arrived; the call may have taken effect
             nevertheless.
         """
-        return await self._call('POST', path, decode, body, headers)
+        return await self._call('POST', path, decode, body, headers, timeout_s)
 
     async def close(self) -> None:
         """Close the connections."""
@@ -90,13 +94,16 @@
         decode: Callable[[int, bytes], _Decoded],
         body: Mapping[str, object] | None = None,
         headers: Mapping[str, str] = _NO_HEADERS,
+        timeout_s: float | None = None,
     ) -> _Decoded | None:
+        limit_s = self._timeout_s if timeout_s is None else timeout_s
         try:
             async with self._client_session().request(
                 method,
                 f'{self._base}{path}',
                 json=body,
                 headers=headers,
+                timeout=aiohttp.ClientTimeout(total=limit_s),
             ) as response:
                 return decode(response.status, await response.read())
         except PlatformError as rejection:
@@ -111,7 +118,6 @@
                 connector=aiohttp.TCPConnector(
                     socket_factory=_resetting_socket,
                 ),
-                timeout=aiohttp.ClientTimeout(total=self._timeout_s),
             )
         return self._session
 
--- a/src/wigeonreach/scheduling/placing/_advice.py
+++ b/src/wigeonreach/scheduling/placing/_advice.py
@@ -19,18 +19,14 @@
 from wigeonreach.observe import LogEvent
 from wigeonreach.scheduling._notes import LogNote
 from wigeonreach.scheduling._ready import ReadyStep
+from wigeonreach.scheduling.placing._advice_calls import CallSizes
 from wigeonreach.scheduling.placing._locality import fits_all_tasks
 from wigeonreach.scheduling.placing._worker_capacity import WorkerCapacity
 
-# Limits the workers named in one call.
-_MAX_WORKERS_PER_CALL = 30
-# Up to that limit a call names more workers than there are tasks, as the
-# advisor may refuse some.
-_WORKERS_PER_TASK = 2
-# Further doublings change nothing.
-_MAX_DOUBLINGS = 10
 # A ticket must still be valid when the order arrives, a few heartbeats later.
 _MIN_VALIDITY_S = 0.6
+# Most of a ticket's validity that is kept for that.
+_MAX_UNUSED_RATIO = 0.5
 # Delay before the next call for a step whose last call failed, or that waits
 # although its tickets seem to be enough.
 _RETRY_DELAY_S = 0.5
@@ -44,10 +40,24 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AdviceRequest:
-    """A request to the advisor: which of these workers may run a step."""
+    """A request to the advisor: which of these workers may run a step.
+
+    Attributes
+    ----------
+    step
+        The step.
+    workers
+        The workers.
+    expected_s
+        How long the advisor should take.
+    margin_s
+        How much longer it may take until the call is given up.
+    """
 
     step: StepKey
     workers: tuple[str, ...]
+    expected_s: float
+    margin_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -94,6 +104,8 @@
         Whether a request is in flight.
     short_answers
         Answers in a row that allowed too few of the workers.
+    failures
+        Calls in a row that failed.
     is_noted
         Whether it is in the log that no worker is allowed.
     """
@@ -109,6 +121,7 @@
     seen_s: float = _NEVER_S
     is_requested: bool = False
     short_answers: int = 0
+    failures: int = 0
     is_noted: bool = False
 
     def ticket(self, worker: str, now_s: float) -> str:
@@ -206,10 +219,11 @@
         known.is_requested = False
         known.asked_s.update(dict.fromkeys(request.workers, now_s))
         if advice is None:
+            known.failures += 1
             known.next_request_s = now_s + _RETRY_DELAY_S
             return
-        usable_s = advice.valid_s - _MIN_VALIDITY_S
-        known.note_allowed(advice.tickets, now_s + usable_s)
+        known.failures = 0
+        known.note_allowed(advice.tickets, now_s + _usable_s(advice.valid_s))
         is_short = len(advice.tickets) * 2 < len(request.workers)
         known.short_answers = known.short_answers + 1 if is_short else 0
         if advice.unreadable:
@@ -251,7 +265,8 @@
         candidates: Iterable[WorkerCapacity],
         now_s: float,
     ) -> None:
-        if known.is_requested or now_s < known.next_request_s:
+        policy = step.job.queue.advice
+        if policy is None or known.is_requested or now_s < known.next_request_s:
             return
         name = _name_of(step)
         first = TaskKey(*name, 0)
@@ -267,12 +282,14 @@
         if not open_ones:
             self._note_none_allowed(name, known, len(suitable))
             return
-        doublings = min(known.short_answers, _MAX_DOUBLINGS)
-        wanted = len(step.waiting_tasks) * _WORKERS_PER_TASK << doublings
+        sizes = CallSizes(policy, known.short_answers, known.failures)
         chosen = self._in_order(open_ones, known)
-        chosen = chosen[: min(wanted, _MAX_WORKERS_PER_CALL)]
+        chosen = chosen[: sizes.workers(len(step.waiting_tasks))]
         self._pending[name] = AdviceRequest(
-            name, tuple(worker.name for worker in chosen)
+            name,
+            tuple(worker.name for worker in chosen),
+            sizes.expected_s(len(chosen)),
+            sizes.margin_s,
         )
 
     def _in_order(
@@ -306,6 +323,11 @@
         self.notes.append(LogNote(LogEvent.STEP_REFUSED, name[0], reason))
 
 
+def _usable_s(valid_s: float) -> float:
+    """Return how long a ticket can be used of the time that it is valid."""
+    return valid_s - min(_MIN_VALIDITY_S, valid_s * _MAX_UNUSED_RATIO)
+
+
 def _name_of(step: ReadyStep) -> StepKey:
     return step.job.spec.job_id, step.occurrence, step.step
 
--- a/tests/builders_advice.py
+++ b/tests/builders_advice.py
@@ -29,7 +29,6 @@
 POLICY = AdvicePolicy(decision_ms=20, per_worker_ms=5, validity_ms=3000)
 _ROUND_S = 0.05
 _MS_PER_S = 1000
-_TIMEOUT_S = 3.0
 
 
 class AdvisedFleet:
@@ -130,7 +129,7 @@
         waits_s = max(self._free_at_s - now_s, 0)
         self._free_at_s = now_s + waits_s + takes_s
         # The poller counts the calls before it too.
-        given_up_s = now_s + waits_s + _TIMEOUT_S
+        given_up_s = now_s + waits_s + request.expected_s + request.margin_s
         is_answered = self._free_at_s <= given_up_s
         ended_s = min(self._free_at_s, given_up_s)
         self._answers.append((ended_s, request, is_answered))
--- a/tests/builders_core.py
+++ b/tests/builders_core.py
@@ -52,7 +52,9 @@
         self.orders.append((vm, pool, fence))
         return OrderResult.DONE
 
-    async def advise(self, request: AdviceRequest) -> Advice | None:
+    async def advise(
+        self, request: AdviceRequest, timeout_s: float
+    ) -> Advice | None:
         """Allow every worker."""
         return Advice({worker: 'paper' for worker in request.workers}, 3)
 
--- a/tests/scheduling/placing/test_advice_refusals.py
+++ b/tests/scheduling/placing/test_advice_refusals.py
@@ -7,7 +7,7 @@
 
 from tests.builders_advice import AdvisedFleet
 from tests.builders_jobs import JOB, OTHER_JOB, job, step
-from wigeonreach.jobs import RunEnd
+from wigeonreach.jobs import AdvicePolicy, RunEnd
 from wigeonreach.observe import LogEvent
 
 # Users expect a task to start within 3 s where there is capacity for it.
@@ -131,6 +131,41 @@
         self.assertThat(fleet.lead.workers['w3'].running, matchers.HasLength(1))
 
 
+class TestSlowAdvisor(testtools.TestCase):
+    """The advisor takes seconds.
+
+    Guards against calls that are given up before they can be answered, and made
+    again for good.
+    """
+
+    def test_slow_as_the_policy_says(self) -> None:
+        """A call that names all twelve workers would take 3.4 s."""
+        slow = AdvicePolicy(
+            decision_ms=1000, per_worker_ms=200, validity_ms=10_000
+        )
+        names = [f'w{number}' for number in range(12)]
+        fleet = AdvisedFleet(names, 12, (job(step(6)),), slow)
+        took_s = fleet.seconds_until(lambda: bool(fleet.started))
+        self.assertThat(took_s, _IN_TIME)
+
+    def test_slower_than_the_policy_says(self) -> None:
+        """The next call names fewer workers and may take longer."""
+        slow = AdvicePolicy(
+            decision_ms=2000, per_worker_ms=500, validity_ms=10_000
+        )
+        names = [f'w{number}' for number in range(12)]
+        fleet = AdvisedFleet(names, 12, (job(step(6)),), real=slow)
+        fleet.run(14.0)
+        self.assertThat(fleet.started, matchers.Equals({JOB}))
+
+    def test_tickets_are_valid_for_a_short_time(self) -> None:
+        """They are used as long as the order may arrive in time."""
+        short = AdvicePolicy(decision_ms=20, per_worker_ms=5, validity_ms=500)
+        fleet = AdvisedFleet(('w3',), 4, policy=short)
+        took_s = fleet.seconds_until(lambda: bool(fleet.started))
+        self.assertThat(took_s, _IN_TIME)
+
+
 class TestEndedJobs(testtools.TestCase):
     """Jobs that end while the advisor is asked for them."""
 
