One place decides which recorded starts are not sent, and withdraws them

Cause: a start is recorded first and sent with a later answer. The orders left out starts on workers of another service than the queue's; the withdrawals did not know this reason, so the task stayed assigned to a worker that never heard of it, under each later leader too.

Change: scheduling/_unsent_starts.py gives all reasons for which a recorded start is not sent, and is asked for the orders as well as for the withdrawals. Orders now also leave out starts over a shrunk capacity in the first 2 s of a term, and both know a worker that lacks the label by now. Event 549 tells what was withdrawn and why.

--- a/src/wigeonreach/observe/_events.py
+++ b/src/wigeonreach/observe/_events.py
@@ -96,6 +96,7 @@
     ZONE_SUSPECTED = 546
     ZONE_CLEARED = 547
     STARTS_IGNORED = 548
+    STARTS_WITHDRAWN = 549
 
     # 600: connections to the leading core process, and the platform adapter.
     CORE_CONNECTED = 601
--- a/src/wigeonreach/scheduling/_answers.py
+++ b/src/wigeonreach/scheduling/_answers.py
@@ -4,20 +4,19 @@
 
 from collections.abc import Collection
 
-from wigeonreach.jobs import JobStore, Run, run_name
+from wigeonreach.jobs import Run, run_name
 from wigeonreach.observe import LogEvent
 from wigeonreach.scheduling._disruption_budget import DisruptionBudget
 from wigeonreach.scheduling._incarnation import Incarnation
 from wigeonreach.scheduling._notes import LogNote
 from wigeonreach.scheduling._orders import (
     NO_LEASE,
-    ValidTickets,
     answer_if_due,
     orders_for,
     stop_reason,
 )
 from wigeonreach.scheduling._pacing import Pacing
-from wigeonreach.scheduling.placing._advice import TicketCache
+from wigeonreach.scheduling._unsent_starts import StartChecks
 from wigeonreach.wire._worker_messages import WorkerOrders
 
 
@@ -26,12 +25,12 @@
 
     Parameters
     ----------
-    store
-        The replicated state; it is only read.
+    checks
+        Decides which recorded starts must not be sent.
     term
         Term of this leader.
-    pacing, advice, disruption_budget
-        Pace limits, tickets, and which serving runs may be stopped.
+    pacing, disruption_budget
+        Pace limits, and which serving runs may be stopped.
     stopping
         Runs that are being stopped; retracted stops are removed from it.
     notes
@@ -40,10 +39,9 @@
 
     def __init__(
         self,
-        store: JobStore,
+        checks: StartChecks,
         term: int,
         pacing: Pacing,
-        advice: TicketCache,
         disruption_budget: DisruptionBudget,
         stopping: set[Run],
         notes: list[LogNote],
@@ -52,10 +50,10 @@
         self._notes = notes
         # Serving runs whose stop is already in the log.
         self._logged_stops: set[Run] = set()
-        self._store = store
+        self._checks = checks
+        self._store = checks.store
         self._term = term
         self._pacing = pacing
-        self._advice = advice
         self._disruption_budget = disruption_budget
         self._stopping = stopping
 
@@ -67,11 +65,11 @@
             return NO_LEASE
         orders = orders_for(
             incarnation,
-            self._store,
+            self._checks,
             self._pacing,
             self._stops_to_send(incarnation, now_s),
-            ValidTickets(self._advice, now_s),
             self._term,
+            now_s,
         )
         incarnation.note_leased(orders.lease_ms)
         incarnation.ordered_starts = frozenset(
--- a/src/wigeonreach/scheduling/_ends.py
+++ b/src/wigeonreach/scheduling/_ends.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import collections
 from collections.abc import Collection
 
-from wigeonreach.jobs import JobStore, Run, RunEnd, RunEnded, TaskKey
+from wigeonreach.jobs import JobStore, Run, RunEnd, RunEnded
+from wigeonreach.observe import LogEvent
 from wigeonreach.scheduling._incarnation import Incarnation
-from wigeonreach.scheduling._orders import (
-    is_over_cap,
-    runs_over_capacity,
+from wigeonreach.scheduling._notes import LogNote
+from wigeonreach.scheduling._unsent_starts import (
+    StartChecks,
     unlisted_runs,
+    withdrawals,
 )
 from wigeonreach.scheduling.placing._advice import TicketCache
 from wigeonreach.wire._worker_messages import EndedRun
@@ -26,6 +29,13 @@
         The tickets that some runs need to begin.
     stopping
         Runs that are being stopped.
+    notes
+        Receives a note for the starts that are withdrawn from a worker.
+
+    Attributes
+    ----------
+    checks
+        Decides which recorded starts must not be sent.
     """
 
     def __init__(
@@ -33,11 +43,12 @@
         store: JobStore,
         advice: TicketCache,
         stopping: Collection[Run],
+        notes: list[LogNote],
     ) -> None:
         """Store what the ends are derived from."""
-        self._store = store
-        self._advice = advice
+        self.checks = StartChecks(store, advice)
         self._stopping = stopping
+        self._notes = notes
 
     def reported(self, incarnation: Incarnation) -> tuple[RunEnded, ...]:
         """Return the reported ends that are not recorded yet."""
@@ -57,44 +68,24 @@
 
     def withdrawn(self, incarnation: Incarnation) -> tuple[RunEnded, ...]:
         """Return the runs, not listed by a worker, that are withdrawn."""
-        unlisted = tuple(unlisted_runs(incarnation, self._store))
-        incarnation.unlisted_starts.intersection_update(unlisted)
-        forbidden = {
-            *self._stopping,
-            *runs_over_capacity(incarnation, self._store),
-        }
-        return tuple(
-            RunEnded(key, run, incarnation.report.worker, RunEnd.REFUSED)
-            for key, run in unlisted
-            if self._takes_no_runs(incarnation, key)
-            or self._is_to_withdraw(incarnation, (key, run), forbidden)
+        incarnation.unlisted_starts.intersection_update(
+            unlisted_runs(incarnation, self.checks.store)
         )
-
-    def _takes_no_runs(self, incarnation: Incarnation, key: TaskKey) -> bool:
-        """Whether a task's job has ended or its worker drains."""
-        job = self._store.job_of(key)
-        is_active = job is not None and job.is_active
-        return incarnation.report.is_draining or not is_active
-
-    def _is_to_withdraw(
-        self,
-        incarnation: Incarnation,
-        run: Run,
-        forbidden: Collection[Run],
-    ) -> bool:
-        if not incarnation.has_not_begun(run):
-            return False
-        if run in forbidden or is_over_cap(run[0], self._store):
-            return True
-        return self._lacks_ticket(incarnation, run)
-
-    def _lacks_ticket(self, incarnation: Incarnation, run: Run) -> bool:
-        # Without a ticket the run would block resources of the worker in vain.
-        job = self._store.job_of(run[0])
-        if job is None or job.queue.advice is None:
-            return False
+        hindered = self.checks.hindered(
+            incarnation, self._stopping, incarnation.heard_s
+        )
+        withdrawn = tuple(withdrawals(hindered, incarnation))
         worker = incarnation.report.worker
-        return not self._advice.ticket(run[0], worker, incarnation.heard_s)
+        if withdrawn:
+            reasons = collections.Counter(
+                hindered[run].value for run in withdrawn
+            )
+            told = ', '.join(f'{name} {runs}' for name, runs in reasons.items())
+            note = LogNote(LogEvent.STARTS_WITHDRAWN, worker, told)
+            self._notes.append(note)
+        return tuple(
+            RunEnded(*run, worker, RunEnd.REFUSED) for run in withdrawn
+        )
 
 
 def _is_duplicate_refusal(ended: EndedRun, listed: Collection[Run]) -> bool:
--- a/src/wigeonreach/scheduling/_orders.py
+++ b/src/wigeonreach/scheduling/_orders.py
@@ -2,22 +2,20 @@
 
 from __future__ import annotations
 
-import dataclasses
 from collections.abc import Collection, Iterator, Mapping
 
 import msgspec
 
-from wigeonreach.jobs import JobRecord, JobStore, Run, TaskKey
+from wigeonreach.jobs import JobStore, Run, TaskKey
 from wigeonreach.scheduling._incarnation import Incarnation
 from wigeonreach.scheduling._pacing import FULL_PACE, Pacing
-from wigeonreach.scheduling.placing._advice import TicketCache
+from wigeonreach.scheduling._unsent_starts import StartChecks, unlisted_runs
 from wigeonreach.wire._worker_messages import (
     PaceOrder,
     StartOrder,
     StopOrder,
     WorkerOrders,
 )
-from wigeonreach.workspaces import NO_AMOUNTS
 
 # Heartbeat interval of busy workers.  A worker reports an end at once, while a
 # start waits for the next heartbeat.  A quarter of a second is a small part of
@@ -33,25 +31,13 @@
 NO_LEASE = WorkerOrders(next_after_ms=BUSY_INTERVAL_MS)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ValidTickets:
-    """The tickets of a cache that are valid at one time."""
-
-    cache: TicketCache
-    now_s: float
-
-    def of(self, key: TaskKey, worker: str) -> str:
-        """Return the ticket for a task on a worker, or an empty text."""
-        return self.cache.ticket(key, worker, self.now_s)
-
-
 def orders_for(
     incarnation: Incarnation,
-    store: JobStore,
+    checks: StartChecks,
     pacing: Pacing,
     stopping: Collection[Run],
-    tickets: ValidTickets,
     term: int,
+    now_s: float,
 ) -> WorkerOrders:
     """Return the orders for a worker, given its newest heartbeat.
 
@@ -59,13 +45,19 @@
     This is safe as a worker has only one heartbeat in flight at a time, and
     drops answers that arrive too late.
     """
+    store = checks.store
     worker = incarnation.report.worker
     held = store.runs_of(worker)
+    hindered = checks.hindered(incarnation, stopping, now_s)
     return WorkerOrders(
         lease_ms=incarnation.lease_ms,
         fence=term,
         acknowledged=incarnation.last_recorded_end,
-        starts=tuple(_starts(incarnation, store, stopping, tickets)),
+        starts=tuple(
+            _start_order(checks, worker, run, now_s)
+            for run in unlisted_runs(incarnation, store)
+            if run not in hindered
+        ),
         stops=tuple(_stops(incarnation, store, held, stopping)),
         paces=tuple(_paces(incarnation, store, pacing)),
     )
@@ -98,53 +90,6 @@
     return msgspec.structs.replace(orders, next_after_ms=HELD_INTERVAL_MS)
 
 
-def unlisted_runs(incarnation: Incarnation, store: JobStore) -> Iterator[Run]:
-    """Yield the assigned runs of a worker that it does not list."""
-    listed = incarnation.report.listed_runs()
-    for run in store.runs_of(incarnation.report.worker).items():
-        if run not in listed:
-            yield run
-
-
-def runs_over_capacity(
-    incarnation: Incarnation, store: JobStore
-) -> Iterator[Run]:
-    """Yield the unlisted runs of a worker that exceed its resources.
-
-    A worker may report fewer resources than before.  If it does not enforce
-    them itself, it would start these runs all the same and disturb its other
-    runs.
-    """
-    left = incarnation.resources
-    for row in incarnation.running:
-        spec = store.spec_of(row.task)
-        if spec is not None:
-            left -= spec.resources
-    for run in unlisted_runs(incarnation, store):
-        asked = store.spec_of(run[0])
-        if asked is None:
-            continue
-        if left.covers(asked.resources):
-            left -= asked.resources
-        else:
-            yield run
-
-
-def is_over_cap(key: TaskKey, store: JobStore) -> bool:
-    """Whether a run that has not begun would exceed its workspace's cap.
-
-    A cap may be lowered between the record of a start and its order.  The run
-    is then withdrawn, and the other members of its gang are stopped.
-    """
-    job = store.job_of(key)
-    spec = store.spec_of(key)
-    if job is None or spec is None:
-        return False
-    return not store.is_under_cap(
-        job, spec, NO_AMOUNTS - spec.min_start_amounts
-    )
-
-
 def stop_reason(run: Run, incarnation: Incarnation, store: JobStore) -> str:
     """Return why a worker is told to stop a run, as a text for the log."""
     key, number = run
@@ -162,43 +107,15 @@
     return 'its VM is needed, or it makes no progress'
 
 
-def _starts(
-    incarnation: Incarnation,
-    store: JobStore,
-    stopping: Collection[Run],
-    tickets: ValidTickets,
-) -> Iterator[StartOrder]:
-    if incarnation.is_ending:
-        return
-    for key, run in unlisted_runs(incarnation, store):
-        job = store.job_of(key)
-        if job is None or (key, run) in stopping or is_over_cap(key, store):
-            continue
-        ticket = tickets.of(key, incarnation.report.worker)
-        if _may_start(job, incarnation, store, ticket):
-            yield _start_order(job, key, run, ticket)
-
-
-def _may_start(
-    job: JobRecord,
-    incarnation: Incarnation,
-    store: JobStore,
-    ticket: str,
-) -> bool:
-    is_advised = job.queue.advice is None or bool(ticket)
-    is_here = store.service_of(job) == incarnation.report.service
-    return job.is_active and is_here and is_advised
-
-
 def _start_order(
-    job: JobRecord,
-    key: TaskKey,
-    run: int,
-    ticket: str,
+    checks: StartChecks, worker: str, run: Run, now_s: float
 ) -> StartOrder:
+    key, number = run
+    job = checks.store.jobs[key.job_id]
     task = job.task(key)
     checkpoint = task.checkpoint if task else ''
-    return StartOrder(key, run, job.spec.payload, checkpoint, ticket)
+    ticket = checks.advice.ticket(key, worker, now_s)
+    return StartOrder(key, number, job.spec.payload, checkpoint, ticket)
 
 
 def _stops(
--- a/src/wigeonreach/scheduling/_scheduler.py
+++ b/src/wigeonreach/scheduling/_scheduler.py
@@ -116,12 +116,11 @@
             self.notes,
         )
         self.quarantine = self._stops.quarantine
-        self._ends = RunEnds(store, self.advice, self.stopping)
+        self._ends = RunEnds(store, self.advice, self.stopping, self.notes)
         self.answers = HeartbeatAnswers(
-            store,
+            self._ends.checks,
             term,
             self.pacing,
-            self.advice,
             self.disruption_budget,
             self.stopping,
             self.notes,
--- a/tests/lab/test_day.py
+++ b/tests/lab/test_day.py
@@ -8,6 +8,7 @@
 import testtools
 from testtools import matchers
 
+from wigeonreach.jobs import Run
 from wigeonreach.lab import (
     VARIANTS,
     BrokenRuleError,
@@ -19,7 +20,11 @@
     Outcome,
     applied,
 )
-from wigeonreach.scheduling import _incarnation, _workers
+from wigeonreach.scheduling import (
+    _incarnation,
+    _unsent_starts,
+    _workers,
+)
 from wigeonreach.scheduling.placing import _worker_capacity
 from wigeonreach.scheduling.pooling import _pools
 
@@ -101,15 +106,34 @@
         self.assertRaises(BrokenRuleError, self._simulate_all)
 
     def test_uncounted_resources_are_detected(self) -> None:
-        """More runs are started on a worker than fit its capacity."""
+        """More runs are started on a worker than fit its capacity.
+
+        The placement counts no task, and the starts are not checked again.
+        """
+        for module, name, counts_nothing in (
+            (_worker_capacity, '_add_task', _forget),
+            (_unsent_starts, '_runs_over_capacity', _find_none),
+        ):
+            patch = mock.patch.object(module, name, counts_nothing)
+            patch.start()
+            self.addCleanup(patch.stop)
+        self.assertRaises(BrokenRuleError, self._simulate_all)
+
+    def test_starts_are_checked_again(self) -> None:
+        """What the placement should not have started is not sent."""
         with mock.patch.object(_worker_capacity, '_add_task', _forget):
-            self.assertRaises(BrokenRuleError, self._simulate_all)
+            self._simulate_all()
 
 
 def _forget(*_: object) -> None:
     """Replacement that counts no task."""
 
 
+def _find_none(*_: object) -> tuple[Run, ...]:
+    """Replacement that finds no start over the capacity."""
+    return ()
+
+
 class TestVariants(testtools.TestCase):
     """Mechanisms that are disabled for a comparison."""
 
--- a/tests/scheduling/test_random_days.py
+++ b/tests/scheduling/test_random_days.py
@@ -10,7 +10,11 @@
 from tests.builders_days import RandomDay, play
 from wigeonreach.jobs import JobPhase
 from wigeonreach.lab import BrokenRuleError
-from wigeonreach.scheduling import _incarnation, _workers
+from wigeonreach.scheduling import (
+    _incarnation,
+    _unsent_starts,
+    _workers,
+)
 from wigeonreach.scheduling.placing import _worker_capacity
 from wigeonreach.standins import _worker
 
@@ -47,13 +51,15 @@
         self.assertRaises(BrokenRuleError, self._play_all)
 
     def test_ignored_stopping_runs_are_detected(self) -> None:
-        """Only assigned runs count, not those that are being stopped."""
-        with mock.patch.object(
-            _worker_capacity,
-            '_add_task',
-            lambda capacity, key, store: None,
+        """The placement counts no run, and starts are not checked again."""
+        for module, name, counts_nothing in (
+            (_worker_capacity, '_add_task', lambda *_: None),
+            (_unsent_starts, '_runs_over_capacity', lambda *_: ()),
         ):
-            self.assertRaises(BrokenRuleError, self._play_all)
+            patch = mock.patch.object(module, name, counts_nothing)
+            patch.start()
+            self.addCleanup(patch.stop)
+        self.assertRaises(BrokenRuleError, self._play_all)
 
     def _play_all(self) -> None:
         for seed in range(_DAYS_UNTIL_FOUND):
