A job whose cancel came first is cancelled when it is submitted

Callers saw a job run after its cancel was answered 410 (UNASKED): the submission waited in an entry process that stood still, its caller gave up and cancelled through another entry, and the job was accepted when the first one went on.

Change: the cancel of an unknown job is replicated before it is answered, with the id and the workspace that may own the job. A submission of that id records the job as cancelled, so the outcome no longer depends on which comes first. The access to a known job is checked again in the order of the log.

core/_forgetting.py takes over when ended jobs are forgotten, from _term.py.

Weighed and not done: refusing the late submission with 503; giving submissions up by age or because their caller is gone.

--- a/src/wigeonreach/core/_call_handler.py
+++ b/src/wigeonreach/core/_call_handler.py
@@ -16,6 +16,7 @@
     SetManifest,
     StartWave,
     StepSpec,
+    owner_of,
 )
 from wigeonreach.observe import LogEvent, Logger, Metrics
 from wigeonreach.wire._call_messages import (
@@ -120,6 +121,22 @@
             return None
         return Forbidden(caller)
 
+    def owner(self, call: WorkspaceCall, queue: QueueSpec | None) -> str | None:
+        """Return the workspace that owns what a call may submit or cancel.
+
+        None if the call is not allowed; without a queue, as by no public one.
+        """
+        is_public = queue is not None and queue.is_public
+        caller = self.store.workspaces.caller(call.credential, is_public)
+        if caller is None or queue is None:
+            return caller
+        return owner_of(caller, queue)
+
+    def note_cancelled(self, job_id: str, reason: str) -> None:
+        """Log and count that a job is cancelled."""
+        self.metrics.count('jobs_cancelled')
+        self.log.info(LogEvent.JOB_CANCELLED, job=job_id, reason=reason)
+
     def unauthorized(self, call: WorkspaceCall) -> Unauthorized:
         """Return the denial of a call because of its credential."""
         return Unauthorized(
@@ -161,24 +178,36 @@
     rejection = _rejection_reply(result, call, handler)
     if rejection is not None:
         return rejection
-    if result is CommandResult.DONE:
-        workspace = handler.store.jobs[job_id].workspace
-        handler.metrics.count('jobs_accepted')
-        if workspace:
-            handler.metrics.count('workspace_jobs_accepted', workspace)
-        handler.term.wake.set()
-        handler.log.info(
-            LogEvent.JOB_ACCEPTED,
-            job=job_id,
-            queue=queue.name,
-            workspace=workspace,
-            version=handler.store.manifest.version,
-            occurrences=call.spec.occurrences,
-            steps=[_describe_step(step) for step in call.spec.steps],
-        )
+    job = handler.store.jobs.get(job_id)
+    if job is not None:
+        _note_submitted(result, job, handler)
     return Done()
 
 
+def _note_submitted(
+    result: CommandResult, job: JobRecord, handler: CallHandler
+) -> None:
+    """Log and count a job that was submitted, unless it was known before."""
+    job_id = job.spec.job_id
+    if result is CommandResult.CANCELLED:
+        handler.note_cancelled(job_id, 'cancelled before it was submitted')
+    if result is not CommandResult.DONE:
+        return
+    handler.metrics.count('jobs_accepted')
+    if job.workspace:
+        handler.metrics.count('workspace_jobs_accepted', job.workspace)
+    handler.term.wake.set()
+    handler.log.info(
+        LogEvent.JOB_ACCEPTED,
+        job=job_id,
+        queue=job.queue.name,
+        workspace=job.workspace,
+        version=handler.store.manifest.version,
+        occurrences=job.spec.occurrences,
+        steps=[_describe_step(step) for step in job.spec.steps],
+    )
+
+
 def _rejection_reply(
     result: CommandResult,
     call: SubmitJob,
@@ -243,21 +272,39 @@
         await handler.term.barrier.wait()
     job = handler.store.jobs.get(job_id)
     # A job can be cancelled even after its queue was removed.
-    queue = found[0] if found else job and job.queue
+    queue = _queue_of(found, job)
     denial = handler.check_access(call, queue, job) if queue else None
     if denial is not None:
         await handler.term.barrier.wait()
         return denial
-    if job is None:
+    owner = handler.owner(call, queue)
+    if owner is None or not _JOB_ID.fullmatch(job_id):
+        # No request with this credential and id can submit a job.
         return NoSuchJob()
-    result = await handler.term.propose(CancelJob(job_id))
-    if result is CommandResult.UNKNOWN:
-        return NoSuchJob()
-    handler.log.info(LogEvent.JOB_CANCELLED, job=job_id)
+    # An unknown job may be submitted by a request that is still on its way.
+    result = await handler.term.propose(CancelJob(job_id, owner))
+    match result:
+        case CommandResult.OTHERS:
+            return Forbidden(owner)
+        case CommandResult.FULL:
+            handler.metrics.count('early_cancels', 'refused')
+            return NotDone(WhyNot.OVERLOADED)
+        case CommandResult.UNKNOWN:
+            handler.metrics.count('early_cancels', 'remembered')
+            return NoSuchJob()
+    handler.note_cancelled(job_id, 'cancelled by its caller')
     handler.term.wake.set()
     return Done()
 
 
+def _queue_of(
+    found: tuple[QueueSpec, str] | None, job: JobRecord | None
+) -> QueueSpec | None:
+    if found is not None:
+        return found[0]
+    return None if job is None else job.queue
+
+
 @_handle_call.register
 async def _handle_read_manifest(
     call: ReadManifest, handler: CallHandler
--- a/src/wigeonreach/core/_term.py
+++ b/src/wigeonreach/core/_term.py
@@ -12,13 +12,13 @@
 from wigeonreach.core._clock import WallClock, steady_s
 from wigeonreach.core._cycle_stats import CycleStats
 from wigeonreach.core._decision_guard import Decision, DecisionGuard
+from wigeonreach.core._forgetting import Forgetting
 from wigeonreach.core._term_log import TermLog
 from wigeonreach.exceptions import StateError
 from wigeonreach.jobs import (
     BeginTerm,
     Command,
     CommandResult,
-    ForgetJobs,
     JobStore,
     RecordRuns,
     RunCrashed,
@@ -38,8 +38,6 @@
 _MAX_WAIT_S = 0.05
 # A heartbeat comes at least every second, and a lease lasts for a few of them.
 _MAX_FAILED_HEARTBEATS = 3
-# Longer than the status of an ended job may be queried (120 s).
-_ENDED_JOB_TTL_S = 150.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -98,7 +96,7 @@
         self._scheduler: Scheduler | None = None
         self._received: list[_Heartbeat] = []
         self._pending: list[_Heartbeat] = []
-        self._first_seen_ended_s: dict[str, float] = {}
+        self._forgetting = Forgetting(store)
         self._cycle_stats = CycleStats(steady_s())
         self.guard = guard
         guard.begin_term()
@@ -362,7 +360,7 @@
         )
 
     async def forget_ended(self) -> None:
-        """Delete ended jobs whose status can't be queried any more.
+        """Delete ended jobs and early cancels that nobody asks for any more.
 
         Raises
         ------
@@ -373,19 +371,9 @@
             await self._forget_ended()
 
     async def _forget_ended(self) -> None:
-        now_s = steady_s()
-        for job in self._store.jobs.values():
-            if not job.is_active:
-                self._first_seen_ended_s.setdefault(job.spec.job_id, now_s)
-        old = tuple(
-            job_id
-            for job_id, ended_s in self._first_seen_ended_s.items()
-            if now_s - ended_s > _ENDED_JOB_TTL_S
-        )
-        if old:
-            await self.propose(ForgetJobs(old))
-            for job_id in old:
-                self._first_seen_ended_s.pop(job_id)
+        command = self._forgetting.due(steady_s())
+        if command is not None:
+            await self.propose(command)
 
     def _resolve_all(self) -> None:
         for heartbeat in (*self._received, *self._pending):
--- a/src/wigeonreach/jobs/__init__.py
+++ b/src/wigeonreach/jobs/__init__.py
@@ -8,6 +8,7 @@
     CommandReply,
     CommandResult,
     CrashEvidence,
+    EarlyCancel,
     ForgetJobs,
     RecordRuns,
     RecordVmOrders,
@@ -41,7 +42,7 @@
     TaskRecord,
     VmOrder,
 )
-from wigeonreach.jobs._store import JobStore
+from wigeonreach.jobs._store import JobStore, owner_of
 from wigeonreach.jobs._waves import WaveRecord
 
 __all__ = (
@@ -52,6 +53,7 @@
     'Command',
     'CommandReply',
     'CrashEvidence',
+    'EarlyCancel',
     'ForgetJobs',
     'JobStore',
     'JobPhase',
@@ -81,5 +83,6 @@
     'WaveRecord',
     'decode_reply',
     'encode_command',
+    'owner_of',
     'run_name',
 )
--- a/src/wigeonreach/jobs/_commands.py
+++ b/src/wigeonreach/jobs/_commands.py
@@ -39,9 +39,36 @@
 
 
 class CancelJob(Command, frozen=True):
-    """Cancel a job: no further run of it starts."""
+    """Cancel a job: no further run of it starts.
+
+    Attributes
+    ----------
+    owner
+        The workspace that may own the job: if the job is not known, it is
+        cancelled when it is submitted.  None, in the commands of earlier
+        versions, cancels a known job of any workspace.
+    """
+
+    job_id: str
+    owner: str | None = None
+
+
+class EarlyCancel(msgspec.Struct, frozen=True, array_like=True):
+    """The cancel of a job that was not known.
+
+    Attributes
+    ----------
+    job_id
+        Id of the job.
+    owner
+        The workspace that may own it.
+    count
+        How often it was cancelled.
+    """
 
     job_id: str
+    owner: str
+    count: int
 
 
 class RunStarted(msgspec.Struct, frozen=True, array_like=True):
@@ -137,9 +164,13 @@
 
 
 class ForgetJobs(Command, frozen=True):
-    """Delete jobs that ended and have no assigned runs."""
+    """Delete jobs that ended and have no assigned runs, and early cancels.
+
+    An early cancel that was repeated in between stays.
+    """
 
     job_ids: tuple[str, ...]
+    early_cancels: tuple[EarlyCancel, ...] = ()
 
 
 class StartWave(Command, frozen=True):
@@ -226,6 +257,10 @@
     OUTDATED = 4
     UNAUTHORIZED = 5
     OTHERS = 6
+    # A job is cancelled by a cancel that came before it.
+    CANCELLED = 7
+    # Too many cancels of unknown jobs are remembered.
+    FULL = 8
 
 
 class CommandReply(msgspec.Struct, frozen=True, array_like=True):
--- a/src/wigeonreach/jobs/_store.py
+++ b/src/wigeonreach/jobs/_store.py
@@ -18,6 +18,7 @@
     CancelJob,
     CommandReply,
     CommandResult,
+    EarlyCancel,
     ForgetJobs,
     RecordRuns,
     RecordVmOrders,
@@ -29,9 +30,11 @@
     StartWave,
     VmStep,
 )
+from wigeonreach.jobs._early_cancels import EarlyCancels
 from wigeonreach.jobs._model import (
     JobPhase,
     Manifest,
+    QueueSpec,
     StepSpec,
     TaskKey,
     TaskPhase,
@@ -66,6 +69,7 @@
     # Only filled in older snapshots, which list the VMs without their orders.
     ordered_vms: list[str] = msgspec.field(default_factory=list)
     vm_orders: dict[str, VmOrder] = msgspec.field(default_factory=dict)
+    early_cancels: list[EarlyCancel] = msgspec.field(default_factory=list)
 
 
 _SNAPSHOT_DECODER = msgspec.msgpack.Decoder(_Snapshot)
@@ -96,6 +100,8 @@
         ``VmHolds`` last cleared these sets.
     queues, workspaces
         Indexes of the queues and the workspaces of the manifest.
+    early_cancels
+        Cancels of jobs that are not known.
     usage
         Resources that each workspace uses, or may use, on workers.
     """
@@ -107,6 +113,7 @@
         self.workspaces = WorkspaceIndex()
         self.usage = WorkspaceUsage()
         self.jobs: dict[str, JobRecord] = {}
+        self.early_cancels = EarlyCancels()
         self.waves: dict[int, WaveRecord] = {}
         self.assigned_runs: dict[str, dict[TaskKey, int]] = {}
         self.changed_jobs: set[str] = set()
@@ -129,6 +136,7 @@
             list(self.jobs.values()),
             list(self.waves.values()),
             vm_orders=self.vm_orders,
+            early_cancels=self.early_cancels.entries(),
         )
         return msgspec.msgpack.encode(stored)
 
@@ -138,6 +146,7 @@
         self.term = stored.term
         self.put_manifest(stored.manifest)
         self.jobs = {job.spec.job_id: job for job in stored.jobs}
+        self.early_cancels.restore(stored.early_cancels)
         self.waves = {wave.wave: wave for wave in stored.waves}
         self.changed_workers.update(self.assigned_runs)
         self.assigned_runs = {}
@@ -311,20 +320,46 @@
     )
     store.jobs[command.spec.job_id] = record
     store.changed_jobs.add(command.spec.job_id)
+    owner = owner_of(caller, queue)
+    if store.early_cancels.take(command.spec.job_id, owner):
+        record.phase = JobPhase.CANCELLED
+        return CommandReply(CommandResult.CANCELLED)
     return CommandReply(CommandResult.DONE)
 
 
 @_apply_command.register
 def _apply_cancel_job(command: CancelJob, store: JobStore) -> CommandReply:
     job = store.jobs.get(command.job_id)
+    owner = command.owner
     if job is None:
-        return CommandReply(CommandResult.UNKNOWN)
+        is_full = owner is not None and not store.early_cancels.add(
+            command.job_id, owner
+        )
+        return CommandReply(
+            CommandResult.FULL if is_full else CommandResult.UNKNOWN
+        )
+    if owner is not None and not _may_cancel(job, owner, store):
+        # It was submitted after the access was checked.
+        return CommandReply(CommandResult.OTHERS)
     if job.is_active:
         job.phase = JobPhase.CANCELLED
         store.changed_jobs.add(command.job_id)
     return CommandReply(CommandResult.DONE)
 
 
+def owner_of(caller: str, queue: QueueSpec) -> str:
+    """Return the workspace that owns what a caller submits to a queue.
+
+    Empty for a public queue, where each caller may cancel each job.
+    """
+    return '' if queue.is_public else caller
+
+
+def _may_cancel(job: JobRecord, owner: str, store: JobStore) -> bool:
+    queue = store.queues.named(job.queue.name) or job.queue
+    return queue.is_public or job.workspace in {'', owner}
+
+
 @_apply_command.register
 def _apply_begin_term(command: BeginTerm, store: JobStore) -> CommandReply:
     store.term = max(store.term, command.term)
@@ -431,6 +466,7 @@
         ):
             store.jobs.pop(job_id)
             store.changed_jobs.add(job_id)
+    store.early_cancels.drop(command.early_cancels)
     return CommandReply(CommandResult.DONE)
 
 
--- a/tests/core/test_daemon.py
+++ b/tests/core/test_daemon.py
@@ -90,6 +90,27 @@
 
         run_cluster(body)
 
+    def test_cancelled_job_that_comes_late_does_not_run(self) -> None:
+        """Its submission was on its way while it was cancelled.
+
+        Guards against jobs that run although their cancel was answered with
+        "no such job", also if the leader that gave this answer is gone.
+        """
+
+        async def body(cluster: CoreCluster) -> None:
+            cancelled = await cluster.call(CancelJobCall(*_JOB_PATH))
+            self.assertThat(cancelled, matchers.Equals(NoSuchJob()))
+            await cluster.stop(await cluster.leader())
+            submitted = await cluster.call(SubmitJob(*_JOB_PATH, job(step(1))))
+            self.assertThat(submitted, matchers.Equals(Done()))
+            status = await cluster.call(ReadJob(*_JOB_PATH))
+            self.assertThat(
+                status,
+                matchers.Equals(JobState(JobPhase.CANCELLED, False)),
+            )
+
+        run_cluster(body)
+
     def test_draining_leader_hands_over(self) -> None:
         """A leader has given up leadership once it is drained."""
 
