--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -34,8 +34,8 @@
 )
 
 MAX_FAILURES = 3
-_HOST = 'soak.example'
-_PREFIX = '/jobs/'
+HOST = 'soak.example'
+PREFIX = '/jobs/'
 _CALL_TIMEOUT_S = 2.0
 _MAX_PAUSE_S = 0.25
 _CANCELLED_PERCENT = 6
@@ -108,7 +108,7 @@
         The job counts as refused only if every reply says that the call had
         no effect.
         """
-        call = SubmitJob(_HOST, f'{_PREFIX}{spec.job_id}', spec)
+        call = SubmitJob(HOST, f'{PREFIX}{spec.job_id}', spec)
         self._checker.note_submitted(spec)
         may_have_run = False
         for _ in range(_ATTEMPTS):
@@ -127,7 +127,7 @@
             return
         self._checker.note_cancelled(job_id)
         await gateway.call(
-            CancelJobCall(_HOST, f'{_PREFIX}{job_id}'),
+            CancelJobCall(HOST, f'{PREFIX}{job_id}'),
             _CALL_TIMEOUT_S,
         )
 
@@ -138,7 +138,7 @@
 
     async def _read_job(self, gateway: Gateway, job_id: str) -> None:
         reply = await gateway.call(
-            ReadJob(_HOST, f'{_PREFIX}{job_id}'),
+            ReadJob(HOST, f'{PREFIX}{job_id}'),
             _CALL_TIMEOUT_S,
         )
         if isinstance(reply, JobState):
@@ -181,8 +181,8 @@
 def _manifest(version: int) -> Manifest:
     queue = QueueSpec(
         'soak',
-        _HOST,
-        _PREFIX,
+        HOST,
+        PREFIX,
         'desk',
         3000,
         max_failures=MAX_FAILURES,
--- a/soak/_play.py
+++ b/soak/_play.py
@@ -13,6 +13,8 @@
 from bench.relay import Link, Relay
 from soak._callers import MAX_FAILURES, Callers
 from soak._cores import CoreCluster
+from soak._early_cancellers import EarlyCancellers
+from soak._leavers import Leavers
 from soak._other_writer import OtherWriter
 from soak._plan import Fault, FaultEvent, draw_plan
 from soak._promises import InvariantChecker
@@ -86,8 +88,18 @@
         self._workers = Workers(_VMS, worker_gateway, self.checker, rng)
         self._callers = Callers(self._gateways, self.checker, rng)
         writer_gateway = self._gateway('other-writer')
-        # A generator of its own, so that it changes no draw of the others.
+        # Generators of their own, so that they change no draw of the others.
         self._writer = OtherWriter(writer_gateway, random.Random(seed))  # noqa: S311
+        self._leavers = Leavers(
+            worker_gateway,
+            self._workers,
+            random.Random(seed),  # noqa: S311
+        )
+        self._early_cancellers = EarlyCancellers(
+            tuple(self._gateways),
+            self.checker,
+            random.Random(seed),  # noqa: S311
+        )
         self._gateways.extend((worker_gateway, writer_gateway))
         self._heal_tasks: set[asyncio.Task[None]] = set()
 
@@ -111,9 +123,14 @@
         await self._callers.put_first_manifest()
         working = asyncio.create_task(self._workers.run())
         writing = asyncio.create_task(self._writer.run(self._workers))
-        calling = asyncio.create_task(self._callers.run())
+        calling = [
+            asyncio.create_task(self._callers.run()),
+            asyncio.create_task(self._early_cancellers.run()),
+            asyncio.create_task(self._leavers.run()),
+        ]
         await self._inject_faults()
-        await _cancel(calling)
+        for called in calling:
+            await _cancel(called)
         while self._heal_tasks:
             await asyncio.wait(self._heal_tasks)
         await self._cores.settle()
--- a/soak/_promises.py
+++ b/soak/_promises.py
@@ -88,6 +88,11 @@
         if any(key.job_id == job_id for key in self._tasks):
             self._add_violation(f'job {job_id}: refused, though it ran')
 
+    def note_cancelled_early(self, spec: JobSpec) -> None:
+        """Record a job cancelled before its submission; it must not run."""
+        self.counts['cancelled early'] += 1
+        self._jobs[spec.job_id] = _Job(spec, is_refused=True)
+
     def note_cancelled(self, job_id: str) -> None:
         """Record that a cancellation was sent."""
         self._jobs[job_id].is_cancelled = True
--- a/soak/_workers.py
+++ b/soak/_workers.py
@@ -26,11 +26,15 @@
 
 @dataclasses.dataclass(slots=True)
 class _Vm:
-    """A VM, its worker and the times at which the worker's runs end."""
+    """A VM, its worker and the times at which the worker's runs end.
+
+    While it is not heard, its heartbeats are lost.
+    """
 
     name: str
     worker: StandInWorker
     due_s: dict[Run, float] = dataclasses.field(default_factory=dict)
+    is_heard: bool = True
 
 
 class Workers:
@@ -80,6 +84,10 @@
         vm.due_s.clear()
         vm.worker = new_worker(vm.name)
 
+    def set_heard(self, number: int, is_heard: bool) -> None:
+        """Lose the heartbeats of a worker from now on, or no longer."""
+        self._vms[number].is_heard = is_heard
+
     def running(self) -> dict[TaskKey, str]:
         """Return the running tasks, each with the worker that runs it."""
         now_s = time.monotonic()
@@ -95,6 +103,9 @@
         while True:
             worker = vm.worker
             self._end_due_runs(vm)
+            if not vm.is_heard:
+                await asyncio.sleep(_HEARTBEAT_S)
+                continue
             sent_s = time.monotonic()
             reply = await self._gateway.call(
                 HearWorker(worker.report()),
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -89,6 +89,12 @@
         self._start(0, key())
         self._assert_violation('not accepted')
 
+    def test_run_of_a_job_cancelled_early_is_reported(self) -> None:
+        """A job must not run if its cancel came before it."""
+        self.checker.note_cancelled_early(job(step(1)))
+        self._start(0, key())
+        self._assert_violation('not accepted')
+
     def test_refusal_of_running_job_is_reported(self) -> None:
         """The violation is also found if the run starts before the refusal."""
         self._start(0, key())
