Starts need tickets by the queue's present policy

Jobs that wait when their queue gets an advisor would be started without tickets, which each worker rejects, for good; the other way round they would wait for an advisor that nobody needs.

JobStore.advice_of gives the present policy, as service_of gives the present service, and the placement, the calls and the checks of recorded starts ask it.

--- a/src/wigeonreach/jobs/_store.py
+++ b/src/wigeonreach/jobs/_store.py
@@ -32,6 +32,7 @@
 )
 from wigeonreach.jobs._early_cancels import EarlyCancels
 from wigeonreach.jobs._model import (
+    AdvicePolicy,
     JobPhase,
     Manifest,
     QueueSpec,
@@ -193,6 +194,11 @@
         queue = self.queues.named(job.queue.name)
         return queue.service if queue else job.queue.service
 
+    def advice_of(self, job: JobRecord) -> AdvicePolicy | None:
+        """Return the policy by which a job's starts need tickets now."""
+        queue = self.queues.named(job.queue.name) or job.queue
+        return queue.advice
+
     def has_service(self, service: str) -> bool:
         """Whether the manifest has a service; true without a manifest."""
         named = {spec.name for spec in self.manifest.services}
--- a/src/wigeonreach/scheduling/_unsent_starts.py
+++ b/src/wigeonreach/scheduling/_unsent_starts.py
@@ -118,7 +118,7 @@
         least = NO_AMOUNTS - spec.min_start_amounts
         if not self.store.is_under_cap(job, spec, least):
             return Hindrance.OVER_CAP
-        needs_ticket = job.queue.advice is not None
+        needs_ticket = self.store.advice_of(job) is not None
         if needs_ticket and not self.advice.ticket(key, report.worker, now_s):
             return Hindrance.NO_TICKET
         return None
--- a/src/wigeonreach/scheduling/placing/_advice.py
+++ b/src/wigeonreach/scheduling/placing/_advice.py
@@ -15,7 +15,7 @@
 import dataclasses
 from collections.abc import Iterable, Mapping
 
-from wigeonreach.jobs import TaskKey
+from wigeonreach.jobs import AdvicePolicy, TaskKey
 from wigeonreach.observe import LogEvent
 from wigeonreach.scheduling._notes import LogNote
 from wigeonreach.scheduling._ready import ReadyStep
@@ -182,9 +182,20 @@
         self,
         step: ReadyStep,
         workers: Iterable[WorkerCapacity],
+        policy: AdvicePolicy,
         now_s: float,
     ) -> list[WorkerCapacity]:
-        """Return the workers with a ticket; request more if needed."""
+        """Return the workers with a ticket; request more if needed.
+
+        Parameters
+        ----------
+        step, workers
+            The step, and the workers that may run it as far as is known.
+        policy
+            The present policy of its queue.
+        now_s
+            Clock in seconds.
+        """
         known = self._by_step.setdefault(
             _name_of(step), _StepTickets(step.job.queue.name)
         )
@@ -194,7 +205,8 @@
         ]
         has_enough = fits_all_tasks(step, with_ticket)
         if known.is_stuck(has_enough, now_s) or not has_enough:
-            self._request_tickets(step, known, candidates, now_s)
+            sizes = CallSizes(policy, known.short_answers, known.failures)
+            self._request_tickets(step, known, candidates, sizes, now_s)
         return with_ticket
 
     def pop_requests(self) -> list[AdviceRequest]:
@@ -263,10 +275,10 @@
         step: ReadyStep,
         known: _StepTickets,
         candidates: Iterable[WorkerCapacity],
+        sizes: CallSizes,
         now_s: float,
     ) -> None:
-        policy = step.job.queue.advice
-        if policy is None or known.is_requested or now_s < known.next_request_s:
+        if known.is_requested or now_s < known.next_request_s:
             return
         name = _name_of(step)
         first = TaskKey(*name, 0)
@@ -282,7 +294,6 @@
         if not open_ones:
             self._note_none_allowed(name, known, len(suitable))
             return
-        sizes = CallSizes(policy, known.short_answers, known.failures)
         chosen = self._in_order(open_ones, known)
         chosen = chosen[: sizes.workers(len(step.waiting_tasks))]
         self._pending[name] = AdviceRequest(
--- a/src/wigeonreach/scheduling/placing/_placing.py
+++ b/src/wigeonreach/scheduling/placing/_placing.py
@@ -177,9 +177,10 @@
         workers: Sequence[WorkerCapacity]
         workers = self._avoided.candidates(step)
         workers = self._locality.nearby_workers(step, workers)
-        if step.job.queue.advice is not None:
+        policy = self._store.advice_of(step.job)
+        if policy is not None:
             workers = self._advice.workers_with_ticket(
-                step, workers, self._now_s
+                step, workers, policy, self._now_s
             )
         if step.spec.is_rack_local:
             workers = self._locality.single_rack_workers(step, workers)
--- a/tests/builders_changes.py
+++ b/tests/builders_changes.py
@@ -34,6 +34,7 @@
 from wigeonreach.workspaces import NO_AMOUNTS, Amounts
 
 OTHER_SERVICE = 'hall'
+POLICY = AdvicePolicy(decision_ms=20, per_worker_ms=5, validity_ms=3000)
 _LABEL = 'large'
 _ROUND_S = 0.1
 _WORKERS = 3
@@ -63,6 +64,8 @@
         The leader.
     longest_unsent_s
         How long a start was neither sent nor withdrawn, at the most.
+    sent_tickets
+        The tickets of the starts that were sent; empty without one.
     """
 
     def __init__(
@@ -78,6 +81,7 @@
         self.has_queue = True
         self.has_answers = True
         self.longest_unsent_s = 0.0
+        self.sent_tickets: set[str] = set()
         self._version = 0
         self._unsent_since_s: dict[_Unsent, float] = {}
         store = JobStore()
@@ -142,6 +146,9 @@
                 orders = self.lead.scheduler.answers.orders(
                     known, self.lead.now_s
                 )
+                self.sent_tickets.update(
+                    start.ticket for start in orders.starts
+                )
                 worker.obey(orders, percent=0)
         self.lead.now_s += _ROUND_S
 
@@ -210,6 +217,12 @@
     fleet.put_manifest()
 
 
+def _change_policy(fleet: ChangingFleet) -> None:
+    """Require tickets from now on, or none any more."""
+    fleet.policy = None if fleet.policy else POLICY
+    fleet.put_manifest()
+
+
 def _let_tickets_lapse(fleet: ChangingFleet) -> None:
     """Let all tickets expire; with a policy the advisor falls silent too."""
     fleet.has_answers = not fleet.has_answers
@@ -246,6 +259,7 @@
             'key withdrawn': _withdraw_key,
             'cap': _lower_cap,
             'tickets': _let_tickets_lapse,
+            'policy': _change_policy,
             'label': _change_label,
             'capacity': _shrink,
             'drain': _drain,
--- a/tests/scheduling/test_unsent_starts.py
+++ b/tests/scheduling/test_unsent_starts.py
@@ -12,14 +12,17 @@
 import testtools
 from testtools import matchers
 
-from tests.builders_changes import CHANGES, OTHER_SERVICE, ChangingFleet
+from tests.builders_changes import (
+    CHANGES,
+    OTHER_SERVICE,
+    POLICY,
+    ChangingFleet,
+)
 from tests.builders_jobs import job, step
-from wigeonreach.jobs import AdvicePolicy
 from wigeonreach.observe import LogEvent
 
 # Users expect a task to start within 3 s where there is capacity for it.
 _IN_TIME = matchers.LessThan(3.0)
-_POLICY = AdvicePolicy(decision_ms=20, per_worker_ms=5, validity_ms=3000)
 _SETTLED_S = 4.0
 _DAYS = 40
 _DAY_S = 25.0
@@ -92,6 +95,33 @@
         )
 
 
+class TestPolicy(testtools.TestCase):
+    """The queue's starts need tickets from now on, or none any more.
+
+    Guards against starts that each worker rejects, for good, as jobs that were
+    accepted before the change are placed by the former policy.
+    """
+
+    def test_starts_get_tickets_once_they_need_them(self) -> None:
+        """No start without a ticket is sent after the change."""
+        fleet = _fleet_with_starts('policy')
+        CHANGES['policy'](fleet)
+        fleet.send_orders()
+        fleet.run(1.0)
+        self.assertThat(fleet.sent_tickets, matchers.Equals({'ticket'}))
+        self.assertThat(_running(fleet), matchers.Equals(6))
+
+    def test_starts_need_no_ticket_any_more(self) -> None:
+        """The advisor is silent, and nobody waits for it."""
+        fleet = ChangingFleet(POLICY)
+        fleet.has_answers = False
+        fleet.run(1.0)
+        CHANGES['policy'](fleet)
+        fleet.run(1.0)
+        self.assertThat(fleet.sent_tickets, matchers.Equals({''}))
+        self.assertThat(_running(fleet), matchers.Equals(6))
+
+
 class TestRandomChanges(testtools.TestCase):
     """Conditions change again and again, also under new leaders."""
 
@@ -106,7 +136,7 @@
                 )
                 for number in range(40)
             ]
-            policy = _POLICY if _happens(rng, 50) else None
+            policy = POLICY if _happens(rng, 50) else None
             fleet = ChangingFleet(policy, specs)
             while fleet.lead.now_s < _DAY_S:
                 fleet.record_starts()
@@ -117,9 +147,13 @@
             self.assertThat(fleet.longest_unsent_s, _IN_TIME, f'seed {seed}')
 
 
+def _running(fleet: ChangingFleet) -> int:
+    return sum(len(worker.running) for worker in fleet.lead.workers.values())
+
+
 def _fleet_with_starts(name: str, is_gang: bool = False) -> ChangingFleet:
     """Return a fleet with starts that are recorded and not sent yet."""
-    policy = _POLICY if name == 'tickets' else None
+    policy = POLICY if name == 'tickets' else None
     spec = job(step(6, label='large', is_gang=is_gang))
     fleet = ChangingFleet(policy, (spec,))
     while not fleet.unsent():
