Orders without a lease are tested, and look-ups of tickets make no record

encode_orders sends the number of acknowledged ends and the fencing token also without a lease; a test says so. The ticket cache made a record for each look-up and dropped it.

--- a/src/wigeonreach/scheduling/placing/_advice.py
+++ b/src/wigeonreach/scheduling/placing/_advice.py
@@ -196,9 +196,7 @@
         now_s
             Clock in seconds.
         """
-        known = self._by_step.setdefault(
-            _name_of(step), _StepTickets(step.job.queue.name)
-        )
+        known = self._tickets_of(step)
         candidates = list(workers)
         with_ticket = [
             worker for worker in candidates if known.ticket(worker.name, now_s)
@@ -251,6 +249,14 @@
             self._by_step.pop(step)
             self._pending.pop(step, None)
 
+    def _tickets_of(self, step: ReadyStep) -> _StepTickets:
+        name = _name_of(step)
+        known = self._by_step.get(name)
+        if known is None:
+            known = _StepTickets(step.job.queue.name)
+            self._by_step[name] = known
+        return known
+
     def _note_refused(
         self, request: AdviceRequest, known: _StepTickets, now_s: float
     ) -> None:
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -195,6 +195,17 @@
             ),
         )
 
+    def test_ends_are_acknowledged_without_a_lease(self) -> None:
+        """A worker that announced its end gets no lease, but its ends count.
+
+        The fencing token stands beside them, as a worker ignores what lacks it.
+        """
+        orders = WorkerOrders(fence=7, acknowledged=58)
+        self.assertThat(
+            json.loads(encode_orders(orders)),
+            matchers.Equals({'ackedSeq': 58, 'fencingToken': 7}),
+        )
+
     def test_late_heartbeat_extends_no_lease(self) -> None:
         """A response without orders is an empty object."""
         self.assertThat(
