One method gives a job's present queue; unlisted runs are found once

"The queue of the manifest, or once removed that of the acceptance" stood in service_of, in advice_of and in the check of a cancel; queue_of serves the three. The checks of recorded starts listed a worker's unlisted runs a second time for its capacity; they pass them on now. Behaviour is unchanged.

--- a/src/wigeonreach/jobs/_store.py
+++ b/src/wigeonreach/jobs/_store.py
@@ -189,15 +189,17 @@
             if order is not None:
                 order.is_answered = True
 
+    def queue_of(self, job: JobRecord) -> QueueSpec:
+        """Return a job's present queue; once removed, that of its acceptance."""
+        return self.queues.named(job.queue.name) or job.queue
+
     def service_of(self, job: JobRecord) -> str:
         """Return the service whose workers may currently run a job."""
-        queue = self.queues.named(job.queue.name)
-        return queue.service if queue else job.queue.service
+        return self.queue_of(job).service
 
     def advice_of(self, job: JobRecord) -> AdvicePolicy | None:
         """Return the policy by which a job's starts need tickets now."""
-        queue = self.queues.named(job.queue.name) or job.queue
-        return queue.advice
+        return self.queue_of(job).advice
 
     def has_service(self, service: str) -> bool:
         """Whether the manifest has a service; true without a manifest."""
@@ -362,8 +364,8 @@
 
 
 def _may_cancel(job: JobRecord, owner: str, store: JobStore) -> bool:
-    queue = store.queues.named(job.queue.name) or job.queue
-    return queue.is_public or job.workspace in {'', owner}
+    is_public = store.queue_of(job).is_public
+    return is_public or job.workspace in {'', owner}
 
 
 @_apply_command.register
--- a/src/wigeonreach/scheduling/_unsent_starts.py
+++ b/src/wigeonreach/scheduling/_unsent_starts.py
@@ -11,7 +11,7 @@
 
 import dataclasses
 import enum
-from collections.abc import Collection, Iterator, Mapping
+from collections.abc import Collection, Iterable, Iterator, Mapping
 
 from wigeonreach.jobs import JobRecord, JobStore, Run, TaskKey
 from wigeonreach.scheduling._incarnation import Incarnation
@@ -81,7 +81,7 @@
             reason = self._hindrance(incarnation, run, stopping, now_s)
             if reason is not None:
                 found[run] = reason
-        for exceeding in _runs_over_capacity(incarnation, self.store):
+        for exceeding in _runs_over_capacity(incarnation, self.store, unlisted):
             found.setdefault(exceeding, Hindrance.OVER_CAPACITY)
         return found
 
@@ -160,9 +160,9 @@
 
 
 def _runs_over_capacity(
-    incarnation: Incarnation, store: JobStore
+    incarnation: Incarnation, store: JobStore, unlisted: Iterable[Run]
 ) -> Iterator[Run]:
-    """Yield the unlisted runs of a worker that exceed its resources.
+    """Yield those of a worker's unlisted runs that exceed its resources.
 
     A worker may report fewer resources than before.  If it does not enforce
     them itself, it would start these runs all the same and disturb its other
@@ -173,7 +173,7 @@
         spec = store.spec_of(row.task)
         if spec is not None:
             left -= spec.resources
-    for run in unlisted_runs(incarnation, store):
+    for run in unlisted:
         asked = store.spec_of(run[0])
         if asked is None:
             continue
