--- a/src/wigeonreach/scheduling/placing/_advice.py
+++ b/src/wigeonreach/scheduling/placing/_advice.py
@@ -21,20 +21,18 @@
 from wigeonreach.scheduling._ready import ReadyStep
 from wigeonreach.scheduling.placing._advice_calls import CallSizes
 from wigeonreach.scheduling.placing._locality import fits_all_tasks
+from wigeonreach.scheduling.placing._step_tickets import (
+    NEVER_S,
+    REFUSAL_TTL_S,
+    RETRY_DELAY_S,
+    StepTickets,
+)
 from wigeonreach.scheduling.placing._worker_capacity import WorkerCapacity
 
 # A ticket must still be valid when the order arrives, a few heartbeats later.
 _MIN_VALIDITY_S = 0.6
 # Most of a ticket's validity that is kept for that.
 _MAX_UNUSED_RATIO = 0.5
-# Delay before the next call for a step whose last call failed, or that waits
-# although its tickets seem to be enough.
-_RETRY_DELAY_S = 0.5
-# How long a refusal counts.  Who may run a step does not change, so this only
-# covers wrong answers, and costs little even if no worker may.
-_REFUSAL_TTL_S = 10.0
-_NEVER_S = float('-inf')
-
 StepKey = tuple[str, int, int]
 
 
@@ -79,82 +77,6 @@
     unreadable: int = 0
 
 
-@dataclasses.dataclass(slots=True)
-class _StepTickets:
-    """Tickets of one step and the state of its requests.
-
-    Attributes
-    ----------
-    queue
-        Name of the queue of its job.
-    tickets
-        Ticket and the time until which it can be used, by worker.  An expired
-        one shows that the worker may run the step.
-    asked_s
-        When a call last named a worker that has no ticket.
-    refused_s
-        When a worker was last refused.
-    next_request_s
-        Earliest time of the next request.
-    enough_since_s
-        Since when its tickets have been enough while it waits.
-    seen_s
-        When it was last seen waiting.
-    is_requested
-        Whether a request is in flight.
-    short_answers
-        Answers in a row that allowed too few of the workers.
-    failures
-        Calls in a row that failed.
-    is_noted
-        Whether it is in the log that no worker is allowed.
-    """
-
-    queue: str
-    tickets: dict[str, tuple[str, float]] = dataclasses.field(
-        default_factory=dict,
-    )
-    asked_s: dict[str, float] = dataclasses.field(default_factory=dict)
-    refused_s: dict[str, float] = dataclasses.field(default_factory=dict)
-    next_request_s: float = _NEVER_S
-    enough_since_s: float = _NEVER_S
-    seen_s: float = _NEVER_S
-    is_requested: bool = False
-    short_answers: int = 0
-    failures: int = 0
-    is_noted: bool = False
-
-    def ticket(self, worker: str, now_s: float) -> str:
-        """Return the valid ticket of a worker, or an empty text."""
-        ticket, until_s = self.tickets.get(worker, ('', _NEVER_S))
-        return ticket if until_s > now_s else ''
-
-    def is_refused(self, worker: str, now_s: float) -> bool:
-        """Whether a worker was refused, not long ago."""
-        refused_s = self.refused_s.get(worker, _NEVER_S)
-        return now_s - refused_s < _REFUSAL_TTL_S
-
-    def is_stuck(self, has_enough: bool, now_s: float) -> bool:
-        """Whether it waits for long although its tickets are enough.
-
-        A task may have to keep away from the workers with a ticket.
-        """
-        is_new = now_s - self.seen_s > _RETRY_DELAY_S
-        self.seen_s = now_s
-        if is_new or not has_enough:
-            self.enough_since_s = now_s
-        return now_s - self.enough_since_s >= _RETRY_DELAY_S
-
-    def note_allowed(self, tickets: Mapping[str, str], until_s: float) -> None:
-        """Store the tickets of an answer."""
-        for worker, ticket in tickets.items():
-            self.tickets[worker] = (ticket, until_s)
-            self.asked_s.pop(worker, None)
-            self.refused_s.pop(worker, None)
-        if tickets:
-            self.is_noted = False
-
-
 class TicketCache:
     """Tickets received in this term, and the requests for more.
 
@@ -166,7 +88,7 @@
 
     def __init__(self) -> None:
         """Start with an empty cache."""
-        self._by_step: dict[StepKey, _StepTickets] = {}
+        self._by_step: dict[StepKey, StepTickets] = {}
         self._pending: dict[StepKey, AdviceRequest] = {}
         # By queue, when a worker was last refused for one of its steps.  Only a
         # hint for other steps, as each may be allowed on other workers.
@@ -230,7 +152,7 @@
         known.asked_s.update(dict.fromkeys(request.workers, now_s))
         if advice is None:
             known.failures += 1
-            known.next_request_s = now_s + _RETRY_DELAY_S
+            known.next_request_s = now_s + RETRY_DELAY_S
             return
         known.failures = 0
         known.note_allowed(advice.tickets, now_s + _usable_s(advice.valid_s))
@@ -238,7 +160,7 @@
         known.short_answers = known.short_answers + 1 if is_short else 0
         if advice.unreadable:
             # It is not known which of the others were refused.
-            known.next_request_s = now_s + _RETRY_DELAY_S
+            known.next_request_s = now_s + RETRY_DELAY_S
         else:
             self._note_refused(request, known, now_s)
 
@@ -249,21 +171,21 @@
             self._by_step.pop(step)
             self._pending.pop(step, None)
 
-    def _tickets_of(self, step: ReadyStep) -> _StepTickets:
+    def _tickets_of(self, step: ReadyStep) -> StepTickets:
         name = _name_of(step)
         known = self._by_step.get(name)
         if known is None:
-            known = _StepTickets(step.job.queue.name)
+            known = StepTickets(step.job.queue.name)
             self._by_step[name] = known
         return known
 
     def _note_refused(
-        self, request: AdviceRequest, known: _StepTickets, now_s: float
+        self, request: AdviceRequest, known: StepTickets, now_s: float
     ) -> None:
         of_queue = {
             worker: refused_s
             for worker, refused_s in self._refused_of(known.queue).items()
-            if now_s - refused_s < _REFUSAL_TTL_S
+            if now_s - refused_s < REFUSAL_TTL_S
         }
         for worker in request.workers:
             if known.ticket(worker, now_s):
@@ -279,7 +201,7 @@
     def _request_tickets(
         self,
         step: ReadyStep,
-        known: _StepTickets,
+        known: StepTickets,
         candidates: Iterable[WorkerCapacity],
         sizes: CallSizes,
         now_s: float,
@@ -310,7 +232,7 @@
         )
 
     def _in_order(
-        self, workers: Iterable[WorkerCapacity], known: _StepTickets
+        self, workers: Iterable[WorkerCapacity], known: StepTickets
     ) -> list[WorkerCapacity]:
         """Return workers in the order in which the advisor is asked.
 
@@ -323,14 +245,14 @@
             workers,
             key=lambda worker: (
                 worker.name not in known.tickets,
-                known.asked_s.get(worker.name, _NEVER_S),
+                known.asked_s.get(worker.name, NEVER_S),
                 worker.name in refused,
                 -worker.free.processors,
             ),
         )
 
     def _note_none_allowed(
-        self, name: StepKey, known: _StepTickets, refused: int
+        self, name: StepKey, known: StepTickets, refused: int
     ) -> None:
         """Log once that a step may run on no worker with capacity for it."""
         if known.is_noted or known.tickets or not refused:
