One call to the advisor names all workers that a gang needs

Callers saw an accepted gang that never started (LOST) beside idle workers that might all run it: eight tasks, one to a worker, an advisor that takes 1 s and 0.2 s a worker, tickets of 4.5 s.

Cause: the times limit a call to five workers, so the gang needed two calls of 2 s, and the tickets of one expired before those of the other were there. Workers that were allowed once stay allowed, so once enough are known, one call names all of them; before, it renews the tickets that would not last.

TestGangTickets: on the code before, test_tickets_expire_before_a_second_call_ends, test_some_workers_are_refused, test_too_few_workers_are_allowed and test_tickets_never_last_until_the_last_call fail.

--- a/src/wigeonreach/scheduling/placing/_advice.py
+++ b/src/wigeonreach/scheduling/placing/_advice.py
@@ -13,13 +13,14 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 
 from wigeonreach.jobs import AdvicePolicy, TaskKey
 from wigeonreach.observe import LogEvent
 from wigeonreach.scheduling._notes import LogNote
 from wigeonreach.scheduling._ready import ReadyStep
 from wigeonreach.scheduling.placing._advice_calls import CallSizes
+from wigeonreach.scheduling.placing._gang_calls import workers_for_gang
 from wigeonreach.scheduling.placing._locality import fits_all_tasks
 from wigeonreach.scheduling.placing._step_tickets import (
     NEVER_S,
@@ -33,6 +34,9 @@
 _MIN_VALIDITY_S = 0.6
 # Most of a ticket's validity that is kept for that.
 _MAX_UNUSED_RATIO = 0.5
+# The first calls may find tickets of earlier ones expired, or be too many for
+# one call.
+_NOTED_RENEWALS = 3
 StepKey = tuple[str, int, int]
 
 
@@ -213,17 +217,20 @@
         suitable = [
             worker for worker in candidates if worker.holds(first, step.spec)
         ]
-        open_ones = [
-            worker
-            for worker in suitable
-            if not known.ticket(worker.name, now_s)
-            and not known.is_refused(worker.name, now_s)
-        ]
-        if not open_ones:
-            self._note_none_allowed(name, known, len(suitable))
+        open_ones = self._in_order(
+            (
+                worker
+                for worker in suitable
+                if not known.is_refused(worker.name, now_s)
+            ),
+            known,
+        )
+        chosen = _workers_of_call(step, known, open_ones, sizes, now_s)
+        if not chosen:
+            self._note_too_few_allowed(step, known, suitable)
             return
-        chosen = self._in_order(open_ones, known)
-        chosen = chosen[: sizes.workers(len(step.waiting_tasks))]
+        if step.spec.is_gang:
+            self._note_expiring(step, known, chosen)
         self._pending[name] = AdviceRequest(
             name,
             tuple(worker.name for worker in chosen),
@@ -251,15 +258,74 @@
             ),
         )
 
-    def _note_none_allowed(
-        self, name: StepKey, known: StepTickets, refused: int
+    def _note_too_few_allowed(
+        self,
+        step: ReadyStep,
+        known: StepTickets,
+        suitable: Sequence[WorkerCapacity],
     ) -> None:
-        """Log once that a step may run on no worker with capacity for it."""
-        if known.is_noted or known.tickets or not refused:
+        """Log once that the workers with capacity for a step are refused.
+
+        A gang waits too if some are allowed that do not fit all of it.
+        """
+        allowed = [worker for worker in suitable if known.allows(worker.name)]
+        if known.is_noted or not suitable:
+            return
+        if allowed and not _is_short_gang(step, suitable, allowed):
             return
         known.is_noted = True
-        reason = f'step {name[2]}: refused on all {refused} suitable workers'
-        self.notes.append(LogNote(LogEvent.STEP_REFUSED, name[0], reason))
+        reason = (
+            f'step {step.step}: allowed on {len(allowed)} of {len(suitable)}'
+            ' suitable workers'
+        )
+        job_id = step.job.spec.job_id
+        self.notes.append(LogNote(LogEvent.STEP_REFUSED, job_id, reason))
+
+    def _note_expiring(
+        self,
+        step: ReadyStep,
+        known: StepTickets,
+        chosen: Sequence[WorkerCapacity],
+    ) -> None:
+        """Log once that a gang's tickets expire before all can be used."""
+        if not all(known.allows(worker.name) for worker in chosen):
+            return
+        known.renewals += 1
+        if known.renewals == _NOTED_RENEWALS:
+            reason = f'step {step.step}: tickets of {len(chosen)} workers'
+            job_id = step.job.spec.job_id
+            self.notes.append(LogNote(LogEvent.TICKETS_EXPIRE, job_id, reason))
+
+
+def _workers_of_call(
+    step: ReadyStep,
+    known: StepTickets,
+    open_workers: Sequence[WorkerCapacity],
+    sizes: CallSizes,
+    now_s: float,
+) -> Sequence[WorkerCapacity]:
+    """Return the workers that the next call for a step names, or none."""
+    if step.spec.is_gang:
+        return workers_for_gang(step, known, open_workers, sizes, now_s)
+    without = [
+        worker
+        for worker in open_workers
+        if not known.ticket(worker.name, now_s)
+    ]
+    return without[: sizes.workers(len(step.waiting_tasks))]
+
+
+def _is_short_gang(
+    step: ReadyStep,
+    suitable: Iterable[WorkerCapacity],
+    allowed: Iterable[WorkerCapacity],
+) -> bool:
+    """Whether a gang fits on the suitable workers, but not on the allowed."""
+    return (
+        step.spec.is_gang
+        and fits_all_tasks(step, suitable)
+        and not fits_all_tasks(step, allowed)
+    )
 
 
 def _usable_s(valid_s: float) -> float:
--- a/src/wigeonreach/scheduling/placing/_step_tickets.py
+++ b/src/wigeonreach/scheduling/placing/_step_tickets.py
@@ -41,8 +41,11 @@
         Answers in a row that allowed too few of the workers.
     failures
         Calls in a row that failed.
+    renewals
+        Calls in a row for tickets of workers that may all run the step, since
+        its tickets were enough.
     is_noted
-        Whether it is in the log that no worker is allowed.
+        Whether it is in the log that too few workers are allowed.
     """
 
     queue: str
@@ -57,12 +60,22 @@
     is_requested: bool = False
     short_answers: int = 0
     failures: int = 0
+    renewals: int = 0
     is_noted: bool = False
 
     def ticket(self, worker: str, now_s: float) -> str:
         """Return the valid ticket of a worker, or an empty text."""
-        ticket, until_s = self.tickets.get(worker, ('', NEVER_S))
-        return ticket if until_s > now_s else ''
+        if self.expiry_s(worker) <= now_s:
+            return ''
+        return self.tickets[worker][0]
+
+    def allows(self, worker: str) -> bool:
+        """Whether a worker may run the step; its ticket may have expired."""
+        return worker in self.tickets
+
+    def expiry_s(self, worker: str) -> float:
+        """Return until when the ticket of a worker can be used."""
+        return self.tickets.get(worker, ('', NEVER_S))[1]
 
     def is_refused(self, worker: str, now_s: float) -> bool:
         """Whether a worker was refused, not long ago."""
@@ -74,6 +87,8 @@
 
         A task may have to keep away from the workers with a ticket.
         """
+        if has_enough:
+            self.renewals = 0
         is_new = now_s - self.seen_s > RETRY_DELAY_S
         self.seen_s = now_s
         if is_new or not has_enough:
@@ -82,9 +97,9 @@
 
     def note_allowed(self, tickets: Mapping[str, str], until_s: float) -> None:
         """Store the tickets of an answer."""
+        if any(worker not in self.tickets for worker in tickets):
+            self.is_noted = False
         for worker, ticket in tickets.items():
             self.tickets[worker] = (ticket, until_s)
             self.asked_s.pop(worker, None)
             self.refused_s.pop(worker, None)
-        if tickets:
-            self.is_noted = False
--- a/tests/scheduling/placing/test_advice_refusals.py
+++ b/tests/scheduling/placing/test_advice_refusals.py
@@ -166,6 +166,90 @@
         self.assertThat(took_s, _IN_TIME)
 
 
+class TestGangTickets(testtools.TestCase):
+    """A gang of eight takes one worker for each task.
+
+    Guards against gangs that never start, as the tickets of a call expire
+    before those of the next one are there.
+    """
+
+    _SLOW = AdvicePolicy(decision_ms=1000, per_worker_ms=200, validity_ms=4500)
+
+    def test_tickets_expire_before_a_second_call_ends(self) -> None:
+        """A call for all eight takes 2.6 s, two calls take 2 s each."""
+        self._assert_starts(self._fleet(range(10), 10))
+
+    def test_some_workers_are_refused(self) -> None:
+        """The emptiest four; the tickets of the first call are renewed."""
+        short = AdvicePolicy(
+            decision_ms=1000, per_worker_ms=200, validity_ms=2000
+        )
+        self._assert_starts(self._fleet(range(4, 12), 12, short), 14.0)
+
+    def test_advisor_is_slower_than_its_policy_says(self) -> None:
+        """A call that is given up does not make the next one too small."""
+        quick = AdvicePolicy(decision_ms=20, per_worker_ms=5, validity_ms=4500)
+        slow = AdvicePolicy(
+            decision_ms=1000, per_worker_ms=400, validity_ms=4500
+        )
+        self._assert_starts(self._fleet(range(10), 10, quick, slow), 14.0)
+
+    def test_more_workers_than_a_call_takes(self) -> None:
+        """Two calls are needed, which is in time with these tickets."""
+        quick = AdvicePolicy(decision_ms=100, per_worker_ms=5, validity_ms=4500)
+        gang = job(step(130, is_gang=True, cpu_millicores=9000))
+        names = [f'w{number}' for number in range(140)]
+        fleet = AdvisedFleet(names, 140, (gang,), quick)
+        self._assert_starts(fleet)
+        sizes = [len(call.workers) for call in fleet.calls]
+        self.assertThat(max(sizes), matchers.LessThan(101))
+
+    def test_too_few_workers_are_allowed(self) -> None:
+        """An operator sees why the job waits, and the advisor rests."""
+        fleet = self._fleet(range(5, 12), 12)
+        fleet.run(25.0)
+        self.assertThat(
+            self._notes(fleet), matchers.Equals([LogEvent.STEP_REFUSED])
+        )
+        self.assertThat(len(fleet.calls), matchers.LessThan(9))
+
+    def test_tickets_never_last_until_the_last_call(self) -> None:
+        """An operator sees that the policy makes it impossible."""
+        slow = AdvicePolicy(decision_ms=100, per_worker_ms=50, validity_ms=1000)
+        gang = job(step(130, is_gang=True, cpu_millicores=9000))
+        names = [f'w{number}' for number in range(140)]
+        fleet = AdvisedFleet(names, 140, (gang,), slow)
+        fleet.run(40.0)
+        self.assertThat(fleet.started, matchers.HasLength(0))
+        self.assertThat(
+            self._notes(fleet), matchers.Equals([LogEvent.TICKETS_EXPIRE])
+        )
+
+    def _fleet(
+        self,
+        allowed: range,
+        count: int,
+        policy: AdvicePolicy = _SLOW,
+        real: AdvicePolicy | None = None,
+    ) -> AdvisedFleet:
+        gang = job(step(8, is_gang=True, cpu_millicores=9000))
+        names = [f'w{number}' for number in allowed]
+        return AdvisedFleet(names, count, (gang,), policy, real)
+
+    def _assert_starts(
+        self, fleet: AdvisedFleet, within_s: float = 3.0
+    ) -> None:
+        took_s = fleet.seconds_until(lambda: bool(fleet.started))
+        self.assertThat(took_s, matchers.LessThan(within_s))
+
+    def _notes(self, fleet: AdvisedFleet) -> list[LogEvent]:
+        return [
+            note.event
+            for note in fleet.lead.scheduler.notes
+            if note.event in {LogEvent.STEP_REFUSED, LogEvent.TICKETS_EXPIRE}
+        ]
+
+
 class TestEndedJobs(testtools.TestCase):
     """Jobs that end while the advisor is asked for them."""
 
