The validity of tickets counts from the advisor's answer

Callers saw an accepted job that never started (LOST) where a call to the advisor takes longer than its tickets are valid: 1.2 s and 1 s.

Cause: the time of the whole call was taken off the validity, so each ticket had expired when it was received, and was asked for again for good. Now only what the call takes beyond the expected time counts, half of the validity at most.

The fleet of the tests takes the age off too, as the core does.

--- a/src/wigeonreach/core/_advice_poller.py
+++ b/src/wigeonreach/core/_advice_poller.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 from typing import Protocol
 
 from wigeonreach.core._clock import steady_s
 from wigeonreach.core._decision_guard import Decision
 from wigeonreach.core._term import LeaderTerm
 from wigeonreach.observe import Metrics
-from wigeonreach.scheduling.placing._advice import Advice, AdviceRequest
+from wigeonreach.scheduling.placing._advice import (
+    Advice,
+    AdviceRequest,
+    age_tickets,
+)
 
 _POLL_INTERVAL_S = 0.05
 # The advisor serves one call per process at a time; a second one waits in its
@@ -79,10 +82,7 @@
         took_s = steady_s() - sent_s
         self._metrics.observe_s('advice', took_s)
         if advice is not None:
-            # The validity of tickets counts from when the request was sent.
-            advice = dataclasses.replace(
-                advice, valid_s=max(advice.valid_s - took_s, 0)
-            )
+            advice = age_tickets(advice, took_s - request.expected_s)
         self._count(request, advice)
         self._term.scheduler.advice.record_advice(request, advice, steady_s())
         self._term.wake.set()
--- a/src/wigeonreach/scheduling/placing/_advice.py
+++ b/src/wigeonreach/scheduling/placing/_advice.py
@@ -34,6 +34,8 @@
 _MIN_VALIDITY_S = 0.6
 # Most of a ticket's validity that is kept for that.
 _MAX_UNUSED_RATIO = 0.5
+# Most of a ticket's validity that may count as over when it is received.
+_MAX_AGE_RATIO = 0.5
 # The first calls may find tickets of earlier ones expired, or be too many for
 # one call.
 _NOTED_RENEWALS = 3
@@ -81,6 +83,25 @@
     unreadable: int = 0
 
 
+def age_tickets(advice: Advice, overrun_s: float) -> Advice:
+    """Return advice whose tickets have been valid for some time already.
+
+    The time counts from the answer.  What a call takes beyond the time that was
+    expected may have passed after the answer, or before it: then tickets that
+    are taken for expired would never be used, however often they are renewed.
+
+    Parameters
+    ----------
+    advice
+        Advice as it was received.
+    overrun_s
+        How much longer the call took than expected.
+    """
+    most_s = advice.valid_s * _MAX_AGE_RATIO
+    age_s = min(max(overrun_s, 0), most_s)
+    return dataclasses.replace(advice, valid_s=advice.valid_s - age_s)
+
+
 class TicketCache:
     """Tickets received in this term, and the requests for more.
 
--- a/tests/builders_advice.py
+++ b/tests/builders_advice.py
@@ -22,7 +22,11 @@
     SetManifest,
 )
 from wigeonreach.lab import commit
-from wigeonreach.scheduling.placing._advice import Advice, AdviceRequest
+from wigeonreach.scheduling.placing._advice import (
+    Advice,
+    AdviceRequest,
+    age_tickets,
+)
 from wigeonreach.standins import StandInWorker
 
 # What the policy of a queue says unless a test says otherwise.
@@ -76,7 +80,8 @@
         self.lead = FakeLead(store, _workers(count))
         self._real = real or policy
         self._free_at_s = 0.0
-        self._answers: list[tuple[float, AdviceRequest, bool]] = []
+        # When a call began and ends, and whether it is answered.
+        self._answers: list[tuple[float, float, AdviceRequest, bool]] = []
 
     @property
     def started(self) -> set[str]:
@@ -115,11 +120,15 @@
         for request in advice.pop_requests():
             self._call(request)
         now_s = self.lead.now_s
-        for ended_s, request, is_answered in list(self._answers):
+        for call in list(self._answers):
+            began_s, ended_s, request, is_answered = call
             if ended_s <= now_s:
-                self._answers.remove((ended_s, request, is_answered))
-                answer = self._answer(request) if is_answered else None
-                advice.record_advice(request, answer, now_s)
+                self._answers.remove(call)
+                overrun_s = ended_s - began_s - request.expected_s
+                answer = age_tickets(self._answer(request), overrun_s)
+                advice.record_advice(
+                    request, answer if is_answered else None, now_s
+                )
 
     def _call(self, request: AdviceRequest) -> None:
         self.calls.append(request)
@@ -132,7 +141,7 @@
         given_up_s = now_s + waits_s + request.expected_s + request.margin_s
         is_answered = self._free_at_s <= given_up_s
         ended_s = min(self._free_at_s, given_up_s)
-        self._answers.append((ended_s, request, is_answered))
+        self._answers.append((now_s, ended_s, request, is_answered))
 
     def _answer(self, request: AdviceRequest) -> Advice:
         tickets = {
--- a/tests/scheduling/placing/test_advice_refusals.py
+++ b/tests/scheduling/placing/test_advice_refusals.py
@@ -165,6 +165,16 @@
         took_s = fleet.seconds_until(lambda: bool(fleet.started))
         self.assertThat(took_s, _IN_TIME)
 
+    def test_call_takes_longer_than_the_tickets_are_valid(self) -> None:
+        """Their validity counts from the answer."""
+        slow = AdvicePolicy(
+            decision_ms=1000, per_worker_ms=200, validity_ms=1000
+        )
+        names = [f'w{number}' for number in range(12)]
+        fleet = AdvisedFleet(names, 12, (job(step(6)),), slow)
+        took_s = fleet.seconds_until(lambda: bool(fleet.started))
+        self.assertThat(took_s, _IN_TIME)
+
 
 class TestGangTickets(testtools.TestCase):
     """A gang of eight takes one worker for each task.
