--- a/tests/scheduling/placing/test_advice_refusals.py
+++ b/tests/scheduling/placing/test_advice_refusals.py
@@ -143,10 +143,7 @@
         slow = AdvicePolicy(
             decision_ms=1000, per_worker_ms=200, validity_ms=10_000
         )
-        names = [f'w{number}' for number in range(12)]
-        fleet = AdvisedFleet(names, 12, (job(step(6)),), slow)
-        took_s = fleet.seconds_until(lambda: bool(fleet.started))
-        self.assertThat(took_s, _IN_TIME)
+        self._assert_starts(slow)
 
     def test_slower_than_the_policy_says(self) -> None:
         """The next call names fewer workers and may take longer."""
@@ -170,8 +167,12 @@
         slow = AdvicePolicy(
             decision_ms=1000, per_worker_ms=200, validity_ms=1000
         )
+        self._assert_starts(slow)
+
+    def _assert_starts(self, policy: AdvicePolicy) -> None:
+        """Check that a step of six tasks starts on some of twelve workers."""
         names = [f'w{number}' for number in range(12)]
-        fleet = AdvisedFleet(names, 12, (job(step(6)),), slow)
+        fleet = AdvisedFleet(names, 12, (job(step(6)),), policy)
         took_s = fleet.seconds_until(lambda: bool(fleet.started))
         self.assertThat(took_s, _IN_TIME)
 
